Lay out the workspace with the types that every area shares

Cause: the areas can only grow side by side once names, positions, classes, outcomes, the primary's record and virtual time are settled.

--- /dev/null
+++ b/crates/model/src/name.rs
@@ -0,0 +1,100 @@
+//! Typed names, so that a tenant's name is never taken for a database's.
+
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// The longest name accepted anywhere, in bytes.
+pub const MAX_LEN: usize = 63;
+
+/// Why a text is not a name.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The text is empty.
+    #[error("a name must not be empty")]
+    Empty,
+    /// The text is longer than [`MAX_LEN`] bytes.
+    #[error("a name has at most {MAX_LEN} bytes, this one has {0}")]
+    TooLong(usize),
+    /// The text holds a character outside `a-z`, `0-9`, `-`, `_` and `.`.
+    #[error("a name is made of a-z, 0-9, '-', '_' and '.', not {0:?}")]
+    Character(char),
+}
+
+fn checked(text: &str) -> Result<Arc<str>, Error> {
+    if text.is_empty() {
+        return Err(Error::Empty);
+    }
+    if text.len() > MAX_LEN {
+        return Err(Error::TooLong(text.len()));
+    }
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    match text.chars().find(|&c| !allowed(c)) {
+        Some(c) => Err(Error::Character(c)),
+        None => Ok(Arc::from(text)),
+    }
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks `text` and makes a name of it.
+            ///
+            /// # Errors
+            ///
+            /// [`Error`] tells what in `text` is not allowed in a name.
+            pub fn new(text: &str) -> Result<Self, Error> {
+                checked(text).map(Self)
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                Self::new(&text).map_err(serde::de::Error::custom)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// A database: one replicated group of upstreams.
+    Database;
+    /// A catalogue entry, which callers name as the database they connect to.
+    Entry;
+    /// One running process of the system.
+    Instance;
+    /// A customer of the operator, who owns entries and whose users log in.
+    Tenant;
+    /// One database server of a group.
+    Upstream;
+    /// An availability zone.
+    Zone;
+}
