--- /dev/null
+++ b/crates/fake/src/group.rs
@@ -0,0 +1,327 @@
+//! A replicated group of upstreams with terms, lag and faults.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use model::{Position, Report, Role, Term};
+
+use crate::{
+    serve::Listener,
+    server,
+    table::{Log, Place, Write},
+};
+
+/// What can be wrong with an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    /// Nothing is wrong.
+    #[default]
+    None,
+    /// The process is gone: its connections break and new ones are refused.
+    Crashed,
+    /// The network to callers and to the group is cut; packets vanish.
+    CutOff,
+    /// Connections are taken and nothing is answered.
+    Hang,
+    /// It serves callers, but the rest of the group can't reach it.
+    Parted,
+}
+
+/// The settings of one upstream.
+#[derive(Debug, Clone)]
+pub struct Conf {
+    /// Statements that run at once.
+    pub slots: usize,
+    /// Connections that it takes.
+    pub connections: usize,
+    /// How long a new connection takes.
+    pub connect: Duration,
+    /// How long a statement holds a slot.
+    pub service: Duration,
+}
+
+impl Default for Conf {
+    /// The sizes of the brief, and statements that take no time of their own.
+    fn default() -> Self {
+        Self {
+            slots: 2,
+            connections: 16,
+            connect: Duration::from_millis(10),
+            service: Duration::ZERO,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) fault: Fault,
+    /// How much later than received a replica shows an entry.
+    pub(crate) lag: Duration,
+    /// How much later answers leave.
+    pub(crate) late: Duration,
+    pub(crate) role: Role,
+    /// The highest term it was ordered to.
+    pub(crate) fenced: Term,
+    /// Which session raised the term last: only that one's orders are taken.
+    pub(crate) ordered_by: u64,
+    /// The term it writes in when it is primary.
+    pub(crate) term: Term,
+    pub(crate) read_only: bool,
+    pub(crate) follows: Option<SocketAddr>,
+    pub(crate) log: Log,
+    /// When each entry not yet shown arrived.
+    pub(crate) arrivals: Vec<Instant>,
+    /// Rows that an open transaction has written, and by which session.
+    pub(crate) locks: HashMap<Place, u64>,
+    /// Counts up when the process crashes, so that old connections break.
+    pub(crate) generation: u64,
+    pub(crate) connections: usize,
+    /// The most connections that were ever open at once.
+    pub(crate) peak: usize,
+    /// Statements run, for tests that count work.
+    pub(crate) statements: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) addresses: Vec<SocketAddr>,
+    pub(crate) sessions: u64,
+}
+
+/// What the group's servers share.
+pub(crate) type Shared = Arc<Mutex<State>>;
+
+pub(crate) fn lock(shared: &Shared) -> MutexGuard<'_, State> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl State {
+    /// Moves the log from primaries to the replicas that follow them.
+    pub(crate) fn replicate(&mut self) {
+        let now = Instant::now();
+        for index in 0..self.nodes.len() {
+            self.receive(index, now);
+            self.nodes[index].show(now);
+        }
+    }
+
+    fn receive(&mut self, index: usize, now: Instant) {
+        let node = &self.nodes[index];
+        if node.role != Role::Replica || node.is_apart() {
+            return;
+        }
+        let leader = node
+            .follows
+            .and_then(|it| self.addresses.iter().position(|&a| a == it));
+        let Some(leader) = leader.filter(|&it| it != index) else {
+            return;
+        };
+        let other = &self.nodes[leader];
+        if other.is_apart() || other.role != Role::Primary || other.term < node.log.received().term
+        {
+            return;
+        }
+        let known = node.log.entries.len();
+        let joined = known == 0 || other.log.entries.get(known - 1) == node.log.entries.last();
+        if !joined {
+            let leader_log = other.log.clone();
+            self.nodes[index].rewind(&leader_log);
+        }
+        let known = self.nodes[index].log.entries.len();
+        let news = self.nodes[leader].log.entries[known..].to_vec();
+        let node = &mut self.nodes[index];
+        node.arrivals.resize(node.arrivals.len() + news.len(), now);
+        node.log.entries.extend(news);
+    }
+}
+
+impl Node {
+    /// Whether the rest of the group can't reach it.
+    fn is_apart(&self) -> bool {
+        matches!(self.fault, Fault::Crashed | Fault::CutOff | Fault::Parted)
+    }
+
+    /// Drops what it holds beyond the log that it now follows.
+    fn rewind(&mut self, leader: &Log) {
+        self.log.rewind(leader);
+        self.arrivals
+            .truncate(self.log.entries.len() - self.log.replayed);
+    }
+
+    fn show(&mut self, now: Instant) {
+        if self.role != Role::Replica || self.fault == Fault::Crashed {
+            return;
+        }
+        let due = self
+            .arrivals
+            .iter()
+            .take_while(|&&at| at + self.lag <= now)
+            .count();
+        self.arrivals.drain(..due);
+        self.log.replay(self.log.replayed + due);
+    }
+
+    /// What it tells of itself.
+    pub(crate) fn report(&self) -> Report {
+        Report {
+            role: self.role,
+            fenced: self.fenced,
+            received: self.log.received(),
+            replayed: self.log.shown().lsn,
+        }
+    }
+
+    /// Commits a transaction's writes and gives the log's end.
+    pub(crate) fn commit(&mut self, writes: Vec<Write>) -> Position {
+        if !writes.is_empty() {
+            self.log.append(self.term, writes);
+        }
+        self.log.received()
+    }
+}
+
+/// A running group; dropping it stops its servers.
+#[derive(Debug)]
+pub struct Group {
+    shared: Shared,
+    servers: Vec<Listener>,
+}
+
+impl Group {
+    /// Starts `size` upstreams, the first of them primary in term 1.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a loopback port can't be bound.
+    pub fn spawn(size: usize, conf: &Conf) -> io::Result<Self> {
+        let state = State {
+            nodes: Vec::new(),
+            addresses: Vec::new(),
+            sessions: 0,
+        };
+        let shared = Arc::new(Mutex::new(state));
+        let mut servers = Vec::new();
+        for index in 0..size {
+            let slots = Arc::new(tokio::sync::Semaphore::new(conf.slots));
+            let (shared, conf) = (Arc::clone(&shared), conf.clone());
+            let name = format!("upstream-{index}");
+            servers.push(Listener::spawn(&name, move |io| {
+                server::serve(
+                    io,
+                    index,
+                    Arc::clone(&shared),
+                    conf.clone(),
+                    Arc::clone(&slots),
+                )
+            })?);
+        }
+        let addresses: Vec<_> = servers.iter().map(|it| it.address).collect();
+        {
+            let mut state = lock(&shared);
+            state.nodes = (0..size).map(|index| node(index, addresses[0])).collect();
+            state.addresses = addresses;
+            state.replicate();
+        }
+        Ok(Self { shared, servers })
+    }
+
+    /// Where each upstream listens.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.servers.iter().map(|it| it.address).collect()
+    }
+
+    /// Sets what is wrong with an upstream.
+    pub fn set_fault(&self, index: usize, fault: Fault) {
+        let mut state = lock(&self.shared);
+        let node = &mut state.nodes[index];
+        if fault == Fault::Crashed && node.fault != Fault::Crashed {
+            node.generation += 1;
+            node.locks.clear();
+        }
+        node.fault = fault;
+    }
+
+    /// Sets how much later than received a replica shows what it received.
+    pub fn set_lag(&self, index: usize, lag: Duration) {
+        lock(&self.shared).nodes[index].lag = lag;
+    }
+
+    /// Sets how much later than made the answers of an upstream leave.
+    pub fn set_late(&self, index: usize, late: Duration) {
+        lock(&self.shared).nodes[index].late = late;
+    }
+
+    /// What an upstream would tell of itself.
+    pub fn report(&self, index: usize) -> Report {
+        let mut state = lock(&self.shared);
+        state.replicate();
+        state.nodes[index].report()
+    }
+
+    /// Reads a row of `kv` as an upstream shows it.
+    pub fn value(&self, index: usize, key: &str) -> Option<String> {
+        let mut state = lock(&self.shared);
+        state.replicate();
+        state.nodes[index]
+            .log
+            .rows
+            .get(&(0, key.to_owned()))
+            .cloned()
+    }
+
+    /// How many statements an upstream has run.
+    pub fn statements(&self, index: usize) -> u64 {
+        lock(&self.shared).nodes[index].statements
+    }
+
+    /// The most connections that an upstream ever had at once.
+    pub fn peak_connections(&self, index: usize) -> usize {
+        lock(&self.shared).nodes[index].peak
+    }
+
+    /// How many connections an upstream has now.
+    pub fn connections(&self, index: usize) -> usize {
+        lock(&self.shared).nodes[index].connections
+    }
+
+    /// The last position that an upstream holds.
+    pub fn received(&self, index: usize) -> Position {
+        self.report(index).received
+    }
+}
+
+fn node(index: usize, first: SocketAddr) -> Node {
+    let role = if index == 0 {
+        Role::Primary
+    } else {
+        Role::Replica
+    };
+    let mut log = Log::default();
+    if index == 0 {
+        log.append(Term(1), Vec::new());
+    }
+    Node {
+        fault: Fault::None,
+        lag: Duration::ZERO,
+        late: Duration::ZERO,
+        role,
+        fenced: Term(1),
+        ordered_by: 0,
+        term: Term(1),
+        read_only: false,
+        follows: (index > 0).then_some(first),
+        log,
+        arrivals: Vec::new(),
+        locks: HashMap::new(),
+        generation: 0,
+        connections: 0,
+        peak: 0,
+        statements: 0,
+    }
+}
--- /dev/null
+++ b/crates/fake/src/server/exec.rs
@@ -0,0 +1,516 @@
+//! Running statements: transactions, locks, and the orders to the group.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use model::{Position, Role, Term};
+use ntex::time::sleep;
+use tokio::sync::Semaphore;
+
+use super::{Cell, Outcome};
+use crate::{
+    group::{Fault, Node, Shared, lock},
+    sql::{self, Column, Conflict, Literal, Plan, Refusal},
+    table::{Place, Write},
+};
+
+/// How long a statement waits for a row that another transaction has written.
+const LOCK_WAIT: Duration = Duration::from_secs(2);
+/// How often it looks again.
+const LOCK_STEP: Duration = Duration::from_millis(1);
+
+/// A connection's session at an upstream.
+pub(super) struct Session {
+    node: usize,
+    pub(super) id: u64,
+    shared: Shared,
+    slots: Arc<Semaphore>,
+    service: Duration,
+    /// Begun by `BEGIN`, as against the transaction that a batch makes.
+    explicit: bool,
+    failed: bool,
+    admitted: bool,
+    writes: BTreeMap<Place, Option<String>>,
+    settings: BTreeMap<String, String>,
+}
+
+impl Session {
+    pub(super) fn new(
+        node: usize,
+        id: u64,
+        shared: Shared,
+        slots: Arc<Semaphore>,
+        service: Duration,
+    ) -> Self {
+        Self {
+            node,
+            id,
+            shared,
+            slots,
+            service,
+            explicit: false,
+            failed: false,
+            admitted: false,
+            writes: BTreeMap::new(),
+            settings: BTreeMap::new(),
+        }
+    }
+
+    /// Counts the connection in, if there is room for it.
+    pub(super) fn admit(&mut self, limit: usize) -> bool {
+        let mut state = lock(&self.shared);
+        let node = &mut state.nodes[self.node];
+        if node.connections >= limit {
+            return false;
+        }
+        node.connections += 1;
+        node.peak = node.peak.max(node.connections);
+        self.admitted = true;
+        true
+    }
+
+    /// Counts the connection out.
+    pub(super) fn leave(&mut self) {
+        if self.admitted {
+            lock(&self.shared).nodes[self.node].connections -= 1;
+            self.admitted = false;
+        }
+    }
+
+    pub(super) fn fault(&self) -> (Fault, u64, Duration) {
+        let state = lock(&self.shared);
+        let node = &state.nodes[self.node];
+        (node.fault, node.generation, node.late)
+    }
+
+    /// The transaction's state, as `ReadyForQuery` tells it.
+    pub(super) fn status(&self) -> u8 {
+        match (self.explicit, self.failed) {
+            (false, _) => b'I',
+            (true, false) => b'T',
+            (true, true) => b'E',
+        }
+    }
+
+    /// Marks the transaction as failed.
+    pub(super) fn fail(&mut self) {
+        self.failed = true;
+    }
+
+    /// Ends the transaction that a batch outside `BEGIN` makes.
+    pub(super) fn end_batch(&mut self) {
+        if self.explicit {
+            return;
+        }
+        if self.failed {
+            self.rollback();
+        } else {
+            self.commit();
+        }
+        self.failed = false;
+    }
+
+    /// Forgets what the transaction wrote.
+    pub(super) fn rollback(&mut self) {
+        self.writes.clear();
+        self.unlock();
+    }
+
+    fn unlock(&self) {
+        let mut state = lock(&self.shared);
+        state.nodes[self.node]
+            .locks
+            .retain(|_, holder| *holder != self.id);
+    }
+
+    fn commit(&mut self) -> Position {
+        let writes: Vec<Write> = std::mem::take(&mut self.writes).into_iter().collect();
+        let position = {
+            let mut state = lock(&self.shared);
+            let position = state.nodes[self.node].commit(writes);
+            state.replicate();
+            position
+        };
+        self.unlock();
+        position
+    }
+
+    /// Runs one statement in a slot.
+    pub(super) async fn run(
+        &mut self,
+        plan: &Plan,
+        parameters: &[Option<String>],
+    ) -> Result<Outcome, Refusal> {
+        let slots = Arc::clone(&self.slots);
+        let slot = slots.acquire().await;
+        if self.service > Duration::ZERO && !matches!(plan, Plan::Probe) {
+            sleep(self.service).await;
+        }
+        let result = self.run_in_slot(plan, parameters).await;
+        drop(slot);
+        result
+    }
+
+    async fn run_in_slot(
+        &mut self,
+        plan: &Plan,
+        parameters: &[Option<String>],
+    ) -> Result<Outcome, Refusal> {
+        let ends = matches!(plan, Plan::Commit | Plan::Rollback);
+        if self.explicit && self.failed && !ends {
+            return Err(("25P02", "current transaction is aborted".to_owned()));
+        }
+        {
+            let mut state = lock(&self.shared);
+            state.nodes[self.node].statements += 1;
+            state.replicate();
+        }
+        match plan {
+            Plan::Empty => Ok(Outcome::default()),
+            Plan::Begin => {
+                self.explicit = true;
+                Ok(tagged("BEGIN"))
+            }
+            Plan::Commit => Ok(self.end_transaction(End::Commit)),
+            Plan::Rollback => Ok(self.end_transaction(End::Rollback)),
+            Plan::Probe => Ok(self.probe()),
+            Plan::Alter { name, value } => self.alter(name, value),
+            Plan::Reload => Ok(one("SELECT 1", "t")),
+            Plan::Promote => self.promote(),
+            Plan::Set { name, value } => {
+                self.settings.insert(name.clone(), value.clone());
+                Ok(tagged("SET"))
+            }
+            Plan::Show { name } => Ok(one(
+                "SHOW",
+                self.settings.get(name).map_or("", String::as_str),
+            )),
+            Plan::Select {
+                table,
+                columns,
+                key,
+                lock,
+            } => {
+                self.select(*table, columns, key.as_ref(), *lock, parameters)
+                    .await
+            }
+            Plan::Insert {
+                table,
+                rows,
+                conflict,
+            } => self.insert(*table, rows, conflict, parameters).await,
+            Plan::Update { table, key, value } => {
+                let value = Some(bound(value, parameters)?);
+                let count = self
+                    .change(*table, key.as_ref(), &value, parameters)
+                    .await?;
+                Ok(tagged(&format!("UPDATE {count}")))
+            }
+            Plan::Delete { table, key } => {
+                let count = self.change(*table, key.as_ref(), &None, parameters).await?;
+                Ok(tagged(&format!("DELETE {count}")))
+            }
+        }
+    }
+
+    fn end_transaction(&mut self, end: End) -> Outcome {
+        let commits = end == End::Commit && !self.failed;
+        if commits {
+            self.commit();
+        } else {
+            self.rollback();
+        }
+        self.explicit = false;
+        self.failed = false;
+        tagged(if commits { "COMMIT" } else { "ROLLBACK" })
+    }
+
+    fn probe(&self) -> Outcome {
+        let state = lock(&self.shared);
+        let report = state.nodes[self.node].report();
+        let role = if report.role == Role::Replica {
+            "t"
+        } else {
+            "f"
+        };
+        let texts = [
+            role.to_owned(),
+            report.fenced.to_string(),
+            report.received.term.to_string(),
+            report.received.lsn.to_string(),
+            report.replayed.to_string(),
+        ];
+        Outcome {
+            rows: vec![texts.into_iter().map(Cell::Text).collect()],
+            tag: "SELECT 1".to_owned(),
+        }
+    }
+
+    fn alter(&self, name: &str, value: &str) -> Result<Outcome, Refusal> {
+        let mut state = lock(&self.shared);
+        let addresses = state.addresses.clone();
+        let node = &mut state.nodes[self.node];
+        let malformed = || ("22023", format!("invalid value for {name}: {value}"));
+        if name == "dandelionlink.term" {
+            let term = value.parse().map(Term).map_err(|_| malformed())?;
+            if term < node.fenced {
+                return Err(("DL010", format!("the term is {} already", node.fenced)));
+            }
+            node.fenced = term;
+            node.ordered_by = self.id;
+            return Ok(tagged("ALTER SYSTEM"));
+        }
+        self.check_order(node)?;
+        match name {
+            "dandelionlink.log_term" => {
+                node.term = value.parse().map(Term).map_err(|_| malformed())?
+            }
+            "default_transaction_read_only" => node.read_only = value == "on",
+            "primary_conninfo" if value.is_empty() => node.follows = None,
+            "primary_conninfo" => {
+                let port = value
+                    .rsplit_once("port=")
+                    .and_then(|(_, port)| port.parse().ok());
+                let leader = addresses.iter().find(|it| Some(it.port()) == port);
+                node.follows = Some(*leader.ok_or_else(malformed)?);
+                node.role = Role::Replica;
+            }
+            _ => return Err(malformed()),
+        }
+        state.replicate();
+        Ok(tagged("ALTER SYSTEM"))
+    }
+
+    /// Refuses the order of a session that another has raised the term after.
+    fn check_order(&self, node: &Node) -> Result<(), Refusal> {
+        if node.ordered_by == self.id {
+            return Ok(());
+        }
+        Err(("DL010", "another session has raised the term".to_owned()))
+    }
+
+    fn promote(&self) -> Result<Outcome, Refusal> {
+        let mut state = lock(&self.shared);
+        let node = &mut state.nodes[self.node];
+        self.check_order(node)?;
+        let held = node.log.entries.len();
+        node.arrivals.clear();
+        node.log.replay(held);
+        node.role = Role::Primary;
+        node.follows = None;
+        node.log.append(node.term, Vec::new());
+        state.replicate();
+        Ok(one("SELECT 1", "t"))
+    }
+
+    /// Refuses writes on a replica, and on a primary that was fenced.
+    fn check_writable(&self) -> Result<(), Refusal> {
+        let state = lock(&self.shared);
+        let node = &state.nodes[self.node];
+        if node.role == Role::Replica || node.read_only {
+            return Err((
+                "25006",
+                "cannot write in a read-only transaction".to_owned(),
+            ));
+        }
+        Ok(())
+    }
+
+    /// Waits until no other transaction has written the row, then takes it.
+    async fn take(&self, place: &Place) -> Result<(), Refusal> {
+        let mut waited = Duration::ZERO;
+        loop {
+            {
+                let mut state = lock(&self.shared);
+                let locks = &mut state.nodes[self.node].locks;
+                let holder = locks.entry(place.clone()).or_insert(self.id);
+                if *holder == self.id {
+                    return Ok(());
+                }
+            }
+            if waited >= LOCK_WAIT {
+                return Err(("55P03", "the row is locked".to_owned()));
+            }
+            sleep(LOCK_STEP).await;
+            waited += LOCK_STEP;
+        }
+    }
+
+    fn row(&self, place: &Place) -> Option<String> {
+        if let Some(value) = self.writes.get(place) {
+            return value.clone();
+        }
+        lock(&self.shared).nodes[self.node]
+            .log
+            .rows
+            .get(place)
+            .cloned()
+    }
+
+    fn keys(&self, table: usize) -> Vec<String> {
+        let state = lock(&self.shared);
+        let rows = state.nodes[self.node].log.rows.keys();
+        let mut keys: Vec<_> = rows
+            .chain(self.writes.keys())
+            .filter(|it| it.0 == table)
+            .collect();
+        keys.sort();
+        keys.dedup();
+        keys.into_iter().map(|it| it.1.clone()).collect()
+    }
+
+    async fn select(
+        &mut self,
+        table: Option<usize>,
+        columns: &[(String, Column)],
+        key: Option<&sql::Term>,
+        lock: bool,
+        parameters: &[Option<String>],
+    ) -> Result<Outcome, Refusal> {
+        if lock {
+            self.check_writable()?;
+        }
+        let Some(table) = table else {
+            let row = self.cells(columns, "", "", 0, parameters)?;
+            return Ok(Outcome {
+                rows: vec![row],
+                tag: "SELECT 1".to_owned(),
+            });
+        };
+        let keys = match key {
+            Some(key) => vec![bound(key, parameters)?],
+            None => self.keys(table),
+        };
+        let mut found = Vec::new();
+        for key in keys {
+            let place = (table, key);
+            if lock {
+                self.take(&place).await?;
+            }
+            if let Some(value) = self.row(&place) {
+                found.push((place.1, value));
+            }
+        }
+        let count = found.len();
+        if columns.iter().any(|(_, column)| *column == Column::Count) {
+            let row = self.cells(columns, "", "", count, parameters)?;
+            return Ok(Outcome {
+                rows: vec![row],
+                tag: "SELECT 1".to_owned(),
+            });
+        }
+        let rows = found
+            .iter()
+            .map(|(key, value)| self.cells(columns, key, value, count, parameters));
+        Ok(Outcome {
+            rows: rows.collect::<Result<_, _>>()?,
+            tag: format!("SELECT {count}"),
+        })
+    }
+
+    fn cells(
+        &self,
+        columns: &[(String, Column)],
+        key: &str,
+        value: &str,
+        count: usize,
+        parameters: &[Option<String>],
+    ) -> Result<Vec<Cell>, Refusal> {
+        let cell = |(_, column): &(String, Column)| match column {
+            Column::Key => Ok(Cell::Text(key.to_owned())),
+            Column::Value => Ok(Cell::Text(value.to_owned())),
+            Column::Count => Ok(Cell::Long(count as i64)),
+            Column::Constant(Literal::Int(number)) => Ok(Cell::Int(*number)),
+            Column::Constant(Literal::Text(text)) => Ok(Cell::Text(text.clone())),
+            Column::Constant(Literal::Parameter(index)) => {
+                bound(&sql::Term::Parameter(*index), parameters).map(Cell::Text)
+            }
+        };
+        columns.iter().map(cell).collect()
+    }
+
+    async fn insert(
+        &mut self,
+        table: usize,
+        rows: &[(sql::Term, sql::Term)],
+        conflict: &Conflict,
+        parameters: &[Option<String>],
+    ) -> Result<Outcome, Refusal> {
+        self.check_writable()?;
+        let mut count = 0;
+        for (key, value) in rows {
+            let place = (table, bound(key, parameters)?);
+            let value = bound(value, parameters)?;
+            self.take(&place).await?;
+            let value = match (self.row(&place), conflict) {
+                (None, _) => value,
+                (Some(_), Conflict::Nothing) => continue,
+                (Some(_), Conflict::Update(sql::Term::Excluded)) => value,
+                (Some(_), Conflict::Update(term)) => bound(term, parameters)?,
+                (Some(_), Conflict::Refuse) => {
+                    let text = "duplicate key value violates unique constraint".to_owned();
+                    return Err(("23505", text));
+                }
+            };
+            self.writes.insert(place, Some(value));
+            count += 1;
+        }
+        Ok(tagged(&format!("INSERT 0 {count}")))
+    }
+
+    /// Updates or removes the rows that are there.
+    async fn change(
+        &mut self,
+        table: usize,
+        key: Option<&sql::Term>,
+        value: &Option<String>,
+        parameters: &[Option<String>],
+    ) -> Result<usize, Refusal> {
+        self.check_writable()?;
+        let keys = match key {
+            Some(key) => vec![bound(key, parameters)?],
+            None => self.keys(table),
+        };
+        let mut count = 0;
+        for key in keys {
+            let place = (table, key);
+            self.take(&place).await?;
+            if self.row(&place).is_some() {
+                self.writes.insert(place, value.clone());
+                count += 1;
+            }
+        }
+        Ok(count)
+    }
+}
+
+#[derive(PartialEq)]
+enum End {
+    Commit,
+    Rollback,
+}
+
+fn tagged(tag: &str) -> Outcome {
+    Outcome {
+        rows: Vec::new(),
+        tag: tag.to_owned(),
+    }
+}
+
+fn one(tag: &str, text: &str) -> Outcome {
+    Outcome {
+        rows: vec![vec![Cell::Text(text.to_owned())]],
+        tag: tag.to_owned(),
+    }
+}
+
+/// The value of a term, once the parameters are known.
+fn bound(term: &sql::Term, parameters: &[Option<String>]) -> Result<String, Refusal> {
+    match term {
+        sql::Term::Text(text) => Ok(text.clone()),
+        sql::Term::Parameter(index) => {
+            let value = parameters.get(*index).cloned().flatten();
+            value.ok_or(("23502", "a null value is not allowed".to_owned()))
+        }
+        sql::Term::Excluded => Err(("42P01", "no row is being inserted".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/fake/src/sql.rs
@@ -0,0 +1,386 @@
+//! The statements that the stand-in takes, read by the `sqlparser` library.
+
+use sqlparser::{
+    ast::{
+        Assignment, AssignmentTarget, BinaryOperator, Delete, Expr, FromTable, Insert,
+        OnConflictAction, OnInsert, Query, SelectItem, SetExpr, Statement, TableFactor,
+        TableObject, UnaryOperator, Value,
+    },
+    dialect::PostgreSqlDialect,
+    parser::Parser,
+};
+
+use crate::table::TABLES;
+
+/// A refusal: its SQLSTATE and text.
+pub(crate) type Refusal = (&'static str, String);
+
+/// A value: given in the text, or the parameter of that number from 0.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Term {
+    Text(String),
+    Parameter(usize),
+    /// The value that an insert would have written.
+    Excluded,
+}
+
+/// A column of an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Column {
+    Key,
+    Value,
+    Count,
+    Constant(Literal),
+}
+
+/// A constant with its type.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Literal {
+    Int(i32),
+    Text(String),
+    Parameter(usize),
+}
+
+/// What to do when an insert meets its key.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Conflict {
+    Refuse,
+    Nothing,
+    Update(Term),
+}
+
+/// What a statement does.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Plan {
+    Empty,
+    Begin,
+    Commit,
+    Rollback,
+    Probe,
+    /// `ALTER SYSTEM SET name = 'value'`.
+    Alter {
+        name: String,
+        value: String,
+    },
+    Reload,
+    Promote,
+    Set {
+        name: String,
+        value: String,
+    },
+    Show {
+        name: String,
+    },
+    Select {
+        table: Option<usize>,
+        columns: Vec<(String, Column)>,
+        key: Option<Term>,
+        lock: bool,
+    },
+    Insert {
+        table: usize,
+        rows: Vec<(Term, Term)>,
+        conflict: Conflict,
+    },
+    Update {
+        table: usize,
+        key: Option<Term>,
+        value: Term,
+    },
+    Delete {
+        table: usize,
+        key: Option<Term>,
+    },
+}
+
+fn unsupported(what: &str) -> Refusal {
+    ("0A000", format!("the stand-in does not take {what}"))
+}
+
+/// Reads a text of one or more statements.
+pub(crate) fn parse(text: &str) -> Result<Vec<Plan>, Refusal> {
+    if let Some(plan) = system(text) {
+        return Ok(vec![plan]);
+    }
+    let statements = Parser::parse_sql(&PostgreSqlDialect {}, text);
+    let statements = statements.map_err(|error| ("42601", error.to_string()))?;
+    statements.iter().map(plan).collect()
+}
+
+/// The statements of an operator of the group, by their first words.
+fn system(text: &str) -> Option<Plan> {
+    let text = text.trim().trim_end_matches(';');
+    if text.is_empty() {
+        return Some(Plan::Empty);
+    }
+    if text.starts_with("SELECT pg_is_in_recovery(), coalesce(") {
+        return Some(Plan::Probe);
+    }
+    if text == "SELECT pg_reload_conf()" {
+        return Some(Plan::Reload);
+    }
+    if text == "SELECT pg_promote()" {
+        return Some(Plan::Promote);
+    }
+    if let Some(rest) = text.strip_prefix("ALTER SYSTEM SET ") {
+        let (name, value) = rest.split_once(" = ")?;
+        return Some(Plan::Alter {
+            name: name.to_owned(),
+            value: unquoted(value),
+        });
+    }
+    let (word, rest) = text.split_once(' ')?;
+    if word.eq_ignore_ascii_case("set") {
+        let (name, value) = rest.split_once('=').or_else(|| rest.split_once(" TO "))?;
+        return Some(Plan::Set {
+            name: name.trim().to_owned(),
+            value: unquoted(value),
+        });
+    }
+    if word.eq_ignore_ascii_case("show") {
+        return Some(Plan::Show {
+            name: rest.trim().to_owned(),
+        });
+    }
+    None
+}
+
+fn unquoted(text: &str) -> String {
+    text.trim().trim_matches('\'').to_owned()
+}
+
+fn plan(statement: &Statement) -> Result<Plan, Refusal> {
+    match statement {
+        Statement::StartTransaction { .. } => Ok(Plan::Begin),
+        Statement::Commit { .. } => Ok(Plan::Commit),
+        Statement::Rollback { .. } => Ok(Plan::Rollback),
+        Statement::Query(query) => select(query),
+        Statement::Insert(insert) => insert_plan(insert),
+        Statement::Update {
+            table,
+            assignments,
+            selection,
+            ..
+        } => update(&table.relation, assignments, selection.as_ref()),
+        Statement::Delete(delete) => delete_plan(delete),
+        _ => Err(unsupported("this statement")),
+    }
+}
+
+fn table(name: &str) -> Result<usize, Refusal> {
+    let name = name.trim_matches('"');
+    let found = TABLES.iter().position(|(known, _)| *known == name);
+    found.ok_or(("42P01", format!("relation \"{name}\" does not exist")))
+}
+
+fn factor(factor: &TableFactor) -> Result<usize, Refusal> {
+    match factor {
+        TableFactor::Table { name, .. } => table(&name.to_string()),
+        _ => Err(unsupported("this FROM")),
+    }
+}
+
+fn select(query: &Query) -> Result<Plan, Refusal> {
+    let SetExpr::Select(select) = &*query.body else {
+        return Err(unsupported("this query"));
+    };
+    let from = match select.from.as_slice() {
+        [] => None,
+        [one] if one.joins.is_empty() => Some(factor(&one.relation)?),
+        _ => return Err(unsupported("a join")),
+    };
+    let mut columns = Vec::new();
+    for item in &select.projection {
+        column(item, from, &mut columns)?;
+    }
+    let key = select
+        .selection
+        .as_ref()
+        .map(|it| key(it, from.unwrap_or(0)))
+        .transpose()?;
+    Ok(Plan::Select {
+        table: from,
+        columns,
+        key,
+        lock: !query.locks.is_empty(),
+    })
+}
+
+fn column(
+    item: &SelectItem,
+    from: Option<usize>,
+    columns: &mut Vec<(String, Column)>,
+) -> Result<(), Refusal> {
+    let (expr, alias) = match item {
+        SelectItem::Wildcard(_) => {
+            let names = TABLES[from.unwrap_or(0)].1;
+            columns.push((names[0].to_owned(), Column::Key));
+            columns.push((names[1].to_owned(), Column::Value));
+            return Ok(());
+        }
+        SelectItem::UnnamedExpr(expr) => (expr, None),
+        SelectItem::ExprWithAlias { expr, alias } => (expr, Some(alias.value.clone())),
+        SelectItem::QualifiedWildcard(..) => return Err(unsupported("this column")),
+    };
+    let (name, column) = match expr {
+        Expr::Identifier(name) => named(&name.value, from)?,
+        Expr::Function(it) if it.name.to_string().eq_ignore_ascii_case("count") => {
+            ("count".to_owned(), Column::Count)
+        }
+        _ => ("?column?".to_owned(), Column::Constant(literal(expr)?)),
+    };
+    columns.push((alias.unwrap_or(name), column));
+    Ok(())
+}
+
+fn named(name: &str, from: Option<usize>) -> Result<(String, Column), Refusal> {
+    let names = TABLES[from.unwrap_or(0)].1;
+    match names.iter().position(|known| *known == name) {
+        Some(0) if from.is_some() => Ok((name.to_owned(), Column::Key)),
+        Some(1) if from.is_some() => Ok((name.to_owned(), Column::Value)),
+        _ => Err(("42703", format!("column \"{name}\" does not exist"))),
+    }
+}
+
+fn literal(expr: &Expr) -> Result<Literal, Refusal> {
+    match expr {
+        Expr::Value(value) => match &value.value {
+            Value::Number(text, _) => text
+                .parse()
+                .map(Literal::Int)
+                .map_err(|_| unsupported("this number")),
+            Value::SingleQuotedString(text) => Ok(Literal::Text(text.clone())),
+            Value::Placeholder(text) => parameter(text).map(Literal::Parameter),
+            _ => Err(unsupported("this constant")),
+        },
+        Expr::Cast { expr, .. } => literal(expr),
+        Expr::UnaryOp {
+            op: UnaryOperator::Minus,
+            expr,
+        } => match literal(expr)? {
+            Literal::Int(number) => Ok(Literal::Int(-number)),
+            other => Ok(other),
+        },
+        _ => Err(unsupported("this expression")),
+    }
+}
+
+fn parameter(text: &str) -> Result<usize, Refusal> {
+    let number = text.trim_start_matches('$').parse::<usize>().ok();
+    number
+        .and_then(|it| it.checked_sub(1))
+        .ok_or(("42P02", format!("no parameter {text}")))
+}
+
+fn term(expr: &Expr) -> Result<Term, Refusal> {
+    if let Expr::CompoundIdentifier(parts) = expr
+        && parts
+            .first()
+            .is_some_and(|it| it.value.eq_ignore_ascii_case("excluded"))
+    {
+        return Ok(Term::Excluded);
+    }
+    match literal(expr)? {
+        Literal::Int(number) => Ok(Term::Text(number.to_string())),
+        Literal::Text(text) => Ok(Term::Text(text)),
+        Literal::Parameter(index) => Ok(Term::Parameter(index)),
+    }
+}
+
+/// The key that a condition `key = …` asks for.
+fn key(expr: &Expr, table: usize) -> Result<Term, Refusal> {
+    match expr {
+        Expr::BinaryOp {
+            left,
+            op: BinaryOperator::Eq,
+            right,
+        } if left.to_string().trim_matches('"') == TABLES[table].1[0] => term(right),
+        Expr::Nested(inner) => key(inner, table),
+        _ => Err(unsupported("this condition")),
+    }
+}
+
+fn insert_plan(insert: &Insert) -> Result<Plan, Refusal> {
+    let TableObject::TableName(name) = &insert.table else {
+        return Err(unsupported("this INSERT"));
+    };
+    let table = table(&name.to_string())?;
+    let source = insert.source.as_ref().map(|it| &*it.body);
+    let Some(SetExpr::Values(values)) = source else {
+        return Err(unsupported("this INSERT"));
+    };
+    let swapped = insert
+        .columns
+        .first()
+        .is_some_and(|it| it.value == TABLES[table].1[1]);
+    let mut rows = Vec::new();
+    for row in &values.rows {
+        let [first, second] = row.as_slice() else {
+            return Err(("42601", "the table has two columns".to_owned()));
+        };
+        let (first, second) = (term(first)?, term(second)?);
+        rows.push(if swapped {
+            (second, first)
+        } else {
+            (first, second)
+        });
+    }
+    Ok(Plan::Insert {
+        table,
+        rows,
+        conflict: conflict(insert)?,
+    })
+}
+
+fn conflict(insert: &Insert) -> Result<Conflict, Refusal> {
+    let Some(on) = &insert.on else {
+        return Ok(Conflict::Refuse);
+    };
+    let OnInsert::OnConflict(on) = on else {
+        return Err(unsupported("this clause"));
+    };
+    match &on.action {
+        OnConflictAction::DoNothing => Ok(Conflict::Nothing),
+        OnConflictAction::DoUpdate(update) => Ok(Conflict::Update(assigned(&update.assignments)?)),
+    }
+}
+
+fn assigned(assignments: &[Assignment]) -> Result<Term, Refusal> {
+    match assignments {
+        [
+            Assignment {
+                target: AssignmentTarget::ColumnName(_),
+                value,
+            },
+        ] => term(value),
+        _ => Err(unsupported("these assignments")),
+    }
+}
+
+fn update(
+    relation: &TableFactor,
+    assignments: &[Assignment],
+    selection: Option<&Expr>,
+) -> Result<Plan, Refusal> {
+    let table = factor(relation)?;
+    let key = selection.map(|it| key(it, table)).transpose()?;
+    Ok(Plan::Update {
+        table,
+        key,
+        value: assigned(assignments)?,
+    })
+}
+
+fn delete_plan(delete: &Delete) -> Result<Plan, Refusal> {
+    let (FromTable::WithFromKeyword(from) | FromTable::WithoutKeyword(from)) = &delete.from;
+    let [one] = from.as_slice() else {
+        return Err(unsupported("this DELETE"));
+    };
+    let table = factor(&one.relation)?;
+    let key = delete
+        .selection
+        .as_ref()
+        .map(|it| key(it, table))
+        .transpose()?;
+    Ok(Plan::Delete { table, key })
+}
--- /dev/null
+++ b/crates/pg/src/front.rs
@@ -0,0 +1,261 @@
+//! Messages from callers that the proxy has to understand.
+
+use bytes::{Buf, BytesMut};
+use pgwire::messages::{
+    DecodeContext, Message, PgWireFrontendMessage,
+    cancel::CancelRequest,
+    extendedquery::{Bind, Close, Describe, Execute, Parse},
+    startup::{self, GssEncRequest, SslRequest},
+};
+
+use crate::{Error, Frame};
+
+/// The largest first message of a connection, in bytes, as PostgreSQL has it.
+const MAX_STARTUP: usize = 10_000;
+
+/// The first message of a connection, which has no tag.
+#[derive(Debug)]
+pub enum Startup {
+    /// The caller asks whether TLS is spoken here.
+    Tls,
+    /// The caller asks whether GSSAPI encryption is spoken here.
+    Gss,
+    /// The caller asks to cancel another connection's statement.
+    Cancel(CancelRequest),
+    /// The caller begins a session.
+    Session(startup::Startup),
+}
+
+/// Takes the first message off `buf`; `None` when it is not all there yet.
+///
+/// # Errors
+///
+/// [`Error`] when the bytes can't begin a connection.
+pub fn decode_startup(buf: &mut BytesMut) -> Result<Option<Startup>, Error> {
+    if buf.len() < 8 {
+        return Ok(None);
+    }
+    let length = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]);
+    if (length as usize) < 8 {
+        return Err(Error::Short { tag: ' ', length });
+    }
+    if length as usize > MAX_STARTUP {
+        return Err(Error::Oversized { tag: ' ', length });
+    }
+    if buf.len() < length as usize {
+        return Ok(None);
+    }
+    let mut whole = buf.split_to(length as usize);
+    let malformed = |what| Error::Malformed { tag: ' ', what };
+    if SslRequest::is_ssl_request_packet(&whole) {
+        return Ok(Some(Startup::Tls));
+    }
+    if GssEncRequest::is_gss_enc_request_packet(&whole) {
+        return Ok(Some(Startup::Gss));
+    }
+    let context = DecodeContext::default();
+    if CancelRequest::is_cancel_request_packet(&whole) {
+        if whole.len() < 16 {
+            return Err(malformed("a cancel request without a key"));
+        }
+        let cancel = CancelRequest::decode(&mut whole, &context).ok().flatten();
+        return cancel
+            .map(|it| Some(Startup::Cancel(it)))
+            .ok_or(malformed("a cancel request"));
+    }
+    if whole.last() != Some(&0) {
+        return Err(malformed("the parameters don't end"));
+    }
+    let session = startup::Startup::decode(&mut whole, &context)
+        .ok()
+        .flatten();
+    session
+        .map(|it| Some(Startup::Session(it)))
+        .ok_or(malformed("the parameters"))
+}
+
+/// A message of a running session.
+#[derive(Debug)]
+pub enum Front {
+    /// Simple query.
+    Query(String),
+    /// Names a statement.
+    Parse(Parse),
+    /// Gives a statement its parameters.
+    Bind(Bind),
+    /// Asks for a statement's or portal's shape.
+    Describe(Describe),
+    /// Runs a portal.
+    Execute(Execute),
+    /// Forgets a statement or a portal.
+    Close(Close),
+    /// Asks for all answers so far.
+    Flush,
+    /// Ends a batch.
+    Sync,
+    /// Ends the session.
+    Terminate,
+    /// Part of a COPY, which is not served.
+    Copy,
+}
+
+/// Reads a message of a running session.
+///
+/// # Errors
+///
+/// [`Error`] when the type is unknown or the contents don't fit it.
+pub fn decode(frame: &Frame) -> Result<Front, Error> {
+    let tag = char::from(frame.tag());
+    match tag {
+        'Q' => return query(frame),
+        'H' => return Ok(Front::Flush),
+        'S' => return Ok(Front::Sync),
+        'X' => return Ok(Front::Terminate),
+        'd' | 'c' | 'f' => return Ok(Front::Copy),
+        'P' => check_parse(frame.body())?,
+        'B' => check_bind(frame.body())?,
+        'D' | 'C' => check_target(tag, frame.body())?,
+        'E' => check_execute(frame.body())?,
+        _ => return Err(Error::Unexpected(tag)),
+    }
+    let mut context = DecodeContext::default();
+    context.awaiting_frontend_ssl = false;
+    context.awaiting_frontend_startup = false;
+    let mut buf = BytesMut::from(frame.bytes());
+    let malformed = Error::Malformed {
+        tag,
+        what: "its contents",
+    };
+    match PgWireFrontendMessage::decode(&mut buf, &context) {
+        Ok(Some(PgWireFrontendMessage::Parse(it))) => Ok(Front::Parse(it)),
+        Ok(Some(PgWireFrontendMessage::Bind(it))) => Ok(Front::Bind(it)),
+        Ok(Some(PgWireFrontendMessage::Describe(it))) => Ok(Front::Describe(it)),
+        Ok(Some(PgWireFrontendMessage::Execute(it))) => Ok(Front::Execute(it)),
+        Ok(Some(PgWireFrontendMessage::Close(it))) => Ok(Front::Close(it)),
+        _ => Err(malformed),
+    }
+}
+
+fn query(frame: &Frame) -> Result<Front, Error> {
+    let body = frame.body();
+    let text = body.strip_suffix(&[0]).ok_or(Error::Malformed {
+        tag: 'Q',
+        what: "no end",
+    })?;
+    let text = std::str::from_utf8(text);
+    let text = text.map_err(|_| Error::Malformed {
+        tag: 'Q',
+        what: "not UTF-8",
+    })?;
+    Ok(Front::Query(text.to_owned()))
+}
+
+/// A view of a body that is walked without trusting the lengths in it.
+///
+/// The library's decoder takes the counts in a message at their word and
+/// panics when the body is shorter, which would end the whole thread of
+/// callers. Each body is therefore walked first.
+struct Walk<'a> {
+    tag: char,
+    rest: &'a [u8],
+}
+
+impl<'a> Walk<'a> {
+    fn fail<T>(&self, what: &'static str) -> Result<T, Error> {
+        Err(Error::Malformed {
+            tag: self.tag,
+            what,
+        })
+    }
+
+    fn text(&mut self) -> Result<&'a str, Error> {
+        let Some(end) = self.rest.iter().position(|&byte| byte == 0) else {
+            return self.fail("a text without an end");
+        };
+        let (text, rest) = self.rest.split_at(end);
+        self.rest = &rest[1..];
+        std::str::from_utf8(text).map_err(|_| Error::Malformed {
+            tag: self.tag,
+            what: "a text that is not UTF-8",
+        })
+    }
+
+    fn skip(&mut self, count: usize) -> Result<(), Error> {
+        if self.rest.len() < count {
+            return self.fail("shorter than its counts say");
+        }
+        self.rest = &self.rest[count..];
+        Ok(())
+    }
+
+    fn count(&mut self) -> Result<usize, Error> {
+        if self.rest.len() < 2 {
+            return self.fail("a count is missing");
+        }
+        let count = self.rest.get_i16();
+        usize::try_from(count).or_else(|_| self.fail("a negative count"))
+    }
+
+    fn end(&self) -> Result<(), Error> {
+        if self.rest.is_empty() {
+            Ok(())
+        } else {
+            self.fail("bytes after its end")
+        }
+    }
+}
+
+fn check_parse(body: &[u8]) -> Result<(), Error> {
+    let mut walk = Walk {
+        tag: 'P',
+        rest: body,
+    };
+    walk.text()?;
+    walk.text()?;
+    let types = walk.count()?;
+    walk.skip(types * 4)?;
+    walk.end()
+}
+
+fn check_bind(body: &[u8]) -> Result<(), Error> {
+    let mut walk = Walk {
+        tag: 'B',
+        rest: body,
+    };
+    walk.text()?;
+    walk.text()?;
+    let formats = walk.count()?;
+    walk.skip(formats * 2)?;
+    for _ in 0..walk.count()? {
+        if walk.rest.len() < 4 {
+            return walk.fail("a parameter's length is missing");
+        }
+        let length = walk.rest.get_i32();
+        if length >= 0 {
+            walk.skip(length as usize)?;
+        }
+    }
+    let results = walk.count()?;
+    walk.skip(results * 2)?;
+    walk.end()
+}
+
+fn check_target(tag: char, body: &[u8]) -> Result<(), Error> {
+    let mut walk = Walk { tag, rest: body };
+    if !matches!(body.first(), Some(b'S' | b'P')) {
+        return walk.fail("neither a statement nor a portal");
+    }
+    walk.skip(1)?;
+    walk.text()?;
+    walk.end()
+}
+
+fn check_execute(body: &[u8]) -> Result<(), Error> {
+    let mut walk = Walk {
+        tag: 'E',
+        rest: body,
+    };
+    walk.text()?;
+    walk.skip(4)?;
+    walk.end()
+}
--- /dev/null
+++ b/crates/pg/src/reply.rs
@@ -0,0 +1,62 @@
+//! Messages to callers, written by the `pgwire` library.
+
+use bytes::BytesMut;
+use pgwire::messages::{
+    Message,
+    response::{ErrorResponse, ReadyForQuery, TransactionStatus},
+    startup::ParameterStatus,
+};
+
+/// A growing run of messages to a caller.
+pub type Reply = BytesMut;
+
+/// Appends `message` to `buf`.
+fn put(buf: &mut Reply, message: &impl Message) {
+    // Encoding fails only for messages above the library's size limits, which
+    // the short messages written here don't reach.
+    let _ = message.encode(buf);
+}
+
+/// Appends an error with its SQLSTATE, a text, and a hint if there is one.
+pub fn error(buf: &mut Reply, state: &str, text: &str, hint: Option<&str>) {
+    let severity = if state == "57P01" || state.starts_with("08") {
+        "FATAL"
+    } else {
+        "ERROR"
+    };
+    let mut fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', state.to_owned()),
+        (b'M', text.to_owned()),
+    ];
+    fields.extend(hint.map(|hint| (b'H', hint.to_owned())));
+    put(buf, &ErrorResponse::new(fields));
+}
+
+/// Appends the news that the session's `name` is now `value`.
+pub fn parameter(buf: &mut Reply, name: &str, value: &str) {
+    put(
+        buf,
+        &ParameterStatus::new(name.to_owned(), value.to_owned()),
+    );
+}
+
+/// Appends the end of a batch, with the transaction's state: `I`, `T` or `E`.
+pub fn ready(buf: &mut Reply, state: u8) {
+    let status = match state {
+        b'T' => TransactionStatus::Transaction,
+        b'E' => TransactionStatus::Error,
+        _ => TransactionStatus::Idle,
+    };
+    put(buf, &ReadyForQuery::new(status));
+}
+
+/// The SQLSTATE in the body of an error message, if it has one.
+pub fn error_state(body: &[u8]) -> Option<&str> {
+    body.split(|&byte| byte == 0)
+        .find_map(|field| match field.split_first() {
+            Some((b'C', state)) => std::str::from_utf8(state).ok(),
+            _ => None,
+        })
+}
--- /dev/null
+++ b/crates/store/src/json.rs
@@ -0,0 +1,211 @@
+//! Calls and answers in the gateway's JSON form.
+//!
+//! Keys and values are in base64 and 64-bit numbers in decimal text, as the
+//! JSON mapping of protocol buffers has them; absent fields are zero.
+
+use std::time::Duration;
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+
+use crate::call::{Answer, Call, Compare, Event, Fault, Pair, Put};
+
+/// The path that a call is posted to.
+pub(crate) fn path(call: &Call) -> &'static str {
+    match call {
+        Call::Range { .. } => "/v3/kv/range",
+        Call::Txn { .. } => "/v3/kv/txn",
+        Call::Grant { .. } => "/v3/lease/grant",
+        Call::Keep { .. } => "/v3/lease/keepalive",
+        Call::Revoke { .. } => "/v3/lease/revoke",
+    }
+}
+
+fn text(bytes: impl AsRef<[u8]>) -> String {
+    STANDARD.encode(bytes)
+}
+
+/// The end of the range of keys that begin with `prefix`.
+fn range_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
+
+/// The body that asks for all keys under `prefix`.
+fn prefixed(prefix: &str) -> Value {
+    json!({ "key": text(prefix), "range_end": text(range_end(prefix)) })
+}
+
+/// The body of a call.
+pub(crate) fn body(call: &Call) -> Value {
+    match call {
+        Call::Range { prefix } => prefixed(prefix),
+        Call::Txn {
+            compares,
+            puts,
+            deletes,
+        } => txn(compares, puts, deletes),
+        Call::Grant { ttl } => json!({ "TTL": ttl.as_secs().to_string() }),
+        Call::Keep { lease } | Call::Revoke { lease } => json!({ "ID": lease.to_string() }),
+    }
+}
+
+fn txn(compares: &[Compare], puts: &[Put], deletes: &[String]) -> Value {
+    let compare = |it: &Compare| {
+        json!({
+            "key": text(&it.key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": it.revision.to_string(),
+        })
+    };
+    let put = |it: &Put| {
+        let lease = it.lease.unwrap_or(0).to_string();
+        json!({ "request_put": { "key": text(&it.key), "value": text(&it.value), "lease": lease } })
+    };
+    let delete = |it: &String| json!({ "request_delete_range": { "key": text(it) } });
+    let read = |it: &Compare| json!({ "request_range": { "key": text(&it.key) } });
+    json!({
+        "compare": compares.iter().map(compare).collect::<Vec<_>>(),
+        "success": puts.iter().map(put).chain(deletes.iter().map(delete)).collect::<Vec<_>>(),
+        "failure": compares.iter().map(read).collect::<Vec<_>>(),
+    })
+}
+
+/// The body that opens a watch on `prefix` from `revision` on.
+pub(crate) fn watch(prefix: &str, revision: u64) -> Value {
+    let mut request = prefixed(prefix);
+    request["start_revision"] = json!(revision.to_string());
+    json!({ "create_request": request })
+}
+
+fn malformed(what: &'static str) -> Fault {
+    Fault::Malformed { what }
+}
+
+/// A 64-bit number, which the gateway writes as text and leaves out when zero.
+fn number(value: &Value) -> Result<u64, Fault> {
+    match value {
+        Value::Null => Ok(0),
+        Value::String(text) => text.parse().map_err(|_| malformed("a number")),
+        Value::Number(number) => number.as_u64().ok_or(malformed("a number")),
+        _ => Err(malformed("a number")),
+    }
+}
+
+fn bytes(value: &Value) -> Result<Vec<u8>, Fault> {
+    match value {
+        Value::Null => Ok(Vec::new()),
+        Value::String(text) => STANDARD.decode(text).map_err(|_| malformed("base64")),
+        _ => Err(malformed("base64")),
+    }
+}
+
+fn key(value: &Value) -> Result<String, Fault> {
+    String::from_utf8(bytes(value)?).map_err(|_| malformed("a key"))
+}
+
+fn pair(value: &Value) -> Result<Pair, Fault> {
+    let revision = number(&value["mod_revision"])?;
+    Ok(Pair {
+        key: key(&value["key"])?,
+        value: bytes(&value["value"])?,
+        revision,
+    })
+}
+
+fn pairs(value: &Value) -> Result<Vec<Pair>, Fault> {
+    let list = value["kvs"].as_array().map_or(&[][..], Vec::as_slice);
+    list.iter().map(pair).collect()
+}
+
+/// Reads the answer to `call`.
+pub(crate) fn answer(call: &Call, value: &Value) -> Result<Answer, Fault> {
+    let revision = number(&value["header"]["revision"])?;
+    if !value["header"].is_object() && !value["result"].is_object() {
+        return Err(malformed("the header is missing"));
+    }
+    match call {
+        Call::Range { .. } => Ok(Answer::Pairs {
+            pairs: pairs(value)?,
+            revision,
+        }),
+        Call::Txn { .. } if value["succeeded"] == json!(true) => Ok(Answer::Swapped { revision }),
+        Call::Txn { .. } => Ok(Answer::Conflict {
+            pairs: conflict(value)?,
+            revision,
+        }),
+        Call::Grant { .. } => lease(value),
+        Call::Keep { .. } => lease(&value["result"]),
+        Call::Revoke { lease } => Ok(Answer::Lease {
+            lease: *lease,
+            ttl: Duration::ZERO,
+        }),
+    }
+}
+
+fn conflict(value: &Value) -> Result<Vec<Pair>, Fault> {
+    let mut found = Vec::new();
+    for response in value["responses"].as_array().map_or(&[][..], Vec::as_slice) {
+        found.append(&mut pairs(&response["response_range"])?);
+    }
+    Ok(found)
+}
+
+fn lease(value: &Value) -> Result<Answer, Fault> {
+    let ttl = Duration::from_secs(number(&value["TTL"])?);
+    Ok(Answer::Lease {
+        lease: number(&value["ID"])?,
+        ttl,
+    })
+}
+
+/// Reads a refusal: the gateway sends gRPC's code and a message.
+pub(crate) fn refusal(value: &Value) -> Fault {
+    let error = if value["error"].is_object() {
+        &value["error"]
+    } else {
+        value
+    };
+    let code = error["code"]
+        .as_i64()
+        .or(error["grpc_code"].as_i64())
+        .unwrap_or(2);
+    let message = error["message"].as_str().unwrap_or("no message").to_owned();
+    Fault::Refused { code, message }
+}
+
+/// Reads one line of a watch: the changes and the revision they bring.
+pub(crate) fn events(value: &Value) -> Result<(Vec<Event>, u64), Fault> {
+    let result = &value["result"];
+    if !result.is_object() {
+        return Err(refusal(value));
+    }
+    let compacted = number(&result["compact_revision"])?;
+    if compacted > 0 {
+        return Err(Fault::Compacted {
+            revision: compacted,
+        });
+    }
+    let revision = number(&result["header"]["revision"])?;
+    let list = result["events"].as_array().map_or(&[][..], Vec::as_slice);
+    let events = list.iter().map(event).collect::<Result<_, _>>()?;
+    Ok((events, revision))
+}
+
+fn event(value: &Value) -> Result<Event, Fault> {
+    let pair = pair(&value["kv"])?;
+    if value["type"] == json!("DELETE") {
+        return Ok(Event::Delete {
+            key: pair.key,
+            revision: pair.revision,
+        });
+    }
+    Ok(Event::Put(pair))
+}
--- /dev/null
+++ b/crates/upstream/src/conn.rs
@@ -0,0 +1,209 @@
+//! One connection to an upstream, from login to close.
+
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use ntex::{SharedCfg, io::Io};
+use pg::{Codec, Frame};
+use postgres_protocol::{
+    authentication::sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256},
+    message::frontend,
+};
+
+use crate::Error;
+
+/// How the proxy logs in to an upstream.
+#[derive(Debug, Clone)]
+pub struct Login {
+    /// The user.
+    pub user: String,
+    /// The user's password, if the upstream asks for one.
+    pub password: Option<String>,
+}
+
+/// What a cancel request names a connection by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Key {
+    /// The server process.
+    pub pid: i32,
+    /// The secret that the server gave with it.
+    pub secret: i32,
+}
+
+/// A connection on which the login is done.
+#[derive(Debug)]
+pub struct Conn {
+    io: Io,
+    key: Key,
+}
+
+impl Conn {
+    /// Connects to `address` and logs in to the database `dbname`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] when nothing was sent; otherwise why the login failed.
+    pub async fn open(address: SocketAddr, login: &Login, dbname: &str) -> Result<Self, Error> {
+        let io = ntex::rt::tcp_connect(address, SharedCfg::default());
+        let io = io.await.map_err(Error::Connect)?;
+        let mut conn = Self {
+            io,
+            key: Key { pid: 0, secret: 0 },
+        };
+        let mut buf = BytesMut::new();
+        let parameters = [
+            ("user", login.user.as_str()),
+            ("database", dbname),
+            ("application_name", "dandelionlink"),
+            ("client_encoding", "UTF8"),
+        ];
+        frontend::startup_message(parameters, &mut buf).map_err(pg::Error::Io)?;
+        conn.send(&buf)?;
+        conn.log_in(login).await?;
+        Ok(conn)
+    }
+
+    /// What a cancel request names this connection by.
+    pub fn key(&self) -> &Key {
+        &self.key
+    }
+
+    /// Whether the upstream has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.io.is_closed()
+    }
+
+    /// Sends bytes that are whole messages.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`] when the connection is gone; some bytes may have left.
+    pub fn send(&self, bytes: &[u8]) -> Result<(), Error> {
+        self.io.encode_slice(bytes).map_err(|_| Error::Closed)?;
+        self.io.send_buf().map_err(|_| Error::Closed)
+    }
+
+    /// Waits for the next message.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] when the connection is gone or does not speak the protocol.
+    pub async fn recv(&self) -> Result<Frame, Error> {
+        match self.io.recv(&Codec).await {
+            Ok(Some(frame)) => Ok(frame),
+            Ok(None) => Err(Error::Closed),
+            Err(ntex::util::Either::Left(error)) => Err(Error::Protocol(error)),
+            Err(ntex::util::Either::Right(_)) => Err(Error::Closed),
+        }
+    }
+
+    /// Runs statements one by one by simple query and returns the rows of the
+    /// last that had any; stops at the first that is refused.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Refused`] when the upstream refuses one of the statements.
+    pub async fn run(&self, statements: &[String]) -> Result<Vec<Frame>, Error> {
+        let mut rows = Vec::new();
+        for statement in statements {
+            let found = self.query(statement).await?;
+            if !found.is_empty() {
+                rows = found;
+            }
+        }
+        Ok(rows)
+    }
+
+    async fn query(&self, statement: &str) -> Result<Vec<Frame>, Error> {
+        let mut buf = BytesMut::new();
+        frontend::query(statement, &mut buf).map_err(pg::Error::Io)?;
+        self.send(&buf)?;
+        let mut rows = Vec::new();
+        let mut refused = None;
+        loop {
+            let frame = self.recv().await?;
+            match frame.tag() {
+                b'D' => rows.push(frame),
+                b'E' => refused = Some(Error::refused(frame.body())),
+                b'Z' => break,
+                _ => {}
+            }
+        }
+        refused.map_or(Ok(rows), Err)
+    }
+
+    async fn log_in(&mut self, login: &Login) -> Result<(), Error> {
+        let password = login.password.as_deref().unwrap_or_default();
+        let mut scram = None;
+        loop {
+            let frame = self.recv().await?;
+            match frame.tag() {
+                b'R' => self.authenticate(&frame, password, &mut scram)?,
+                b'K' => self.key = key(frame.body()).ok_or(Error::Status("a cancel key"))?,
+                b'E' => return Err(Error::refused(frame.body())),
+                b'Z' => return Ok(()),
+                _ => {}
+            }
+        }
+    }
+
+    fn authenticate(
+        &self,
+        frame: &Frame,
+        password: &str,
+        scram: &mut Option<ScramSha256>,
+    ) -> Result<(), Error> {
+        let (method, rest) = frame
+            .body()
+            .split_first_chunk::<4>()
+            .ok_or(Error::Login(-1))?;
+        let method = i32::from_be_bytes(*method);
+        let malformed = |_| Error::Login(method);
+        let mut buf = BytesMut::new();
+        match (method, scram.as_mut()) {
+            (0, _) => return Ok(()),
+            (3, _) => {
+                frontend::password_message(password.as_bytes(), &mut buf).map_err(malformed)?
+            }
+            (10, _) => {
+                let binding = ChannelBinding::unsupported();
+                let exchange = scram.insert(ScramSha256::new(password.as_bytes(), binding));
+                frontend::sasl_initial_response(SCRAM_SHA_256, exchange.message(), &mut buf)
+                    .map_err(malformed)?;
+            }
+            (11, Some(exchange)) => {
+                exchange.update(rest).map_err(malformed)?;
+                frontend::sasl_response(exchange.message(), &mut buf).map_err(malformed)?;
+            }
+            (12, Some(exchange)) => return exchange.finish(rest).map_err(malformed),
+            _ => return Err(Error::Login(method)),
+        }
+        self.send(&buf)
+    }
+}
+
+fn key(body: &[u8]) -> Option<Key> {
+    let (pid, rest) = body.split_first_chunk::<4>()?;
+    let (secret, _) = rest.split_first_chunk::<4>()?;
+    Some(Key {
+        pid: i32::from_be_bytes(*pid),
+        secret: i32::from_be_bytes(*secret),
+    })
+}
+
+/// Asks the upstream at `address` to cancel what the connection `key` runs.
+///
+/// # Errors
+///
+/// [`Error::Connect`] when the upstream can't be reached.
+pub async fn cancel(address: SocketAddr, key: &Key) -> Result<(), Error> {
+    let io = ntex::rt::tcp_connect(address, SharedCfg::default());
+    let io = io.await.map_err(Error::Connect)?;
+    let mut buf = BytesMut::new();
+    frontend::cancel_request(key.pid, key.secret, &mut buf);
+    io.encode_slice(&buf).map_err(|_| Error::Closed)?;
+    io.flush(true).await.map_err(|_| Error::Closed)?;
+    // The server answers by closing, after it has acted on the request.
+    let _ = io.recv(&Codec).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,11 @@
+//! A connection to an upstream, its status and the orders it takes.
+
+mod conn;
+mod error;
+mod order;
+mod status;
+
+pub use conn::{Conn, Key, Login, cancel};
+pub use error::Error;
+pub use order::Order;
+pub use status::{PROBE, report};
--- /dev/null
+++ b/crates/upstream/src/status.rs
@@ -0,0 +1,79 @@
+//! What an upstream tells of itself, in one statement and one row.
+
+use model::{Lsn, Position, Report, Role, Term};
+use pg::Frame;
+
+use crate::Error;
+
+/// The statement whose one row [`report`] reads.
+///
+/// All of it comes in one answer, so that the position is never that of
+/// another term than the one reported with it. `dandelionlink.term` is the
+/// highest term that the upstream was ordered to, `dandelionlink.log_term` the
+/// term of the log it writes or receives.
+pub const PROBE: &str = "SELECT pg_is_in_recovery(), \
+    coalesce(nullif(current_setting('dandelionlink.term', true), ''), '0'), \
+    coalesce(nullif(current_setting('dandelionlink.log_term', true), ''), '0'), \
+    CASE WHEN pg_is_in_recovery() \
+    THEN pg_last_wal_receive_lsn() ELSE pg_current_wal_flush_lsn() END, \
+    CASE WHEN pg_is_in_recovery() \
+    THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_flush_lsn() END";
+
+/// Reads the row that [`PROBE`] brings.
+///
+/// # Errors
+///
+/// [`Error::Status`] when the row is not of that form.
+pub fn report(row: &Frame) -> Result<Report, Error> {
+    let [role, fenced, term, received, replayed] = columns(row.body())?;
+    let role = match role {
+        "t" => Role::Replica,
+        "f" => Role::Primary,
+        _ => return Err(Error::Status("the role")),
+    };
+    let fenced = fenced
+        .parse()
+        .map(Term)
+        .map_err(|_| Error::Status("the fenced term"))?;
+    let term = term
+        .parse()
+        .map(Term)
+        .map_err(|_| Error::Status("the log's term"))?;
+    let received = Position {
+        term,
+        lsn: lsn(received)?,
+    };
+    Ok(Report {
+        role,
+        fenced,
+        received,
+        replayed: lsn(replayed)?,
+    })
+}
+
+fn lsn(text: &str) -> Result<Lsn, Error> {
+    text.parse().map_err(|_| Error::Status("a log position"))
+}
+
+/// The five columns of the row, in text form.
+fn columns(body: &[u8]) -> Result<[&str; 5], Error> {
+    let mut found = [""; 5];
+    let (count, mut rest) = body
+        .split_first_chunk::<2>()
+        .ok_or(Error::Status("the row"))?;
+    if u16::from_be_bytes(*count) != 5 {
+        return Err(Error::Status("the number of columns"));
+    }
+    for column in &mut found {
+        let (length, tail) = rest
+            .split_first_chunk::<4>()
+            .ok_or(Error::Status("a column"))?;
+        let length = u32::from_be_bytes(*length) as usize;
+        let (text, tail) = tail
+            .split_at_checked(length)
+            .ok_or(Error::Status("a column"))?;
+        *column = std::str::from_utf8(text).map_err(|_| Error::Status("a column"))?;
+        rest = tail;
+    }
+    Ok(found)
+}
