Choose upstreams for reads and judge each answer

Cause: a router's knowledge of replicas is old when it is used, and a report from before a restart or rewind proves nothing about the answer. Change: crate route: Router (step, choose, verify), History of confirmed rounds, majority proof, lag trend, baselines behind Policy, statement classification, sqlcommenter tags, memory of reads that write.

--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,301 @@
+//! The choice itself: replica, wait, primary, round, or refusal.
+
+use std::time::Duration;
+
+use clock::Instant;
+use model::{Cause, Freshness, Position, Role};
+use rand::Rng;
+use session::Floor;
+
+use crate::{
+    Choice, Read, Router, Target, Trust,
+    node::{Node, Standing},
+    verify::demand,
+};
+
+/// What a replica must show.
+#[derive(Debug, Clone, Copy)]
+struct Need {
+    position: Position,
+    /// When the primary had reached that position, at the latest.
+    reached: Instant,
+    bound: Option<Duration>,
+}
+
+/// A replica that could serve.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    node: usize,
+    cost: Duration,
+    standing: Standing,
+}
+
+impl Router {
+    /// Chooses where a read goes now.
+    ///
+    /// ```
+    /// use clock::Instant;
+    /// use rand::SeedableRng;
+    /// use model::{Cause, name};
+    /// use route::{Choice, Conf, Read, Router};
+    ///
+    /// let zone = name::Zone::new("nl-west-1").unwrap();
+    /// let mut router = Router::new(&zone, Conf::default());
+    /// let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    /// let read = Read::new(Instant::ZERO, Instant::from_millis(500));
+    /// let choice = router.choose(Instant::ZERO, &read, &mut rng);
+    /// assert_eq!(choice, Choice::Refuse(Cause::NoUpstream));
+    /// ```
+    pub fn choose(&mut self, now: Instant, read: &Read, rng: &mut impl Rng) -> Choice {
+        if now >= read.deadline {
+            return Choice::Refuse(Cause::Deadline);
+        }
+        if self.nodes.is_empty() {
+            return Choice::Refuse(Cause::NoUpstream);
+        }
+        if self.learnt.knows(now, read.fingerprint) {
+            return self.to_primary(read);
+        }
+        let read = self.settled(read);
+        let Floor::Known(floor) = read.floor else {
+            return self.unsettled(&read);
+        };
+        let need = self.need(now, &read, floor);
+        if self.needs_round(now, &need) {
+            return Choice::Discover;
+        }
+        let candidates = self.candidates(now, &read, &need);
+        if let Some(candidate) = pick(&candidates, rng)
+            && !self.spills(candidate.cost)
+        {
+            let node = &self.nodes[candidate.node];
+            return Choice::Replica(node.member.upstream.clone());
+        }
+        if candidates.is_empty()
+            && let Some(choice) = self.wait(now, &read, &need, self.conf.patience)
+        {
+            return choice;
+        }
+        self.fall_back(now, &read, &need)
+    }
+
+    /// The read with its floor, where a round since it began tells it.
+    ///
+    /// A current read is one whose floor is everything acknowledged before it
+    /// began, so a round that began later serves it as it serves a session.
+    pub(crate) fn settled(&self, read: &Read) -> Read {
+        let since = match (read.freshness, read.floor) {
+            (Freshness::Current, _) => read.began,
+            (_, Floor::Unknown { since }) => since,
+            (_, Floor::Known(_)) => return *read,
+        };
+        let floor = match (self.discovered(since), read.floor) {
+            (Some(round), Floor::Known(floor)) => {
+                Floor::Known(session::join(floor, round.position))
+            }
+            (Some(round), Floor::Unknown { .. }) => Floor::Known(round.position),
+            (None, _) => Floor::Unknown { since },
+        };
+        read.floor(floor)
+    }
+
+    fn need(&self, now: Instant, read: &Read, floor: Position) -> Need {
+        let position = demand(floor, read.seen, Target::Replica);
+        let bound = match read.freshness {
+            Freshness::Age(bound) => Some(bound),
+            Freshness::Session | Freshness::Current => None,
+        };
+        Need {
+            position,
+            reached: self.history.reached(position).unwrap_or(now),
+            bound,
+        }
+    }
+
+    /// Whether the newest round is too old to prove any answer's age, and a new
+    /// one would not be.
+    fn needs_round(&self, now: Instant, need: &Need) -> bool {
+        let (Some(bound), Some(newest)) = (need.bound, self.confirmed()) else {
+            return false;
+        };
+        let replicas = self.nodes.iter().filter(|node| self.replica(node));
+        let Some(cost) = replicas.map(Node::cost).min() else {
+            return false;
+        };
+        let leads = self.leader().is_some_and(Node::usable);
+        let proves = |since: Instant| (now + cost).since(since) <= bound;
+        leads && !proves(newest.since) && cost + self.round_trip() <= bound
+    }
+
+    /// How long a round takes.
+    fn round_trip(&self) -> Duration {
+        self.nodes.iter().map(Node::rtt).max().unwrap_or_default()
+    }
+
+    fn replica(&self, node: &Node) -> bool {
+        let replica = node.answer.is_some_and(|a| a.report.role == Role::Replica);
+        replica && node.usable() && !self.diverged(node)
+    }
+
+    fn candidates(&mut self, now: Instant, read: &Read, need: &Need) -> Vec<Candidate> {
+        let newest = self.confirmed().map(|round| round.since);
+        let mut found = Vec::new();
+        for at in 0..self.nodes.len() {
+            if !self.replica(&self.nodes[at]) || !reaches(&self.nodes[at], now, read, need) {
+                continue;
+            }
+            let node = &mut self.nodes[at];
+            let cost = node.cost();
+            let standing = match need.bound {
+                Some(bound) => node.standing(bound, age(node, now, read.trust, newest)),
+                None => Standing::Inside,
+            };
+            if standing == Standing::Outside || now + cost > read.deadline {
+                continue;
+            }
+            found.push(Candidate {
+                node: at,
+                cost,
+                standing,
+            });
+        }
+        self.without_edges(found)
+    }
+
+    /// Leaves out replicas at the edge of their bound where another is well
+    /// inside. An edge one alone is taken only while it is not falling behind:
+    /// otherwise its answers would be discarded as old about as often as not.
+    fn without_edges(&self, mut found: Vec<Candidate>) -> Vec<Candidate> {
+        if found.iter().any(|c| c.standing == Standing::Inside) {
+            found.retain(|c| c.standing == Standing::Inside);
+        } else {
+            found.retain(|c| self.nodes[c.node].holds_pace());
+        }
+        found
+    }
+
+    /// Whether the primary would answer so much earlier that it takes the read.
+    pub(crate) fn spills(&self, cost: Duration) -> bool {
+        let primary = self.leader().filter(|node| node.usable());
+        primary.is_some_and(|node| cost > node.cost() + self.conf.spill)
+    }
+
+    /// Waits for the replica that is expected to serve first, if that is
+    /// within `patience` of the read's beginning and within its deadline.
+    fn wait(&self, now: Instant, read: &Read, need: &Need, patience: Duration) -> Option<Choice> {
+        let end = (read.began + patience).min(read.deadline);
+        let waiting = self.nodes.iter().filter(|node| self.replica(node));
+        let waits = waiting.filter_map(|node| {
+            let wait = time_to_serve(node, now, need)?;
+            Some((wait.max(MIN_WAIT), node))
+        });
+        let (wait, node) = waits.min_by_key(|(wait, node)| *wait + node.cost())?;
+        (now + wait + node.cost() <= end).then(|| Choice::Wait {
+            upstream: node.member.upstream.clone(),
+            until: now + wait,
+        })
+    }
+
+    /// No replica serves in time: the primary, or else whatever may come.
+    fn fall_back(&self, now: Instant, read: &Read, need: &Need) -> Choice {
+        if let Some(node) = self.leader().filter(|node| node.usable()) {
+            let upstream = node.member.upstream.clone();
+            return match read.trust {
+                Trust::Expected | Trust::Proved => Choice::Primary(upstream),
+                Trust::Confirmed => Choice::Confirmed(upstream),
+            };
+        }
+        let left = read.deadline.since(now);
+        if let Some(choice) = self.wait(now, read, need, left) {
+            return choice;
+        }
+        self.hold(read)
+    }
+
+    fn to_primary(&self, read: &Read) -> Choice {
+        match self.leader().filter(|node| node.usable()) {
+            Some(node) => Choice::Primary(node.member.upstream.clone()),
+            None => self.hold(read),
+        }
+    }
+
+    /// Where a read goes whose floor no round has told yet.
+    fn unsettled(&self, read: &Read) -> Choice {
+        let Some(primary) = self.leader().filter(|node| node.usable()) else {
+            return self.hold(read);
+        };
+        if read.freshness != Freshness::Current {
+            return Choice::Discover;
+        }
+        // The confirmation travels beside the read, so the primary answers
+        // first unless its queue is longer than a round and a replica's.
+        let replicas = self.nodes.iter().filter(|node| self.replica(node));
+        let replica = replicas.map(Node::cost).min();
+        if replica.is_some_and(|cost| self.round_trip() + cost < primary.cost()) {
+            return Choice::Discover;
+        }
+        Choice::Confirmed(primary.member.upstream.clone())
+    }
+
+    /// Keeps the read while a change of primary may bring an upstream back.
+    fn hold(&self, read: &Read) -> Choice {
+        if self.nodes.iter().any(|node| node.answer.is_some()) || self.record.is_some() {
+            return Choice::Hold {
+                until: read.deadline,
+            };
+        }
+        Choice::Refuse(Cause::NoUpstream)
+    }
+}
+
+/// Shorter waits cost more in events than they save.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
+/// Whether the node has reached the position, or should have by now.
+fn reaches(node: &Node, now: Instant, read: &Read, need: &Need) -> bool {
+    if node.position().is_some_and(|p| p.covers(need.position)) {
+        return true;
+    }
+    let same_term = node
+        .position()
+        .is_some_and(|p| p.term >= need.position.term);
+    let expected = node.expected_as_of(now);
+    read.trust == Trust::Expected && same_term && expected >= Some(need.reached)
+}
+
+/// How old the node's answer will be provably when it arrives, which rests on
+/// a round however fresh the node should be.
+fn age(node: &Node, now: Instant, trust: Trust, newest: Option<Instant>) -> Option<Duration> {
+    let shown = match trust {
+        Trust::Expected => node.expected_as_of(now)?.min(newest?),
+        Trust::Proved | Trust::Confirmed => node.as_of()?,
+    };
+    Some((now + node.cost()).since(shown))
+}
+
+/// How long until a statement sent to the node should be fresh enough.
+fn time_to_serve(node: &Node, now: Instant, need: &Need) -> Option<Duration> {
+    let to_floor = match node.position() {
+        Some(position) if position.covers(need.position) => Duration::ZERO,
+        Some(position) if position.term < need.position.term => return None,
+        _ => node.wait(now, need.reached)?,
+    };
+    let Some(bound) = need.bound else {
+        return Some(to_floor);
+    };
+    let oldest = now + node.cost() - bound;
+    Some(to_floor.max(node.wait(now, oldest)?))
+}
+
+/// The cheaper of two that are drawn: taking the cheapest of all would send
+/// every instance to the same replica until the next report.
+fn pick(candidates: &[Candidate], rng: &mut impl Rng) -> Option<Candidate> {
+    let (&first, rest) = candidates.split_first()?;
+    if rest.is_empty() {
+        return Some(first);
+    }
+    let a = rng.random_range(0..candidates.len());
+    let b = (a + rng.random_range(1..candidates.len())) % candidates.len();
+    let (a, b) = (candidates[a], candidates[b]);
+    Some(if b.cost < a.cost { b } else { a })
+}
--- /dev/null
+++ b/crates/route/src/policy.rs
@@ -0,0 +1,106 @@
+//! Routers to measure against: each answers the same question.
+
+use clock::Instant;
+use model::{Cause, Freshness, Role, name};
+use rand::Rng;
+use session::Floor;
+
+use crate::{Choice, Read, Router, Target, verify::demand};
+
+/// How reads are routed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// As the product does: [`Router::choose`].
+    Routed,
+    /// Any replica whose last report was good enough, else the primary.
+    Naive,
+    /// Every read to the primary.
+    AllPrimary,
+    /// Knows every position, now and later, and every session's true floor.
+    Oracle,
+}
+
+/// What only an oracle knows of a replica and a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Exact {
+    /// The replica.
+    pub upstream: name::Upstream,
+    /// When a statement that arrives there is first fresh enough, if ever.
+    pub ready: Option<Instant>,
+}
+
+impl Policy {
+    /// Chooses where a read goes; `exact` is for the oracle alone.
+    pub fn choose(
+        self,
+        now: Instant,
+        router: &mut Router,
+        read: &Read,
+        exact: &[Exact],
+        rng: &mut impl Rng,
+    ) -> Choice {
+        match self {
+            Self::Routed => router.choose(now, read, rng),
+            Self::Naive => naive(now, router, read, rng),
+            Self::AllPrimary => primary(router),
+            Self::Oracle => oracle(now, router, read, exact),
+        }
+    }
+}
+
+fn primary(router: &Router) -> Choice {
+    match router.primary() {
+        Some(upstream) => Choice::Confirmed(upstream.clone()),
+        None => Choice::Refuse(Cause::NoUpstream),
+    }
+}
+
+fn naive(now: Instant, router: &Router, read: &Read, rng: &mut impl Rng) -> Choice {
+    let Floor::Known(floor) = read.floor else {
+        return primary(router);
+    };
+    let floor = demand(floor, read.seen, Target::Replica);
+    let young = |as_of: Instant| match read.freshness {
+        Freshness::Age(bound) => now.since(as_of) <= bound,
+        Freshness::Session => true,
+        Freshness::Current => false,
+    };
+    let sure = |node: &&crate::node::Node| {
+        let replica = node.answer.is_some_and(|a| a.report.role == Role::Replica);
+        let covers = node.position().is_some_and(|p| p.covers(floor));
+        replica && covers && node.as_of().is_some_and(young)
+    };
+    let good: Vec<_> = router.nodes.iter().filter(sure).collect();
+    if good.is_empty() {
+        return primary(router);
+    }
+    let drawn = good[rng.random_range(0..good.len())];
+    Choice::Replica(drawn.member.upstream.clone())
+}
+
+/// Serves from the replica that can answer first, within the same patience
+/// and by the same rule of spilling as the product's router.
+fn oracle(now: Instant, router: &Router, read: &Read, exact: &[Exact]) -> Choice {
+    let end = (read.began + router.conf.patience).min(read.deadline);
+    let served = exact.iter().filter_map(|known| {
+        let node = router
+            .nodes
+            .iter()
+            .find(|n| n.member.upstream == known.upstream)?;
+        let start = known.ready?.max(now + node.rtt() / 2) - node.rtt() / 2;
+        Some((start + node.cost(), start, node))
+    });
+    let Some((finish, start, node)) = served.min_by_key(|&(finish, ..)| finish) else {
+        return primary(router);
+    };
+    if start > now && finish <= end {
+        return Choice::Wait {
+            upstream: node.member.upstream.clone(),
+            until: start,
+        };
+    }
+    if start > now || router.spills(node.cost()) {
+        return primary(router);
+    }
+    Choice::Replica(node.member.upstream.clone())
+}
--- /dev/null
+++ b/crates/route/src/tag.rs
@@ -0,0 +1,84 @@
+//! Tags that a caller puts into a comment, in the published sqlcommenter form.
+//!
+//! `/*class='calendar',request='r%2D17'*/`: keys and values are URL-encoded,
+//! values stand in single quotes, and a quote inside is escaped by a backslash.
+
+use crate::lex::{Lexer, Piece};
+
+/// What a caller says of its request in a comment.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Tags {
+    /// The class that the request asks for.
+    pub class: Option<String>,
+    /// The id under which the request is recorded, so that a repeat finds it.
+    pub request: Option<String>,
+}
+
+/// Reads the tags from all block comments of a text; the last one counts.
+///
+/// ```
+/// let tags = route::tag::parse("select 1 /*class='calendar',request='r%2D17'*/");
+/// assert_eq!(tags.class.as_deref(), Some("calendar"));
+/// assert_eq!(tags.request.as_deref(), Some("r-17"));
+/// ```
+pub fn parse(sql: &str) -> Tags {
+    let mut tags = Tags::default();
+    if !sql.contains("/*") {
+        return tags;
+    }
+    for piece in Lexer::new(sql) {
+        if let Piece::Comment(text) = piece {
+            read(text, &mut tags);
+        }
+    }
+    tags
+}
+
+fn read(comment: &str, tags: &mut Tags) {
+    let mut rest = comment;
+    while let Some((key, tail)) = rest.split_once("='") {
+        let Some(end) = close(tail) else {
+            return;
+        };
+        let value = decode(&tail[..end]);
+        match decode(key.trim_matches([' ', ','])).as_deref() {
+            Some("class") => tags.class = value,
+            Some("request") => tags.request = value,
+            _ => {}
+        }
+        rest = &tail[end + 1..];
+    }
+}
+
+/// The place of the quote that ends a value.
+fn close(text: &str) -> Option<usize> {
+    let mut escaped = false;
+    for (at, c) in text.char_indices() {
+        match c {
+            _ if escaped => escaped = false,
+            '\\' => escaped = true,
+            '\'' => return Some(at),
+            _ => {}
+        }
+    }
+    None
+}
+
+/// Undoes URL encoding and escaped quotes; `None` when that gives no text.
+fn decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(b) = rest.next() {
+        bytes.push(match b {
+            b'%' => hex(rest.next()?)? << 4 | hex(rest.next()?)?,
+            b'\\' => rest.next()?,
+            _ => b,
+        });
+    }
+    String::from_utf8(bytes).ok()
+}
+
+fn hex(digit: u8) -> Option<u8> {
+    let value = char::from(digit).to_digit(16)?;
+    u8::try_from(value).ok()
+}
