Settle the failover machine's edges, its chart and the write quorum

Cause: the daemon and the session crate need the types to wire against. Change: crate failover with Group (chart driven), Quorum, candidates, timing. Conclusion: the API is settled, the behaviour is to be proved next.

--- a/crates/chart/src/lib.rs
+++ b/crates/chart/src/lib.rs
@@ -60,9 +60,13 @@
 #[derive(Debug)]
 pub struct Chart<V: Vocabulary> {
     initial: V::State,
-    transitions: HashMap<(V::State, V::Event), Vec<Transition<V>>>,
+    transitions: Transitions<V>,
 }
 
+/// Transitions by the state they leave and the event they answer.
+type Transitions<V> =
+    HashMap<(<V as Vocabulary>::State, <V as Vocabulary>::Event), Vec<Transition<V>>>;
+
 #[derive(Debug)]
 struct Transition<V: Vocabulary> {
     guards: Vec<Literal<V::Guard>>,
--- /dev/null
+++ b/crates/failover/src/group.rs
@@ -0,0 +1,354 @@
+//! The failover machine of one database at one candidate instance.
+
+mod act;
+mod duty;
+mod judge;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use chart::Chart;
+use clock::{Instant, Timer};
+use model::{Lsn, Phase, Record, Report, Term, name};
+
+use crate::{
+    event::{Action, Call, Entry, Event, Fault, Member, Order, View},
+    ledger::{self, Ledger},
+    machine::{self, Machine, State},
+    peers::{Peers, candidates},
+    promotion::Promotion,
+    sight::Sight,
+    timing::Timing,
+};
+
+/// A step this much later than the timer asked for means that the process was
+/// paused, and that what it saw before is stale.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// What a group must know to open.
+#[derive(Debug, Clone)]
+pub struct Conf {
+    /// The database.
+    pub database: name::Database,
+    /// This instance.
+    pub instance: name::Instance,
+    /// This instance's availability zone.
+    pub zone: name::Zone,
+    /// The group's upstreams.
+    pub upstreams: BTreeMap<name::Upstream, Member>,
+    /// Differs between any two starts of any instance, for attempt ids.
+    pub seed: u64,
+    /// The waits.
+    pub timing: Timing,
+}
+
+/// Who leads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lead {
+    /// The term.
+    pub term: Term,
+    /// The primary.
+    pub upstream: name::Upstream,
+    /// The place at which its log left the term before.
+    pub fork: Lsn,
+    /// When this instance learned of it.
+    pub since: Instant,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Alarm {
+    Probe,
+    Tell,
+    Due,
+}
+
+/// An order that awaits its answer.
+#[derive(Debug)]
+struct Sent {
+    at: Instant,
+    order: Order,
+}
+
+/// A machine that decides when a database's primary is replaced, and does it.
+///
+/// It is told of the world by [`Group::step`], which returns what to do. While
+/// the instance is no candidate it only learns who leads.
+#[derive(Debug)]
+pub struct Group {
+    conf: Conf,
+    chart: Chart<Machine>,
+    state: State,
+    timer: Timer<Alarm>,
+    due: Option<clock::Token>,
+    wake: Option<Instant>,
+    sights: BTreeMap<name::Upstream, Sight>,
+    peers: Peers,
+    ledger: Ledger,
+    lead: Option<Lead>,
+    changes: VecDeque<Instant>,
+    promotion: Option<Promotion>,
+    claim: Option<u128>,
+    led: Option<Term>,
+    sent: BTreeMap<name::Upstream, Sent>,
+    told: (View, Option<Term>),
+    contested: Option<Instant>,
+    suspected: bool,
+    stepped: Instant,
+    out: Vec<Action>,
+}
+
+impl Group {
+    /// Opens the group; feed it [`Event::Members`] next, and [`Event::Tick`]
+    /// whenever [`Action::Wake`] asks for it.
+    ///
+    /// # Errors
+    ///
+    /// [`chart::Error`] if the chart that this crate carries is faulty, which
+    /// the crate's tests rule out.
+    pub fn open(conf: Conf, now: Instant) -> Result<Self, chart::Error> {
+        let chart = machine::chart()?;
+        let sights = conf.upstreams.keys().map(|u| (u.clone(), Sight::open(now)));
+        Ok(Self {
+            state: chart.initial(),
+            chart,
+            timer: Timer::default(),
+            due: None,
+            wake: None,
+            sights: sights.collect(),
+            peers: Peers::default(),
+            ledger: Ledger::open(conf.instance.clone(), conf.seed),
+            lead: None,
+            changes: VecDeque::new(),
+            promotion: None,
+            claim: None,
+            led: None,
+            sent: BTreeMap::new(),
+            told: (View::Unsure, None),
+            contested: None,
+            suspected: false,
+            stepped: now,
+            out: Vec::new(),
+            conf,
+        })
+    }
+
+    /// Who leads, as far as this instance knows.
+    pub fn lead(&self) -> Option<&Lead> {
+        self.lead.as_ref()
+    }
+
+    /// Where the machine stands.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Takes what happened, and returns what to do.
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        self.notice_pause(now);
+        self.take(now, event);
+        for alarm in self.timer.expired(now) {
+            self.ring(now, alarm);
+        }
+        if let Some(action) = self.ledger.expire(now, &self.conf.timing) {
+            self.out.push(action);
+        }
+        self.check(now);
+        self.stepped = now;
+        self.set_wake();
+        std::mem::take(&mut self.out)
+    }
+
+    fn notice_pause(&mut self, now: Instant) {
+        let expected = self.wake.unwrap_or(now).max(self.stepped);
+        if now.since(expected) < PAUSE {
+            return;
+        }
+        self.peers.forget();
+        for sight in self.sights.values_mut() {
+            sight.forgive(now);
+        }
+    }
+
+    fn take(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Tick => {}
+            Event::Members(members) => self.set_members(now, &members),
+            Event::Upstreams(upstreams) => self.set_upstreams(now, upstreams),
+            Event::Answer {
+                call,
+                upstream,
+                result,
+            } => self.answer(now, call, &upstream, result),
+            Event::Heard {
+                from,
+                zone,
+                evidence,
+            } => self.peers.hear(now, from, zone, evidence),
+            Event::Read { call, result } => {
+                let step = self.ledger.on_read(now, &self.conf.timing, call, result);
+                self.store(now, step);
+            }
+            Event::Swapped { call, result } => {
+                let step = self.ledger.on_swapped(now, &self.conf.timing, call, result);
+                self.store(now, step);
+            }
+            Event::Seen(entry) => {
+                let outcome = self.ledger.on_seen(entry);
+                self.store(now, (outcome, None));
+            }
+            Event::Announced(entry) => self.announced(now, &entry),
+        }
+    }
+
+    fn set_members(&mut self, now: Instant, members: &BTreeMap<name::Instance, name::Zone>) {
+        let zones = self
+            .conf
+            .upstreams
+            .values()
+            .map(|m| m.zone.clone())
+            .collect();
+        let before = self.peers.includes(&self.conf.instance);
+        self.peers
+            .set(candidates(&self.conf.database, members, &zones));
+        let after = self.peers.includes(&self.conf.instance);
+        if after && !before {
+            self.timer.subscribe(now, Alarm::Probe);
+            self.timer.subscribe(now, Alarm::Tell);
+            if self.state == State::Reading {
+                let read = self.ledger.read(now, &self.conf.timing);
+                self.out.push(read);
+            }
+        }
+    }
+
+    fn set_upstreams(&mut self, now: Instant, upstreams: BTreeMap<name::Upstream, Member>) {
+        self.sights.retain(|u, _| upstreams.contains_key(u));
+        for upstream in upstreams.keys() {
+            let sight = self.sights.entry(upstream.clone());
+            sight.or_insert_with(|| Sight::open(now));
+        }
+        self.conf.upstreams = upstreams;
+    }
+
+    fn answer(
+        &mut self,
+        now: Instant,
+        call: Call,
+        upstream: &name::Upstream,
+        result: Result<Report, Fault>,
+    ) {
+        let Some(sight) = self.sights.get_mut(upstream) else {
+            return;
+        };
+        sight.answer(now, call, result);
+        if sight.doubtful() {
+            self.probe(now, upstream);
+        }
+        let Some(promotion) = &mut self.promotion else {
+            return;
+        };
+        match result {
+            Ok(report) => promotion.note(upstream, &report),
+            Err(Fault::Fenced(term)) => promotion.refuse(term),
+            Err(Fault::Refused | Fault::Broken | Fault::Timeout) => {}
+        }
+    }
+
+    fn store(&mut self, now: Instant, step: (Option<ledger::Outcome>, Option<Action>)) {
+        let (outcome, action) = step;
+        self.out.extend(action);
+        let Some(outcome) = outcome else {
+            return;
+        };
+        if let Some(entry) = self.ledger.known().cloned() {
+            self.adopt_lead(now, &entry.record);
+        }
+        let swaps = matches!(self.state, State::Claiming | State::Recording);
+        let event = match outcome {
+            ledger::Outcome::Won if swaps => machine::Event::Won,
+            ledger::Outcome::Absent => machine::Event::Absent,
+            _ if !self.ledger.claimed() => machine::Event::Led,
+            _ if self.unrecorded() => machine::Event::Announced,
+            _ => machine::Event::Claimed,
+        };
+        self.feed(now, event);
+    }
+
+    fn announced(&mut self, now: Instant, entry: &Entry) {
+        if !self.adopt_lead(now, &entry.record) {
+            return;
+        }
+        let superseded = self
+            .ledger
+            .known()
+            .is_some_and(|k| k.record.term > entry.record.term);
+        if !superseded {
+            self.feed(now, machine::Event::Announced);
+        }
+    }
+
+    /// Takes a record's primary as the one that leads, if its term is higher.
+    fn adopt_lead(&mut self, now: Instant, record: &Record) -> bool {
+        let Phase::Led { upstream } = &record.phase else {
+            return false;
+        };
+        if self.lead.as_ref().is_some_and(|l| l.term >= record.term) {
+            return false;
+        }
+        if self.lead.is_some() {
+            self.changes.push_back(now);
+        }
+        if let Some(sight) = self.sights.get_mut(upstream) {
+            sight.forgive(now);
+        }
+        self.contested = None;
+        self.lead = Some(Lead {
+            term: record.term,
+            upstream: upstream.clone(),
+            fork: record.fork,
+            since: now,
+        });
+        true
+    }
+
+    /// Lets the chart answer an event, until it stands still.
+    fn feed(&mut self, now: Instant, event: machine::Event) {
+        self.judge(now);
+        let holds = |guard| self.holds(now, guard);
+        let Some((target, actions)) = self.chart.next(self.state, event, holds) else {
+            return;
+        };
+        let actions = actions.to_vec();
+        self.state = target;
+        if let Some(token) = self.due.take() {
+            self.timer.cancel(token);
+        }
+        for action in actions {
+            self.act(now, action);
+        }
+    }
+
+    fn check(&mut self, now: Instant) {
+        if !self.peers.includes(&self.conf.instance) {
+            return;
+        }
+        let mut before = None;
+        while before != Some(self.state) {
+            before = Some(self.state);
+            self.feed(now, machine::Event::Check);
+        }
+        self.tell_changes(now);
+    }
+
+    fn set_wake(&mut self) {
+        let moments = [self.timer.next(), self.ledger.due()];
+        let Some(at) = moments.into_iter().flatten().min() else {
+            return;
+        };
+        if self.wake.replace(at) != Some(at) || at <= self.stepped {
+            self.out.push(Action::Wake { at });
+        }
+    }
+}
--- /dev/null
+++ b/crates/failover/src/group/duty.rs
@@ -0,0 +1,182 @@
+//! What a group does again and again: probing, telling, repeating orders.
+
+use clock::Instant;
+use model::{Role, name};
+
+use crate::{
+    event::{Action, Evidence, Order},
+    group::{Alarm, Group},
+    machine::{self, State},
+    timing::Timing,
+};
+
+impl Group {
+    pub(super) fn ring(&mut self, now: Instant, alarm: Alarm) {
+        if matches!(alarm, Alarm::Due) {
+            self.due = None;
+            self.feed(now, machine::Event::Due);
+            return;
+        }
+        if !self.peers.includes(&self.conf.instance) {
+            return;
+        }
+        match alarm {
+            Alarm::Probe => self.probe_all(now),
+            Alarm::Tell => self.attend(now),
+            Alarm::Due => {}
+        }
+    }
+
+    fn probe_all(&mut self, now: Instant) {
+        self.timer
+            .subscribe(now + self.conf.timing.probe, Alarm::Probe);
+        let upstreams: Vec<_> = self.sights.keys().cloned().collect();
+        for upstream in &upstreams {
+            self.probe(now, upstream);
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Instant, upstream: &name::Upstream) {
+        let call = self.ledger.call();
+        let Some(sight) = self.sights.get_mut(upstream) else {
+            return;
+        };
+        let Some(call) = sight.ask(now, &self.conf.timing, call) else {
+            return;
+        };
+        let upstream = upstream.clone();
+        self.out.push(Action::Probe { call, upstream });
+    }
+
+    fn attend(&mut self, now: Instant) {
+        self.timer
+            .subscribe(now + self.conf.timing.tell, Alarm::Tell);
+        self.tell(now);
+        match self.state {
+            State::Fencing => self.send_fences(now),
+            State::Promoting => self.send_promotion(now),
+            State::Watching | State::Recording => self.send_follows(now),
+            _ => {}
+        }
+    }
+
+    /// Tells at once what has changed; the rest waits for its turn.
+    pub(super) fn tell_changes(&mut self, now: Instant) {
+        if self.told != (self.view(now), self.working()) {
+            self.tell(now);
+        }
+    }
+
+    fn tell(&mut self, now: Instant) {
+        let view = self.view(now);
+        let claim = self.working();
+        self.told = (view, claim);
+        let evidence = Evidence {
+            database: self.conf.database.clone(),
+            term: self.lead.as_ref().map(|l| l.term).unwrap_or_default(),
+            view,
+            claim,
+        };
+        for to in self.peers.others(&self.conf.instance) {
+            let evidence = evidence.clone();
+            self.out.push(Action::Tell { to, evidence });
+        }
+    }
+
+    pub(super) fn send_fences(&mut self, now: Instant) {
+        let Some(promotion) = &self.promotion else {
+            return;
+        };
+        let term = promotion.term;
+        let open = self.sights.keys().filter(|u| !promotion.has_fenced(u));
+        let open: Vec<_> = open.filter(|u| self.may_fence(now, u)).cloned().collect();
+        for upstream in &open {
+            self.send(now, upstream, Order::Fence { term });
+        }
+    }
+
+    /// Whether an upstream's turn to be fenced has come: in a handover the old
+    /// primary is fenced first, and replicas once they hold all of its log.
+    fn may_fence(&self, now: Instant, upstream: &name::Upstream) -> bool {
+        let (Some(promotion), Some(lead)) = (&self.promotion, &self.lead) else {
+            return true;
+        };
+        if promotion.handover.is_none_or(|until| now >= until) || *upstream == lead.upstream {
+            return true;
+        }
+        let Some(last) = promotion.report(&lead.upstream) else {
+            return false;
+        };
+        let report = self.sights.get(upstream).and_then(|s| s.report());
+        report.is_some_and(|r| r.received >= last.received)
+    }
+
+    /// Whether a handover still waits for a staying replica to catch up.
+    pub(super) fn hands_over(&self, now: Instant) -> bool {
+        let (Some(promotion), Some(lead)) = (&self.promotion, &self.lead) else {
+            return false;
+        };
+        if promotion.handover.is_none_or(|until| now >= until) {
+            return false;
+        }
+        let Some(last) = promotion.report(&lead.upstream) else {
+            return true;
+        };
+        let level = |u: &name::Upstream| {
+            let report = promotion.report(u);
+            report.is_some_and(|r| r.received >= last.received)
+        };
+        !self.sights.keys().any(|u| !self.is_leaving(u) && level(u))
+    }
+
+    pub(super) fn send_promotion(&mut self, now: Instant) {
+        let Some(promotion) = &self.promotion else {
+            return;
+        };
+        let term = promotion.term;
+        if let Some((upstream, _)) = promotion.chosen().cloned() {
+            self.send(now, &upstream, Order::Promote { term });
+        }
+    }
+
+    /// Orders every upstream that is not yet in the primary's term to follow
+    /// it, among them an old primary that has come back.
+    pub(super) fn send_follows(&mut self, now: Instant) {
+        let Some(lead) = self.lead.clone() else {
+            return;
+        };
+        let promoter = self.led == Some(lead.term);
+        if !promoter && self.peers.rank(now, &self.conf.timing, &self.conf.instance) > 0 {
+            return;
+        }
+        let strays: Vec<_> = self
+            .sights
+            .keys()
+            .filter(|u| self.strays(u))
+            .cloned()
+            .collect();
+        for stray in &strays {
+            let (term, upstream) = (lead.term, lead.upstream.clone());
+            self.send(now, stray, Order::Follow { term, upstream });
+        }
+    }
+
+    fn strays(&self, upstream: &name::Upstream) -> bool {
+        let Some(lead) = &self.lead else {
+            return false;
+        };
+        let Some(report) = self.sights.get(upstream).and_then(|s| s.report()) else {
+            return false;
+        };
+        if *upstream == lead.upstream || report.fenced > lead.term {
+            return false;
+        }
+        let behind = report.fenced < lead.term || report.received.term < lead.term;
+        behind || report.role == Role::Primary
+    }
+
+    pub(super) fn alive(&self, now: Instant, timing: &Timing) -> Vec<name::Upstream> {
+        let alive = self.sights.iter().filter(|(_, s)| s.alive(now, timing));
+        alive.map(|(u, _)| u.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/failover/src/group/judge.rs
@@ -0,0 +1,194 @@
+//! What a group concludes from what it knows: the chart's guards.
+
+use clock::Instant;
+use model::{Position, Role, Term, name};
+
+use crate::{
+    event::{Stay, View},
+    group::Group,
+    machine::{Guard, State},
+    peers::Verdict,
+    quorum::majority,
+};
+
+impl Group {
+    pub(super) fn holds(&self, now: Instant, guard: Guard) -> bool {
+        match guard {
+            Guard::OwnClaim => self.own_claim(),
+            Guard::PrimaryFound => self.found().is_some(),
+            Guard::Able => self.able(now),
+            Guard::Suspected => self.suspected,
+            Guard::HeldOff => self.held_off(now),
+            Guard::Leaving => self.leaving(now),
+            Guard::Unrecorded => self.unrecorded(),
+            Guard::Needless => self.needless(now),
+            Guard::MajorityFenced => self.majority_fenced(now),
+            Guard::Promoted => self.promotion.as_ref().is_some_and(|p| p.promoted()),
+            Guard::Refused => self.promotion.as_ref().is_some_and(|p| p.refused()),
+            Guard::ClaimantWorks => self.claimant_works(now),
+        }
+    }
+
+    /// Judges the primary anew from this zone's view and the peers' evidence.
+    pub(super) fn judge(&mut self, now: Instant) {
+        self.suspected = match self.verdict(now) {
+            Verdict::Trusted => {
+                self.contested = None;
+                false
+            }
+            Verdict::Condemned => {
+                self.contested.get_or_insert(now);
+                true
+            }
+            Verdict::Contested => {
+                let since = *self.contested.get_or_insert(now);
+                now.since(since) >= self.conf.timing.contested && !self.replicating(now)
+            }
+        };
+    }
+
+    fn verdict(&self, now: Instant) -> Verdict {
+        let Some(lead) = &self.lead else {
+            return Verdict::Trusted;
+        };
+        let own = (&self.conf.zone, self.view(now));
+        self.peers.verdict(now, &self.conf.timing, lead.term, own)
+    }
+
+    /// How this candidate finds the primary.
+    pub(super) fn view(&self, now: Instant) -> View {
+        let sight = self
+            .lead
+            .as_ref()
+            .and_then(|l| self.sights.get(&l.upstream));
+        sight.map_or(View::Unsure, |s| s.primary_view(now, &self.conf.timing))
+    }
+
+    /// Whether a majority still takes in the primary's log. Then writes land
+    /// for whoever reaches the primary, and replacing it would only cut them.
+    fn replicating(&self, now: Instant) -> bool {
+        let Some(lead) = &self.lead else {
+            return false;
+        };
+        let others = self.sights.iter().filter(|(u, _)| **u != lead.upstream);
+        let following = others.filter(|(_, s)| s.advancing(now, &self.conf.timing));
+        following.count() + 1 >= majority(self.sights.len())
+    }
+
+    /// Whether a majority of the group answers here, so that a claim could be
+    /// carried through. A zone that is cut off must not claim: it could fence
+    /// nobody, and its claim would stand in the way of others.
+    fn able(&self, now: Instant) -> bool {
+        let alive = self
+            .sights
+            .values()
+            .filter(|s| s.alive(now, &self.conf.timing));
+        alive.count() >= majority(self.sights.len())
+    }
+
+    /// Whether the last change of primary is too recent for another, so that a
+    /// fault which every primary meets does not chase the role around.
+    fn held_off(&self, now: Instant) -> bool {
+        let Some(lead) = &self.lead else {
+            return false;
+        };
+        let timing = &self.conf.timing;
+        let counted = |at: &&Instant| now.since(**at) < timing.memory;
+        let recent = self.changes.iter().filter(counted).count();
+        now.since(lead.since) < timing.hold(recent)
+    }
+
+    /// Whether the primary is being taken out of service while a staying
+    /// replica is close enough behind to take over.
+    fn leaving(&self, now: Instant) -> bool {
+        let Some(lead) = &self.lead else {
+            return false;
+        };
+        if !self.is_leaving(&lead.upstream) {
+            return false;
+        }
+        let ready = |u: &name::Upstream| {
+            let sight = &self.sights[u];
+            let follows = sight.report().is_some_and(|r| r.received.term == lead.term);
+            follows && sight.alive(now, &self.conf.timing)
+        };
+        let others = self.sights.keys().filter(|u| **u != lead.upstream);
+        others.filter(|u| !self.is_leaving(u)).any(ready)
+    }
+
+    pub(super) fn is_leaving(&self, upstream: &name::Upstream) -> bool {
+        let member = self.conf.upstreams.get(upstream);
+        member.is_some_and(|m| m.stay == Stay::Leaving)
+    }
+
+    fn own_claim(&self) -> bool {
+        let attempt = self.ledger.known().map(|e| e.record.attempt);
+        attempt.is_some() && attempt == self.claim
+    }
+
+    /// Whether the primary is announced while the store still holds the claim.
+    pub(super) fn unrecorded(&self) -> bool {
+        let led = self.lead.as_ref().map(|l| l.term);
+        self.ledger.claimed() && self.ledger.known().map(|e| e.record.term) == led
+    }
+
+    /// Whether the claim under way has lost its reason.
+    fn needless(&self, now: Instant) -> bool {
+        let claimed = self.ledger.claimed() && !self.unrecorded();
+        let alive = self.view(now) == View::Alive;
+        self.lead.is_some() && !claimed && !self.suspected && alive && !self.leaving(now)
+    }
+
+    fn majority_fenced(&self, now: Instant) -> bool {
+        let Some(promotion) = &self.promotion else {
+            return false;
+        };
+        let enough = promotion.fenced() >= majority(self.sights.len());
+        enough && !self.hands_over(now)
+    }
+
+    fn claimant_works(&self, now: Instant) -> bool {
+        let claimed = self.ledger.known().map(|e| e.record.term);
+        claimed.is_some_and(|t| self.peers.claiming(now, &self.conf.timing, t))
+    }
+
+    /// The primary that a majority of the group follows, when no record names
+    /// one: the only one with the highest term, fenced to no higher.
+    pub(super) fn found(&self) -> Option<(name::Upstream, Term)> {
+        let reports = self
+            .sights
+            .iter()
+            .filter_map(|(u, s)| Some((u, s.report()?)));
+        let reports: Vec<_> = reports.collect();
+        let term = reports
+            .iter()
+            .map(|(_, r)| r.fenced.max(r.received.term))
+            .max()?;
+        let leads = |r: &model::Report| r.role == Role::Primary && r.received.term == term;
+        let mut leaders = reports.iter().filter(|(_, r)| leads(r));
+        let (upstream, _) = leaders.next()?;
+        if leaders.next().is_some() {
+            return None;
+        }
+        let followers = reports
+            .iter()
+            .filter(|(_, r)| r.received.term == term)
+            .count();
+        (followers >= majority(self.sights.len())).then(|| ((*upstream).clone(), term))
+    }
+
+    /// The furthest place that any upstream was seen to hold.
+    pub(super) fn furthest(&self) -> Position {
+        let reports = self.sights.values().filter_map(|s| s.report());
+        reports.map(|r| r.received).max().unwrap_or_default()
+    }
+
+    /// The claim that this candidate works on, as its peers are told.
+    pub(super) fn working(&self) -> Option<Term> {
+        let works = matches!(
+            self.state,
+            State::Fencing | State::Promoting | State::Recording
+        );
+        self.promotion.as_ref().filter(|_| works).map(|p| p.term)
+    }
+}
--- /dev/null
+++ b/crates/failover/src/ledger.rs
@@ -0,0 +1,278 @@
+//! The store's record: reading it, and swapping it until the outcome is known.
+//!
+//! An answer of the store can be lost after the swap took effect, or the swap
+//! can take effect long after it was given up. A swap is therefore repeated
+//! with the same expected revision and the same attempt id, so that it takes
+//! effect at most once, and is recognised by that id when it is read back.
+
+use std::time::Duration;
+
+use clock::Instant;
+use model::{Phase, Record, name};
+use xxhash_rust::xxh3::xxh3_128_with_seed;
+
+use crate::{
+    event::{ABSENT, Action, Call, Entry, StoreFault},
+    timing::Timing,
+};
+
+/// How often the wait for the store doubles.
+const DOUBLINGS: u32 = 3;
+
+/// What a step of the ledger showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// Our swap took effect.
+    Won,
+    /// The record is another's.
+    Learned,
+    /// There is no record.
+    Absent,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Waiting {
+    Read,
+    Swap,
+    Backoff,
+}
+
+#[derive(Debug)]
+struct Pending {
+    call: Call,
+    waiting: Waiting,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct Swap {
+    expected: u64,
+    record: Record,
+}
+
+/// What is known of the store's record, and the one call under way.
+#[derive(Debug)]
+pub(crate) struct Ledger {
+    known: Option<Entry>,
+    swap: Option<Swap>,
+    pending: Option<Pending>,
+    failures: u32,
+    calls: u64,
+    attempts: u64,
+    name: name::Instance,
+    seed: u64,
+}
+
+impl Ledger {
+    pub(crate) fn open(name: name::Instance, seed: u64) -> Self {
+        Self {
+            known: None,
+            swap: None,
+            pending: None,
+            failures: 0,
+            calls: 0,
+            attempts: 0,
+            name,
+            seed,
+        }
+    }
+
+    /// The record as last read, seen or written.
+    pub(crate) fn known(&self) -> Option<&Entry> {
+        self.known.as_ref()
+    }
+
+    /// A fresh number for a call to the store or to an upstream.
+    pub(crate) fn call(&mut self) -> Call {
+        self.calls += 1;
+        Call(self.calls)
+    }
+
+    /// An id that no other attempt of any instance has.
+    pub(crate) fn attempt(&mut self) -> u128 {
+        self.attempts += 1;
+        let text = format!("{}#{}", self.name, self.attempts);
+        xxh3_128_with_seed(text.as_bytes(), self.seed)
+    }
+
+    /// Reads the record, dropping a swap whose outcome no longer matters.
+    pub(crate) fn read(&mut self, now: Instant, timing: &Timing) -> Action {
+        self.swap = None;
+        self.failures = 0;
+        self.send_read(now, timing)
+    }
+
+    /// Swaps the known record for `record`.
+    pub(crate) fn swap(&mut self, now: Instant, timing: &Timing, record: Record) -> Action {
+        let expected = self.known.as_ref().map_or(ABSENT, |e| e.revision);
+        self.swap = Some(Swap { expected, record });
+        self.failures = 0;
+        self.send(now, timing)
+    }
+
+    /// When to call [`Ledger::expire`].
+    pub(crate) fn due(&self) -> Option<Instant> {
+        self.pending.as_ref().map(|p| p.until)
+    }
+
+    /// Gives up a call that was not answered, and makes the next one.
+    pub(crate) fn expire(&mut self, now: Instant, timing: &Timing) -> Option<Action> {
+        let pending = self.pending.take_if(|p| p.until <= now)?;
+        if pending.waiting != Waiting::Backoff {
+            self.failures += 1;
+        }
+        Some(self.send_read(now, timing))
+    }
+
+    /// Takes the answer to a read.
+    pub(crate) fn on_read(
+        &mut self,
+        now: Instant,
+        timing: &Timing,
+        call: Call,
+        result: Result<Option<Entry>, StoreFault>,
+    ) -> (Option<Outcome>, Option<Action>) {
+        if !self.answers(call) {
+            return (None, None);
+        }
+        let Ok(entry) = result else {
+            self.back_off(now, timing);
+            return (None, None);
+        };
+        let revision = entry.as_ref().map_or(ABSENT, |e| e.revision);
+        let known = self.known.as_ref().map_or(ABSENT, |e| e.revision);
+        if let Some(entry) = entry
+            && revision >= known
+        {
+            return self.compare(now, timing, entry);
+        }
+        match &self.swap {
+            Some(swap) if swap.expected == revision => (None, Some(self.send(now, timing))),
+            _ if revision == ABSENT => {
+                self.known = None;
+                self.swap = None;
+                (Some(Outcome::Absent), None)
+            }
+            _ => {
+                self.swap = None;
+                (Some(Outcome::Learned), None)
+            }
+        }
+    }
+
+    fn compare(
+        &mut self,
+        now: Instant,
+        timing: &Timing,
+        entry: Entry,
+    ) -> (Option<Outcome>, Option<Action>) {
+        let revision = entry.revision;
+        let attempt = entry.record.attempt;
+        self.known = Some(entry);
+        let Some(swap) = &self.swap else {
+            return (Some(Outcome::Learned), None);
+        };
+        if swap.record.attempt == attempt {
+            self.swap = None;
+            return (Some(Outcome::Won), None);
+        }
+        if swap.expected == revision {
+            return (None, Some(self.send(now, timing)));
+        }
+        self.swap = None;
+        (Some(Outcome::Learned), None)
+    }
+
+    /// Takes the answer to a swap.
+    pub(crate) fn on_swapped(
+        &mut self,
+        now: Instant,
+        timing: &Timing,
+        call: Call,
+        result: Result<u64, StoreFault>,
+    ) -> (Option<Outcome>, Option<Action>) {
+        if !self.answers(call) {
+            return (None, None);
+        }
+        match result {
+            Ok(revision) => {
+                let Some(swap) = self.swap.take() else {
+                    return (None, None);
+                };
+                let record = swap.record;
+                self.known = Some(Entry { revision, record });
+                (Some(Outcome::Won), None)
+            }
+            // The conflict may be with our own earlier, unanswered swap.
+            Err(StoreFault::Conflict) => (None, Some(self.send_read(now, timing))),
+            Err(StoreFault::Unanswered) => {
+                self.back_off(now, timing);
+                (None, None)
+            }
+        }
+    }
+
+    /// Takes what a watch showed; `None` if it was known.
+    pub(crate) fn on_seen(&mut self, entry: Entry) -> Option<Outcome> {
+        if self
+            .known
+            .as_ref()
+            .is_some_and(|k| k.revision >= entry.revision)
+        {
+            return None;
+        }
+        let ours = self.swap.as_ref().map(|s| s.record.attempt) == Some(entry.record.attempt);
+        self.known = Some(entry);
+        self.swap = None;
+        self.pending = None;
+        Some(if ours { Outcome::Won } else { Outcome::Learned })
+    }
+
+    /// Whether the known record is a claim without a primary.
+    pub(crate) fn claimed(&self) -> bool {
+        let claim = |e: &Entry| matches!(e.record.phase, Phase::Claimed { .. });
+        self.known.as_ref().is_some_and(claim)
+    }
+
+    fn answers(&mut self, call: Call) -> bool {
+        self.pending.take_if(|p| p.call == call).is_some()
+    }
+
+    fn wait(&self, timing: &Timing) -> Duration {
+        timing.store * (1 << self.failures.min(DOUBLINGS))
+    }
+
+    fn back_off(&mut self, now: Instant, timing: &Timing) {
+        self.failures += 1;
+        let call = self.call();
+        self.set(call, Waiting::Backoff, now + self.wait(timing));
+    }
+
+    fn set(&mut self, call: Call, waiting: Waiting, until: Instant) {
+        self.pending = Some(Pending {
+            call,
+            waiting,
+            until,
+        });
+    }
+
+    fn send_read(&mut self, now: Instant, timing: &Timing) -> Action {
+        let call = self.call();
+        self.set(call, Waiting::Read, now + self.wait(timing));
+        Action::Read { call }
+    }
+
+    fn send(&mut self, now: Instant, timing: &Timing) -> Action {
+        let call = self.call();
+        let Some(swap) = &self.swap else {
+            return self.send_read(now, timing);
+        };
+        let (expected, record) = (swap.expected, swap.record.clone());
+        self.set(call, Waiting::Swap, now + self.wait(timing));
+        Action::Swap {
+            call,
+            expected,
+            record,
+        }
+    }
+}
--- /dev/null
+++ b/crates/failover/src/peers.rs
@@ -0,0 +1,181 @@
+//! The other candidates: who they are, and what they tell.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use clock::Instant;
+use model::{Term, name};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    event::{Evidence, View},
+    timing::Timing,
+};
+
+/// The most candidates a group has: enough zones to outvote a blind one, few
+/// enough that probing costs an upstream little.
+pub const CANDIDATES: usize = 5;
+
+/// The instances that may promote in a group, best rank first.
+///
+/// The instance of each zone that rendezvous hashing puts first, zones that
+/// hold upstreams before others, at most [`CANDIDATES`].
+///
+/// ```
+/// use std::collections::{BTreeMap, BTreeSet};
+/// use model::name;
+///
+/// let database = name::Database::new("holdings").unwrap();
+/// let zone = |z| name::Zone::new(z).unwrap();
+/// let members = BTreeMap::from([("i1", "z1"), ("i2", "z1"), ("i3", "z2")]
+///     .map(|(i, z)| (name::Instance::new(i).unwrap(), zone(z))));
+/// let ranked = failover::candidates(&database, &members, &BTreeSet::from([zone("z2")]));
+/// assert_eq!(ranked.len(), 2);
+/// assert_eq!(ranked[0].as_str(), "i3");
+/// ```
+pub fn candidates(
+    database: &name::Database,
+    members: &BTreeMap<name::Instance, name::Zone>,
+    zones: &BTreeSet<name::Zone>,
+) -> Vec<name::Instance> {
+    let seed = xxh3_64_with_seed(database.as_str().as_bytes(), 0);
+    let weight = |i: &name::Instance| xxh3_64_with_seed(i.as_str().as_bytes(), seed);
+    let mut firsts: BTreeMap<&name::Zone, (u64, &name::Instance)> = BTreeMap::new();
+    for (instance, zone) in members {
+        let this = (weight(instance), instance);
+        let first = firsts.entry(zone).or_insert(this);
+        *first = (*first).max(this);
+    }
+    let mut ranked: Vec<_> = firsts.into_iter().collect();
+    ranked.sort_by_key(|&(zone, first)| Reverse((zones.contains(zone), first)));
+    ranked.truncate(CANDIDATES);
+    ranked
+        .into_iter()
+        .map(|(_, (_, instance))| instance.clone())
+        .collect()
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Instant,
+    zone: name::Zone,
+    evidence: Evidence,
+}
+
+/// What the zones' evidence on the primary adds up to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// No majority suspects it.
+    Trusted,
+    /// A majority suspects it, but a zone vouches for it or no other is heard.
+    Contested,
+    /// A majority suspects it and nobody vouches for it.
+    Condemned,
+}
+
+/// The candidates of a group.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    ranked: Vec<name::Instance>,
+    heard: BTreeMap<name::Instance, Heard>,
+}
+
+impl Peers {
+    pub(crate) fn set(&mut self, ranked: Vec<name::Instance>) {
+        self.heard.retain(|instance, _| ranked.contains(instance));
+        self.ranked = ranked;
+    }
+
+    /// Takes evidence; from instances that are no candidates as well, because
+    /// instance lists lag and differ, and what was seen was seen.
+    pub(crate) fn hear(
+        &mut self,
+        now: Instant,
+        from: name::Instance,
+        zone: name::Zone,
+        evidence: Evidence,
+    ) {
+        let at = now;
+        let heard = Heard { at, zone, evidence };
+        self.heard.insert(from, heard);
+    }
+
+    /// Forgets what was heard before a pause of this process.
+    pub(crate) fn forget(&mut self) {
+        self.heard.clear();
+    }
+
+    pub(crate) fn includes(&self, instance: &name::Instance) -> bool {
+        self.ranked.contains(instance)
+    }
+
+    pub(crate) fn others(&self, me: &name::Instance) -> Vec<name::Instance> {
+        self.ranked.iter().filter(|i| *i != me).cloned().collect()
+    }
+
+    fn fresh(
+        &self,
+        now: Instant,
+        timing: &Timing,
+    ) -> impl Iterator<Item = (&name::Instance, &Heard)> {
+        let bound = timing.heard;
+        self.heard
+            .iter()
+            .filter(move |(_, h)| now.since(h.at) <= bound)
+    }
+
+    /// How many candidates that are heard rank before this one.
+    pub(crate) fn rank(&self, now: Instant, timing: &Timing, me: &name::Instance) -> u32 {
+        let heard: BTreeSet<_> = self.fresh(now, timing).map(|(i, _)| i).collect();
+        let before = self.ranked.iter().take_while(|i| *i != me);
+        let live = before.filter(|i| heard.contains(i)).count();
+        u32::try_from(live).unwrap_or(u32::MAX)
+    }
+
+    /// Whether another candidate is heard to work on a claim of this term.
+    pub(crate) fn claiming(&self, now: Instant, timing: &Timing, term: Term) -> bool {
+        let works = |(_, h): (_, &Heard)| h.evidence.claim >= Some(term);
+        self.fresh(now, timing).any(works)
+    }
+
+    /// Adds up the zones' views of the primary of `term`; `own` is this zone's.
+    pub(crate) fn verdict(
+        &self,
+        now: Instant,
+        timing: &Timing,
+        term: Term,
+        own: (&name::Zone, View),
+    ) -> Verdict {
+        let mut zones: BTreeMap<&name::Zone, View> = BTreeMap::from([own]);
+        for (_, heard) in self.fresh(now, timing) {
+            let view = match heard.evidence.term == term {
+                true => heard.evidence.view,
+                false => View::Unsure,
+            };
+            let joint = zones.entry(&heard.zone).or_insert(view);
+            *joint = join(*joint, view);
+        }
+        let count = |test: fn(&View) -> bool| zones.values().filter(|v| test(v)).count();
+        let suspects = count(|v| matches!(v, View::Silent | View::Refused));
+        let vouchers = count(|v| *v == View::Alive);
+        if !matches!(own.1, View::Silent | View::Refused) || suspects * 2 <= zones.len() {
+            return Verdict::Trusted;
+        }
+        let alone = zones.len() == 1 && self.ranked.len() > 1;
+        if vouchers > 0 || alone {
+            return Verdict::Contested;
+        }
+        Verdict::Condemned
+    }
+}
+
+/// One zone's view out of two instances' views: who answers one is alive.
+fn join(one: View, other: View) -> View {
+    match (one, other) {
+        (View::Alive, _) | (_, View::Alive) => View::Alive,
+        (View::Unsure, view) => view,
+        (view, _) => view,
+    }
+}
--- /dev/null
+++ b/crates/failover/src/promotion.rs
@@ -0,0 +1,109 @@
+//! One claim's way from fencing to a promoted primary.
+
+use std::{cmp::Reverse, collections::BTreeMap};
+
+use clock::Instant;
+use model::{Lsn, Report, Role, Term, name};
+
+use crate::event::{Member, Stay};
+
+/// A claim of ours that the store granted.
+#[derive(Debug)]
+pub(crate) struct Promotion {
+    /// The claimed term.
+    pub(crate) term: Term,
+    /// Until when a handover waits for a replica to catch up.
+    pub(crate) handover: Option<Instant>,
+    fenced: BTreeMap<name::Upstream, Report>,
+    chosen: Option<(name::Upstream, Lsn)>,
+    promoted: bool,
+    refused: bool,
+}
+
+impl Promotion {
+    pub(crate) fn open(term: Term) -> Self {
+        Self {
+            term,
+            handover: None,
+            fenced: BTreeMap::new(),
+            chosen: None,
+            promoted: false,
+            refused: false,
+        }
+    }
+
+    /// Takes a report; only those fenced to exactly this term count, because
+    /// from then on the upstream takes in no log of a lower term.
+    pub(crate) fn note(&mut self, upstream: &name::Upstream, report: &Report) {
+        if report.fenced > self.term {
+            self.refused = true;
+        }
+        if report.fenced != self.term {
+            return;
+        }
+        match &self.chosen {
+            Some((chosen, _)) if chosen == upstream => {
+                let leads = report.role == Role::Primary && report.received.term == self.term;
+                self.promoted |= leads;
+            }
+            Some(_) => {}
+            None => {
+                self.fenced.insert(upstream.clone(), *report);
+            }
+        }
+    }
+
+    /// Notes that an order of this claim was refused for a higher term.
+    pub(crate) fn refuse(&mut self, fenced: Term) {
+        self.refused |= fenced > self.term;
+    }
+
+    /// Whether a higher term was met.
+    pub(crate) fn refused(&self) -> bool {
+        self.refused
+    }
+
+    pub(crate) fn fenced(&self) -> usize {
+        self.fenced.len()
+    }
+
+    pub(crate) fn has_fenced(&self, upstream: &name::Upstream) -> bool {
+        self.fenced.contains_key(upstream)
+    }
+
+    /// The report with which an upstream answered the fence.
+    pub(crate) fn report(&self, upstream: &name::Upstream) -> Option<&Report> {
+        self.fenced.get(upstream)
+    }
+
+    /// Chooses the upstream that received most, by term first; among equals
+    /// one that stays, then one that `preferred` names.
+    ///
+    /// The choice is made once: a claim that promoted two upstreams would put
+    /// two primaries into one term.
+    pub(crate) fn choose(
+        &mut self,
+        members: &BTreeMap<name::Upstream, Member>,
+        preferred: impl Fn(&name::Upstream) -> bool,
+    ) -> Option<&name::Upstream> {
+        if self.chosen.is_none() {
+            let stays = |u| members.get(u).is_some_and(|m| m.stay == Stay::Staying);
+            let best = self
+                .fenced
+                .iter()
+                .max_by_key(|(u, r)| (r.received, stays(*u), preferred(u), Reverse(*u)));
+            self.chosen = best.map(|(u, r)| (u.clone(), r.received.lsn));
+        }
+        self.chosen.as_ref().map(|(upstream, _)| upstream)
+    }
+
+    /// The chosen upstream and its last place in the term before.
+    pub(crate) fn chosen(&self) -> Option<&(name::Upstream, Lsn)> {
+        self.chosen.as_ref()
+    }
+
+    /// Whether the chosen upstream said that it leads in this term.
+    pub(crate) fn promoted(&self) -> bool {
+        self.promoted
+    }
+}
--- /dev/null
+++ b/crates/failover/src/quorum.rs
@@ -0,0 +1,213 @@
+//! When a write is acknowledged, and when a current read may run.
+//!
+//! A write that the primary ran at term t and position p is acknowledged once
+//! a majority of the group has each said, in one answer, that it holds p of
+//! term t's log and is fenced to no more than t. A promotion to a higher term
+//! fences a majority before it chooses, so one of its answers comes from an
+//! upstream that held p when it was fenced: p is in the new primary's log.
+//! Counting a replica that is already fenced higher would break the overlap.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::Instant;
+use model::{Lsn, Position, Report, Role, Term, name};
+
+/// What waits for a majority; the daemon's own number for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
+#[derive(Debug)]
+struct Held {
+    lsn: Lsn,
+    confirmed: Option<Instant>,
+}
+
+/// The writes and reads of one database that wait at one instance.
+///
+/// ```
+/// use clock::Instant;
+/// use failover::quorum::{Id, Quorum};
+/// use model::{Lsn, Position, Report, Role, Term, name};
+///
+/// let upstream = |u| name::Upstream::new(u).unwrap();
+/// let report = |role, lsn| Report {
+///     role,
+///     fenced: Term(4),
+///     received: Position::new(4, lsn),
+///     replayed: Lsn(lsn),
+/// };
+/// let mut quorum = Quorum::open(3, Term(4), upstream("a"));
+/// assert_eq!(quorum.wait(Id(1), Position::new(4, 70)), Ok(None));
+/// let asked = Instant::ZERO;
+/// assert!(quorum.report(&upstream("a"), asked, &report(Role::Primary, 75)).is_empty());
+/// assert_eq!(quorum.report(&upstream("b"), asked, &report(Role::Replica, 70)), [Id(1)]);
+/// ```
+#[derive(Debug)]
+pub struct Quorum {
+    majority: usize,
+    term: Term,
+    primary: name::Upstream,
+    held: BTreeMap<name::Upstream, Held>,
+    writes: BTreeSet<(Lsn, Id)>,
+    reads: BTreeSet<(Instant, Id)>,
+}
+
+impl Quorum {
+    /// Opens for a group of `size` upstreams led by `primary` in `term`.
+    pub fn open(size: usize, term: Term, primary: name::Upstream) -> Self {
+        Self {
+            majority: majority(size),
+            term,
+            primary,
+            held: BTreeMap::new(),
+            writes: BTreeSet::new(),
+            reads: BTreeSet::new(),
+        }
+    }
+
+    /// The term whose writes are acknowledged.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Lets a write wait that the primary ran at `position`; `Some` if it needs
+    /// no wait, because a majority was already seen to hold it.
+    ///
+    /// # Errors
+    ///
+    /// [`Replaced`] if the position is not of this term: the outcome of the
+    /// write is unknown here.
+    pub fn wait(&mut self, id: Id, position: Position) -> Result<Option<Id>, Replaced> {
+        if position.term != self.term {
+            let term = self.term;
+            return Err(Replaced { term });
+        }
+        if position.lsn <= self.place() {
+            return Ok(Some(id));
+        }
+        self.writes.insert((position.lsn, id));
+        Ok(None)
+    }
+
+    /// Lets a read wait that began at `began` until a majority, the primary
+    /// among it, has confirmed this term in answers to probes sent since then.
+    pub fn confirm(&mut self, id: Id, began: Instant) {
+        self.reads.insert((began, id));
+    }
+
+    /// Takes the report of an upstream to a probe sent at `asked`, and gives
+    /// back the writes to acknowledge and the reads that may run.
+    pub fn report(
+        &mut self,
+        upstream: &name::Upstream,
+        asked: Instant,
+        report: &Report,
+    ) -> Vec<Id> {
+        if report.fenced > self.term {
+            return Vec::new();
+        }
+        let held = self.held.entry(upstream.clone()).or_insert(Held {
+            lsn: Lsn::default(),
+            confirmed: None,
+        });
+        if report.received.term == self.term {
+            held.lsn = held.lsn.max(report.received.lsn);
+        }
+        let leads = report.role == Role::Primary && report.received.term == self.term;
+        if leads || *upstream != self.primary {
+            held.confirmed = held.confirmed.max(Some(asked));
+        }
+        let mut done = self.landed();
+        done.extend(self.confirmed());
+        done
+    }
+
+    /// Gives back all that waits, because a higher term has a primary: the
+    /// outcome of each write is unknown, and each read starts anew.
+    pub fn replaced(&mut self, term: Term, primary: name::Upstream) -> Vec<Id> {
+        if term <= self.term {
+            return Vec::new();
+        }
+        self.term = term;
+        self.primary = primary;
+        self.held.clear();
+        let writes = std::mem::take(&mut self.writes)
+            .into_iter()
+            .map(|(_, id)| id);
+        let reads = std::mem::take(&mut self.reads)
+            .into_iter()
+            .map(|(_, id)| id);
+        writes.chain(reads).collect()
+    }
+
+    /// Stops waiting for a write whose caller's deadline has passed.
+    pub fn cancel(&mut self, id: Id, position: Position) {
+        self.writes.remove(&(position.lsn, id));
+    }
+
+    /// Stops waiting for the confirmation of a read that began at `began`.
+    pub fn abandon(&mut self, id: Id, began: Instant) {
+        self.reads.remove(&(began, id));
+    }
+
+    /// How many writes and reads wait.
+    pub fn waiting(&self) -> usize {
+        self.writes.len() + self.reads.len()
+    }
+
+    /// The place up to which a majority holds this term's log.
+    pub fn place(&self) -> Lsn {
+        let mut places: Vec<Lsn> = self.held.values().map(|h| h.lsn).collect();
+        places.sort_unstable_by(|a, b| b.cmp(a));
+        places.get(self.majority - 1).copied().unwrap_or_default()
+    }
+
+    fn landed(&mut self) -> Vec<Id> {
+        let place = self.place();
+        let mut done = Vec::new();
+        while let Some(&(lsn, id)) = self.writes.first() {
+            if lsn > place {
+                break;
+            }
+            self.writes.pop_first();
+            done.push(id);
+        }
+        done
+    }
+
+    fn confirmed(&mut self) -> Vec<Id> {
+        let Some(bound) = self.confirmed_since() else {
+            return Vec::new();
+        };
+        let mut done = Vec::new();
+        while let Some(&(began, id)) = self.reads.first() {
+            if began > bound {
+                break;
+            }
+            self.reads.pop_first();
+            done.push(id);
+        }
+        done
+    }
+
+    /// The latest moment since which a majority and the primary answered.
+    fn confirmed_since(&self) -> Option<Instant> {
+        let primary = self.held.get(&self.primary)?.confirmed?;
+        let mut moments: Vec<Instant> = self.held.values().filter_map(|h| h.confirmed).collect();
+        moments.sort_unstable_by(|a, b| b.cmp(a));
+        moments.get(self.majority - 1).map(|&m| m.min(primary))
+    }
+}
+
+/// A write's position is not of the term that is acknowledged here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the primary was replaced; term {term} leads")]
+pub struct Replaced {
+    /// The term that leads.
+    pub term: Term,
+}
+
+/// The smallest number that is more than half of `size`.
+pub fn majority(size: usize) -> usize {
+    size / 2 + 1
+}
--- /dev/null
+++ b/crates/failover/tests/chart.rs
@@ -0,0 +1,21 @@
+//! The chart that the crate carries can be read, so that opening never fails.
+
+use std::collections::BTreeMap;
+
+use clock::Instant;
+use failover::{Conf, Group, State, Timing};
+use model::name;
+
+#[test]
+fn the_chart_is_whole() {
+    let conf = Conf {
+        database: name::Database::new("holdings").unwrap(),
+        instance: name::Instance::new("i1").unwrap(),
+        zone: name::Zone::new("z1").unwrap(),
+        upstreams: BTreeMap::new(),
+        seed: 1,
+        timing: Timing::default(),
+    };
+    let group = Group::open(conf, Instant::ZERO).unwrap();
+    assert_eq!(group.state(), State::Reading);
+}
