--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -1,13 +1,23 @@
 //! The operators' catalogue: tenants, databases with their upstreams, entries.
+//!
+//! [`Catalog::parse`] reads the text that operators keep in version control,
+//! `layout` puts a catalogue into the store's keys and back, and `apply`
+//! decides how a change gets there exactly once. Nothing here does any input
+//! or output.
 
+pub mod fault;
+pub mod limit;
+mod rules;
+pub mod scram;
 mod text;
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use model::{Class, Freshness, Priority, Repeat, name};
 use serde::{Deserialize, Serialize};
 
-pub use text::Error;
+pub use fault::{Doubt, Fault, Item, Place, Warning, What};
+pub use text::{Checked, Error};
 
 /// Everything the operators declare.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -100,6 +110,16 @@
     Age,
 }
 
+impl fmt::Display for Reading {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Current => "current",
+            Self::ReadYourWrites => "read-your-writes",
+            Self::Age => "age",
+        })
+    }
+}
+
 /// The catalogue's word for a priority.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/crates/catalog/src/rules.rs
@@ -0,0 +1,248 @@
+//! The rules that a whole catalogue keeps, whatever it was read from.
+
+use std::{collections::BTreeMap, net::SocketAddr, ops::RangeInclusive};
+
+use model::name;
+
+use crate::{
+    Catalog, Database, Entry, Reading,
+    fault::{Doubt, Item, Place, What},
+    limit, scram,
+};
+
+/// All breaches of the rules, each with the place to mend.
+pub(crate) fn faults(catalog: &Catalog) -> Vec<(Place, What)> {
+    let mut faults = Vec::new();
+    for (name, tenant) in &catalog.tenants {
+        for (user, verifier) in &tenant.users {
+            let item = Item::User(name.clone(), user.clone());
+            faults.extend(user_fault(item, user, verifier));
+        }
+    }
+    let mut seen = BTreeMap::new();
+    for (name, database) in &catalog.databases {
+        database_faults(name, database, &mut seen, &mut faults);
+    }
+    for (name, entry) in &catalog.entries {
+        entry_faults(catalog, name, entry, &mut faults);
+    }
+    faults
+}
+
+/// Whether PostgreSQL takes `text` for a database's or user's name.
+pub(crate) fn is_identifier(text: &str) -> bool {
+    !text.is_empty() && text.len() <= name::MAX_LEN && !text.chars().any(char::is_control)
+}
+
+fn user_fault(item: Item, user: &str, verifier: &str) -> Option<(Place, What)> {
+    let place = Place::whole(item.clone());
+    if !is_identifier(user) {
+        let what = What::Identifier {
+            place: place.clone(),
+        };
+        return Some((place, what));
+    }
+    let why = scram::Verifier::parse(verifier).err()?;
+    Some((place, What::Verifier { item, why }))
+}
+
+fn database_faults(
+    name: &name::Database,
+    database: &Database,
+    seen: &mut BTreeMap<SocketAddr, Item>,
+    faults: &mut Vec<(Place, What)>,
+) {
+    let group = Item::Database(name.clone());
+    if !is_identifier(&database.dbname) {
+        let place = Place::field(group.clone(), "dbname");
+        let what = What::Identifier {
+            place: place.clone(),
+        };
+        faults.push((place, what));
+    }
+    if database.upstreams.is_empty() {
+        let what = What::NoUpstream {
+            item: group.clone(),
+        };
+        faults.push((Place::whole(group), what));
+    }
+    for (upstream_name, upstream) in &database.upstreams {
+        let item = Item::Upstream(name.clone(), upstream_name.clone());
+        let address = upstream.address;
+        let place = Place::field(item.clone(), "address");
+        if !is_reachable(address) {
+            let what = What::Address {
+                place: place.clone(),
+                found: address.to_string(),
+            };
+            faults.push((place.clone(), what));
+        }
+        if let Some(other) = seen.get(&address) {
+            let what = What::DuplicateAddress {
+                place: place.clone(),
+                address,
+                other: other.clone(),
+            };
+            faults.push((place, what));
+        }
+        seen.entry(address).or_insert_with(|| item.clone());
+        let slots = upstream.slots.into();
+        faults.extend(range_fault(&item, "slots", slots, limit::SLOTS));
+        let connections = upstream.connections.into();
+        let bounds = limit::CONNECTIONS;
+        faults.extend(range_fault(&item, "connections", connections, bounds));
+        if upstream.slots > upstream.connections {
+            let place = Place::field(item, "slots");
+            let what = What::Slots {
+                place: place.clone(),
+                slots: upstream.slots,
+                connections: upstream.connections,
+            };
+            faults.push((place, what));
+        }
+    }
+}
+
+fn range_fault(
+    item: &Item,
+    field: &'static str,
+    found: u32,
+    bounds: RangeInclusive<u32>,
+) -> Option<(Place, What)> {
+    if bounds.contains(&found) {
+        return None;
+    }
+    let place = Place::field(item.clone(), field);
+    let what = What::Range {
+        place: place.clone(),
+        min: *bounds.start(),
+        max: *bounds.end(),
+        found: found.to_string(),
+    };
+    Some((place, what))
+}
+
+/// Whether a connection can be opened to `address` at all.
+fn is_reachable(address: SocketAddr) -> bool {
+    let ip = address.ip();
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
+}
+
+fn entry_faults(
+    catalog: &Catalog,
+    name: &name::Entry,
+    entry: &Entry,
+    faults: &mut Vec<(Place, What)>,
+) {
+    let item = Item::Entry(name.clone());
+    entry_ranges(&item, entry, faults);
+    if !catalog.tenants.contains_key(&entry.tenant) {
+        let place = Place::field(item.clone(), "tenant");
+        let declared = catalog.tenants.keys();
+        faults.push(dangling(place, entry.tenant.as_str(), declared));
+    }
+    match catalog.databases.get(&entry.database) {
+        Some(database) => {
+            // Leaving upstreams count too: marking one as leaving in an
+            // emergency must not make the catalogue impossible to apply.
+            let offered = offered(database);
+            if u32::from(entry.connections) > offered && offered > 0 {
+                let place = Place::field(item.clone(), "connections");
+                let what = What::Connections {
+                    place: place.clone(),
+                    asked: entry.connections,
+                    database: entry.database.clone(),
+                    offered,
+                };
+                faults.push((place, what));
+            }
+        }
+        None => {
+            let place = Place::field(item.clone(), "database");
+            let declared = catalog.databases.keys();
+            faults.push(dangling(place, entry.database.as_str(), declared));
+        }
+    }
+    match (entry.freshness, entry.staleness_ms) {
+        (Reading::Age, None) => {
+            let place = Place::field(item.clone(), "freshness");
+            faults.push((place, What::StalenessMissing { item }));
+        }
+        (Reading::Current | Reading::ReadYourWrites, Some(_)) => {
+            let place = Place::field(item, "staleness_ms");
+            let what = What::StalenessUnused {
+                place: place.clone(),
+                freshness: entry.freshness,
+            };
+            faults.push((place, what));
+        }
+        (Reading::Age, Some(_)) | (Reading::Current | Reading::ReadYourWrites, None) => {}
+    }
+}
+
+fn entry_ranges(item: &Item, entry: &Entry, faults: &mut Vec<(Place, What)>) {
+    let connections = entry.connections.into();
+    let bounds = limit::CONNECTIONS;
+    faults.extend(range_fault(item, "connections", connections, bounds));
+    faults.extend(range_fault(item, "queue", entry.queue, limit::QUEUE));
+    let bounds = limit::DEADLINE_MS;
+    faults.extend(range_fault(item, "deadline_ms", entry.deadline_ms, bounds));
+    let Some(staleness) = entry.staleness_ms else {
+        return;
+    };
+    let bounds = limit::STALENESS_MS;
+    faults.extend(range_fault(item, "staleness_ms", staleness, bounds));
+}
+
+fn offered(database: &Database) -> u32 {
+    database
+        .upstreams
+        .values()
+        .map(|upstream| u32::from(upstream.connections))
+        .sum()
+}
+
+fn dangling(
+    place: Place,
+    name: &str,
+    declared: impl Iterator<Item = impl ToString>,
+) -> (Place, What) {
+    let what = What::Dangling {
+        place: place.clone(),
+        name: name.to_owned(),
+        declared: declared.map(|name| name.to_string()).collect(),
+    };
+    (place, what)
+}
+
+/// What an operator should know of a catalogue that keeps the rules.
+pub(crate) fn doubts(catalog: &Catalog) -> Vec<(Place, Doubt)> {
+    let mut doubts = Vec::new();
+    for (name, database) in &catalog.databases {
+        let item = Item::Database(name.clone());
+        let count = database.upstreams.len();
+        if count == 1 {
+            let doubt = Doubt::Alone { item: item.clone() };
+            doubts.push((Place::whole(item.clone()), doubt));
+        }
+        if count > 0 && count.is_multiple_of(2) {
+            let doubt = Doubt::Even {
+                item: item.clone(),
+                count,
+            };
+            doubts.push((Place::whole(item.clone()), doubt));
+        }
+        if count > 0 && database.upstreams.values().all(|u| u.leaving) {
+            let doubt = Doubt::AllLeaving { item: item.clone() };
+            doubts.push((Place::whole(item), doubt));
+        }
+    }
+    for (name, tenant) in &catalog.tenants {
+        let used = catalog.entries.values().any(|e| e.tenant == *name);
+        if used && tenant.users.is_empty() {
+            let item = Item::Tenant(name.clone());
+            doubts.push((Place::whole(item.clone()), Doubt::NoUser { item }));
+        }
+    }
+    doubts
+}
--- /dev/null
+++ b/crates/catalog/src/scram.rs
@@ -0,0 +1,88 @@
+//! SCRAM-SHA-256 verifiers (RFC 5802, RFC 7677) in PostgreSQL's text form.
+
+use std::ops::RangeInclusive;
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+
+/// The iteration counts accepted; RFC 7677 asks for 4,096 at least.
+pub const ITERATIONS: RangeInclusive<u32> = 4_096..=1_000_000;
+
+/// Bytes in a SHA-256 digest, and so in each of the two keys.
+pub const KEY_LEN: usize = 32;
+
+const SCHEME: &str = "SCRAM-SHA-256";
+
+/// What a server keeps of a password: enough to check it, not to send it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Verifier {
+    /// Rounds of the password's key derivation.
+    pub iterations: u32,
+    /// The salt that went into the derivation.
+    pub salt: Vec<u8>,
+    /// The digest that a client's proof is checked against.
+    pub stored: [u8; KEY_LEN],
+    /// The key with which the server proves that it knows the verifier.
+    pub server: [u8; KEY_LEN],
+}
+
+/// Why a text is not a verifier.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The parts are not there, or in another order.
+    #[error("a verifier is written SCRAM-SHA-256$iterations:salt$stored:server")]
+    Form,
+    /// The iteration count is not a number in [`ITERATIONS`].
+    #[error("a verifier has from {} to {} iterations", ITERATIONS.start(), ITERATIONS.end())]
+    Iterations,
+    /// The salt is empty or not base64.
+    #[error("the salt of a verifier is base64 and not empty")]
+    Salt,
+    /// A key is not the base64 of [`KEY_LEN`] bytes.
+    #[error("the stored and server keys of a verifier are base64 of {KEY_LEN} bytes each")]
+    Key,
+}
+
+impl Verifier {
+    /// Reads a verifier from the text that PostgreSQL keeps.
+    ///
+    /// ```
+    /// let key = "A".repeat(43) + "=";
+    /// let text = format!("SCRAM-SHA-256$4096:c2FsdA==${key}:{key}");
+    /// let verifier = catalog::scram::Verifier::parse(&text).unwrap();
+    /// assert_eq!(verifier.salt, b"salt");
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] tells which part is wrong; it never repeats the text.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let mut parts = text.split('$');
+        let (Some(SCHEME), Some(first), Some(second), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(Error::Form);
+        };
+        let (iterations, salt) = first.split_once(':').ok_or(Error::Form)?;
+        let (stored, server) = second.split_once(':').ok_or(Error::Form)?;
+
+        let iterations = iterations.parse().map_err(|_| Error::Iterations)?;
+        if !ITERATIONS.contains(&iterations) {
+            return Err(Error::Iterations);
+        }
+        let salt = STANDARD.decode(salt).map_err(|_| Error::Salt)?;
+        if salt.is_empty() {
+            return Err(Error::Salt);
+        }
+        Ok(Self {
+            iterations,
+            salt,
+            stored: key(stored)?,
+            server: key(server)?,
+        })
+    }
+}
+
+fn key(text: &str) -> Result<[u8; KEY_LEN], Error> {
+    let bytes = STANDARD.decode(text).map_err(|_| Error::Key)?;
+    bytes.try_into().map_err(|_| Error::Key)
+}
--- /dev/null
+++ b/crates/catalog/src/text/draft.rs
@@ -0,0 +1,309 @@
+//! A catalogue while it is read: its faults so far and where things stand.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::name;
+use toml::de::DeTable;
+
+use crate::{
+    Catalog, Database, Entry, Rank, Reading, Tenant, Upstream,
+    fault::{Item, Kind, Located, Place, What},
+    limit,
+};
+
+use super::{Error, section::Section};
+
+const ROOT_KEYS: &[&str] = &["tenant", "database", "entry"];
+const TENANT_KEYS: &[&str] = &["users"];
+const DATABASE_KEYS: &[&str] = &["dbname", "upstream"];
+const UPSTREAM_KEYS: &[&str] = &["address", "zone", "slots", "connections", "leaving"];
+const ENTRY_KEYS: &[&str] = &[
+    "tenant",
+    "database",
+    "freshness",
+    "staleness_ms",
+    "idempotent",
+    "priority",
+    "connections",
+    "queue",
+    "deadline_ms",
+];
+
+const FRESHNESS: &[&str] = &["current", "read-your-writes", "age"];
+const FRESHNESS_VALUES: [Reading; 3] = [Reading::Current, Reading::ReadYourWrites, Reading::Age];
+const PRIORITY: &[&str] = &["high", "normal", "low"];
+const PRIORITY_VALUES: [Rank; 3] = [Rank::High, Rank::Normal, Rank::Low];
+
+pub(super) struct Draft<'t> {
+    text: &'t str,
+    faults: Vec<(usize, What)>,
+    /// Byte offsets of the values read.
+    places: BTreeMap<Place, usize>,
+    /// Tenants and databases named in the text, also those that are faulty.
+    declared: BTreeSet<String>,
+}
+
+impl<'t> Draft<'t> {
+    pub(super) fn new(text: &'t str) -> Self {
+        Self {
+            text,
+            faults: Vec::new(),
+            places: BTreeMap::new(),
+            declared: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn fault(&mut self, offset: usize, what: What) {
+        self.faults.push((offset, what));
+    }
+
+    pub(super) fn note(&mut self, place: Place, offset: usize) {
+        self.places.insert(place, offset);
+    }
+
+    pub(super) fn is_faulty(&self) -> bool {
+        !self.faults.is_empty()
+    }
+
+    /// Adds the breach of a rule at `place`.
+    ///
+    /// A tenant or database whose own table is faulty is missing from the
+    /// catalogue that the rules see; names that lead to it do not dangle.
+    pub(super) fn rule(&mut self, place: &Place, what: What) {
+        if let What::Dangling { place, name, .. } = &what {
+            let kind = place.field.unwrap_or_default();
+            if self.declared.contains(&declared_key(kind, name)) {
+                return;
+            }
+        }
+        let offset = self.offset(place);
+        self.fault(offset, what);
+    }
+
+    fn offset(&self, place: &Place) -> usize {
+        let whole = Place::whole(place.item.clone());
+        let found = self.places.get(place).or_else(|| self.places.get(&whole));
+        found.copied().unwrap_or(0)
+    }
+
+    /// Puts lines and columns to remarks, ordered by them.
+    pub(super) fn locate<T>(&self, remarks: Vec<(Place, T)>) -> Vec<Located<T>> {
+        let at = |(place, what)| (self.offset(&place), what);
+        located(self.text, remarks.into_iter().map(at).collect())
+    }
+
+    pub(super) fn into_error(self) -> Error {
+        Error {
+            faults: located(self.text, self.faults),
+        }
+    }
+
+    pub(super) fn catalog(&mut self, root: &DeTable<'_>) -> Catalog {
+        let section = Section {
+            item: Item::Catalog,
+            offset: 0,
+            table: root,
+        };
+        section.expect_keys(self, ROOT_KEYS);
+        Catalog {
+            tenants: self.named(&section, "tenant", name::Tenant::new, Self::tenant),
+            databases: self.named(&section, "database", name::Database::new, Self::database),
+            entries: self.named(&section, "entry", name::Entry::new, Self::entry),
+        }
+    }
+
+    /// Reads the tables below `key`, leaving out the faulty ones.
+    fn named<N: Ord + Clone, T>(
+        &mut self,
+        parent: &Section<'_, '_>,
+        key: &'static str,
+        make: fn(&str) -> Result<N, name::Error>,
+        read: fn(&mut Self, &N, usize, &DeTable<'_>) -> Option<T>,
+    ) -> BTreeMap<N, T> {
+        let mut all = BTreeMap::new();
+        for (text, offset, table) in parent.tables(self, key) {
+            self.declared.insert(declared_key(key, text));
+            let Some(name) = self.table_name(key, text, offset, make) else {
+                continue;
+            };
+            if let Some(value) = read(self, &name, offset, table) {
+                all.insert(name, value);
+            }
+        }
+        all
+    }
+
+    fn table_name<N>(
+        &mut self,
+        key: &'static str,
+        text: &str,
+        offset: usize,
+        make: fn(&str) -> Result<N, name::Error>,
+    ) -> Option<N> {
+        match make(text) {
+            Ok(name) => Some(name),
+            Err(why) => {
+                let found = text.to_owned();
+                let role = key;
+                self.fault(offset, What::Name { role, found, why });
+                None
+            }
+        }
+    }
+
+    fn section<'a, 'i>(
+        &mut self,
+        item: Item,
+        offset: usize,
+        table: &'a DeTable<'i>,
+        known: &'static [&'static str],
+    ) -> Section<'a, 'i> {
+        self.note(Place::whole(item.clone()), offset);
+        let section = Section {
+            item,
+            offset,
+            table,
+        };
+        section.expect_keys(self, known);
+        section
+    }
+
+    fn tenant(
+        &mut self,
+        name: &name::Tenant,
+        offset: usize,
+        table: &DeTable<'_>,
+    ) -> Option<Tenant> {
+        let item = Item::Tenant(name.clone());
+        let section = self.section(item, offset, table, TENANT_KEYS);
+        let value = section.required(self, "users")?;
+        let Some(logins) = value.get_ref().as_table() else {
+            section.mistyped(self, "users", value, Kind::Table);
+            return None;
+        };
+        let mut users = BTreeMap::new();
+        for (user, verifier) in logins {
+            let user = user.get_ref().to_string();
+            let item = Item::User(name.clone(), user.clone());
+            self.note(Place::whole(item), verifier.span().start);
+            match verifier.get_ref().as_str() {
+                Some(text) => {
+                    users.insert(user, text.to_owned());
+                }
+                None => section.mistyped(self, "users", verifier, Kind::String),
+            }
+        }
+        Some(Tenant { users })
+    }
+
+    fn database(
+        &mut self,
+        name: &name::Database,
+        offset: usize,
+        table: &DeTable<'_>,
+    ) -> Option<Database> {
+        let item = Item::Database(name.clone());
+        let section = self.section(item, offset, table, DATABASE_KEYS);
+        let faults = self.faults.len();
+        let dbname = section.string(self, "dbname").map(str::to_owned);
+        let mut upstreams = BTreeMap::new();
+        for (text, offset, table) in section.tables(self, "upstream") {
+            let Some(upstream) = self.table_name("upstream", text, offset, name::Upstream::new)
+            else {
+                continue;
+            };
+            let item = Item::Upstream(name.clone(), upstream.clone());
+            if let Some(value) = self.upstream(item, offset, table) {
+                upstreams.insert(upstream, value);
+            }
+        }
+        // Without its faulty upstreams the group would look smaller than it is
+        // declared, and the rules would tell of faults that are none.
+        let declared = section.table.get("upstream");
+        let declared = declared.and_then(|value| value.get_ref().as_table());
+        let declared = declared.map_or(0, |table| table.len());
+        if declared > upstreams.len() || (declared == 0 && self.faults.len() > faults) {
+            return None;
+        }
+        Some(Database {
+            dbname: dbname?,
+            upstreams,
+        })
+    }
+
+    fn upstream(&mut self, item: Item, offset: usize, table: &DeTable<'_>) -> Option<Upstream> {
+        let section = self.section(item, offset, table, UPSTREAM_KEYS);
+        let address = section.string(self, "address");
+        let zone = section.name(self, "zone", name::Zone::new);
+        let slots = section.number(self, "slots", limit::SLOTS);
+        let connections = section.number(self, "connections", limit::CONNECTIONS);
+        let leaving = section.flag(self, "leaving");
+        let address = address?;
+        let Ok(parsed) = address.parse() else {
+            let what = What::Address {
+                place: section.place("address"),
+                found: address.to_owned(),
+            };
+            self.fault(section.offset_of("address"), what);
+            return None;
+        };
+        Some(Upstream {
+            address: parsed,
+            zone: zone?,
+            slots: slots?,
+            connections: connections?,
+            leaving,
+        })
+    }
+
+    fn entry(&mut self, name: &name::Entry, offset: usize, table: &DeTable<'_>) -> Option<Entry> {
+        let item = Item::Entry(name.clone());
+        let section = self.section(item, offset, table, ENTRY_KEYS);
+        let tenant = section.name(self, "tenant", name::Tenant::new);
+        let database = section.name(self, "database", name::Database::new);
+        let freshness = section.word(self, "freshness", FRESHNESS);
+        let staleness_ms = section.has("staleness_ms").then(|| {
+            let bounds = limit::STALENESS_MS;
+            section.number(self, "staleness_ms", bounds)
+        });
+        let idempotent = section.flag(self, "idempotent");
+        let priority = section.has("priority").then(|| {
+            let word = section.word(self, "priority", PRIORITY);
+            word.map_or(Rank::default(), |at| PRIORITY_VALUES[at])
+        });
+        let connections = section.number(self, "connections", limit::CONNECTIONS);
+        let queue = section.number(self, "queue", limit::QUEUE);
+        let deadline_ms = section.number(self, "deadline_ms", limit::DEADLINE_MS);
+        Some(Entry {
+            tenant: tenant?,
+            database: database?,
+            freshness: FRESHNESS_VALUES[freshness?],
+            staleness_ms: staleness_ms.flatten(),
+            idempotent,
+            priority: priority.unwrap_or_default(),
+            connections: connections?,
+            queue: queue?,
+            deadline_ms: deadline_ms?,
+        })
+    }
+}
+
+fn declared_key(kind: &str, name: &str) -> String {
+    format!("{kind}/{name}")
+}
+
+fn located<T>(text: &str, mut remarks: Vec<(usize, T)>) -> Vec<Located<T>> {
+    remarks.sort_by_key(|&(offset, _)| offset);
+    let at = |(offset, what)| {
+        let (line, column) = line_column(text, offset);
+        Located { line, column, what }
+    };
+    remarks.into_iter().map(at).collect()
+}
+
+fn line_column(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    let line = before.bytes().filter(|&byte| byte == b'\n').count() + 1;
+    (line, before[start..].chars().count() + 1)
+}
--- /dev/null
+++ b/crates/catalog/src/text/section.rs
@@ -0,0 +1,207 @@
+//! One table of the text, read key by key.
+
+use std::ops::RangeInclusive;
+
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+use crate::fault::{Item, Kind, Place, What};
+
+use super::draft::Draft;
+
+/// A table of the text and what it declares.
+pub(super) struct Section<'t, 'i> {
+    pub(super) item: Item,
+    /// Where its name stands, in bytes from the start of the text.
+    pub(super) offset: usize,
+    pub(super) table: &'t DeTable<'i>,
+}
+
+impl<'t, 'i> Section<'t, 'i> {
+    /// Faults the keys that are not among `known`.
+    pub(super) fn expect_keys(&self, draft: &mut Draft<'_>, known: &'static [&'static str]) {
+        for key in self.table.keys() {
+            if known.contains(&key.get_ref().as_ref()) {
+                continue;
+            }
+            let what = What::UnknownKey {
+                item: self.item.clone(),
+                key: key.get_ref().to_string(),
+                known,
+            };
+            draft.fault(key.span().start, what);
+        }
+    }
+
+    /// The value under `key`, whose place is noted.
+    pub(super) fn optional(
+        &self,
+        draft: &mut Draft<'_>,
+        key: &'static str,
+    ) -> Option<&'t Spanned<DeValue<'i>>> {
+        let value = self.table.get(key)?;
+        let place = self.place(key);
+        draft.note(place, value.span().start);
+        Some(value)
+    }
+
+    /// The value under `key`, which must be there.
+    pub(super) fn required(
+        &self,
+        draft: &mut Draft<'_>,
+        key: &'static str,
+    ) -> Option<&'t Spanned<DeValue<'i>>> {
+        let value = self.optional(draft, key);
+        if value.is_none() {
+            let item = self.item.clone();
+            draft.fault(self.offset, What::Missing { item, key });
+        }
+        value
+    }
+
+    pub(super) fn string(&self, draft: &mut Draft<'_>, key: &'static str) -> Option<&'t str> {
+        let value = self.required(draft, key)?;
+        let text = value.get_ref().as_str();
+        if text.is_none() {
+            self.mistyped(draft, key, value, Kind::String);
+        }
+        text
+    }
+
+    pub(super) fn name<N>(
+        &self,
+        draft: &mut Draft<'_>,
+        key: &'static str,
+        make: fn(&str) -> Result<N, model::name::Error>,
+    ) -> Option<N> {
+        let text = self.string(draft, key)?;
+        match make(text) {
+            Ok(name) => Some(name),
+            Err(why) => {
+                let what = What::Name {
+                    role: key,
+                    found: text.to_owned(),
+                    why,
+                };
+                draft.fault(self.offset_of(key), what);
+                None
+            }
+        }
+    }
+
+    /// One of the words in `allowed`, by its place there.
+    pub(super) fn word(
+        &self,
+        draft: &mut Draft<'_>,
+        key: &'static str,
+        allowed: &'static [&'static str],
+    ) -> Option<usize> {
+        let text = self.string(draft, key)?;
+        let found = allowed.iter().position(|&word| word == text);
+        if found.is_none() {
+            let what = What::Word {
+                place: self.place(key),
+                allowed,
+                found: text.to_owned(),
+            };
+            draft.fault(self.offset_of(key), what);
+        }
+        found
+    }
+
+    pub(super) fn has(&self, key: &str) -> bool {
+        self.table.contains_key(key)
+    }
+
+    /// `true` or `false`, and `false` where the key is left out.
+    pub(super) fn flag(&self, draft: &mut Draft<'_>, key: &'static str) -> bool {
+        let Some(value) = self.optional(draft, key) else {
+            return false;
+        };
+        let flag = value.get_ref().as_bool();
+        if flag.is_none() {
+            self.mistyped(draft, key, value, Kind::Boolean);
+        }
+        flag.unwrap_or(false)
+    }
+
+    /// A whole number that fits its type; the rules check its bounds.
+    ///
+    /// One that does not fit is told here and replaced by the least allowed,
+    /// so that the rest of its table is checked as well.
+    pub(super) fn number<T: TryFrom<u32>>(
+        &self,
+        draft: &mut Draft<'_>,
+        key: &'static str,
+        bounds: RangeInclusive<u32>,
+    ) -> Option<T> {
+        let value = self.required(draft, key)?;
+        let Some(integer) = value.get_ref().as_integer() else {
+            self.mistyped(draft, key, value, Kind::Integer);
+            return T::try_from(*bounds.start()).ok();
+        };
+        let parsed = u32::from_str_radix(integer.as_str(), integer.radix()).ok();
+        if let Some(number) = parsed.and_then(|number| T::try_from(number).ok()) {
+            return Some(number);
+        }
+        let what = What::Range {
+            place: self.place(key),
+            min: *bounds.start(),
+            max: *bounds.end(),
+            found: integer.to_string(),
+        };
+        draft.fault(value.span().start, what);
+        T::try_from(*bounds.start()).ok()
+    }
+
+    /// The tables below `key`, each with its name; none where it is left out.
+    pub(super) fn tables(
+        &self,
+        draft: &mut Draft<'_>,
+        key: &'static str,
+    ) -> Vec<(&'t str, usize, &'t DeTable<'i>)> {
+        let Some(value) = self.optional(draft, key) else {
+            return Vec::new();
+        };
+        let Some(table) = value.get_ref().as_table() else {
+            self.mistyped(draft, key, value, Kind::Table);
+            return Vec::new();
+        };
+        let mut tables = Vec::new();
+        for (name, value) in table {
+            let offset = name.span().start;
+            match value.get_ref().as_table() {
+                Some(table) => tables.push((name.get_ref().as_ref(), offset, table)),
+                None => self.mistyped(draft, key, value, Kind::Table),
+            }
+        }
+        tables
+    }
+
+    pub(super) fn place(&self, key: &'static str) -> Place {
+        Place::field(self.item.clone(), key)
+    }
+
+    /// Where the value under `key` stands, or the table's name without one.
+    pub(super) fn offset_of(&self, key: &str) -> usize {
+        let value = self.table.get(key);
+        value.map_or(self.offset, |value| value.span().start)
+    }
+
+    pub(super) fn mistyped(
+        &self,
+        draft: &mut Draft<'_>,
+        key: &'static str,
+        value: &Spanned<DeValue<'_>>,
+        expected: Kind,
+    ) {
+        let what = What::Kind {
+            place: self.place(key),
+            expected,
+            found: value.get_ref().type_str(),
+        };
+        draft.fault(value.span().start, what);
+    }
+}
