Put the catalogue into the store's keys, and a change there exactly once

Cause: two operators can race and an answer can be lost after it took effect; an instance must never read half a catalogue or one it does not understand. Change: a key per tenant, database and entry, each value with its format; difference, plan (only the keys touched, the head and a record, on condition of the head read), bounded history, and a pure step machine that settles a doubtful answer by the change's mark. Sizes beyond the store's value, etcd's operations or its request bytes are refused when planned.

--- /dev/null
+++ b/crates/catalog/src/change.rs
@@ -0,0 +1,183 @@
+//! What differs between two catalogues.
+
+use std::{collections::BTreeMap, fmt};
+
+use model::name;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::Catalog;
+
+/// Shown in place of a user's verifier, which is a secret of its tenant.
+const HIDDEN: &str = "(hidden)";
+
+/// What a change is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Subject {
+    /// A tenant.
+    Tenant(name::Tenant),
+    /// A database.
+    Database(name::Database),
+    /// An entry.
+    Entry(name::Entry),
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Tenant(name) => write!(f, "tenant `{name}`"),
+            Self::Database(name) => write!(f, "database `{name}`"),
+            Self::Entry(name) => write!(f, "entry `{name}`"),
+        }
+    }
+}
+
+/// One field that differs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Field {
+    /// Its key, with those of the tables around it, parted by dots.
+    pub key: String,
+    /// Its value before; none where it was not there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub before: Option<String>,
+    /// Its value after; none where it is not there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<String>,
+}
+
+impl fmt::Display for Field {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let before = self.before.as_deref().unwrap_or("none");
+        let after = self.after.as_deref().unwrap_or("none");
+        write!(f, "{}: {before} -> {after}", self.key)
+    }
+}
+
+/// How a subject differs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Edit {
+    /// It is new.
+    Added,
+    /// It is gone.
+    Removed,
+    /// Some of its fields differ.
+    Changed(Vec<Field>),
+}
+
+/// One subject that differs between two catalogues.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// What it is about.
+    pub subject: Subject,
+    /// How it differs.
+    pub edit: Edit,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.edit {
+            Edit::Added => write!(f, "+ {}", self.subject),
+            Edit::Removed => write!(f, "- {}", self.subject),
+            Edit::Changed(fields) => {
+                write!(f, "~ {}", self.subject)?;
+                fields
+                    .iter()
+                    .try_for_each(|field| write!(f, "\n    {field}"))
+            }
+        }
+    }
+}
+
+/// What turns `old` into `new`: tenants first, then databases, then entries.
+///
+/// Verifiers are compared but not shown.
+///
+/// ```
+/// use catalog::{Catalog, change};
+/// let old = Catalog::default();
+/// let new = Catalog::parse("[tenant.yard]\nusers = {}").unwrap();
+/// let changes = change::diff(&old, &new);
+/// assert_eq!(changes[0].to_string(), "+ tenant `yard`");
+/// ```
+pub fn diff(old: &Catalog, new: &Catalog) -> Vec<Change> {
+    let mut changes = compare(&old.tenants, &new.tenants, Subject::Tenant);
+    changes.extend(compare(&old.databases, &new.databases, Subject::Database));
+    changes.extend(compare(&old.entries, &new.entries, Subject::Entry));
+    changes
+}
+
+fn compare<N: Ord + Clone, T: PartialEq + Serialize>(
+    old: &BTreeMap<N, T>,
+    new: &BTreeMap<N, T>,
+    subject: fn(N) -> Subject,
+) -> Vec<Change> {
+    let mut changes = BTreeMap::new();
+    for (name, before) in old {
+        let edit = match new.get(name) {
+            None => Edit::Removed,
+            Some(after) if before == after => continue,
+            Some(after) => Edit::Changed(fields(before, after)),
+        };
+        changes.insert(name, edit);
+    }
+    for name in new.keys() {
+        if !old.contains_key(name) {
+            changes.insert(name, Edit::Added);
+        }
+    }
+    let change = |(name, edit): (&N, Edit)| Change {
+        subject: subject(name.clone()),
+        edit,
+    };
+    changes.into_iter().map(change).collect()
+}
+
+fn fields<T: Serialize>(before: &T, after: &T) -> Vec<Field> {
+    let before = flat(before);
+    let after = flat(after);
+    let keys: std::collections::BTreeSet<_> = before.keys().chain(after.keys()).collect();
+    keys.into_iter()
+        .filter(|&key| before.get(key) != after.get(key))
+        .map(|key| Field {
+            key: key.clone(),
+            before: before.get(key).map(|value| shown(key, value)),
+            after: after.get(key).map(|value| shown(key, value)),
+        })
+        .collect()
+}
+
+fn shown(key: &str, value: &str) -> String {
+    let hidden = key.starts_with("users.");
+    let text = if hidden { HIDDEN } else { value };
+    text.to_owned()
+}
+
+fn flat<T: Serialize>(value: &T) -> BTreeMap<String, String> {
+    let mut leaves = BTreeMap::new();
+    // A catalogue's types always have a JSON form; were one not to, its
+    // fields would be left out of the difference, not the change itself.
+    let json = serde_json::to_value(value).unwrap_or(Value::Null);
+    collect(&mut leaves, "", &json);
+    leaves
+}
+
+fn collect(leaves: &mut BTreeMap<String, String>, key: &str, value: &Value) {
+    match value {
+        Value::Object(object) => {
+            for (name, value) in object {
+                let dot = if key.is_empty() { "" } else { "." };
+                collect(leaves, &format!("{key}{dot}{name}"), value);
+            }
+        }
+        Value::String(text) => {
+            leaves.insert(key.to_owned(), text.clone());
+        }
+        other => {
+            leaves.insert(key.to_owned(), other.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/layout.rs
@@ -0,0 +1,280 @@
+//! The catalogue in the store: one key for each tenant, database and entry.
+//!
+//! | key | value |
+//! | --- | --- |
+//! | `dandelionlink/catalog/head` | [`Head`] |
+//! | `dandelionlink/catalog/tenant/NAME` | [`Tenant`](crate::Tenant) |
+//! | `dandelionlink/catalog/database/NAME` | [`Database`](crate::Database) |
+//! | `dandelionlink/catalog/entry/NAME` | [`Entry`](crate::Entry) |
+//! | `dandelionlink/history/NUMBER` | [`Record`](crate::history::Record) |
+//!
+//! Every value is a JSON object with a `format` number beside its fields. A
+//! change writes the keys it touches and the head in one transaction, so a
+//! range over [`PREFIX`] at one revision is always a whole catalogue.
+
+use std::{fmt, str::FromStr};
+
+use model::name;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::Value;
+
+use crate::{Catalog, fault::What, head::Head, rules};
+
+/// Below it are the head and all that is in force.
+pub const PREFIX: &str = "dandelionlink/catalog/";
+
+/// Below it are the records of past changes.
+pub const HISTORY: &str = "dandelionlink/history/";
+
+/// The format of values that this version writes, and the newest it reads.
+pub const FORMAT: u64 = 1;
+
+/// The most bytes in a value; the platform's store holds a megabyte.
+pub const MAX_VALUE: usize = 1_000_000;
+
+/// Digits of a number in a key, so that keys sort as their numbers do.
+const DIGITS: usize = 20;
+
+/// A key of the catalogue.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    /// The last change.
+    Head,
+    /// A tenant.
+    Tenant(name::Tenant),
+    /// A database.
+    Database(name::Database),
+    /// An entry.
+    Entry(name::Entry),
+    /// The record of the change with this number.
+    History(u64),
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Head => write!(f, "{PREFIX}head"),
+            Self::Tenant(name) => write!(f, "{PREFIX}tenant/{name}"),
+            Self::Database(name) => write!(f, "{PREFIX}database/{name}"),
+            Self::Entry(name) => write!(f, "{PREFIX}entry/{name}"),
+            Self::History(number) => write!(f, "{HISTORY}{number:0DIGITS$}"),
+        }
+    }
+}
+
+/// A text that is not a key of the catalogue.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not a key of the catalogue")]
+pub struct KeyError(pub String);
+
+impl FromStr for Key {
+    type Err = KeyError;
+
+    /// ```
+    /// use catalog::layout::Key;
+    /// let key: Key = "dandelionlink/catalog/entry/calendar".parse().unwrap();
+    /// assert_eq!(key.to_string(), "dandelionlink/catalog/entry/calendar");
+    /// assert!("dandelionlink/catalog/entry/".parse::<Key>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        key(text).ok_or_else(|| KeyError(text.to_owned()))
+    }
+}
+
+fn key(text: &str) -> Option<Key> {
+    if let Some(number) = text.strip_prefix(HISTORY) {
+        let is_number = number.len() == DIGITS && number.bytes().all(|b| b.is_ascii_digit());
+        return is_number.then(|| number.parse().ok().map(Key::History))?;
+    }
+    let rest = text.strip_prefix(PREFIX)?;
+    if rest == "head" {
+        return Some(Key::Head);
+    }
+    match rest.split_once('/')? {
+        ("tenant", name) => name::Tenant::new(name).ok().map(Key::Tenant),
+        ("database", name) => name::Database::new(name).ok().map(Key::Database),
+        ("entry", name) => name::Entry::new(name).ok().map(Key::Entry),
+        _ => None,
+    }
+}
+
+/// A key of the store with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pair {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The store's revision at which it was last written.
+    pub revision: u64,
+}
+
+/// The catalogue as the store held it at one moment.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Snapshot {
+    /// What is in force.
+    pub catalog: Catalog,
+    /// The last change; none where nothing was ever applied.
+    pub head: Option<Head>,
+    /// The catalogue's revision; 0 where nothing was ever applied.
+    pub revision: u64,
+}
+
+/// Why keys and values of the store are not a catalogue.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A newer version wrote it: hold what is in force and upgrade.
+    #[error("`{key}` has format {format}, this version reads up to {FORMAT}; upgrade it")]
+    Newer {
+        /// The key of the value.
+        key: Key,
+        /// The value's format.
+        format: u64,
+    },
+    /// A key that no version wrote, or only a newer one.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+    /// A value is not the JSON object that its key asks for.
+    #[error("the value of `{key}`: {source}")]
+    Value {
+        /// The key of the value.
+        key: Key,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
+    /// A value has no format number.
+    #[error("the value of `{0}` has no `format` number")]
+    Format(Key),
+    /// There are values, but no head.
+    #[error("the store holds parts of a catalogue but no head")]
+    NoHead,
+    /// The values are readable but break the catalogue's rules.
+    #[error("the store's catalogue breaks the rules: {}", messages(.0))]
+    Rules(Vec<What>),
+}
+
+fn messages(faults: &[What]) -> String {
+    let lines: Vec<_> = faults.iter().map(What::to_string).collect();
+    lines.join("; ")
+}
+
+/// The value of `key` as bytes for the store.
+pub(crate) fn value<T: Serialize>(key: &Key, content: &T) -> Result<Vec<u8>, Error> {
+    let wrong = |source| Error::Value {
+        key: key.clone(),
+        source,
+    };
+    let mut json = serde_json::to_value(content).map_err(wrong)?;
+    if let Value::Object(object) = &mut json {
+        object.insert("format".to_owned(), FORMAT.into());
+    }
+    serde_json::to_vec(&json).map_err(wrong)
+}
+
+/// Reads the value of `key` back.
+pub(crate) fn read<T: DeserializeOwned>(key: &Key, bytes: &[u8]) -> Result<T, Error> {
+    let wrong = |source| Error::Value {
+        key: key.clone(),
+        source,
+    };
+    let mut json: Value = serde_json::from_slice(bytes).map_err(wrong)?;
+    let format = json
+        .as_object_mut()
+        .and_then(|object| object.remove("format"))
+        .and_then(|format| format.as_u64())
+        .ok_or_else(|| Error::Format(key.clone()))?;
+    if format > FORMAT {
+        return Err(Error::Newer {
+            key: key.clone(),
+            format,
+        });
+    }
+    serde_json::from_value(json).map_err(wrong)
+}
+
+/// The keys and values of `catalog`, without a head.
+///
+/// # Errors
+///
+/// [`Error::Value`] where a value has no JSON form, which no catalogue has.
+pub fn encode(catalog: &Catalog) -> Result<Vec<(Key, Vec<u8>)>, Error> {
+    let mut pairs = Vec::new();
+    for (name, tenant) in &catalog.tenants {
+        let key = Key::Tenant(name.clone());
+        let bytes = value(&key, tenant)?;
+        pairs.push((key, bytes));
+    }
+    for (name, database) in &catalog.databases {
+        let key = Key::Database(name.clone());
+        let bytes = value(&key, database)?;
+        pairs.push((key, bytes));
+    }
+    for (name, entry) in &catalog.entries {
+        let key = Key::Entry(name.clone());
+        let bytes = value(&key, entry)?;
+        pairs.push((key, bytes));
+    }
+    Ok(pairs)
+}
+
+/// Reads the catalogue from all pairs under [`PREFIX`], taken at one moment.
+///
+/// ```
+/// let snapshot = catalog::layout::decode(&[]).unwrap();
+/// assert_eq!(snapshot.revision, 0);
+/// ```
+///
+/// # Errors
+///
+/// [`Error`] tells the first key that is wrong; a whole catalogue or none is
+/// read, never a part.
+pub fn decode(pairs: &[Pair]) -> Result<Snapshot, Error> {
+    let head_key = Key::Head.to_string();
+    let Some(head_pair) = pairs.iter().find(|pair| pair.key == head_key) else {
+        return match pairs.first() {
+            Some(_) => Err(Error::NoHead),
+            None => Ok(Snapshot::default()),
+        };
+    };
+    // The head is read first: a newer version may have keys that this one
+    // does not know, and `Newer` tells the operator more than `Key`.
+    let head: Head = read(&Key::Head, &head_pair.value)?;
+
+    let mut catalog = Catalog::default();
+    for pair in pairs {
+        insert(&mut catalog, pair)?;
+    }
+    let faults: Vec<_> = rules::faults(&catalog)
+        .into_iter()
+        .map(|(_, what)| what)
+        .collect();
+    if !faults.is_empty() {
+        return Err(Error::Rules(faults));
+    }
+    Ok(Snapshot {
+        catalog,
+        head: Some(head),
+        revision: head_pair.revision,
+    })
+}
+
+fn insert(catalog: &mut Catalog, pair: &Pair) -> Result<(), Error> {
+    let key: Key = pair.key.parse()?;
+    match &key {
+        Key::Head => {}
+        Key::Tenant(name) => {
+            let tenant = read(&key, &pair.value)?;
+            catalog.tenants.insert(name.clone(), tenant);
+        }
+        Key::Database(name) => {
+            let database = read(&key, &pair.value)?;
+            catalog.databases.insert(name.clone(), database);
+        }
+        Key::Entry(name) => {
+            let entry = read(&key, &pair.value)?;
+            catalog.entries.insert(name.clone(), entry);
+        }
+        Key::History(_) => return Err(KeyError(pair.key.clone()).into()),
+    }
+    Ok(())
+}
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -1,12 +1,18 @@
 //! The operators' catalogue: tenants, databases with their upstreams, entries.
 //!
 //! [`Catalog::parse`] reads the text that operators keep in version control,
-//! `layout` puts a catalogue into the store's keys and back, and `apply`
+//! [`layout`] puts a catalogue into the store's keys and back, and [`apply`]
 //! decides how a change gets there exactly once. Nothing here does any input
 //! or output.
 
+pub mod apply;
+pub mod change;
 pub mod fault;
+pub mod head;
+pub mod history;
+pub mod layout;
 pub mod limit;
+pub mod plan;
 mod rules;
 pub mod scram;
 mod text;
