--- /dev/null
+++ b/crates/daemon/src/callers/answer.rs
@@ -0,0 +1,86 @@
+//! Passing an answer on to the caller.
+
+use bytes::BytesMut;
+use model::Outcome;
+use ntex::io::Io;
+
+use super::serve::{End, Session, send};
+use crate::job::{self, Ask, Part};
+
+/// Passes the answer to the running request on, part by part.
+pub(super) async fn pass(session: &mut Session, io: &Io) -> Result<(), End> {
+    loop {
+        let part = tokio::select! {
+            biased;
+            part = next(session) => part?,
+            () = gone(io) => return Err(End::Gone),
+        };
+        match part {
+            Part::Chunk(bytes) => {
+                send(io, &bytes).await?;
+                let taken = Ask::Taken {
+                    caller: session.caller,
+                    seq: session.seq,
+                };
+                session.shared.asks.send(taken).await;
+            }
+            Part::End(end) => return finish(session, io, *end).await,
+        }
+    }
+}
+
+async fn next(session: &mut Session) -> Result<Part, End> {
+    let Some(parts) = &mut session.parts else {
+        return Err(End::Gone);
+    };
+    loop {
+        let (seq, part) = parts.recv().await.ok_or(End::Gone)?;
+        if seq == session.seq {
+            return Ok(part);
+        }
+    }
+}
+
+/// Waits until the caller has closed its connection.
+async fn gone(io: &Io) {
+    io.on_disconnect().await;
+}
+
+async fn finish(session: &mut Session, io: &Io, end: job::End) -> Result<(), End> {
+    let now = session.shared.clock.now();
+    for event in end.events {
+        session.state.step(now, event);
+    }
+    if let Some((key, value)) = end.setting {
+        session.set(&key, &value);
+    }
+    let mut buf = BytesMut::from(&end.bytes[..]);
+    put_outcome(&mut buf, end.outcome, end.retry_after);
+    session.put_token(&mut buf);
+    if let Some(status) = end.status {
+        session.status = status;
+        pg::ready(&mut buf, status);
+    }
+    send(io, &buf).await
+}
+
+/// Tells the caller of a request that never left the instance.
+pub(super) async fn not_run(session: &mut Session, io: &Io, outcome: Outcome) -> Result<(), End> {
+    let mut buf = BytesMut::new();
+    put_outcome(&mut buf, outcome, None);
+    pg::ready(&mut buf, session.status);
+    send(io, &buf).await
+}
+
+fn put_outcome(buf: &mut BytesMut, outcome: Outcome, retry_after: Option<std::time::Duration>) {
+    let Some(state) = outcome.sqlstate() else {
+        return;
+    };
+    let hint = retry_after.map(|it| format!("retry_after_ms={}", it.as_millis()));
+    let text = match outcome {
+        Outcome::Done => return,
+        Outcome::NotRun(cause) => format!("not run: {cause}"),
+        Outcome::Unknown(cause) => format!("unknown whether it ran: {cause}"),
+    };
+    pg::error(buf, state, &text, hint.as_deref());
+}
--- /dev/null
+++ b/crates/daemon/src/callers/mod.rs
@@ -0,0 +1,149 @@
+//! The callers' duty: connections from applications, and their sessions.
+
+mod answer;
+mod auth;
+mod batch;
+mod greet;
+mod local;
+mod serve;
+
+use std::{
+    cell::RefCell, collections::HashMap, net::TcpListener, rc::Rc, sync::Arc, time::Duration,
+};
+
+use catalog::layout::Snapshot;
+use clock::Clock;
+use ntex::SharedCfg;
+use session::Keys;
+use tokio::sync::mpsc;
+
+use crate::{
+    duty::{self, Phase, Watch},
+    job::{self, Ask, Caller, Part, Reply},
+    ring,
+};
+
+/// How long an accept that failed waits, as when file descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Parts of an answer that may wait for one caller's connection: the window
+/// of the upstreams' duty, and the end.
+const PARTS: usize = job::WINDOW + 2;
+
+/// What the callers' duty is given.
+#[derive(Debug)]
+pub(crate) struct Conf {
+    /// Where callers connect.
+    pub(crate) listener: TcpListener,
+    /// The machine's clock.
+    pub(crate) clock: Clock,
+    /// What session tokens are signed with.
+    pub(crate) keys: Keys,
+    /// To the upstreams' duty.
+    pub(crate) asks: ring::Sender<Ask>,
+    /// From the upstreams' duty.
+    pub(crate) replies: ring::Receiver<Reply>,
+    /// Changes of the catalogue.
+    pub(crate) catalogs: ring::Receiver<Arc<Snapshot>>,
+    /// The daemon's phase.
+    pub(crate) watch: Watch,
+    /// How many callers may be connected at once.
+    pub(crate) limit: usize,
+}
+
+/// A caller's end in the duty's table.
+struct Entry {
+    secret: i32,
+    seq: u64,
+    parts: mpsc::Sender<(u64, Part)>,
+}
+
+/// What the tasks of the duty share.
+struct Shared {
+    clock: Clock,
+    keys: Keys,
+    asks: ring::Shared<Ask>,
+    catalog: RefCell<Arc<Snapshot>>,
+    callers: RefCell<HashMap<Caller, Entry>>,
+    made: RefCell<u64>,
+    watch: Watch,
+    limit: usize,
+}
+
+/// Runs the duty until the daemon stops.
+pub(crate) async fn run(conf: Conf) {
+    let shared = Rc::new(Shared {
+        clock: conf.clock,
+        keys: conf.keys,
+        asks: ring::Shared::new(conf.asks),
+        catalog: RefCell::default(),
+        callers: RefCell::default(),
+        made: RefCell::new(0),
+        watch: conf.watch.clone(),
+        limit: conf.limit,
+    });
+    ntex::rt::spawn(deliver(Rc::clone(&shared), conf.replies));
+    ntex::rt::spawn(follow(Rc::clone(&shared), conf.catalogs));
+    let mut watch = conf.watch;
+    tokio::select! {
+        () = accept(&shared, conf.listener) => {}
+        () = duty::reached(&mut watch, Phase::Drain) => {}
+    }
+    tokio::select! {
+        () = empty(&shared) => {}
+        () = duty::reached(&mut watch, Phase::Stop) => {}
+    }
+}
+
+/// Waits until no caller is connected.
+async fn empty(shared: &Shared) {
+    while !shared.callers.borrow().is_empty() {
+        ntex::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+async fn accept(shared: &Rc<Shared>, listener: TcpListener) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            ntex::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let io = stream
+            .into_std()
+            .and_then(|it| ntex::rt::from_tcp_stream(it, SharedCfg::default()));
+        if let Ok(io) = io {
+            ntex::rt::spawn(greet::serve(io, Rc::clone(shared)));
+        }
+    }
+}
+
+/// Hands replies to the callers that wait for them.
+///
+/// A reply that comes after its request was given up finds another number and
+/// is dropped: it would otherwise be taken for the answer to the next request.
+async fn deliver(shared: Rc<Shared>, mut replies: ring::Receiver<Reply>) {
+    while let Some(reply) = replies.recv().await {
+        let parts = {
+            let callers = shared.callers.borrow();
+            let entry = callers.get(&reply.caller).filter(|it| it.seq == reply.seq);
+            entry.map(|it| it.parts.clone())
+        };
+        let Some(parts) = parts else { continue };
+        // The upstreams' duty sends no more than a window of parts ahead of
+        // what the caller took, so only a fault there finds this full.
+        if parts.try_send((reply.seq, reply.part)).is_err() {
+            shared.callers.borrow_mut().remove(&reply.caller);
+        }
+    }
+}
+
+async fn follow(shared: Rc<Shared>, mut catalogs: ring::Receiver<Arc<Snapshot>>) {
+    while let Some(snapshot) = catalogs.recv().await {
+        *shared.catalog.borrow_mut() = Arc::clone(&snapshot);
+        shared.asks.send(Ask::Catalog(snapshot)).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/duty.rs
@@ -0,0 +1,302 @@
+//! Runs the failover machines and carries their actions to the other duties.
+
+use std::collections::BTreeMap;
+
+use catalog::layout::Snapshot;
+use clock::{Clock, Instant};
+use failover::{Action, Event, Group, Member, Stay, Timing};
+use model::{Phase as Change, Record, name};
+use ntex::time::sleep;
+
+use super::{Answer, Order};
+use crate::{
+    duty::{self, Phase, Watch},
+    platform::{self, Told},
+    ring,
+};
+
+/// What the control duty is given.
+#[derive(Debug)]
+pub(crate) struct Conf {
+    /// The machine's clock.
+    pub(crate) clock: Clock,
+    /// This instance.
+    pub(crate) instance: name::Instance,
+    /// Its availability zone.
+    pub(crate) zone: name::Zone,
+    /// To the upstreams' duty.
+    pub(crate) orders: ring::Sender<Order>,
+    /// From the upstreams' duty.
+    pub(crate) answers: ring::Receiver<Answer>,
+    /// To the store's duty.
+    pub(crate) asks: ring::Sender<platform::Ask>,
+    /// From the store's duty.
+    pub(crate) told: ring::Receiver<Told>,
+    /// The daemon's phase.
+    pub(crate) watch: Watch,
+    /// Where the attempts' numbers begin.
+    pub(crate) seed: u64,
+}
+
+/// The state of the duty.
+struct Control {
+    clock: Clock,
+    instance: name::Instance,
+    zone: name::Zone,
+    seed: u64,
+    orders: ring::Sender<Order>,
+    asks: ring::Sender<platform::Ask>,
+    groups: BTreeMap<name::Database, Slot>,
+}
+
+/// One database's machine.
+struct Slot {
+    group: Group,
+    wake: Option<Instant>,
+    /// The term whose primary the other duties were told last.
+    told: Option<model::Term>,
+}
+
+/// Runs the duty until the daemon stops.
+pub(crate) async fn run(mut conf: Conf) {
+    let mut control = Control {
+        clock: conf.clock,
+        instance: conf.instance,
+        zone: conf.zone,
+        seed: conf.seed,
+        orders: conf.orders,
+        asks: conf.asks,
+        groups: BTreeMap::new(),
+    };
+    loop {
+        let pause = control.pause();
+        tokio::select! {
+            () = duty::reached(&mut conf.watch, Phase::Stop) => return,
+            Some(answer) = conf.answers.recv() => control.answer(answer),
+            Some(told) = conf.told.recv() => control.told(told),
+            () = sleep(pause) => control.tick(),
+        }
+    }
+}
+
+impl Control {
+    /// How long until the first machine wants to be woken.
+    fn pause(&self) -> std::time::Duration {
+        const QUIET: std::time::Duration = std::time::Duration::from_secs(1);
+        let next = self.groups.values().filter_map(|slot| slot.wake).min();
+        next.map_or(QUIET, |at| at.since(self.clock.now()))
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        let due = self
+            .groups
+            .iter()
+            .filter(|(_, slot)| slot.wake.is_some_and(|at| at <= now));
+        let due: Vec<_> = due.map(|(name, _)| name.clone()).collect();
+        for database in due {
+            self.step(&database, Event::Tick);
+        }
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        let Answer {
+            database,
+            call,
+            upstream,
+            result,
+        } = answer;
+        self.step(
+            &database,
+            Event::Answer {
+                call,
+                upstream,
+                result,
+            },
+        );
+    }
+
+    fn told(&mut self, told: Told) {
+        match told {
+            Told::Catalog(snapshot) => self.follow(&snapshot),
+            Told::Read {
+                database,
+                call,
+                result,
+            } => {
+                self.step(&database, Event::Read { call, result });
+            }
+            Told::Swapped {
+                database,
+                call,
+                result,
+            } => {
+                self.step(&database, Event::Swapped { call, result });
+            }
+            Told::Seen { database, entry } => self.step(&database, Event::Seen(entry)),
+            Told::Held { .. } | Told::Reach(_) => {}
+        }
+    }
+
+    /// Brings the machines in line with the catalogue.
+    fn follow(&mut self, snapshot: &Snapshot) {
+        let databases = &snapshot.catalog.databases;
+        self.groups.retain(|name, _| databases.contains_key(name));
+        for (name, database) in databases {
+            let upstreams = members(database);
+            if self.groups.contains_key(name) {
+                self.step(name, Event::Upstreams(upstreams));
+                continue;
+            }
+            let conf = failover::Conf {
+                database: name.clone(),
+                instance: self.instance.clone(),
+                zone: self.zone.clone(),
+                upstreams,
+                seed: self.seed,
+                timing: Timing::default(),
+            };
+            match Group::open(conf, self.clock.now()) {
+                Ok(group) => {
+                    let slot = Slot {
+                        group,
+                        wake: None,
+                        told: None,
+                    };
+                    self.groups.insert(name.clone(), slot);
+                    let members = BTreeMap::from([(self.instance.clone(), self.zone.clone())]);
+                    self.step(name, Event::Members(members));
+                }
+                Err(error) => log::error!(duty = "control"; "the state chart is faulty: {error}"),
+            }
+        }
+    }
+
+    fn step(&mut self, database: &name::Database, event: Event) {
+        let now = self.clock.now();
+        let Some(slot) = self.groups.get_mut(database) else {
+            return;
+        };
+        let actions = slot.group.step(now, event);
+        for action in actions {
+            self.act(database, action);
+        }
+        self.tell_lead(database);
+    }
+
+    fn act(&mut self, database: &name::Database, action: Action) {
+        let database = database.clone();
+        match action {
+            Action::Probe { call, upstream } => {
+                self.order(Order::Probe {
+                    database,
+                    call,
+                    upstream,
+                });
+            }
+            Action::Order {
+                call,
+                upstream,
+                order,
+            } => {
+                self.order(Order::Carry {
+                    database,
+                    call,
+                    upstream,
+                    order,
+                });
+            }
+            Action::Read { call } => self.ask(platform::Ask::Read { database, call }),
+            Action::Swap {
+                call,
+                expected,
+                record,
+            } => {
+                self.ask(platform::Ask::Swap {
+                    database,
+                    call,
+                    expected,
+                    record,
+                });
+            }
+            Action::Announce(entry) => {
+                self.order(Order::Lead {
+                    database,
+                    record: entry.record,
+                });
+            }
+            Action::Wake { at } => {
+                if let Some(slot) = self.groups.get_mut(&database) {
+                    slot.wake = Some(at);
+                }
+            }
+            Action::Tell { .. } => {}
+        }
+    }
+
+    /// A probe or an order that finds the ring full is left out: the machine
+    /// counts it as unanswered and asks again, as with a lost packet.
+    fn order(&mut self, order: Order) {
+        if self.orders.push(order).is_err() {
+            metrics::counter!("dandelionlink_ring_full_total", "ring" => "orders").increment(1);
+        }
+    }
+
+    fn ask(&mut self, ask: platform::Ask) {
+        if self.asks.push(ask).is_err() {
+            metrics::counter!("dandelionlink_ring_full_total", "ring" => "store").increment(1);
+        }
+    }
+
+    /// Tells the upstreams' duty who leads, once for each term.
+    fn tell_lead(&mut self, database: &name::Database) {
+        let Some(slot) = self.groups.get_mut(database) else {
+            return;
+        };
+        let Some(lead) = slot.group.lead() else {
+            return;
+        };
+        if slot.told == Some(lead.term) {
+            return;
+        }
+        slot.told = Some(lead.term);
+        log::info!(
+            duty = "control", database = database.as_str(), instance = self.instance.as_str(),
+            zone = self.zone.as_str();
+            "{} leads in term {}", lead.upstream, lead.term
+        );
+        let record = Record {
+            term: lead.term,
+            phase: Change::Led {
+                upstream: lead.upstream.clone(),
+            },
+            fork: lead.fork,
+            attempt: 0,
+        };
+        let order = Order::Lead {
+            database: database.clone(),
+            record,
+        };
+        self.order(order);
+    }
+}
+
+/// The upstreams of a database, as the failover machine sees them.
+fn members(database: &catalog::Database) -> BTreeMap<name::Upstream, Member> {
+    let member = |it: &catalog::Upstream| {
+        let stay = if it.leaving {
+            Stay::Leaving
+        } else {
+            Stay::Staying
+        };
+        Member {
+            zone: it.zone.clone(),
+            stay,
+        }
+    };
+    database
+        .upstreams
+        .iter()
+        .map(|(name, it)| (name.clone(), member(it)))
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/duty.rs
@@ -0,0 +1,69 @@
+//! A thread for a duty, with a runtime of its own.
+
+use std::{
+    io,
+    sync::mpsc,
+    thread::{self, JoinHandle},
+};
+
+use ntex::rt::System;
+use tokio::sync::watch;
+
+/// Tells duties to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Serve.
+    Run,
+    /// Take nothing new and finish what runs.
+    Drain,
+    /// Leave now.
+    Stop,
+}
+
+/// The daemon's phase, as each duty sees it.
+pub type Watch = watch::Receiver<Phase>;
+
+/// A duty's thread.
+#[derive(Debug)]
+pub struct Duty {
+    thread: JoinHandle<()>,
+}
+
+impl Duty {
+    /// Starts a thread called `name` that runs what `make` makes to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system gives no thread.
+    pub fn spawn<F>(
+        name: &'static str,
+        make: impl FnOnce() -> F + Send + 'static,
+    ) -> io::Result<Self>
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let (started, starting) = mpsc::channel();
+        let thread = thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || {
+                let system = System::new(name, ntex::rt::DefaultRuntime);
+                system.block_on(async move {
+                    let _ = started.send(());
+                    make().await;
+                });
+            })?;
+        let _ = starting.recv();
+        Ok(Self { thread })
+    }
+
+    /// Waits for the duty's end.
+    pub fn join(self) {
+        let _ = self.thread.join();
+    }
+}
+
+/// Waits until the daemon is in `phase` or a later one.
+pub async fn reached(watch: &mut Watch, phase: Phase) {
+    // An error means that the daemon's handle is gone, which is an end as well.
+    let _ = watch.wait_for(|now| *now >= phase).await;
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,171 @@
+//! The daemon of dandelionlink: callers in front, upstreams behind.
+//!
+//! Each duty is a thread of its own, and bounded rings join them. The
+//! decisions are in crates of their own (`route`, `session`, `failover`,
+//! `pool`); here they are wired to sockets and to the clock.
+
+mod callers;
+mod control;
+pub mod duty;
+mod job;
+mod ops;
+mod platform;
+pub mod ring;
+pub mod settings;
+mod upstreams;
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
+
+use clock::Clock;
+use duty::{Duty, Phase};
+use ring::ring;
+use tokio::sync::watch;
+
+pub use settings::Settings;
+
+/// Requests that may wait between two duties.
+const RING: usize = 4_096;
+
+/// Catalogues that may wait between two duties.
+const CATALOGS: usize = 16;
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    callers: SocketAddr,
+    ops: SocketAddr,
+    drain: Duration,
+    phase: watch::Sender<Phase>,
+    front: Vec<Duty>,
+    back: Vec<Duty>,
+}
+
+impl Daemon {
+    /// Starts all duties.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port can't be bound or a thread can't be had.
+    pub fn spawn(settings: &Settings) -> io::Result<Self> {
+        let clock = Clock::open();
+        let (phase, watch) = watch::channel(Phase::Run);
+        let callers = bind(settings.listen)?;
+        let ops = bind(settings.ops)?;
+        let (caller_address, ops_address) = (callers.local_addr()?, ops.local_addr()?);
+
+        let (asks_tx, asks) = ring(RING);
+        let (replies_tx, replies) = ring(RING);
+        let (catalogs_tx, catalogs) = ring(CATALOGS);
+        let (orders_tx, orders) = ring(RING);
+        let (answers_tx, answers) = ring(RING);
+        let (store_asks_tx, store_asks) = ring(RING);
+        let (told_tx, told) = ring(RING);
+
+        let callers_conf = callers::Conf {
+            listener: callers,
+            clock,
+            keys: settings.session_keys.clone(),
+            asks: asks_tx,
+            replies,
+            catalogs,
+            watch: watch.clone(),
+            limit: settings.callers,
+        };
+        let upstreams_conf = upstreams::Conf {
+            clock,
+            zone: settings.zone.clone(),
+            login: settings.login.clone(),
+            share: settings.share,
+            asks,
+            replies: replies_tx,
+            orders,
+            answers: answers_tx,
+            watch: watch.clone(),
+            seed: settings.seed,
+        };
+        let control_conf = control::Conf {
+            clock,
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            orders: orders_tx,
+            answers,
+            asks: store_asks_tx,
+            told,
+            watch: watch.clone(),
+            seed: settings.seed,
+        };
+        let store_conf = platform::Conf {
+            endpoint: settings.store,
+            clock,
+            asks: store_asks,
+            told: told_tx,
+            catalogs: catalogs_tx,
+            watch: watch.clone(),
+        };
+        let ops_conf = ops::Conf {
+            listener: ops,
+            watch,
+        };
+
+        let back = vec![
+            Duty::spawn("metrics", move || ops::run(ops_conf))?,
+            Duty::spawn("upstreams", move || upstreams::run(upstreams_conf))?,
+            Duty::spawn("control", move || control::run(control_conf))?,
+            Duty::spawn("store", move || platform::run(store_conf))?,
+        ];
+        let front = vec![Duty::spawn("callers", move || callers::run(callers_conf))?];
+        let drain = settings.drain;
+        Ok(Self {
+            callers: caller_address,
+            ops: ops_address,
+            drain,
+            phase,
+            front,
+            back,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where operators connect.
+    pub fn ops(&self) -> SocketAddr {
+        self.ops
+    }
+
+    /// Stops: takes nothing new, lets what runs end within the drain's bound,
+    /// and leaves.
+    pub fn stop(self) {
+        self.phase.send_replace(Phase::Drain);
+        let phase = self.phase.clone();
+        let drain = self.drain;
+        let (done, over) = std::sync::mpsc::channel();
+        let bound = std::thread::spawn(move || {
+            // Ends early when the callers' duty has ended, which drops `done`.
+            let _ = over.recv_timeout(drain);
+            phase.send_replace(Phase::Stop);
+        });
+        self.front.into_iter().for_each(Duty::join);
+        drop::<std::sync::mpsc::Sender<()>>(done);
+        let _ = bound.join();
+        self.back.into_iter().for_each(Duty::join);
+    }
+
+    /// Leaves at once, as a process that is killed would.
+    pub fn kill(self) {
+        self.phase.send_replace(Phase::Stop);
+        self.front.into_iter().chain(self.back).for_each(Duty::join);
+    }
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,55 @@
+//! `dandelionlinkd`: reads its settings, serves, and stops when told to.
+//!
+//! Exit codes: 0 after a stop, 1 when it could not start, 2 for settings that
+//! are wrong.
+
+use std::process::ExitCode;
+
+use daemon::{Daemon, Settings, settings::Args};
+use logforth::{append, layout::JsonLayout, record::LevelFilter};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let settings = match Settings::read(&args, &|name| std::env::var(name).ok()) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    match serve(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(settings: &Settings) -> anyhow::Result<()> {
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            let stdout = append::Stdout::default().with_layout(JsonLayout::default());
+            dispatch
+                .filter(LevelFilter::MoreSevereEqual(logforth::record::Level::Info))
+                .append(stdout)
+        })
+        .apply();
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let daemon = Daemon::spawn(settings)?;
+    log::info!(
+        instance = settings.instance.as_str(), zone = settings.zone.as_str();
+        "callers connect to {}, operators to {}", daemon.callers(), daemon.ops()
+    );
+    signals.forever().next();
+    log::info!(instance = settings.instance.as_str(), zone = settings.zone.as_str(); "stopping");
+    daemon.stop();
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,314 @@
+//! The daemon's settings: flags, and environment variables of the same names.
+
+use std::{
+    fmt,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use argh::FromArgs;
+use model::name;
+use session::{Key, Keys};
+use upstream::Login;
+
+/// What the environment variables begin with.
+const PREFIX: &str = "DANDELIONLINK_";
+
+/// A proxy for replicated databases that keeps sessions consistent.
+///
+/// Each flag may be given as an environment variable instead: --peer-listen as
+/// DANDELIONLINK_PEER_LISTEN. The flag goes first.
+#[derive(Debug, Default, FromArgs)]
+pub struct Args {
+    /// where callers connect, as IP:PORT (127.0.0.1:6432)
+    #[argh(option)]
+    pub listen: Option<String>,
+    /// where operators and the balancer connect, as IP:PORT (127.0.0.1:6433)
+    #[argh(option)]
+    pub ops: Option<String>,
+    /// this instance's name, unlike any other's
+    #[argh(option)]
+    pub instance: Option<String>,
+    /// this instance's availability zone
+    #[argh(option)]
+    pub zone: Option<String>,
+    /// the gateway of the platform's store, as IP:PORT
+    #[argh(option)]
+    pub store: Option<String>,
+    /// the keys that session tokens are signed with, as ID:HEX and, while they
+    /// are changed, the previous one behind a comma; 32 bytes each at least
+    #[argh(option)]
+    pub session_keys: Option<String>,
+    /// the user to log in to upstreams as
+    #[argh(option)]
+    pub upstream_user: Option<String>,
+    /// that user's password, if upstreams ask for one
+    #[argh(option)]
+    pub upstream_password: Option<String>,
+    /// among how many instances an upstream's connections are divided (9)
+    #[argh(option)]
+    pub share: Option<String>,
+    /// how many callers may be connected at once (10000)
+    #[argh(option)]
+    pub callers: Option<String>,
+    /// how long a stop waits for what runs, in milliseconds (30000)
+    #[argh(option)]
+    pub drain_ms: Option<String>,
+    /// where random choices begin; taken from the system if not given
+    #[argh(option)]
+    pub seed: Option<String>,
+    /// only check the settings
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// What is wrong with one setting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The setting, as its flag is written without the dashes.
+    pub name: &'static str,
+    /// What is wrong.
+    pub what: What,
+}
+
+/// What can be wrong with a setting.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum What {
+    /// It has no default and was not given.
+    #[error("is missing")]
+    Missing,
+    /// It is not an address.
+    #[error("{0:?} is not an IP:PORT such as 10.0.0.1:6432")]
+    Address(String),
+    /// It is not a number in its range.
+    #[error("{text:?} is not a number from {least} to {most}")]
+    Number {
+        /// What was given.
+        text: String,
+        /// The least.
+        least: u64,
+        /// The most.
+        most: u64,
+    },
+    /// It is not a name.
+    #[error("{0}")]
+    Name(#[from] name::Error),
+    /// It is not a list of keys; the text is not repeated, it is secret.
+    #[error("is not a list of at most two keys written ID:HEX")]
+    Keys,
+    /// A key can't be used.
+    #[error("{0}")]
+    Key(#[from] session::Error),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let variable = variable(self.name);
+        write!(f, "--{} (or {variable}): {}", self.name, self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// The environment variable of a setting.
+fn variable(name: &str) -> String {
+    format!("{PREFIX}{}", name.replace('-', "_").to_ascii_uppercase())
+}
+
+/// Settings that have been checked.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect.
+    pub ops: SocketAddr,
+    /// This instance.
+    pub instance: name::Instance,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// The gateway of the platform's store.
+    pub store: SocketAddr,
+    /// What session tokens are signed with.
+    pub session_keys: Keys,
+    /// How to log in to upstreams.
+    pub login: Login,
+    /// Among how many instances an upstream's connections are divided.
+    pub share: u16,
+    /// How many callers may be connected at once.
+    pub callers: usize,
+    /// How long a stop waits for what runs.
+    pub drain: Duration,
+    /// Where random choices begin.
+    pub seed: u64,
+}
+
+/// Collects faults, so that all are told at once.
+struct Reader<'a> {
+    env: &'a dyn Fn(&str) -> Option<String>,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn text(&self, name: &'static str, flag: Option<&String>) -> Option<String> {
+        flag.cloned().or_else(|| (self.env)(&variable(name)))
+    }
+
+    fn fail<T>(&mut self, name: &'static str, what: What) -> Option<T> {
+        self.faults.push(Fault { name, what });
+        None
+    }
+
+    fn required(&mut self, name: &'static str, flag: Option<&String>) -> Option<String> {
+        let text = self.text(name, flag);
+        if text.is_none() {
+            return self.fail(name, What::Missing);
+        }
+        text
+    }
+
+    fn address(&mut self, name: &'static str, text: Option<String>) -> Option<SocketAddr> {
+        let text = text?;
+        match text.parse() {
+            Ok(address) => Some(address),
+            Err(_) => self.fail(name, What::Address(text)),
+        }
+    }
+
+    fn local(
+        &mut self,
+        name: &'static str,
+        flag: Option<&String>,
+        port: u16,
+    ) -> Option<SocketAddr> {
+        match self.text(name, flag) {
+            Some(text) => self.address(name, Some(text)),
+            None => Some(SocketAddr::from((Ipv4Addr::LOCALHOST, port))),
+        }
+    }
+
+    fn number(
+        &mut self,
+        name: &'static str,
+        flag: Option<&String>,
+        default: u64,
+        (least, most): (u64, u64),
+    ) -> Option<u64> {
+        let Some(text) = self.text(name, flag) else {
+            return Some(default);
+        };
+        match text.parse::<u64>() {
+            Ok(number) if (least..=most).contains(&number) => Some(number),
+            _ => self.fail(name, What::Number { text, least, most }),
+        }
+    }
+
+    fn named<T>(
+        &mut self,
+        name: &'static str,
+        flag: Option<&String>,
+        new: impl Fn(&str) -> Result<T, name::Error>,
+    ) -> Option<T> {
+        let text = self.required(name, flag)?;
+        match new(&text) {
+            Ok(found) => Some(found),
+            Err(error) => self.fail(name, error.into()),
+        }
+    }
+
+    fn keys(&mut self, name: &'static str, flag: Option<&String>) -> Option<Keys> {
+        let text = self.required(name, flag)?;
+        match keys(&text) {
+            Ok(keys) => Some(keys),
+            Err(what) => self.fail(name, what),
+        }
+    }
+}
+
+/// Reads one key, or two with the current one first.
+fn keys(text: &str) -> Result<Keys, What> {
+    let mut found = text.split(',').map(key);
+    let current = found.next().ok_or(What::Keys)??;
+    let mut keys = Keys::new(current);
+    if let Some(previous) = found.next() {
+        keys = keys.accept(previous?);
+    }
+    if found.next().is_some() {
+        return Err(What::Keys);
+    }
+    Ok(keys)
+}
+
+fn key(text: &str) -> Result<Key, What> {
+    let (id, hex) = text.trim().split_once(':').ok_or(What::Keys)?;
+    let id = id.parse().map_err(|_| What::Keys)?;
+    Ok(Key::new(id, &bytes(hex).ok_or(What::Keys)?)?)
+}
+
+/// Reads bytes written in hexadecimal.
+fn bytes(hex: &str) -> Option<Vec<u8>> {
+    if !hex.is_ascii() || !hex.len().is_multiple_of(2) {
+        return None;
+    }
+    let pairs = (0..hex.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&hex[at..at + 2], 16).ok());
+    pairs.collect()
+}
+
+impl Settings {
+    /// Checks the flags, and the variables that `env` gives.
+    ///
+    /// ```
+    /// use daemon::settings::{Args, Settings, What};
+    ///
+    /// let faults = Settings::read(&Args::default(), &|_| None).unwrap_err();
+    /// let names: Vec<_> = faults.iter().map(|fault| fault.name).collect();
+    /// assert_eq!(names, ["instance", "zone", "store", "session-keys", "upstream-user"]);
+    /// assert!(faults.iter().all(|fault| fault.what == What::Missing));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// All faults at once.
+    pub fn read(args: &Args, env: &dyn Fn(&str) -> Option<String>) -> Result<Self, Vec<Fault>> {
+        let mut rdr = Reader {
+            env,
+            faults: Vec::new(),
+        };
+        let listen = rdr.local("listen", args.listen.as_ref(), 6432);
+        let ops = rdr.local("ops", args.ops.as_ref(), 6433);
+        let instance = rdr.named("instance", args.instance.as_ref(), name::Instance::new);
+        let zone = rdr.named("zone", args.zone.as_ref(), name::Zone::new);
+        let store = rdr.required("store", args.store.as_ref());
+        let store = rdr.address("store", store);
+        let session_keys = rdr.keys("session-keys", args.session_keys.as_ref());
+        let user = rdr.required("upstream-user", args.upstream_user.as_ref());
+        let password = rdr.text("upstream-password", args.upstream_password.as_ref());
+        let share = rdr.number("share", args.share.as_ref(), 9, (1, 10_000));
+        let callers = rdr.number("callers", args.callers.as_ref(), 10_000, (1, 1_000_000));
+        let drain = rdr.number("drain-ms", args.drain_ms.as_ref(), 30_000, (0, 3_600_000));
+        let seed = rdr.number("seed", args.seed.as_ref(), rand::random(), (0, u64::MAX));
+        let settings = (|| {
+            Some(Self {
+                listen: listen?,
+                ops: ops?,
+                instance: instance?,
+                zone: zone?,
+                store: store?,
+                session_keys: session_keys?,
+                login: Login {
+                    user: user?,
+                    password,
+                },
+                share: u16::try_from(share?).ok()?,
+                callers: usize::try_from(callers?).ok()?,
+                drain: Duration::from_millis(drain?),
+                seed: seed?,
+            })
+        })();
+        match settings {
+            Some(settings) if rdr.faults.is_empty() => Ok(settings),
+            _ => Err(rdr.faults),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstreams/choose.rs
@@ -0,0 +1,121 @@
+//! Where a request goes: the router chooses, this waits as it says.
+
+use std::{rc::Rc, time::Duration};
+
+use clock::Instant;
+use model::{Cause, name};
+use ntex::time::sleep;
+use route::{Choice, Event, Read, Trust};
+use session::Confirmed;
+
+use super::{Core, group::Group};
+
+/// How long a request that waits for news goes without looking again.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub(super) enum Way {
+    /// A read, to a replica.
+    Replica(name::Upstream),
+    /// To the primary, as far as is known here.
+    Primary(name::Upstream),
+    /// A read, to the primary that a majority confirmed since it began.
+    Confirmed(name::Upstream, Confirmed),
+}
+
+impl Way {
+    /// The upstream.
+    pub(super) fn upstream(&self) -> &name::Upstream {
+        match self {
+            Self::Replica(upstream) | Self::Primary(upstream) | Self::Confirmed(upstream, _) => {
+                upstream
+            }
+        }
+    }
+}
+
+impl Group {
+    /// Chooses where a read goes, waiting where that is better.
+    ///
+    /// # Errors
+    ///
+    /// Why nothing can serve it; it did not run.
+    pub(super) async fn choose(
+        self: &Rc<Self>,
+        core: &Rc<Core>,
+        read: &Read,
+    ) -> Result<Way, Cause> {
+        loop {
+            let changed = self.changed.notified();
+            self.note_loads(core);
+            let now = core.now();
+            let choice = self
+                .router
+                .borrow_mut()
+                .choose(now, read, &mut *core.rng.borrow_mut());
+            match choice {
+                Choice::Replica(upstream) => return Ok(Way::Replica(upstream)),
+                Choice::Primary(upstream) => return Ok(Way::Primary(upstream)),
+                Choice::Confirmed(upstream) => {
+                    let round = self.confirmed(core, read.began, read.deadline).await?;
+                    return Ok(Way::Confirmed(upstream, round));
+                }
+                Choice::Discover => {
+                    self.confirmed(core, now, read.deadline).await?;
+                }
+                Choice::Wait { upstream, until } => {
+                    sleep(until.since(now).min(LOOK)).await;
+                    if read.trust != Trust::Expected {
+                        let _ = self.probe(core, &upstream).await;
+                    }
+                }
+                Choice::Hold { until } => {
+                    tokio::select! {
+                        () = changed => {}
+                        () = sleep(until.since(now).min(LOOK)) => {}
+                    }
+                }
+                Choice::Refuse(cause) => return Err(cause),
+            }
+        }
+    }
+
+    /// Waits until somebody leads.
+    ///
+    /// # Errors
+    ///
+    /// [`Cause::NoUpstream`] when nobody did before the deadline; the request
+    /// did not run.
+    pub(super) async fn primary(
+        self: &Rc<Self>,
+        core: &Rc<Core>,
+        deadline: Instant,
+    ) -> Result<Way, Cause> {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(primary) = self.router.borrow().primary() {
+                return Ok(Way::Primary(primary.clone()));
+            }
+            let now = core.now();
+            if now >= deadline {
+                return Err(Cause::NoUpstream);
+            }
+            if self.round.borrow_mut().want(now, now) == session::Start::Now {
+                self.ask(core);
+            }
+            tokio::select! {
+                () = changed => {}
+                () = sleep(deadline.since(now).min(LOOK)) => {}
+            }
+        }
+    }
+
+    fn note_loads(&self, core: &Core) {
+        let now = core.now();
+        let mut router = self.router.borrow_mut();
+        for (name, member) in self.members.borrow().iter() {
+            router.step(now, Event::Load(name, member.lines.load()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstreams/control.rs
@@ -0,0 +1,216 @@
+//! The control connection of an upstream: status probes and orders.
+//!
+//! One connection for each upstream carries them one after another. Those who
+//! ask while a probe is under way wait for the next one, because an answer
+//! only counts from the moment at which its question was sent.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use clock::{Clock, Instant};
+use failover::Fault;
+use model::Report;
+use tokio::sync::{Notify, oneshot};
+use upstream::{Conn, Error, Login, PROBE};
+
+use super::Core;
+use crate::control::{Answer, Order};
+
+/// How long a probe or an order may take on its connection.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A status and the moment at which it was asked for.
+pub(super) type Status = Result<(Instant, Report), Fault>;
+
+type Asker = oneshot::Sender<Status>;
+
+/// What waits for the control connection.
+#[derive(Default)]
+struct Waiting {
+    probes: Vec<Asker>,
+    orders: Vec<(upstream::Order, Asker)>,
+}
+
+/// The control connection of one upstream.
+pub(super) struct Control {
+    clock: Clock,
+    address: SocketAddr,
+    login: Login,
+    dbname: String,
+    waiting: RefCell<Waiting>,
+    work: Notify,
+}
+
+impl Control {
+    /// Prepares the connection; it is opened at the first use.
+    pub(super) fn open(clock: Clock, address: SocketAddr, login: &Login, dbname: &str) -> Rc<Self> {
+        let control = Rc::new(Self {
+            clock,
+            address,
+            login: login.clone(),
+            dbname: dbname.to_owned(),
+            waiting: RefCell::default(),
+            work: Notify::new(),
+        });
+        ntex::rt::spawn(serve(Rc::downgrade(&control)));
+        control
+    }
+
+    /// Asks for the status, by a question sent after this call.
+    pub(super) async fn probe(&self) -> Status {
+        let (asker, answer) = oneshot::channel();
+        self.waiting.borrow_mut().probes.push(asker);
+        self.work.notify_one();
+        answer.await.unwrap_or(Err(Fault::Broken))
+    }
+
+    /// Has an order carried out, and asks for the status behind it.
+    pub(super) async fn order(&self, order: upstream::Order) -> Status {
+        let (asker, answer) = oneshot::channel();
+        self.waiting.borrow_mut().orders.push((order, asker));
+        self.work.notify_one();
+        answer.await.unwrap_or(Err(Fault::Broken))
+    }
+
+    fn take(&self) -> Option<Work> {
+        let mut waiting = self.waiting.borrow_mut();
+        if !waiting.orders.is_empty() {
+            let (order, asker) = waiting.orders.remove(0);
+            return Some(Work::Order(order, asker));
+        }
+        let probes = std::mem::take(&mut waiting.probes);
+        (!probes.is_empty()).then_some(Work::Probe(probes))
+    }
+}
+
+enum Work {
+    Probe(Vec<Asker>),
+    Order(upstream::Order, Asker),
+}
+
+async fn serve(control: std::rc::Weak<Control>) {
+    let mut conn = None;
+    loop {
+        let Some(strong) = control.upgrade() else {
+            return;
+        };
+        let Some(work) = strong.take() else {
+            let idle = ntex::time::Millis(1_000);
+            let _ = ntex::time::timeout(idle, strong.work.notified()).await;
+            continue;
+        };
+        match work {
+            Work::Probe(askers) => {
+                let statements = [PROBE.to_owned()];
+                let status = strong.ask(&mut conn, &statements).await;
+                for asker in askers {
+                    let _ = asker.send(status);
+                }
+            }
+            Work::Order(order, asker) => {
+                let status = strong.ask(&mut conn, &order.statements()).await;
+                let _ = asker.send(status);
+            }
+        }
+    }
+}
+
+impl Control {
+    async fn ask(&self, conn: &mut Option<Conn>, statements: &[String]) -> Status {
+        let limit = ntex::time::Millis::from(TIMEOUT);
+        let asked = ntex::time::timeout(limit, self.try_ask(conn, statements)).await;
+        let result = asked.unwrap_or(Err(Error::Timeout));
+        result.map_err(|error| {
+            // A connection that failed once may still bring the answer to the
+            // question that was given up: it is never used again.
+            let refused = matches!(error, Error::Refused { .. });
+            if !refused {
+                *conn = None;
+            }
+            fault(&error)
+        })
+    }
+
+    async fn try_ask(
+        &self,
+        conn: &mut Option<Conn>,
+        statements: &[String],
+    ) -> Result<(Instant, Report), Error> {
+        if conn.as_ref().is_none_or(Conn::is_closed) {
+            *conn = Some(Conn::open(self.address, &self.login, &self.dbname).await?);
+        }
+        let Some(open) = conn.as_ref() else {
+            return Err(Error::Closed);
+        };
+        let (last, first) = statements
+            .split_last()
+            .ok_or(Error::Status("no statement"))?;
+        open.run(first).await?;
+        let sent = self.clock.now();
+        let rows = open.run(std::slice::from_ref(last)).await?;
+        let row = rows.first().ok_or(Error::Status("no row"))?;
+        Ok((sent, upstream::report(row)?))
+    }
+}
+
+/// What the control duty is told of an error.
+fn fault(error: &Error) -> Fault {
+    match error {
+        Error::Connect(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Fault::Refused
+        }
+        Error::Timeout => Fault::Timeout,
+        Error::Refused { state, message } if state == upstream::FENCED => {
+            let term = message.rsplit(' ').nth(1).and_then(|it| it.parse().ok());
+            term.map_or(Fault::Broken, |term| Fault::Fenced(model::Term(term)))
+        }
+        _ => Fault::Broken,
+    }
+}
+
+/// Carries out what the control duty asks, and answers it.
+pub(super) async fn carry_out(core: Rc<Core>, order: Order) {
+    match order {
+        Order::Lead { database, record } => {
+            if let Some(group) = core.group(&database) {
+                group.lead(core.now(), &record);
+            }
+        }
+        Order::Probe {
+            database,
+            call,
+            upstream,
+        } => {
+            let Some(group) = core.group(&database) else {
+                return;
+            };
+            let result = group.probe(&core, &upstream).await;
+            core.answers
+                .send(Answer {
+                    database,
+                    call,
+                    upstream,
+                    result,
+                })
+                .await;
+        }
+        Order::Carry {
+            database,
+            call,
+            upstream,
+            order,
+        } => {
+            let Some(group) = core.group(&database) else {
+                return;
+            };
+            let result = group.order(&core, &upstream, order).await;
+            core.answers
+                .send(Answer {
+                    database,
+                    call,
+                    upstream,
+                    result,
+                })
+                .await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstreams/line.rs
@@ -0,0 +1,36 @@
+//! One connection to an upstream, with what the proxy has made of it.
+
+use std::{collections::HashSet, net::SocketAddr, rc::Rc};
+
+use clock::Instant;
+use model::Report;
+use pool::{Handle, Ticket};
+use upstream::Conn;
+
+use super::lines::Lines;
+use crate::job::Settings;
+
+/// How many statements are kept prepared on one connection.
+pub(super) const MAX_PREPARED: usize = 256;
+
+/// A connection while a request has it.
+pub(super) struct Line {
+    /// The connection itself.
+    pub(super) conn: Conn,
+    /// Where it leads.
+    pub(super) address: SocketAddr,
+    /// The hashes of the statements that are prepared on it.
+    pub(super) prepared: HashSet<u128>,
+    /// After an error the upstream skips messages up to the next Sync.
+    pub(super) skipping: bool,
+    /// The session settings that are in force on it.
+    pub(super) applied: Settings,
+    /// The last status that came on it, and when it was asked for.
+    pub(super) seen: Option<(Instant, Report)>,
+    /// The upstream's connections that it goes back to.
+    pub(super) home: Rc<Lines>,
+    /// The request that has it.
+    pub(super) ticket: Ticket,
+    /// The statement that it is handed out for.
+    pub(super) handle: Handle,
+}
--- /dev/null
+++ b/crates/daemon/src/upstreams/lines.rs
@@ -0,0 +1,288 @@
+//! The connections to one upstream: [`pool::Pool`] decides, this carries out.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::{Clock, Instant};
+use model::Cause;
+use ntex::time::sleep;
+use pool::{
+    Action, Event, Handle, Pool, Ticket,
+    conn::Generation,
+    pool::{After, Request, Service},
+};
+use tokio::sync::{Notify, oneshot};
+use upstream::{Conn, Login};
+
+use super::line::Line;
+use crate::job::Settings;
+
+/// How long a login at an upstream may take.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A refusal by the pool: the request did not run.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Refused {
+    /// Why.
+    pub(super) cause: Cause,
+    /// When asking again has a chance.
+    pub(super) retry_after: Option<Duration>,
+}
+
+/// A connection that no request has.
+struct Idle {
+    conn: Conn,
+    prepared: HashSet<u128>,
+    applied: Settings,
+    seen: Option<(Instant, model::Report)>,
+}
+
+type Waiter = oneshot::Sender<Result<Handle, Refused>>;
+
+/// The connections to one upstream that this instance holds.
+pub(super) struct Lines {
+    clock: Clock,
+    address: SocketAddr,
+    login: Login,
+    dbname: String,
+    pool: RefCell<Pool>,
+    idle: RefCell<HashMap<Generation, Idle>>,
+    waiters: RefCell<HashMap<Ticket, Waiter>>,
+    /// Transactions whose connection the pool has taken away.
+    broken: RefCell<HashSet<Ticket>>,
+    stepped: Notify,
+}
+
+impl Lines {
+    /// Opens the warm connections and keeps to the pool's limits.
+    pub(super) fn open(
+        clock: Clock,
+        address: SocketAddr,
+        login: &Login,
+        dbname: &str,
+        conf: pool::Conf,
+    ) -> Rc<Self> {
+        let lines = Rc::new(Self {
+            clock,
+            address,
+            login: login.clone(),
+            dbname: dbname.to_owned(),
+            pool: RefCell::new(Pool::open(conf, 0)),
+            idle: RefCell::default(),
+            waiters: RefCell::default(),
+            broken: RefCell::default(),
+            stepped: Notify::new(),
+        });
+        lines.step(Event::Tick);
+        ntex::rt::spawn(tick(Rc::downgrade(&lines), clock));
+        lines
+    }
+
+    /// Where the upstream listens.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes the limits.
+    pub(super) fn set_conf(self: &Rc<Self>, conf: pool::Conf) {
+        self.step(Event::Conf(conf));
+    }
+
+    /// Tells whether the upstream gets new work.
+    pub(super) fn set_service(self: &Rc<Self>, service: Service) {
+        self.step(Event::Service(service));
+    }
+
+    /// What the upstream has to do for this instance.
+    pub(super) fn load(&self) -> route::Load {
+        let pool = self.pool.borrow();
+        let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
+        route::Load {
+            in_flight: count(pool.running()),
+            queued: count(pool.waiting()),
+        }
+    }
+
+    /// Waits for a connection.
+    pub(super) async fn acquire(self: &Rc<Self>, request: Request) -> Result<Line, Refused> {
+        let ticket = request.ticket;
+        let handle = self.wait(ticket, Event::Submit(request)).await?;
+        let Some(idle) = self.idle.borrow_mut().remove(&handle.generation) else {
+            self.step(Event::Lost(handle.generation));
+            return Err(Refused {
+                cause: Cause::NoUpstream,
+                retry_after: None,
+            });
+        };
+        Ok(Line {
+            conn: idle.conn,
+            address: self.address,
+            prepared: idle.prepared,
+            skipping: false,
+            applied: idle.applied,
+            seen: idle.seen,
+            home: Rc::clone(self),
+            ticket,
+            handle,
+        })
+    }
+
+    /// Lets a transaction send its next statement on the connection it has.
+    pub(super) async fn next(
+        self: &Rc<Self>,
+        line: &mut Line,
+        deadline: Instant,
+    ) -> Result<(), Refused> {
+        if self.broken.borrow_mut().remove(&line.ticket) {
+            return Err(Refused {
+                cause: Cause::ConnectionLost,
+                retry_after: None,
+            });
+        }
+        line.handle = self
+            .wait(line.ticket, Event::Next(line.ticket, deadline))
+            .await?;
+        Ok(())
+    }
+
+    /// Takes a connection back from a request whose answer was read whole.
+    pub(super) fn release(self: &Rc<Self>, line: Line) {
+        let idle = Idle {
+            conn: line.conn,
+            prepared: line.prepared,
+            applied: line.applied,
+            seen: line.seen,
+        };
+        self.idle.borrow_mut().insert(line.handle.generation, idle);
+        self.step(Event::Answered(line.handle, After::Idle));
+    }
+
+    /// Notes that the transaction on a connection goes on.
+    pub(super) fn hold(self: &Rc<Self>, line: &Line) {
+        self.step(Event::Answered(line.handle, After::Transaction));
+    }
+
+    /// Closes a connection that is not fit for another request.
+    ///
+    /// One with an unread answer would give it to the next request; one with
+    /// an open transaction would mix the two callers' statements.
+    pub(super) fn discard(self: &Rc<Self>, line: Line) {
+        let handle = line.handle;
+        drop(line);
+        self.step(Event::Answered(handle, After::Unusable));
+    }
+
+    async fn wait(self: &Rc<Self>, ticket: Ticket, event: Event) -> Result<Handle, Refused> {
+        let (waiter, waiting) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, waiter);
+        self.step(event);
+        let gone = Refused {
+            cause: Cause::NoUpstream,
+            retry_after: None,
+        };
+        waiting.await.unwrap_or(Err(gone))
+    }
+
+    fn step(self: &Rc<Self>, event: Event) {
+        let now = self.clock.now();
+        let actions = self.pool.borrow_mut().step(now, event);
+        for action in actions {
+            self.act(action);
+        }
+        self.stepped.notify_one();
+    }
+
+    fn act(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Open(generation) => {
+                ntex::rt::spawn(connect(Rc::clone(self), generation));
+            }
+            Action::Close(generation) => {
+                self.idle.borrow_mut().remove(&generation);
+            }
+            Action::Run(ticket, handle) => self.answer(ticket, Ok(handle)),
+            Action::Refuse {
+                ticket,
+                cause,
+                retry_after,
+            } => {
+                self.answer(
+                    ticket,
+                    Err(Refused {
+                        cause,
+                        retry_after: Some(retry_after),
+                    }),
+                );
+            }
+            // The request that owns the connection has the same deadline and
+            // cancels and discards it itself; the pool has closed its books.
+            Action::Cancel(_) => {}
+            Action::Broke(ticket, cause) => {
+                self.broken.borrow_mut().insert(ticket);
+                self.answer(
+                    ticket,
+                    Err(Refused {
+                        cause,
+                        retry_after: None,
+                    }),
+                );
+            }
+        }
+    }
+
+    fn answer(&self, ticket: Ticket, result: Result<Handle, Refused>) {
+        let waiter = self.waiters.borrow_mut().remove(&ticket);
+        if let Some(waiter) = waiter {
+            let _ = waiter.send(result);
+        }
+    }
+
+    /// Forgets what the pool told of a request that has ended.
+    pub(super) fn forget(&self, ticket: Ticket) {
+        self.broken.borrow_mut().remove(&ticket);
+    }
+}
+
+async fn connect(lines: Rc<Lines>, generation: Generation) {
+    let opening = Conn::open(lines.address, &lines.login, &lines.dbname);
+    let limit = ntex::time::Millis::from(OPEN_TIMEOUT);
+    let event = match ntex::time::timeout(limit, opening).await {
+        Ok(Ok(conn)) => {
+            let idle = Idle {
+                conn,
+                prepared: HashSet::new(),
+                applied: Settings::new(),
+                seen: None,
+            };
+            lines.idle.borrow_mut().insert(generation, idle);
+            Event::Opened(generation)
+        }
+        Ok(Err(_)) | Err(()) => Event::Lost(generation),
+    };
+    lines.step(event);
+}
+
+/// Steps the pool whenever the moment comes that it waits for.
+async fn tick(lines: std::rc::Weak<Lines>, clock: Clock) {
+    /// How long to sleep when the pool waits for nothing.
+    const QUIET: Duration = Duration::from_secs(1);
+    loop {
+        let Some(strong) = lines.upgrade() else {
+            return;
+        };
+        let now = clock.now();
+        let wake = strong.pool.borrow().wake(now);
+        let pause = wake
+            .map_or(QUIET, |at| at.since(now))
+            .max(Duration::from_millis(1));
+        tokio::select! {
+            () = sleep(pause) => strong.step(Event::Tick),
+            () = strong.stepped.notified() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -0,0 +1,193 @@
+//! The upstreams' duty: where requests run, and what is known of each group.
+
+mod ack;
+mod choose;
+mod control;
+mod exchange;
+mod group;
+mod line;
+mod lines;
+mod plan;
+mod run;
+mod sink;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use catalog::layout::Snapshot;
+use clock::{Clock, Instant};
+use model::name;
+use ntex::time::sleep;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Notify;
+use upstream::Login;
+
+use crate::{
+    control::{Answer, Order},
+    duty::{self, Phase, Watch},
+    job::{Ask, Caller, Reply},
+    ring,
+};
+
+use group::Group;
+use line::Line;
+
+/// How often the duty looks whether all requests have ended during a stop.
+const DRAIN_STEP: Duration = Duration::from_millis(5);
+
+/// What the upstreams' duty is given.
+#[derive(Debug)]
+pub(crate) struct Conf {
+    /// The machine's clock.
+    pub(crate) clock: Clock,
+    /// This instance's availability zone.
+    pub(crate) zone: name::Zone,
+    /// How the proxy logs in to upstreams.
+    pub(crate) login: Login,
+    /// Among how many instances each upstream's connections are divided.
+    pub(crate) share: u16,
+    /// From the callers' duty.
+    pub(crate) asks: ring::Receiver<Ask>,
+    /// To the callers' duty.
+    pub(crate) replies: ring::Sender<Reply>,
+    /// From the control duty.
+    pub(crate) orders: ring::Receiver<Order>,
+    /// To the control duty.
+    pub(crate) answers: ring::Sender<Answer>,
+    /// The daemon's phase.
+    pub(crate) watch: Watch,
+    /// Where the random numbers begin.
+    pub(crate) seed: u64,
+}
+
+/// A request that runs, as cancels and the window of its answer see it.
+#[derive(Debug)]
+struct Running {
+    seq: u64,
+    line: RefCell<Option<(std::net::SocketAddr, upstream::Key)>>,
+    cancelled: Cell<bool>,
+    untaken: Cell<usize>,
+    taken: Notify,
+}
+
+/// What a caller's transaction or open batch holds.
+enum Pin {
+    /// A connection.
+    Open {
+        /// The connection.
+        line: Line,
+        /// The database.
+        group: Rc<Group>,
+    },
+    /// Nothing: its connection is gone, and the caller has not ended it yet.
+    Failed,
+}
+
+/// What the tasks of the duty share.
+struct Core {
+    clock: Clock,
+    zone: name::Zone,
+    login: Login,
+    share: u16,
+    replies: ring::Shared<Reply>,
+    answers: ring::Shared<Answer>,
+    groups: RefCell<BTreeMap<name::Database, Rc<Group>>>,
+    running: RefCell<HashMap<Caller, Rc<Running>>>,
+    pins: RefCell<HashMap<Caller, Pin>>,
+    rng: RefCell<ChaCha8Rng>,
+    tickets: Cell<u64>,
+}
+
+impl Core {
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn ticket(&self) -> pool::Ticket {
+        self.tickets.set(self.tickets.get() + 1);
+        pool::Ticket(self.tickets.get())
+    }
+
+    fn group(&self, database: &name::Database) -> Option<Rc<Group>> {
+        self.groups.borrow().get(database).cloned()
+    }
+}
+
+/// Runs the duty until the daemon stops.
+pub(crate) async fn run(conf: Conf) {
+    let core = Rc::new(Core {
+        clock: conf.clock,
+        zone: conf.zone,
+        login: conf.login,
+        share: conf.share,
+        replies: ring::Shared::new(conf.replies),
+        answers: ring::Shared::new(conf.answers),
+        groups: RefCell::default(),
+        running: RefCell::default(),
+        pins: RefCell::default(),
+        rng: RefCell::new(ChaCha8Rng::seed_from_u64(conf.seed)),
+        tickets: Cell::new(0),
+    });
+    ntex::rt::spawn(take_asks(Rc::clone(&core), conf.asks));
+    ntex::rt::spawn(take_orders(Rc::clone(&core), conf.orders));
+    let mut watch = conf.watch;
+    duty::reached(&mut watch, Phase::Drain).await;
+    tokio::select! {
+        () = drained(&core) => {}
+        () = duty::reached(&mut watch, Phase::Stop) => {}
+    }
+    // The callers' duty ends first and may still ask on behalf of a caller.
+    duty::reached(&mut watch, Phase::Stop).await;
+}
+
+async fn drained(core: &Core) {
+    loop {
+        sleep(DRAIN_STEP).await;
+        if core.running.borrow().is_empty() && core.pins.borrow().is_empty() {
+            return;
+        }
+    }
+}
+
+async fn take_asks(core: Rc<Core>, mut asks: ring::Receiver<Ask>) {
+    while let Some(ask) = asks.recv().await {
+        match ask {
+            Ask::Run(job) => drop(ntex::rt::spawn(run::serve(Rc::clone(&core), *job))),
+            Ask::Leave(caller) => run::leave(&core, caller),
+            Ask::Taken { caller, seq } => run::taken(&core, caller, seq),
+            Ask::Cancel { caller, seq } => run::cancel(&core, caller, seq),
+            Ask::Catalog(snapshot) => follow(&core, &snapshot),
+        }
+    }
+}
+
+/// Brings the groups in line with the catalogue.
+fn follow(core: &Rc<Core>, snapshot: &Arc<Snapshot>) {
+    let databases = &snapshot.catalog.databases;
+    core.groups
+        .borrow_mut()
+        .retain(|name, _| databases.contains_key(name));
+    for (name, database) in databases {
+        let known = core.group(name);
+        let group = known.unwrap_or_else(|| {
+            let group = Rc::new(Group::open(core, name));
+            core.groups
+                .borrow_mut()
+                .insert(name.clone(), Rc::clone(&group));
+            group
+        });
+        group.follow(core, database);
+    }
+}
+
+async fn take_orders(core: Rc<Core>, mut orders: ring::Receiver<Order>) {
+    while let Some(order) = orders.recv().await {
+        ntex::rt::spawn(control::carry_out(Rc::clone(&core), order));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstreams/plan.rs
@@ -0,0 +1,246 @@
+//! Writing a batch for one connection, and what will come back for it.
+
+use std::collections::{HashSet, VecDeque};
+
+use bytes::{Bytes, BytesMut};
+use pgwire::{
+    error::PgWireResult,
+    messages::{
+        Message,
+        data::{NoData, ParameterDescription},
+        extendedquery::{
+            Bind, BindComplete, Close, CloseComplete, Describe, Flush, Parse, ParseComplete, Sync,
+        },
+        response::CommandComplete,
+        simplequery::Query,
+    },
+};
+
+use super::line::{Line, MAX_PREPARED};
+use crate::job::{Batch, Settings, Statement, Step};
+
+/// `ParseComplete`, for a statement that the connection has already.
+const PARSE_COMPLETE: &[u8] = &[b'1', 0, 0, 0, 4];
+
+/// `CloseComplete`, for a statement that the connection keeps.
+const CLOSE_COMPLETE: &[u8] = &[b'3', 0, 0, 0, 4];
+
+/// Whether an answer is passed on to the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Show {
+    /// It is.
+    Caller,
+    /// The proxy asked on its own account.
+    Nobody,
+}
+
+/// What comes back, in order.
+#[derive(Debug)]
+pub(super) enum Item {
+    /// The answer to a statement of the proxy's own.
+    Hidden,
+    /// The status, asked ahead of the batch.
+    StatusBefore,
+    /// The status, asked behind the batch.
+    StatusBehind,
+    /// The answer to a simple query.
+    Query,
+    /// A statement was prepared.
+    Parsed(u128, Show),
+    /// One message.
+    One,
+    /// The parameters and the rows of a statement.
+    Described,
+    /// Rows up to the end of a portal's run.
+    Executed,
+    /// Nothing comes: the proxy answers itself.
+    Given(&'static [u8]),
+    /// The end of the batch.
+    Synced,
+}
+
+/// Whether the status is asked for on the same connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Probes {
+    /// Ahead of the batch.
+    pub(super) before: bool,
+    /// Behind it.
+    pub(super) behind: bool,
+}
+
+/// A batch as it goes to one connection.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    /// The bytes to send.
+    pub(super) bytes: BytesMut,
+    /// What comes back.
+    pub(super) items: VecDeque<Item>,
+    sent: HashSet<u128>,
+}
+
+impl Plan {
+    /// Writes `batch` for `line`, which is not in a transaction.
+    pub(super) fn fresh(
+        line: &mut Line,
+        batch: &Batch,
+        settings: &Settings,
+        probes: Probes,
+    ) -> Self {
+        let mut plan = Self::default();
+        plan.settings(line, settings);
+        if line.prepared.len() >= MAX_PREPARED {
+            plan.hidden("DEALLOCATE ALL");
+            line.prepared.clear();
+        }
+        if probes.before {
+            plan.query(upstream::PROBE, Item::StatusBefore);
+        }
+        plan.steps(line, batch);
+        if probes.behind {
+            plan.query(upstream::PROBE, Item::StatusBehind);
+        }
+        plan
+    }
+
+    /// Writes `batch` for `line`, which goes on with a transaction.
+    pub(super) fn within(line: &mut Line, batch: &Batch, probes: Probes) -> Self {
+        let mut plan = Self::default();
+        plan.steps(line, batch);
+        if probes.behind {
+            plan.query(upstream::PROBE, Item::StatusBehind);
+        }
+        plan
+    }
+
+    /// Makes the connection's session settings those of the caller.
+    fn settings(&mut self, line: &mut Line, settings: &Settings) {
+        if line.applied == *settings {
+            return;
+        }
+        if line.applied.keys().any(|key| !settings.contains_key(key)) {
+            self.hidden("RESET ALL");
+            line.applied.clear();
+        }
+        for (key, value) in settings {
+            if line.applied.get(key) != Some(value) {
+                let (key, value) = (key.replace('\'', "''"), value.replace('\'', "''"));
+                self.hidden(&format!("SELECT set_config('{key}', '{value}', false)"));
+            }
+        }
+        line.applied.clone_from(settings);
+    }
+
+    fn hidden(&mut self, sql: &str) {
+        self.query(sql, Item::Hidden);
+    }
+
+    fn query(&mut self, sql: &str, item: Item) {
+        self.put(&Query::new(sql.to_owned()));
+        self.items.push_back(item);
+    }
+
+    fn put(&mut self, message: &impl Message) {
+        // A caller's message came within the limit on frames, and grows by a
+        // statement's name at most; the library's limits are higher.
+        let _ = message.encode(&mut self.bytes);
+    }
+
+    fn steps(&mut self, line: &mut Line, batch: &Batch) {
+        for step in &batch.steps {
+            if line.skipping && !matches!(step, Step::Sync) {
+                continue;
+            }
+            self.step(line, step);
+        }
+    }
+
+    fn step(&mut self, line: &mut Line, step: &Step) {
+        match step {
+            Step::Query(sql) => self.query(sql, Item::Query),
+            Step::Parse(statement) => {
+                if !self.prepare(line, statement, Show::Caller) {
+                    self.items.push_back(Item::Given(PARSE_COMPLETE));
+                }
+            }
+            Step::Bind(statement, bind) => {
+                self.prepare(line, statement, Show::Nobody);
+                self.put(&Bind::new(
+                    bind.portal_name.clone(),
+                    Some(title(statement)),
+                    bind.parameter_format_codes.clone(),
+                    bind.parameters.clone(),
+                    bind.result_column_format_codes.clone(),
+                ));
+                self.items.push_back(Item::One);
+            }
+            Step::DescribeStatement(statement) => {
+                self.prepare(line, statement, Show::Nobody);
+                self.put(&Describe::new(b'S', Some(title(statement))));
+                self.items.push_back(Item::Described);
+            }
+            Step::DescribePortal(name) => {
+                self.put(&Describe::new(b'P', name.clone()));
+                self.items.push_back(Item::One);
+            }
+            Step::Execute(execute) => {
+                self.put(execute);
+                self.items.push_back(Item::Executed);
+            }
+            Step::CloseStatement => self.items.push_back(Item::Given(CLOSE_COMPLETE)),
+            Step::ClosePortal(name) => {
+                self.put(&Close::new(b'P', name.clone()));
+                self.items.push_back(Item::One);
+            }
+            Step::Flush => self.put(&Flush::new()),
+            Step::Sync => {
+                self.put(&Sync::new());
+                self.items.push_back(Item::Synced);
+            }
+        }
+    }
+
+    /// Prepares a statement if the connection does not have it; `true` if so.
+    fn prepare(&mut self, line: &Line, statement: &Statement, show: Show) -> bool {
+        let hash = statement.hash;
+        if line.prepared.contains(&hash) || !self.sent.insert(hash) {
+            return false;
+        }
+        let (sql, types) = (statement.sql.clone(), statement.types.clone());
+        self.put(&Parse::new(Some(title(statement)), sql, types));
+        self.items.push_back(Item::Parsed(hash, show));
+        true
+    }
+}
+
+/// The name under which upstream connections know a statement.
+fn title(statement: &Statement) -> String {
+    format!("dl_{:032x}", statement.hash)
+}
+
+/// The answer to a batch that ends a transaction which is already gone.
+pub(super) fn rolled_back(batch: &Batch) -> Bytes {
+    let mut buf = BytesMut::new();
+    let mut put = |message: &dyn Fn(&mut BytesMut) -> PgWireResult<()>| {
+        // These messages are far below the library's size limits.
+        let _ = message(&mut buf);
+    };
+    for step in &batch.steps {
+        match step {
+            Step::Query(_) | Step::Execute(_) => {
+                put(&|buf| CommandComplete::new("ROLLBACK".to_owned()).encode(buf));
+            }
+            Step::Parse(_) => put(&|buf| ParseComplete::new().encode(buf)),
+            Step::Bind(..) => put(&|buf| BindComplete::new().encode(buf)),
+            Step::DescribeStatement(_) => {
+                put(&|buf| ParameterDescription::new(Vec::new()).encode(buf));
+                put(&|buf| NoData::new().encode(buf));
+            }
+            Step::DescribePortal(_) => put(&|buf| NoData::new().encode(buf)),
+            Step::CloseStatement | Step::ClosePortal(_) => {
+                put(&|buf| CloseComplete::new().encode(buf));
+            }
+            Step::Flush | Step::Sync => {}
+        }
+    }
+    buf.freeze()
+}
--- /dev/null
+++ b/crates/daemon/tests/rig/mod.rs
@@ -0,0 +1,168 @@
+//! A store, a group of upstreams and daemons in one process, on loopback.
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use catalog::{
+    Catalog,
+    layout::Snapshot,
+    plan::{Proposal, plan},
+};
+use daemon::{Daemon, Settings, settings::Args};
+use tokio_postgres::{Client, NoTls};
+
+/// The one password of the rig.
+const PASSWORD: &str = "wachtwoord";
+
+/// The rig; dropping it stops all of it.
+pub(crate) struct Rig {
+    pub(crate) store: fake::Store,
+    pub(crate) group: fake::Group,
+    pub(crate) daemons: Vec<Option<Daemon>>,
+    applied: Snapshot,
+}
+
+/// The catalogue's text for a group at these addresses.
+pub(crate) fn text(addresses: &[SocketAddr]) -> String {
+    let verifier = postgres_protocol::password::scram_sha_256(PASSWORD.as_bytes());
+    let mut text = format!(
+        "[tenant.yard]\nusers = {{ groom = \"{verifier}\" }}\n\n[database.booking]\ndbname = \"booking\"\n"
+    );
+    for (index, address) in addresses.iter().enumerate() {
+        text += &format!(
+            "[database.booking.upstream.booking-{index}]\naddress = \"{address}\"\n\
+             zone = \"nl-west-{index}\"\nslots = 2\nconnections = 16\n"
+        );
+    }
+    for (entry, class) in [
+        (
+            "slots",
+            "freshness = \"read-your-writes\"\npriority = \"high\"",
+        ),
+        (
+            "calendar",
+            "freshness = \"age\"\nstaleness_ms = 2000\nidempotent = true\npriority = \"low\"",
+        ),
+        ("status", "freshness = \"current\""),
+    ] {
+        text += &format!(
+            "[entry.{entry}]\ntenant = \"yard\"\ndatabase = \"booking\"\n{class}\n\
+             connections = 8\nqueue = 100\ndeadline_ms = 5000\n"
+        );
+    }
+    text
+}
+
+impl Rig {
+    /// Starts `count` daemons before a group of three.
+    pub(crate) fn open(count: usize) -> Self {
+        let store = fake::Store::spawn().expect("a store");
+        let group = fake::Group::spawn(3, &fake::group::Conf::default()).expect("a group");
+        let mut rig = Self {
+            store,
+            group,
+            daemons: Vec::new(),
+            applied: Snapshot::default(),
+        };
+        rig.apply(&text(&rig.group.addresses()));
+        for index in 0..count {
+            let daemon = Daemon::spawn(&rig.settings(index, count)).expect("a daemon");
+            rig.daemons.push(Some(daemon));
+        }
+        rig
+    }
+
+    /// The settings of a daemon of the rig.
+    pub(crate) fn settings(&self, index: usize, count: usize) -> Settings {
+        let env = BTreeMap::from([
+            ("DANDELIONLINK_LISTEN", "127.0.0.1:0".to_owned()),
+            ("DANDELIONLINK_OPS", "127.0.0.1:0".to_owned()),
+            ("DANDELIONLINK_INSTANCE", format!("entry-{index}")),
+            ("DANDELIONLINK_ZONE", format!("nl-west-{index}")),
+            ("DANDELIONLINK_STORE", self.store.address().to_string()),
+            (
+                "DANDELIONLINK_SESSION_KEYS",
+                format!("1:{}", "5a".repeat(32)),
+            ),
+            ("DANDELIONLINK_UPSTREAM_USER", "proxy".to_owned()),
+            ("DANDELIONLINK_SHARE", count.to_string()),
+            ("DANDELIONLINK_DRAIN_MS", "2000".to_owned()),
+        ]);
+        let env = |name: &str| env.get(name).cloned();
+        Settings::read(&Args::default(), &env).expect("the rig's settings are right")
+    }
+
+    /// Puts a catalogue into the store, as the operators' tool would.
+    pub(crate) fn apply(&mut self, text: &str) {
+        let catalog = Catalog::parse(text).expect("the rig's catalogue is right");
+        let proposal = Proposal {
+            change: catalog::head::Id(u128::from(self.applied.revision) + 1),
+            author: "rig".to_owned(),
+            message: "test".to_owned(),
+            time: String::new(),
+        };
+        let plan = plan(&self.applied, &catalog, proposal).expect("a plan");
+        for key in &plan.txn.deletes {
+            self.store.remove(key);
+        }
+        // The head goes last: a daemon reads the catalogue when it changes.
+        let (heads, others): (Vec<_>, Vec<_>) = plan
+            .txn
+            .puts
+            .iter()
+            .partition(|put| put.key.ends_with("/head"));
+        for put in others.into_iter().chain(heads) {
+            self.store.put(&put.key, &put.value);
+        }
+        let revision = self.store.revision();
+        self.applied = Snapshot {
+            catalog,
+            head: Some(plan.head),
+            revision,
+        };
+    }
+
+    /// Where callers of a daemon connect.
+    pub(crate) fn address(&self, index: usize) -> SocketAddr {
+        self.daemons[index]
+            .as_ref()
+            .expect("the daemon runs")
+            .callers()
+    }
+
+    /// Connects to a daemon as a caller of `entry`, once it has the catalogue.
+    pub(crate) async fn connect(&self, index: usize, entry: &str) -> Client {
+        let address = self.address(index);
+        let mut config = tokio_postgres::Config::new();
+        config
+            .host("127.0.0.1")
+            .port(address.port())
+            .user("groom")
+            .password(PASSWORD)
+            .dbname(entry);
+        for _ in 0..200 {
+            if let Ok((client, connection)) = config.connect(NoTls).await {
+                tokio::spawn(connection);
+                return client;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no connection to daemon {index}");
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        for daemon in self.daemons.drain(..).flatten() {
+            daemon.kill();
+        }
+    }
+}
+
+/// Runs a test's future on a runtime of its own.
+pub(crate) fn run<F: Future>(future: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(future)
+}
--- a/crates/fake/src/group.rs
+++ b/crates/fake/src/group.rs
@@ -148,7 +148,10 @@
     }
 
     /// Drops what it holds beyond the log that it now follows.
+    ///
+    /// A server that is rewound restarts, which breaks its connections.
     fn rewind(&mut self, leader: &Log) {
+        self.generation += 1;
         self.log.rewind(leader);
         self.arrivals
             .truncate(self.log.entries.len() - self.log.replayed);
--- a/crates/fake/src/server/exec.rs
+++ b/crates/fake/src/server/exec.rs
@@ -285,7 +285,7 @@
         if node.ordered_by == self.id {
             return Ok(());
         }
-        Err(("DL010", "another session has raised the term".to_owned()))
+        Err(("DL010", format!("the term is {} already", node.fenced)))
     }
 
     fn promote(&self) -> Result<Outcome, Refusal> {
--- a/crates/fake/src/sql.rs
+++ b/crates/fake/src/sql.rs
@@ -119,6 +119,14 @@
     if text == "SELECT pg_reload_conf()" {
         return Some(Plan::Reload);
     }
+    if let Some(rest) = text.strip_prefix("SELECT set_config(") {
+        let mut quoted = rest.split('\'').skip(1).step_by(2);
+        let (name, value) = (quoted.next()?, quoted.next()?);
+        return Some(Plan::Set {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        });
+    }
     if text == "SELECT pg_promote()" {
         return Some(Plan::Promote);
     }
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -121,6 +121,11 @@
         lock(&self.shared).db.put(key.as_bytes(), value, 0);
     }
 
+    /// Removes a key, as another client of the store would.
+    pub fn remove(&self, key: &str) {
+        lock(&self.shared).db.delete(key.as_bytes());
+    }
+
     /// Reads a key.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         lock(&self.shared).db.value(key.as_bytes())
--- a/crates/fake/src/store/db.rs
+++ b/crates/fake/src/store/db.rs
@@ -168,6 +168,12 @@
         self.revision += 1;
     }
 
+    /// Removes one key in a revision of its own.
+    pub(super) fn delete(&mut self, key: &[u8]) {
+        self.remove(key, self.revision + 1);
+        self.revision += 1;
+    }
+
     fn write(&mut self, key: &[u8], value: &[u8], lease: u64, revision: u64) {
         let item = Item {
             value: value.to_vec(),
