--- /dev/null
+++ b/crates/failover/tests/failover/hunt.rs
@@ -0,0 +1,146 @@
+//! Seeded runs with random faults, singly, together and twice.
+//!
+//! `DANDELIONLINK_HUNT=N` runs N seeds more, from `DANDELIONLINK_SEED` on.
+
+use std::{env, time::Duration};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::world::{Setup, World, net::Host, upstream::Down};
+
+/// The seeds that always run.
+const SEEDS: u64 = 60;
+
+/// How long faults come, and how long the group has to recover from all.
+const TROUBLE: u64 = 20_000;
+const RECOVERY: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Crash(usize, Down),
+    Return(usize),
+    Cut(usize),
+    CutServer(usize),
+    Part(usize, usize),
+    OneWay(usize, usize),
+    Heal,
+    Pause(Host, Duration),
+    Lag(usize, Duration),
+    Die(usize),
+    StoreDown,
+    StoreUp,
+    StoreSlow(Duration),
+    LoseAnswers(u32),
+}
+
+fn fault(rng: &mut ChaCha8Rng, setup: &Setup) -> Fault {
+    let proxy = rng.random_range(0..setup.zones);
+    let server = rng.random_range(0..setup.upstreams);
+    let span = Duration::from_millis(rng.random_range(1..3_000));
+    match rng.random_range(0..20) {
+        0 => Fault::Crash(server, Down::Process),
+        1 => Fault::Crash(server, Down::Host),
+        2..5 => Fault::Return(server),
+        5 => Fault::Cut(proxy),
+        6 => Fault::CutServer(server),
+        7 => Fault::Part(proxy, server),
+        8 => Fault::OneWay(proxy, server),
+        9 | 10 => Fault::Heal,
+        11 => Fault::Pause(Host::Proxy(proxy), span),
+        12 => Fault::Pause(Host::Server(server), span),
+        13 => Fault::Lag(server, span),
+        14 => Fault::Die(proxy),
+        15 => Fault::StoreDown,
+        16 | 17 => Fault::StoreUp,
+        18 => Fault::StoreSlow(span / 4),
+        _ => Fault::LoseAnswers(rng.random_range(1..5)),
+    }
+}
+
+fn strike(world: &mut World, fault: Fault) {
+    let setup = world.setup.clone();
+    match fault {
+        Fault::Crash(u, down) => world.servers[u].down = Some(down),
+        Fault::Return(u) => world.servers[u].down = None,
+        Fault::Cut(z) => world.net.part_zone(&setup, z),
+        Fault::CutServer(u) => world.net.part_server(&setup, u),
+        Fault::Part(i, u) => world.net.part(Host::Proxy(i), Host::Server(u)),
+        Fault::OneWay(i, u) => world.net.part_one_way(Host::Server(u), Host::Proxy(i)),
+        Fault::Heal => world.net.heal(),
+        Fault::Pause(host, span) => world.pause(host, span),
+        Fault::Lag(u, lag) => world.servers[u].lag = lag,
+        Fault::Die(i) => world.restart(i),
+        Fault::StoreDown => world.store.down = true,
+        Fault::StoreUp => world.store_up(),
+        Fault::StoreSlow(slow) => world.store.slow = slow,
+        Fault::LoseAnswers(answers) => world.store.lose = answers,
+    }
+}
+
+fn recover(world: &mut World) {
+    for server in &mut world.servers {
+        server.down = None;
+        server.lag = Duration::ZERO;
+    }
+    world.net.heal();
+    world.store.lose = 0;
+    world.store_up();
+}
+
+/// Runs one seed; the faults it met, if a promise was broken.
+pub(crate) fn hunt(setup: Setup, seed: u64) -> Result<World, String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let pace = rng.random_range(200..3_000);
+    let mut world = World::running(setup, seed);
+    world.net.lossy = true;
+    let mut faults = Vec::new();
+    let start = world.now;
+    while world.now.since(start) < Duration::from_millis(TROUBLE) {
+        let fault = fault(&mut rng, &world.setup);
+        faults.push((world.now.as_micros(), fault));
+        strike(&mut world, fault);
+        world.run(Duration::from_millis(rng.random_range(1..pace)));
+    }
+    recover(&mut world);
+    world.run(RECOVERY);
+    let healed = world.now;
+    world.run(RECOVERY);
+    world.check.survived(&world.servers);
+    let all: Vec<usize> = (0..world.setup.zones).collect();
+    if world.check.violations.is_empty() && world.gap(&all, healed).is_some() {
+        return Ok(world);
+    }
+    let violations = &world.check.violations;
+    let shown = &violations[..violations.len().min(3)];
+    let end = &world.trace[world.trace.len().saturating_sub(12)..];
+    let record = &world.store.entry;
+    Err(format!(
+        "seed {seed}: {shown:?}\n{faults:?}\n{end:?}\n{record:?}"
+    ))
+}
+
+fn number(name: &str) -> u64 {
+    env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
+
+#[test]
+fn random_faults_break_no_promise() {
+    let first = number("DANDELIONLINK_SEED");
+    let seeds = first..first + SEEDS + number("DANDELIONLINK_HUNT");
+    let mut acks = 0;
+    for seed in seeds {
+        let setup = match seed % 3 {
+            0 => Setup::stalgenoot(),
+            _ => Setup::umurage(),
+        };
+        match hunt(setup, seed) {
+            Ok(world) => acks += world.check.acks(),
+            Err(story) => panic!("{story}"),
+        }
+    }
+    assert!(acks > 0);
+}
--- /dev/null
+++ b/crates/failover/tests/failover/main.rs
@@ -0,0 +1,8 @@
+//! The failover machine against a small fake group, in virtual time.
+
+mod broken;
+mod chart;
+mod gap;
+mod hunt;
+mod story;
+mod world;
--- /dev/null
+++ b/crates/failover/tests/failover/story.rs
@@ -0,0 +1,414 @@
+//! Failures, one story each: what fails, in which order, and what must hold.
+
+use std::time::Duration;
+
+use clock::Instant;
+use failover::{Event, State};
+use model::Term;
+
+use crate::world::{
+    Setup, Spring, Trap, World,
+    instance::members,
+    net::Host,
+    upstream::{Down, Server},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn trap(state: State, spring: Spring) -> Vec<Trap> {
+    vec![Trap { state, spring }]
+}
+
+/// Runs on for `span` and checks every promise; gives back how long writes
+/// could not land at `proxies`.
+fn outlast(world: &mut World, span: Duration, proxies: &[usize], since: Instant) -> Duration {
+    world.run(span);
+    world.verify();
+    let gap = world.gap(proxies, since);
+    gap.unwrap_or_else(|| panic!("writes do not land: {:?}", world.trace))
+}
+
+/// A primary's process ends. Its host refuses connections, which every zone
+/// meets within a probe's interval, so nobody waits for silence.
+#[test]
+fn primary_process_ends() {
+    let mut world = World::running(Setup::umurage(), 1);
+    let fault = world.now;
+    world.servers[0].down = Some(Down::Process);
+    let gap = outlast(&mut world, SECOND, &[0, 1, 2], fault);
+    assert!(gap < millis(200), "{gap:?}");
+    assert_eq!(world.check.promotions.len(), 1);
+}
+
+/// A primary's host is gone and nothing refuses: only silence tells. The
+/// silence must be noticed by a majority of the zones, and writes land again.
+#[test]
+fn primary_host_is_gone() {
+    let mut world = World::running(Setup::umurage(), 2);
+    let fault = world.now;
+    world.servers[0].down = Some(Down::Host);
+    let gap = outlast(&mut world, SECOND, &[0, 1, 2], fault);
+    assert!(gap < millis(500), "{gap:?}");
+    assert_eq!(world.check.promotions.len(), 1);
+}
+
+/// The primary's zone is cut off with callers and an instance beside it. The
+/// primary believes that it leads and runs their writes, but no majority
+/// confirms them; the other zones replace it meanwhile. Not one write of the
+/// cut-off zone may be acknowledged, and once the cut heals the old primary
+/// drops its tail and follows.
+#[test]
+fn cut_off_with_callers_beside() {
+    let mut world = World::running(Setup::umurage(), 3);
+    let setup = world.setup.clone();
+    world.net.part_zone(&setup, 0);
+    let fault = world.now;
+    let gap = outlast(&mut world, SECOND * 3, &[1, 2], fault);
+    assert!(gap < millis(600), "{gap:?}");
+    assert_eq!(world.landed(0, fault), None);
+    let tail = world.servers[0].log.len();
+    world.net.heal();
+    world.store_watch();
+    let healed = world.now;
+    outlast(&mut world, SECOND * 2, &[0, 1, 2], healed);
+    assert_eq!(world.servers[0].leads, Term(1));
+    assert!(world.servers[0].follows.is_some());
+    assert!(
+        tail > 0
+            && world.servers[0].log.iter().all(|entry| {
+                let leader = world.servers.iter().find(|s| s.leads == Term(2)).unwrap();
+                leader.log.contains(entry)
+            })
+    );
+}
+
+/// The primary alone is cut from the other zones; its own zone's instance
+/// still reaches it, vouches for it, and is heard by all. Writes do not land,
+/// because no replica takes in its log. The vouching may delay the claim, but
+/// only for its bound.
+#[test]
+fn cut_off_with_an_instance_that_vouches() {
+    let mut world = World::running(Setup::umurage(), 4);
+    let setup = world.setup.clone();
+    world.net.part_server(&setup, 0);
+    let fault = world.now;
+    let gap = outlast(&mut world, SECOND * 3, &[0, 1, 2], fault);
+    assert!(gap > millis(1_000) && gap < millis(2_000), "{gap:?}");
+}
+
+/// One zone can't reach the primary, the others can. It is blind, not the
+/// primary dead: nobody may claim, however long it lasts.
+#[test]
+fn one_blind_zone_is_no_dead_primary() {
+    let mut world = World::running(Setup::umurage(), 5);
+    world.net.part(Host::Proxy(1), Host::Server(0));
+    world.net.part(Host::Server(1), Host::Server(0));
+    world.run(SECOND * 30);
+    world.verify();
+    assert_eq!(world.check.promotions, []);
+    assert_eq!(world.store.swaps, 0);
+}
+
+/// Two of three zones' instances can't reach the primary, but the replicas
+/// still take in its log: writes land through the third. Replacing the primary
+/// would cut writes that land.
+#[test]
+fn a_primary_that_replicates_is_left_alone() {
+    let mut world = World::running(Setup::umurage(), 6);
+    world.net.part(Host::Proxy(1), Host::Server(0));
+    world.net.part(Host::Proxy(2), Host::Server(0));
+    world.run(SECOND * 10);
+    world.verify();
+    assert_eq!(world.check.promotions, []);
+}
+
+/// A zone without the primary is cut off. It suspects everybody, yet reaches
+/// no majority, so it must not claim, not even through a store that it reaches.
+#[test]
+fn a_cut_off_zone_does_not_claim() {
+    let mut world = World::running(Setup::umurage(), 7);
+    let setup = world.setup.clone();
+    world.net.part_zone(&setup, 2);
+    world.net.join(Host::Proxy(2), Host::Store);
+    let fault = world.now;
+    outlast(&mut world, SECOND * 10, &[0, 1], fault);
+    assert_eq!(world.store.swaps, 0);
+}
+
+/// A candidate is paused for seconds. On waking all its evidence is old; it
+/// must not take its own pause for the primary's silence.
+#[test]
+fn a_paused_candidate_does_not_claim() {
+    let mut world = World::running(Setup::umurage(), 8);
+    for i in 0..3 {
+        world.pause(Host::Proxy(i), SECOND * 3);
+    }
+    world.run(SECOND * 10);
+    world.verify();
+    assert_eq!(world.store.swaps, 0);
+}
+
+/// The promoter dies at each step in turn, before or after the messages of
+/// that step have left. Another candidate overtakes its claim with a higher
+/// term, or completes its record, within a bounded time.
+#[test]
+fn promoter_dies_at_each_step() {
+    let steps = [
+        State::Claiming,
+        State::Fencing,
+        State::Promoting,
+        State::Recording,
+    ];
+    for (seed, state) in (0..).zip(steps) {
+        for spring in [Spring::DieBefore, Spring::DieAfter] {
+            let mut world = World::running(Setup::umurage(), 20 + seed);
+            world.servers[0].down = Some(Down::Host);
+            world.traps = trap(state, spring);
+            let fault = world.now;
+            world.run(SECOND * 4);
+            let alive: Vec<_> = (0..3)
+                .filter(|&i| world.proxies[i].group.is_some())
+                .collect();
+            assert_eq!(alive.len(), 2, "{state:?} {spring:?}");
+            let gap = outlast(&mut world, SECOND, &alive, fault);
+            assert!(gap < millis(2_000), "{state:?} {spring:?} {gap:?}");
+        }
+    }
+}
+
+/// The promoter pauses at each step for longer than it takes to overtake it,
+/// and wakes with its orders and its swap still to come. They carry a term
+/// that is fenced or a revision that has passed, and must change nothing.
+#[test]
+fn promoter_pauses_and_wakes() {
+    let steps = [
+        State::Claiming,
+        State::Fencing,
+        State::Promoting,
+        State::Recording,
+    ];
+    for (seed, state) in (0..).zip(steps) {
+        let mut world = World::running(Setup::umurage(), 30 + seed);
+        world.servers[0].down = Some(Down::Host);
+        world.traps = trap(state, Spring::Pause(SECOND * 3));
+        let fault = world.now;
+        world.run(SECOND * 6);
+        let gap = outlast(&mut world, SECOND, &[0, 1, 2], fault + SECOND * 4);
+        assert!(gap < millis(500), "{state:?} {gap:?}");
+    }
+}
+
+/// The claim's swap takes effect and its answer is lost, once and more often.
+/// The promoter must recognise its own claim when it reads it back.
+#[test]
+fn answers_of_the_store_are_lost() {
+    for lost in 1..6 {
+        let mut world = World::running(Setup::umurage(), 40);
+        world.servers[0].down = Some(Down::Host);
+        world.traps = trap(State::Claiming, Spring::LoseAnswers(lost));
+        let fault = world.now;
+        let gap = outlast(&mut world, SECOND * 4, &[0, 1, 2], fault);
+        assert!(gap < millis(3_000), "{lost} {gap:?}");
+    }
+}
+
+/// The store is down before the primary fails. Nobody may promote without the
+/// claim, so writes wait for the store, and land soon after it is back.
+#[test]
+fn store_is_down_before_the_crash() {
+    let mut world = World::running(Setup::umurage(), 50);
+    world.store.down = true;
+    world.run(SECOND);
+    let fault = world.now;
+    let served = world.gap(&[0, 1, 2], fault - SECOND);
+    assert!(served.is_some(), "an outage of the store stops no writes");
+    world.servers[0].down = Some(Down::Host);
+    world.run(SECOND * 5);
+    assert_eq!(world.check.promotions, []);
+    world.store_up();
+    let back = world.now;
+    let gap = outlast(&mut world, SECOND * 3, &[0, 1, 2], back);
+    assert!(gap < millis(1_500), "{gap:?}");
+}
+
+/// The store goes down between the claim and the record of the new primary.
+/// The claim settles who may promote, so the new primary is announced and
+/// serves; its record follows when the store is back.
+#[test]
+fn store_goes_down_between_claim_and_record() {
+    for state in [State::Fencing, State::Promoting, State::Recording] {
+        let mut world = World::running(Setup::umurage(), 51);
+        world.servers[0].down = Some(Down::Host);
+        world.traps = trap(state, Spring::StoreDown);
+        let fault = world.now;
+        let gap = outlast(&mut world, SECOND * 5, &[0, 1, 2], fault);
+        assert!(gap < millis(600), "{state:?} {gap:?}");
+        world.store_up();
+        world.run(SECOND * 5);
+        world.verify();
+        let entry = world.store.entry.clone().unwrap();
+        assert!(entry.record.leader().is_some(), "{state:?} {entry:?}");
+        assert_eq!(world.check.promotions.len(), 1, "{state:?}");
+    }
+}
+
+/// The store goes down between claim and record, and the promoter dies after
+/// it announced the new primary. Another candidate completes the record when
+/// the store is back; no second promotion is needed for it.
+#[test]
+fn announced_primary_is_recorded_by_another() {
+    let mut world = World::running(Setup::umurage(), 52);
+    world.servers[0].down = Some(Down::Host);
+    world.traps = trap(State::Promoting, Spring::StoreDown);
+    world.traps.extend(trap(State::Recording, Spring::DieAfter));
+    world.run(SECOND * 3);
+    world.store_up();
+    world.run(SECOND * 5);
+    world.verify();
+    let entry = world.store.entry.clone().unwrap();
+    assert!(
+        entry.record.leader().is_some(),
+        "{entry:?} {:?}",
+        world.trace
+    );
+    assert_eq!(world.check.promotions.len(), 1);
+}
+
+/// The store is slow: each answer takes a second and a half, longer than the
+/// first waits for it. Retries must not pile up claims.
+#[test]
+fn store_is_slow() {
+    let mut world = World::running(Setup::umurage(), 53);
+    world.store.slow = millis(1_500);
+    world.servers[0].down = Some(Down::Host);
+    let fault = world.now;
+    let gap = outlast(&mut world, SECOND * 20, &[0, 1, 2], fault);
+    assert!(gap < millis(8_000), "{gap:?}");
+    assert!(world.store.swaps <= 4, "{}", world.store.swaps);
+}
+
+/// Two candidates claim at once, because neither hears the other. The swap
+/// settles it; one term has one primary.
+#[test]
+fn two_promoters_at_once() {
+    for seed in 60..80 {
+        let mut world = World::running(Setup::umurage(), seed);
+        for (one, other) in [(0, 1), (0, 2), (1, 2)] {
+            world.net.part(Host::Proxy(one), Host::Proxy(other));
+        }
+        world.servers[0].down = Some(Down::Process);
+        let fault = world.now;
+        let gap = outlast(&mut world, SECOND * 4, &[0, 1, 2], fault);
+        assert!(gap < millis(2_500), "{seed} {gap:?}");
+    }
+}
+
+/// A primary crashes, comes back as a replica, and the new one crashes as
+/// soon as it leads. The second change is held off a little, and loses
+/// nothing.
+#[test]
+fn same_fault_twice() {
+    let mut world = World::running(Setup::umurage(), 81);
+    world.servers[0].down = Some(Down::Host);
+    world.run(SECOND);
+    world.servers[0].down = None;
+    world.run(millis(300));
+    let (_, _, second) = *world.check.promotions.last().unwrap();
+    world.servers[second].down = Some(Down::Host);
+    let fault = world.now;
+    let gap = outlast(&mut world, SECOND * 3, &[0, 1, 2], fault);
+    assert!(gap < millis(1_000), "{gap:?}");
+    world.servers[second].down = None;
+    world.run(SECOND);
+    world.verify();
+    assert!(world.servers.iter().all(|s: &Server| s.log.len() > 1));
+}
+
+/// Every primary fails soon after its promotion and comes back after a
+/// second, over and over. The changes of primary must thin out.
+#[test]
+fn flapping_is_damped() {
+    let mut world = World::running(Setup::umurage(), 82);
+    let mut before = 0;
+    let mut counts = Vec::new();
+    for _ in 0..4 {
+        for _ in 0..15 {
+            let leader = world.check.promotions.last().map_or(0, |(_, _, u)| *u);
+            world.servers[leader].down = Some(Down::Host);
+            world.run(SECOND);
+            world.servers[leader].down = None;
+            world.run(SECOND);
+        }
+        counts.push(world.check.promotions.len() - before);
+        before = world.check.promotions.len();
+    }
+    world.verify();
+    assert!(counts[0] > counts[3] && counts[3] <= 2, "{counts:?}");
+}
+
+/// A primary is being taken out of service. Its role moves to a replica that
+/// holds all of its log, while nothing fails.
+#[test]
+fn a_leaving_primary_hands_over() {
+    let mut world = World::running(Setup::umurage(), 83);
+    let fault = world.now;
+    for i in 0..3 {
+        let members = members(&world.setup, Some(0));
+        world.step(i, Event::Upstreams(members));
+    }
+    let gap = outlast(&mut world, SECOND * 2, &[0, 1, 2], fault);
+    assert!(gap < millis(200), "{gap:?}");
+    let (_, term, upstream) = *world.check.promotions.last().unwrap();
+    assert!(
+        upstream != 0 && term == Term(2),
+        "{:?}",
+        world.check.promotions
+    );
+    assert_eq!(world.check.promotions.len(), 1);
+}
+
+/// A database has no record yet. The primary that its majority follows is
+/// recorded as it is; nothing is promoted.
+#[test]
+fn a_first_record_adopts_the_primary() {
+    let mut setup = Setup::umurage();
+    setup.recorded = false;
+    let mut world = World::running(setup, 84);
+    world.verify();
+    assert!(world.gap(&[0, 1, 2], Instant::ZERO).is_some());
+    assert_eq!(world.check.promotions, []);
+    assert_eq!(world.store.entry.clone().unwrap().record.term, Term(1));
+}
+
+/// The replica with the lower rank of the two is far behind when the primary
+/// fails. The one that holds the acknowledged writes must be chosen.
+#[test]
+fn a_lagging_replica_is_not_chosen() {
+    for (late, level) in [(1, 2), (2, 1)] {
+        let mut world = World::running(Setup::umurage(), 85);
+        world.servers[late].lag = SECOND * 60;
+        world.run(SECOND);
+        world.servers[0].down = Some(Down::Host);
+        let fault = world.now;
+        world.run(millis(500));
+        world.servers[late].lag = Duration::ZERO;
+        outlast(&mut world, SECOND * 3, &[0, 1, 2], fault);
+        assert_eq!(world.check.promotions[0].2, level);
+    }
+}
+
+/// A zone with the primary, an instance and callers is gone altogether, so
+/// that nobody refuses and the dead zone's last evidence still vouches.
+#[test]
+fn a_zone_is_gone() {
+    let mut world = World::running(Setup::stalgenoot(), 86);
+    world.servers[0].down = Some(Down::Host);
+    world.proxies[0].group = None;
+    let fault = world.now;
+    let gap = outlast(&mut world, SECOND * 2, &[1, 2, 3], fault);
+    assert!(gap < millis(700), "{gap:?}");
+}
--- /dev/null
+++ b/crates/failover/tests/failover/world/net.rs
@@ -0,0 +1,112 @@
+//! The network: who is where, how long messages take, what is cut.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use clock::Instant;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Setup;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Host {
+    Proxy(usize),
+    Server(usize),
+    Store,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Net {
+    cuts: BTreeSet<(Host, Host)>,
+    pauses: BTreeMap<Host, Instant>,
+    /// Whether messages are now and then sent twice and late.
+    pub(crate) lossy: bool,
+}
+
+impl Host {
+    fn zone(self) -> Option<usize> {
+        match self {
+            Self::Proxy(at) | Self::Server(at) => Some(at),
+            Self::Store => None,
+        }
+    }
+}
+
+impl Net {
+    pub(crate) fn cut(&self, one: Host, other: Host) -> bool {
+        self.cuts.contains(&(one, other))
+    }
+
+    pub(crate) fn part(&mut self, one: Host, other: Host) {
+        self.cuts.insert((one, other));
+        self.cuts.insert((other, one));
+    }
+
+    pub(crate) fn part_one_way(&mut self, from: Host, to: Host) {
+        self.cuts.insert((from, to));
+    }
+
+    pub(crate) fn join(&mut self, one: Host, other: Host) {
+        self.cuts.remove(&(one, other));
+        self.cuts.remove(&(other, one));
+    }
+
+    /// Cuts a zone from all others and from the store.
+    pub(crate) fn part_zone(&mut self, setup: &Setup, zone: usize) {
+        let hosts = hosts(setup);
+        for one in hosts.iter().filter(|h| h.zone() == Some(zone)) {
+            for other in hosts.iter().filter(|h| h.zone() != Some(zone)) {
+                self.part(*one, *other);
+            }
+        }
+    }
+
+    /// Cuts an upstream from everything, its own zone's hosts excepted.
+    pub(crate) fn part_server(&mut self, setup: &Setup, u: usize) {
+        for other in hosts(setup).iter().filter(|h| h.zone() != Some(u)) {
+            self.part(Host::Server(u), *other);
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub(crate) fn pause(&mut self, host: Host, until: Instant) {
+        self.pauses.insert(host, until);
+    }
+
+    pub(crate) fn paused(&self, host: Host) -> Option<Instant> {
+        self.pauses.get(&host).copied()
+    }
+
+    pub(crate) fn latency(
+        &self,
+        setup: &Setup,
+        rng: &mut ChaCha8Rng,
+        from: Host,
+        to: Host,
+    ) -> Duration {
+        let base = match (from.zone(), to.zone()) {
+            (Some(one), Some(other)) if one == other => Duration::from_micros(100),
+            (Some(_), Some(_)) => setup.between,
+            _ => setup.store / 2,
+        };
+        let spread = -f64::ln(1.0 - rng.random::<f64>()) * 0.2;
+        let mut latency = base.mul_f64(1.0 + spread);
+        // One in two thousand is lost and sent again after TCP's least wait.
+        if self.lossy && rng.random_range(0..2_000) == 0 {
+            latency += Duration::from_millis(200);
+        }
+        latency
+    }
+}
+
+pub(crate) fn hosts(setup: &Setup) -> Vec<Host> {
+    let proxies = (0..setup.zones).map(Host::Proxy);
+    let servers = (0..setup.upstreams).map(Host::Server);
+    proxies.chain(servers).chain([Host::Store]).collect()
+}
--- /dev/null
+++ b/crates/failover/tests/failover/world/upstream.rs
@@ -0,0 +1,237 @@
+//! Upstreams with a log, a fence, and asynchronous replication.
+
+use std::time::Duration;
+
+use failover::{Call, Event, Fault, Order};
+use model::{Lsn, Position, Report, Role, Term, name};
+
+use super::{Happening, Host, World};
+
+/// How an upstream is down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Down {
+    /// The process ended: the host refuses connections.
+    Process,
+    /// The host is gone: nothing answers.
+    Host,
+}
+
+/// Between two pushes of the log when nothing is written.
+const BEAT: Duration = Duration::from_millis(20);
+
+/// How long a replica takes to connect to a new primary.
+const CONNECT: Duration = Duration::from_millis(10);
+
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) down: Option<Down>,
+    pub(crate) role: Role,
+    pub(crate) fenced: Term,
+    /// The term in which it was promoted last.
+    pub(crate) leads: Term,
+    pub(crate) follows: Option<(usize, Term)>,
+    /// The term of the last log, and for each place the write that stands there.
+    pub(crate) log: Vec<(Term, u64)>,
+    /// Whether the log is known to be a prefix of that of the one it follows.
+    synced: bool,
+    pub(crate) lag: Duration,
+}
+
+pub(crate) fn number(name: &name::Upstream) -> usize {
+    name.as_str()[1..].parse().unwrap()
+}
+
+impl Server {
+    pub(crate) fn open(u: usize) -> Self {
+        let primary = u == 0;
+        Self {
+            down: None,
+            role: if primary {
+                Role::Primary
+            } else {
+                Role::Replica
+            },
+            fenced: Term(1),
+            leads: if primary { Term(1) } else { Term(0) },
+            follows: (!primary).then_some((0, Term(1))),
+            log: vec![(Term(1), 0)],
+            synced: !primary,
+            lag: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn report(&self, eager: bool) -> Report {
+        let mut term = self.log.last().map_or(Term(0), |(term, _)| *term);
+        if let (true, Some((_, followed))) = (eager, self.follows) {
+            term = term.max(followed);
+        }
+        let lsn = Lsn(self.log.len() as u64);
+        Report {
+            role: self.role,
+            fenced: self.fenced,
+            received: Position { term, lsn },
+            replayed: lsn,
+        }
+    }
+
+    pub(crate) fn holds(&self, write: u64) -> bool {
+        self.log.iter().any(|(_, w)| *w == write)
+    }
+
+    fn takes_writes(&self, term: Term) -> bool {
+        self.role == Role::Primary && self.leads == term && self.fenced == term
+    }
+}
+
+impl World {
+    pub(crate) fn ask(&mut self, i: usize, u: usize, call: Call, order: Option<Order>) {
+        match self.servers[u].down {
+            Some(Down::Process) => return self.reply(i, u, call, Err(Fault::Refused)),
+            Some(Down::Host) => return,
+            None => {}
+        }
+        let term = match &order {
+            None => Term(u64::MAX),
+            Some(Order::Fence { term } | Order::Promote { term } | Order::Follow { term, .. }) => {
+                *term
+            }
+        };
+        let fenced = self.servers[u].fenced;
+        if term < fenced {
+            return self.reply(i, u, call, Err(Fault::Fenced(fenced)));
+        }
+        match order {
+            None => {}
+            Some(Order::Fence { .. }) => self.fence(u, term),
+            Some(Order::Promote { .. }) => {
+                let happening = Happening::Promoted(i, u, call, term);
+                let took = self.setup.promote;
+                return self.after(took, happening);
+            }
+            Some(Order::Follow { upstream, .. }) => self.follow(u, term, number(&upstream)),
+        }
+        let report = self.servers[u].report(self.setup.eager);
+        self.reply(i, u, call, Ok(report));
+    }
+
+    fn reply(&mut self, i: usize, u: usize, call: Call, result: Result<Report, Fault>) {
+        let event = Event::Answer {
+            call,
+            upstream: super::upstream(u),
+            result,
+        };
+        self.send(Host::Server(u), Host::Proxy(i), Happening::Step(i, event));
+    }
+
+    fn fence(&mut self, u: usize, term: Term) {
+        let server = &mut self.servers[u];
+        if server.fenced < term {
+            server.fenced = term;
+            server.follows = None;
+        }
+    }
+
+    pub(crate) fn promoted(&mut self, i: usize, u: usize, call: Call, term: Term) {
+        let server = &mut self.servers[u];
+        if server.down.is_some() {
+            return;
+        }
+        if server.fenced > term {
+            let fenced = server.fenced;
+            return self.reply(i, u, call, Err(Fault::Fenced(fenced)));
+        }
+        if server.leads != term {
+            server.fenced = term;
+            server.role = Role::Primary;
+            server.leads = term;
+            server.follows = None;
+            server.log.push((term, 0));
+            self.check.promoted(self.now, term, u);
+        }
+        let report = self.servers[u].report(self.setup.eager);
+        self.reply(i, u, call, Ok(report));
+    }
+
+    fn follow(&mut self, u: usize, term: Term, leader: usize) {
+        let server = &mut self.servers[u];
+        if server.follows == Some((leader, term)) || server.leads == term {
+            return;
+        }
+        server.fenced = term;
+        server.role = Role::Replica;
+        server.follows = Some((leader, term));
+        server.synced = false;
+        let wait = CONNECT + server.lag;
+        let len = self.servers[leader].log.len();
+        let happening = Happening::Log(leader, u, term, len);
+        self.send_later(wait, Host::Server(leader), Host::Server(u), happening);
+    }
+
+    pub(crate) fn write(&mut self, i: usize, u: usize, id: u64, term: Term) {
+        let asked = self.now;
+        match self.servers[u].down {
+            Some(Down::Host) => return,
+            Some(Down::Process) => return self.answer_write(i, u, id, asked, false),
+            None => {}
+        }
+        let taken = self.servers[u].takes_writes(term);
+        if taken {
+            self.servers[u].log.push((term, id));
+            self.push(u);
+        }
+        self.answer_write(i, u, id, asked, taken);
+    }
+
+    fn answer_write(&mut self, i: usize, u: usize, id: u64, asked: clock::Instant, taken: bool) {
+        let report = self.servers[u].report(self.setup.eager);
+        let result = taken.then_some((report.received, report));
+        let happening = Happening::Written(i, u, id, asked, result);
+        self.send(Host::Server(u), Host::Proxy(i), happening);
+    }
+
+    /// Sends the log to every replica; one that follows another drops it.
+    fn push(&mut self, u: usize) {
+        let (term, len) = (self.servers[u].leads, self.servers[u].log.len());
+        for to in (0..self.servers.len()).filter(|to| *to != u) {
+            let lag = self.servers[to].lag;
+            let happening = Happening::Log(u, to, term, len);
+            self.send_later(lag, Host::Server(u), Host::Server(to), happening);
+        }
+    }
+
+    pub(crate) fn beat(&mut self, u: usize) {
+        self.after(BEAT, Happening::Beat(u));
+        if self.servers[u].down.is_none() && self.servers[u].role == Role::Primary {
+            self.push(u);
+        }
+    }
+
+    pub(crate) fn log(&mut self, from: usize, to: usize, term: Term, len: usize) {
+        let current = self.servers[from].leads == term && self.servers[from].role == Role::Primary;
+        let server = &self.servers[to];
+        if server.down.is_some() || server.follows != Some((from, term)) || !current {
+            return;
+        }
+        let mut target = std::mem::take(&mut self.servers[to].log);
+        let source = &self.servers[from].log[..len];
+        if !self.servers[to].synced {
+            let same = target.iter().zip(source).take_while(|(a, b)| a == b);
+            let common = same.count();
+            target.truncate(common);
+        }
+        if target.len() < len {
+            target.extend_from_slice(&source[target.len()..]);
+        }
+        self.servers[to].log = target;
+        self.servers[to].synced = true;
+    }
+
+    pub(crate) fn poll(&mut self, i: usize, u: usize, asked: clock::Instant) {
+        if self.servers[u].down.is_some() {
+            return;
+        }
+        let report = self.servers[u].report(self.setup.eager);
+        let happening = Happening::Polled(i, u, asked, report);
+        self.send(Host::Server(u), Host::Proxy(i), happening);
+    }
+}
