Show that broken variants make the checks fire

Cause: a check that never fires proves nothing. Change: three variants: acknowledging without a majority, a term reported before its log is held, and counting replicas that are fenced higher. Conclusion: the second and third are demands on upstreams, to be written down.

--- a/crates/failover/tests/failover/world.rs
+++ b/crates/failover/tests/failover/world.rs
@@ -36,6 +36,8 @@
     pub(crate) recorded: bool,
     pub(crate) majority_of: usize,
     pub(crate) eager: bool,
+    pub(crate) lingering: bool,
+    pub(crate) blind: bool,
     pub(crate) timing: Timing,
 }
 
@@ -51,6 +53,8 @@
             recorded: true,
             majority_of: 3,
             eager: false,
+            lingering: false,
+            blind: false,
             timing: Timing::default(),
         }
     }
--- a/crates/failover/tests/failover/world/instance.rs
+++ b/crates/failover/tests/failover/world/instance.rs
@@ -149,7 +149,11 @@
         let Some(quorum) = &mut self.proxies[i].quorum else {
             return;
         };
-        let done = quorum.report(&upstream(u), asked, report);
+        let mut report = *report;
+        if self.setup.blind {
+            report.fenced = report.fenced.min(quorum.term());
+        }
+        let done = quorum.report(&upstream(u), asked, &report);
         self.acknowledge(i, done);
     }
 
--- a/crates/failover/tests/failover/world/upstream.rs
+++ b/crates/failover/tests/failover/world/upstream.rs
@@ -30,6 +30,8 @@
     /// The term in which it was promoted last.
     pub(crate) leads: Term,
     pub(crate) follows: Option<(usize, Term)>,
+    /// The term that it was last ordered to follow.
+    ordered: Term,
     /// The term of the last log, and for each place the write that stands there.
     pub(crate) log: Vec<(Term, u64)>,
     /// Whether the log is known to be a prefix of that of the one it follows.
@@ -54,6 +56,7 @@
             fenced: Term(1),
             leads: if primary { Term(1) } else { Term(0) },
             follows: (!primary).then_some((0, Term(1))),
+            ordered: Term(1),
             log: vec![(Term(1), 0)],
             synced: !primary,
             lag: Duration::ZERO,
@@ -62,8 +65,8 @@
 
     pub(crate) fn report(&self, eager: bool) -> Report {
         let mut term = self.log.last().map_or(Term(0), |(term, _)| *term);
-        if let (true, Some((_, followed))) = (eager, self.follows) {
-            term = term.max(followed);
+        if eager {
+            term = term.max(self.ordered);
         }
         let lsn = Lsn(self.log.len() as u64);
         Report {
@@ -124,10 +127,13 @@
     }
 
     fn fence(&mut self, u: usize, term: Term) {
+        let lingering = self.setup.lingering;
         let server = &mut self.servers[u];
         if server.fenced < term {
             server.fenced = term;
-            server.follows = None;
+            if !lingering {
+                server.follows = None;
+            }
         }
     }
 
@@ -160,6 +166,7 @@
         server.fenced = term;
         server.role = Role::Replica;
         server.follows = Some((leader, term));
+        server.ordered = term;
         server.synced = false;
         let wait = CONNECT + server.lag;
         let len = self.servers[leader].log.len();
