--- a/crates/failover/tests/failover/hunt.rs
+++ b/crates/failover/tests/failover/hunt.rs
@@ -4,10 +4,11 @@
 
 use std::{env, time::Duration};
 
+use failover::Event;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::world::{Setup, World, net::Host, upstream::Down};
+use crate::world::{Setup, World, instance::members, net::Host, upstream::Down};
 
 /// The seeds that always run.
 const SEEDS: u64 = 60;
@@ -27,7 +28,10 @@
     Heal,
     Pause(Host, Duration),
     Lag(usize, Duration),
-    Die(usize),
+    Restart(usize),
+    Kill(usize),
+    Split(usize),
+    Leave(Option<usize>),
     StoreDown,
     StoreUp,
     StoreSlow(Duration),
@@ -35,14 +39,15 @@
 }
 
 fn fault(rng: &mut ChaCha8Rng, setup: &Setup) -> Fault {
-    let proxy = rng.random_range(0..setup.zones);
+    let zone = rng.random_range(0..setup.zones);
+    let proxy = rng.random_range(0..setup.instances);
     let server = rng.random_range(0..setup.upstreams);
     let span = Duration::from_millis(rng.random_range(1..3_000));
-    match rng.random_range(0..20) {
+    match rng.random_range(0..24) {
         0 => Fault::Crash(server, Down::Process),
         1 => Fault::Crash(server, Down::Host),
         2..5 => Fault::Return(server),
-        5 => Fault::Cut(proxy),
+        5 => Fault::Cut(zone),
         6 => Fault::CutServer(server),
         7 => Fault::Part(proxy, server),
         8 => Fault::OneWay(proxy, server),
@@ -50,10 +55,14 @@
         11 => Fault::Pause(Host::Proxy(proxy), span),
         12 => Fault::Pause(Host::Server(server), span),
         13 => Fault::Lag(server, span),
-        14 => Fault::Die(proxy),
+        14 => Fault::Restart(proxy),
         15 => Fault::StoreDown,
         16 | 17 => Fault::StoreUp,
         18 => Fault::StoreSlow(span / 4),
+        19 => Fault::Kill(proxy),
+        20 => Fault::Split(zone),
+        21 => Fault::Leave(Some(server)),
+        22 => Fault::Leave(None),
         _ => Fault::LoseAnswers(rng.random_range(1..5)),
     }
 }
@@ -70,7 +79,10 @@
         Fault::Heal => world.net.heal(),
         Fault::Pause(host, span) => world.pause(host, span),
         Fault::Lag(u, lag) => world.servers[u].lag = lag,
-        Fault::Die(i) => world.restart(i),
+        Fault::Restart(i) => world.restart(i),
+        Fault::Kill(i) => world.kill(i),
+        Fault::Split(below) => world.net.split(&setup, below),
+        Fault::Leave(leaving) => leave(world, leaving),
         Fault::StoreDown => world.store.down = true,
         Fault::StoreUp => world.store_up(),
         Fault::StoreSlow(slow) => world.store.slow = slow,
@@ -78,6 +90,13 @@
     }
 }
 
+fn leave(world: &mut World, leaving: Option<usize>) {
+    for i in 0..world.proxies.len() {
+        let members = members(&world.setup, leaving);
+        world.step(i, Event::Upstreams(members));
+    }
+}
+
 fn recover(world: &mut World) {
     for server in &mut world.servers {
         server.down = None;
@@ -85,6 +104,12 @@
     }
     world.net.heal();
     world.store.lose = 0;
+    for i in 0..world.proxies.len() {
+        if world.proxies[i].group.is_none() {
+            world.restart(i);
+        }
+    }
+    leave(world, None);
     world.store_up();
 }
 
@@ -107,7 +132,7 @@
     let healed = world.now;
     world.run(RECOVERY);
     world.check.survived(&world.servers);
-    let all: Vec<usize> = (0..world.setup.zones).collect();
+    let all: Vec<usize> = (0..world.setup.instances).collect();
     if world.check.violations.is_empty() && world.gap(&all, healed).is_some() {
         return Ok(world);
     }
@@ -133,10 +158,13 @@
     let seeds = first..first + SEEDS + number("DANDELIONLINK_HUNT");
     let mut acks = 0;
     for seed in seeds.filter(|seed| seed % 4 == share) {
-        let setup = match seed % 3 {
+        let mut setup = match seed % 3 {
             0 => Setup::stalgenoot(),
             _ => Setup::umurage(),
         };
+        if seed % 2 == 1 {
+            setup.instances = setup.zones * 2;
+        }
         match hunt(setup, seed) {
             Ok(world) => acks += world.check.acks(),
             Err(story) => panic!("{story}"),
--- a/crates/failover/tests/failover/world.rs
+++ b/crates/failover/tests/failover/world.rs
@@ -28,6 +28,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Setup {
     pub(crate) zones: usize,
+    pub(crate) instances: usize,
     pub(crate) upstreams: usize,
     pub(crate) between: Duration,
     pub(crate) store: Duration,
@@ -45,6 +46,7 @@
     pub(crate) fn umurage() -> Self {
         Self {
             zones: 3,
+            instances: 3,
             upstreams: 3,
             between: Duration::from_micros(500),
             store: Duration::from_millis(3),
@@ -62,12 +64,16 @@
     pub(crate) fn stalgenoot() -> Self {
         Self {
             zones: 4,
+            instances: 4,
             between: Duration::from_micros(1_500),
             ..Self::umurage()
         }
     }
 }
 
+/// How far the platform's list of instances lags.
+const LIST_LAG: Duration = Duration::from_secs(2);
+
 /// What can be due.
 #[derive(Debug, Clone)]
 pub(crate) enum Happening {
@@ -91,6 +97,7 @@
     Beat(usize),
     Log(usize, usize, model::Term, usize),
     Stall(Host, Duration),
+    List,
 }
 
 /// What to do to an instance when its machine enters a state.
@@ -151,7 +158,7 @@
             writes: 0,
             setup,
         };
-        for i in 0..world.setup.zones {
+        for i in 0..world.setup.instances {
             let proxy = Proxy::open(&world.setup, i, seed, world.now);
             world.proxies.push(proxy);
             world.start(i);
@@ -164,14 +171,36 @@
 
     /// Lets an instance begin, or begin anew after its predecessor died.
     pub(crate) fn start(&mut self, i: usize) {
-        let members = (0..self.setup.zones).map(|z| (instance::instance(z), zone(z)));
-        let members = Event::Members(members.collect());
-        self.after(Duration::ZERO, Happening::Step(i, members));
+        let members = self.members();
+        self.after(Duration::ZERO, Happening::Step(i, Event::Members(members)));
+        self.after(LIST_LAG, Happening::List);
         let life = self.proxies[i].life;
         let offset = self.rng.random_range(0..5_000);
         self.after(Duration::from_micros(offset), Happening::Caller(i, life));
     }
 
+    /// The instances that the platform lists as live.
+    fn members(&self) -> BTreeMap<name::Instance, name::Zone> {
+        let live = |i: &usize| self.proxies.get(*i).is_none_or(|p| p.group.is_some());
+        let listed = (0..self.setup.instances).filter(live);
+        listed
+            .map(|i| (instance::instance(i), zone(i % self.setup.zones)))
+            .collect()
+    }
+
+    /// Shows the list to all; it lags behind deaths and starts.
+    fn list(&mut self) {
+        let members = self.members();
+        for i in 0..self.proxies.len() {
+            self.step(i, Event::Members(members.clone()));
+        }
+    }
+
+    pub(crate) fn kill(&mut self, i: usize) {
+        self.proxies[i].group = None;
+        self.after(LIST_LAG, Happening::List);
+    }
+
     pub(crate) fn restart(&mut self, i: usize) {
         let seed = self.rng.random();
         let life = self.proxies[i].life + 1;
@@ -243,6 +272,7 @@
             Happening::Beat(u) => self.beat(u),
             Happening::Log(from, to, term, len) => self.log(from, to, term, len),
             Happening::Stall(host, span) => self.pause(host, span),
+            Happening::List => self.list(),
         }
     }
 
@@ -260,7 +290,9 @@
             | Happening::Poll(_, u, _)
             | Happening::Beat(u)
             | Happening::Log(_, u, ..) => Host::Server(*u),
-            Happening::Read(..) | Happening::Swap(..) | Happening::Stall(..) => return None,
+            Happening::Read(..) | Happening::Swap(..) | Happening::Stall(..) | Happening::List => {
+                return None;
+            }
         };
         self.net.paused(host).filter(|until| *until > self.now)
     }
@@ -354,7 +386,7 @@
                 let j = instance::number(&to);
                 let event = Event::Heard {
                     from: instance::instance(i),
-                    zone: zone(i),
+                    zone: zone(i % self.setup.zones),
                     evidence,
                 };
                 self.send(me, Host::Proxy(j), Happening::Step(j, event));
--- a/crates/failover/tests/failover/world/instance.rs
+++ b/crates/failover/tests/failover/world/instance.rs
@@ -47,7 +47,7 @@
         let conf = Conf {
             database: name::Database::new("holdings").unwrap(),
             instance: instance(i),
-            zone: zone(i),
+            zone: zone(i % setup.zones),
             upstreams: members(setup, None),
             seed,
             timing: setup.timing.clone(),
--- a/crates/failover/tests/failover/world/net.rs
+++ b/crates/failover/tests/failover/world/net.rs
@@ -27,9 +27,10 @@
 }
 
 impl Host {
-    fn zone(self) -> Option<usize> {
+    fn zone(self, setup: &Setup) -> Option<usize> {
         match self {
-            Self::Proxy(at) | Self::Server(at) => Some(at),
+            Self::Proxy(at) => Some(at % setup.zones),
+            Self::Server(at) => Some(at),
             Self::Store => None,
         }
     }
@@ -57,8 +58,24 @@
     /// Cuts a zone from all others and from the store.
     pub(crate) fn part_zone(&mut self, setup: &Setup, zone: usize) {
         let hosts = hosts(setup);
-        for one in hosts.iter().filter(|h| h.zone() == Some(zone)) {
-            for other in hosts.iter().filter(|h| h.zone() != Some(zone)) {
+        for one in hosts.iter().filter(|h| h.zone(setup) == Some(zone)) {
+            for other in hosts.iter().filter(|h| h.zone(setup) != Some(zone)) {
+                self.part(*one, *other);
+            }
+        }
+    }
+
+    /// Parts the zones below one from the others; the store stays with either.
+    pub(crate) fn split(&mut self, setup: &Setup, below: usize) {
+        let hosts = hosts(setup);
+        for one in hosts
+            .iter()
+            .filter(|h| h.zone(setup).is_some_and(|z| z < below))
+        {
+            for other in hosts
+                .iter()
+                .filter(|h| h.zone(setup).is_some_and(|z| z >= below))
+            {
                 self.part(*one, *other);
             }
         }
@@ -66,7 +83,7 @@
 
     /// Cuts an upstream from everything, its own zone's hosts excepted.
     pub(crate) fn part_server(&mut self, setup: &Setup, u: usize) {
-        for other in hosts(setup).iter().filter(|h| h.zone() != Some(u)) {
+        for other in hosts(setup).iter().filter(|h| h.zone(setup) != Some(u)) {
             self.part(Host::Server(u), *other);
         }
     }
@@ -90,7 +107,7 @@
         from: Host,
         to: Host,
     ) -> Duration {
-        let base = match (from.zone(), to.zone()) {
+        let base = match (from.zone(setup), to.zone(setup)) {
             (Some(one), Some(other)) if one == other => Duration::from_micros(100),
             (Some(_), Some(_)) => setup.between,
             _ => setup.store / 2,
@@ -106,7 +123,7 @@
 }
 
 pub(crate) fn hosts(setup: &Setup) -> Vec<Host> {
-    let proxies = (0..setup.zones).map(Host::Proxy);
+    let proxies = (0..setup.instances).map(Host::Proxy);
     let servers = (0..setup.upstreams).map(Host::Server);
     proxies.chain(servers).chain([Host::Store]).collect()
 }
