Test the write quorum by itself

Cause: the quorum's rules are only met together in the fake group. Change: seven tests on holders, terms, fences, confirmed reads, changes.

--- /dev/null
+++ b/crates/failover/tests/quorum.rs
@@ -0,0 +1,128 @@
+//! When writes are acknowledged and current reads may run.
+
+use clock::Instant;
+use failover::quorum::{Id, Quorum, Replaced};
+use model::{Lsn, Position, Report, Role, Term, name};
+
+fn upstream(name: &str) -> name::Upstream {
+    name::Upstream::new(name).unwrap()
+}
+
+fn report(role: Role, fenced: u64, term: u64, lsn: u64) -> Report {
+    Report {
+        role,
+        fenced: Term(fenced),
+        received: Position::new(term, lsn),
+        replayed: Lsn(lsn),
+    }
+}
+
+fn primary(lsn: u64) -> Report {
+    report(Role::Primary, 4, 4, lsn)
+}
+
+fn replica(lsn: u64) -> Report {
+    report(Role::Replica, 4, 4, lsn)
+}
+
+fn open() -> Quorum {
+    Quorum::open(3, Term(4), upstream("a"))
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+#[test]
+fn a_write_lands_with_the_second_holder() {
+    let mut quorum = open();
+    for id in 1..=3 {
+        assert_eq!(quorum.wait(Id(id), Position::new(4, id * 10)), Ok(None));
+    }
+    assert_eq!(quorum.report(&upstream("a"), at(1), &primary(30)), []);
+    assert_eq!(quorum.report(&upstream("a"), at(1), &primary(30)), []);
+    assert_eq!(
+        quorum.report(&upstream("b"), at(1), &replica(25)),
+        [Id(1), Id(2)]
+    );
+    assert_eq!(quorum.report(&upstream("c"), at(1), &replica(9)), []);
+    assert_eq!(quorum.report(&upstream("c"), at(1), &replica(30)), [Id(3)]);
+    assert_eq!(quorum.waiting(), 0);
+    assert_eq!(quorum.wait(Id(9), Position::new(4, 30)), Ok(Some(Id(9))));
+}
+
+/// A replica of a lower term has a long log. Its place says nothing of this
+/// term's log and must not count.
+#[test]
+fn a_place_in_another_terms_log_does_not_count() {
+    let mut quorum = open();
+    quorum.wait(Id(1), Position::new(4, 10)).unwrap();
+    quorum.report(&upstream("a"), at(1), &primary(10));
+    let older = report(Role::Replica, 4, 3, 99);
+    assert_eq!(quorum.report(&upstream("b"), at(1), &older), []);
+}
+
+/// A replica holds the write but is fenced to a higher term: it may have
+/// answered a promoter before the write reached it.
+#[test]
+fn a_replica_that_is_fenced_higher_does_not_count() {
+    let mut quorum = open();
+    quorum.wait(Id(1), Position::new(4, 10)).unwrap();
+    quorum.report(&upstream("a"), at(1), &primary(10));
+    let fenced = report(Role::Replica, 5, 4, 10);
+    assert_eq!(quorum.report(&upstream("b"), at(1), &fenced), []);
+    assert_eq!(quorum.report(&upstream("c"), at(1), &replica(10)), [Id(1)]);
+}
+
+#[test]
+fn a_change_of_primary_gives_back_all_that_waits() {
+    let mut quorum = open();
+    quorum.wait(Id(1), Position::new(4, 10)).unwrap();
+    quorum.confirm(Id(2), at(1));
+    assert_eq!(quorum.replaced(Term(4), upstream("b")), []);
+    assert_eq!(quorum.replaced(Term(5), upstream("b")), [Id(1), Id(2)]);
+    let term = Term(5);
+    assert_eq!(
+        quorum.wait(Id(3), Position::new(4, 10)),
+        Err(Replaced { term })
+    );
+    assert_eq!(quorum.report(&upstream("a"), at(2), &primary(50)), []);
+    assert_eq!(quorum.place(), Lsn(0));
+}
+
+/// A read that must be current waits for answers to probes sent after it
+/// began; answers to earlier probes may predate a change of primary.
+#[test]
+fn a_read_is_confirmed_only_by_later_probes() {
+    let mut quorum = open();
+    quorum.confirm(Id(1), at(10));
+    quorum.report(&upstream("a"), at(9), &primary(1));
+    assert_eq!(quorum.report(&upstream("b"), at(9), &replica(1)), []);
+    assert_eq!(quorum.report(&upstream("b"), at(10), &replica(1)), []);
+    assert_eq!(quorum.report(&upstream("a"), at(11), &primary(1)), [Id(1)]);
+}
+
+/// Both replicas answer, the primary does not, or is no primary any more.
+#[test]
+fn a_read_needs_the_primary_itself() {
+    let mut quorum = open();
+    quorum.confirm(Id(1), at(1));
+    quorum.report(&upstream("b"), at(2), &replica(1));
+    assert_eq!(quorum.report(&upstream("c"), at(2), &replica(1)), []);
+    let demoted = report(Role::Replica, 4, 4, 1);
+    assert_eq!(quorum.report(&upstream("a"), at(2), &demoted), []);
+    let fenced = report(Role::Primary, 5, 4, 1);
+    assert_eq!(quorum.report(&upstream("a"), at(2), &fenced), []);
+    assert_eq!(quorum.report(&upstream("a"), at(2), &primary(1)), [Id(1)]);
+}
+
+#[test]
+fn what_is_cancelled_is_not_given_back() {
+    let mut quorum = open();
+    let position = Position::new(4, 10);
+    quorum.wait(Id(1), position).unwrap();
+    quorum.confirm(Id(2), at(1));
+    quorum.cancel(Id(1), position);
+    quorum.abandon(Id(2), at(1));
+    assert_eq!(quorum.waiting(), 0);
+}
