Replace a primary that reaches none of its replicas

Cause: with only the ways between upstreams cut, every instance finds the primary well and vouches for it, while no write lands, for ever. Change: a place that no majority holds for 1.2 s, with no replica advancing, makes the primary suspect although it answers; a claim on such a primary waits 300 ms for a majority without it, since its longer log would win again. Quorum takes the group's upstreams when the catalogue changes them.

--- a/crates/failover/src/group/act.rs
+++ b/crates/failover/src/group/act.rs
@@ -100,12 +100,23 @@
         };
         self.sent.clear();
         self.promotion = Some(Promotion::open(term));
-        if self.lead.is_some() && !self.suspected && self.view(now) == View::Alive {
+        if self.isolated(now) {
+            self.shun(now);
+        } else if self.lead.is_some() && !self.suspected && self.view(now) == View::Alive {
             self.hand_over(now);
         }
         self.send_fences(now);
     }
 
+    /// Passes over a primary that is isolated from its replicas.
+    fn shun(&mut self, now: Instant) {
+        let until = now + self.conf.timing.shun;
+        let isolated = self.lead.as_ref().map(|l| (l.upstream.clone(), until));
+        if let Some(promotion) = &mut self.promotion {
+            promotion.shunned = isolated;
+        }
+    }
+
     /// Gives replicas time to catch up, if the old primary leaves in good health.
     fn hand_over(&mut self, now: Instant) {
         let until = now + self.conf.timing.handover;
@@ -124,7 +135,7 @@
         let Some(promotion) = &mut self.promotion else {
             return;
         };
-        promotion.choose(&self.conf.upstreams, |u| alive.contains(u));
+        promotion.choose(now, &self.conf.upstreams, |u| alive.contains(u));
         self.send_promotion(now);
     }
 
--- a/crates/failover/src/group/judge.rs
+++ b/crates/failover/src/group/judge.rs
@@ -1,5 +1,7 @@
 //! What a group concludes from what it knows: the chart's guards.
 
+use std::time::Duration;
+
 use clock::Instant;
 use model::{Position, Role, Term, name};
 
@@ -35,7 +37,7 @@
         self.suspected = match self.verdict(now) {
             Verdict::Trusted => {
                 self.contested = None;
-                false
+                self.isolated(now)
             }
             Verdict::Condemned => {
                 self.contested.get_or_insert(now);
@@ -44,7 +46,8 @@
             Verdict::Contested => {
                 let since = *self.contested.get_or_insert(now);
                 let ripe = now.since(since) >= self.conf.timing.contested;
-                (ripe || self.stuck(now)) && !self.replicating(now)
+                let stuck = self.stuck(now, self.conf.timing.unconfirmed);
+                (ripe || stuck) && !self.replicating(now)
             }
         };
     }
@@ -60,6 +63,7 @@
             self.unconfirmed = None;
         }
         let told = self.peers.place(now, &self.conf.timing, lead.term);
+        let told = told.max(self.place(now));
         match told.filter(|place| !self.held(*place)) {
             Some(place) => drop(self.unconfirmed.get_or_insert((place, now))),
             None => self.unconfirmed = None,
@@ -77,8 +81,15 @@
         holding.count() + 1 >= majority(self.sights.len())
     }
 
-    fn stuck(&self, now: Instant) -> bool {
-        let bound = self.conf.timing.unconfirmed;
+    /// Whether the primary answers here, but its log reaches no majority: only
+    /// the ways between the upstreams are cut, and no write lands.
+    pub(super) fn isolated(&self, now: Instant) -> bool {
+        let alive = self.view(now) == View::Alive;
+        let stuck = self.stuck(now, self.conf.timing.isolated);
+        alive && stuck && self.able(now) && !self.replicating(now)
+    }
+
+    fn stuck(&self, now: Instant, bound: Duration) -> bool {
         self.unconfirmed
             .is_some_and(|(_, since)| now.since(since) >= bound)
     }
@@ -188,7 +199,7 @@
         let Some(promotion) = &self.promotion else {
             return false;
         };
-        let enough = promotion.fenced() >= majority(self.sights.len());
+        let enough = promotion.fenced(now) >= majority(self.sights.len());
         enough && !self.hands_over(now)
     }
 
--- a/crates/failover/src/promotion.rs
+++ b/crates/failover/src/promotion.rs
@@ -14,6 +14,8 @@
     pub(crate) term: Term,
     /// Until when a handover waits for a replica to catch up.
     pub(crate) handover: Option<Instant>,
+    /// The isolated primary, and until when a majority without it is awaited.
+    pub(crate) shunned: Option<(name::Upstream, Instant)>,
     fenced: BTreeMap<name::Upstream, Report>,
     chosen: Option<(name::Upstream, Lsn)>,
     promoted: bool,
@@ -25,6 +27,7 @@
         Self {
             term,
             handover: None,
+            shunned: None,
             fenced: BTreeMap::new(),
             chosen: None,
             promoted: false,
@@ -63,8 +66,18 @@
         self.refused
     }
 
-    pub(crate) fn fenced(&self) -> usize {
-        self.fenced.len()
+    /// How many upstreams are fenced, of those that count yet.
+    pub(crate) fn fenced(&self, now: Instant) -> usize {
+        self.counted(now).count()
+    }
+
+    /// The fenced upstreams; while a majority without the isolated primary may
+    /// still answer, it does not count, or its longer log would win it the term
+    /// again. Any majority holds all that was acknowledged.
+    fn counted(&self, now: Instant) -> impl Iterator<Item = (&name::Upstream, &Report)> {
+        let shunned = self.shunned.as_ref().filter(|(_, until)| now < *until);
+        let shunned = shunned.map(|(upstream, _)| upstream);
+        self.fenced.iter().filter(move |(u, _)| Some(*u) != shunned)
     }
 
     pub(crate) fn has_fenced(&self, upstream: &name::Upstream) -> bool {
@@ -83,14 +96,14 @@
     /// two primaries into one term.
     pub(crate) fn choose(
         &mut self,
+        now: Instant,
         members: &BTreeMap<name::Upstream, Member>,
         preferred: impl Fn(&name::Upstream) -> bool,
     ) -> Option<&name::Upstream> {
         if self.chosen.is_none() {
             let stays = |u| members.get(u).is_some_and(|m| m.stay == Stay::Staying);
             let best = self
-                .fenced
-                .iter()
+                .counted(now)
                 .max_by_key(|(u, r)| (r.received, stays(*u), preferred(u), Reverse(*u)));
             self.chosen = best.map(|(u, r)| (u.clone(), r.received.lsn));
         }
--- a/crates/failover/src/quorum.rs
+++ b/crates/failover/src/quorum.rs
@@ -140,6 +140,15 @@
         writes.chain(reads).collect()
     }
 
+    /// Takes the group's upstreams as the catalogue has them now.
+    ///
+    /// Majorities before and after overlap only if one upstream joins or leaves
+    /// at a time, and each change is in force everywhere before the next.
+    pub fn set_upstreams(&mut self, upstreams: &[name::Upstream]) {
+        self.majority = majority(upstreams.len());
+        self.held.retain(|u, _| upstreams.contains(u));
+    }
+
     /// Stops waiting for a write whose caller's deadline has passed.
     pub fn cancel(&mut self, id: Id, position: Position) {
         self.writes.remove(&(position.lsn, id));
--- a/crates/failover/src/timing.rs
+++ b/crates/failover/src/timing.rs
@@ -25,6 +25,11 @@
     /// How long a place of the primary's log that a voucher told may be missing
     /// from a majority before the vouching counts no more.
     pub unconfirmed: Duration,
+    /// How long a majority may miss a place of a primary that everybody reaches
+    /// before the primary counts as isolated from its replicas.
+    pub isolated: Duration,
+    /// How long a claim on an isolated primary waits for a majority without it.
+    pub shun: Duration,
     /// How recent an advance of the replicas shows that the primary replicates.
     pub progress: Duration,
     /// How long a claim may stand still before another candidate overtakes it.
@@ -59,6 +64,8 @@
             rank: Duration::from_millis(60),
             contested: Duration::from_millis(1_000),
             unconfirmed: Duration::from_millis(300),
+            isolated: Duration::from_millis(1_200),
+            shun: Duration::from_millis(300),
             progress: Duration::from_millis(500),
             overtake: Duration::from_millis(600),
             order: Duration::from_millis(100),
--- a/crates/failover/tests/failover/hunt.rs
+++ b/crates/failover/tests/failover/hunt.rs
@@ -24,6 +24,7 @@
     Cut(usize),
     CutServer(usize),
     Part(usize, usize),
+    Isolate(usize),
     OneWay(usize, usize),
     Heal,
     Pause(Host, Duration),
@@ -43,7 +44,7 @@
     let proxy = rng.random_range(0..setup.instances);
     let server = rng.random_range(0..setup.upstreams);
     let span = Duration::from_millis(rng.random_range(1..3_000));
-    match rng.random_range(0..24) {
+    match rng.random_range(0..25) {
         0 => Fault::Crash(server, Down::Process),
         1 => Fault::Crash(server, Down::Host),
         2..5 => Fault::Return(server),
@@ -63,6 +64,7 @@
         20 => Fault::Split(zone),
         21 => Fault::Leave(Some(server)),
         22 => Fault::Leave(None),
+        23 => Fault::Isolate(server),
         _ => Fault::LoseAnswers(rng.random_range(1..5)),
     }
 }
@@ -75,6 +77,9 @@
         Fault::Cut(z) => world.net.part_zone(&setup, z),
         Fault::CutServer(u) => world.net.part_server(&setup, u),
         Fault::Part(i, u) => world.net.part(Host::Proxy(i), Host::Server(u)),
+        Fault::Isolate(u) => (0..setup.upstreams)
+            .filter(|other| *other != u)
+            .for_each(|other| world.net.part(Host::Server(u), Host::Server(other))),
         Fault::OneWay(i, u) => world.net.part_one_way(Host::Server(u), Host::Proxy(i)),
         Fault::Heal => world.net.heal(),
         Fault::Pause(host, span) => world.pause(host, span),
--- a/crates/failover/tests/failover/story.rs
+++ b/crates/failover/tests/failover/story.rs
@@ -118,6 +118,32 @@
     assert!(gap > millis(1_000) && gap < millis(2_000), "{gap:?}");
 }
 
+/// Only the ways from the primary to its replicas are cut: every instance
+/// reaches it and finds it well, but no write lands. It must be replaced, and
+/// not by itself, although its log is the longest.
+#[test]
+fn isolated_from_its_replicas() {
+    let mut world = World::running(Setup::umurage(), 9);
+    world.net.part(Host::Server(0), Host::Server(1));
+    world.net.part(Host::Server(0), Host::Server(2));
+    let fault = world.now;
+    let gap = outlast(&mut world, SECOND * 4, &[0, 1, 2], fault);
+    assert!(gap < millis(2_000), "{gap:?}");
+    assert_eq!(world.check.promotions.len(), 1);
+    assert_ne!(world.check.promotions[0].2, 0);
+}
+
+/// One of two replicas is cut from the primary. The other makes a majority
+/// with it, so nothing needs replacing.
+#[test]
+fn one_replica_is_cut_from_the_primary() {
+    let mut world = World::running(Setup::umurage(), 10);
+    world.net.part(Host::Server(0), Host::Server(1));
+    let fault = world.now;
+    outlast(&mut world, SECOND * 10, &[0, 1, 2], fault);
+    assert_eq!(world.check.promotions, []);
+}
+
 /// One zone can't reach the primary, the others can. It is blind, not the
 /// primary dead: nobody may claim, however long it lasts.
 #[test]
