--- /dev/null
+++ b/crates/route/examples/share/main.rs
@@ -0,0 +1,17 @@
+//! Replica share at Stalgenoot's sizes, in virtual time.
+//!
+//! `cargo run --release -p route --example share -- [seed]`
+
+mod report;
+mod trace;
+mod world;
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|arg| arg.parse().ok());
+    let seed = seed.unwrap_or(1);
+    report::policies(seed);
+    report::probes(seed);
+    report::patience(seed);
+    report::callers(seed);
+    report::rumour(seed);
+}
--- /dev/null
+++ b/crates/route/examples/share/report.rs
@@ -0,0 +1,148 @@
+//! The tables that the bench prints.
+
+use std::time::Duration;
+
+use route::Policy;
+
+use crate::{
+    trace::Lag,
+    world::{Discovery, Judge, Knowledge, Setup, Tally, run},
+};
+
+/// Pairs of lag traces for the two replicas.
+pub(crate) const TRACES: [(&str, [Lag; 2]); 6] = [
+    ("steady, steady", [Lag::Steady, Lag::Steady]),
+    ("steady, stalls", [Lag::Steady, Lag::Stalls]),
+    ("stalls, stalls", [Lag::Stalls, Lag::Stalls]),
+    ("sawtooth, far", [Lag::Sawtooth, Lag::Far]),
+    ("edge, far", [Lag::Edge, Lag::Far]),
+    ("edge, edge", [Lag::Edge, Lag::Edge]),
+];
+
+const POLICIES: [Policy; 4] = [
+    Policy::Routed,
+    Policy::Naive,
+    Policy::AllPrimary,
+    Policy::Oracle,
+];
+
+fn line(label: &str, tally: &Tally) {
+    println!(
+        "{label:<34} {:>8.4} {:>8.4} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8.1} {:>8.1}",
+        tally.share(),
+        tally.own_share(),
+        tally.stale,
+        tally.backward,
+        tally.discarded,
+        tally.refused,
+        tally.rounds,
+        tally.probes,
+        tally.quantile(50).as_secs_f64() * 1e3,
+        tally.quantile(99).as_secs_f64() * 1e3,
+    );
+}
+
+fn head(title: &str) {
+    println!("\n{title}");
+    println!(
+        "{:<34} {:>8} {:>8} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8} {:>8}",
+        "",
+        "calendar",
+        "own",
+        "stale",
+        "backw",
+        "disc",
+        "refus",
+        "rounds",
+        "probes",
+        "p50 ms",
+        "p99 ms"
+    );
+}
+
+/// Each policy on each pair of traces.
+pub(crate) fn policies(seed: u64) {
+    head("replica share by policy and lag of the two replicas");
+    for (label, lags) in TRACES {
+        for policy in POLICIES {
+            let tally = run(&Setup {
+                seed,
+                policy,
+                lags,
+                ..Setup::default()
+            });
+            line(&format!("{label}: {policy:?}"), &tally);
+        }
+        let knowledge = Knowledge::Sessions;
+        let policy = Policy::Oracle;
+        let tally = run(&Setup {
+            seed,
+            policy,
+            lags,
+            knowledge,
+            ..Setup::default()
+        });
+        line(&format!("{label}: Oracle of sessions"), &tally);
+    }
+}
+
+/// How often upstreams are asked without cause.
+pub(crate) fn probes(seed: u64) {
+    head("period of the background probes");
+    for millis in [50, 100, 250, 500, 1_000] {
+        let probe = Duration::from_millis(millis);
+        let tally = run(&Setup {
+            seed,
+            probe,
+            ..Setup::default()
+        });
+        line(&format!("steady, stalls: every {millis} ms"), &tally);
+    }
+}
+
+/// How long a read may wait for a replica.
+pub(crate) fn patience(seed: u64) {
+    head("patience: waiting against going to the primary");
+    for (label, lags) in TRACES {
+        for millis in [0, 10, 30, 100, 300] {
+            let patience = Duration::from_millis(millis);
+            let tally = run(&Setup {
+                seed,
+                lags,
+                patience,
+                ..Setup::default()
+            });
+            line(&format!("{label}: {millis} ms"), &tally);
+        }
+    }
+}
+
+/// Callers that present nothing: shared rounds against reads on the primary.
+pub(crate) fn callers(seed: u64) {
+    head("callers that present nothing");
+    for fresh in [0, 50, 100] {
+        for discovery in [Discovery::Shared, Discovery::Primary] {
+            let tally = run(&Setup {
+                seed,
+                fresh,
+                discovery,
+                ..Setup::default()
+            });
+            line(&format!("{fresh} of 100 fresh: {discovery:?}"), &tally);
+        }
+    }
+}
+
+/// What routing on reports alone would serve.
+pub(crate) fn rumour(seed: u64) {
+    head("answers not judged (a broken variant)");
+    for (label, lags) in TRACES {
+        let tally = run(&Setup {
+            seed,
+            lags,
+            judge: Judge::Rumour,
+            ..Setup::default()
+        });
+        line(label, &tally);
+    }
+}
--- /dev/null
+++ b/crates/route/examples/share/world.rs
@@ -0,0 +1,840 @@
+//! One database of Stalgenoot's: three upstreams, four zones, virtual time.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+use clock::Instant;
+use model::{Freshness, Lsn, Position, Report, Role, Term, name};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use route::{
+    Choice, Conf, Event, Exact, Load, Member, Policy, Read, Router, State, Target, Verdict,
+};
+use session::{Confirmed, Floor, Round, Session, Start};
+
+use crate::trace::{Lag, Trace};
+
+const UPSTREAMS: usize = 3;
+const INSTANCES: usize = 4;
+const NEAR: Duration = Duration::from_micros(150);
+const FAR: Duration = Duration::from_micros(1_500);
+const CALLER: Duration = Duration::from_millis(3);
+const AGE: Duration = Duration::from_secs(2);
+const DEADLINE: Duration = Duration::from_secs(1);
+const WRITE: Duration = Duration::from_millis(3);
+const STABLE: usize = 400;
+
+/// How floors of sessions that present nothing are found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Discovery {
+    /// One round for all who wait.
+    Shared,
+    /// A confirmed read on the primary for each.
+    Primary,
+}
+
+/// Whether answers are judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Judge {
+    /// Each is, by the position asked ahead of it.
+    Every,
+    /// None is: routing rests on what was reported earlier.
+    Rumour,
+}
+
+/// What the oracle knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Knowledge {
+    /// Every upstream's position, now and later.
+    Positions,
+    /// Also what a session that presents nothing wrote elsewhere.
+    Sessions,
+}
+
+/// One run.
+#[derive(Debug, Clone)]
+pub(crate) struct Setup {
+    pub(crate) seed: u64,
+    pub(crate) policy: Policy,
+    pub(crate) lags: [Lag; 2],
+    pub(crate) length: Duration,
+    /// Calendar reads per second over all instances.
+    pub(crate) calendar: u32,
+    /// Writes per second, each followed by a read of the same user.
+    pub(crate) writes: u32,
+    /// Of 100 calendar reads, how many come on a connection just made.
+    pub(crate) fresh: u32,
+    pub(crate) probe: Duration,
+    pub(crate) patience: Duration,
+    pub(crate) spill: Duration,
+    pub(crate) discovery: Discovery,
+    pub(crate) judge: Judge,
+    pub(crate) knowledge: Knowledge,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            policy: Policy::Routed,
+            lags: [Lag::Steady, Lag::Stalls],
+            length: Duration::from_secs(60),
+            calendar: 600,
+            writes: 60,
+            fresh: 50,
+            probe: Duration::from_millis(250),
+            patience: Conf::default().patience,
+            spill: Conf::default().spill,
+            discovery: Discovery::Shared,
+            judge: Judge::Every,
+            knowledge: Knowledge::Positions,
+        }
+    }
+}
+
+/// What a run counted.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Tally {
+    pub(crate) calendar: u64,
+    pub(crate) calendar_replica: u64,
+    pub(crate) own: u64,
+    pub(crate) own_replica: u64,
+    pub(crate) stale: u64,
+    pub(crate) backward: u64,
+    pub(crate) discarded: u64,
+    pub(crate) refused: u64,
+    pub(crate) rounds: u64,
+    pub(crate) probes: u64,
+    pub(crate) latency: Vec<Duration>,
+}
+
+impl Tally {
+    /// The share of calendar reads that replicas served.
+    pub(crate) fn share(&self) -> f64 {
+        self.calendar_replica as f64 / self.calendar.max(1) as f64
+    }
+
+    /// The share of reads after a user's own write that replicas served.
+    pub(crate) fn own_share(&self) -> f64 {
+        self.own_replica as f64 / self.own.max(1) as f64
+    }
+
+    /// The latency that `percent` of 100 reads stay within.
+    pub(crate) fn quantile(&self, percent: usize) -> Duration {
+        let mut sorted = self.latency.clone();
+        sorted.sort_unstable();
+        let at = sorted.len().saturating_sub(1) * percent / 100;
+        sorted.get(at).copied().unwrap_or_default()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Calendar,
+    Own,
+}
+
+#[derive(Debug, Clone)]
+struct Request {
+    instance: usize,
+    session: u64,
+    kind: Kind,
+    read: Read,
+    truth: Lsn,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Work {
+    Read {
+        request: u64,
+        target: Target,
+        sent: Instant,
+        confirm: Confirm,
+    },
+    Write {
+        session: u64,
+        instance: usize,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Confirm {
+    Plain,
+    Majority,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Shown {
+    report: Report,
+    upto: Position,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Happening {
+    Calendar,
+    Write,
+    Probe(usize),
+    ProbeAt {
+        instance: usize,
+        upstream: usize,
+        sent: Instant,
+    },
+    ProbeBack {
+        instance: usize,
+        upstream: usize,
+        sent: Instant,
+        report: Report,
+    },
+    Arrive {
+        upstream: usize,
+        work: Work,
+    },
+    Finish {
+        upstream: usize,
+        work: Work,
+        shown: Shown,
+    },
+    Answer {
+        work: Work,
+        shown: Shown,
+    },
+    Acknowledge {
+        session: u64,
+        instance: usize,
+        lsn: Lsn,
+    },
+    Own {
+        session: u64,
+        instance: usize,
+    },
+    Choose(u64),
+    Committed {
+        session: u64,
+        instance: usize,
+        lsn: Lsn,
+    },
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    running: u32,
+    queue: VecDeque<Work>,
+}
+
+struct Instance {
+    router: Router,
+    round: Round,
+    round_began: Instant,
+    waiting: Vec<u64>,
+}
+
+struct World {
+    setup: Setup,
+    rng: ChaCha8Rng,
+    now: Instant,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    made: u64,
+    commits: Vec<Instant>,
+    traces: Vec<Trace>,
+    servers: Vec<Server>,
+    names: Vec<name::Upstream>,
+    instances: Vec<Instance>,
+    sessions: BTreeMap<u64, Session>,
+    written: BTreeMap<u64, Lsn>,
+    last_shown: BTreeMap<u64, Lsn>,
+    requests: BTreeMap<u64, Request>,
+    tally: Tally,
+}
+
+/// Runs a setup to its end.
+pub(crate) fn run(setup: &Setup) -> Tally {
+    let mut world = World::new(setup);
+    world.at(Duration::from_millis(500), Happening::Calendar);
+    world.at(Duration::from_millis(500), Happening::Write);
+    for instance in 0..INSTANCES {
+        world.at(
+            Duration::from_millis(1 + instance as u64),
+            Happening::Probe(instance),
+        );
+    }
+    world.go();
+    world.tally
+}
+
+impl World {
+    fn new(setup: &Setup) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(setup.seed);
+        let length = setup.length + Duration::from_secs(3);
+        let traces = setup
+            .lags
+            .map(|lag| Trace::new(lag, length, &mut rng))
+            .into();
+        let names: Vec<_> = (0..UPSTREAMS)
+            .map(|i| name::Upstream::new(&format!("u{i}")).unwrap())
+            .collect();
+        let zone = |i: usize| name::Zone::new(&format!("nl-west-{i}")).unwrap();
+        let members: Vec<_> = (0..UPSTREAMS)
+            .map(|i| Member {
+                upstream: names[i].clone(),
+                zone: zone(i),
+                slots: 2,
+                state: State::Serving,
+            })
+            .collect();
+        let conf = Conf {
+            patience: setup.patience,
+            spill: setup.spill,
+            ..Conf::default()
+        };
+        let instances = (0..INSTANCES)
+            .map(|i| {
+                let mut router = Router::new(&zone(i), conf);
+                router.step(Instant::ZERO, Event::Group(members.clone()));
+                Instance {
+                    router,
+                    round: Round::new(Duration::from_millis(50)),
+                    round_began: Instant::ZERO,
+                    waiting: Vec::new(),
+                }
+            })
+            .collect();
+        Self {
+            setup: setup.clone(),
+            rng,
+            now: Instant::ZERO,
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            made: 0,
+            commits: Vec::new(),
+            traces,
+            servers: (0..UPSTREAMS).map(|_| Server::default()).collect(),
+            names,
+            instances,
+            sessions: BTreeMap::new(),
+            written: BTreeMap::new(),
+            last_shown: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            tally: Tally::default(),
+        }
+    }
+
+    fn at(&mut self, delay: Duration, happening: Happening) {
+        self.made += 1;
+        self.queue.push(Reverse((self.now + delay, self.made)));
+        self.happenings.insert(self.made, happening);
+    }
+
+    fn go(&mut self) {
+        let end = Instant::ZERO + self.setup.length;
+        while let Some(Reverse((at, id))) = self.queue.pop() {
+            if at > end {
+                return;
+            }
+            self.now = at;
+            let happening = self.happenings.remove(&id).expect("each is queued once");
+            self.happen(happening);
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Calendar => self.calendar(),
+            Happening::Write => self.write(),
+            Happening::Probe(instance) => {
+                self.probe(instance);
+                self.at(self.setup.probe, Happening::Probe(instance));
+            }
+            Happening::ProbeAt {
+                instance,
+                upstream,
+                sent,
+            } => {
+                let report = self.shown(upstream).report;
+                let back = Happening::ProbeBack {
+                    instance,
+                    upstream,
+                    sent,
+                    report,
+                };
+                self.at(way(instance, upstream), back);
+            }
+            Happening::ProbeBack {
+                instance,
+                upstream,
+                sent,
+                report,
+            } => {
+                self.report(instance, upstream, sent, report);
+            }
+            Happening::Arrive { upstream, work } => {
+                self.servers[upstream].queue.push_back(work);
+                self.serve(upstream);
+            }
+            Happening::Finish {
+                upstream,
+                work,
+                shown,
+            } => self.finish(upstream, work, shown),
+            Happening::Answer { work, shown } => self.answer(work, shown),
+            Happening::Acknowledge {
+                session,
+                instance,
+                lsn,
+            } => {
+                self.acknowledge(session, instance, lsn);
+            }
+            Happening::Own { session, instance } => self.own(session, instance),
+            Happening::Committed {
+                session,
+                instance,
+                lsn,
+            } => {
+                self.committed(session, instance, lsn);
+            }
+            Happening::Choose(request) => self.choose(request),
+        }
+    }
+
+    fn gap(&mut self, rate: u32) -> Duration {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        Duration::from_secs_f64(-uniform.ln() / f64::from(rate))
+    }
+
+    fn calendar(&mut self) {
+        let gap = self.gap(self.setup.calendar);
+        self.at(gap, Happening::Calendar);
+        let instance = self.rng.random_range(0..INSTANCES);
+        let fresh = self.rng.random_range(0..100) < self.setup.fresh;
+        let session = if fresh {
+            self.made + STABLE as u64
+        } else {
+            self.rng.random_range(0..STABLE as u64 / 4) * 4 + instance as u64
+        };
+        self.request(session, instance, Kind::Calendar);
+    }
+
+    fn write(&mut self) {
+        let gap = self.gap(self.setup.writes);
+        self.at(gap, Happening::Write);
+        let instance = self.rng.random_range(0..INSTANCES);
+        let session = self.made + STABLE as u64;
+        let work = Work::Write { session, instance };
+        self.at(way(instance, 0), Happening::Arrive { upstream: 0, work });
+    }
+
+    /// A user reads what it wrote: here, elsewhere with its token, or
+    /// elsewhere with nothing.
+    fn own(&mut self, session: u64, instance: usize) {
+        let draw = self.rng.random_range(0..100);
+        if draw < 40 {
+            return self.request(session, instance, Kind::Own);
+        }
+        let token = self.sessions.get(&session).and_then(Session::position);
+        self.sessions.remove(&session);
+        let elsewhere = (instance + self.rng.random_range(1..INSTANCES)) % INSTANCES;
+        if let (true, Some(position)) = (draw < 70, token) {
+            let mut roamed = Session::open(self.now);
+            roamed.step(self.now, session::Event::Presented(position));
+            self.sessions.insert(session, roamed);
+        }
+        self.request(session, elsewhere, Kind::Own);
+    }
+
+    fn request(&mut self, session: u64, instance: usize, kind: Kind) {
+        let now = self.now;
+        let state = self
+            .sessions
+            .entry(session)
+            .or_insert_with(|| Session::open(now));
+        let freshness = match kind {
+            Kind::Calendar => Freshness::Age(AGE),
+            Kind::Own => Freshness::Session,
+        };
+        let mut read = Read::new(now, now + DEADLINE)
+            .floor(state.floor())
+            .freshness(freshness);
+        read.seen = state.seen();
+        let truth = self.written.get(&session).copied().unwrap_or_default();
+        let request = Request {
+            instance,
+            session,
+            kind,
+            read,
+            truth,
+        };
+        let id = self.made;
+        self.made += 1;
+        self.requests.insert(id, request);
+        self.choose(id);
+    }
+
+    fn choose(&mut self, id: u64) {
+        let request = self.requests[&id].clone();
+        let at = request.instance;
+        self.load(at);
+        let exact = self.exact(&request);
+        let policy = self.setup.policy;
+        let router = &mut self.instances[at].router;
+        let choice = policy.choose(self.now, router, &request.read, &exact, &mut self.rng);
+        let discover = self.setup.discovery;
+        match choice {
+            Choice::Replica(upstream) => self.send(id, &upstream, Target::Replica, Confirm::Plain),
+            Choice::Primary(upstream) => self.send(id, &upstream, Target::Primary, Confirm::Plain),
+            Choice::Confirmed(upstream) => {
+                self.send(id, &upstream, Target::Primary, Confirm::Majority);
+            }
+            Choice::Discover if discover == Discovery::Primary => {
+                let primary = self.names[0].clone();
+                self.send(id, &primary, Target::Primary, Confirm::Majority);
+            }
+            Choice::Discover => {
+                self.instances[at].waiting.push(id);
+                let since = request.read.began;
+                let start = self.instances[at].round.want(self.now, since);
+                self.start(at, start);
+            }
+            Choice::Wait { until, .. } => self.at(until.since(self.now), Happening::Choose(id)),
+            Choice::Hold { .. } | Choice::Refuse(_) => {
+                self.requests.remove(&id);
+                self.tally.refused += 1;
+            }
+        }
+    }
+
+    fn load(&mut self, instance: usize) {
+        for (server, upstream) in self.servers.iter().zip(&self.names) {
+            let load = Load {
+                in_flight: server.running,
+                queued: server.queue.len() as u32,
+            };
+            self.instances[instance]
+                .router
+                .step(self.now, Event::Load(upstream, load));
+        }
+    }
+
+    fn exact(&self, request: &Request) -> Vec<Exact> {
+        if self.setup.policy != Policy::Oracle {
+            return Vec::new();
+        }
+        let bound = match request.kind {
+            // The answer's way back counts too.
+            Kind::Calendar => Some(AGE - Duration::from_millis(10)),
+            Kind::Own => None,
+        };
+        let moment = self.oracle_moment(request);
+        let exact = |replica: usize| {
+            let arrival = self.now + way(request.instance, replica + 1);
+            let ready = self.traces[replica].ready(arrival, moment, bound);
+            Exact {
+                upstream: self.names[replica + 1].clone(),
+                ready,
+            }
+        };
+        (0..self.traces.len()).map(exact).collect()
+    }
+
+    /// When the primary had all that the request's session must see.
+    fn oracle_moment(&self, request: &Request) -> Instant {
+        let read = &request.read;
+        if let (Floor::Unknown { since }, Knowledge::Positions) = (read.floor, self.setup.knowledge)
+        {
+            let last = self.commits.partition_point(|&at| at <= since);
+            return last
+                .checked_sub(1)
+                .map_or(Instant::ZERO, |at| self.commits[at]);
+        }
+        let shown = self.last_shown.get(&request.session).copied();
+        let floor = request.truth.max(shown.unwrap_or_default());
+        match floor.0 {
+            0 => Instant::ZERO,
+            lsn => self.commits[(lsn / 100 - 1) as usize],
+        }
+    }
+
+    fn start(&mut self, instance: usize, start: Start) {
+        if start == Start::Now {
+            self.instances[instance].round_began = self.now;
+            self.tally.rounds += 1;
+            self.probe(instance);
+        }
+    }
+
+    fn probe(&mut self, instance: usize) {
+        for upstream in 0..UPSTREAMS {
+            self.tally.probes += 1;
+            let probe = Happening::ProbeAt {
+                instance,
+                upstream,
+                sent: self.now,
+            };
+            self.at(way(instance, upstream), probe);
+        }
+    }
+
+    fn report(&mut self, instance: usize, upstream: usize, sent: Instant, report: Report) {
+        let event = Event::Report {
+            upstream: &self.names[upstream],
+            sent,
+            report,
+        };
+        let place = &mut self.instances[instance];
+        let Some(round) = place.router.step(self.now, event) else {
+            return;
+        };
+        if round.since < place.round_began {
+            return;
+        }
+        let start = place.round.end(self.now);
+        let waiting = std::mem::take(&mut place.waiting);
+        self.start(instance, start);
+        for id in waiting {
+            self.choose(id);
+        }
+    }
+
+    fn send(&mut self, id: u64, upstream: &name::Upstream, target: Target, confirm: Confirm) {
+        let to = self
+            .names
+            .iter()
+            .position(|n| n == upstream)
+            .expect("a known upstream");
+        let work = Work::Read {
+            request: id,
+            target,
+            sent: self.now,
+            confirm,
+        };
+        let instance = self.requests[&id].instance;
+        self.at(way(instance, to), Happening::Arrive { upstream: to, work });
+    }
+
+    fn serve(&mut self, upstream: usize) {
+        while self.servers[upstream].running < 2 {
+            let Some(work) = self.servers[upstream].queue.pop_front() else {
+                return;
+            };
+            self.servers[upstream].running += 1;
+            let took = match work {
+                Work::Read { .. } => Duration::from_micros(self.rng.random_range(1_000..3_000)),
+                Work::Write { .. } => WRITE,
+            };
+            let shown = self.shown(upstream);
+            self.position_answer(upstream, work, shown.report);
+            self.at(
+                took,
+                Happening::Finish {
+                    upstream,
+                    work,
+                    shown,
+                },
+            );
+        }
+    }
+
+    /// The position query goes ahead of the statement and is answered at once;
+    /// the pool sends both when a slot is free.
+    fn position_answer(&mut self, upstream: usize, work: Work, report: Report) {
+        let instance = match work {
+            Work::Read { request, .. } => self.requests[&request].instance,
+            Work::Write { instance, .. } => instance,
+        };
+        let way = way(instance, upstream);
+        let sent = self.now - way;
+        self.at(
+            way,
+            Happening::ProbeBack {
+                instance,
+                upstream,
+                sent,
+                report,
+            },
+        );
+    }
+
+    fn finish(&mut self, upstream: usize, work: Work, mut shown: Shown) {
+        self.servers[upstream].running -= 1;
+        shown.upto = self.shown(upstream).upto;
+        match work {
+            Work::Read { request, .. } => {
+                let instance = self.requests[&request].instance;
+                self.at(way(instance, upstream), Happening::Answer { work, shown });
+            }
+            Work::Write { session, instance } => {
+                self.commits.push(self.now);
+                let lsn = Lsn(self.commits.len() as u64 * 100);
+                let report = self.shown(upstream).report;
+                self.position_answer(upstream, work, report);
+                self.at(
+                    way(instance, 0),
+                    Happening::Committed {
+                        session,
+                        instance,
+                        lsn,
+                    },
+                );
+            }
+        }
+        self.serve(upstream);
+    }
+
+    /// The write is acknowledged once a replica is seen to hold it, which its
+    /// answer to a position query tells; the log gets there about as fast.
+    fn committed(&mut self, session: u64, instance: usize, lsn: Lsn) {
+        for upstream in 1..UPSTREAMS {
+            let probe = Happening::ProbeAt {
+                instance,
+                upstream,
+                sent: self.now,
+            };
+            self.at(way(instance, upstream), probe);
+        }
+        let nearest = (1..UPSTREAMS)
+            .map(|u| way(instance, u))
+            .min()
+            .unwrap_or_default();
+        self.at(
+            nearest * 2,
+            Happening::Acknowledge {
+                session,
+                instance,
+                lsn,
+            },
+        );
+    }
+
+    fn acknowledge(&mut self, session: u64, instance: usize, lsn: Lsn) {
+        let position = Position { term: Term(1), lsn };
+        let mut state = Session::open(self.now);
+        state.step(self.now, session::Event::Acknowledged(position));
+        self.sessions.insert(session, state);
+        self.written.insert(session, lsn);
+        self.at(CALLER * 2, Happening::Own { session, instance });
+    }
+
+    /// What a statement that starts now at the upstream sees.
+    fn shown(&self, upstream: usize) -> Shown {
+        let moment = match upstream {
+            0 => self.now,
+            replica => self.traces[replica - 1].shown(self.now),
+        };
+        let lsn = Lsn(self.commits.partition_point(|&at| at <= moment) as u64 * 100);
+        let position = Position { term: Term(1), lsn };
+        let role = match upstream {
+            0 => Role::Primary,
+            _ => Role::Replica,
+        };
+        let report = Report {
+            role,
+            fenced: Term(1),
+            received: position,
+            replayed: lsn,
+        };
+        Shown {
+            report,
+            upto: position,
+        }
+    }
+
+    fn answer(&mut self, work: Work, shown: Shown) {
+        let Work::Read {
+            request: id,
+            target,
+            sent,
+            confirm,
+        } = work
+        else {
+            return;
+        };
+        let request = self.requests[&id].clone();
+        let instance = request.instance;
+        let judged = self.setup.policy == Policy::Routed && self.setup.judge == Judge::Every;
+        if judged && confirm == Confirm::Plain {
+            let router = &self.instances[instance].router;
+            if router.verify(self.now, &shown.report, &request.read, target) != Verdict::Holds {
+                self.tally.discarded += 1;
+                let request = self.requests.get_mut(&id).expect("it is answered once");
+                request.read = request.read.discarded(target);
+                return self.choose(id);
+            }
+        }
+        self.requests.remove(&id);
+        self.check(&request, shown);
+        self.count(&request, target);
+        self.settle(&request, shown, sent, confirm);
+    }
+
+    fn check(&mut self, request: &Request, shown: Shown) {
+        let old = request.kind == Kind::Calendar && self.now.since(self.as_of(shown)) > AGE;
+        if old || shown.report.replayed < request.truth {
+            self.tally.stale += 1;
+        }
+        let last = self.last_shown.entry(request.session).or_default();
+        // Reads of a session that overlap have no order to keep.
+        if shown.report.replayed < *last && request.read.seen.is_some_and(|s| s.lsn >= *last) {
+            self.tally.backward += 1;
+        }
+        *last = (*last).max(shown.report.replayed);
+    }
+
+    /// The moment before the first commit that was not shown: until then the
+    /// data was the newest there was.
+    fn as_of(&self, shown: Shown) -> Instant {
+        let next = (shown.report.replayed.0 / 100) as usize;
+        self.commits.get(next).copied().unwrap_or(self.now)
+    }
+
+    fn count(&mut self, request: &Request, target: Target) {
+        let replica = u64::from(target == Target::Replica);
+        match request.kind {
+            Kind::Calendar => {
+                self.tally.calendar += 1;
+                self.tally.calendar_replica += replica;
+            }
+            Kind::Own => {
+                self.tally.own += 1;
+                self.tally.own_replica += replica;
+            }
+        }
+        self.tally.latency.push(self.now.since(request.read.began));
+    }
+
+    fn settle(&mut self, request: &Request, shown: Shown, sent: Instant, confirm: Confirm) {
+        let router = &self.instances[request.instance].router;
+        let confirmed = router.confirmed();
+        let floor = match request.read.floor {
+            Floor::Unknown { since } => router.discovered(since),
+            Floor::Known(_) => None,
+        };
+        let Some(session) = self.sessions.get_mut(&request.session) else {
+            return;
+        };
+        if let Some(round) = floor {
+            session.step(self.now, session::Event::Round(round));
+        }
+        let event = match confirm {
+            Confirm::Majority => session::Event::ReadConfirmed(Confirmed {
+                since: sent,
+                position: shown.upto,
+            }),
+            Confirm::Plain => session::Event::Read {
+                upto: shown.upto,
+                confirmed,
+            },
+        };
+        session.step(self.now, event);
+        if request.session >= STABLE as u64 {
+            self.sessions.remove(&request.session);
+            self.last_shown.remove(&request.session);
+            self.written.remove(&request.session);
+        }
+    }
+}
+
+fn way(instance: usize, upstream: usize) -> Duration {
+    if instance == upstream { NEAR } else { FAR }
+}
--- /dev/null
+++ b/crates/route/tests/group/mod.rs
@@ -0,0 +1,89 @@
+//! A group of three upstreams, u0 leading, as a router observes it.
+
+use clock::Instant;
+use model::{Lsn, Position, Report, Role, Term, name};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use route::{Choice, Conf, Event, Member, Read, Router, State};
+
+pub struct Group {
+    pub router: Router,
+    rng: ChaCha8Rng,
+}
+
+pub fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+pub fn upstream(text: &str) -> name::Upstream {
+    name::Upstream::new(text).unwrap()
+}
+
+pub fn report(role: Role, term: u64, lsn: u64) -> Report {
+    Report {
+        role,
+        fenced: Term(term),
+        received: Position::new(term, lsn),
+        replayed: Lsn(lsn),
+    }
+}
+
+impl Group {
+    /// Everyone stands at 1@`now` at `now`, and has kept pace for a second.
+    pub fn steady(now: u64) -> Self {
+        let zone = |i: usize| name::Zone::new(&format!("z{i}")).unwrap();
+        let member = |i: usize| Member {
+            upstream: upstream(&format!("u{i}")),
+            zone: zone(i),
+            slots: 2,
+            state: State::Serving,
+        };
+        let mut group = Self {
+            router: Router::new(&zone(0), Conf::default()),
+            rng: ChaCha8Rng::seed_from_u64(1),
+        };
+        let members = (0..3).map(member).collect();
+        group.router.step(Instant::ZERO, Event::Group(members));
+        for then in (now.saturating_sub(1_000)..=now).step_by(10) {
+            group.all(then, 1, then);
+        }
+        group
+    }
+
+    pub fn all(&mut self, now: u64, term: u64, lsn: u64) {
+        self.primary(now, term, lsn);
+        self.replica("u1", now, term, lsn);
+        self.replica("u2", now, term, lsn);
+    }
+
+    pub fn primary(&mut self, now: u64, term: u64, lsn: u64) {
+        self.primary_sent(now, now + 3, term, lsn);
+    }
+
+    pub fn primary_sent(&mut self, sent: u64, now: u64, term: u64, lsn: u64) {
+        self.answer("u0", sent, now, report(Role::Primary, term, lsn));
+    }
+
+    pub fn replica(&mut self, name: &str, now: u64, term: u64, lsn: u64) {
+        self.replica_sent(name, now, now + 3, term, lsn);
+    }
+
+    pub fn replica_sent(&mut self, name: &str, sent: u64, now: u64, term: u64, lsn: u64) {
+        self.answer(name, sent, now, report(Role::Replica, term, lsn));
+    }
+
+    pub fn answer(&mut self, name: &str, sent: u64, now: u64, report: Report) {
+        let upstream = &upstream(name);
+        let sent = at(sent);
+        let event = Event::Report {
+            upstream,
+            sent,
+            report,
+        };
+        self.router.step(at(now), event);
+    }
+
+    pub fn choose(&mut self, now: u64, read: &Read) -> Choice {
+        self.router.choose(at(now), read, &mut self.rng)
+    }
+}
--- /dev/null
+++ b/crates/route/tests/router.rs
@@ -0,0 +1,396 @@
+//! Routing under the failures that the brief names.
+
+mod group;
+
+use std::time::Duration;
+
+use group::{Group, at};
+use model::{Cause, Freshness, Phase, Position, Record, Report, Role, Term, name};
+use route::{Breaker, Choice, Event, Load, Read, State, Target, Trust, Verdict};
+use session::Floor;
+
+fn known(term: u64, lsn: u64) -> Floor {
+    Floor::Known(Position::new(term, lsn))
+}
+
+fn read(now: u64, floor: Floor) -> Read {
+    Read::new(at(now), at(now + 500)).floor(floor)
+}
+
+fn record(term: u64, fork: u64, leader: &str) -> Record {
+    Record {
+        term: Term(term),
+        phase: Phase::Led {
+            upstream: name::Upstream::new(leader).unwrap(),
+        },
+        fork: model::Lsn(fork),
+        attempt: 1,
+    }
+}
+
+/// Symptom: a booking is missing in the calendar right after it was made.
+/// Events: the replica falls seconds behind; the session reads its own write.
+/// Cause: the replica was chosen though it had not reached the floor.
+#[test]
+fn a_lagging_replica_gets_no_read_above_its_position() {
+    let mut group = Group::steady(1_000);
+    for tick in 0..100 {
+        let now = 1_000 + tick * 10;
+        group.primary(now, 1, 1_000 + tick * 100);
+        group.replica("u1", now, 1, 1_000);
+        group.replica("u2", now, 1, 1_000);
+    }
+    let read = read(1_995, known(1, 10_800));
+    assert_eq!(
+        group.choose(1_995, &read),
+        Choice::Primary(group::upstream("u0"))
+    );
+    let old = Read {
+        floor: known(1, 900),
+        ..read
+    };
+    assert!(matches!(group.choose(1_995, &old), Choice::Replica(_)));
+}
+
+/// Symptom: a caller that roamed with nothing misses its own write. Events: it
+/// wrote at an instance that has since died. Cause: without a token no
+/// position is known, and whatever peers tell may be from before the write.
+#[test]
+fn a_caller_with_nothing_waits_for_a_round_sent_after_it_came() {
+    let mut group = Group::steady(1_000);
+    let read = read(1_001, Floor::Unknown { since: at(1_001) });
+    assert_eq!(group.choose(1_001, &read), Choice::Discover);
+    group.primary_sent(1_000, 1_003, 1, 1_000);
+    group.replica_sent("u1", 1_000, 1_003, 1, 1_000);
+    assert_eq!(group.choose(1_003, &read), Choice::Discover);
+    group.primary_sent(1_001, 1_004, 1, 1_000);
+    group.replica_sent("u1", 1_001, 1_004, 1, 1_000);
+    assert!(matches!(group.choose(1_004, &read), Choice::Replica(_)));
+}
+
+/// Symptom: a zone that is cut off serves stale reads as current ones. Events:
+/// the old primary and the callers beside it are cut off; the others promote a
+/// new one and acknowledge writes. Cause: the old primary's word was believed.
+#[test]
+fn a_cut_off_primary_confirms_nothing() {
+    let mut group = Group::steady(1_000);
+    let before = group.router.confirmed().unwrap();
+    for now in (1_010..4_000).step_by(10) {
+        group.primary(now, 1, 2_000);
+    }
+    assert_eq!(group.router.confirmed(), Some(before));
+    let calendar = read(3_990, known(1, 900)).freshness(Freshness::Age(Duration::from_secs(2)));
+    assert!(!matches!(
+        group.choose(3_990, &calendar),
+        Choice::Replica(_)
+    ));
+    let report = group::report(Role::Primary, 1, 2_000);
+    let verdict = group
+        .router
+        .verify(at(3_995), &report, &calendar, Target::Primary);
+    assert_eq!(verdict, Verdict::Old);
+}
+
+/// Symptom: stale reads after a failover. Events: a majority is fenced to term
+/// 2 while the old primary still answers. Cause: its round was counted though
+/// a later term may already acknowledge.
+#[test]
+fn a_fenced_majority_ends_the_old_terms_rounds() {
+    let mut group = Group::steady(1_000);
+    let before = group.router.confirmed().unwrap();
+    for name in ["u1", "u2"] {
+        let fenced = Report {
+            fenced: Term(2),
+            ..group::report(Role::Replica, 1, 1_000)
+        };
+        group.answer(name, 1_010, 1_010, fenced);
+    }
+    group.primary(1_010, 1, 1_100);
+    assert_eq!(group.router.confirmed(), Some(before));
+}
+
+/// Symptom: after a change of primary a session misses what it wrote before.
+/// Events: write at 1@990 acknowledged; u1 leads term 2 from fork 1000; u2
+/// carries term 2 but lags behind the fork. Cause: a higher term alone was
+/// taken for a higher place.
+#[test]
+fn after_a_change_of_primary_both_term_and_place_count() {
+    let mut group = Group::steady(1_000);
+    group
+        .router
+        .step(at(1_100), Event::Record(&record(2, 1_000, "u1")));
+    group.answer("u1", 1_100, 1_100, group::report(Role::Primary, 2, 1_050));
+    group.answer("u2", 1_100, 1_100, group::report(Role::Replica, 2, 980));
+    let read = read(1_101, known(1, 990));
+    let proved = Read {
+        trust: Trust::Proved,
+        ..read
+    };
+    assert!(!matches!(group.choose(1_101, &proved), Choice::Replica(_)));
+    group.answer("u2", 1_102, 1_102, group::report(Role::Replica, 2, 995));
+    assert_eq!(
+        group.choose(1_102, &proved),
+        Choice::Replica(group::upstream("u2"))
+    );
+}
+
+/// Symptom: a read shows a booking that was never confirmed and then is gone.
+/// Events: the old primary ran on past the fork; it comes back as a replica
+/// that still has its own tail. Cause: its high place looked fresh.
+#[test]
+fn a_log_that_left_the_lineage_gets_no_reads() {
+    let mut group = Group::steady(1_000);
+    group
+        .router
+        .step(at(1_100), Event::Record(&record(2, 1_000, "u1")));
+    group.answer("u1", 1_100, 1_100, group::report(Role::Primary, 2, 1_050));
+    group.answer("u0", 1_100, 1_100, group::report(Role::Replica, 1, 1_400));
+    group.router.step(
+        at(1_100),
+        Event::Breaker(&group::upstream("u2"), Breaker::Open),
+    );
+    let read = read(1_101, known(1, 990));
+    assert_eq!(
+        group.choose(1_101, &read),
+        Choice::Primary(group::upstream("u1"))
+    );
+}
+
+/// Symptom: a stale answer from a replica that had reported the floor. Events:
+/// the old primary reports 1@1000, is rewound to follow term 2 and comes back
+/// at an earlier place; the read is on its way by then. Cause: a report from
+/// before the restart was taken for the position at the answer.
+#[test]
+fn an_upstream_that_was_rewound_is_caught_by_the_position_ahead_of_the_read() {
+    let mut group = Group::steady(1_000);
+    let read = read(1_001, known(1, 990));
+    let Choice::Replica(_) = group.choose(1_001, &read) else {
+        panic!("both replicas have reached the floor");
+    };
+    let rewound = group::report(Role::Replica, 2, 900);
+    let verdict = group
+        .router
+        .verify(at(1_004), &rewound, &read, Target::Replica);
+    assert_eq!(verdict, Verdict::Behind);
+    // The broken variant judges by the report known when it chose.
+    let rumour = group::report(Role::Replica, 1, 1_000);
+    let broken = group
+        .router
+        .verify(at(1_004), &rumour, &read, Target::Replica);
+    assert_eq!(broken, Verdict::Holds);
+}
+
+/// Symptom: a read runs in circles until its deadline. Events: the answer was
+/// discarded; the same replica is expected to have caught up, again wrongly.
+/// Cause: the same guess was trusted twice.
+#[test]
+fn after_a_discarded_answer_only_proof_counts() {
+    let mut group = Group::steady(1_000);
+    group.primary(1_010, 1, 1_100);
+    let read = read(1_030, known(1, 1_050));
+    assert!(matches!(group.choose(1_030, &read), Choice::Replica(_)));
+    let again = read.discarded(Target::Replica);
+    assert!(!matches!(group.choose(1_030, &again), Choice::Replica(_)));
+    let primary = again.discarded(Target::Primary);
+    let later = Read {
+        floor: known(1, 9_000),
+        ..primary
+    };
+    let end = group.choose(1_430, &later);
+    assert_eq!(end, Choice::Confirmed(group::upstream("u0")));
+}
+
+/// Symptom: a current read shows an old shelf status. Cause: it was served by
+/// a replica, or a primary, that nobody had asked since the read began.
+#[test]
+fn a_current_read_needs_a_round_of_its_own() {
+    let mut group = Group::steady(1_000);
+    let current = read(1_001, known(1, 10)).freshness(Freshness::Current);
+    assert_eq!(
+        group.choose(1_001, &current),
+        Choice::Confirmed(group::upstream("u0"))
+    );
+    // With a long queue on the primary, a round and a replica are sooner.
+    let load = Load {
+        in_flight: 2,
+        queued: 40,
+    };
+    group
+        .router
+        .step(at(1_001), Event::Load(&group::upstream("u0"), load));
+    assert_eq!(group.choose(1_001, &current), Choice::Discover);
+    group.all(1_004, 1, 1_000);
+    assert!(matches!(group.choose(1_007, &current), Choice::Replica(_)));
+}
+
+/// Symptom: reads fail while the primary changes. Cause: a read that could
+/// have waited was refused.
+#[test]
+fn without_a_primary_known_floors_are_served_and_others_wait() {
+    let mut group = Group::steady(1_000);
+    let claimed = Record {
+        phase: Phase::Claimed {
+            by: name::Instance::new("i1").unwrap(),
+        },
+        ..record(2, 0, "u1")
+    };
+    group.router.step(at(1_001), Event::Record(&claimed));
+    let served = read(1_002, known(1, 900));
+    assert!(matches!(group.choose(1_002, &served), Choice::Replica(_)));
+    let waits = read(1_002, Floor::Unknown { since: at(1_002) });
+    assert_eq!(
+        group.choose(1_002, &waits),
+        Choice::Hold { until: at(1_502) }
+    );
+    assert_eq!(group.choose(1_502, &waits), Choice::Refuse(Cause::Deadline));
+}
+
+/// Symptom: an upstream that leaves, or fails, still gets reads.
+#[test]
+fn leaving_and_broken_upstreams_get_nothing_new() {
+    let mut group = Group::steady(1_000);
+    let read = read(1_001, known(1, 900));
+    group.router.step(
+        at(1_001),
+        Event::State(&group::upstream("u1"), State::Leaving),
+    );
+    for _ in 0..50 {
+        assert_eq!(
+            group.choose(1_001, &read),
+            Choice::Replica(group::upstream("u2"))
+        );
+    }
+    group.router.step(
+        at(1_001),
+        Event::Breaker(&group::upstream("u2"), Breaker::Open),
+    );
+    assert_eq!(
+        group.choose(1_001, &read),
+        Choice::Primary(group::upstream("u0"))
+    );
+    group.router.step(
+        at(1_001),
+        Event::State(&group::upstream("u0"), State::Leaving),
+    );
+    assert!(matches!(group.choose(1_001, &read), Choice::Hold { .. }));
+}
+
+#[test]
+fn a_statement_that_proved_to_write_goes_to_the_primary_next_time() {
+    let mut group = Group::steady(1_000);
+    let read = Read {
+        fingerprint: 77,
+        ..read(1_001, known(1, 900))
+    };
+    assert!(matches!(group.choose(1_001, &read), Choice::Replica(_)));
+    group
+        .router
+        .step(at(1_002), Event::Wrote { fingerprint: 77 });
+    assert_eq!(
+        group.choose(1_002, &read),
+        Choice::Primary(group::upstream("u0"))
+    );
+}
+
+/// Symptom: reads wait for a replica that never comes. Events: replay stalls.
+/// Cause: the wait was reckoned from the lag alone, not from whether it shrinks.
+#[test]
+fn a_stalled_replica_is_not_waited_for() {
+    let mut group = Group::steady(1_000);
+    for now in (1_010..2_000).step_by(10) {
+        group.primary(now, 1, now);
+        group.replica("u1", now, 1, 1_000);
+        group.replica("u2", now, 1, 1_000);
+    }
+    let read = read(2_000, known(1, 1_985));
+    assert_eq!(
+        group.choose(2_000, &read),
+        Choice::Primary(group::upstream("u0"))
+    );
+}
+
+/// Symptom: calendar reads jump between replica and primary many times a
+/// second. Events: a replica's age swings about its bound. Cause: it came back
+/// in as soon as it was within the bound again.
+#[test]
+fn a_replica_at_the_edge_does_not_flap() {
+    let bound = Duration::from_millis(200);
+    let mut group = Group::steady(1_000);
+    group.router.step(
+        at(1_000),
+        Event::Breaker(&group::upstream("u2"), Breaker::Open),
+    );
+    let mut changes = 0;
+    let mut last = None;
+    for tick in 0..400 {
+        let now = 1_010 + tick * 10;
+        group.primary(now, 1, now);
+        // Its lag swings between 180 and 220 ms every 40 ms.
+        let lag = if tick % 8 < 4 { 180 } else { 220 };
+        group.replica("u1", now, 1, now - lag);
+        group.replica("u2", now, 1, now);
+        let calendar = read(now, known(1, 10)).freshness(Freshness::Age(bound));
+        let replica = matches!(group.choose(now, &calendar), Choice::Replica(_));
+        changes += u32::from(last.is_some_and(|last| last != replica));
+        last = Some(replica);
+    }
+    assert!(changes <= 2, "{changes} changes in 400 reads");
+}
+
+/// Symptom: data older than allowed is served. Events: this instance's own
+/// probes are slow, so the primary's position is from long before its answer
+/// came. Cause: the age was counted from the answer's arrival.
+#[test]
+fn age_counts_from_when_the_question_was_sent() {
+    let mut group = Group::steady(1_000);
+    group.primary_sent(1_010, 1_500, 1, 1_200);
+    group.replica_sent("u1", 1_010, 1_500, 1, 1_200);
+    let calendar = read(1_500, known(1, 10)).freshness(Freshness::Age(Duration::from_millis(400)));
+    let report = group::report(Role::Replica, 1, 1_200);
+    let verify = |now| {
+        group
+            .router
+            .verify(at(now), &report, &calendar, Target::Replica)
+    };
+    assert_eq!(verify(1_410), Verdict::Holds);
+    assert_eq!(verify(1_411), Verdict::Old);
+}
+
+#[test]
+fn reads_seen_but_not_acknowledged_bind_replicas_only() {
+    let group = Group::steady(1_000);
+    let seen = Some(Position::new(1, 1_200));
+    let read = Read {
+        seen,
+        ..read(1_001, known(1, 900))
+    };
+    let replica = group::report(Role::Replica, 1, 1_100);
+    let verdict = group
+        .router
+        .verify(at(1_002), &replica, &read, Target::Replica);
+    assert_eq!(verdict, Verdict::Behind);
+    let primary = group::report(Role::Primary, 2, 1_100);
+    let verdict = group
+        .router
+        .verify(at(1_002), &primary, &read, Target::Primary);
+    assert_eq!(verdict, Verdict::Holds);
+}
+
+#[test]
+fn a_nearer_and_freer_replica_is_preferred() {
+    let mut group = Group::steady(1_000);
+    let read = read(1_001, known(1, 900));
+    let load = Load {
+        in_flight: 2,
+        queued: 6,
+    };
+    group
+        .router
+        .step(at(1_001), Event::Load(&group::upstream("u1"), load));
+    for _ in 0..50 {
+        assert_eq!(
+            group.choose(1_001, &read),
+            Choice::Replica(group::upstream("u2"))
+        );
+    }
+}
