Hold a replica out of an age bound for a time that doubles

Cause: the flapping test failed; a re-entry at 0.9 of the bound or on a rising trend let a replica that swings about its bound in at each swing. Change: one that leaves is held out 50 ms, doubled to 2 s when it leaves soon again.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Choice, Read, Router, Target, Trust,
-    node::{Node, Standing},
+    node::{Node, Side},
     verify::demand,
 };
 
@@ -27,7 +27,6 @@
 struct Candidate {
     node: usize,
     cost: Duration,
-    standing: Standing,
 }
 
 impl Router {
@@ -144,32 +143,16 @@
             if !self.replica(&self.nodes[at]) || !reaches(&self.nodes[at], now, read, need) {
                 continue;
             }
+            let hold = self.conf.hold;
             let node = &mut self.nodes[at];
             let cost = node.cost();
-            let standing = match need.bound {
-                Some(bound) => node.standing(bound, age(node, now, read.trust, newest)),
-                None => Standing::Inside,
+            let side = match need.bound {
+                Some(bound) => node.side(now, bound, age(node, now, read.trust, newest), hold),
+                None => Side::Inside,
             };
-            if standing == Standing::Outside || now + cost > read.deadline {
-                continue;
+            if side == Side::Inside && now + cost <= read.deadline {
+                found.push(Candidate { node: at, cost });
             }
-            found.push(Candidate {
-                node: at,
-                cost,
-                standing,
-            });
-        }
-        self.without_edges(found)
-    }
-
-    /// Leaves out replicas at the edge of their bound where another is well
-    /// inside. An edge one alone is taken only while it is not falling behind:
-    /// otherwise its answers would be discarded as old about as often as not.
-    fn without_edges(&self, mut found: Vec<Candidate>) -> Vec<Candidate> {
-        if found.iter().any(|c| c.standing == Standing::Inside) {
-            found.retain(|c| c.standing == Standing::Inside);
-        } else {
-            found.retain(|c| self.nodes[c.node].holds_pace());
         }
         found
     }
@@ -284,7 +267,8 @@
         return Some(to_floor);
     };
     let oldest = now + node.cost() - bound;
-    Some(to_floor.max(node.wait(now, oldest)?))
+    let to_bound = node.wait(now, oldest)?.max(node.held(now, bound));
+    Some(to_floor.max(to_bound))
 }
 
 /// The cheaper of two that are drawn: taking the cheapest of all would send
--- a/crates/route/src/node.rs
+++ b/crates/route/src/node.rs
@@ -9,8 +9,10 @@
 
 /// How many different age bounds an upstream's standing is kept for.
 const MAX_BOUNDS: usize = 16;
-/// The share of its bound within which an upstream that was out comes back in.
-const ENTER: f64 = 0.9;
+/// The longest that an upstream is held out for leaving too often.
+const MAX_HOLD: Duration = Duration::from_secs(2);
+/// An upstream that stayed inside for this many times its hold is forgiven.
+const FORGIVE: u32 = 8;
 const RTT_WEIGHT: f64 = 0.2;
 const SERVICE_WEIGHT: f64 = 0.1;
 
@@ -54,14 +56,21 @@
     pub queued: u32,
 }
 
-/// Where an upstream stands against an age bound.
+/// Where an upstream stands against an age bound, and since when.
+///
+/// An upstream whose age swings about the bound would change sides with every
+/// report, and its reads would swing to the primary and back. One that leaves
+/// is held out for a while, twice as long each time it leaves again soon.
+#[derive(Debug, Clone, Copy)]
+struct Standing {
+    side: Side,
+    since: Instant,
+    hold: Duration,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Standing {
-    /// Within it.
+pub(crate) enum Side {
     Inside,
-    /// Within it, but it was out and has not come well inside since.
-    Edge,
-    /// Out of it.
     Outside,
 }
 
@@ -75,7 +84,7 @@
     trend: Trend,
     rtt: Duration,
     service: Duration,
-    outside: BTreeMap<Duration, Standing>,
+    standings: BTreeMap<Duration, Standing>,
 }
 
 impl Node {
@@ -89,14 +98,14 @@
             trend: Trend::new(),
             rtt,
             service,
-            outside: BTreeMap::new(),
+            standings: BTreeMap::new(),
         }
     }
 
     /// Takes in a change of the catalogue, which may change the age bounds too.
     pub(crate) fn enter(&mut self, member: Member) {
         self.member = member;
-        self.outside.clear();
+        self.standings.clear();
     }
 
     /// Takes in an answer; one sent before the last known is only measured.
@@ -174,27 +183,54 @@
         self.trend.wait(target.since(shown))
     }
 
-    /// Notes and tells where it stands against `bound` when it is `age` old.
-    pub(crate) fn standing(&mut self, bound: Duration, age: Option<Duration>) -> Standing {
-        let was = self.outside.get(&bound).copied();
-        let standing = match age {
-            Some(age) if age <= bound.mul_f64(ENTER) => Standing::Inside,
-            Some(age) if age <= bound => match was {
-                None => Standing::Inside,
-                Some(_) => Standing::Edge,
-            },
-            _ => Standing::Outside,
-        };
-        if standing == Standing::Inside {
-            self.outside.remove(&bound);
-        } else if self.outside.len() < MAX_BOUNDS || was.is_some() {
-            self.outside.insert(bound, standing);
+    /// Notes and tells on which side of `bound` it stands when it is `age` old.
+    pub(crate) fn side(
+        &mut self,
+        now: Instant,
+        bound: Duration,
+        age: Option<Duration>,
+        hold: Duration,
+    ) -> Side {
+        let within = age.is_some_and(|age| age <= bound);
+        if !self.standings.contains_key(&bound) && self.standings.len() >= MAX_BOUNDS {
+            return if within { Side::Inside } else { Side::Outside };
         }
-        standing
+        let standing = self.standings.entry(bound).or_insert(Standing {
+            side: Side::Inside,
+            since: now,
+            hold: Duration::ZERO,
+        });
+        standing.step(now, within, hold);
+        standing.side
+    }
+
+    /// How long it is still held out of `bound`.
+    pub(crate) fn held(&self, now: Instant, bound: Duration) -> Duration {
+        let standing = self.standings.get(&bound);
+        let outside = standing.filter(|standing| standing.side == Side::Outside);
+        outside.map_or(Duration::ZERO, |s| (s.since + s.hold).since(now))
     }
+}
 
-    /// Whether it is not falling behind.
-    pub(crate) fn holds_pace(&self) -> bool {
-        self.trend.pace() >= 1.0
+impl Standing {
+    fn step(&mut self, now: Instant, within: bool, hold: Duration) {
+        let stayed = now.since(self.since);
+        match self.side {
+            Side::Inside if !within => {
+                let often = stayed < self.hold * FORGIVE;
+                self.hold = if often {
+                    (self.hold * 2).min(MAX_HOLD)
+                } else {
+                    hold
+                };
+                self.side = Side::Outside;
+                self.since = now;
+            }
+            Side::Outside if within && stayed >= self.hold => {
+                self.side = Side::Inside;
+                self.since = now;
+            }
+            Side::Inside | Side::Outside => {}
+        }
     }
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -27,6 +27,8 @@
     pub service: Duration,
     /// The greatest age that an entry of this database allows.
     pub span: Duration,
+    /// How long a replica that left an age bound is held out, the first time.
+    pub hold: Duration,
     /// How many writing statements are remembered.
     pub learnt: usize,
     /// How long a writing statement is remembered.
@@ -42,6 +44,7 @@
             far: Duration::from_millis(3),
             service: Duration::from_millis(2),
             span: Duration::from_secs(2),
+            hold: Duration::from_millis(50),
             learnt: 256,
             keep: Duration::from_secs(600),
         }
--- a/crates/route/src/trend.rs
+++ b/crates/route/src/trend.rs
@@ -44,10 +44,6 @@
         self.base = Some((newest, as_of));
     }
 
-    pub(crate) fn pace(self) -> f64 {
-        self.pace
-    }
-
     /// How far it will have come after `span`, at no more than real time's
     /// pace: a guess that is too high would be paid with a discarded answer.
     pub(crate) fn ahead(self, span: Duration) -> Duration {
