Add the operators' tool and the types of an instance's views

Cause: operators steer only through the catalogue and need to see what is in force, who leads and what is wrong. Change: crate view (JSON types of /status, /upstreams, /sessions); binary dandelionlink with check, diff, apply, history, show, status, wait, upstreams, sessions and verifier, a file each; settings, errors and exit codes in one place.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -22,7 +22,7 @@
 use model::{Class, Freshness, Priority, Repeat, name};
 use serde::{Deserialize, Serialize};
 
-pub use fault::{Doubt, Fault, Item, Place, Warning, What};
+pub use fault::{Doubt, Fault, Item, Located, Place, Warning, What};
 pub use text::{Checked, Error};
 
 /// Everything the operators declare.
--- /dev/null
+++ b/crates/cli/src/cmd/check.rs
@@ -0,0 +1,91 @@
+//! `dandelionlink check`
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use catalog::{Catalog, Located};
+use serde::Serialize;
+
+use crate::{
+    error::{Error, Faults},
+    exit::Exit,
+    util,
+};
+
+/// Check a catalogue file, without asking the store.
+///
+/// All faults are told at once, each with file, line, column and what would be
+/// right. Warnings tell what is allowed but doubtful.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "{command_name} examples/stalgenoot.toml",
+    error_code(1, "The file has faults, or can't be read.")
+)]
+pub(crate) struct Args {
+    /// print the result as JSON
+    #[argh(switch)]
+    json: bool,
+
+    /// the catalogue file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// A remark as JSON.
+#[derive(Debug, Serialize)]
+struct Remark {
+    line: usize,
+    column: usize,
+    message: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    faults: Vec<Remark>,
+    warnings: Vec<Remark>,
+}
+
+pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+    let checked = match util::read(&args.file) {
+        Err(Error::Catalog(faults)) if args.json => return refuse(&faults),
+        other => other?,
+    };
+    if args.json {
+        let warnings = remarks(&checked.warnings);
+        let faults = Vec::new();
+        util::print_json(&Report { faults, warnings })?;
+        return Ok(Exit::Fine);
+    }
+    util::warn(&args.file, &checked);
+    util::print(&sizes(&args.file.display().to_string(), &checked.catalog))?;
+    Ok(Exit::Fine)
+}
+
+fn refuse(faults: &Faults) -> Result<Exit, Error> {
+    let faults = remarks(&faults.error.faults);
+    let warnings = Vec::new();
+    util::print_json(&Report { faults, warnings })?;
+    Ok(Exit::Failed)
+}
+
+fn remarks<T: ToString>(located: &[Located<T>]) -> Vec<Remark> {
+    let remark = |located: &Located<T>| Remark {
+        line: located.line,
+        column: located.column,
+        message: located.what.to_string(),
+    };
+    located.iter().map(remark).collect()
+}
+
+fn sizes(file: &str, catalog: &Catalog) -> String {
+    let groups = catalog.databases.values();
+    let upstreams: usize = groups.map(|database| database.upstreams.len()).sum();
+    format!(
+        "{file}: tenants {}, databases {}, upstreams {upstreams}, entries {}\n",
+        catalog.tenants.len(),
+        catalog.databases.len(),
+        catalog.entries.len(),
+    )
+}
--- /dev/null
+++ b/crates/cli/src/cmd/history.rs
@@ -0,0 +1,115 @@
+//! `dandelionlink history`
+
+use argh::FromArgs;
+use catalog::history::Record;
+use serde::Serialize;
+
+use crate::{
+    error::Error,
+    exit::Exit,
+    settings::{self, STORE},
+    store::Store,
+    util::{self, Table},
+};
+
+/// How many changes are listed unless told otherwise.
+const LAST: u64 = 20;
+
+/// List past changes of the catalogue, the latest last.
+///
+/// The store keeps the last 1,000; the files' own history belongs in version
+/// control.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "history",
+    error_code(1, "The store does not answer, or has no such change."),
+    error_code(2, "The command line or a setting is wrong.")
+)]
+pub(crate) struct Args {
+    /// how many changes to list, 20 unless given
+    #[argh(option, default = "LAST")]
+    last: u64,
+
+    /// show one change, with all that it changed
+    #[argh(option)]
+    number: Option<u64>,
+
+    /// the store's endpoints, IP:PORT parted by commas (DANDELIONLINK_STORE)
+    #[argh(option)]
+    store: Option<String>,
+
+    /// print the result as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Entry {
+    revision: u64,
+    #[serde(flatten)]
+    record: Record,
+}
+
+pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+    let endpoints = settings::addresses(STORE, args.store.as_deref())?;
+    let mut store = Store::open(endpoints);
+    match args.number {
+        Some(number) => one(args, &mut store, number),
+        None => list(args, &mut store),
+    }
+}
+
+fn one(args: &Args, store: &mut Store, number: u64) -> Result<Exit, Error> {
+    let found = store.record(number)?;
+    let (record, revision) = found.ok_or(Error::NoRecord(number))?;
+    if args.json {
+        util::print_json(&Entry { revision, record })?;
+        return Ok(Exit::Fine);
+    }
+    let head = &record.head;
+    let mut text = format!(
+        "change {} made revision {revision} from {}\nmark    {}\nauthor  {}\ntime    {}\nmessage {}\n",
+        head.number,
+        record.from,
+        head.change,
+        util::clean(&head.author),
+        util::clean(&head.time),
+        util::clean(&head.message),
+    );
+    text += &util::lines(&record.changes);
+    if record.omitted > 0 {
+        text += &format!("and {} more, not kept\n", record.omitted);
+    }
+    util::print(&text)?;
+    Ok(Exit::Fine)
+}
+
+fn list(args: &Args, store: &mut Store) -> Result<Exit, Error> {
+    let snapshot = store.snapshot()?;
+    let latest = snapshot.head.map_or(0, |head| head.number);
+    let first = (latest + 1).saturating_sub(args.last);
+    let records = store.records(first)?;
+    if args.json {
+        let entry = |(record, revision)| Entry { revision, record };
+        let entries: Vec<_> = records.into_iter().map(entry).collect();
+        util::print_json(&entries)?;
+        return Ok(Exit::Fine);
+    }
+    let mut table = Table::new(&["NUMBER", "REVISION", "TIME", "AUTHOR", "CHANGES", "MESSAGE"]);
+    for (record, revision) in &records {
+        table.row(vec![
+            record.head.number.to_string(),
+            revision.to_string(),
+            record.head.time.clone(),
+            record.head.author.clone(),
+            (record.changes.len() + record.omitted).to_string(),
+            record.head.message.clone(),
+        ]);
+    }
+    if records.is_empty() {
+        util::print("no change was ever applied\n")?;
+    }
+    util::print(&table.text())?;
+    Ok(Exit::Fine)
+}
--- /dev/null
+++ b/crates/cli/src/cmd/mod.rs
@@ -0,0 +1,60 @@
+//! The commands, a file each.
+
+pub(crate) mod apply;
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod history;
+pub(crate) mod sessions;
+pub(crate) mod show;
+pub(crate) mod status;
+pub(crate) mod upstreams;
+pub(crate) mod verifier;
+pub(crate) mod wait;
+
+use argh::FromArgs;
+
+use crate::{error::Error, exit::Exit};
+
+/// The commands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Cmd {
+    /// Checks a file.
+    Check(check::Args),
+    /// Compares a file with what is in force.
+    Diff(diff::Args),
+    /// Puts a file in force.
+    Apply(apply::Args),
+    /// Lists past changes.
+    History(history::Args),
+    /// Prints the catalogue in force.
+    Show(show::Args),
+    /// Shows the whole system.
+    Status(status::Args),
+    /// Waits for a revision to be in force.
+    Wait(wait::Args),
+    /// Shows instances' upstreams.
+    Upstreams(upstreams::Args),
+    /// Shows instances' sessions.
+    Sessions(sessions::Args),
+    /// Makes a user's verifier.
+    Verifier(verifier::Args),
+}
+
+impl Cmd {
+    /// Runs the command.
+    pub(crate) fn run(self) -> Result<Exit, Error> {
+        match self {
+            Self::Check(args) => check::run(&args),
+            Self::Diff(args) => diff::run(&args),
+            Self::Apply(args) => apply::run(&args),
+            Self::History(args) => history::run(&args),
+            Self::Show(args) => show::run(&args),
+            Self::Status(args) => status::run(&args),
+            Self::Wait(args) => wait::run(&args),
+            Self::Upstreams(args) => upstreams::run(&args),
+            Self::Sessions(args) => sessions::run(&args),
+            Self::Verifier(args) => verifier::run(&args),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/show.rs
@@ -0,0 +1,43 @@
+//! `dandelionlink show`
+
+use argh::FromArgs;
+
+use crate::{
+    error::Error,
+    exit::Exit,
+    settings::{self, STORE},
+    store::Store,
+    util,
+};
+
+/// Print the catalogue in force as a file that `apply` takes.
+///
+/// Comments are not kept in the store. Users' verifiers are printed: keep the
+/// output as carefully as the catalogue file itself.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "show",
+    error_code(1, "The store does not answer, or its catalogue can't be read."),
+    error_code(2, "The command line or a setting is wrong.")
+)]
+pub(crate) struct Args {
+    /// the store's endpoints, IP:PORT parted by commas (DANDELIONLINK_STORE)
+    #[argh(option)]
+    store: Option<String>,
+
+    /// print the catalogue as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+    let endpoints = settings::addresses(STORE, args.store.as_deref())?;
+    let snapshot = Store::open(endpoints).snapshot()?;
+    if args.json {
+        util::print_json(&snapshot.catalog)?;
+        return Ok(Exit::Fine);
+    }
+    util::print(&snapshot.catalog.to_text()?)?;
+    Ok(Exit::Fine)
+}
--- /dev/null
+++ b/crates/cli/src/cmd/wait.rs
@@ -0,0 +1,127 @@
+//! `dandelionlink wait`
+
+use std::{thread, time::Duration};
+
+use argh::FromArgs;
+use clock::Clock;
+use serde::Serialize;
+use view::Status;
+
+use crate::{
+    error::Error,
+    exit::Exit,
+    fleet::{self, Answer},
+    settings::{self, INSTANCES},
+    summary::Summary,
+    util,
+};
+
+/// The wait between two rounds of asking.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Seconds to wait unless told otherwise.
+const TIMEOUT_S: u64 = 30;
+
+/// Wait until a revision is in force everywhere reachable.
+///
+/// All instances given are asked, and those that they know count as well.
+/// Unreachable ones are named; they take the revision up when they come back.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "wait",
+    example = "{command_name} --revision 42 --timeout 20",
+    error_code(0, "It is in force everywhere reachable."),
+    error_code(1, "No instance answered, even at the end."),
+    error_code(2, "The command line or a setting is wrong."),
+    error_code(4, "The time ran out; those that lack it are named.")
+)]
+pub(crate) struct Args {
+    /// the revision, as `apply` printed it
+    #[argh(option)]
+    revision: u64,
+
+    /// seconds to wait, 30 unless given
+    #[argh(option, default = "TIMEOUT_S")]
+    timeout: u64,
+
+    /// instances' operators' ports, IP:PORT parted by commas (DANDELIONLINK_INSTANCES)
+    #[argh(option)]
+    instance: Option<String>,
+
+    /// print the result as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// How far a revision has come.
+#[derive(Debug, Default, PartialEq, Eq, Serialize)]
+struct Progress {
+    revision: u64,
+    in_force: Vec<String>,
+    lacking: Vec<String>,
+    unreachable: Vec<String>,
+}
+
+impl Progress {
+    fn of(revision: u64, answers: &[Answer<Status>]) -> Result<Self, Error> {
+        let (found, failed) = fleet::parted(answers)?;
+        let mut progress = Self {
+            revision,
+            unreachable: failed,
+            ..Self::default()
+        };
+        for (name, instance) in &Summary::of(&found).instances {
+            let name = format!("{name} in zone {}", instance.zone);
+            if instance.holds(revision) {
+                progress.in_force.push(name);
+            } else if instance.is_reachable() {
+                progress.lacking.push(name);
+            } else {
+                progress.unreachable.push(name);
+            }
+        }
+        Ok(progress)
+    }
+}
+
+pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+    let addresses = settings::addresses(INSTANCES, args.instance.as_deref())?;
+    let clock = Clock::open();
+    let end = clock.now() + Duration::from_secs(args.timeout);
+    loop {
+        let answers = fleet::ask::<Status>(&addresses, view::STATUS);
+        let progress = Progress::of(args.revision, &answers);
+        let is_over = clock.now() >= end;
+        match progress {
+            Ok(progress) if progress.lacking.is_empty() => {
+                tell(args, &progress)?;
+                return Ok(Exit::Fine);
+            }
+            Ok(progress) if is_over => {
+                tell(args, &progress)?;
+                return Ok(Exit::TimedOut);
+            }
+            Err(err) if is_over => return Err(err),
+            Ok(_) | Err(_) => thread::sleep(ROUND),
+        }
+    }
+}
+
+fn tell(args: &Args, progress: &Progress) -> Result<(), Error> {
+    if args.json {
+        return util::print_json(progress);
+    }
+    let mut text = format!(
+        "revision {} is in force at {} instances\n",
+        progress.revision,
+        progress.in_force.len(),
+    );
+    for name in &progress.lacking {
+        text += &format!("lacking: {}\n", util::clean(name));
+    }
+    for name in &progress.unreachable {
+        text += &format!("unreachable: {}\n", util::clean(name));
+    }
+    util::print(&text)
+}
--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,117 @@
+//! Asks instances on their operators' ports, many at a time.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+};
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{error, exit::Exit, http};
+
+/// How many instances are asked at once.
+const AT_ONCE: usize = 16;
+
+/// What one instance answered.
+#[derive(Debug, Serialize)]
+pub(crate) struct Answer<T> {
+    /// Where it was asked.
+    pub(crate) address: SocketAddr,
+    /// Its answer, or why there is none.
+    #[serde(flatten)]
+    pub(crate) result: Reply<T>,
+}
+
+/// An answer, or why there is none.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Reply<T> {
+    /// The answer.
+    Answer(T),
+    /// Why there is none.
+    Failed(String),
+}
+
+/// Why an instance's answer can't be used.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Http(#[from] http::Error),
+    #[error("its answer can't be read: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+/// Asks all of `addresses` for `path`; answers come in their order.
+pub(crate) fn ask<T: DeserializeOwned + Send>(
+    addresses: &[SocketAddr],
+    path: &str,
+) -> Vec<Answer<T>> {
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut answers = Vec::new();
+        loop {
+            let at = next.fetch_add(1, Ordering::Relaxed);
+            let Some(&address) = addresses.get(at) else {
+                return answers;
+            };
+            answers.push((at, ask_one(address, path)));
+        }
+    };
+    let mut answers = thread::scope(|scope| {
+        let workers: Vec<_> = (0..addresses.len().min(AT_ONCE))
+            .map(|_| scope.spawn(work))
+            .collect();
+        let joined = workers.into_iter().filter_map(|worker| worker.join().ok());
+        joined.flatten().collect::<Vec<_>>()
+    });
+    answers.sort_by_key(|&(at, _)| at);
+    answers.into_iter().map(|(_, answer)| answer).collect()
+}
+
+fn ask_one<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Answer<T> {
+    let result = match answer(address, path) {
+        Ok(answer) => Reply::Answer(answer),
+        Err(err) => Reply::Failed(err.to_string()),
+    };
+    Answer { address, result }
+}
+
+fn answer<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Error> {
+    let body = http::get(address, path)?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Parts answers from failures; an error if nobody answered.
+pub(crate) fn parted<T>(answers: &[Answer<T>]) -> Result<(Vec<&T>, Vec<String>), error::Error> {
+    let mut found = Vec::new();
+    let mut failed = Vec::new();
+    for answer in answers {
+        match &answer.result {
+            Reply::Answer(value) => found.push(value),
+            Reply::Failed(why) => failed.push(format!("{}: {why}", answer.address)),
+        }
+    }
+    if found.is_empty() {
+        return Err(error::Error::Silent(failed.join("; ")));
+    }
+    Ok((found, failed))
+}
+
+/// Edits the answers that there are.
+pub(crate) fn for_each<T>(answers: &mut [Answer<T>], edit: impl Fn(&mut T)) {
+    for answer in answers {
+        if let Reply::Answer(value) = &mut answer.result {
+            edit(value);
+        }
+    }
+}
+
+/// The exit code for answers of which some `failed`.
+pub(crate) fn exit(failed: &[String]) -> Exit {
+    if failed.is_empty() {
+        Exit::Fine
+    } else {
+        Exit::Partial
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,67 @@
+//! `dandelionlink`, the operators' tool.
+//!
+//! `main` only dispatches. Each command is a file below `cmd`, with its flags,
+//! its usage text and its `run`. Results go to standard output, remarks and
+//! errors to standard error; `exit` lists the exit codes.
+
+mod cmd;
+mod error;
+mod exit;
+mod fleet;
+mod http;
+mod settings;
+mod store;
+mod summary;
+mod util;
+
+use std::{env, process::ExitCode};
+
+use argh::FromArgs;
+
+use crate::{cmd::Cmd, exit::Exit};
+
+/// Steers dandelionlink by its catalogue and shows what is in force.
+#[derive(Debug, FromArgs)]
+#[argh(
+    note = "The store's addresses come from --store or DANDELIONLINK_STORE, the
+instances' operators' ports from --instance or DANDELIONLINK_INSTANCES; a flag
+goes before its variable. Each is a list of IP:PORT parted by commas.",
+    error_code(0, "The command did what it was asked."),
+    error_code(1, "It failed, or the catalogue is faulty."),
+    error_code(2, "The command line or a setting is wrong."),
+    error_code(3, "Another change was faster; nothing was changed."),
+    error_code(4, "The time to wait ran out."),
+    error_code(5, "Some instances did not answer.")
+)]
+struct Args {
+    #[argh(subcommand)]
+    cmd: Cmd,
+}
+
+fn main() -> ExitCode {
+    let words: Vec<String> = env::args_os()
+        .map(|word| word.to_string_lossy().into_owned())
+        .collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (name, rest) = words.split_first().unwrap_or((&"dandelionlink", &[]));
+    let name = name.rsplit('/').next().unwrap_or(name);
+
+    let args = match Args::from_args(&[name], rest) {
+        Ok(args) => args,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return Exit::Fine.into();
+        }
+        Err(early) => {
+            eprintln!("{}", early.output);
+            return Exit::Usage.into();
+        }
+    };
+    match args.cmd.run() {
+        Ok(exit) => exit.into(),
+        Err(err) => {
+            eprintln!("{name}: {err}");
+            err.exit().into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,88 @@
+//! Settings from flags and environment variables, a flag before its variable.
+
+use std::{env, net::SocketAddr};
+
+/// The store's endpoints.
+pub(crate) const STORE: Setting = Setting {
+    flag: "--store",
+    variable: "DANDELIONLINK_STORE",
+    what: "the store's endpoints",
+};
+
+/// The instances' operators' ports.
+pub(crate) const INSTANCES: Setting = Setting {
+    flag: "--instance",
+    variable: "DANDELIONLINK_INSTANCES",
+    what: "the instances' operators' ports",
+};
+
+/// Who makes a change.
+pub(crate) const AUTHOR: Setting = Setting {
+    flag: "--author",
+    variable: "DANDELIONLINK_AUTHOR",
+    what: "who makes the change",
+};
+
+/// The most bytes in an author's name and in a message.
+pub(crate) const MAX_TEXT: usize = 4_096;
+
+/// A setting by its two names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Setting {
+    flag: &'static str,
+    variable: &'static str,
+    what: &'static str,
+}
+
+/// Why a setting can't be used.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Error {
+    /// It is given nowhere.
+    #[error("{} ({}) is missing: {}", .0.flag, .0.variable, .0.what)]
+    Missing(Setting),
+    /// Some of its addresses are none; all of those are told.
+    #[error("{} ({}) is a list of IP:PORT parted by commas, these are not: {}", .0.flag, .0.variable, .1.join(", "))]
+    Addresses(Setting, Vec<String>),
+    /// A text is empty or too long.
+    #[error("{0} must have from 1 to {MAX_TEXT} bytes, not {1}")]
+    Text(&'static str, usize),
+}
+
+/// The addresses that `flag` or the setting's variable lists.
+pub(crate) fn addresses(setting: Setting, flag: Option<&str>) -> Result<Vec<SocketAddr>, Error> {
+    let text = value(setting, flag).ok_or(Error::Missing(setting))?;
+    let mut addresses = Vec::new();
+    let mut wrong = Vec::new();
+    for word in text.split(',').map(str::trim) {
+        match word.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 => addresses.push(address),
+            _ => wrong.push(format!("`{word}`")),
+        }
+    }
+    if !wrong.is_empty() {
+        return Err(Error::Addresses(setting, wrong));
+    }
+    Ok(addresses)
+}
+
+/// Who makes the change: the setting, or else the user of the system.
+pub(crate) fn author(flag: Option<&str>) -> Result<String, Error> {
+    let author = value(AUTHOR, flag).or_else(|| env::var("USER").ok());
+    let author = author.ok_or(Error::Missing(AUTHOR))?;
+    text(AUTHOR.flag, &author)?;
+    Ok(author)
+}
+
+/// Checks the length of a text that goes into the store.
+pub(crate) fn text(flag: &'static str, text: &str) -> Result<(), Error> {
+    let len = text.trim().len();
+    if len == 0 || len > MAX_TEXT {
+        return Err(Error::Text(flag, len));
+    }
+    Ok(())
+}
+
+fn value(setting: Setting, flag: Option<&str>) -> Option<String> {
+    let variable = || env::var(setting.variable).ok().filter(|v| !v.is_empty());
+    flag.map(str::to_owned).or_else(variable)
+}
--- /dev/null
+++ b/crates/view/tests/json.rs
@@ -0,0 +1,46 @@
+//! The JSON that tools and instances of different versions exchange.
+
+use view::{Doubt, Status, Store};
+
+const STATUS: &str = r#"{
+    "instance": "i-1", "zone": "z1", "version": "0.1.0", "revision": 42,
+    "applied_ms_ago": 1200,
+    "store": {"state": "silent", "since_ms": 900},
+    "primaries": [{"database": "core", "term": 3, "upstream": "a", "confirmed_ms_ago": 12}],
+    "members": [{"instance": "i-2", "zone": "z2", "address": "10.0.0.2:7400",
+                 "health": "alive", "revision": 42, "heard_ms_ago": 80}],
+    "doubts": [{"kind": "store-older", "shown": 40, "held": 42}]
+}"#;
+
+#[test]
+fn a_status_is_read_and_written_back() {
+    let status: Status = serde_json::from_str(STATUS).unwrap();
+    assert_eq!(status.store, Store::Silent { since_ms: 900 });
+    let doubt = Doubt::StoreOlder {
+        shown: 40,
+        held: 42,
+    };
+    assert_eq!(status.doubts, [doubt]);
+    let json = serde_json::to_string(&status).unwrap();
+    assert_eq!(serde_json::from_str::<Status>(&json).unwrap(), status);
+}
+
+/// Symptom: during a rolling upgrade `status` fails on every upgraded instance.
+/// Events: a newer instance adds a field and a doubt; an older tool reads it.
+/// Cause: a reader that refuses what it does not know.
+#[test]
+fn what_a_newer_instance_adds_is_passed_over() {
+    let newer = STATUS
+        .replace("\"version\"", "\"build\": \"x\", \"version\"")
+        .replace("\"store-older\"", "\"moon-phase\"");
+    let status: Status = serde_json::from_str(&newer).unwrap();
+    assert_eq!(status.doubts, [Doubt::Other]);
+}
+
+#[test]
+fn a_half_status_is_refused() {
+    let half = STATUS.replace("\"revision\": 42,\n", "");
+    assert!(serde_json::from_str::<Status>(&half).is_err());
+    let wrong = STATUS.replace("\"i-1\"", "\"I 1\"");
+    assert!(serde_json::from_str::<Status>(&wrong).is_err());
+}
