--- a/crates/cli/src/cmd/apply.rs
+++ b/crates/cli/src/cmd/apply.rs
@@ -1,6 +1,6 @@
 //! `dandelionlink apply`
 
-use std::{path::PathBuf, thread, time::SystemTime};
+use std::{path::PathBuf, time::SystemTime};
 
 use argh::FromArgs;
 use catalog::{
@@ -10,13 +10,14 @@
     layout::Snapshot,
     plan::{self, Plan, Proposal},
 };
+use ntex::time::sleep;
 use serde::Serialize;
 
 use crate::{
     error::Error,
     exit::Exit,
     settings::{self, STORE},
-    store::{self, Store},
+    store::Store,
     util,
 };
 
@@ -81,19 +82,19 @@
     },
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let endpoints = settings::addresses(STORE, args.store.as_deref())?;
     settings::text("--message", &args.message)?;
     let author = settings::author(args.author.as_deref())?;
     let checked = util::read(&args.file)?;
     util::warn(&args.file, &checked);
 
-    let mut store = Store::open(endpoints);
-    let from = store.snapshot()?;
+    let mut store = Store::open(endpoints).await?;
+    let from = store.snapshot().await?;
     if let Some(revision) = args.from
         && revision != from.revision
     {
-        let conflict = since(&mut store, from, revision)?;
+        let conflict = since(&mut store, from, revision).await?;
         return lost(args, &conflict);
     }
     let proposal = Proposal {
@@ -104,15 +105,15 @@
     };
     let revision = from.revision;
     match plan::plan(&from, &checked.catalog, proposal) {
-        Ok(plan) => send(args, &mut store, plan),
+        Ok(plan) => send(args, &mut store, plan).await,
         Err(plan::Error::Same) => same(args, revision),
         Err(err) => Err(err.into()),
     }
 }
 
 /// What changed since `revision`, which is in force no more.
-fn since(store: &mut Store, now: Snapshot, revision: u64) -> Result<Conflict, Error> {
-    let records = store.records(0)?;
+async fn since(store: &mut Store, now: Snapshot, revision: u64) -> Result<Conflict, Error> {
+    let records = store.records().await?;
     let changes = records
         .into_iter()
         .filter(|&(_, made)| made > revision)
@@ -125,22 +126,21 @@
     })
 }
 
-fn send(args: &Args, store: &mut Store, plan: Plan) -> Result<Exit, Error> {
+async fn send(args: &Args, store: &mut Store, plan: Plan) -> Result<Exit, Error> {
     let change = plan.head.change;
+    let mut fault = None;
     let (mut apply, mut action) = Apply::open(plan);
     let outcome = loop {
         let event = match action {
             Action::Send(wait, txn) => {
-                thread::sleep(wait);
-                match store.run(&txn) {
-                    store::Answer::Committed(revision) => Event::Committed(revision),
-                    store::Answer::Refused => Event::Refused,
-                    store::Answer::Lost => Event::Lost,
-                }
+                sleep(wait).await;
+                let (event, found) = store.run(&txn).await;
+                fault = found.or(fault);
+                event
             }
             Action::Read(wait, number) => {
-                thread::sleep(wait);
-                read_back(store, number)?
+                sleep(wait).await;
+                read_back(store, number).await?
             }
             Action::Done(outcome) => break outcome,
         };
@@ -149,6 +149,7 @@
     match outcome {
         Outcome::Applied(revision) => applied(args, revision, apply.plan()),
         Outcome::Conflict(conflict) => lost(args, &conflict),
+        Outcome::NotRun => Err(Error::NotRun(fault)),
         Outcome::Unknown => Err(Error::Unknown { change }),
     }
 }
@@ -157,13 +158,13 @@
 ///
 /// A store that does not answer is a matter for a further attempt; one that
 /// holds what this version can't read is an error at once.
-fn read_back(store: &mut Store, number: u64) -> Result<Event, Error> {
-    let now = match store.snapshot() {
+async fn read_back(store: &mut Store, number: u64) -> Result<Event, Error> {
+    let now = match store.snapshot().await {
         Ok(now) => now,
         Err(Error::Store(_)) => return Ok(Event::ReadFailed),
         Err(err) => return Err(err),
     };
-    let record = match store.record(number) {
+    let record = match store.record(number).await {
         Ok(record) => record,
         Err(Error::Store(_)) => return Ok(Event::ReadFailed),
         Err(err) => return Err(err),
--- a/crates/cli/src/cmd/diff.rs
+++ b/crates/cli/src/cmd/diff.rs
@@ -48,12 +48,12 @@
     changes: Vec<Change>,
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let endpoints = settings::addresses(STORE, args.store.as_deref())?;
     let checked = util::read(&args.file)?;
     util::warn(&args.file, &checked);
 
-    let snapshot = Store::open(endpoints).snapshot()?;
+    let snapshot = Store::open(endpoints).await?.snapshot().await?;
     let report = Report {
         revision: snapshot.revision,
         changes: change::diff(&snapshot.catalog, &checked.catalog),
--- a/crates/cli/src/cmd/history.rs
+++ b/crates/cli/src/cmd/history.rs
@@ -51,17 +51,17 @@
     record: Record,
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let endpoints = settings::addresses(STORE, args.store.as_deref())?;
-    let mut store = Store::open(endpoints);
+    let mut store = Store::open(endpoints).await?;
     match args.number {
-        Some(number) => one(args, &mut store, number),
-        None => list(args, &mut store),
+        Some(number) => one(args, &mut store, number).await,
+        None => list(args, &mut store).await,
     }
 }
 
-fn one(args: &Args, store: &mut Store, number: u64) -> Result<Exit, Error> {
-    let found = store.record(number)?;
+async fn one(args: &Args, store: &mut Store, number: u64) -> Result<Exit, Error> {
+    let found = store.record(number).await?;
     let (record, revision) = found.ok_or(Error::NoRecord(number))?;
     if args.json {
         util::print_json(&Entry { revision, record })?;
@@ -85,11 +85,12 @@
     Ok(Exit::Fine)
 }
 
-fn list(args: &Args, store: &mut Store) -> Result<Exit, Error> {
-    let snapshot = store.snapshot()?;
+async fn list(args: &Args, store: &mut Store) -> Result<Exit, Error> {
+    let snapshot = store.snapshot().await?;
     let latest = snapshot.head.map_or(0, |head| head.number);
     let first = (latest + 1).saturating_sub(args.last);
-    let records = store.records(first)?;
+    let mut records = store.records().await?;
+    records.retain(|(record, _)| record.head.number >= first);
     if args.json {
         let entry = |(record, revision)| Entry { revision, record };
         let entries: Vec<_> = records.into_iter().map(entry).collect();
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -43,17 +43,17 @@
 
 impl Cmd {
     /// Runs the command.
-    pub(crate) fn run(self) -> Result<Exit, Error> {
+    pub(crate) async fn run(self) -> Result<Exit, Error> {
         match self {
             Self::Check(args) => check::run(&args),
-            Self::Diff(args) => diff::run(&args),
-            Self::Apply(args) => apply::run(&args),
-            Self::History(args) => history::run(&args),
-            Self::Show(args) => show::run(&args),
-            Self::Status(args) => status::run(&args),
-            Self::Wait(args) => wait::run(&args),
-            Self::Upstreams(args) => upstreams::run(&args),
-            Self::Sessions(args) => sessions::run(&args),
+            Self::Diff(args) => diff::run(&args).await,
+            Self::Apply(args) => apply::run(&args).await,
+            Self::History(args) => history::run(&args).await,
+            Self::Show(args) => show::run(&args).await,
+            Self::Status(args) => status::run(&args).await,
+            Self::Wait(args) => wait::run(&args).await,
+            Self::Upstreams(args) => upstreams::run(&args).await,
+            Self::Sessions(args) => sessions::run(&args).await,
             Self::Verifier(args) => verifier::run(&args),
         }
     }
--- a/crates/cli/src/cmd/sessions.rs
+++ b/crates/cli/src/cmd/sessions.rs
@@ -36,9 +36,9 @@
     json: bool,
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let addresses = settings::addresses(INSTANCES, args.instance.as_deref())?;
-    let mut answers = fleet::ask::<Sessions>(&addresses, view::SESSIONS);
+    let mut answers = fleet::ask::<Sessions>(&addresses, view::SESSIONS).await?;
     if let Some(entry) = &args.entry {
         fleet::for_each(&mut answers, |view| {
             let wanted = |session: &Session| session.entry.as_str() == entry;
--- a/crates/cli/src/cmd/show.rs
+++ b/crates/cli/src/cmd/show.rs
@@ -31,9 +31,9 @@
     json: bool,
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let endpoints = settings::addresses(STORE, args.store.as_deref())?;
-    let snapshot = Store::open(endpoints).snapshot()?;
+    let snapshot = Store::open(endpoints).await?.snapshot().await?;
     if args.json {
         util::print_json(&snapshot.catalog)?;
         return Ok(Exit::Fine);
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -41,9 +41,9 @@
     answers: &'a [Answer<Status>],
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let addresses = settings::addresses(INSTANCES, args.instance.as_deref())?;
-    let answers = fleet::ask::<Status>(&addresses, view::STATUS);
+    let answers = fleet::ask::<Status>(&addresses, view::STATUS).await?;
     let (found, failed) = fleet::parted(&answers)?;
     let summary = Summary::of(&found);
     if args.json {
--- a/crates/cli/src/cmd/upstreams.rs
+++ b/crates/cli/src/cmd/upstreams.rs
@@ -35,9 +35,9 @@
     json: bool,
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let addresses = settings::addresses(INSTANCES, args.instance.as_deref())?;
-    let mut answers = fleet::ask::<Upstreams>(&addresses, view::UPSTREAMS);
+    let mut answers = fleet::ask::<Upstreams>(&addresses, view::UPSTREAMS).await?;
     if let Some(database) = &args.database {
         fleet::for_each(&mut answers, |view| {
             let wanted = |upstream: &Upstream| upstream.database.as_str() == database;
--- a/crates/cli/src/cmd/wait.rs
+++ b/crates/cli/src/cmd/wait.rs
@@ -1,9 +1,10 @@
 //! `dandelionlink wait`
 
-use std::{thread, time::Duration};
+use std::time::Duration;
 
 use argh::FromArgs;
 use clock::Clock;
+use ntex::time::sleep;
 use serde::Serialize;
 use view::Status;
 
@@ -85,12 +86,12 @@
     }
 }
 
-pub(crate) fn run(args: &Args) -> Result<Exit, Error> {
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
     let addresses = settings::addresses(INSTANCES, args.instance.as_deref())?;
     let clock = Clock::open();
     let end = clock.now() + Duration::from_secs(args.timeout);
     loop {
-        let answers = fleet::ask::<Status>(&addresses, view::STATUS);
+        let answers = fleet::ask::<Status>(&addresses, view::STATUS).await?;
         let progress = Progress::of(args.revision, &answers);
         let is_over = clock.now() >= end;
         match progress {
@@ -103,7 +104,7 @@
                 return Ok(Exit::TimedOut);
             }
             Err(err) if is_over => return Err(err),
-            Ok(_) | Err(_) => thread::sleep(ROUND),
+            Ok(_) | Err(_) => sleep(ROUND).await,
         }
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,7 +4,7 @@
 
 use catalog::{head::Id, layout, plan};
 
-use crate::{exit::Exit, settings, store};
+use crate::{exit::Exit, http, settings, store};
 
 /// Why a command did not do what it was asked.
 #[derive(Debug, thiserror::Error)]
@@ -42,9 +42,15 @@
         /// The change's mark.
         change: Id,
     },
+    /// The store refused the change or could not be reached.
+    #[error("nothing was changed: {}", reason(.0.as_ref()))]
+    NotRun(Option<::store::Fault>),
     /// The history holds no such change.
     #[error("the history holds no change number {0}")]
     NoRecord(u64),
+    /// No HTTP client can be made.
+    #[error(transparent)]
+    Http(#[from] http::Error),
     /// No instance answered.
     #[error("no instance answered: {0}")]
     Silent(String),
@@ -72,6 +78,11 @@
     }
 }
 
+fn reason(fault: Option<&::store::Fault>) -> String {
+    let contradiction = "the store's answers contradict each other".to_owned();
+    fault.map_or(contradiction, ToString::to_string)
+}
+
 /// The faults of a file.
 #[derive(Debug)]
 pub(crate) struct Faults {
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,11 +1,9 @@
 //! Asks instances on their operators' ports, many at a time.
 
-use std::{
-    net::SocketAddr,
-    sync::atomic::{AtomicUsize, Ordering},
-    thread,
-};
+use std::net::SocketAddr;
 
+use futures_util::stream::{self, StreamExt};
+use ntex::client::Client;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{error, exit::Exit, http};
@@ -43,42 +41,35 @@
 }
 
 /// Asks all of `addresses` for `path`; answers come in their order.
-pub(crate) fn ask<T: DeserializeOwned + Send>(
+pub(crate) async fn ask<T: DeserializeOwned>(
     addresses: &[SocketAddr],
     path: &str,
-) -> Vec<Answer<T>> {
-    let next = AtomicUsize::new(0);
-    let work = || {
-        let mut answers = Vec::new();
-        loop {
-            let at = next.fetch_add(1, Ordering::Relaxed);
-            let Some(&address) = addresses.get(at) else {
-                return answers;
-            };
-            answers.push((at, ask_one(address, path)));
-        }
-    };
-    let mut answers = thread::scope(|scope| {
-        let workers: Vec<_> = (0..addresses.len().min(AT_ONCE))
-            .map(|_| scope.spawn(work))
-            .collect();
-        let joined = workers.into_iter().filter_map(|worker| worker.join().ok());
-        joined.flatten().collect::<Vec<_>>()
-    });
-    answers.sort_by_key(|&(at, _)| at);
-    answers.into_iter().map(|(_, answer)| answer).collect()
+) -> Result<Vec<Answer<T>>, http::Error> {
+    let client = http::open().await?;
+    let asked = stream::iter(addresses)
+        .map(|&address| ask_one(&client, address, path))
+        .buffered(AT_ONCE);
+    Ok(asked.collect().await)
 }
 
-fn ask_one<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Answer<T> {
-    let result = match answer(address, path) {
+async fn ask_one<T: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Answer<T> {
+    let result = match answer(client, address, path).await {
         Ok(answer) => Reply::Answer(answer),
         Err(err) => Reply::Failed(err.to_string()),
     };
     Answer { address, result }
 }
 
-fn answer<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Error> {
-    let body = http::get(address, path)?;
+async fn answer<T: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, Error> {
+    let body = http::get(client, address, path).await?;
     Ok(serde_json::from_slice(&body)?)
 }
 
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -1,77 +1,78 @@
-//! One bounded HTTP exchange with an address.
+//! One bounded HTTP exchange with an instance's operators' port.
 
-use std::{io::Read, net::SocketAddr};
+use std::{net::SocketAddr, time::Duration};
 
-/// Seconds for a whole exchange.
-const TIMEOUT_S: u64 = 3;
+use ntex::{
+    SharedCfg,
+    client::{
+        Client,
+        error::{ClientBuilderError, ClientError},
+    },
+    http::{StatusCode, error::PayloadError},
+    time::timeout,
+};
+
+/// The longest that a whole exchange takes.
+const TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The most bytes in an answer: a catalogue of 6,600 databases has a tenth.
-const MAX_ANSWER: u64 = 64 * 1024 * 1024;
+/// The most bytes in an answer.
+const MAX_ANSWER: usize = 16 << 20;
 
-/// The most bytes in an answer's headers.
-const MAX_HEADERS: usize = 16 * 1024;
+/// The most bytes of a failure's text that are shown.
+const MAX_SHOWN: usize = 200;
 
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
+    /// No client can be made.
+    #[error("no HTTP client can be made: {0}")]
+    Client(#[from] ClientBuilderError),
     /// The connection or the protocol failed.
     #[error("{0}")]
-    Exchange(#[from] minreq::Error),
-    /// The answer broke off.
-    #[error("{0}")]
-    Body(#[from] std::io::Error),
-    /// The answer is larger than the tool takes.
-    #[error("its answer has more than {MAX_ANSWER} bytes")]
-    TooLarge,
+    Exchange(#[from] ClientError),
+    /// The answer broke off or is too large.
+    #[error("its answer can't be read: {0}")]
+    Body(#[from] PayloadError),
+    /// There was no whole answer in time.
+    #[error("no answer within {} s", TIMEOUT.as_secs())]
+    TimedOut,
     /// The answer says that the request failed.
-    #[error("it answered {status} {reason}: {body}")]
+    #[error("it answered {status}: {body}")]
     Status {
-        /// The status code.
-        status: u16,
-        /// The status text.
-        reason: String,
+        /// The status code and text.
+        status: StatusCode,
         /// The beginning of the answer.
         body: String,
     },
 }
 
-/// Asks for `path`.
-pub(crate) fn get(address: SocketAddr, path: &str) -> Result<Vec<u8>, Error> {
-    exchange(minreq::get(url(address, path)))
+/// Makes a client; nothing is sent yet.
+pub(crate) async fn open() -> Result<Client, Error> {
+    let builder = Client::builder().disable_timeout();
+    Ok(builder.build(SharedCfg::default()).await?)
 }
 
-/// Sends `body` to `path`.
-pub(crate) fn post(address: SocketAddr, path: &str, body: &[u8]) -> Result<Vec<u8>, Error> {
-    let request = minreq::post(url(address, path))
-        .with_header("Content-Type", "application/json")
-        .with_body(body);
-    exchange(request)
+/// Asks for `path` at `address`.
+pub(crate) async fn get(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Vec<u8>, Error> {
+    let exchange = exchange(client, address, path);
+    timeout(TIMEOUT, exchange)
+        .await
+        .unwrap_or(Err(Error::TimedOut))
 }
 
-fn url(address: SocketAddr, path: &str) -> String {
-    format!("http://{address}{path}")
-}
-
-fn exchange(request: minreq::Request) -> Result<Vec<u8>, Error> {
-    let answer = request
-        .with_timeout(TIMEOUT_S)
-        .with_follow_redirects(false)
-        .with_max_headers_size(MAX_HEADERS)
-        .send_lazy()?;
-    let status = answer.status_code;
-    let reason = answer.reason_phrase.clone();
-    let mut body = Vec::new();
-    answer.take(MAX_ANSWER + 1).read_to_end(&mut body)?;
-    if body.len() as u64 > MAX_ANSWER {
-        return Err(Error::TooLarge);
-    }
-    if status != 200 {
-        let body = String::from_utf8_lossy(&body).chars().take(200).collect();
-        return Err(Error::Status {
-            status,
-            reason,
-            body,
-        });
+async fn exchange(client: &Client, address: SocketAddr, path: &str) -> Result<Vec<u8>, Error> {
+    let request = client.get(format!("http://{address}{path}"));
+    let answer = request.send().await?;
+    let status = answer.status();
+    let body = answer.body().limit(MAX_ANSWER).await?;
+    if status != StatusCode::OK {
+        let shown = &body[..body.len().min(MAX_SHOWN)];
+        let body = String::from_utf8_lossy(shown).into_owned();
+        return Err(Error::Status { status, body });
     }
-    Ok(body)
+    Ok(body.to_vec())
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -17,6 +17,7 @@
 use std::{env, process::ExitCode};
 
 use argh::FromArgs;
+use ntex::rt::{DefaultRuntime, System};
 
 use crate::{cmd::Cmd, exit::Exit};
 
@@ -57,7 +58,8 @@
             return Exit::Usage.into();
         }
     };
-    match args.cmd.run() {
+    let system = System::new(name, DefaultRuntime);
+    match system.block_on(args.cmd.run()) {
         Ok(exit) => exit.into(),
         Err(err) => {
             eprintln!("{name}: {err}");
