Test every command of the tool by running it

Cause: the commands were not run yet. Change: a file of tests per command through one working directory, against the stand-in store, a relay before it that loses an answer or lets a change overtake another, and instances' ports of a few lines. Conclusion: racing, lost answers, an absent store, a newer format and wrong settings end as documented.

--- /dev/null
+++ b/crates/cli/tests/cmd/diff.rs
@@ -0,0 +1,56 @@
+use fake::Store;
+
+use super::{
+    instance::nowhere,
+    workdir::{Workdir, catalog},
+};
+
+#[test]
+fn differences_are_shown_with_the_revision() {
+    let dir = Workdir::new();
+    let store = Store::spawn().unwrap();
+    let at = store.address().to_string();
+    dir.file("c.toml", &catalog(8));
+    let run = dir.run(&["diff", "--store", &at, "c.toml"]);
+    assert_eq!(run.code, 0);
+    assert_eq!(
+        run.out,
+        "from revision 0\n+ tenant `yard`\n+ database `core`\n+ entry `calendar`\n"
+    );
+
+    dir.run(&["apply", "-m", "first", "--store", &at, "c.toml"]);
+    dir.file("c.toml", &catalog(9));
+    let run = dir.run(&["diff", "--store", &at, "c.toml"]);
+    assert_eq!(
+        run.out,
+        "from revision 1\n~ entry `calendar`\n    connections: 8 -> 9\n"
+    );
+    let run = dir.run(&["diff", "--json", "--store", &at, "c.toml"]);
+    let change = &run.json()["changes"][0];
+    assert_eq!(change["subject"]["entry"], "calendar");
+    assert_eq!(change["edit"]["changed"][0]["after"], "9");
+    assert_eq!(store.writes(), 1);
+}
+
+#[test]
+fn a_store_that_is_down_is_told_with_its_endpoints() {
+    let dir = Workdir::new();
+    dir.file("c.toml", &catalog(8));
+    let down = format!("{},{}", nowhere(), nowhere());
+    let run = dir.run(&["diff", "--store", &down, "c.toml"]);
+    assert_eq!(run.code, 1);
+    for endpoint in down.split(',') {
+        let told = format!("{endpoint}: the store at {endpoint} can't be reached");
+        assert!(run.err.contains(&told), "{run:?}");
+    }
+}
+
+#[test]
+fn a_read_goes_on_to_the_next_endpoint() {
+    let dir = Workdir::new();
+    let store = Store::spawn().unwrap();
+    dir.file("c.toml", &catalog(8));
+    let endpoints = format!("{},{}", nowhere(), store.address());
+    let run = dir.run(&["diff", "--store", &endpoints, "c.toml"]);
+    assert_eq!(run.code, 0, "{run:?}");
+}
--- /dev/null
+++ b/crates/cli/tests/cmd/main.rs
@@ -0,0 +1,15 @@
+//! Runs the built tool, a file of tests for each command.
+
+mod apply;
+mod check;
+mod diff;
+mod history;
+mod instance;
+mod relay;
+mod sessions;
+mod settings;
+mod status;
+mod upstreams;
+mod verifier;
+mod wait;
+mod workdir;
--- /dev/null
+++ b/crates/cli/tests/cmd/relay.rs
@@ -0,0 +1,122 @@
+//! Stands between the tool and the store, and decides over one transaction.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+};
+
+/// What befalls the first transaction.
+pub(crate) enum Fate {
+    /// It takes effect, and its answer is lost.
+    AnswerLost,
+    /// Something happens before it reaches the store.
+    Overtaken(Box<dyn FnOnce() + Send>),
+    /// The store answers it with this status and text instead of running it.
+    Answered(&'static str, &'static str),
+}
+
+/// A listening port that is closed when it is dropped.
+pub(crate) struct Relay {
+    pub(crate) address: SocketAddr,
+    stopping: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Relay {
+    pub(crate) fn spawn(store: SocketAddr, fate: Fate) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let stopping = Arc::new(AtomicBool::new(false));
+        let stop = Arc::clone(&stopping);
+        let mut fate = Some(fate);
+        let thread = thread::spawn(move || {
+            for stream in listener.incoming() {
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                let _ = stream.and_then(|stream| pass(&stream, store, &mut fate));
+            }
+        });
+        Self {
+            address,
+            stopping,
+            thread: Some(thread),
+        }
+    }
+}
+
+fn pass(mut caller: &TcpStream, store: SocketAddr, fate: &mut Option<Fate>) -> std::io::Result<()> {
+    let (path, body) = request(caller)?;
+    let fate = if path.ends_with("/txn") {
+        fate.take()
+    } else {
+        None
+    };
+    match fate {
+        None => caller.write_all(&exchange(store, &path, &body)?)?,
+        Some(Fate::AnswerLost) => drop(exchange(store, &path, &body)?),
+        Some(Fate::Overtaken(happen)) => {
+            happen();
+            caller.write_all(&exchange(store, &path, &body)?)?;
+        }
+        Some(Fate::Answered(status, text)) => {
+            let len = text.len();
+            write!(
+                caller,
+                "HTTP/1.1 {status}\r\nContent-Length: {len}\r\nConnection: close\r\n\r\n{text}"
+            )?;
+        }
+    }
+    caller.shutdown(Shutdown::Both)
+}
+
+fn request(caller: &TcpStream) -> std::io::Result<(String, Vec<u8>)> {
+    let mut rdr = BufReader::new(caller);
+    let mut first = String::new();
+    rdr.read_line(&mut first)?;
+    let mut len = 0;
+    loop {
+        let mut line = String::new();
+        rdr.read_line(&mut line)?;
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(text) = line.strip_prefix("content-length:") {
+            len = text.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; len];
+    rdr.read_exact(&mut body)?;
+    let path = first.split(' ').nth(1).unwrap_or_default();
+    Ok((path.to_owned(), body))
+}
+
+fn exchange(store: SocketAddr, path: &str, body: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(store)?;
+    let len = body.len();
+    write!(
+        stream,
+        "POST {path} HTTP/1.1\r\nHost: {store}\r\nContent-Type: application/json\r\n\
+         Content-Length: {len}\r\nConnection: close\r\n\r\n"
+    )?;
+    stream.write_all(body)?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer)?;
+    Ok(answer)
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/cmd/verifier.rs
@@ -0,0 +1,26 @@
+use super::workdir::{Workdir, catalog};
+
+#[test]
+fn a_verifier_is_made_that_a_catalogue_takes() {
+    let dir = Workdir::new();
+    let run = dir.run_with_input(&["verifier"], "example\n");
+    assert_eq!(run.code, 0, "{run:?}");
+    let verifier = run.out.trim();
+    assert!(!run.out.contains("example"));
+    let text = catalog(8);
+    let old = text.split('"').nth(1).unwrap();
+    dir.file("c.toml", &text.replace(old, verifier));
+    assert_eq!(dir.run(&["check", "c.toml"]).code, 0);
+
+    let again = dir.run_with_input(&["verifier"], "example\n");
+    assert_ne!(again.out, run.out, "each verifier has a salt of its own");
+}
+
+#[test]
+fn an_empty_password_is_refused() {
+    for input in ["", "\n", "  \r\n"] {
+        let run = Workdir::new().run_with_input(&["verifier"], input);
+        assert_eq!(run.code, 1, "{input:?}");
+        assert!(run.err.contains("holds no password"), "{run:?}");
+    }
+}
