--- a/crates/catalog/src/plan.rs
+++ b/crates/catalog/src/plan.rs
@@ -129,10 +129,28 @@
 ///
 /// [`Error`] where there is nothing to change or it does not fit the store.
 pub fn plan(from: &Snapshot, to: &Catalog, proposal: Proposal) -> Result<Plan, Error> {
-    let changes = change::diff(&from.catalog, to);
-    if changes.is_empty() {
+    if from.catalog == *to {
         return Err(Error::Same);
     }
+    draw(from, to, proposal)
+}
+
+/// Plans to give what is in force a new revision and to change nothing else.
+///
+/// A store that was restored from a backup shows a lower revision than the one
+/// that instances hold, and they rightly refuse to go back. Where the restored
+/// catalogue is the wanted one there is nothing to change, so only this makes
+/// a revision that they accept.
+///
+/// # Errors
+///
+/// [`Error`] where a value does not fit the store.
+pub fn renew(from: &Snapshot, proposal: Proposal) -> Result<Plan, Error> {
+    draw(from, &from.catalog, proposal)
+}
+
+fn draw(from: &Snapshot, to: &Catalog, proposal: Proposal) -> Result<Plan, Error> {
+    let changes = change::diff(&from.catalog, to);
     let number = from.head.as_ref().map_or(0, |head| head.number) + 1;
     let head = Head {
         number,
@@ -152,12 +170,7 @@
     puts.push((record_key, record_value));
 
     let mut deletes: Vec<_> = old.keys().map(Key::to_string).collect();
-    if let Some(oldest) = number
-        .checked_sub(history::KEPT)
-        .filter(|&oldest| oldest > 0)
-    {
-        deletes.push(Key::History(oldest).to_string());
-    }
+    deletes.extend(outdated(number).map(|key| key.to_string()));
 
     let txn = Txn {
         compares: vec![Compare {
@@ -167,12 +180,7 @@
         puts: sized(puts)?,
         deletes,
     };
-    if txn.ops() > MAX_OPS {
-        return Err(Error::TooMany { ops: txn.ops() });
-    }
-    if txn.bytes() > MAX_BYTES {
-        return Err(Error::TooMuch { bytes: txn.bytes() });
-    }
+    fitting(&txn)?;
     Ok(Plan {
         from: from.clone(),
         head,
@@ -181,6 +189,24 @@
     })
 }
 
+/// The record that makes room for that of change `number`.
+fn outdated(number: u64) -> Option<Key> {
+    let oldest = number.checked_sub(history::KEPT)?;
+    (oldest > 0).then_some(Key::History(oldest))
+}
+
+fn fitting(txn: &Txn) -> Result<(), Error> {
+    let ops = txn.ops();
+    if ops > MAX_OPS {
+        return Err(Error::TooMany { ops });
+    }
+    let bytes = txn.bytes();
+    if bytes > MAX_BYTES {
+        return Err(Error::TooMuch { bytes });
+    }
+    Ok(())
+}
+
 fn sized(pairs: Vec<(Key, Vec<u8>)>) -> Result<Vec<Put>, Error> {
     let mut puts = Vec::new();
     for (key, value) in pairs {
--- a/crates/catalog/tests/layout.rs
+++ b/crates/catalog/tests/layout.rs
@@ -194,6 +194,24 @@
     assert!(matches!(same, Err(plan::Error::Same)));
 }
 
+/// Symptom: after the store is restored, instances hold a later revision than
+/// it shows for ever, and `apply` finds nothing to change.
+/// Events: the backup holds the wanted catalogue under an older revision.
+/// Cause: a head that is only written when something else is.
+#[test]
+fn a_renewal_writes_the_head_and_nothing_else() {
+    let mut store = Store::default();
+    let first = plan::plan(&store.snapshot(), &small(8), proposal(1)).unwrap();
+    store.run(&first.txn).unwrap();
+    let renewal = plan::renew(&store.snapshot(), proposal(2)).unwrap();
+    assert_eq!(renewal.txn.ops(), 2);
+    assert!(renewal.changes.is_empty());
+    store.run(&renewal.txn).unwrap();
+    let snapshot = store.snapshot();
+    assert_eq!((snapshot.revision, snapshot.catalog), (2, small(8)));
+    assert_eq!(snapshot.head.unwrap().number, 2);
+}
+
 #[test]
 fn what_does_not_fit_the_store_is_refused_when_planned() {
     let empty = Store::default().snapshot();
--- a/crates/catalog/tests/text.rs
+++ b/crates/catalog/tests/text.rs
@@ -1,6 +1,12 @@
 //! The text form: what is accepted, and what is refused and where.
 
-use catalog::{Catalog, Doubt, Fault, Reading, What};
+use catalog::{
+    Catalog, Doubt, Fault, Reading, What,
+    history::{KEPT, MAX_CHANGES},
+    layout::MAX_VALUE,
+    limit,
+    plan::{MAX_BYTES, MAX_OPS},
+};
 
 const VERIFIER: &str = "SCRAM-SHA-256$4096:c2FsdA==$AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=";
 
@@ -331,6 +337,52 @@
     assert!(!entry("slot-reservation").idempotent);
 }
 
+/// Symptom: the reference for operators lacks a key or states an old bound.
+/// Events: a key is added, or a bound moved, in the code alone.
+/// Cause: the two are written by hand, side by side.
+#[test]
+fn the_reference_lists_every_key_and_bound() {
+    let reference = include_str!("../../../docs/CATALOG.md");
+    let mut keys: Vec<&str> = Vec::new();
+    for (old, new) in [
+        (
+            "[tenant.yard.users]",
+            "[tenant.yard]\nnone = 1\n[tenant.yard.users]",
+        ),
+        ("dbname", "none = 1\ndbname"),
+        ("slots = 2", "slots = 2\nnone = 1"),
+        ("queue = 100", "queue = 100\nnone = 1"),
+    ] {
+        let known = faults(old, new)
+            .into_iter()
+            .find_map(|fault| match fault.what {
+                What::UnknownKey { known, .. } => Some(known),
+                _ => None,
+            });
+        keys.extend(known.unwrap());
+    }
+    assert_eq!(keys.len(), 17);
+    for key in keys {
+        assert!(reference.contains(&format!("| `{key}` |")), "{key}");
+    }
+    for (key, bounds) in [
+        ("slots", limit::SLOTS),
+        ("connections", limit::CONNECTIONS),
+        ("queue", limit::QUEUE),
+        ("deadline_ms", limit::DEADLINE_MS),
+        ("staleness_ms", limit::STALENESS_MS),
+    ] {
+        let bounds = format!("{} to {}", bounds.start(), bounds.end());
+        let mut rows = reference
+            .lines()
+            .filter(|line| line.starts_with(&format!("| `{key}`")));
+        assert!(rows.all(|row| row.contains(&bounds)), "{key}: {bounds}");
+    }
+    for number in [MAX_VALUE, MAX_OPS, MAX_BYTES, MAX_CHANGES, KEPT as usize] {
+        assert!(reference.contains(&format!(" {number} ")), "{number}");
+    }
+}
+
 proptest::proptest! {
     #![proptest_config(proptest::prelude::ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(3),
--- a/crates/cli/src/cmd/apply.rs
+++ b/crates/cli/src/cmd/apply.rs
@@ -50,6 +50,11 @@
     #[argh(option)]
     from: Option<u64>,
 
+    /// give the catalogue a new revision even if there is nothing to change,
+    /// as is needed once after the store was restored from a backup
+    #[argh(switch)]
+    renew: bool,
+
     /// the store's endpoints, IP:PORT parted by commas (DANDELIONLINK_STORE)
     #[argh(option)]
     store: Option<String>,
@@ -104,8 +109,12 @@
         time: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
     };
     let revision = from.revision;
-    match plan::plan(&from, &checked.catalog, proposal) {
+    match plan::plan(&from, &checked.catalog, proposal.clone()) {
         Ok(plan) => send(args, &mut store, plan).await,
+        Err(plan::Error::Same) if args.renew => {
+            let plan = plan::renew(&from, proposal)?;
+            send(args, &mut store, plan).await
+        }
         Err(plan::Error::Same) => same(args, revision),
         Err(err) => Err(err.into()),
     }
--- a/crates/cli/tests/cmd/apply.rs
+++ b/crates/cli/tests/cmd/apply.rs
@@ -42,10 +42,16 @@
     assert_eq!(run.out, "nothing to change from revision 2\n");
     assert_eq!(store.revision(), 2);
 
+    let args = [
+        "apply", "--renew", "-m", "restored", "--store", &at, "9.toml",
+    ];
+    let run = dir.run(&args);
+    assert_eq!(run.out, "accepted as revision 3\n");
+
     let run = dir.run(&["show", "--store", &at]);
     dir.file("shown.toml", &run.out);
     let run = dir.run(&["diff", "--store", &at, "shown.toml"]);
-    assert_eq!(run.out, "nothing to change from revision 2\n");
+    assert_eq!(run.out, "nothing to change from revision 3\n");
 }
 
 /// Symptom: two operators are both told that their change is in force.
