Apply changes too large for one transaction in parts

Cause: etcd takes 128 operations in a transaction, so a catalogue of 6,600 databases could not be loaded at all. Change: catalog::parts splits a change into whole, faultless catalogues (what is new first, removals last) or refuses; apply --in-parts puts them in force one after the other, each on condition of the one before; a lost answer followed by an unreadable store is told as doubt.

--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -130,6 +130,11 @@
         &self.plan
     }
 
+    /// The plan, for use after the end.
+    pub fn into_plan(self) -> Plan {
+        self.plan
+    }
+
     /// Takes what came back and tells what to do next.
     pub fn step(&mut self, event: Event) -> Action {
         match event {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod history;
 pub mod layout;
 pub mod limit;
+pub mod parts;
 pub mod plan;
 mod rules;
 pub mod scram;
--- a/crates/catalog/src/plan.rs
+++ b/crates/catalog/src/plan.rs
@@ -78,6 +78,8 @@
 pub struct Plan {
     /// What it was planned from.
     pub from: Snapshot,
+    /// What is in force by it.
+    pub to: Catalog,
     /// The head that it writes.
     pub head: Head,
     /// What it changes.
@@ -102,7 +104,7 @@
     },
     /// More keys than one transaction takes.
     #[error(
-        "the change touches {ops} keys, one transaction takes up to {MAX_OPS}; apply it in parts: tenants and databases first, their entries after"
+        "the change touches {ops} keys, one transaction takes up to {MAX_OPS}; apply it with `--in-parts`"
     )]
     TooMany {
         /// Keys written and removed.
@@ -110,7 +112,7 @@
     },
     /// More bytes than one transaction takes.
     #[error(
-        "the change takes {bytes} bytes, one transaction takes up to {MAX_BYTES}; apply it in parts: tenants and databases first, their entries after"
+        "the change takes {bytes} bytes, one transaction takes up to {MAX_BYTES}; apply it with `--in-parts`"
     )]
     TooMuch {
         /// Bytes of keys and values.
@@ -183,6 +185,7 @@
     fitting(&txn)?;
     Ok(Plan {
         from: from.clone(),
+        to: to.clone(),
         head,
         changes,
         txn,
--- a/crates/cli/src/cmd/apply.rs
+++ b/crates/cli/src/cmd/apply.rs
@@ -4,18 +4,20 @@
 
 use argh::FromArgs;
 use catalog::{
-    apply::{Action, Apply, Conflict, Event, Evidence, Outcome},
+    Catalog,
+    apply::Conflict,
     change::Change,
     head::{Head, Id},
     layout::Snapshot,
-    plan::{self, Plan, Proposal},
+    parts,
+    plan::{self, Proposal},
 };
-use ntex::time::sleep;
 use serde::Serialize;
 
 use crate::{
     error::Error,
     exit::Exit,
+    sender::{self, Sent},
     settings::{self, STORE},
     store::Store,
     util,
@@ -50,6 +52,11 @@
     #[argh(option)]
     from: Option<u64>,
 
+    /// where the change is too large for one transaction, apply it in parts,
+    /// each a whole and faultless catalogue
+    #[argh(switch)]
+    in_parts: bool,
+
     /// give the catalogue a new revision even if there is nothing to change,
     /// as is needed once after the store was restored from a backup
     #[argh(switch)]
@@ -74,7 +81,7 @@
 enum Report<'a> {
     Applied {
         revision: u64,
-        change: Id,
+        change: Option<Id>,
         changes: &'a [Change],
     },
     Same {
@@ -82,6 +89,8 @@
     },
     Conflict {
         revision: u64,
+        /// Parts that were accepted before the conflict.
+        accepted: usize,
         head: Option<&'a Head>,
         changes: &'a [Change],
     },
@@ -100,23 +109,62 @@
         && revision != from.revision
     {
         let conflict = since(&mut store, from, revision).await?;
-        return lost(args, &conflict);
+        return lost(args, &conflict, 0);
+    }
+    let steps = steps(args, &from, checked.catalog)?;
+    advance(args, &mut store, from, &steps, &author).await
+}
+
+/// The catalogues to put in force one after the other.
+fn steps(args: &Args, from: &Snapshot, to: Catalog) -> Result<Vec<Catalog>, Error> {
+    if from.catalog == to && !args.renew {
+        return Ok(Vec::new());
+    }
+    if args.in_parts && from.catalog != to {
+        return Ok(parts::split(&from.catalog, &to)?);
+    }
+    Ok(vec![to])
+}
+
+/// Puts `steps` in force, each on condition that the one before still is.
+async fn advance(
+    args: &Args,
+    store: &mut Store,
+    mut from: Snapshot,
+    steps: &[Catalog],
+    author: &str,
+) -> Result<Exit, Error> {
+    let mut changes = Vec::new();
+    for (at, step) in steps.iter().enumerate() {
+        let proposal = propose(args, author, at + 1, steps.len());
+        let plan = match plan::plan(&from, step, proposal.clone()) {
+            Err(plan::Error::Same) => plan::renew(&from, proposal)?,
+            other => other?,
+        };
+        match sender::send(store, plan).await? {
+            Sent::Applied(now, made) => {
+                changes.extend(made);
+                from = now;
+            }
+            Sent::Conflict(conflict) => return lost(args, &conflict, at),
+        }
+    }
+    if steps.is_empty() {
+        return same(args, from.revision);
+    }
+    applied(args, &from, &changes)
+}
+
+fn propose(args: &Args, author: &str, part: usize, of: usize) -> Proposal {
+    let mut message = args.message.clone();
+    if of > 1 {
+        message += &format!(" (part {part} of {of})");
     }
-    let proposal = Proposal {
+    Proposal {
         change: Id(rand::random()),
-        author,
-        message: args.message.clone(),
+        author: author.to_owned(),
+        message,
         time: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
-    };
-    let revision = from.revision;
-    match plan::plan(&from, &checked.catalog, proposal.clone()) {
-        Ok(plan) => send(args, &mut store, plan).await,
-        Err(plan::Error::Same) if args.renew => {
-            let plan = plan::renew(&from, proposal)?;
-            send(args, &mut store, plan).await
-        }
-        Err(plan::Error::Same) => same(args, revision),
-        Err(err) => Err(err.into()),
     }
 }
 
@@ -135,56 +183,10 @@
     })
 }
 
-async fn send(args: &Args, store: &mut Store, plan: Plan) -> Result<Exit, Error> {
-    let change = plan.head.change;
-    let mut fault = None;
-    let (mut apply, mut action) = Apply::open(plan);
-    let outcome = loop {
-        let event = match action {
-            Action::Send(wait, txn) => {
-                sleep(wait).await;
-                let (event, found) = store.run(&txn).await;
-                fault = found.or(fault);
-                event
-            }
-            Action::Read(wait, number) => {
-                sleep(wait).await;
-                read_back(store, number).await?
-            }
-            Action::Done(outcome) => break outcome,
-        };
-        action = apply.step(event);
-    };
-    match outcome {
-        Outcome::Applied(revision) => applied(args, revision, apply.plan()),
-        Outcome::Conflict(conflict) => lost(args, &conflict),
-        Outcome::NotRun => Err(Error::NotRun(fault)),
-        Outcome::Unknown => Err(Error::Unknown { change }),
-    }
-}
-
-/// Reads what is in force, and after it the change's record.
-///
-/// A store that does not answer is a matter for a further attempt; one that
-/// holds what this version can't read is an error at once.
-async fn read_back(store: &mut Store, number: u64) -> Result<Event, Error> {
-    let now = match store.snapshot().await {
-        Ok(now) => now,
-        Err(Error::Store(_)) => return Ok(Event::ReadFailed),
-        Err(err) => return Err(err),
-    };
-    let record = match store.record(number).await {
-        Ok(record) => record,
-        Err(Error::Store(_)) => return Ok(Event::ReadFailed),
-        Err(err) => return Err(err),
-    };
-    Ok(Event::Read(Box::new(Evidence { now, record })))
-}
-
-fn applied(args: &Args, revision: u64, plan: &Plan) -> Result<Exit, Error> {
-    let changes = &plan.changes;
+fn applied(args: &Args, now: &Snapshot, changes: &[Change]) -> Result<Exit, Error> {
+    let revision = now.revision;
     if args.json {
-        let change = plan.head.change;
+        let change = now.head.as_ref().map(|head| head.change);
         util::print_json(&Report::Applied {
             revision,
             change,
@@ -207,18 +209,25 @@
     Ok(Exit::Fine)
 }
 
-fn lost(args: &Args, conflict: &Conflict) -> Result<Exit, Error> {
+/// Tells of a conflict after `accepted` parts.
+fn lost(args: &Args, conflict: &Conflict, accepted: usize) -> Result<Exit, Error> {
     let revision = conflict.revision;
     let changes = &conflict.changes;
     if args.json {
         util::print_json(&Report::Conflict {
             revision,
+            accepted,
             head: conflict.head.as_ref(),
             changes,
         })?;
         return Ok(Exit::Conflict);
     }
-    eprintln!("conflict: nothing was changed; revision {revision} is in force now");
+    if accepted > 0 {
+        eprintln!("conflict: parts accepted before it: {accepted}; the others are not in force");
+    } else {
+        eprintln!("conflict: nothing was changed");
+    }
+    eprintln!("in force now: revision {revision}");
     if let Some(head) = &conflict.head {
         let author = util::clean(&head.author);
         let message = util::clean(&head.message);
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::{io, path::PathBuf};
 
-use catalog::{head::Id, layout, plan};
+use catalog::{head::Id, layout, parts, plan};
 
 use crate::{exit::Exit, http, settings, store};
 
@@ -42,6 +42,17 @@
         /// The change's mark.
         change: Id,
     },
+    /// The store's answer was lost, and what it holds now can't be read.
+    #[error("whether change {change} took effect is not known: {source}")]
+    Unread {
+        /// The change's mark.
+        change: Id,
+        /// Why it can't be read.
+        source: Box<Error>,
+    },
+    /// The change can't be split.
+    #[error(transparent)]
+    Parts(#[from] parts::Error),
     /// The store refused the change or could not be reached.
     #[error("nothing was changed: {}", reason(.0.as_ref()))]
     NotRun(Option<::store::Fault>),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod exit;
 mod fleet;
 mod http;
+mod sender;
 mod settings;
 mod store;
 mod summary;
--- a/crates/cli/tests/cmd/apply.rs
+++ b/crates/cli/tests/cmd/apply.rs
@@ -158,7 +158,11 @@
         "apply", "--from", "1", "-m", "late", "--store", &at, "10.toml",
     ]);
     assert_eq!(run.code, 3, "{run:?}");
-    assert!(run.err.contains("revision 2 is in force now"), "{run:?}");
+    assert!(
+        run.err
+            .contains("nothing was changed\nin force now: revision 2"),
+        "{run:?}"
+    );
     assert!(run.err.contains("connections: 8 -> 9"), "{run:?}");
     assert_eq!(store.writes(), 2);
 }
@@ -210,3 +214,36 @@
     assert!(run.err.contains("bad.toml:15:15"), "{run:?}");
     assert_eq!(store.calls(), calls);
 }
+
+/// The catalogue of `catalog(8)` with 200 further entries.
+fn large() -> String {
+    let entry = |n| {
+        format!(
+            "[entry.calendar-{n}]\ntenant = \"yard\"\ndatabase = \"core\"\n\
+             freshness = \"current\"\nconnections = 8\nqueue = 1\ndeadline_ms = 1\n"
+        )
+    };
+    catalog(8) + &(0..200).map(entry).collect::<String>()
+}
+
+#[test]
+fn a_large_change_is_applied_in_parts_when_asked() {
+    let (dir, store, at) = applied();
+    dir.file("large.toml", &large());
+    let args = ["apply", "-m", "all", "--store", &at, "large.toml"];
+    let run = dir.run(&args);
+    assert_eq!(run.code, 1);
+    assert!(run.err.contains("touches 202 keys"), "{run:?}");
+    assert!(run.err.contains("apply it with `--in-parts`"), "{run:?}");
+    assert_eq!(store.revision(), 1);
+
+    let mut args = args.to_vec();
+    args.push("--in-parts");
+    let run = dir.run(&args);
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(run.out.ends_with("accepted as revision 3\n"), "{run:?}");
+    let run = dir.run(&["history", "--store", &at]);
+    assert!(run.out.contains("all (part 2 of 2)"), "{run:?}");
+    let run = dir.run(&["diff", "--store", &at, "large.toml"]);
+    assert_eq!(run.out, "nothing to change from revision 3\n");
+}
