--- a/crates/catalog/src/apply.rs
+++ b/crates/catalog/src/apply.rs
@@ -36,6 +36,10 @@
     Committed(u64),
     /// The transaction's condition did not hold.
     Refused,
+    /// The store refused the transaction itself: it did not take effect.
+    Rejected,
+    /// The transaction never left.
+    NotSent,
     /// Whether the transaction took effect is not known.
     Lost,
     /// What the store holds.
@@ -73,6 +77,8 @@
     Applied(u64),
     /// Another change was faster; nothing of this one took effect.
     Conflict(Box<Conflict>),
+    /// The store refused it or could not be reached; it did not take effect.
+    NotRun,
     /// The store gave no answer that tells; the mark is in the plan's head.
     Unknown,
 }
@@ -94,6 +100,16 @@
     plan: Plan,
     sends: u32,
     reads: u32,
+    doubt: Doubt,
+}
+
+/// Whether a transaction that was sent may take effect unseen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    /// None was sent whose end is not known.
+    Settled,
+    /// An answer was lost.
+    Open,
 }
 
 impl Apply {
@@ -104,6 +120,7 @@
             plan,
             sends: 1,
             reads: 0,
+            doubt: Doubt::Settled,
         };
         (apply, Action::Send(Duration::ZERO, txn))
     }
@@ -113,12 +130,23 @@
         &self.plan
     }
 
+    /// The plan, for use after the end.
+    pub fn into_plan(self) -> Plan {
+        self.plan
+    }
+
     /// Takes what came back and tells what to do next.
     pub fn step(&mut self, event: Event) -> Action {
         match event {
             Event::Committed(revision) => Action::Done(Outcome::Applied(revision)),
             Event::Refused => self.read(Duration::ZERO),
-            Event::Lost => self.read(backoff(self.sends)),
+            Event::Rejected if self.doubt == Doubt::Settled => Action::Done(Outcome::NotRun),
+            Event::Rejected => self.read(Duration::ZERO),
+            Event::NotSent => self.read(backoff(self.sends)),
+            Event::Lost => {
+                self.doubt = Doubt::Open;
+                self.read(backoff(self.sends))
+            }
             Event::ReadFailed => self.read(backoff(self.reads)),
             Event::Read(evidence) => {
                 self.reads = 0;
@@ -127,9 +155,10 @@
         }
     }
 
+    /// Asks for what the store holds, unless that was asked in vain too often.
     fn read(&mut self, wait: Duration) -> Action {
         if self.reads == MAX_READS {
-            return Action::Done(Outcome::Unknown);
+            return self.give_up();
         }
         self.reads += 1;
         Action::Read(wait, self.plan.head.number)
@@ -162,9 +191,18 @@
         Action::Done(Outcome::Conflict(Box::new(conflict)))
     }
 
+    /// Ends without the store's word. Even a change that was not found may
+    /// still take effect, where a request of it was lost on its way.
+    fn give_up(&self) -> Action {
+        Action::Done(match self.doubt {
+            Doubt::Settled => Outcome::NotRun,
+            Doubt::Open => Outcome::Unknown,
+        })
+    }
+
     fn send_again(&mut self) -> Action {
         if self.sends == MAX_SENDS {
-            return Action::Done(Outcome::Unknown);
+            return self.give_up();
         }
         let wait = backoff(self.sends);
         self.sends += 1;
--- /dev/null
+++ b/crates/cli/src/cmd/apply.rs
@@ -0,0 +1,240 @@
+//! `dandelionlink apply`
+
+use std::{path::PathBuf, time::SystemTime};
+
+use argh::FromArgs;
+use catalog::{
+    Catalog,
+    apply::Conflict,
+    change::Change,
+    head::{Head, Id},
+    layout::Snapshot,
+    parts,
+    plan::{self, Proposal},
+};
+use serde::Serialize;
+
+use crate::{
+    error::Error,
+    exit::Exit,
+    sender::{self, Sent},
+    settings::{self, STORE},
+    store::Store,
+    util,
+};
+
+/// Put a catalogue file in force.
+///
+/// The change is one transaction on condition that nothing was changed since
+/// it was planned: of two operators who apply at once, one wins whole, and the
+/// other sees what changed. Where the store's answer is lost, the change is
+/// recognised by its mark when read back, and never applied twice.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "apply",
+    example = "{command_name} -m \"more room for calendars\" stalgenoot.toml",
+    error_code(0, "The change is accepted, or there is nothing to change."),
+    error_code(1, "It failed; the message tells whether it may have taken effect."),
+    error_code(2, "The command line or a setting is wrong."),
+    error_code(3, "Another change was faster; nothing was changed.")
+)]
+pub(crate) struct Args {
+    /// why the change is made
+    #[argh(option, short = 'm')]
+    message: String,
+
+    /// who makes it (DANDELIONLINK_AUTHOR, else USER)
+    #[argh(option)]
+    author: Option<String>,
+
+    /// apply only if this revision is still in force
+    #[argh(option)]
+    from: Option<u64>,
+
+    /// where the change is too large for one transaction, apply it in parts,
+    /// each a whole and faultless catalogue
+    #[argh(switch)]
+    in_parts: bool,
+
+    /// give the catalogue a new revision even if there is nothing to change,
+    /// as is needed once after the store was restored from a backup
+    #[argh(switch)]
+    renew: bool,
+
+    /// the store's endpoints, IP:PORT parted by commas (DANDELIONLINK_STORE)
+    #[argh(option)]
+    store: Option<String>,
+
+    /// print the result as JSON
+    #[argh(switch)]
+    json: bool,
+
+    /// the catalogue file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// What became of the change.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "lowercase")]
+enum Report<'a> {
+    Applied {
+        revision: u64,
+        change: Option<Id>,
+        changes: &'a [Change],
+    },
+    Same {
+        revision: u64,
+    },
+    Conflict {
+        revision: u64,
+        /// Parts that were accepted before the conflict.
+        accepted: usize,
+        head: Option<&'a Head>,
+        changes: &'a [Change],
+    },
+}
+
+pub(crate) async fn run(args: &Args) -> Result<Exit, Error> {
+    let endpoints = settings::addresses(STORE, args.store.as_deref())?;
+    settings::text("--message", &args.message)?;
+    let author = settings::author(args.author.as_deref())?;
+    let checked = util::read(&args.file)?;
+    util::warn(&args.file, &checked);
+
+    let mut store = Store::open(endpoints).await?;
+    let from = store.snapshot().await?;
+    if let Some(revision) = args.from
+        && revision != from.revision
+    {
+        let conflict = since(&mut store, from, revision).await?;
+        return lost(args, &conflict, 0);
+    }
+    let steps = steps(args, &from, checked.catalog)?;
+    advance(args, &mut store, from, &steps, &author).await
+}
+
+/// The catalogues to put in force one after the other.
+fn steps(args: &Args, from: &Snapshot, to: Catalog) -> Result<Vec<Catalog>, Error> {
+    if from.catalog == to && !args.renew {
+        return Ok(Vec::new());
+    }
+    if args.in_parts && from.catalog != to {
+        return Ok(parts::split(&from.catalog, &to)?);
+    }
+    Ok(vec![to])
+}
+
+/// Puts `steps` in force, each on condition that the one before still is.
+async fn advance(
+    args: &Args,
+    store: &mut Store,
+    mut from: Snapshot,
+    steps: &[Catalog],
+    author: &str,
+) -> Result<Exit, Error> {
+    let mut changes = Vec::new();
+    for (at, step) in steps.iter().enumerate() {
+        let proposal = propose(args, author, at + 1, steps.len());
+        let plan = match plan::plan(&from, step, proposal.clone()) {
+            Err(plan::Error::Same) => plan::renew(&from, proposal)?,
+            other => other?,
+        };
+        match sender::send(store, plan).await? {
+            Sent::Applied(now, made) => {
+                changes.extend(made);
+                from = now;
+            }
+            Sent::Conflict(conflict) => return lost(args, &conflict, at),
+        }
+    }
+    if steps.is_empty() {
+        return same(args, from.revision);
+    }
+    applied(args, &from, &changes)
+}
+
+fn propose(args: &Args, author: &str, part: usize, of: usize) -> Proposal {
+    let mut message = args.message.clone();
+    if of > 1 {
+        message += &format!(" (part {part} of {of})");
+    }
+    Proposal {
+        change: Id(rand::random()),
+        author: author.to_owned(),
+        message,
+        time: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
+    }
+}
+
+/// What changed since `revision`, which is in force no more.
+async fn since(store: &mut Store, now: Snapshot, revision: u64) -> Result<Conflict, Error> {
+    let records = store.records().await?;
+    let changes = records
+        .into_iter()
+        .filter(|&(_, made)| made > revision)
+        .flat_map(|(record, _)| record.changes)
+        .collect();
+    Ok(Conflict {
+        head: now.head,
+        revision: now.revision,
+        changes,
+    })
+}
+
+fn applied(args: &Args, now: &Snapshot, changes: &[Change]) -> Result<Exit, Error> {
+    let revision = now.revision;
+    if args.json {
+        let change = now.head.as_ref().map(|head| head.change);
+        util::print_json(&Report::Applied {
+            revision,
+            change,
+            changes,
+        })?;
+        return Ok(Exit::Fine);
+    }
+    let mut text = util::lines(changes);
+    text += &format!("accepted as revision {revision}\n");
+    util::print(&text)?;
+    Ok(Exit::Fine)
+}
+
+fn same(args: &Args, revision: u64) -> Result<Exit, Error> {
+    if args.json {
+        util::print_json(&Report::Same { revision })?;
+    } else {
+        util::print(&format!("nothing to change from revision {revision}\n"))?;
+    }
+    Ok(Exit::Fine)
+}
+
+/// Tells of a conflict after `accepted` parts.
+fn lost(args: &Args, conflict: &Conflict, accepted: usize) -> Result<Exit, Error> {
+    let revision = conflict.revision;
+    let changes = &conflict.changes;
+    if args.json {
+        util::print_json(&Report::Conflict {
+            revision,
+            accepted,
+            head: conflict.head.as_ref(),
+            changes,
+        })?;
+        return Ok(Exit::Conflict);
+    }
+    if accepted > 0 {
+        eprintln!("conflict: parts accepted before it: {accepted}; the others are not in force");
+    } else {
+        eprintln!("conflict: nothing was changed");
+    }
+    eprintln!("in force now: revision {revision}");
+    if let Some(head) = &conflict.head {
+        let author = util::clean(&head.author);
+        let message = util::clean(&head.message);
+        eprintln!("last change: number {} by {author}: {message}", head.number);
+    }
+    eprintln!("changed meanwhile:");
+    eprint!("{}", util::lines(changes));
+    eprintln!("merge it into the file, look at `diff` again, and apply again");
+    Ok(Exit::Conflict)
+}
--- /dev/null
+++ b/crates/cli/src/store.rs
@@ -0,0 +1,157 @@
+//! The platform's store, as far as the tool needs it.
+//!
+//! Any endpoint will do: a read goes on to the next one on failure. A
+//! transaction goes to one endpoint only, since one that may have taken effect
+//! must not be sent elsewhere before its outcome was read back.
+
+use std::{net::SocketAddr, time::Duration};
+
+use catalog::{
+    apply::Event,
+    history::Record,
+    layout::{self, HISTORY, Key, PREFIX, Pair, Snapshot},
+    plan::Txn,
+};
+use store::{Answer, Call, Compare, Edge, Fault, Gateway, Put};
+
+use crate::error;
+
+/// The longest that a call takes.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// gRPC's codes for calls that were refused before they could take effect:
+/// invalid argument, permission denied, resource exhausted, unimplemented and
+/// unauthenticated. Others, such as unavailable, also come with a time-out
+/// after which etcd may still carry the call out.
+const NOT_RUN: [i64; 5] = [3, 7, 8, 12, 16];
+
+/// Why the store can't be used.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// No endpoint answered a read.
+    #[error("the store can't be read; tried {}", tried(.0))]
+    Down(Vec<(SocketAddr, Fault)>),
+}
+
+fn tried(endpoints: &[(SocketAddr, Fault)]) -> String {
+    let lines: Vec<_> = endpoints
+        .iter()
+        .map(|(address, fault)| format!("{address}: {fault}"))
+        .collect();
+    lines.join("; ")
+}
+
+/// The store at its endpoints.
+#[derive(Debug)]
+pub(crate) struct Store {
+    gateways: Vec<(SocketAddr, Gateway)>,
+    /// The endpoint that answered last.
+    at: usize,
+}
+
+impl Store {
+    /// Takes the endpoints; nothing is sent yet.
+    pub(crate) async fn open(endpoints: Vec<SocketAddr>) -> Result<Self, Error> {
+        let mut gateways = Vec::new();
+        for address in endpoints {
+            let gateway = Gateway::open(address, TIMEOUT).await;
+            let gateway = gateway.map_err(|fault| Error::Down(vec![(address, fault)]))?;
+            gateways.push((address, gateway));
+        }
+        Ok(Self { gateways, at: 0 })
+    }
+
+    /// The catalogue in force.
+    pub(crate) async fn snapshot(&mut self) -> Result<Snapshot, error::Error> {
+        let pairs = self.range(PREFIX).await?;
+        Ok(layout::decode(&pairs)?)
+    }
+
+    /// The record of change `number`, with the revision that it made.
+    pub(crate) async fn record(
+        &mut self,
+        number: u64,
+    ) -> Result<Option<(Record, u64)>, error::Error> {
+        let key = Key::History(number).to_string();
+        let records = self.records_in(&key).await?;
+        Ok(records.into_iter().next())
+    }
+
+    /// All records kept, oldest first, with the revisions that they made.
+    pub(crate) async fn records(&mut self) -> Result<Vec<(Record, u64)>, error::Error> {
+        self.records_in(HISTORY).await
+    }
+
+    async fn records_in(&mut self, prefix: &str) -> Result<Vec<(Record, u64)>, error::Error> {
+        let mut records = Vec::new();
+        for pair in self.range(prefix).await? {
+            records.push((Record::decode(&pair)?, pair.revision));
+        }
+        Ok(records)
+    }
+
+    async fn range(&mut self, prefix: &str) -> Result<Vec<Pair>, Error> {
+        let prefix = prefix.to_owned();
+        let call = Call::Range { prefix };
+        let mut faults = Vec::new();
+        for _ in 0..self.gateways.len() {
+            let (address, gateway) = &self.gateways[self.at];
+            match gateway.call(&call).await {
+                Ok(Answer::Pairs { pairs, .. }) => {
+                    return Ok(pairs.into_iter().map(pair).collect());
+                }
+                Ok(_) => faults.push((*address, Fault::Malformed { what: "no pairs" })),
+                Err(fault) => faults.push((*address, fault)),
+            }
+            self.at = (self.at + 1) % self.gateways.len();
+        }
+        Err(Error::Down(faults))
+    }
+
+    /// Sends `txn` once and tells how that ended, with the fault if any.
+    pub(crate) async fn run(&mut self, txn: &Txn) -> (Event, Option<Fault>) {
+        let (_, gateway) = &self.gateways[self.at];
+        match gateway.call(&call(txn)).await {
+            Ok(Answer::Swapped { revision }) => (Event::Committed(revision), None),
+            Ok(Answer::Conflict { .. }) => (Event::Refused, None),
+            Ok(_) => (Event::Lost, None),
+            Err(fault) => (event(&fault), Some(fault)),
+        }
+    }
+}
+
+/// What a fault says of the transaction it befell.
+fn event(fault: &Fault) -> Event {
+    match fault {
+        Fault::Unreachable { .. } => Event::NotSent,
+        Fault::Refused { code, .. } if NOT_RUN.contains(code) => Event::Rejected,
+        Fault::Refused { .. } | Fault::Lost | Fault::Compacted { .. } | Fault::Malformed { .. } => {
+            Event::Lost
+        }
+    }
+}
+
+fn pair(pair: store::Pair) -> Pair {
+    Pair {
+        key: pair.key,
+        value: pair.value,
+        revision: pair.revision,
+    }
+}
+
+fn call(txn: &Txn) -> Call {
+    let compare = |compare: &catalog::plan::Compare| Compare {
+        key: compare.key.clone(),
+        revision: compare.revision,
+    };
+    let put = |put: &catalog::plan::Put| Put {
+        key: put.key.clone(),
+        value: put.value.clone(),
+        lease: None,
+    };
+    Call::Txn {
+        compares: txn.compares.iter().map(compare).collect(),
+        puts: txn.puts.iter().map(put).collect(),
+        deletes: txn.deletes.clone(),
+    }
+}
