Seal frames between instances

Cause: instances on many hosts talk over UDP and TCP, where frames are forged, replayed, oversized or of another version. Change: crate wire with messages, HMAC seals under two keys, replay windows per sender, a nonce per TCP connection, format 2 with format 1 still spoken. Conclusion: nothing is decoded before its seal was verified.

--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,34 @@
+//! Frames between instances: their messages, seals and replay windows.
+//!
+//! A [`Gate`] turns a [`Message`] into the bytes of a datagram or of a frame on
+//! a TCP stream, and back. Every frame carries the format's number, a key's id,
+//! its sender, the sender's incarnation and a sequence number, and is sealed
+//! with HMAC-SHA-256 truncated to [`TAG_LEN`] bytes. Nothing is decoded before
+//! its seal was verified.
+
+mod error;
+mod frame;
+mod gate;
+mod key;
+mod message;
+mod previous;
+mod replay;
+mod stream;
+
+pub use error::Error;
+pub use frame::{DATAGRAM_MAX, Format, Header, STREAM_MAX, TAG_LEN};
+pub use gate::{Frame, Gate};
+pub use key::{Key, KeyError, Ring};
+pub use message::{
+    Change, Delta, Evidence, Mark, Message, Node, Part, Record, Revision, State, Update, Verdict,
+    View,
+};
+pub use stream::{Side, Stream};
+
+/// The length in bytes of `message` in the newest format, without its frame.
+pub fn len(message: &Message) -> usize {
+    postcard::experimental::serialized_size(message).unwrap_or(usize::MAX)
+}
+
+/// The bytes that a frame adds to its message, at most.
+pub const FRAME_LEN: usize = frame::PREFIX_LEN + frame::HEADER_MAX + TAG_LEN;
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,257 @@
+//! What instances tell each other.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use model::{Term, name};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// An instance's short name on the wire: a hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Node(pub [u8; 8]);
+
+impl Node {
+    /// The short name of `instance`.
+    ///
+    /// ```
+    /// let name = model::name::Instance::new("nl-1").unwrap();
+    /// assert_eq!(wire::Node::of(&name), wire::Node::of(&name));
+    /// ```
+    pub fn of(instance: &name::Instance) -> Self {
+        Self(xxh3_64(instance.as_str().as_bytes()).to_le_bytes())
+    }
+
+    /// The hash as a number.
+    pub fn number(self) -> u64 {
+        u64::from_le_bytes(self.0)
+    }
+}
+
+/// A state of the store's keys that the fleet mirrors.
+///
+/// The store's revision orders all changes. The epoch is raised by operators
+/// after the store was restored from a backup, and goes before the number.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Revision {
+    /// How often operators have declared the store restored.
+    pub epoch: u32,
+    /// The store's revision.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Before any change: what an instance that holds nothing has.
+    pub const NONE: Self = Self {
+        epoch: 0,
+        number: 0,
+    };
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.epoch, self.number)
+    }
+}
+
+/// What an instance holds, told with each heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct View {
+    /// The newest revision that it mirrors.
+    pub revision: Revision,
+    /// A digest over all keys, revisions and values of that revision.
+    pub digest: u64,
+    /// The catalogue revision in force, where it is not the newest mirrored.
+    pub applied: Option<Revision>,
+    /// A digest over its table of members.
+    pub members: u32,
+}
+
+/// Whether a member may be given work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It did not answer several peers; it may refute this.
+    Suspect,
+    /// It finishes what runs and takes no new work.
+    Leaving,
+    /// It said goodbye, or was silent for long.
+    Gone,
+}
+
+/// All that is known of a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Its name.
+    pub name: name::Instance,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// Where it listens for peers, by UDP and by TCP.
+    pub address: SocketAddr,
+    /// Its start in milliseconds since the Unix epoch times 1,024, plus one for
+    /// each suspicion that it refuted.
+    pub incarnation: u64,
+    /// Its state.
+    pub state: State,
+}
+
+/// A change of state of a member that the receiver is likely to know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The member.
+    pub node: Node,
+    /// The incarnation that the state is of.
+    pub incarnation: u64,
+    /// Its state.
+    pub state: State,
+}
+
+/// A rumour about a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// A member that joined or restarted.
+    Record(Record),
+    /// A change of state.
+    Mark(Mark),
+}
+
+/// One key of the store, as it was at a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The key.
+    pub key: Arc<str>,
+    /// The store's revision that wrote or removed it.
+    pub revision: u64,
+    /// Its value, or `None` where it was removed.
+    pub value: Option<Bytes>,
+}
+
+/// What leads from one revision to the next.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The revision that it applies to.
+    pub from: Revision,
+    /// What changed.
+    pub changes: Vec<Change>,
+}
+
+/// One frame of an answer to [`Message::Pull`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The revision that it applies to; `None` when the answer holds every key.
+    pub from: Option<Revision>,
+    /// The revision that it leads to.
+    pub to: Revision,
+    /// The digest of that revision.
+    pub digest: u64,
+    /// Counts the parts of an answer from zero.
+    pub index: u32,
+    /// How many parts the answer has.
+    pub count: u32,
+    /// What changed.
+    pub changes: Vec<Change>,
+}
+
+/// What a prober saw of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It answered and serves.
+    Serving,
+    /// It did not answer in time.
+    Silent,
+    /// It refused the connection.
+    Refused,
+    /// It answered, but wrongly.
+    Broken,
+}
+
+/// Direct evidence about an upstream, exchanged between its candidates.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The database.
+    pub database: name::Database,
+    /// The upstream that was probed.
+    pub upstream: name::Upstream,
+    /// The term that the prober holds the upstream to lead in.
+    pub term: Term,
+    /// The prober's zone.
+    pub zone: name::Zone,
+    /// What it saw.
+    pub verdict: Verdict,
+    /// How long it has seen this without a break, in milliseconds.
+    pub for_ms: u32,
+}
+
+/// A message between instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// By UDP: a heartbeat that asks for an [`Message::Ack`].
+    Ping {
+        /// The sender's number for this probe.
+        probe: u32,
+        /// What the sender holds.
+        view: View,
+        /// Rumours about members.
+        updates: Vec<Update>,
+    },
+    /// By UDP: the answer to a ping, or to a probe that a helper passed on.
+    Ack {
+        /// The number of the probe that is answered.
+        probe: u32,
+        /// What the sender holds.
+        view: View,
+        /// Rumours about members.
+        updates: Vec<Update>,
+    },
+    /// By UDP: asks the receiver to ping `target` for the sender.
+    Probe {
+        /// The sender's number for this probe.
+        probe: u32,
+        /// Whom to ping.
+        target: SocketAddr,
+    },
+    /// By UDP: a new revision or member, told at once.
+    Rumour {
+        /// What the sender holds.
+        view: View,
+        /// The step to it, where that is small.
+        delta: Option<Delta>,
+        /// Rumours about members.
+        updates: Vec<Update>,
+    },
+    /// By UDP: digests of the table of members, a bucket each.
+    Buckets(Vec<u32>),
+    /// By UDP: what a prober saw of an upstream.
+    Evidence(Evidence),
+    /// By TCP: asks for what leads from a revision to the newest.
+    Pull(Revision),
+    /// By TCP: an answer to a pull, in parts.
+    Part(Part),
+    /// By TCP: the receiver answers too many pulls already.
+    Busy,
+    /// By TCP: asks for the members in some buckets; empty asks for all.
+    Members(Vec<u16>),
+    /// By TCP: the members asked for.
+    Table(Vec<Record>),
+    /// By TCP: a statement for an upstream connection that the receiver holds.
+    Forward {
+        /// The generation of the connection; an answer to an earlier one is dropped.
+        generation: u64,
+        /// Counts the statements of that generation.
+        sequence: u64,
+        /// The statement, in a form that the pool settles.
+        body: Bytes,
+    },
+    /// By TCP: the answer to a forwarded statement.
+    Answer {
+        /// The generation of the connection that answers.
+        generation: u64,
+        /// Which statement is answered.
+        sequence: u64,
+        /// The answer, in a form that the pool settles.
+        body: Bytes,
+    },
+}
--- /dev/null
+++ b/crates/wire/tests/frame.rs
@@ -0,0 +1,238 @@
+//! What a gate lets in, and what it drops.
+
+use std::net::SocketAddr;
+
+use wire::{
+    DATAGRAM_MAX, Error, Evidence, Format, Gate, Message, Node, Revision, Ring, STREAM_MAX, Side,
+    Stream, Verdict, View,
+};
+
+const OLD_KEY: &str = "1:00112233445566778899aabbccddeeff";
+const NEW_KEY: &str = "2:ffeeddccbbaa99887766554433221100";
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn gate(id: u8, incarnation: u64, keys: &str) -> Gate {
+    let ring = Ring::parse(keys).unwrap();
+    Gate::open(Node([id; 8]), incarnation, address(id.into()), ring)
+}
+
+fn ping(probe: u32) -> Message {
+    Message::Ping {
+        probe,
+        view: View::default(),
+        updates: Vec::new(),
+    }
+}
+
+fn evidence() -> Message {
+    Message::Evidence(Evidence {
+        database: model::name::Database::new("booking-core").unwrap(),
+        upstream: model::name::Upstream::new("bc-1").unwrap(),
+        term: model::Term(4),
+        zone: model::name::Zone::new("nl-west-a").unwrap(),
+        verdict: Verdict::Silent,
+        for_ms: 300,
+    })
+}
+
+#[test]
+fn forged_frames_are_dropped() {
+    // Symptom: a host without the key moves the fleet to a revision of its own.
+    // Events: it sends frames of the right shape, and changes caught ones.
+    // Cause it guards against: decoding before the seal was verified.
+    let mut ours = gate(1, 7, OLD_KEY);
+    let mut theirs = gate(2, 7, OLD_KEY);
+    let bytes = ours.seal(address(2), None, &ping(1)).unwrap();
+    for at in 0..bytes.len() {
+        let mut forged = bytes.clone();
+        forged[at] ^= 1;
+        let error = theirs.receive(&forged).unwrap_err();
+        let expected = match at {
+            0 => Error::ForeignFormat(3),
+            1 => Error::UnknownKey(0),
+            _ => Error::Unauthenticated,
+        };
+        assert_eq!(error, expected, "byte {at}");
+    }
+    let mut stranger = gate(1, 7, "1:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa");
+    let forged = stranger.seal(address(2), None, &ping(1)).unwrap();
+    assert_eq!(theirs.receive(&forged), Err(Error::Unauthenticated));
+    assert_eq!(theirs.receive(&bytes).unwrap().message, ping(1));
+}
+
+#[test]
+fn replayed_frames_are_dropped() {
+    // Symptom: a member that left is back, or evidence is counted twice.
+    // Events: a datagram is recorded and sent again, now or after a restart, or
+    // sent to another instance that has not seen it.
+    // Cause: authentic bytes stay authentic; only windows and the receiver's
+    // address under the seal tell the copies apart.
+    let mut ours = gate(1, 7, OLD_KEY);
+    let mut theirs = gate(2, 7, OLD_KEY);
+    let mut others = gate(3, 7, OLD_KEY);
+    let first = ours.seal(address(2), None, &ping(1)).unwrap();
+    let second = ours.seal(address(2), None, &ping(2)).unwrap();
+    assert!(theirs.receive(&second).is_ok());
+    assert!(theirs.receive(&first).is_ok(), "late is not replayed");
+    assert_eq!(theirs.receive(&first), Err(Error::Replayed));
+    assert_eq!(theirs.receive(&second), Err(Error::Replayed));
+    assert_eq!(others.receive(&first), Err(Error::Unauthenticated));
+
+    let mut restarted = gate(1, 8, OLD_KEY);
+    let bytes = restarted.seal(address(2), None, &ping(1)).unwrap();
+    assert!(theirs.receive(&bytes).is_ok());
+    let old = ours.seal(address(2), None, &ping(9)).unwrap();
+    assert_eq!(theirs.receive(&old), Err(Error::EarlierIncarnation));
+}
+
+#[test]
+fn a_frame_older_than_the_window_is_dropped() {
+    let mut ours = gate(1, 7, OLD_KEY);
+    let mut theirs = gate(2, 7, OLD_KEY);
+    let old = ours.seal(address(2), None, &ping(0)).unwrap();
+    let edge = ours.seal(address(2), None, &ping(1)).unwrap();
+    for probe in 2..129 {
+        let bytes = ours.seal(address(2), None, &ping(probe)).unwrap();
+        theirs.receive(&bytes).unwrap();
+    }
+    assert_eq!(theirs.receive(&old), Err(Error::Replayed));
+    assert!(theirs.receive(&edge).is_ok());
+}
+
+#[test]
+fn keys_rotate_without_a_stop() {
+    let old = gate(1, 7, OLD_KEY);
+    let rings = [
+        OLD_KEY.to_owned(),
+        format!("{OLD_KEY},{NEW_KEY}"),
+        format!("{NEW_KEY},{OLD_KEY}"),
+        NEW_KEY.to_owned(),
+    ];
+    let mut ours = old;
+    let mut theirs = gate(2, 7, OLD_KEY);
+    for step in rings.windows(2) {
+        // The fleet is between two rounds: each end may have either ring.
+        for (a, b) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+            ours.rotate(Ring::parse(&step[a]).unwrap());
+            theirs.rotate(Ring::parse(&step[b]).unwrap());
+            let bytes = ours.seal(address(2), None, &ping(1)).unwrap();
+            assert!(theirs.receive(&bytes).is_ok(), "{step:?} {a} {b}");
+        }
+    }
+    ours.rotate(Ring::parse(OLD_KEY).unwrap());
+    let bytes = ours.seal(address(2), None, &ping(1)).unwrap();
+    assert_eq!(theirs.receive(&bytes), Err(Error::UnknownKey(1)));
+}
+
+#[test]
+fn the_previous_format_is_spoken_during_an_upgrade() {
+    // Symptom: half of the fleet is deaf to the other during an upgrade.
+    // Events: instances of formats 1 and 2 run side by side for minutes.
+    // Cause: a new version that writes only what it likes best.
+    let mut new = gate(1, 7, OLD_KEY);
+    let mut old = gate(2, 7, OLD_KEY);
+    let view = View {
+        revision: Revision {
+            epoch: 0,
+            number: 812,
+        },
+        digest: 5,
+        applied: None,
+        members: 9,
+    };
+    let message = Message::Rumour {
+        view,
+        delta: None,
+        updates: Vec::new(),
+    };
+    let bytes = old.seal_in(Format::Previous, address(1), &message).unwrap();
+    let frame = new.receive(&bytes).unwrap();
+    assert_eq!(frame.format, Format::Previous);
+    assert_eq!(frame.message, message);
+
+    let peer = Some(frame.header.sender);
+    let answer = new.seal(address(2), peer, &message).unwrap();
+    assert_eq!(answer[0], Format::Previous.number());
+    assert_eq!(old.receive(&answer).unwrap().message, message);
+    assert_eq!(
+        new.seal(address(2), peer, &evidence()),
+        Err(Error::NotInFormat)
+    );
+
+    // Once the peer was upgraded it writes format 2, and is answered in it.
+    let bytes = old.seal(address(1), None, &message).unwrap();
+    new.receive(&bytes).unwrap();
+    let answer = new.seal(address(2), peer, &evidence()).unwrap();
+    assert_eq!(answer[0], Format::Newest.number());
+}
+
+#[test]
+fn foreign_formats_and_short_frames_are_dropped() {
+    let mut ours = gate(1, 7, OLD_KEY);
+    assert_eq!(ours.receive(&[]), Err(Error::Truncated));
+    assert_eq!(ours.receive(&[2, 1]), Err(Error::Truncated));
+    assert_eq!(ours.receive(&[9; 64]), Err(Error::ForeignFormat(9)));
+    let huge = vec![2; DATAGRAM_MAX + 1];
+    let error = Error::Oversized {
+        len: DATAGRAM_MAX + 1,
+        max: DATAGRAM_MAX,
+    };
+    assert_eq!(ours.receive(&huge), Err(error));
+}
+
+#[test]
+fn an_oversized_message_is_not_sent() {
+    let mut ours = gate(1, 7, OLD_KEY);
+    let message = Message::Buckets(vec![u32::MAX; 400]);
+    let error = ours.seal(address(2), None, &message).unwrap_err();
+    assert_eq!(error.label(), "oversized");
+    let length = u32::try_from(STREAM_MAX + 1).unwrap().to_le_bytes();
+    let error = Stream::length(length).unwrap_err();
+    assert_eq!(error.label(), "oversized");
+}
+
+#[test]
+fn a_connection_played_back_runs_nothing() {
+    // Symptom: a payment that was forwarded once is booked twice.
+    // Events: the bytes of a connection between two instances are recorded and
+    // sent again on a connection of the attacker's.
+    // Cause: the seals of the first connection are still authentic.
+    let ring = Ring::parse(OLD_KEY).unwrap();
+    let open = |id, nonce, side| Stream::open(Node([id; 8]), 7, ring.clone(), nonce, side);
+    let mut ours = open(1, [5; 16], Side::Connector);
+    let mut theirs = open(2, [5; 16], Side::Acceptor);
+    let forward = Message::Forward {
+        generation: 1,
+        sequence: 1,
+        body: bytes::Bytes::from_static(b"insert"),
+    };
+    let first = ours.seal(&forward).unwrap();
+    let second = ours.seal(&forward).unwrap();
+    let (first, second) = (&first[Stream::LENGTH_LEN..], &second[Stream::LENGTH_LEN..]);
+    assert_eq!(theirs.receive(second), Err(Error::Replayed), "a gap");
+    assert_eq!(theirs.receive(first).unwrap().message, forward);
+    assert_eq!(theirs.receive(first), Err(Error::Replayed));
+    assert_eq!(theirs.receive(second).unwrap().message, forward);
+
+    let mut again = open(2, [6; 16], Side::Acceptor);
+    assert_eq!(again.receive(first), Err(Error::Unauthenticated));
+    let mut reflected = open(1, [5; 16], Side::Connector);
+    assert_eq!(reflected.receive(first), Err(Error::Unauthenticated));
+}
+
+#[test]
+fn bad_rings_are_refused() {
+    use wire::KeyError;
+
+    let error = |text: &str| Ring::parse(text).unwrap_err();
+    assert_eq!(error(""), KeyError::None);
+    assert_eq!(error("0011"), KeyError::Shape);
+    assert_eq!(error("1:001"), KeyError::Hexadecimal(1));
+    assert_eq!(error("1:0011"), KeyError::Short(1));
+    assert_eq!(error(&format!("{OLD_KEY},{OLD_KEY}")), KeyError::SameId(1));
+    let three = format!("{OLD_KEY},{NEW_KEY},3:{}", "ab".repeat(16));
+    assert_eq!(error(&three), KeyError::TooMany);
+}
