--- /dev/null
+++ b/crates/fleet/src/answer.rs
@@ -0,0 +1,106 @@
+//! Answering peers that pull.
+
+use std::time::Duration;
+
+use clock::Instant;
+use wire::{Change, Message, Part, Revision};
+
+use crate::Fleet;
+
+/// The most bytes of keys and values in one frame, below the frame's limit by
+/// more than the largest value's key and numbers take.
+const PART_MAX: usize = 900 * 1024;
+/// An answer above this many bytes counts against the allowance.
+const LARGE_MIN: usize = 64 * 1024;
+/// How many large answers may go out at once.
+const LARGE_BURST: u32 = 4;
+/// How long it takes until one more large answer may go out.
+const LARGE_EVERY: Duration = Duration::from_millis(250);
+
+/// How many large answers may go out now.
+///
+/// A whole zone that starts anew would else pull everything from the few peers
+/// it knows, and take their processors and memory from the work they do.
+#[derive(Debug)]
+pub(crate) struct Allowance {
+    left: u32,
+    refilled: Instant,
+}
+
+impl Allowance {
+    pub(crate) fn open(now: Instant) -> Self {
+        Self {
+            left: LARGE_BURST,
+            refilled: now,
+        }
+    }
+
+    fn take(&mut self, now: Instant) -> Option<()> {
+        while self.left < LARGE_BURST && now.since(self.refilled) >= LARGE_EVERY {
+            self.left += 1;
+            self.refilled = self.refilled + LARGE_EVERY;
+        }
+        if self.left == LARGE_BURST {
+            self.refilled = now;
+        }
+        self.left = self.left.checked_sub(1)?;
+        Some(())
+    }
+}
+
+impl Fleet {
+    pub(crate) fn on_asked(&mut self, now: Instant, stream: u64, message: Message) {
+        let messages = match message {
+            Message::Pull(from) => self.answer_pull(now, from),
+            Message::Members(buckets) => vec![Message::Table(self.table.records(&buckets))],
+            _ => Vec::new(),
+        };
+        self.out.push(crate::Action::Reply { stream, messages });
+    }
+
+    fn answer_pull(&mut self, now: Instant, from: Revision) -> Vec<Message> {
+        let (from, changes) = self.mirror.since(from);
+        let len: usize = changes.iter().map(len).sum();
+        if len > LARGE_MIN && self.pulls.allowance.take(now).is_none() {
+            return vec![Message::Busy];
+        }
+        let chunks = chunks(changes);
+        let count = chunks.len() as u32;
+        (0u32..)
+            .zip(chunks)
+            .map(|(index, changes)| {
+                Message::Part(Part {
+                    from,
+                    to: self.mirror.revision(),
+                    digest: self.mirror.digest(),
+                    index,
+                    count,
+                    changes,
+                })
+            })
+            .collect()
+    }
+}
+
+fn len(change: &Change) -> usize {
+    change.key.len() + change.value.as_ref().map_or(0, |bytes| bytes.len()) + 24
+}
+
+/// Parts changes into frames; there is at least one, if an empty one.
+fn chunks(changes: Vec<Change>) -> Vec<Vec<Change>> {
+    let mut chunks = vec![Vec::new()];
+    let mut room = PART_MAX;
+    for change in changes {
+        let len = len(&change);
+        let full = chunks.last().is_some_and(|chunk| !chunk.is_empty());
+        if len > room && full {
+            chunks.push(Vec::new());
+            room = PART_MAX;
+        }
+        room = room.saturating_sub(len);
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.push(change);
+        }
+    }
+    chunks
+}
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,502 @@
+//! One instance's part in the fleet.
+
+use std::net::SocketAddr;
+
+use clock::{Instant, Timer};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use wire::{Evidence, Mark, Message, Node, Record, State, Update, View};
+
+use crate::{
+    Action, Call, Conf, Event, Member, Mirror, Notice, Table,
+    event::Store,
+    force::Force,
+    gossip::{Gossip, Telling},
+    list::List,
+    probe::{self, Probes},
+    pull::{self, Pulls},
+    push::{self, Push},
+    rank,
+    relay::{self, Relay},
+    table::Merge,
+};
+
+/// How long a new or resumed instance listens to peers before it believes what
+/// the store says: a store restored from a backup may be older than they are.
+const SETTLE_WAIT: std::time::Duration = std::time::Duration::from_secs(1);
+/// An instance not stepped for this long was paused: its timers all fell due at
+/// once, and peers that answered meanwhile would look silent.
+const PAUSE_MIN: std::time::Duration = std::time::Duration::from_secs(5);
+/// How many instances exchange evidence about a database's upstreams.
+const CANDIDATES: usize = 3;
+
+/// What a moment was subscribed to for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Due {
+    /// The next heartbeat.
+    Period,
+    /// A probe waits for its answer no longer.
+    Probe(u32),
+    /// The next round of telling news.
+    Push,
+    /// A pull waits for its answer no longer.
+    Pull(Call),
+    /// The store is to be checked, or waited for no longer.
+    Relay(u64),
+    /// Peers had their time to tell what they hold.
+    Settle,
+    /// The next members are asked for a survey.
+    Survey,
+}
+
+/// Whether peers were heard since the start or the last pause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Settled {
+    Waiting,
+    Done,
+}
+
+/// One instance's part in the fleet.
+///
+/// ```
+/// use clock::Instant;
+/// use fleet::{Conf, Event, Fleet};
+/// use model::name;
+///
+/// let conf = Conf {
+///     name: name::Instance::new("nl-1").unwrap(),
+///     zone: name::Zone::new("nl-west-a").unwrap(),
+///     address: "127.0.0.1:7000".parse().unwrap(),
+///     started_ms: 1_790_000_000_000,
+///     format: 1,
+///     relays: Conf::RELAYS,
+///     seeds: vec![],
+///     seed: 7,
+/// };
+/// let (mut fleet, actions) = Fleet::open(conf, Instant::ZERO);
+/// assert!(!actions.is_empty());
+/// fleet.step(Instant::from_millis(900), Event::Wake);
+/// assert!(fleet.applied() == wire::Revision::NONE);
+/// ```
+#[derive(Debug)]
+pub struct Fleet {
+    pub(crate) conf: Conf,
+    pub(crate) node: Node,
+    pub(crate) incarnation: u64,
+    pub(crate) state: State,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) timer: Timer<Due>,
+    pub(crate) table: Table,
+    pub(crate) gossip: Gossip,
+    pub(crate) probes: Probes,
+    pub(crate) mirror: Mirror,
+    pub(crate) force: Force,
+    pub(crate) push: Push,
+    pub(crate) pulls: Pulls,
+    pub(crate) relay: Relay,
+    pub(crate) list: List,
+    pub(crate) settled: Settled,
+    pub(crate) last_step: Instant,
+    calls: u64,
+    wake: Option<Instant>,
+    pub(crate) out: Vec<Action>,
+}
+
+impl Fleet {
+    /// Opens an instance's part, with the first actions to take.
+    pub fn open(conf: Conf, now: Instant) -> (Self, Vec<Action>) {
+        let node = Node::of(&conf.name);
+        let mut fleet = Self {
+            node,
+            incarnation: conf.incarnation(),
+            state: State::Alive,
+            rng: ChaCha8Rng::seed_from_u64(conf.seed ^ node.number()),
+            timer: Timer::default(),
+            table: Table::default(),
+            gossip: Gossip::default(),
+            probes: Probes::default(),
+            mirror: Mirror::default(),
+            force: Force::default(),
+            push: Push::default(),
+            pulls: Pulls::open(now),
+            relay: Relay::default(),
+            list: List::default(),
+            settled: Settled::Waiting,
+            last_step: now,
+            calls: 0,
+            wake: None,
+            out: Vec::new(),
+            conf,
+        };
+        fleet.tell_self(now);
+        fleet.timer.subscribe(now + SETTLE_WAIT, Due::Settle);
+        fleet.start_period(now);
+        fleet.ping_seeds();
+        let actions = fleet.finish(now);
+        (fleet, actions)
+    }
+
+    /// Takes in what happened at `now`.
+    ///
+    /// Moments must not go back; an event is handled after all timers that fell
+    /// due before it.
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        self.notice_pause(now);
+        self.last_step = now;
+        for due in self.timer.expired(now) {
+            self.on_due(now, due);
+        }
+        self.on_event(now, event);
+        self.finish(now)
+    }
+
+    /// This instance's short name.
+    pub fn node(&self) -> Node {
+        self.node
+    }
+
+    /// The members, this instance included.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// The keys held.
+    pub fn mirror(&self) -> &Mirror {
+        &self.mirror
+    }
+
+    /// The revision of the catalogue in force.
+    pub fn applied(&self) -> wire::Revision {
+        self.force.applied()
+    }
+
+    /// The members that may be given work, the strongest for `key` first.
+    pub fn rank(&self, key: &str) -> Vec<&Member> {
+        rank(key, self.table.members())
+    }
+
+    /// The members that watch the store for `zone`, as seen from here.
+    pub fn relays(&self, zone: &model::name::Zone) -> Vec<&Member> {
+        let mut ranked = rank(relay::DUTY, self.table.zone(zone));
+        ranked.truncate(self.conf.relays);
+        ranked
+    }
+
+    fn on_due(&mut self, now: Instant, due: Due) {
+        match due {
+            Due::Period => self.on_period(now),
+            Due::Probe(probe) => self.on_probe_due(now, probe),
+            Due::Push => self.on_push_due(now),
+            Due::Pull(call) => self.on_pull_failed(now, call),
+            Due::Relay(turn) => self.on_relay_due(now, turn),
+            Due::Settle => self.settle(now),
+            Due::Survey => self.on_survey_due(now),
+        }
+    }
+
+    fn on_event(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Wake => {}
+            Event::Message {
+                from,
+                address,
+                message,
+            } => self.on_message(now, from, address, message),
+            Event::Answer { call, message } => self.on_answer(now, call, message),
+            Event::Failed(call) => self.on_pull_failed(now, call),
+            Event::Asked { stream, message } => self.on_asked(now, stream, message),
+            Event::Store { call, answer } => self.on_store(now, call, answer),
+            Event::Instances(listings) => self.on_list(now, &listings),
+            Event::Refused(revision) => {
+                let action = self.force.refuse(revision);
+                self.out.extend(action);
+            }
+            Event::Evidence(evidence) => self.spread_evidence(evidence),
+            Event::Survey => self.start_survey(now),
+            Event::Leave => self.leave(now),
+            Event::Stop => self.stop(now),
+        }
+    }
+
+    fn on_message(&mut self, now: Instant, from: Node, address: SocketAddr, message: Message) {
+        match message {
+            Message::Ping {
+                probe,
+                view,
+                updates,
+            } => {
+                self.hear(now, from, address, &view, &updates);
+                self.answer_ping(from, address, probe);
+            }
+            Message::Ack {
+                probe,
+                view,
+                updates,
+            } => {
+                self.hear(now, from, address, &view, &updates);
+                self.on_ack(now, from, address, probe);
+            }
+            Message::Probe { probe, target } => self.help(now, address, probe, target),
+            Message::Rumour {
+                view,
+                delta,
+                updates,
+            } => {
+                if let Some(delta) = delta {
+                    self.on_delta(now, &view, &delta);
+                }
+                self.hear(now, from, address, &view, &updates);
+            }
+            Message::Buckets(sums) => self.compare_buckets(now, address, &sums),
+            Message::Evidence(evidence) => self.out.push(Action::Evidence(evidence)),
+            // What belongs on a stream means nothing in a datagram.
+            Message::Pull(_)
+            | Message::Part(_)
+            | Message::Busy
+            | Message::Members(_)
+            | Message::Table(_)
+            | Message::Forward { .. }
+            | Message::Answer { .. } => {}
+        }
+    }
+
+    /// Takes in what every heartbeat and rumour tells.
+    fn hear(
+        &mut self,
+        now: Instant,
+        from: Node,
+        address: SocketAddr,
+        view: &View,
+        updates: &[Update],
+    ) {
+        for update in updates {
+            self.merge(now, update);
+        }
+        if let Some(member) = self.table.find_mut(from) {
+            member.view = Some((*view, now));
+        }
+        self.compare_views(now, from, address, view);
+    }
+
+    pub(crate) fn merge(&mut self, now: Instant, update: &Update) {
+        let (node, telling) = match self.take_in(now, update) {
+            (_, Merge::Known | Merge::Stranger) => return,
+            (node, Merge::Joined) => (node, Telling::Record),
+            (node, Merge::Changed) => (node, Telling::Mark),
+        };
+        self.announce(now, node, telling);
+    }
+
+    /// Merges what is told of a member, unless it is of this instance itself.
+    fn take_in(&mut self, now: Instant, update: &Update) -> (Node, Merge) {
+        let (node, incarnation, state) = match update {
+            Update::Record(record) => (Node::of(&record.name), record.incarnation, record.state),
+            Update::Mark(mark) => (mark.node, mark.incarnation, mark.state),
+        };
+        if node == self.node {
+            self.refute(now, incarnation, state);
+            return (node, Merge::Known);
+        }
+        (node, self.table.merge(now, update))
+    }
+
+    /// Merges a record from a peer's table. It is not passed on as a rumour: a
+    /// member that joins would repeat the whole table to those who know it.
+    pub(crate) fn merge_quietly(&mut self, now: Instant, record: &Record) {
+        let update = Update::Record(record.clone());
+        if let (node, Merge::Joined | Merge::Changed) = self.take_in(now, &update) {
+            self.report_member(now, node);
+        }
+    }
+
+    /// Passes on a change of a member, and tells the daemon.
+    pub(crate) fn announce(&mut self, now: Instant, node: Node, telling: Telling) {
+        self.gossip.tell(node, telling);
+        self.report_member(now, node);
+    }
+
+    fn report_member(&mut self, now: Instant, node: Node) {
+        let Some(member) = self.table.find(node) else {
+            return;
+        };
+        let record = member.record.clone();
+        // Work goes on to a leaving member until it is known to leave, so this
+        // does not wait for heartbeats.
+        if record.state == State::Leaving {
+            self.start_push(now);
+        }
+        self.out.push(Action::Member(record));
+    }
+
+    /// Contradicts a rumour about this instance that is not true.
+    ///
+    /// A paused or slow instance is suspected by peers and gets no work; it
+    /// would stay out of service for ever unless a later incarnation overruled
+    /// the suspicion.
+    fn refute(&mut self, now: Instant, incarnation: u64, state: State) {
+        if (incarnation, state) <= (self.incarnation, self.state) {
+            return;
+        }
+        self.incarnation = self.incarnation.max(incarnation) + 1;
+        self.tell_self(now);
+    }
+
+    pub(crate) fn record(&self) -> Record {
+        Record {
+            name: self.conf.name.clone(),
+            zone: self.conf.zone.clone(),
+            address: self.conf.address,
+            incarnation: self.incarnation,
+            state: self.state,
+        }
+    }
+
+    pub(crate) fn tell_self(&mut self, now: Instant) {
+        let record = self.record();
+        self.table.merge_record(now, &record);
+        self.gossip.tell(self.node, Telling::Record);
+    }
+
+    pub(crate) fn leave(&mut self, now: Instant) {
+        if self.state >= State::Leaving {
+            return;
+        }
+        self.state = State::Leaving;
+        self.tell_self(now);
+        self.start_push(now);
+    }
+
+    /// Says goodbye: peers need not find out by silence.
+    fn stop(&mut self, now: Instant) {
+        self.state = State::Gone;
+        let record = self.record();
+        self.table.merge_record(now, &record);
+        let mark = Mark {
+            node: self.node,
+            incarnation: self.incarnation,
+            state: State::Gone,
+        };
+        let view = self.view();
+        for to in self.push_targets(push::GOODBYES) {
+            let message = Message::Rumour {
+                view,
+                delta: None,
+                updates: vec![Update::Mark(mark)],
+            };
+            self.send(to, message);
+        }
+        self.stop_relay();
+        self.timer = Timer::default();
+    }
+
+    pub(crate) fn view(&self) -> View {
+        let applied = self.force.applied();
+        let held = self.force.held().is_some();
+        View {
+            revision: self.mirror.revision(),
+            digest: self.mirror.digest(),
+            applied: held.then_some(applied),
+            members: self.table.digest(),
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, message: Message) {
+        self.out.push(Action::Send {
+            to,
+            node: None,
+            message,
+        });
+    }
+
+    pub(crate) fn notice(&mut self, notice: Notice) {
+        self.out.push(Action::Notice(notice));
+    }
+
+    pub(crate) fn call(&mut self) -> Call {
+        self.calls += 1;
+        Call(self.calls)
+    }
+
+    pub(crate) fn ask_store(&mut self, request: crate::Request) -> Call {
+        let call = self.call();
+        self.out.push(Action::Store(Store { call, request }));
+        call
+    }
+
+    fn spread_evidence(&mut self, evidence: Evidence) {
+        let key = format!("candidate/{}", evidence.database);
+        let ranked = rank(&key, self.table.members());
+        let candidates: Vec<_> = ranked
+            .into_iter()
+            .take(CANDIDATES)
+            .map(|member| (member.node, member.record.address))
+            .collect();
+        for (node, to) in candidates {
+            if node == self.node {
+                self.out.push(Action::Evidence(evidence.clone()));
+            } else {
+                self.send(to, Message::Evidence(evidence.clone()));
+            }
+        }
+    }
+
+    fn notice_pause(&mut self, now: Instant) {
+        let gap = now.since(self.last_step);
+        if gap < PAUSE_MIN {
+            return;
+        }
+        // Milliseconds of a pause fit in 64 bits.
+        self.notice(Notice::Paused(gap.as_millis() as u64));
+        self.timer = Timer::default();
+        self.probes = Probes::default();
+        self.pulls = Pulls::open(now);
+        self.stop_relay();
+        self.settled = Settled::Waiting;
+        self.timer.subscribe(now + SETTLE_WAIT, Due::Settle);
+        self.timer.subscribe(now, Due::Period);
+    }
+
+    /// Believes the store from now on, and puts in force what is held.
+    pub(crate) fn settle(&mut self, now: Instant) {
+        if self.settled == Settled::Done {
+            return;
+        }
+        self.settled = Settled::Done;
+        self.look();
+        self.review_duty(now);
+    }
+
+    /// Puts the catalogue in force if it is whole and can be understood.
+    pub(crate) fn look(&mut self) {
+        if self.settled == Settled::Waiting {
+            return;
+        }
+        let action = self.force.look(&self.mirror, self.conf.format);
+        self.out.extend(action);
+    }
+
+    fn finish(&mut self, now: Instant) -> Vec<Action> {
+        let next = self.timer.next();
+        let due = self.wake.is_none_or(|wake| wake <= now);
+        if let Some(at) = next
+            && (due || self.wake != next)
+        {
+            self.wake = next;
+            self.out.push(Action::Wake(at));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// The bytes of control state that this instance holds.
+    pub fn state_bytes(&self) -> usize {
+        size_of::<Self>()
+            + self.table.state_bytes()
+            + self.mirror.state_bytes()
+            + self.gossip.state_bytes()
+            + self.probes.state_bytes()
+            + self.pulls.state_bytes()
+    }
+}
+
+const _: () = assert!(probe::PERIOD.as_millis() < PAUSE_MIN.as_millis());
+const _: () = assert!(pull::WAIT.as_millis() < PAUSE_MIN.as_millis());
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,39 @@
+//! Membership, and the spread of the store's keys over all instances.
+//!
+//! [`Fleet`] is one instance's part in the fleet. It is pure: it is stepped
+//! with a moment and an [`Event`] and returns [`Action`]s. Each instance
+//!
+//! * keeps a [`Table`] of members from heartbeats, goodbyes, rumours and the
+//!   platform's list;
+//! * holds a [`Mirror`] of the store's catalogue and primary records, which only
+//!   moves forward, a whole revision at a time;
+//! * watches the store itself only while it is one of its zone's few relays.
+
+mod answer;
+mod conf;
+mod event;
+mod fleet;
+mod force;
+mod gossip;
+mod keys;
+mod list;
+mod member;
+mod mirror;
+mod probe;
+mod pull;
+mod push;
+mod rank;
+mod relay;
+mod status;
+mod table;
+
+pub use conf::Conf;
+pub use event::{Action, Answer, Call, Event, Listing, Notice, Request, Scope, Standing, Store};
+pub use fleet::Fleet;
+pub use force::{Held, Reason};
+pub use keys::{HEAD, Head, RANGE_END, RANGE_START};
+pub use member::Member;
+pub use mirror::{Error, Mirror};
+pub use rank::{Duties, rank, weight};
+pub use status::{Reach, Status, Watch, ZoneStatus};
+pub use table::Table;
--- /dev/null
+++ b/crates/fleet/src/list.rs
@@ -0,0 +1,121 @@
+//! The platform's list of instances, which lags and may be wrong.
+
+use clock::Instant;
+use wire::{Node, Record, State};
+
+use crate::{Action, Fleet, Listing, Notice, Standing, fleet::Settled, table::Merge};
+
+/// What the list says of this instance.
+#[derive(Debug, Default)]
+pub(crate) struct List {
+    ours: Option<Standing>,
+}
+
+impl Fleet {
+    /// Takes in the list.
+    ///
+    /// It introduces members and tells who leaves. It buries nobody: a member
+    /// that answers heartbeats lives, whether the list has it or not.
+    pub(crate) fn on_list(&mut self, now: Instant, listings: &[Listing]) {
+        self.introduce(now, listings);
+        if self.distrusts(listings) {
+            return;
+        }
+        for listing in listings {
+            self.on_listing(now, listing);
+        }
+        self.review_duty(now);
+    }
+
+    fn introduce(&mut self, now: Instant, listings: &[Listing]) {
+        let waiting = self.settled == Settled::Waiting;
+        let mut greeted = 0;
+        for listing in listings {
+            let record = Record {
+                name: listing.name.clone(),
+                zone: listing.zone.clone(),
+                address: listing.address,
+                // Below any incarnation of a process: its own word goes first.
+                incarnation: 0,
+                state: State::Alive,
+            };
+            if Node::of(&record.name) == self.node {
+                continue;
+            }
+            let known = self.table.merge_record(now, &record) != Merge::Joined;
+            if !known {
+                self.out.push(Action::Member(record));
+            }
+            if waiting && greeted < GREETED_MAX && listing.zone == self.conf.zone {
+                greeted += 1;
+                self.greet(listing.address);
+            }
+        }
+    }
+
+    /// Whether the list would take away most of the members that answer.
+    ///
+    /// A platform whose list is empty or marks everyone as leaving, while the
+    /// instances answer each other, would else stop the whole service at once.
+    fn distrusts(&mut self, listings: &[Listing]) -> bool {
+        let alive = self
+            .table
+            .members()
+            .filter(|member| member.record.state == State::Alive)
+            .count();
+        let leaving = listings
+            .iter()
+            .filter(|listing| listing.standing == Standing::Leaving)
+            .filter(|listing| {
+                let member = self.table.find(Node::of(&listing.name));
+                member.is_some_and(|member| member.record.state == State::Alive)
+            })
+            .count();
+        let distrusted = listings.is_empty() && alive > 1 || leaving * 2 > alive;
+        if distrusted {
+            let lost = if listings.is_empty() { alive } else { leaving };
+            self.notice(Notice::ListDistrusted { lost, alive });
+        }
+        distrusted
+    }
+
+    fn on_listing(&mut self, now: Instant, listing: &Listing) {
+        let node = Node::of(&listing.name);
+        if node == self.node {
+            self.on_own_listing(now, listing.standing);
+            return;
+        }
+        let changed = self.table.set_listed(node, Some(listing.standing));
+        if let Some(member) = changed {
+            let record = member.record.clone();
+            self.out.push(Action::Member(record));
+        }
+    }
+
+    fn on_own_listing(&mut self, now: Instant, standing: Standing) {
+        let before = self.list.ours.replace(standing);
+        match (before, standing) {
+            (Some(Standing::Leaving), Standing::Leaving) | (None, Standing::Live) => {}
+            (_, Standing::Leaving) => {
+                self.notice(Notice::ListedLeaving);
+                self.leave(now);
+            }
+            (Some(Standing::Leaving), Standing::Live) => self.come_back(now),
+            (Some(Standing::Live), Standing::Live) => {}
+        }
+    }
+
+    /// The platform took back that this instance leaves.
+    fn come_back(&mut self, now: Instant) {
+        if self.state != State::Leaving {
+            return;
+        }
+        self.state = State::Alive;
+        self.incarnation += 1;
+        self.tell_self(now);
+        self.start_push(now);
+    }
+}
+
+/// How many members of the own zone are greeted at once when starting.
+const GREETED_MAX: usize = 5;
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,33 @@
+//! One member, as this instance knows it.
+
+use clock::Instant;
+use wire::{Node, Record, State, View};
+
+use crate::Standing;
+
+/// One member, as this instance knows it.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its short name.
+    pub node: Node,
+    /// Its name, zone, address, incarnation and state.
+    pub record: Record,
+    /// Since when it has this state.
+    pub since: Instant,
+    /// What the platform's list says of it, unless the list is distrusted.
+    pub listed: Option<Standing>,
+    /// What it held when it was last heard, and when that was.
+    pub view: Option<(View, Instant)>,
+}
+
+impl Member {
+    /// Whether it may be given new work.
+    pub fn workable(&self) -> bool {
+        self.record.state == State::Alive && self.listed != Some(Standing::Leaving)
+    }
+
+    /// Whether it is worth sending to: it is not known to be away.
+    pub(crate) fn reachable(&self) -> bool {
+        matches!(self.record.state, State::Alive | State::Leaving)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/mirror.rs
@@ -0,0 +1,308 @@
+//! A copy of the store's keys that only moves forward.
+
+use std::{collections::BTreeMap, mem::size_of, sync::Arc};
+
+use bytes::Bytes;
+use wire::{Change, Revision};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::keys;
+
+/// How many removed keys are remembered, so that a peer which missed their
+/// removal catches up by what differs.
+const REMOVED_MAX: usize = 1_024;
+
+/// Why changes were not taken; nothing of them was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The changes lead to a revision that is not newer.
+    #[error("revision {to} is not newer than {held}")]
+    NotNewer {
+        /// The revision held.
+        held: Revision,
+        /// The revision that the changes lead to.
+        to: Revision,
+    },
+    /// The changes start from another revision than the one held.
+    #[error("the changes start from {from}, not from {held}")]
+    Gap {
+        /// The revision held.
+        held: Revision,
+        /// The revision that the changes start from.
+        from: Revision,
+    },
+    /// The changes are not sorted by key, or are newer than their revision.
+    #[error("the changes are out of order")]
+    Order,
+    /// The keys would not add up to the digest told with them.
+    #[error("the keys do not add up to the digest told with them")]
+    Digest,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Value {
+    revision: u64,
+    bytes: Bytes,
+}
+
+/// The keys of one revision of the store.
+///
+/// ```
+/// use fleet::Mirror;
+/// use wire::{Change, Revision};
+///
+/// let mut mirror = Mirror::default();
+/// let to = Revision { epoch: 0, number: 7 };
+/// let change = Change { key: "primary/a".into(), revision: 7, value: Some("x".into()) };
+/// mirror.advance(Revision::NONE, to, None, &[change]).unwrap();
+/// assert_eq!(mirror.revision(), to);
+/// assert!(mirror.advance(Revision::NONE, to, None, &[]).is_err());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Mirror {
+    revision: Revision,
+    digest: u64,
+    values: BTreeMap<Arc<str>, Value>,
+    removed: BTreeMap<Arc<str>, u64>,
+    /// Removals up to this revision may have been forgotten.
+    floor: u64,
+    /// The newest revision that wrote or removed a key of the catalogue.
+    catalog: u64,
+}
+
+impl Mirror {
+    /// The revision held.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// A digest over all keys, revisions and values.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The number of keys.
+    pub fn len(&self) -> usize {
+        self.values.len()
+    }
+
+    /// Whether it holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.values.is_empty()
+    }
+
+    /// The revision that wrote `key`, and its value.
+    pub fn find(&self, key: &str) -> Option<(u64, &Bytes)> {
+        let value = self.values.get(key)?;
+        Some((value.revision, &value.bytes))
+    }
+
+    /// The newest revision that touched the catalogue.
+    pub(crate) fn catalog(&self) -> u64 {
+        self.catalog
+    }
+
+    /// Moves on by `changes`, which lead from the revision held to `to`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]; nothing is changed then.
+    pub fn advance(
+        &mut self,
+        from: Revision,
+        to: Revision,
+        digest: Option<u64>,
+        changes: &[Change],
+    ) -> Result<(), Error> {
+        let held = self.revision;
+        if to <= held {
+            return Err(Error::NotNewer { held, to });
+        }
+        if from != held {
+            return Err(Error::Gap { held, from });
+        }
+        check_order(to, changes)?;
+        let sum = changes.iter().fold(self.digest, |sum, change| {
+            let before = self.values.get(&change.key);
+            let before = before.map_or(0, |value| digest_of(&change.key, value));
+            let after = change.value.as_ref().map_or(0, |bytes| {
+                digest_of_parts(&change.key, change.revision, bytes)
+            });
+            sum.wrapping_sub(before).wrapping_add(after)
+        });
+        if digest.is_some_and(|digest| digest != sum) {
+            return Err(Error::Digest);
+        }
+        for change in changes {
+            self.put(change);
+        }
+        self.digest = sum;
+        self.revision = to;
+        self.forget_removed();
+        Ok(())
+    }
+
+    /// Takes `changes` as all the keys of revision `to`, and tells what differs
+    /// from what was held.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]; nothing is changed then.
+    pub fn replace(
+        &mut self,
+        to: Revision,
+        digest: Option<u64>,
+        changes: &[Change],
+    ) -> Result<Vec<Change>, Error> {
+        let held = self.revision;
+        if to < held {
+            return Err(Error::NotNewer { held, to });
+        }
+        check_order(to, changes)?;
+        let mut next = Self {
+            revision: to,
+            floor: to.number,
+            ..Self::default()
+        };
+        for change in changes {
+            next.put(change);
+        }
+        next.digest = next.values.iter().fold(0, |sum, (key, value)| {
+            sum.wrapping_add(digest_of(key, value))
+        });
+        if digest.is_some_and(|digest| digest != next.digest) {
+            return Err(Error::Digest);
+        }
+        let differences = self.differences(&next);
+        let catalog = differences
+            .iter()
+            .filter(|change| change.key.starts_with(keys::CATALOG))
+            .map(|change| change.revision)
+            .max();
+        next.catalog = next.catalog.max(catalog.unwrap_or(0));
+        *self = next;
+        Ok(differences)
+    }
+
+    /// What leads from `from` to the revision held: the revision it starts
+    /// from, or `None` when every key is told; sorted by key.
+    pub fn since(&self, from: Revision) -> (Option<Revision>, Vec<Change>) {
+        let nothing = from == Revision::NONE;
+        if nothing || from.epoch != self.revision.epoch || from.number < self.floor {
+            return (None, self.all());
+        }
+        let values = self
+            .values
+            .iter()
+            .filter(|(_, value)| value.revision > from.number)
+            .map(|(key, value)| change_of(key, value));
+        let removed = self
+            .removed
+            .iter()
+            .filter(|&(_, &revision)| revision > from.number)
+            .map(|(key, &revision)| removal(key, revision));
+        let mut changes: Vec<_> = values.chain(removed).collect();
+        changes.sort_by(|a, b| a.key.cmp(&b.key));
+        (Some(from), changes)
+    }
+
+    /// Every key, sorted.
+    pub fn all(&self) -> Vec<Change> {
+        let values = self.values.iter();
+        values.map(|(key, value)| change_of(key, value)).collect()
+    }
+
+    /// The bytes that it takes in memory, B-tree nodes reckoned at two thirds
+    /// full.
+    pub fn state_bytes(&self) -> usize {
+        let slot = size_of::<Arc<str>>() + size_of::<Value>();
+        let values = self.values.iter().map(|(key, value)| {
+            // An `Arc` and the shared part of a `Bytes` each have two counters.
+            slot * 3 / 2 + key.len() + 16 + value.bytes.len() + 32
+        });
+        let removed = self.removed.keys().map(|key| 24 * 3 / 2 + key.len() + 16);
+        size_of::<Self>() + values.sum::<usize>() + removed.sum::<usize>()
+    }
+
+    fn put(&mut self, change: &Change) {
+        if change.key.starts_with(keys::CATALOG) {
+            self.catalog = self.catalog.max(change.revision);
+        }
+        match &change.value {
+            Some(bytes) => {
+                let value = Value {
+                    revision: change.revision,
+                    bytes: bytes.clone(),
+                };
+                self.removed.remove(&change.key);
+                self.values.insert(change.key.clone(), value);
+            }
+            None => {
+                self.values.remove(&change.key);
+                self.removed.insert(change.key.clone(), change.revision);
+            }
+        }
+    }
+
+    fn forget_removed(&mut self) {
+        if self.removed.len() <= REMOVED_MAX {
+            return;
+        }
+        let mut revisions: Vec<_> = self.removed.values().copied().collect();
+        revisions.sort_unstable();
+        self.floor = revisions[revisions.len() / 2];
+        let floor = self.floor;
+        self.removed.retain(|_, revision| *revision > floor);
+    }
+
+    fn differences(&self, next: &Self) -> Vec<Change> {
+        let written = next
+            .values
+            .iter()
+            .filter(|&(key, value)| self.values.get(key) != Some(value))
+            .map(|(key, value)| change_of(key, value));
+        let removed = self
+            .values
+            .keys()
+            .filter(|&key| !next.values.contains_key(key))
+            .map(|key| removal(key, next.revision.number));
+        let mut changes: Vec<_> = written.chain(removed).collect();
+        changes.sort_by(|a, b| a.key.cmp(&b.key));
+        changes
+    }
+}
+
+/// A key told twice would make the digest wrong for what is then held.
+fn check_order(to: Revision, changes: &[Change]) -> Result<(), Error> {
+    let sorted = changes.windows(2).all(|pair| pair[0].key < pair[1].key);
+    let known = changes.iter().all(|change| change.revision <= to.number);
+    if sorted && known {
+        Ok(())
+    } else {
+        Err(Error::Order)
+    }
+}
+
+fn change_of(key: &Arc<str>, value: &Value) -> Change {
+    Change {
+        key: key.clone(),
+        revision: value.revision,
+        value: Some(value.bytes.clone()),
+    }
+}
+
+fn removal(key: &Arc<str>, revision: u64) -> Change {
+    Change {
+        key: key.clone(),
+        revision,
+        value: None,
+    }
+}
+
+fn digest_of(key: &str, value: &Value) -> u64 {
+    digest_of_parts(key, value.revision, &value.bytes)
+}
+
+fn digest_of_parts(key: &str, revision: u64, bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, xxh3_64_with_seed(key.as_bytes(), revision))
+}
--- /dev/null
+++ b/crates/fleet/src/probe.rs
@@ -0,0 +1,361 @@
+//! Heartbeats: who answers, and who is suspected.
+//!
+//! Once a period an instance pings one member. When no answer comes in time it
+//! pings again and has helpers ping, each on its own path. Only a member that
+//! failed this twice in a row is suspected, since at one datagram in ten lost a
+//! single failure is common, and each suspicion costs rumours to all.
+
+use std::{collections::BTreeMap, mem::size_of, net::SocketAddr, time::Duration};
+
+use clock::Instant;
+use rand::Rng;
+use wire::{Mark, Message, Node, State};
+
+use crate::{
+    Fleet,
+    fleet::{Due, Settled},
+    gossip::Telling,
+};
+
+/// Between two heartbeats of an instance.
+pub(crate) const PERIOD: Duration = Duration::from_secs(1);
+/// How long the first ping of a probe may take: several times the way between
+/// regions.
+const DIRECT_WAIT: Duration = Duration::from_millis(400);
+/// How long the second ping and the helpers may take.
+const INDIRECT_WAIT: Duration = Duration::from_millis(900);
+/// How many helpers ping a member that did not answer.
+const HELPERS: usize = 3;
+/// Of this many heartbeats one goes to a member of another zone.
+const ABROAD_ONE_IN: u32 = 4;
+/// Of this many heartbeats one may go to a suspect, to find it back.
+const SUSPECT_ONE_IN: u32 = 8;
+/// How often a random choice among a zone's members is tried.
+const TRIES: usize = 16;
+/// How often the table is searched for members that were away for long.
+const EXPIRE_EVERY: u32 = 60;
+
+/// How far a probe has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The member was pinged.
+    Direct,
+    /// It was pinged again, and helpers were asked.
+    Indirect,
+}
+
+/// Which of the two probes that lead to a suspicion this is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Attempt {
+    First,
+    Second,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Purpose {
+    /// A heartbeat of our own.
+    Own {
+        target: Node,
+        stage: Stage,
+        attempt: Attempt,
+    },
+    /// A ping for a peer that got no answer.
+    Helped { asker: SocketAddr, probe: u32 },
+    /// A greeting or a survey, whose silence means nothing.
+    Courtesy,
+}
+
+/// The probes that wait for an answer.
+#[derive(Debug, Default)]
+pub(crate) struct Probes {
+    made: u32,
+    waiting: BTreeMap<u32, Purpose>,
+    periods: u32,
+    survey: Vec<Node>,
+}
+
+impl Probes {
+    fn make(&mut self, purpose: Purpose) -> u32 {
+        self.made = self.made.wrapping_add(1);
+        self.waiting.insert(self.made, purpose);
+        self.made
+    }
+
+    pub(crate) fn state_bytes(&self) -> usize {
+        self.waiting.len() * (size_of::<Purpose>() + 4) * 3 / 2
+            + self.survey.capacity() * size_of::<Node>()
+    }
+}
+
+/// How many members a survey asks at once, and how long it then waits, so that
+/// asking 4,000 members takes four seconds and no burst.
+const SURVEY_BATCH: usize = 50;
+const SURVEY_WAIT: Duration = Duration::from_millis(50);
+
+impl Fleet {
+    /// The first heartbeat falls anywhere in the first period, so that instances
+    /// started together do not beat together.
+    pub(crate) fn start_period(&mut self, now: Instant) {
+        let millis = PERIOD.as_millis() as u64;
+        let wait = Duration::from_millis(self.rng.random_range(0..millis));
+        self.timer.subscribe(now + wait, Due::Period);
+    }
+
+    pub(crate) fn on_period(&mut self, now: Instant) {
+        self.timer.subscribe(now + PERIOD, Due::Period);
+        self.probes.periods = self.probes.periods.wrapping_add(1);
+        if self.probes.periods.is_multiple_of(EXPIRE_EVERY) {
+            self.expire(now);
+        }
+        self.review_duty(now);
+        match self.choose_target() {
+            Some(target) => self.probe(now, target, Attempt::First),
+            None => self.ping_seeds(),
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for node in self.table.expire(now) {
+            self.announce(now, node, Telling::Mark);
+        }
+    }
+
+    /// Greets the peers of the settings, and members of the list not heard yet.
+    pub(crate) fn ping_seeds(&mut self) {
+        for to in self.conf.seeds.clone() {
+            if to != self.conf.address {
+                self.greet(to);
+            }
+        }
+    }
+
+    pub(crate) fn greet(&mut self, to: SocketAddr) {
+        let probe = self.probes.make(Purpose::Courtesy);
+        self.ping(to, probe, None);
+        // Greetings are not timed; only the last one's answer matters.
+        self.probes.waiting.remove(&probe);
+    }
+
+    fn choose_target(&mut self) -> Option<Node> {
+        let suspects = self.rng.random_ratio(1, SUSPECT_ONE_IN);
+        let abroad = self.rng.random_ratio(1, ABROAD_ONE_IN);
+        let wanted = |state: State| match state {
+            State::Alive | State::Leaving => true,
+            State::Suspect => suspects,
+            State::Gone => false,
+        };
+        let found = if abroad {
+            self.choose_abroad(wanted)
+        } else {
+            self.choose_at_home(wanted)
+        };
+        found
+            .or_else(|| self.choose_at_home(wanted))
+            .or_else(|| self.choose_abroad(wanted))
+            .or_else(|| self.choose_at_home(|state| state != State::Gone))
+            .or_else(|| self.choose_abroad(|state| state != State::Gone))
+    }
+
+    pub(crate) fn choose_at_home(&mut self, wanted: impl Fn(State) -> bool) -> Option<Node> {
+        let zone = self.conf.zone.clone();
+        self.choose_in(&zone, wanted)
+    }
+
+    /// A member of another zone: the zone first, so that each is heard of alike.
+    pub(crate) fn choose_abroad(&mut self, wanted: impl Fn(State) -> bool) -> Option<Node> {
+        let zones = self.table.zones().count();
+        if zones < 2 {
+            return None;
+        }
+        for _ in 0..TRIES / 4 {
+            let at = self.rng.random_range(0..zones);
+            let zone = self.table.zones().nth(at)?.clone();
+            if zone == self.conf.zone {
+                continue;
+            }
+            if let Some(node) = self.choose_in(&zone, &wanted) {
+                return Some(node);
+            }
+        }
+        None
+    }
+
+    fn choose_in(
+        &mut self,
+        zone: &model::name::Zone,
+        wanted: impl Fn(State) -> bool,
+    ) -> Option<Node> {
+        let nodes = self.table.nodes(zone);
+        if nodes.is_empty() {
+            return None;
+        }
+        for _ in 0..TRIES {
+            let node = nodes[self.rng.random_range(0..nodes.len())];
+            let state = self.table.find(node)?.record.state;
+            if node != self.node && wanted(state) {
+                return Some(node);
+            }
+        }
+        None
+    }
+
+    fn probe(&mut self, now: Instant, target: Node, attempt: Attempt) {
+        let Some(member) = self.table.find(target) else {
+            return;
+        };
+        let to = member.record.address;
+        let probe = self.probes.make(Purpose::Own {
+            target,
+            stage: Stage::Direct,
+            attempt,
+        });
+        self.ping(to, probe, Some(target));
+        self.timer.subscribe(now + DIRECT_WAIT, Due::Probe(probe));
+    }
+
+    /// Pings `to`, with the doubt about `target`, if any, told first: who is
+    /// suspected must hear it to refute it.
+    fn ping(&mut self, to: SocketAddr, probe: u32, target: Option<Node>) {
+        let doubted = target.filter(|&node| self.doubts(node));
+        let message = Message::Ping {
+            probe,
+            view: self.view(),
+            updates: self.gossip.take(&self.table, doubted),
+        };
+        self.send(to, message);
+    }
+
+    fn doubts(&self, node: Node) -> bool {
+        let member = self.table.find(node);
+        member.is_some_and(|member| !member.reachable())
+    }
+
+    pub(crate) fn answer_ping(&mut self, from: Node, to: SocketAddr, probe: u32) {
+        let doubted = Some(from).filter(|&node| self.doubts(node));
+        let message = Message::Ack {
+            probe,
+            view: self.view(),
+            updates: self.gossip.take(&self.table, doubted),
+        };
+        self.send(to, message);
+    }
+
+    pub(crate) fn on_ack(&mut self, now: Instant, from: Node, address: SocketAddr, probe: u32) {
+        let purpose = self.probes.waiting.remove(&probe);
+        if let Some(Purpose::Helped { asker, probe }) = purpose {
+            let message = Message::Ack {
+                probe,
+                view: self.view(),
+                updates: Vec::new(),
+            };
+            self.send(asker, message);
+        }
+        if self.doubts(from) {
+            let message = Message::Rumour {
+                view: self.view(),
+                delta: None,
+                updates: self.gossip.take(&self.table, Some(from)),
+            };
+            self.send(address, message);
+        }
+        if self.settled == Settled::Waiting {
+            self.on_first_ack(now, address);
+        }
+    }
+
+    pub(crate) fn help(&mut self, now: Instant, asker: SocketAddr, probe: u32, to: SocketAddr) {
+        let own = self.probes.make(Purpose::Helped { asker, probe });
+        self.ping(to, own, None);
+        self.timer.subscribe(now + INDIRECT_WAIT, Due::Probe(own));
+    }
+
+    pub(crate) fn on_probe_due(&mut self, now: Instant, probe: u32) {
+        let Some(Purpose::Own {
+            target,
+            stage,
+            attempt,
+        }) = self.probes.waiting.remove(&probe)
+        else {
+            return;
+        };
+        match (stage, attempt) {
+            (Stage::Direct, attempt) => self.probe_indirectly(now, probe, target, attempt),
+            (Stage::Indirect, Attempt::First) => self.probe(now, target, Attempt::Second),
+            (Stage::Indirect, Attempt::Second) => self.suspect(now, target),
+        }
+    }
+
+    fn probe_indirectly(&mut self, now: Instant, probe: u32, target: Node, attempt: Attempt) {
+        let Some(member) = self.table.find(target) else {
+            return;
+        };
+        let to = member.record.address;
+        let purpose = Purpose::Own {
+            target,
+            stage: Stage::Indirect,
+            attempt,
+        };
+        self.probes.waiting.insert(probe, purpose);
+        self.ping(to, probe, Some(target));
+        for helper in self.choose_helpers(target) {
+            self.send(helper, Message::Probe { probe, target: to });
+        }
+        self.timer.subscribe(now + INDIRECT_WAIT, Due::Probe(probe));
+    }
+
+    fn choose_helpers(&mut self, target: Node) -> Vec<SocketAddr> {
+        let alive = |state| state == State::Alive;
+        let mut helpers = Vec::new();
+        for turn in 0..2 * HELPERS {
+            let chosen = if turn % 2 == 0 {
+                self.choose_at_home(alive)
+            } else {
+                self.choose_abroad(alive)
+            };
+            let Some(node) = chosen.filter(|&node| node != target) else {
+                continue;
+            };
+            let Some(member) = self.table.find(node) else {
+                continue;
+            };
+            if !helpers.contains(&member.record.address) && helpers.len() < HELPERS {
+                helpers.push(member.record.address);
+            }
+        }
+        helpers
+    }
+
+    fn suspect(&mut self, now: Instant, node: Node) {
+        let Some(member) = self.table.find(node) else {
+            return;
+        };
+        let mark = Mark {
+            node,
+            incarnation: member.record.incarnation,
+            state: State::Suspect,
+        };
+        self.merge(now, &wire::Update::Mark(mark));
+    }
+
+    pub(crate) fn start_survey(&mut self, now: Instant) {
+        self.probes.survey = self
+            .table
+            .members()
+            .filter(|member| member.node != self.node && member.record.state != State::Gone)
+            .map(|member| member.node)
+            .collect();
+        self.on_survey_due(now);
+    }
+
+    pub(crate) fn on_survey_due(&mut self, now: Instant) {
+        let rest = self.probes.survey.len().saturating_sub(SURVEY_BATCH);
+        for node in self.probes.survey.split_off(rest) {
+            if let Some(member) = self.table.find(node) {
+                self.greet(member.record.address);
+            }
+        }
+        if !self.probes.survey.is_empty() {
+            self.timer.subscribe(now + SURVEY_WAIT, Due::Survey);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pull.rs
@@ -0,0 +1,308 @@
+//! Getting what peers hold and this instance does not.
+
+use std::{mem::size_of, net::SocketAddr, time::Duration};
+
+use clock::{Instant, Token};
+use wire::{Change, Delta, Message, Node, Part, Record, Revision, View};
+
+use crate::{
+    Action, Call, Fleet, Notice,
+    answer::Allowance,
+    fleet::{Due, Settled},
+    keys,
+    mirror::Error,
+};
+
+/// How long a pull may take without a frame coming in.
+pub(crate) const WAIT: Duration = Duration::from_secs(1);
+/// How long tables of members are left to agree by rumours before they are
+/// compared.
+const COMPARE_EVERY: Duration = Duration::from_secs(10);
+/// How many buckets of the table are asked for at once.
+const BUCKETS_ASKED: usize = 8;
+
+#[derive(Debug)]
+struct Pull {
+    call: Call,
+    token: Token,
+    to: SocketAddr,
+    parts: Vec<Part>,
+}
+
+/// Pulls on their way, and answers to others' pulls.
+#[derive(Debug)]
+pub(crate) struct Pulls {
+    keys: Option<Pull>,
+    members: Option<(Call, Token)>,
+    whole_table: bool,
+    compared: Option<Instant>,
+    pub(crate) allowance: Allowance,
+}
+
+impl Pulls {
+    pub(crate) fn open(now: Instant) -> Self {
+        Self {
+            keys: None,
+            members: None,
+            whole_table: false,
+            compared: None,
+            allowance: Allowance::open(now),
+        }
+    }
+
+    pub(crate) fn state_bytes(&self) -> usize {
+        let parts = self.keys.as_ref().map_or(&[][..], |pull| &pull.parts);
+        let changes = parts.iter().flat_map(|part| &part.changes);
+        changes
+            .map(|change| size_of::<Change>() + change.key.len() + value_len(change))
+            .sum()
+    }
+}
+
+fn value_len(change: &Change) -> usize {
+    change.value.as_ref().map_or(0, |bytes| bytes.len())
+}
+
+impl Fleet {
+    /// Compares what a peer holds with what is held here.
+    pub(crate) fn compare_views(
+        &mut self,
+        now: Instant,
+        peer: Node,
+        address: SocketAddr,
+        view: &View,
+    ) {
+        let held = self.mirror.revision();
+        if view.revision > held {
+            self.pull(now, address);
+        }
+        if view.revision == held && view.digest != self.mirror.digest() {
+            self.notice(Notice::Diverged {
+                peer,
+                revision: held,
+            });
+            self.recheck_store(now);
+        }
+        if view.members != self.table.digest() {
+            self.offer_buckets(now, address);
+        }
+    }
+
+    fn pull(&mut self, now: Instant, to: SocketAddr) {
+        self.pull_since(now, to, self.mirror.revision());
+    }
+
+    fn pull_since(&mut self, now: Instant, to: SocketAddr, from: Revision) {
+        if self.pulls.keys.is_some() {
+            return;
+        }
+        let call = self.call();
+        let token = self.timer.subscribe(now + WAIT, Due::Pull(call));
+        self.pulls.keys = Some(Pull {
+            call,
+            token,
+            to,
+            parts: Vec::new(),
+        });
+        self.out.push(Action::Ask {
+            call,
+            to,
+            message: Message::Pull(from),
+        });
+    }
+
+    /// The first answer after a start: its sender has the table and the keys.
+    pub(crate) fn on_first_ack(&mut self, now: Instant, address: SocketAddr) {
+        if !self.pulls.whole_table {
+            self.ask_members(now, address, Vec::new());
+        }
+        if self.pulls.keys.is_none() {
+            self.settle(now);
+        }
+    }
+
+    fn ask_members(&mut self, now: Instant, to: SocketAddr, buckets: Vec<u16>) {
+        if self.pulls.members.is_some() {
+            return;
+        }
+        let call = self.call();
+        let token = self.timer.subscribe(now + WAIT, Due::Pull(call));
+        self.pulls.members = Some((call, token));
+        self.out.push(Action::Ask {
+            call,
+            to,
+            message: Message::Members(buckets),
+        });
+    }
+
+    /// Tells a peer whose table differs the digests of ours, at most now and
+    /// then: rumours on their way make tables differ for a moment all the time.
+    fn offer_buckets(&mut self, now: Instant, to: SocketAddr) {
+        let compared = *self.pulls.compared.get_or_insert(now);
+        if now.since(compared) < COMPARE_EVERY {
+            return;
+        }
+        self.pulls.compared = Some(now);
+        let sums = self.table.sums().to_vec();
+        self.send(to, Message::Buckets(sums));
+    }
+
+    pub(crate) fn compare_buckets(&mut self, now: Instant, address: SocketAddr, sums: &[u32]) {
+        let ours = self.table.sums();
+        if sums.len() != ours.len() {
+            return;
+        }
+        let differing: Vec<u16> = (0u16..)
+            .zip(ours.iter().zip(sums))
+            .filter(|(_, (ours, theirs))| ours != theirs)
+            .map(|(bucket, _)| bucket)
+            .take(BUCKETS_ASKED)
+            .collect();
+        if !differing.is_empty() {
+            self.ask_members(now, address, differing);
+        }
+    }
+
+    pub(crate) fn on_answer(&mut self, now: Instant, call: Call, message: Message) {
+        match message {
+            Message::Part(part) => self.on_part(now, call, part),
+            Message::Table(records) => self.on_table(now, call, &records),
+            _ => self.on_pull_failed(now, call),
+        }
+    }
+
+    pub(crate) fn on_pull_failed(&mut self, now: Instant, call: Call) {
+        if let Some(pull) = self.pulls.keys.take_if(|pull| pull.call == call) {
+            self.timer.cancel(pull.token);
+            self.settle_after_pull(now);
+        }
+        if let Some((_, token)) = self.pulls.members.take_if(|(own, _)| *own == call) {
+            self.timer.cancel(token);
+        }
+    }
+
+    fn on_table(&mut self, now: Instant, call: Call, records: &[Record]) {
+        let Some((_, token)) = self.pulls.members.take_if(|(own, _)| *own == call) else {
+            return;
+        };
+        self.timer.cancel(token);
+        self.pulls.whole_table = true;
+        for record in records {
+            self.merge_quietly(now, record);
+        }
+        self.review_duty(now);
+    }
+
+    fn on_part(&mut self, now: Instant, call: Call, part: Part) {
+        let Some(pull) = self.pulls.keys.as_mut().filter(|pull| pull.call == call) else {
+            return;
+        };
+        let fits = pull.parts.first().is_none_or(|first| {
+            (first.from, first.to, first.count) == (part.from, part.to, part.count)
+        });
+        if !fits || part.index as usize != pull.parts.len() {
+            self.on_pull_failed(now, call);
+            return;
+        }
+        let done = part.index + 1 >= part.count;
+        pull.parts.push(part);
+        self.timer.cancel(pull.token);
+        if !done {
+            pull.token = self.timer.subscribe(now + WAIT, Due::Pull(call));
+            return;
+        }
+        if let Some(pull) = self.pulls.keys.take() {
+            self.on_pulled(now, pull);
+        }
+    }
+
+    /// Takes in a whole answer, or nothing of it.
+    fn on_pulled(&mut self, now: Instant, mut pull: Pull) {
+        let Some(Part {
+            from, to, digest, ..
+        }) = pull.parts.first().cloned()
+        else {
+            return;
+        };
+        let changes: Vec<Change> = pull.parts.drain(..).flat_map(|part| part.changes).collect();
+        let result = match from {
+            Some(from) => self.advance(now, from, to, Some(digest), changes),
+            None => self.replace(now, to, Some(digest), &changes),
+        };
+        match result {
+            Ok(()) | Err(Error::NotNewer { .. }) => {}
+            // Rumours moved the mirror on while the answer was on its way.
+            Err(Error::Gap { .. }) => self.pull(now, pull.to),
+            // This instance started from a store restored from a backup, whose
+            // history has parted from the fleet's: only the whole will fit.
+            Err(Error::Digest) if from.is_some() => {
+                self.pull_since(now, pull.to, Revision::NONE);
+            }
+            Err(error) => self.notice(Notice::BadAnswer { error }),
+        }
+        self.settle_after_pull(now);
+    }
+
+    fn settle_after_pull(&mut self, now: Instant) {
+        if self.settled == Settled::Waiting && self.pulls.keys.is_none() {
+            self.settle(now);
+        }
+    }
+
+    /// A rumour told a step whole; it is taken only if it fits what is held.
+    pub(crate) fn on_delta(&mut self, now: Instant, view: &View, delta: &Delta) {
+        if view.revision <= self.mirror.revision() || delta.from != self.mirror.revision() {
+            return;
+        }
+        let changes = delta.changes.clone();
+        let result = self.advance(now, delta.from, view.revision, Some(view.digest), changes);
+        if let Err(error) = result {
+            self.notice(Notice::BadAnswer { error });
+        }
+    }
+
+    pub(crate) fn advance(
+        &mut self,
+        now: Instant,
+        from: Revision,
+        to: Revision,
+        digest: Option<u64>,
+        changes: Vec<Change>,
+    ) -> Result<(), Error> {
+        self.mirror.advance(from, to, digest, &changes)?;
+        self.tell_primaries(&changes);
+        self.keep_delta(Delta { from, changes });
+        self.on_moved(now);
+        Ok(())
+    }
+
+    pub(crate) fn replace(
+        &mut self,
+        now: Instant,
+        to: Revision,
+        digest: Option<u64>,
+        changes: &[Change],
+    ) -> Result<(), Error> {
+        let before = self.mirror.revision();
+        let differences = self.mirror.replace(to, digest, changes)?;
+        self.tell_primaries(&differences);
+        self.push.delta = None;
+        if to > before {
+            self.on_moved(now);
+        }
+        Ok(())
+    }
+
+    fn on_moved(&mut self, now: Instant) {
+        self.look();
+        self.start_push(now);
+    }
+
+    fn tell_primaries(&mut self, changes: &[Change]) {
+        let primaries = changes
+            .iter()
+            .filter(|change| change.key.starts_with(keys::PRIMARY))
+            .map(|change| Action::Primary(change.clone()));
+        self.out.extend(primaries);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/push.rs
@@ -0,0 +1,113 @@
+//! Telling news at once instead of with the next heartbeat.
+//!
+//! Whoever learns something new tells a few peers in each of a few rounds. That
+//! reaches nearly all of the fleet in a time that grows with the logarithm of
+//! its size; heartbeats find the rest.
+
+use std::{net::SocketAddr, time::Duration};
+
+use clock::Instant;
+use wire::{Delta, Message, State};
+
+use crate::{Fleet, fleet::Due};
+
+/// When the rounds are, counted from the news; each to [`FANOUT`] peers.
+const ROUNDS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(150),
+    Duration::from_millis(400),
+];
+/// How many peers are told in each round, and how many of them in other zones.
+const FANOUT: Fanout = Fanout { home: 2, abroad: 1 };
+/// Whom a stopping instance says goodbye to.
+pub(crate) const GOODBYES: Fanout = Fanout { home: 4, abroad: 2 };
+/// The most bytes of a change that a rumour carries whole.
+const DELTA_MAX: usize = 640;
+
+/// How many peers to tell.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fanout {
+    home: usize,
+    abroad: usize,
+}
+
+/// News that is being told.
+#[derive(Debug, Default)]
+pub(crate) struct Push {
+    round: usize,
+    started: Instant,
+    /// The last step of the mirror, where it is small.
+    pub(crate) delta: Option<Delta>,
+}
+
+impl Fleet {
+    /// Tells news from now on.
+    pub(crate) fn start_push(&mut self, now: Instant) {
+        let running = self.push.round > 0 && self.push.round < ROUNDS.len();
+        self.push.round = 0;
+        self.push.started = now;
+        self.push_round();
+        if !running {
+            self.timer.subscribe(now + ROUNDS[1], Due::Push);
+        }
+    }
+
+    pub(crate) fn on_push_due(&mut self, now: Instant) {
+        let Some(&after) = ROUNDS.get(self.push.round) else {
+            return;
+        };
+        let at = self.push.started + after;
+        if at > now {
+            self.timer.subscribe(at, Due::Push);
+            return;
+        }
+        self.push_round();
+        if let Some(&after) = ROUNDS.get(self.push.round) {
+            self.timer.subscribe(self.push.started + after, Due::Push);
+        }
+    }
+
+    /// Keeps a step of the mirror to tell it whole, if it is small.
+    pub(crate) fn keep_delta(&mut self, delta: Delta) {
+        let len: usize = delta
+            .changes
+            .iter()
+            .map(|change| change.key.len() + change.value.as_ref().map_or(0, |v| v.len()) + 12)
+            .sum();
+        self.push.delta = (len <= DELTA_MAX).then_some(delta);
+    }
+
+    fn push_round(&mut self) {
+        self.push.round += 1;
+        let view = self.view();
+        for to in self.push_targets(FANOUT) {
+            let message = Message::Rumour {
+                view,
+                delta: self.push.delta.clone(),
+                updates: self.gossip.take(&self.table, None),
+            };
+            self.send(to, message);
+        }
+    }
+
+    pub(crate) fn push_targets(&mut self, fanout: Fanout) -> Vec<SocketAddr> {
+        let alive = |state| matches!(state, State::Alive | State::Leaving);
+        let mut targets = Vec::new();
+        for turn in 0..fanout.home + fanout.abroad {
+            let chosen = if turn < fanout.home {
+                self.choose_at_home(alive)
+                    .or_else(|| self.choose_abroad(alive))
+            } else {
+                self.choose_abroad(alive)
+                    .or_else(|| self.choose_at_home(alive))
+            };
+            let Some(member) = chosen.and_then(|node| self.table.find(node)) else {
+                continue;
+            };
+            if !targets.contains(&member.record.address) {
+                targets.push(member.record.address);
+            }
+        }
+        targets
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/relay.rs
@@ -0,0 +1,360 @@
+//! Watching the store, while this instance is one of its zone's relays.
+
+use std::time::Duration;
+
+use clock::Instant;
+use rand::Rng;
+use wire::{Change, Revision, State};
+
+use crate::{
+    Answer, Call, Fleet, Head, Notice, Request, Watch,
+    fleet::{Due, Settled},
+    keys,
+    mirror::Error,
+};
+
+/// The duty that relays are ranked for.
+pub(crate) const DUTY: &str = "relay";
+/// How long the store may take to answer.
+const CALL_WAIT: Duration = Duration::from_secs(2);
+/// Between two looks at the head, which find a watch that went silent.
+const CHECK_EVERY: Duration = Duration::from_secs(10);
+/// How long to leave a store alone that failed, at first and at most.
+const BACKOFF_MIN: Duration = Duration::from_secs(1);
+const BACKOFF_MAX: Duration = Duration::from_secs(16);
+/// How long an instance goes on watching after another took over, so that
+/// membership that flaps does not cost a watch each time.
+const RELEASE_AFTER: Duration = Duration::from_secs(5);
+
+/// How a relay stands with the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Stage {
+    /// It is no relay.
+    #[default]
+    Idle,
+    /// It asked for all keys.
+    Ranging(Call),
+    /// It asked for a watch.
+    Starting(Call),
+    /// It watches, and looks at the head now and then.
+    Watching { watch: Call, check: Option<Call> },
+    /// The store failed or was refused; it is tried again later.
+    Waiting,
+}
+
+/// An instance's standing with the store.
+#[derive(Debug, Default)]
+pub(crate) struct Relay {
+    stage: Stage,
+    /// The revision held when the store was last asked: the store's answer must
+    /// not be older. Rumours may have moved the mirror on since.
+    asked_at: Revision,
+    /// Numbers the subscription that counts; those before are void.
+    turn: u64,
+    failures: u32,
+    unranked: Option<Instant>,
+}
+
+impl Relay {
+    pub(crate) fn status(&self) -> Watch {
+        match self.stage {
+            Stage::Idle => Watch::Off,
+            Stage::Ranging(_) | Stage::Starting(_) => Watch::Starting,
+            Stage::Watching { .. } => Watch::On,
+            Stage::Waiting => Watch::Failing,
+        }
+    }
+}
+
+impl Fleet {
+    /// Takes up the duty of a relay or lays it down, as membership has it.
+    pub(crate) fn review_duty(&mut self, now: Instant) {
+        if self.settled == Settled::Waiting {
+            return;
+        }
+        let ranked = self.relays(&self.conf.zone);
+        let ours = self.state == State::Alive && ranked.iter().any(|m| m.node == self.node);
+        let idle = self.relay.stage == Stage::Idle;
+        if ours {
+            self.relay.unranked = None;
+            if idle {
+                self.start_watch(now);
+            }
+            return;
+        }
+        if idle {
+            return;
+        }
+        let since = *self.relay.unranked.get_or_insert(now);
+        if now.since(since) >= RELEASE_AFTER || self.state != State::Alive {
+            self.stop_relay();
+        }
+    }
+
+    pub(crate) fn stop_relay(&mut self) {
+        self.unwatch();
+        self.relay = Relay {
+            turn: self.relay.turn + 1,
+            ..Relay::default()
+        };
+    }
+
+    /// A peer holds other content under our revision: the store decides.
+    pub(crate) fn recheck_store(&mut self, now: Instant) {
+        if let Stage::Watching { .. } = self.relay.stage {
+            self.unwatch();
+            self.range(now);
+        }
+    }
+
+    pub(crate) fn on_store(&mut self, now: Instant, call: Call, answer: Answer) {
+        match (self.relay.stage, answer) {
+            (Stage::Ranging(own), Answer::Range { revision, changes }) if own == call => {
+                self.on_range(now, revision, changes);
+            }
+            (Stage::Starting(own), Answer::Watching { revision }) if own == call => {
+                self.on_watching(now, call, revision);
+            }
+            (Stage::Watching { watch, .. }, Answer::Changes { revision, changes })
+                if watch == call =>
+            {
+                self.on_changes(now, revision, changes);
+            }
+            (
+                Stage::Watching {
+                    watch,
+                    check: Some(check),
+                },
+                Answer::Head { revision, written },
+            ) if check == call => self.on_head(now, watch, revision, written),
+            (Stage::Starting(own), Answer::Compacted) if own == call => self.range(now),
+            (Stage::Watching { watch, .. }, Answer::Compacted) if watch == call => self.range(now),
+            (stage, Answer::Down) if stage.awaits(call) => self.on_store_down(now),
+            // An answer to a call that was given up.
+            _ => {}
+        }
+    }
+
+    pub(crate) fn on_relay_due(&mut self, now: Instant, turn: u64) {
+        if turn != self.relay.turn {
+            return;
+        }
+        match self.relay.stage {
+            Stage::Idle => {}
+            Stage::Ranging(_) | Stage::Starting(_) => self.on_store_down(now),
+            Stage::Watching { check: Some(_), .. } => self.on_store_down(now),
+            Stage::Watching { watch, check: None } => self.check(now, watch),
+            Stage::Waiting => self.range_or_watch(now),
+        }
+    }
+
+    fn range_or_watch(&mut self, now: Instant) {
+        if self.relay.failures > 0 || self.mirror.is_empty() {
+            self.range(now);
+        } else {
+            self.start_watch(now);
+        }
+    }
+
+    fn range(&mut self, now: Instant) {
+        self.relay.asked_at = self.mirror.revision();
+        let call = self.ask_store(Request::Range);
+        self.relay.stage = Stage::Ranging(call);
+        self.wait_for_store(now, CALL_WAIT);
+    }
+
+    fn start_watch(&mut self, now: Instant) {
+        if self.mirror.is_empty() {
+            self.range(now);
+            return;
+        }
+        self.watch_from(now, self.mirror.revision().number + 1);
+    }
+
+    fn watch_from(&mut self, now: Instant, from: u64) {
+        self.relay.asked_at = self.mirror.revision();
+        let call = self.ask_store(Request::Watch { from });
+        self.relay.stage = Stage::Starting(call);
+        self.wait_for_store(now, CALL_WAIT);
+    }
+
+    fn unwatch(&mut self) {
+        if let Stage::Watching { watch, .. } | Stage::Starting(watch) = self.relay.stage {
+            let request = Request::Unwatch;
+            let store = crate::Store {
+                call: watch,
+                request,
+            };
+            self.out.push(crate::Action::Store(store));
+        }
+    }
+
+    fn wait_for_store(&mut self, now: Instant, wait: Duration) {
+        self.relay.turn += 1;
+        self.timer
+            .subscribe(now + wait, Due::Relay(self.relay.turn));
+    }
+
+    fn check(&mut self, now: Instant, watch: Call) {
+        self.relay.asked_at = self.mirror.revision();
+        let check = Some(self.ask_store(Request::Head));
+        self.relay.stage = Stage::Watching { watch, check };
+        self.wait_for_store(now, CALL_WAIT);
+    }
+
+    fn on_range(&mut self, now: Instant, revision: u64, mut changes: Vec<Change>) {
+        changes.sort_by(|a, b| a.key.cmp(&b.key));
+        let number = changes.iter().map(|change| change.revision).max();
+        let to = Revision {
+            epoch: self.epoch_in(&changes),
+            number: number.unwrap_or(0),
+        };
+        let store = Revision {
+            number: revision,
+            ..to
+        };
+        if self.is_behind(store) || self.is_rewritten(to, &changes) {
+            self.refuse_store(now, store);
+            return;
+        }
+        self.on_store_back();
+        // The mirror may hold more by now, told by peers; then the watch below
+        // tells what it has already, which does no harm.
+        if to >= self.mirror.revision() {
+            let result = self.replace(now, to, None, &changes);
+            self.report(result);
+        }
+        self.watch_from(now, revision + 1);
+    }
+
+    /// The epoch that a head among `changes` tells, or else the one held.
+    fn epoch_in(&self, changes: &[Change]) -> u32 {
+        let head = changes.iter().find(|change| &*change.key == keys::HEAD);
+        let value = head.and_then(|change| change.value.as_ref());
+        let head = value.and_then(|value| Head::parse(value));
+        let held = self.mirror.revision().epoch;
+        head.map_or(held, |head| head.epoch.max(held))
+    }
+
+    /// Whether the store is older than what was held when it was asked.
+    ///
+    /// A store restored from a backup answers as readily as before, with old
+    /// configuration and old primaries, and would have the fleet send writes to
+    /// primaries that were replaced. Only a raised epoch makes it believed.
+    fn is_behind(&self, store: Revision) -> bool {
+        store < self.relay.asked_at
+    }
+
+    /// Whether a key is older in the store than here, though the store's own
+    /// revision has passed ours again since it was restored.
+    fn is_rewritten(&self, to: Revision, changes: &[Change]) -> bool {
+        if to.epoch > self.mirror.revision().epoch {
+            return false;
+        }
+        changes.iter().any(|change| {
+            let held = self.mirror.find(&change.key);
+            held.is_some_and(|(held, _)| {
+                held > change.revision && held <= self.relay.asked_at.number
+            })
+        })
+    }
+
+    fn refuse_store(&mut self, now: Instant, store: Revision) {
+        let held = self.relay.asked_at;
+        self.notice(Notice::StoreBehind { store, held });
+        self.unwatch();
+        self.relay.failures = self.relay.failures.max(1);
+        self.relay.stage = Stage::Waiting;
+        self.wait_for_store(now, CHECK_EVERY);
+    }
+
+    fn on_watching(&mut self, now: Instant, watch: Call, revision: u64) {
+        if self.looks_behind(revision) {
+            self.unwatch();
+            self.range(now);
+            return;
+        }
+        self.on_store_back();
+        self.relay.stage = Stage::Watching { watch, check: None };
+        self.wait_for_check(now);
+    }
+
+    /// Whether the store's bare revision is lower than ours was; a range then
+    /// tells the epoch.
+    fn looks_behind(&self, revision: u64) -> bool {
+        revision < self.relay.asked_at.number
+    }
+
+    fn on_head(&mut self, now: Instant, watch: Call, revision: u64, written: Option<u64>) {
+        if self.looks_behind(revision) {
+            self.unwatch();
+            self.range(now);
+            return;
+        }
+        self.relay.stage = Stage::Watching { watch, check: None };
+        if written.is_some_and(|written| written > self.mirror.revision().number) {
+            self.unwatch();
+            self.start_watch(now);
+            return;
+        }
+        self.wait_for_check(now);
+    }
+
+    /// Checks are spread out, so that relays do not ask the store together.
+    fn wait_for_check(&mut self, now: Instant) {
+        let jitter = self.rng.random_range(0.8..1.2);
+        self.wait_for_store(now, CHECK_EVERY.mul_f64(jitter));
+    }
+
+    fn on_changes(&mut self, now: Instant, revision: u64, mut changes: Vec<Change>) {
+        changes.sort_by(|a, b| a.key.cmp(&b.key));
+        let to = Revision {
+            epoch: self.epoch_in(&changes),
+            number: revision,
+        };
+        let from = self.mirror.revision();
+        // A watch tells every revision in order, so the first one past ours is
+        // the next; what peers told sooner is skipped.
+        if to <= from {
+            return;
+        }
+        let result = self.advance(now, from, to, None, changes);
+        self.report(result);
+    }
+
+    fn report(&mut self, result: Result<(), Error>) {
+        match result {
+            Ok(()) | Err(Error::NotNewer { .. }) => {}
+            Err(error) => self.notice(Notice::BadAnswer { error }),
+        }
+    }
+
+    fn on_store_down(&mut self, now: Instant) {
+        if self.relay.failures == 0 {
+            self.notice(Notice::StoreDown);
+        }
+        self.unwatch();
+        let backoff = BACKOFF_MIN * 2u32.saturating_pow(self.relay.failures);
+        let jitter = self.rng.random_range(0.5..1.0);
+        self.relay.failures = (self.relay.failures + 1).min(8);
+        self.relay.stage = Stage::Waiting;
+        self.wait_for_store(now, backoff.min(BACKOFF_MAX).mul_f64(jitter));
+    }
+
+    fn on_store_back(&mut self) {
+        if self.relay.failures > 0 {
+            self.relay.failures = 0;
+            self.notice(Notice::StoreBack);
+        }
+    }
+}
+
+impl Stage {
+    fn awaits(self, call: Call) -> bool {
+        match self {
+            Self::Idle | Self::Waiting => false,
+            Self::Ranging(own) | Self::Starting(own) => own == call,
+            Self::Watching { watch, check } => watch == call || check == Some(call),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/table.rs
@@ -0,0 +1,277 @@
+//! All members, as this instance knows them.
+
+use std::{collections::BTreeMap, mem::size_of, time::Duration};
+
+use clock::Instant;
+use model::name;
+use wire::{Mark, Node, Record, State, Update};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Member, Standing};
+
+/// How many parts the table is compared in; at 4,000 members a part is 62 of
+/// them, and the digests of all parts fit in a datagram.
+pub(crate) const BUCKETS: usize = 64;
+/// How long a suspect stays in the table: longer than the hour that regions are
+/// cut off from each other, so that healing needs no one to join again.
+const SUSPECT_KEEP: Duration = Duration::from_secs(2 * 60 * 60);
+/// How long a member that is gone stays, so that a late rumour does not bring
+/// it back.
+const GONE_KEEP: Duration = Duration::from_secs(10 * 60);
+
+/// What merging a rumour into the table did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Merge {
+    /// The rumour was known, or older than what is known.
+    Known,
+    /// The member is new here, or has restarted.
+    Joined,
+    /// The member's state or incarnation changed.
+    Changed,
+    /// The rumour is of a member that is not known here.
+    Stranger,
+}
+
+/// All members, as this instance knows them.
+///
+/// Of two records of a member the one of the later incarnation holds, and
+/// within an incarnation the later state: alive, suspect, leaving, gone. Order
+/// and repetition of rumours therefore do not matter.
+#[derive(Debug, Clone)]
+pub struct Table {
+    members: BTreeMap<Node, Member>,
+    zones: BTreeMap<name::Zone, Vec<Node>>,
+    sums: [u32; BUCKETS],
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            members: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            sums: [0; BUCKETS],
+        }
+    }
+}
+
+impl Table {
+    /// The member with this short name.
+    pub fn find(&self, node: Node) -> Option<&Member> {
+        self.members.get(&node)
+    }
+
+    /// All members, by short name.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// All members of a zone.
+    pub fn zone(&self, zone: &name::Zone) -> impl Iterator<Item = &Member> {
+        let nodes = self.zones.get(zone).map_or(&[][..], Vec::as_slice);
+        nodes.iter().filter_map(|node| self.members.get(node))
+    }
+
+    /// The zones that any member is of.
+    pub fn zones(&self) -> impl Iterator<Item = &name::Zone> {
+        self.zones.keys()
+    }
+
+    /// How many members are known, whatever their state.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    pub(crate) fn nodes(&self, zone: &name::Zone) -> &[Node] {
+        self.zones.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn sums(&self) -> &[u32; BUCKETS] {
+        &self.sums
+    }
+
+    /// A digest over all members' incarnations and departures.
+    ///
+    /// Suspicions are left out: they come and go with lost datagrams, and would
+    /// have members compare their tables without end.
+    pub(crate) fn digest(&self) -> u32 {
+        self.sums
+            .iter()
+            .fold(0, |sum, part| sum.wrapping_add(*part))
+    }
+
+    pub(crate) fn merge(&mut self, now: Instant, update: &Update) -> Merge {
+        match update {
+            Update::Record(record) => self.merge_record(now, record),
+            Update::Mark(mark) => self.merge_mark(now, mark),
+        }
+    }
+
+    pub(crate) fn merge_record(&mut self, now: Instant, record: &Record) -> Merge {
+        let node = Node::of(&record.name);
+        let Some(member) = self.members.get(&node) else {
+            if record.state == State::Gone {
+                return Merge::Known;
+            }
+            self.insert(now, node, record);
+            return Merge::Joined;
+        };
+        if rank(record.incarnation, record.state)
+            <= rank(member.record.incarnation, member.record.state)
+        {
+            return Merge::Known;
+        }
+        if member.record.zone != record.zone || member.record.address != record.address {
+            self.remove(node);
+            self.insert(now, node, record);
+            return Merge::Joined;
+        }
+        let mark = Mark {
+            node,
+            incarnation: record.incarnation,
+            state: record.state,
+        };
+        self.merge_mark(now, &mark)
+    }
+
+    pub(crate) fn merge_mark(&mut self, now: Instant, mark: &Mark) -> Merge {
+        let Some(member) = self.members.get_mut(&mark.node) else {
+            return Merge::Stranger;
+        };
+        let known = &mut member.record;
+        if rank(mark.incarnation, mark.state) <= rank(known.incarnation, known.state) {
+            return Merge::Known;
+        }
+        let bucket = bucket(mark.node);
+        self.sums[bucket] = self.sums[bucket].wrapping_sub(sum(known, mark.node));
+        known.incarnation = mark.incarnation;
+        known.state = mark.state;
+        member.since = now;
+        self.sums[bucket] = self.sums[bucket].wrapping_add(sum(&member.record, mark.node));
+        Merge::Changed
+    }
+
+    pub(crate) fn find_mut(&mut self, node: Node) -> Option<&mut Member> {
+        self.members.get_mut(&node)
+    }
+
+    pub(crate) fn set_listed(&mut self, node: Node, listed: Option<Standing>) -> Option<&Member> {
+        let member = self.members.get_mut(&node)?;
+        if member.listed == listed {
+            return None;
+        }
+        member.listed = listed;
+        Some(member)
+    }
+
+    /// The records of some buckets, or of all when none is named.
+    pub(crate) fn records(&self, buckets: &[u16]) -> Vec<Record> {
+        self.members
+            .values()
+            .filter(|member| {
+                // A bucket's number is below `BUCKETS`, which 16 bits hold.
+                buckets.is_empty() || buckets.contains(&(bucket(member.node) as u16))
+            })
+            .map(|member| member.record.clone())
+            .collect()
+    }
+
+    /// Takes suspects that were silent for long as gone, and forgets members
+    /// that are gone for long; tells who went.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<Node> {
+        let older = |member: &&Member, state, keep| {
+            member.record.state == state && now.since(member.since) > keep
+        };
+        let nodes = |state, keep| -> Vec<Node> {
+            let members = self.members.values();
+            let expired = members.filter(|member| older(member, state, keep));
+            expired.map(|member| member.node).collect()
+        };
+        let forgotten = nodes(State::Gone, GONE_KEEP);
+        let gone = nodes(State::Suspect, SUSPECT_KEEP);
+        for node in forgotten {
+            self.remove(node);
+        }
+        for &node in &gone {
+            if let Some(incarnation) = self.find(node).map(|member| member.record.incarnation) {
+                let mark = Mark {
+                    node,
+                    incarnation,
+                    state: State::Gone,
+                };
+                self.merge_mark(now, &mark);
+            }
+        }
+        gone
+    }
+
+    /// The bytes that it takes in memory, B-tree nodes reckoned at two thirds
+    /// full and each name as its own allocation.
+    pub fn state_bytes(&self) -> usize {
+        let slot = size_of::<Node>() + size_of::<Member>();
+        let members = self.members.values().map(|member| {
+            let record = &member.record;
+            let names = record.name.as_str().len() + record.zone.as_str().len() + 2 * 16;
+            slot * 3 / 2 + names + size_of::<Node>()
+        });
+        size_of::<Self>() + members.sum::<usize>()
+    }
+
+    fn insert(&mut self, now: Instant, node: Node, record: &Record) {
+        // Members of a zone share its name's text.
+        let zone = self.zones.get_key_value(&record.zone);
+        let zone = zone.map_or(&record.zone, |(zone, _)| zone).clone();
+        self.zones.entry(zone.clone()).or_default().push(node);
+        let record = Record {
+            zone,
+            ..record.clone()
+        };
+        let bucket = bucket(node);
+        self.sums[bucket] = self.sums[bucket].wrapping_add(sum(&record, node));
+        let member = Member {
+            node,
+            record,
+            since: now,
+            listed: None,
+            view: None,
+        };
+        self.members.insert(node, member);
+    }
+
+    fn remove(&mut self, node: Node) {
+        let Some(member) = self.members.remove(&node) else {
+            return;
+        };
+        let bucket = bucket(node);
+        self.sums[bucket] = self.sums[bucket].wrapping_sub(sum(&member.record, node));
+        if let Some(nodes) = self.zones.get_mut(&member.record.zone) {
+            nodes.retain(|other| *other != node);
+            if nodes.is_empty() {
+                self.zones.remove(&member.record.zone);
+            }
+        }
+    }
+}
+
+fn rank(incarnation: u64, state: State) -> (u64, State) {
+    (incarnation, state)
+}
+
+fn bucket(node: Node) -> usize {
+    node.number() as usize % BUCKETS
+}
+
+/// What a member adds to its bucket's sum. Members that are gone add nothing:
+/// each instance forgets them at a moment of its own.
+fn sum(record: &Record, node: Node) -> u32 {
+    let state = match record.state {
+        State::Alive | State::Suspect => 0,
+        State::Leaving => 1,
+        State::Gone => return 0,
+    };
+    xxh3_64_with_seed(&node.0, record.incarnation << 1 ^ state) as u32
+}
