--- /dev/null
+++ b/crates/slopes/src/bench.rs
@@ -0,0 +1,290 @@
+//! What is measured at one size of the fleet.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{Duties, Mirror, Watch};
+use serde::Serialize;
+use wire::{Change, Gate, Mark, Message, Node, Revision, Ring, State, Update, View};
+
+use crate::{Setup, World};
+
+/// How long rumours of the start are given to end.
+const WARM_UP: Duration = Duration::from_secs(25);
+/// How long traffic is counted for each share of loss.
+const WINDOW: Duration = Duration::from_secs(30);
+/// Changes of the catalogue and restarts within the window: at 4,000 instances
+/// twice the target's 4,200 changes and three times its 1,651 restarts a day.
+const CHANGES: u32 = 3;
+const RESTARTS: usize = 2;
+/// How long a change may take to be in force everywhere.
+const SPREAD_MAX: Duration = Duration::from_secs(60);
+/// The target's databases, and entries reckoned at two for each.
+const DATABASES: usize = 6_600;
+const ENTRIES: usize = 13_200;
+/// How many probers each database has.
+const PROBERS: usize = 3;
+
+/// What was measured at one size and share of loss.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// How many instances.
+    pub nodes: usize,
+    /// The share of datagrams lost.
+    pub loss: f64,
+    /// How many instances were killed right before each change that is timed.
+    pub killed: usize,
+    /// Until the last reachable instance had a change in force, the slowest of
+    /// several changes.
+    pub spread_p100_ms: f64,
+    /// Until half of the instances had it, likewise.
+    pub spread_p50_ms: f64,
+    /// Bytes sent and received, headers and seals included; mean of instances.
+    pub bytes_per_node_s: f64,
+    /// The same of the instance that has most.
+    pub bytes_per_node_s_max: f64,
+    /// Messages sent and received; mean of instances.
+    pub messages_per_node_s: f64,
+    /// Control state of one instance with the target's catalogue.
+    pub state_bytes: usize,
+    /// The part of it that is the table of members.
+    pub table_bytes: usize,
+    /// Heap of the whole process by instance, its queue and small catalogue
+    /// included: a check on the reckoned state.
+    pub heap_per_node: usize,
+    /// Requests to the store and answers to watches, and each waiting watch
+    /// once a second.
+    pub store_calls_s: f64,
+    /// Watches that wait at the store.
+    pub watches: usize,
+    /// Share of a core: steps as measured, and seals as measured a message.
+    pub cpu_share: f64,
+    /// Members suspected at the end that run.
+    pub wrong_suspects: usize,
+    /// Promises broken, which must be none.
+    pub violations: usize,
+}
+
+/// Measures one size, at no loss, one and ten in a hundred, and with instances
+/// killed; `heap` tells the bytes allocated in the process.
+pub fn measure(nodes: usize, seed: u64, heap: impl Fn() -> usize) -> Vec<Row> {
+    let before = heap();
+    let mut world = World::open(Setup::sized(nodes, seed));
+    world.apply(&[("catalog/entry/first", Some(b"first"))]);
+    for database in 0..DATABASES.min(nodes) {
+        world.write(&[(&format!("primary/{database}"), Some(&[7; 90]))]);
+    }
+    world.warm_up(WARM_UP);
+    let seal = seal_cost();
+    let full = full_bytes(&world);
+    let mut rows = Vec::new();
+    for (loss, killed) in [(0.0, 0), (0.01, 0), (0.1, 0), (0.01, nodes.div_ceil(100))] {
+        world.loss = loss;
+        let mut row = measure_loss(&mut world, killed, seal, full);
+        row.heap_per_node = heap().saturating_sub(before) / nodes;
+        rows.push(row);
+    }
+    rows
+}
+
+fn measure_loss(world: &mut World, killed: usize, seal: Duration, full: usize) -> Row {
+    world.reset_counts();
+    let start = world.now();
+    let mut spreads = Vec::new();
+    let mut restarts = 0;
+    for change in 0..CHANGES {
+        if killed == 0 && restarts < RESTARTS {
+            restart_one(world, restarts);
+            restarts += 1;
+        }
+        let victims = choose_victims(world, killed);
+        for &slot in &victims {
+            world.kill(slot);
+        }
+        spreads.push(time_change(world, change));
+        for slot in victims {
+            world.start(slot);
+        }
+        let spent = world.now().since(start);
+        world.run((WINDOW / CHANGES * (change + 1)).saturating_sub(spent));
+    }
+    row(
+        world,
+        world.now().since(start),
+        &spreads,
+        killed,
+        seal,
+        full,
+    )
+}
+
+/// Instances spread over the fleet, a relay first: its death costs most.
+fn choose_victims(world: &World, killed: usize) -> Vec<usize> {
+    let mut running: Vec<_> = world.running().collect();
+    let watches = |slot: &usize| {
+        let status = world.fleet(*slot).map(fleet::Fleet::status);
+        status.is_some_and(|status| status.watch == Watch::On)
+    };
+    let relay = running.iter().position(watches).unwrap_or(0);
+    running.rotate_left(relay);
+    let step = (running.len() / killed.max(1)).max(1);
+    running.into_iter().step_by(step).take(killed).collect()
+}
+
+fn restart_one(world: &mut World, turn: usize) {
+    let slot = (world.len() / 3 + 7 * turn) % world.len();
+    world.tell(slot, fleet::Event::Stop);
+    world.kill(slot);
+    world.start(slot);
+}
+
+/// Applies a change, and tells how long each running instance took.
+fn time_change(world: &mut World, change: u32) -> Vec<f64> {
+    let text = format!("limits {change} {}", "x".repeat(200));
+    let start = world.now();
+    let revision = world.apply(&[("catalog/entry/first", Some(text.as_bytes()))]);
+    let all = |world: &World| world.running().all(|slot| has(world, slot, revision));
+    world.run_until(SPREAD_MAX, all);
+    let running = world.running();
+    let taken = running.map(|slot| {
+        let (applied, at) = world.applied(slot);
+        let late = if applied >= revision { at } else { world.now() };
+        late.since(start).as_secs_f64() * 1e3
+    });
+    let mut taken: Vec<_> = taken.collect();
+    taken.sort_by(f64::total_cmp);
+    taken
+}
+
+fn has(world: &World, slot: usize, revision: Revision) -> bool {
+    world.applied(slot).0 >= revision
+}
+
+fn row(
+    world: &World,
+    span: Duration,
+    spreads: &[Vec<f64>],
+    killed: usize,
+    seal: Duration,
+    full: usize,
+) -> Row {
+    let nodes = world.len();
+    let seconds = span.as_secs_f64();
+    let per_node = |total: u64| total as f64 / nodes as f64 / seconds;
+    let counts: Vec<_> = (0..nodes).map(|slot| world.count(slot)).collect();
+    let bytes = counts.iter().map(|count| count.bytes()).sum();
+    let most = counts.iter().map(|count| count.bytes()).max();
+    let messages: u64 = counts.iter().map(|count| count.messages()).sum();
+    let sealing = seal.as_secs_f64() * messages as f64;
+    let worst = |at: fn(&[f64]) -> f64| spreads.iter().map(|taken| at(taken)).fold(0.0, f64::max);
+    let table_bytes = table_bytes(world);
+    Row {
+        nodes,
+        loss: world.loss,
+        killed,
+        spread_p100_ms: worst(|taken| taken.last().copied().unwrap_or(0.0)),
+        spread_p50_ms: worst(|taken| taken.get(taken.len() / 2).copied().unwrap_or(0.0)),
+        bytes_per_node_s: per_node(bytes),
+        bytes_per_node_s_max: most.unwrap_or(0) as f64 / seconds,
+        messages_per_node_s: per_node(messages),
+        state_bytes: own_bytes(world) + full,
+        table_bytes,
+        heap_per_node: 0,
+        store_calls_s: world.store.calls as f64 / seconds + world.watches() as f64,
+        watches: world.watches(),
+        cpu_share: (world.stepping.as_secs_f64() + sealing) / nodes as f64 / seconds,
+        wrong_suspects: wrong_suspects(world),
+        violations: world.monitor.violations().len(),
+    }
+}
+
+/// Suspicions held, by one instance as a sample, of members that run.
+fn wrong_suspects(world: &World) -> usize {
+    let Some(fleet) = world.running().next().and_then(|slot| world.fleet(slot)) else {
+        return 0;
+    };
+    let suspects = fleet.table().members();
+    let suspects = suspects.filter(|member| member.record.state == State::Suspect);
+    let running: Vec<_> = world
+        .running()
+        .filter_map(|slot| world.fleet(slot))
+        .map(fleet::Fleet::node)
+        .collect();
+    suspects
+        .filter(|member| running.contains(&member.node))
+        .count()
+}
+
+fn table_bytes(world: &World) -> usize {
+    let fleets = world.running().filter_map(|slot| world.fleet(slot));
+    let bytes = fleets.map(|fleet| fleet.table().state_bytes());
+    bytes.max().unwrap_or(0)
+}
+
+/// The largest state of an instance, but for its mirror.
+fn own_bytes(world: &World) -> usize {
+    let fleets = world.running().filter_map(|slot| world.fleet(slot));
+    let bytes = fleets.map(|fleet| fleet.state_bytes() - fleet.mirror().state_bytes());
+    bytes.max().unwrap_or(0)
+}
+
+/// The state that holds the target's keys and duties: too large to build once
+/// for each of 4,000 instances in one process, and the same in all of them.
+fn full_bytes(world: &World) -> usize {
+    let keys = |prefix: &str, count: usize, len: usize| -> Vec<Change> {
+        let key = |number| format!("{prefix}{number:08}").as_str().into();
+        let change = |number| Change {
+            key: key(number),
+            revision: 1,
+            value: Some(Bytes::from(vec![7; len])),
+        };
+        (0..count).map(change).collect()
+    };
+    let mut changes = keys("catalog/database/database-", DATABASES, 400);
+    changes.extend(keys("catalog/entry/entry-", ENTRIES, 240));
+    changes.extend(keys("primary/database-", DATABASES, 110));
+    let mut mirror = Mirror::default();
+    let to = Revision {
+        epoch: 0,
+        number: 1,
+    };
+    let taken = mirror.replace(to, None, &changes);
+    let mut duties = Duties::open(PROBERS);
+    let nodes: Vec<Node> = world
+        .running()
+        .filter_map(|slot| world.fleet(slot))
+        .map(fleet::Fleet::node)
+        .collect();
+    for number in 0..DATABASES {
+        duties.add(&format!("database-{number:08}"), &nodes);
+    }
+    match taken {
+        Ok(_) => mirror.state_bytes() + duties.state_bytes(),
+        Err(error) => unreachable!("keys made in order are taken: {error}"),
+    }
+}
+
+/// What sealing or opening one heartbeat takes, measured.
+fn seal_cost() -> Duration {
+    const TURNS: u32 = 20_000;
+    let ring = Ring::parse("1:00112233445566778899aabbccddeeff").expect("a well-formed ring");
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut ours = Gate::open(Node([1; 8]), 1 << 50, address, ring.clone());
+    let mut theirs = Gate::open(Node([2; 8]), 1 << 50, address, ring);
+    let mark = Mark {
+        node: Node([3; 8]),
+        incarnation: 1 << 50,
+        state: State::Suspect,
+    };
+    let ping = Message::Ping {
+        probe: 1,
+        view: View::default(),
+        updates: vec![Update::Mark(mark); 4],
+    };
+    let start = std::time::Instant::now();
+    for _ in 0..TURNS {
+        let bytes = ours.seal(address, None, &ping).expect("a ping is small");
+        theirs.receive(&bytes).expect("our own frame is authentic");
+    }
+    start.elapsed() / TURNS / 2
+}
--- /dev/null
+++ b/crates/slopes/src/monitor.rs
@@ -0,0 +1,126 @@
+//! Checks that the configuration in force is whole and never reverts.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use fleet::{Action, Scope};
+use wire::{Change, Revision};
+
+/// A promise that was broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Violation {
+    /// An instance put a revision in force that is not newer than its last.
+    Reverted {
+        /// The instance's slot.
+        slot: usize,
+        /// What was in force.
+        from: Revision,
+        /// What was put in force.
+        to: Revision,
+    },
+    /// An instance started with less than every peer it could reach had.
+    StartedBehind {
+        /// The instance's slot.
+        slot: usize,
+        /// The least that any peer had.
+        peers: Revision,
+        /// What was put in force.
+        to: Revision,
+    },
+    /// The catalogue in force is not that of any one revision of the store.
+    Half {
+        /// The instance's slot.
+        slot: usize,
+        /// The revision it was put in force under.
+        revision: Revision,
+    },
+}
+
+type Catalog = BTreeMap<Arc<str>, Bytes>;
+
+#[derive(Debug, Clone, Default)]
+struct Seen {
+    applied: Revision,
+    /// The least that any peer within reach had when the process started.
+    floor: Revision,
+    catalog: Catalog,
+}
+
+/// Watches the catalogues that instances put in force.
+#[derive(Debug, Default)]
+pub struct Monitor {
+    seen: Vec<Seen>,
+    truth: BTreeMap<Revision, Catalog>,
+    violations: Vec<Violation>,
+}
+
+impl Monitor {
+    /// What was broken so far.
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+
+    /// The catalogue revision in force at a slot.
+    pub fn applied(&self, slot: usize) -> Revision {
+        self.seen
+            .get(slot)
+            .map_or(Revision::NONE, |seen| seen.applied)
+    }
+
+    /// A process started at a slot, while the peers it reaches had at least
+    /// `floor` in force.
+    pub fn started(&mut self, slot: usize, floor: Revision) {
+        if self.seen.len() <= slot {
+            self.seen.resize(slot + 1, Seen::default());
+        }
+        self.seen[slot] = Seen {
+            floor,
+            ..Seen::default()
+        };
+    }
+
+    /// The store holds this catalogue at `revision`.
+    pub fn written(&mut self, revision: Revision, catalog: BTreeMap<Arc<str>, Bytes>) {
+        self.truth.insert(revision, catalog);
+    }
+
+    /// A process took an action.
+    pub fn acted(&mut self, slot: usize, action: &Action) {
+        if let Action::Catalog {
+            revision,
+            scope,
+            changes,
+        } = action
+        {
+            self.applied_at(slot, *revision, *scope, changes);
+        }
+    }
+
+    fn applied_at(&mut self, slot: usize, to: Revision, scope: Scope, changes: &[Change]) {
+        let seen = &mut self.seen[slot];
+        let (from, peers) = (seen.applied, seen.floor);
+        if to <= from {
+            self.violations.push(Violation::Reverted { slot, from, to });
+        } else if from == Revision::NONE && to < peers {
+            let violation = Violation::StartedBehind { slot, peers, to };
+            self.violations.push(violation);
+        }
+        seen.applied = to;
+        if self.truth.is_empty() {
+            return;
+        }
+        if scope == Scope::Whole {
+            seen.catalog.clear();
+        }
+        for change in changes {
+            match &change.value {
+                Some(value) => seen.catalog.insert(change.key.clone(), value.clone()),
+                None => seen.catalog.remove(&change.key),
+            };
+        }
+        if self.truth.get(&to) != Some(&seen.catalog) {
+            let violation = Violation::Half { slot, revision: to };
+            self.violations.push(violation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/slopes/src/world.rs
@@ -0,0 +1,679 @@
+//! A plain seeded queue that passes messages with delay and loss.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use clock::Instant;
+use fleet::{Action, Answer, Call, Conf, Event, Fleet, Notice, Request};
+use model::name;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use wire::{Message, Record, Revision};
+
+use crate::{Count, Monitor, Store, count};
+
+/// One-way delays in microseconds.
+const SAME_ZONE: u64 = 250;
+const SAME_REGION: u64 = 1_500;
+const OTHER_REGION: u64 = 40_000;
+const STORE: u64 = 3_000;
+/// What a lost segment of a stream costs.
+const RETRANSMIT: u64 = 200_000;
+/// How long an instance waits for a connection that nobody answers.
+const CONNECT_WAIT: u64 = 1_000_000;
+/// The most zones, and into how many regions they are divided.
+const ZONES: usize = 10;
+const REGIONS: usize = 3;
+const PORT: u16 = 7_000;
+
+/// A hook that changes the actions of an instance, to break it on purpose.
+pub type Tamper = fn(usize, &mut Vec<Action>);
+
+/// What a world is opened with.
+#[derive(Debug, Clone, Copy)]
+pub struct Setup {
+    /// How many instances.
+    pub nodes: usize,
+    /// Over how many zones; at most one per three instances is used by
+    /// [`Setup::sized`].
+    pub zones: usize,
+    /// Where its random choices start.
+    pub seed: u64,
+    /// The share of datagrams that is lost.
+    pub loss: f64,
+}
+
+impl Setup {
+    /// A world of `nodes` instances over up to ten zones.
+    pub fn sized(nodes: usize, seed: u64) -> Self {
+        Self {
+            nodes,
+            zones: (nodes / 3).clamp(1, ZONES),
+            seed,
+            loss: 0.0,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Item {
+    Wake(usize, u32),
+    Datagram(usize, usize, Message),
+    Ask(usize, u32, Call, usize, Message),
+    Answer(usize, u32, Call, Vec<Message>),
+    Failed(usize, u32, Call),
+    Call(usize, u32, Call, Request),
+    Store(usize, u32, Call, Answer),
+}
+
+#[derive(Debug)]
+struct Queued {
+    at: Instant,
+    order: u64,
+    item: Box<Item>,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// One place where an instance runs.
+#[derive(Debug)]
+struct Slot {
+    zone: usize,
+    island: u8,
+    /// Counts the processes that ran here.
+    generation: u32,
+    fleet: Option<Fleet>,
+    /// Until then the process is stopped by its machine; events wait.
+    paused: Option<Instant>,
+    /// The revision that it put in force last, and when.
+    applied: (Revision, Instant),
+    count: Count,
+}
+
+/// Many instances, a queue between them, and the store.
+#[derive(Debug)]
+pub struct World {
+    setup: Setup,
+    now: Instant,
+    rng: ChaCha8Rng,
+    queue: BinaryHeap<Reverse<Queued>>,
+    order: u64,
+    slots: Vec<Slot>,
+    streams: BTreeMap<u64, (usize, u32, Call)>,
+    stream: u64,
+    watches: BTreeMap<(usize, Call), u32>,
+    /// The platform's store.
+    pub store: Store,
+    /// Whether the store answers nobody.
+    pub store_down: bool,
+    /// Which island the store is on.
+    pub store_island: u8,
+    /// Checks the configuration of all instances.
+    pub monitor: Monitor,
+    /// What operators were told, with the slot that told it.
+    pub notices: Vec<(usize, Notice)>,
+    /// Breaks instances on purpose.
+    pub tamper: Option<Tamper>,
+    /// The share of datagrams that is lost.
+    pub loss: f64,
+    /// Processor time spent in steps, by the machine's clock.
+    pub stepping: Duration,
+    /// How many steps were taken.
+    pub steps: u64,
+    /// While set, whoever asks for all members is told all that run.
+    warm: bool,
+}
+
+impl World {
+    /// Opens a world whose instances are not started yet.
+    pub fn open(setup: Setup) -> Self {
+        let slots = (0..setup.nodes).map(|slot| Slot {
+            zone: slot % setup.zones,
+            island: 0,
+            generation: 0,
+            fleet: None,
+            paused: None,
+            applied: (Revision::NONE, Instant::ZERO),
+            count: Count::default(),
+        });
+        Self {
+            setup,
+            now: Instant::ZERO,
+            rng: ChaCha8Rng::seed_from_u64(setup.seed),
+            queue: BinaryHeap::new(),
+            order: 0,
+            slots: slots.collect(),
+            streams: BTreeMap::new(),
+            stream: 0,
+            watches: BTreeMap::new(),
+            store: Store::default(),
+            store_down: false,
+            store_island: 0,
+            monitor: Monitor::default(),
+            notices: Vec::new(),
+            tamper: None,
+            loss: setup.loss,
+            stepping: Duration::ZERO,
+            steps: 0,
+            warm: false,
+        }
+    }
+
+    /// Starts all instances, which then know each other from the start, and
+    /// runs until rumours of the start are over.
+    pub fn warm_up(&mut self, span: Duration) {
+        self.warm = true;
+        for slot in 0..self.slots.len() {
+            self.start(slot);
+        }
+        self.run(Duration::from_secs(3));
+        self.warm = false;
+        self.run(span);
+    }
+
+    /// The moment it is.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// How many places there are.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether there is no place at all.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// The instance that runs at a slot.
+    pub fn fleet(&self, slot: usize) -> Option<&Fleet> {
+        self.slots[slot].fleet.as_ref()
+    }
+
+    /// The zone of a slot, by number.
+    pub fn zone(&self, slot: usize) -> usize {
+        self.slots[slot].zone
+    }
+
+    /// The catalogue revision in force at a slot, and since when.
+    pub fn applied(&self, slot: usize) -> (Revision, Instant) {
+        self.slots[slot].applied
+    }
+
+    /// The slots whose instance runs.
+    pub fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.slots.len()).filter(|&slot| self.slots[slot].fleet.is_some())
+    }
+
+    /// What an instance sent and received since the counts were reset.
+    pub fn count(&self, slot: usize) -> Count {
+        self.slots[slot].count
+    }
+
+    /// How many watches wait at the store.
+    pub fn watches(&self) -> usize {
+        self.watches.len()
+    }
+
+    /// Starts counting anew.
+    pub fn reset_counts(&mut self) {
+        for slot in &mut self.slots {
+            slot.count = Count::default();
+        }
+        self.store.calls = 0;
+        self.stepping = Duration::ZERO;
+        self.steps = 0;
+    }
+
+    /// The settings of the process that starts at `slot` now.
+    pub fn conf(&self, slot: usize) -> Conf {
+        let zone = format!("zone-{}", self.slots[slot].zone);
+        let seeds = [1, self.setup.zones, 2 * self.setup.zones + 1];
+        Conf {
+            name: instance(slot),
+            zone: name::Zone::new(&zone).expect("a zone's number makes a name"),
+            address: address(slot),
+            started_ms: 1_790_000_000_000 + self.now.as_micros() / 1_000,
+            format: 1,
+            relays: Conf::RELAYS,
+            seeds: seeds
+                .iter()
+                .map(|step| address((slot + step) % self.slots.len()))
+                .collect(),
+            seed: self.setup.seed,
+        }
+    }
+
+    /// Starts a new process at a slot.
+    pub fn start(&mut self, slot: usize) {
+        let conf = self.conf(slot);
+        self.start_with(slot, conf);
+    }
+
+    /// Starts a new process at a slot with settings of the test's choice.
+    pub fn start_with(&mut self, slot: usize, conf: Conf) {
+        let floor = self.least_within_reach(slot);
+        self.monitor.started(slot, floor);
+        self.slots[slot].generation += 1;
+        let (fleet, actions) = Fleet::open(conf, self.now);
+        self.slots[slot].fleet = Some(fleet);
+        self.slots[slot].applied = (Revision::NONE, self.now);
+        self.act(slot, actions);
+    }
+
+    /// Ends the process at a slot without a word.
+    pub fn kill(&mut self, slot: usize) {
+        self.slots[slot].fleet = None;
+        self.watches.retain(|&(owner, _), _| owner != slot);
+    }
+
+    /// Stops the process at a slot for a time, as a machine may; what comes
+    /// meanwhile waits.
+    pub fn pause(&mut self, slot: usize, span: Duration) {
+        self.slots[slot].paused = Some(self.now + span);
+    }
+
+    /// Puts a slot on an island; messages only pass within one.
+    pub fn separate(&mut self, slot: usize, island: u8) {
+        self.slots[slot].island = island;
+    }
+
+    /// Hands an event to the instance at a slot.
+    pub fn tell(&mut self, slot: usize, event: Event) {
+        self.step(slot, event);
+    }
+
+    /// Applies a change of the catalogue, as the operators' tool does.
+    pub fn apply(&mut self, changes: &[(&str, Option<&[u8]>)]) -> Revision {
+        self.apply_as(1, 0, changes)
+    }
+
+    /// Applies a change of the catalogue under another format or epoch.
+    pub fn apply_as(
+        &mut self,
+        format: u16,
+        epoch: u32,
+        changes: &[(&str, Option<&[u8]>)],
+    ) -> Revision {
+        let number = self.store.apply(format, epoch, changes);
+        let revision = Revision { epoch, number };
+        let values = self.store.values().iter();
+        let catalog = values
+            .filter(|(key, _)| key.starts_with("catalog/"))
+            .map(|(key, (_, value))| (key.clone(), value.clone()));
+        if self.slots.len() <= 100 {
+            self.monitor.written(revision, catalog.collect());
+        }
+        self.tell_watches(number);
+        revision
+    }
+
+    /// Writes keys that are not of the catalogue, such as a primary's record.
+    pub fn write(&mut self, changes: &[(&str, Option<&[u8]>)]) -> u64 {
+        let number = self.store.write(changes);
+        self.tell_watches(number);
+        number
+    }
+
+    /// Makes the store fail or answer again.
+    pub fn set_store_down(&mut self, down: bool) {
+        self.store_down = down;
+        if !down {
+            return;
+        }
+        for ((slot, call), generation) in std::mem::take(&mut self.watches) {
+            self.answer_store(slot, generation, call, Answer::Down);
+        }
+    }
+
+    /// Passes messages for a time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(Reverse(next)) = self.queue.peek() {
+            if next.at > end {
+                break;
+            }
+            let Some(Reverse(queued)) = self.queue.pop() else {
+                break;
+            };
+            self.now = queued.at;
+            self.pass(*queued.item);
+        }
+        self.now = end;
+    }
+
+    /// Passes messages until `done`, looked at every few milliseconds, or until
+    /// the time is over; tells how long it took.
+    pub fn run_until(
+        &mut self,
+        most: Duration,
+        mut done: impl FnMut(&Self) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while self.now.since(start) < most {
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+            self.run(Duration::from_millis(5));
+        }
+        done(self).then(|| self.now.since(start))
+    }
+
+    fn pass(&mut self, item: Item) {
+        match item {
+            Item::Wake(slot, generation) => {
+                if self.runs(slot, generation) {
+                    self.step(slot, Event::Wake);
+                }
+            }
+            Item::Datagram(from, to, message) => self.deliver(from, to, message),
+            Item::Ask(from, generation, call, to, message) => {
+                self.deliver_ask(from, generation, call, to, message);
+            }
+            Item::Answer(slot, generation, call, messages) => {
+                for message in messages {
+                    if self.runs(slot, generation) {
+                        let bytes = count::stream(&message);
+                        self.slots[slot].count.received(bytes);
+                        self.step(slot, Event::Answer { call, message });
+                    }
+                }
+            }
+            Item::Failed(slot, generation, call) => {
+                if self.runs(slot, generation) {
+                    self.step(slot, Event::Failed(call));
+                }
+            }
+            Item::Call(slot, generation, call, request) => {
+                self.serve(slot, generation, call, request);
+            }
+            Item::Store(slot, generation, call, answer) => {
+                if self.runs(slot, generation) {
+                    self.step(slot, Event::Store { call, answer });
+                }
+            }
+        }
+    }
+
+    fn runs(&self, slot: usize, generation: u32) -> bool {
+        self.slots[slot].fleet.is_some() && self.slots[slot].generation == generation
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        if self.slots[to].fleet.is_none() || !self.joined(from, to) {
+            return;
+        }
+        self.slots[to].count.received(count::datagram(&message));
+        let event = Event::Message {
+            from: wire::Node::of(&instance(from)),
+            address: address(from),
+            message,
+        };
+        self.step(to, event);
+    }
+
+    fn deliver_ask(&mut self, from: usize, generation: u32, call: Call, to: usize, ask: Message) {
+        if self.slots[to].fleet.is_none() || !self.joined(from, to) {
+            let at = self.now + Duration::from_micros(CONNECT_WAIT);
+            self.queue_at(at, Item::Failed(from, generation, call));
+            return;
+        }
+        self.slots[to].count.received(count::request(&ask));
+        if self.warm && ask == Message::Members(Vec::new()) {
+            let table = Message::Table(self.records());
+            let item = Item::Answer(from, generation, call, vec![table]);
+            self.queue_at(self.now + Duration::from_millis(1), item);
+            return;
+        }
+        self.stream += 1;
+        let stream = self.stream;
+        self.streams.insert(stream, (from, generation, call));
+        let message = ask;
+        self.step(to, Event::Asked { stream, message });
+    }
+
+    fn records(&self) -> Vec<Record> {
+        let fleets = self.slots.iter().filter_map(|slot| slot.fleet.as_ref());
+        let own = fleets.filter_map(|fleet| fleet.table().find(fleet.node()));
+        own.map(|member| member.record.clone()).collect()
+    }
+
+    fn step(&mut self, slot: usize, event: Event) {
+        if let Some(until) = self.slots[slot].paused {
+            if self.now < until {
+                self.postpone(slot, until, event);
+                return;
+            }
+            self.slots[slot].paused = None;
+        }
+        let Some(fleet) = self.slots[slot].fleet.as_mut() else {
+            return;
+        };
+        let start = std::time::Instant::now();
+        let actions = fleet.step(self.now, event);
+        self.stepping += start.elapsed();
+        self.steps += 1;
+        self.act(slot, actions);
+    }
+
+    fn postpone(&mut self, slot: usize, until: Instant, event: Event) {
+        let generation = self.slots[slot].generation;
+        let item = match event {
+            Event::Wake => Item::Wake(slot, generation),
+            Event::Store { call, answer } => Item::Store(slot, generation, call, answer),
+            Event::Answer { call, message } => Item::Answer(slot, generation, call, vec![message]),
+            // Its socket's buffer overflows; its peers give up.
+            _ => return,
+        };
+        self.queue_at(until, item);
+    }
+
+    fn act(&mut self, slot: usize, mut actions: Vec<Action>) {
+        if let Some(tamper) = self.tamper {
+            tamper(slot, &mut actions);
+        }
+        for action in actions {
+            self.monitor.acted(slot, &action);
+            self.act_once(slot, action);
+        }
+    }
+
+    fn act_once(&mut self, slot: usize, action: Action) {
+        let generation = self.slots[slot].generation;
+        match action {
+            Action::Send { to, message, .. } => self.send(slot, to, message),
+            Action::Ask { call, to, message } => {
+                let to = slot_at(to);
+                self.slots[slot].count.sent(count::request(&message));
+                let delay = self.delay(slot, to) * 2 + self.retransmit();
+                let item = Item::Ask(slot, generation, call, to, message);
+                self.queue_in(delay, item);
+            }
+            Action::Reply { stream, messages } => self.reply(slot, stream, messages),
+            Action::Store(store) => {
+                let item = Item::Call(slot, generation, store.call, store.request);
+                let delay = self.store_delay(slot);
+                self.queue_in(delay, item);
+            }
+            Action::Catalog { revision, .. } => {
+                self.slots[slot].applied = (revision, self.now);
+            }
+            Action::Notice(notice) => self.notices.push((slot, notice)),
+            Action::Wake(at) => self.queue_at(at, Item::Wake(slot, generation)),
+            Action::Primary(_) | Action::Member(_) | Action::Evidence(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let to = slot_at(to);
+        self.slots[from].count.sent(count::datagram(&message));
+        if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+            return;
+        }
+        let delay = self.delay(from, to);
+        self.queue_in(delay, Item::Datagram(from, to, message));
+    }
+
+    fn reply(&mut self, from: usize, stream: u64, messages: Vec<Message>) {
+        let Some((to, generation, call)) = self.streams.remove(&stream) else {
+            return;
+        };
+        for message in &messages {
+            self.slots[from].count.sent(count::stream(message));
+        }
+        let delay = self.delay(from, to) + self.retransmit();
+        self.queue_in(delay, Item::Answer(to, generation, call, messages));
+    }
+
+    fn serve(&mut self, slot: usize, generation: u32, call: Call, request: Request) {
+        if self.slots[slot].island != self.store_island {
+            return;
+        }
+        self.store.calls += 1;
+        if self.store_down {
+            self.answer_store(slot, generation, call, Answer::Down);
+            return;
+        }
+        match request {
+            Request::Range => {
+                let answer = self.store.range();
+                self.answer_store(slot, generation, call, answer);
+            }
+            Request::Head => {
+                let answer = self.store.head();
+                self.answer_store(slot, generation, call, answer);
+            }
+            Request::Unwatch => {
+                self.watches.remove(&(slot, call));
+            }
+            Request::Watch { from } => {
+                self.watches.insert((slot, call), generation);
+                // A stream: its answers arrive in order, so one delay for all.
+                let delay = self.store_delay(slot);
+                for answer in self.store.watch(from) {
+                    self.queue_in(delay, Item::Store(slot, generation, call, answer));
+                }
+            }
+        }
+    }
+
+    fn tell_watches(&mut self, revision: u64) {
+        if self.store_down {
+            return;
+        }
+        let watches: Vec<_> = self.watches.iter().map(|(key, at)| (*key, *at)).collect();
+        for ((slot, call), generation) in watches {
+            if self.slots[slot].island != self.store_island {
+                continue;
+            }
+            self.store.calls += 1;
+            let answers: Vec<_> = self.store.changes_from(revision).collect();
+            for answer in answers {
+                self.answer_store(slot, generation, call, answer);
+            }
+        }
+    }
+
+    fn answer_store(&mut self, slot: usize, generation: u32, call: Call, answer: Answer) {
+        let delay = self.store_delay(slot);
+        self.queue_in(delay, Item::Store(slot, generation, call, answer));
+    }
+
+    fn least_within_reach(&self, slot: usize) -> Revision {
+        let peers = self.running().filter(|&peer| {
+            peer != slot && self.joined(slot, peer) && self.slots[peer].paused.is_none()
+        });
+        peers
+            .map(|peer| self.slots[peer].applied.0)
+            .min()
+            .unwrap_or(Revision::NONE)
+    }
+
+    fn joined(&self, a: usize, b: usize) -> bool {
+        self.slots[a].island == self.slots[b].island
+    }
+
+    fn delay(&mut self, a: usize, b: usize) -> u64 {
+        let [a, b] = [a, b].map(|slot| self.slots[slot].zone);
+        let region = |zone| zone * REGIONS / ZONES;
+        let base = if a == b {
+            SAME_ZONE
+        } else if region(a) == region(b) {
+            SAME_REGION
+        } else {
+            OTHER_REGION
+        };
+        base + self.rng.random_range(0..=base / 2)
+    }
+
+    /// The store answers in order, so its delay does not vary.
+    fn store_delay(&self, slot: usize) -> u64 {
+        let region = self.slots[slot].zone * REGIONS / ZONES;
+        if region == 0 { STORE } else { OTHER_REGION }
+    }
+
+    fn retransmit(&mut self) -> u64 {
+        let lost = 1.0 - (1.0 - self.loss).powi(2);
+        if lost > 0.0 && self.rng.random_bool(lost) {
+            RETRANSMIT
+        } else {
+            0
+        }
+    }
+
+    fn queue_in(&mut self, micros: u64, item: Item) {
+        self.queue_at(self.now + Duration::from_micros(micros), item);
+    }
+
+    fn queue_at(&mut self, at: Instant, item: Item) {
+        self.order += 1;
+        self.queue.push(Reverse(Queued {
+            at: at.max(self.now),
+            order: self.order,
+            item: Box::new(item),
+        }));
+    }
+}
+
+/// The name of the instance at a slot.
+fn instance(slot: usize) -> name::Instance {
+    name::Instance::new(&format!("instance-{slot}")).expect("a slot's number makes a name")
+}
+
+fn address(slot: usize) -> SocketAddr {
+    let bytes = (slot as u32).to_be_bytes();
+    SocketAddr::from(([10, bytes[1], bytes[2], bytes[3]], PORT))
+}
+
+fn slot_at(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => {
+            let [_, a, b, c] = address.ip().octets();
+            u32::from_be_bytes([0, a, b, c]) as usize
+        }
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
