--- a/crates/catalog/tests/layout.rs
+++ b/crates/catalog/tests/layout.rs
@@ -132,14 +132,14 @@
         "dandelionlink/catalog/tenant/yard",
         "dandelionlink/catalog/database/core-1",
         "dandelionlink/catalog/entry/a.b_c",
-        "dandelionlink/history/00000000000000000042",
+        "dandelionlink/revision/00000000000000000042",
     ] {
         let key: Key = text.parse().unwrap();
         assert_eq!(key.to_string(), text);
     }
     for text in [
         "",
-        "dandelionlink/history/42",
+        "dandelionlink/revision/42",
         "dandelionlink/catalog/tenant/a/b",
     ] {
         assert!(text.parse::<Key>().is_err(), "{text}");
@@ -185,7 +185,7 @@
         [
             "dandelionlink/catalog/entry/calendar",
             "dandelionlink/catalog/head",
-            "dandelionlink/history/00000000000000000002",
+            "dandelionlink/revision/00000000000000000002",
         ]
     );
     assert_eq!(second.txn.compares[0].revision, 1);
--- a/crates/daemon/src/control/duty.rs
+++ b/crates/daemon/src/control/duty.rs
@@ -11,6 +11,7 @@
 use super::{Answer, Order};
 use crate::{
     duty::{self, Phase, Watch},
+    peers::{Say, Word},
     platform::{self, Told},
     ring,
 };
@@ -32,6 +33,10 @@
     pub(crate) asks: ring::Sender<platform::Ask>,
     /// From the store's duty.
     pub(crate) told: ring::Receiver<Told>,
+    /// To the peers' duty.
+    pub(crate) says: ring::Sender<Say>,
+    /// From the peers' duty.
+    pub(crate) words: ring::Receiver<Word>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
     /// Where the attempts' numbers begin.
@@ -46,6 +51,8 @@
     seed: u64,
     orders: ring::Sender<Order>,
     asks: ring::Sender<platform::Ask>,
+    says: ring::Sender<Say>,
+    members: BTreeMap<name::Instance, name::Zone>,
     groups: BTreeMap<name::Database, Slot>,
 }
 
@@ -66,6 +73,8 @@
         seed: conf.seed,
         orders: conf.orders,
         asks: conf.asks,
+        says: conf.says,
+        members: BTreeMap::new(),
         groups: BTreeMap::new(),
     };
     loop {
@@ -74,6 +83,7 @@
             () = duty::reached(&mut conf.watch, Phase::Stop) => return,
             Some(answer) = conf.answers.recv() => control.answer(answer),
             Some(told) = conf.told.recv() => control.told(told),
+            Some(word) = conf.words.recv() => control.word(word),
             () = sleep(pause) => control.tick(),
         }
     }
@@ -118,7 +128,6 @@
 
     fn told(&mut self, told: Told) {
         match told {
-            Told::Catalog(snapshot) => self.follow(&snapshot),
             Told::Read {
                 database,
                 call,
@@ -133,8 +142,37 @@
             } => {
                 self.step(&database, Event::Swapped { call, result });
             }
-            Told::Seen { database, entry } => self.step(&database, Event::Seen(entry)),
-            Told::Held { .. } | Told::Reach(_) => {}
+        }
+    }
+
+    fn word(&mut self, word: Word) {
+        match word {
+            Word::Members(members) => self.set_members(members),
+            Word::Catalog(snapshot) => self.follow(&snapshot),
+            Word::Seen { database, entry } => self.step(&database, Event::Seen(entry)),
+            Word::Heard {
+                from,
+                zone,
+                evidence,
+            } => {
+                let database = evidence.database.clone();
+                self.step(
+                    &database,
+                    Event::Heard {
+                        from,
+                        zone,
+                        evidence,
+                    },
+                );
+            }
+        }
+    }
+
+    fn set_members(&mut self, members: BTreeMap<name::Instance, name::Zone>) {
+        self.members = members;
+        let databases: Vec<_> = self.groups.keys().cloned().collect();
+        for database in databases {
+            self.step(&database, Event::Members(self.members.clone()));
         }
     }
 
@@ -164,8 +202,7 @@
                         told: None,
                     };
                     self.groups.insert(name.clone(), slot);
-                    let members = BTreeMap::from([(self.instance.clone(), self.zone.clone())]);
-                    self.step(name, Event::Members(members));
+                    self.step(name, Event::Members(self.members.clone()));
                 }
                 Err(error) => log::error!(duty = "control"; "the state chart is faulty: {error}"),
             }
@@ -230,7 +267,8 @@
                     slot.wake = Some(at);
                 }
             }
-            Action::Tell { .. } => {}
+            // Evidence may be lost, and is told again.
+            Action::Tell { to, evidence } => drop(self.says.push(Say::Tell { to, evidence })),
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duty;
 mod job;
 mod ops;
+mod peers;
 mod platform;
 pub mod ring;
 pub mod settings;
@@ -16,8 +17,8 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener},
-    time::Duration,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    time::{Duration, SystemTime},
 };
 
 use clock::Clock;
@@ -38,6 +39,7 @@
 pub struct Daemon {
     callers: SocketAddr,
     ops: SocketAddr,
+    peers: SocketAddr,
     drain: Duration,
     phase: watch::Sender<Phase>,
     front: Vec<Duty>,
@@ -56,6 +58,8 @@
         let callers = bind(settings.listen)?;
         let ops = bind(settings.ops)?;
         let (caller_address, ops_address) = (callers.local_addr()?, ops.local_addr()?);
+        let (peers, socket) = bind_both(settings.peers)?;
+        let peers_address = peers::reachable(settings.peers, peers.local_addr()?);
 
         let (asks_tx, asks) = ring(RING);
         let (replies_tx, replies) = ring(RING);
@@ -64,6 +68,10 @@
         let (answers_tx, answers) = ring(RING);
         let (store_asks_tx, store_asks) = ring(RING);
         let (told_tx, told) = ring(RING);
+        let (says_tx, says) = ring(RING);
+        let (words_tx, words) = ring(RING);
+        let (calls_tx, calls) = ring(RING);
+        let (fleet_answers_tx, fleet_answers) = ring(RING);
 
         let callers_conf = callers::Conf {
             listener: callers,
@@ -95,15 +103,30 @@
             answers,
             asks: store_asks_tx,
             told,
+            says: says_tx,
+            words,
             watch: watch.clone(),
             seed: settings.seed,
         };
         let store_conf = platform::Conf {
             endpoint: settings.store,
-            clock,
             asks: store_asks,
             told: told_tx,
+            calls,
+            answers: fleet_answers_tx,
+            watch: watch.clone(),
+        };
+        let peers_conf = peers::Conf {
+            fleet: fleet_conf(settings, peers_address),
+            socket,
+            listener: peers,
+            ring: settings.peer_keys.clone(),
+            clock,
+            says,
+            words: words_tx,
             catalogs: catalogs_tx,
+            asks: calls_tx,
+            answers: fleet_answers,
             watch: watch.clone(),
         };
         let ops_conf = ops::Conf {
@@ -115,6 +138,7 @@
             Duty::spawn("metrics", move || ops::run(ops_conf))?,
             Duty::spawn("upstreams", move || upstreams::run(upstreams_conf))?,
             Duty::spawn("control", move || control::run(control_conf))?,
+            Duty::spawn("peers", move || peers::run(peers_conf))?,
             Duty::spawn("store", move || platform::run(store_conf))?,
         ];
         let front = vec![Duty::spawn("callers", move || callers::run(callers_conf))?];
@@ -122,6 +146,7 @@
         Ok(Self {
             callers: caller_address,
             ops: ops_address,
+            peers: peers_address,
             drain,
             phase,
             front,
@@ -139,6 +164,11 @@
         self.ops
     }
 
+    /// Where other instances reach this one.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Stops: takes nothing new, lets what runs end within the drain's bound,
     /// and leaves.
     pub fn stop(self) {
@@ -169,3 +199,36 @@
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
+
+/// Binds the same port for streams and for datagrams.
+fn bind_both(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    /// How often another ephemeral port is tried where one is taken.
+    const TRIES: u32 = 16;
+    let mut last = None;
+    for _ in 0..TRIES {
+        let listener = bind(address)?;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Ok(socket) => {
+                socket.set_nonblocking(true)?;
+                return Ok((listener, socket));
+            }
+            Err(error) => last = Some(error),
+        }
+    }
+    Err(last.unwrap_or_else(|| io::ErrorKind::AddrInUse.into()))
+}
+
+fn fleet_conf(settings: &Settings, address: SocketAddr) -> fleet::Conf {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let started = since_epoch.map_or(0, |it| it.as_millis());
+    fleet::Conf {
+        name: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        address,
+        started_ms: u64::try_from(started).unwrap_or(0),
+        format: u16::try_from(catalog::layout::FORMAT).unwrap_or(u16::MAX),
+        relays: fleet::Conf::RELAYS,
+        seeds: settings.seeds.clone(),
+        seed: settings.seed,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,331 @@
+//! The peers' duty: membership, the catalogue's spread, and what instances
+//! tell each other.
+
+mod apply;
+mod datagram;
+mod evidence;
+mod stream;
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use catalog::layout::Snapshot;
+use clock::{Clock, Instant};
+use failover::{Entry, Evidence};
+use fleet::{Action, Event, Fleet, Notice};
+use model::name;
+use ntex::time::sleep;
+use wire::{Gate, Message, Node, Ring};
+
+use crate::{
+    duty::{self, Phase, Watch},
+    platform::{self, PRIMARIES},
+    ring,
+};
+
+use apply::Force;
+use stream::Heard;
+
+/// What the control duty asks of the peers' duty.
+#[derive(Debug)]
+pub(crate) enum Say {
+    /// Tell another candidate, without confirmation.
+    Tell {
+        /// The candidate.
+        to: name::Instance,
+        /// What to tell.
+        evidence: Evidence,
+    },
+}
+
+/// What the control duty is told.
+#[derive(Debug)]
+pub(crate) enum Word {
+    /// The instances that may be given work, with their zones.
+    Members(BTreeMap<name::Instance, name::Zone>),
+    /// The catalogue that is in force now.
+    Catalog(Arc<Snapshot>),
+    /// The store's record of a primary.
+    Seen {
+        /// The database.
+        database: name::Database,
+        /// The record.
+        entry: Entry,
+    },
+    /// Another candidate told its evidence.
+    Heard {
+        /// The teller.
+        from: name::Instance,
+        /// The teller's zone.
+        zone: name::Zone,
+        /// What it tells.
+        evidence: Evidence,
+    },
+}
+
+/// What the peers' duty is given.
+#[derive(Debug)]
+pub(crate) struct Conf {
+    /// This instance's part in the fleet.
+    pub(crate) fleet: fleet::Conf,
+    /// For datagrams.
+    pub(crate) socket: UdpSocket,
+    /// For streams.
+    pub(crate) listener: TcpListener,
+    /// The keys that frames are sealed with.
+    pub(crate) ring: Ring,
+    /// The machine's clock.
+    pub(crate) clock: Clock,
+    /// From the control duty.
+    pub(crate) says: ring::Receiver<Say>,
+    /// To the control duty.
+    pub(crate) words: ring::Sender<Word>,
+    /// To the callers' duty.
+    pub(crate) catalogs: ring::Sender<Arc<Snapshot>>,
+    /// To the store's duty.
+    pub(crate) asks: ring::Sender<fleet::Store>,
+    /// From the store's duty.
+    pub(crate) answers: ring::Receiver<platform::FleetAnswer>,
+    /// The daemon's phase.
+    pub(crate) watch: Watch,
+}
+
+/// The state of the duty.
+struct Peers {
+    clock: Clock,
+    fleet: Fleet,
+    gate: Gate,
+    socket: Rc<tokio::net::UdpSocket>,
+    streams: stream::Streams,
+    words: ring::Shared<Word>,
+    catalogs: ring::Shared<Arc<Snapshot>>,
+    asks: ring::Shared<fleet::Store>,
+    force: Force,
+    wake: Option<Instant>,
+    members: BTreeMap<name::Instance, name::Zone>,
+}
+
+/// Runs the duty until the daemon stops.
+pub(crate) async fn run(mut conf: Conf) {
+    let Ok(socket) = tokio::net::UdpSocket::from_std(conf.socket) else {
+        log::error!(duty = "peers"; "the peers' port can't be served");
+        return;
+    };
+    let node = Node::of(&conf.fleet.name);
+    let incarnation = conf.fleet.incarnation();
+    let address = conf.fleet.address;
+    let (streams, mut heard) =
+        stream::Streams::open(conf.listener, node, incarnation, conf.ring.clone());
+    let (fleet, actions) = Fleet::open(conf.fleet, conf.clock.now());
+    let mut peers = Peers {
+        clock: conf.clock,
+        fleet,
+        gate: Gate::open(node, incarnation, address, conf.ring),
+        socket: Rc::new(socket),
+        streams,
+        words: ring::Shared::new(conf.words),
+        catalogs: ring::Shared::new(conf.catalogs),
+        asks: ring::Shared::new(conf.asks),
+        force: Force::default(),
+        wake: None,
+        members: BTreeMap::new(),
+    };
+    peers.carry(actions).await;
+    let mut buf = vec![0; wire::DATAGRAM_MAX + 1];
+    let mut draining = conf.watch.clone();
+    let mut leaving = false;
+    loop {
+        let pause = peers.pause();
+        let socket = Rc::clone(&peers.socket);
+        tokio::select! {
+            () = duty::reached(&mut conf.watch, Phase::Stop) => break,
+            () = duty::reached(&mut draining, Phase::Drain), if !leaving => {
+                leaving = true;
+                peers.step(Event::Leave).await;
+            }
+            Ok((len, from)) = socket.recv_from(&mut buf) => peers.datagram(&buf[..len], from).await,
+            Some(heard) = heard.recv() => peers.heard(heard).await,
+            Some(say) = conf.says.recv() => peers.say(say),
+            Some(answer) = conf.answers.recv() => {
+                let platform::FleetAnswer { call, answer } = answer;
+                peers.step(Event::Store { call, answer }).await;
+            }
+            () = sleep(pause) => peers.step(Event::Wake).await,
+        }
+    }
+    peers.step(Event::Stop).await;
+}
+
+impl Peers {
+    /// How long until the fleet's part wants to be woken.
+    fn pause(&self) -> Duration {
+        const QUIET: Duration = Duration::from_secs(1);
+        self.wake.map_or(QUIET, |at| at.since(self.clock.now()))
+    }
+
+    async fn step(&mut self, event: Event) {
+        let actions = self.fleet.step(self.clock.now(), event);
+        self.carry(actions).await;
+    }
+
+    async fn carry(&mut self, actions: Vec<Action>) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                Action::Send { to, node, message } => self.send(to, node, &message),
+                Action::Ask { call, to, message } => self.streams.ask(call, to, message),
+                Action::Reply { stream, messages } => self.streams.reply(stream, messages),
+                Action::Store(store) => self.ask_store(store),
+                Action::Catalog {
+                    revision,
+                    scope,
+                    changes,
+                } => {
+                    self.apply(revision, scope, &changes).await;
+                }
+                Action::Primary(change) => self.primary(&change).await,
+                Action::Member(_) => changed = true,
+                Action::Notice(notice) => tell(&notice),
+                Action::Wake(at) => self.wake = Some(at),
+            }
+        }
+        if changed {
+            self.tell_members().await;
+        }
+    }
+
+    /// A call that finds the ring full is left out: the fleet's part counts it
+    /// as unanswered and makes it again.
+    fn ask_store(&mut self, store: fleet::Store) {
+        if self.asks.push(store).is_err() {
+            metrics::counter!("dandelionlink_ring_full_total", "ring" => "fleet").increment(1);
+        }
+    }
+
+    async fn apply(
+        &mut self,
+        revision: wire::Revision,
+        scope: fleet::Scope,
+        changes: &[wire::Change],
+    ) {
+        match self.force.apply(scope, changes) {
+            Ok(snapshot) => {
+                let snapshot = Arc::new(snapshot);
+                metrics::gauge!("dandelionlink_catalog_revision").set(snapshot.revision as f64);
+                self.words.send(Word::Catalog(Arc::clone(&snapshot))).await;
+                self.catalogs.send(snapshot).await;
+            }
+            Err(error) => {
+                log::error!(duty = "peers"; "catalogue {revision} is held back: {error}");
+                let actions = self.fleet.step(self.clock.now(), Event::Refused(revision));
+                // A refusal only brings notices, never another catalogue.
+                Box::pin(self.carry(actions)).await;
+            }
+        }
+    }
+
+    async fn primary(&mut self, change: &wire::Change) {
+        let name = change.key.strip_prefix("primary/");
+        let database = name.and_then(|it| name::Database::new(it).ok());
+        let record = change
+            .value
+            .as_ref()
+            .and_then(|it| serde_json::from_slice(it).ok());
+        if let (Some(database), Some(record)) = (database, record) {
+            let entry = Entry {
+                revision: change.revision,
+                record,
+            };
+            self.words.send(Word::Seen { database, entry }).await;
+        }
+    }
+
+    async fn tell_members(&mut self) {
+        let workable = self.fleet.table().members().filter(|it| it.workable());
+        let members: BTreeMap<_, _> = workable
+            .map(|it| (it.record.name.clone(), it.record.zone.clone()))
+            .collect();
+        if members != self.members {
+            metrics::gauge!("dandelionlink_members").set(members.len() as f64);
+            self.members.clone_from(&members);
+            self.words.send(Word::Members(members)).await;
+        }
+    }
+
+    fn say(&mut self, say: Say) {
+        match say {
+            Say::Tell { to, evidence } => {
+                let node = Node::of(&to);
+                let address = self.fleet.table().find(node).map(|it| it.record.address);
+                if let Some(address) = address {
+                    let message = Message::Evidence(evidence::to_wire(&evidence));
+                    self.send(address, Some(node), &message);
+                }
+            }
+        }
+    }
+
+    async fn heard(&mut self, heard: Heard) {
+        let event = match heard {
+            Heard::Answer { call, message } => Event::Answer { call, message },
+            Heard::Failed { call } => Event::Failed(call),
+            Heard::Asked { stream, message } => Event::Asked { stream, message },
+        };
+        self.step(event).await;
+    }
+
+    async fn evidence(&mut self, from: Node, evidence: &wire::Evidence) {
+        let Some(member) = self.fleet.table().find(from) else {
+            return;
+        };
+        let (from, zone) = (member.record.name.clone(), member.record.zone.clone());
+        let evidence = evidence::from_wire(evidence);
+        self.words
+            .send(Word::Heard {
+                from,
+                zone,
+                evidence,
+            })
+            .await;
+    }
+}
+
+/// Counts and logs what an operator wants to know.
+fn tell(notice: &Notice) {
+    let kind = match notice {
+        Notice::StoreBehind { .. } => "store_behind",
+        Notice::StoreDown => "store_down",
+        Notice::StoreBack => "store_back",
+        Notice::Held(_) => "held",
+        Notice::Diverged { .. } => "diverged",
+        Notice::BadAnswer { .. } => "bad_answer",
+        Notice::ListDistrusted { .. } => "list_distrusted",
+        Notice::Paused(_) => "paused",
+        Notice::ListedLeaving => "listed_leaving",
+    };
+    metrics::counter!("dandelionlink_fleet_notices_total", "kind" => kind).increment(1);
+    log::warn!(duty = "peers"; "{notice:?}");
+}
+
+/// The store's key of a key that the fleet mirrors.
+///
+/// The fleet's keys travel without what all of them begin with.
+pub(crate) fn full_key(key: &str) -> String {
+    let root = PRIMARIES.trim_end_matches("primary/");
+    format!("{root}{key}")
+}
+
+/// The fleet's key of a key of the store.
+pub(crate) fn short_key(key: &str) -> Option<&str> {
+    key.strip_prefix(PRIMARIES.trim_end_matches("primary/"))
+}
+
+/// Where peers reach an instance that binds `address`.
+pub(crate) fn reachable(address: SocketAddr, bound: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip(), bound.port())
+}
--- /dev/null
+++ b/crates/daemon/src/peers/stream.rs
@@ -0,0 +1,219 @@
+//! Streams between instances: questions whose answers are too large for a
+//! datagram.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use fleet::Call;
+use ntex::time::{Millis, timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::{Semaphore, mpsc, oneshot},
+};
+use wire::{Message, Node, Ring, Side, Stream};
+
+use super::datagram::dropped;
+
+/// How long a question on a stream may take, answer included.
+const TIMEOUT: Millis = Millis(5_000);
+
+/// How many questions of peers are answered at once.
+const MAX_ASKED: usize = 64;
+
+/// What has come on streams and waits for the duty.
+const MAX_HEARD: usize = 256;
+
+/// How long an accept that failed waits.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What came on a stream.
+#[derive(Debug)]
+pub(super) enum Heard {
+    /// A frame of the answer to a question.
+    Answer {
+        /// The question.
+        call: Call,
+        /// What the peer says.
+        message: Message,
+    },
+    /// A question failed.
+    Failed {
+        /// The question.
+        call: Call,
+    },
+    /// A peer asks.
+    Asked {
+        /// To answer with.
+        stream: u64,
+        /// What it asks.
+        message: Message,
+    },
+}
+
+/// Why a stream ended.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Wire(#[from] wire::Error),
+}
+
+type Answers = Rc<RefCell<HashMap<u64, oneshot::Sender<Vec<Message>>>>>;
+
+/// The streams of one instance.
+#[derive(Debug)]
+pub(super) struct Streams {
+    node: Node,
+    incarnation: u64,
+    ring: Ring,
+    heard: mpsc::Sender<Heard>,
+    answers: Answers,
+}
+
+impl Streams {
+    /// Accepts streams on `listener` from now on.
+    pub(super) fn open(
+        listener: TcpListener,
+        node: Node,
+        incarnation: u64,
+        ring: Ring,
+    ) -> (Self, mpsc::Receiver<Heard>) {
+        let (heard, hearing) = mpsc::channel(MAX_HEARD);
+        let answers = Answers::default();
+        let streams = Self {
+            node,
+            incarnation,
+            ring,
+            heard,
+            answers,
+        };
+        ntex::rt::spawn(accept(listener, streams.handle()));
+        (streams, hearing)
+    }
+
+    fn handle(&self) -> Self {
+        Self {
+            node: self.node,
+            incarnation: self.incarnation,
+            ring: self.ring.clone(),
+            heard: self.heard.clone(),
+            answers: Rc::clone(&self.answers),
+        }
+    }
+
+    /// Asks the instance at `to`; the answer comes as [`Heard`].
+    pub(super) fn ask(&self, call: Call, to: SocketAddr, message: Message) {
+        let streams = self.handle();
+        ntex::rt::spawn(async move {
+            let asking = ask(&streams, call, to, &message);
+            if !matches!(timeout(TIMEOUT, asking).await, Ok(Ok(()))) {
+                let _ = streams.heard.send(Heard::Failed { call }).await;
+            }
+        });
+    }
+
+    /// Answers a question of a peer.
+    pub(super) fn reply(&self, stream: u64, messages: Vec<Message>) {
+        let answer = self.answers.borrow_mut().remove(&stream);
+        if let Some(answer) = answer {
+            let _ = answer.send(messages);
+        }
+    }
+
+    fn end(&self, nonce: [u8; 16], side: Side) -> Stream {
+        Stream::open(self.node, self.incarnation, self.ring.clone(), nonce, side)
+    }
+}
+
+/// Reads the next frame; `None` at the stream's end.
+async fn read(tcp: &mut TcpStream, end: &mut Stream) -> Result<Option<Message>, Error> {
+    let mut prefix = [0; Stream::LENGTH_LEN];
+    match tcp.read_exact(&mut prefix).await {
+        Ok(_) => {}
+        Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
+        Err(error) => return Err(error.into()),
+    }
+    let mut bytes = vec![0; Stream::length(prefix)?];
+    tcp.read_exact(&mut bytes).await?;
+    Ok(Some(end.receive(&bytes)?.message))
+}
+
+async fn ask(
+    streams: &Streams,
+    call: Call,
+    to: SocketAddr,
+    message: &Message,
+) -> Result<(), Error> {
+    let mut tcp = TcpStream::connect(to).await?;
+    tcp.set_nodelay(true)?;
+    let mut nonce = [0; 16];
+    tcp.read_exact(&mut nonce).await?;
+    let mut end = streams.end(nonce, Side::Connector);
+    tcp.write_all(&end.seal(message)?).await?;
+    let mut some = false;
+    while let Some(message) = read(&mut tcp, &mut end).await? {
+        some = true;
+        let _ = streams.heard.send(Heard::Answer { call, message }).await;
+    }
+    if some {
+        Ok(())
+    } else {
+        Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
+    }
+}
+
+async fn accept(listener: TcpListener, streams: Streams) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    let room = Arc::new(Semaphore::new(MAX_ASKED));
+    let mut made = 0;
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            ntex::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        made += 1;
+        let (streams, stream) = (streams.handle(), made);
+        // Peers beyond the bound are cut off and ask another instance.
+        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+            continue;
+        };
+        ntex::rt::spawn(async move {
+            if let Ok(Err(Error::Wire(error))) =
+                timeout(TIMEOUT, serve(&streams, stream, tcp)).await
+            {
+                dropped(error);
+            }
+            streams.answers.borrow_mut().remove(&stream);
+            drop(permit);
+        });
+    }
+}
+
+async fn serve(streams: &Streams, stream: u64, mut tcp: TcpStream) -> Result<(), Error> {
+    tcp.set_nodelay(true)?;
+    let nonce: [u8; 16] = rand::random();
+    tcp.write_all(&nonce).await?;
+    let mut end = streams.end(nonce, Side::Acceptor);
+    let Some(message) = read(&mut tcp, &mut end).await? else {
+        return Ok(());
+    };
+    let (answer, answered) = oneshot::channel();
+    streams.answers.borrow_mut().insert(stream, answer);
+    let _ = streams.heard.send(Heard::Asked { stream, message }).await;
+    for message in answered.await.unwrap_or_default() {
+        tcp.write_all(&end.seal(&message)?).await?;
+    }
+    tcp.shutdown().await?;
+    Ok(())
+}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,16 +1,21 @@
 //! The store's duty: the catalogue and the primaries' records.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
-use catalog::layout::{self, Snapshot};
-use clock::Clock;
 use failover::{Call, Entry, StoreFault};
+use fleet::{HEAD, RANGE_END, RANGE_START, Request};
 use model::{Record, name};
-use ntex::time::sleep;
 use store::{Answer, Compare, Edge, Event, Fault, Gateway, Pair, Put};
+use tokio::sync::oneshot;
+use wire::Change;
 
 use crate::{
     duty::{self, Phase, Watch},
+    peers::{full_key, short_key},
     ring,
 };
 
@@ -20,10 +25,6 @@
 /// How long a call to the store may take.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long until a watch that broke is opened again, at first and at most.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const MOST_PAUSE: Duration = Duration::from_secs(2);
-
 /// What the control duty asks of the store.
 #[derive(Debug)]
 pub(crate) enum Ask {
@@ -50,13 +51,6 @@
 /// What the control duty is told.
 #[derive(Debug)]
 pub(crate) enum Told {
-    /// The catalogue that is in force now.
-    Catalog(Arc<Snapshot>),
-    /// The store's catalogue can't be put in force; the last one stays.
-    Held {
-        /// Why.
-        error: String,
-    },
     /// To [`Ask::Read`].
     Read {
         /// The database.
@@ -75,24 +69,15 @@
         /// The record's new revision.
         result: Result<u64, StoreFault>,
     },
-    /// A watch showed a record.
-    Seen {
-        /// The database.
-        database: name::Database,
-        /// The record.
-        entry: Entry,
-    },
-    /// Whether the store answers.
-    Reach(Reach),
 }
 
-/// Whether the store answers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Reach {
-    /// It does.
-    Up,
-    /// It does not.
-    Down,
+/// What the store answered to a call of the fleet's part.
+#[derive(Debug)]
+pub(crate) struct FleetAnswer {
+    /// What was asked.
+    pub(crate) call: fleet::Call,
+    /// The answer.
+    pub(crate) answer: fleet::Answer,
 }
 
 /// What the store's duty is given.
@@ -100,14 +85,14 @@
 pub(crate) struct Conf {
     /// Where the store's gateway is.
     pub(crate) endpoint: SocketAddr,
-    /// The machine's clock.
-    pub(crate) clock: Clock,
     /// From the control duty.
     pub(crate) asks: ring::Receiver<Ask>,
     /// To the control duty.
     pub(crate) told: ring::Sender<Told>,
-    /// To the callers' duty.
-    pub(crate) catalogs: ring::Sender<Arc<Snapshot>>,
+    /// From the peers' duty.
+    pub(crate) calls: ring::Receiver<fleet::Store>,
+    /// To the peers' duty.
+    pub(crate) answers: ring::Sender<FleetAnswer>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
 }
@@ -115,18 +100,15 @@
 /// Runs the duty until the daemon stops.
 pub(crate) async fn run(conf: Conf) {
     let told = ring::Shared::new(conf.told);
-    let catalogs = ring::Shared::new(conf.catalogs);
+    let answers = Answers(ring::Shared::new(conf.answers));
     let Ok(gateway) = Gateway::open(conf.endpoint, TIMEOUT).await else {
         log::error!(duty = "store"; "the store's client could not be made");
         return;
     };
-    ntex::rt::spawn(take_asks(gateway.clone(), conf.asks, told.clone()));
-    ntex::rt::spawn(follow_primaries(gateway.clone(), told.clone()));
+    ntex::rt::spawn(take_asks(gateway.clone(), conf.asks, told));
+    ntex::rt::spawn(take_calls(gateway, conf.calls, answers));
     let mut watch = conf.watch;
-    tokio::select! {
-        () = follow_catalog(gateway, told, catalogs) => {}
-        () = duty::reached(&mut watch, Phase::Stop) => {}
-    }
+    duty::reached(&mut watch, Phase::Stop).await;
 }
 
 async fn take_asks(gateway: Gateway, mut asks: ring::Receiver<Ask>, told: ring::Shared<Told>) {
@@ -213,150 +195,133 @@
     })
 }
 
-/// Waits a little longer after each failure in a row.
-async fn back_off(pause: &mut Duration) {
-    sleep(*pause).await;
-    *pause = (*pause * 2).min(MOST_PAUSE);
-}
-
-/// Reads all primaries' records, and then each change as a watch shows it.
-async fn follow_primaries(gateway: Gateway, told: ring::Shared<Told>) {
-    let mut pause = FIRST_PAUSE;
-    loop {
-        if watch_primaries(&gateway, &told, &mut pause).await.is_err() {
-            back_off(&mut pause).await;
-        }
-    }
-}
-
-async fn watch_primaries(
-    gateway: &Gateway,
-    told: &ring::Shared<Told>,
-    pause: &mut Duration,
-) -> Result<(), Fault> {
-    let range = store::Call::Range {
-        prefix: PRIMARIES.to_owned(),
-    };
-    let Answer::Pairs { pairs, revision } = gateway.call(&range).await? else {
-        return Ok(());
-    };
-    for pair in &pairs {
-        see(told, pair).await;
-    }
-    let mut watch = gateway.watch(PRIMARIES, revision + 1).await?;
-    *pause = FIRST_PAUSE;
-    loop {
-        for event in watch.next().await?.0 {
-            if let Event::Put(pair) = event {
-                see(told, &pair).await;
+/// Answers the fleet's calls until the daemon stops.
+async fn take_calls(gateway: Gateway, mut calls: ring::Receiver<fleet::Store>, answers: Answers) {
+    let mut watches: HashMap<fleet::Call, oneshot::Sender<()>> = HashMap::new();
+    while let Some(fleet::Store { call, request }) = calls.recv().await {
+        let (gateway, answers) = (gateway.clone(), answers.clone());
+        match request {
+            Request::Range => {
+                ntex::rt::spawn(async move { answers.tell(call, range(&gateway).await).await });
             }
+            Request::Head => {
+                ntex::rt::spawn(async move { answers.tell(call, head(&gateway).await).await });
+            }
+            Request::Watch { from } => {
+                let (stop, stopped) = oneshot::channel();
+                watches.retain(|_, other| !other.is_closed());
+                watches.insert(call, stop);
+                ntex::rt::spawn(async move {
+                    tokio::select! {
+                        answer = watch(&gateway, from, call, &answers) => {
+                            answers.tell(call, answer).await;
+                        }
+                        _ = stopped => {}
+                    }
+                });
+            }
+            Request::Unwatch => drop(watches.remove(&call)),
         }
     }
 }
 
-async fn see(told: &ring::Shared<Told>, pair: &Pair) {
-    let database = pair
-        .key
-        .strip_prefix(PRIMARIES)
-        .and_then(|it| name::Database::new(it).ok());
-    if let (Some(database), Some(entry)) = (database, entry(pair)) {
-        told.send(Told::Seen { database, entry }).await;
+/// Where the answers to the fleet's calls go.
+#[derive(Clone)]
+struct Answers(ring::Shared<FleetAnswer>);
+
+impl Answers {
+    async fn tell(&self, call: fleet::Call, answer: fleet::Answer) {
+        self.0.send(FleetAnswer { call, answer }).await;
     }
 }
 
-/// Reads the catalogue, and reads it again whenever a watch shows a change.
-async fn follow_catalog(
-    gateway: Gateway,
-    told: ring::Shared<Told>,
-    catalogs: ring::Shared<Arc<Snapshot>>,
-) {
-    let mut pause = FIRST_PAUSE;
-    let mut force = Force {
-        told,
-        catalogs,
-        revision: 0,
+async fn range(gateway: &Gateway) -> fleet::Answer {
+    let span = store::Call::Span {
+        from: full_key(RANGE_START),
+        to: full_key(RANGE_END),
     };
-    loop {
-        if let Err(fault) = watch_catalog(&gateway, &mut force, &mut pause).await {
-            force.told.send(Told::Reach(Reach::Down)).await;
-            log::warn!(duty = "store"; "the catalogue's watch broke: {fault}");
-            back_off(&mut pause).await;
+    match gateway.call(&span).await {
+        Ok(Answer::Pairs { pairs, revision }) => {
+            let changes = pairs.into_iter().filter_map(put).collect();
+            fleet::Answer::Range { revision, changes }
         }
+        Ok(_) | Err(_) => fleet::Answer::Down,
     }
 }
 
-/// What is in force at this instance.
-struct Force {
-    told: ring::Shared<Told>,
-    catalogs: ring::Shared<Arc<Snapshot>>,
-    revision: u64,
+async fn head(gateway: &Gateway) -> fleet::Answer {
+    let key = full_key(HEAD);
+    let call = store::Call::Range {
+        prefix: key.clone(),
+    };
+    match gateway.call(&call).await {
+        Ok(Answer::Pairs { pairs, revision }) => {
+            let written = pairs.iter().find(|it| it.key == key).map(|it| it.revision);
+            fleet::Answer::Head { revision, written }
+        }
+        Ok(_) | Err(_) => fleet::Answer::Down,
+    }
 }
 
-async fn watch_catalog(
+/// Passes on what a watch shows, and returns how it ended.
+async fn watch(
     gateway: &Gateway,
-    force: &mut Force,
-    pause: &mut Duration,
-) -> Result<(), Fault> {
-    let seen = read_catalog(gateway, force).await?;
-    force.told.send(Told::Reach(Reach::Up)).await;
-    let mut watch = gateway.watch(layout::PREFIX, seen + 1).await?;
-    *pause = FIRST_PAUSE;
+    from: u64,
+    call: fleet::Call,
+    answers: &Answers,
+) -> fleet::Answer {
+    let (first, past) = (full_key(RANGE_START), full_key(RANGE_END));
+    let Ok(mut watch) = gateway.watch(&first, &past, from).await else {
+        return fleet::Answer::Down;
+    };
+    let mut told = false;
     loop {
-        let (events, _) = watch.next().await?;
-        if !events.is_empty() {
-            read_catalog(gateway, force).await?;
+        let (events, revision) = match watch.next().await {
+            Ok(found) => found,
+            Err(Fault::Compacted { .. }) => return fleet::Answer::Compacted,
+            Err(fault) => {
+                log::warn!(duty = "store"; "a watch broke: {fault}");
+                return fleet::Answer::Down;
+            }
+        };
+        if !told {
+            told = true;
+            answers
+                .tell(call, fleet::Answer::Watching { revision })
+                .await;
+        }
+        for (revision, changes) in by_revision(events) {
+            answers
+                .tell(call, fleet::Answer::Changes { revision, changes })
+                .await;
         }
     }
 }
 
-/// Reads the catalogue and puts it in force if it is newer.
-async fn read_catalog(gateway: &Gateway, force: &mut Force) -> Result<u64, Fault> {
-    let range = store::Call::Range {
-        prefix: layout::PREFIX.to_owned(),
-    };
-    let Answer::Pairs { pairs, revision } = gateway.call(&range).await? else {
-        return Ok(0);
-    };
-    let pairs: Vec<_> = pairs
-        .into_iter()
-        .map(|it| layout::Pair {
-            key: it.key,
-            value: it.value,
-            revision: it.revision,
-        })
-        .collect();
-    match layout::decode(&pairs) {
-        Ok(snapshot) => force.apply(snapshot).await,
-        Err(error) => {
-            let error = error.to_string();
-            log::error!(duty = "store"; "the catalogue is held back: {error}");
-            force.told.send(Told::Held { error }).await;
+/// The changes of each revision together: one is applied whole or not at all.
+fn by_revision(events: Vec<Event>) -> BTreeMap<u64, Vec<Change>> {
+    let mut found: BTreeMap<u64, Vec<Change>> = BTreeMap::new();
+    for event in events {
+        let change = match event {
+            Event::Put(pair) => put(pair),
+            Event::Delete { key, revision } => short_key(&key).map(|key| Change {
+                key: key.into(),
+                revision,
+                value: None,
+            }),
+        };
+        if let Some(change) = change {
+            found.entry(change.revision).or_default().push(change);
         }
     }
-    Ok(revision)
+    found
 }
 
-impl Force {
-    /// Puts a catalogue in force, unless a later one was seen.
-    ///
-    /// A store that was restored from a backup shows an older catalogue than
-    /// was in force; going back to it would revert an accepted change.
-    async fn apply(&mut self, snapshot: Snapshot) {
-        if snapshot.revision < self.revision {
-            let error = format!(
-                "the store went back from revision {} to {}",
-                self.revision, snapshot.revision
-            );
-            log::error!(duty = "store"; "{error}");
-            self.told.send(Told::Held { error }).await;
-            return;
-        }
-        if snapshot.revision == self.revision {
-            return;
-        }
-        self.revision = snapshot.revision;
-        let snapshot = Arc::new(snapshot);
-        self.told.send(Told::Catalog(Arc::clone(&snapshot))).await;
-        self.catalogs.send(snapshot).await;
-    }
+fn put(pair: Pair) -> Option<Change> {
+    let key = short_key(&pair.key)?.into();
+    Some(Change {
+        key,
+        revision: pair.revision,
+        value: Some(pair.value.into()),
+    })
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -26,6 +26,18 @@
     /// where operators and the balancer connect, as IP:PORT (127.0.0.1:6433)
     #[argh(option)]
     pub ops: Option<String>,
+    /// where other instances reach this one, by UDP and TCP, as IP:PORT
+    /// (127.0.0.1:6434)
+    #[argh(option)]
+    pub peers: Option<String>,
+    /// some other instances, as IP:PORT with commas between; the first ones to
+    /// be asked about the rest
+    #[argh(option)]
+    pub seeds: Option<String>,
+    /// the keys that frames between instances are sealed with, as ID:HEX and,
+    /// while they are changed, the other one behind a comma; the first seals
+    #[argh(option)]
+    pub peer_keys: Option<String>,
     /// this instance's name, unlike any other's
     #[argh(option)]
     pub instance: Option<String>,
@@ -96,9 +108,12 @@
     /// It is not a list of keys; the text is not repeated, it is secret.
     #[error("is not a list of at most two keys written ID:HEX")]
     Keys,
-    /// A key can't be used.
+    /// A session key can't be used.
     #[error("{0}")]
     Key(#[from] session::Error),
+    /// The peers' keys can't be used.
+    #[error("{0}")]
+    PeerKeys(#[from] wire::KeyError),
 }
 
 impl fmt::Display for Fault {
@@ -122,6 +137,12 @@
     pub listen: SocketAddr,
     /// Where operators connect.
     pub ops: SocketAddr,
+    /// Where other instances reach this one.
+    pub peers: SocketAddr,
+    /// Some other instances.
+    pub seeds: Vec<SocketAddr>,
+    /// The keys that frames between instances are sealed with.
+    pub peer_keys: wire::Ring,
     /// This instance.
     pub instance: name::Instance,
     /// Its availability zone.
@@ -215,6 +236,25 @@
         }
     }
 
+    fn addresses(&mut self, name: &'static str, flag: Option<&String>) -> Option<Vec<SocketAddr>> {
+        let text = self.text(name, flag).unwrap_or_default();
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
+        parts
+            .map(|part| self.address(name, Some(part.to_owned())))
+            .collect()
+    }
+
+    fn peer_keys(&mut self, name: &'static str, flag: Option<&String>) -> Option<wire::Ring> {
+        let text = self.required(name, flag)?;
+        match wire::Ring::parse(&text) {
+            Ok(ring) => Some(ring),
+            Err(error) => self.fail(name, error.into()),
+        }
+    }
+
     fn keys(&mut self, name: &'static str, flag: Option<&String>) -> Option<Keys> {
         let text = self.required(name, flag)?;
         match keys(&text) {
@@ -263,7 +303,7 @@
     ///
     /// let faults = Settings::read(&Args::default(), &|_| None).unwrap_err();
     /// let names: Vec<_> = faults.iter().map(|fault| fault.name).collect();
-    /// assert_eq!(names, ["instance", "zone", "store", "session-keys", "upstream-user"]);
+    /// assert_eq!(names, ["peer-keys", "instance", "zone", "store", "session-keys", "upstream-user"]);
     /// assert!(faults.iter().all(|fault| fault.what == What::Missing));
     /// ```
     ///
@@ -277,6 +317,9 @@
         };
         let listen = rdr.local("listen", args.listen.as_ref(), 6432);
         let ops = rdr.local("ops", args.ops.as_ref(), 6433);
+        let peers = rdr.local("peers", args.peers.as_ref(), 6434);
+        let seeds = rdr.addresses("seeds", args.seeds.as_ref());
+        let peer_keys = rdr.peer_keys("peer-keys", args.peer_keys.as_ref());
         let instance = rdr.named("instance", args.instance.as_ref(), name::Instance::new);
         let zone = rdr.named("zone", args.zone.as_ref(), name::Zone::new);
         let store = rdr.required("store", args.store.as_ref());
@@ -292,6 +335,9 @@
             Some(Self {
                 listen: listen?,
                 ops: ops?,
+                peers: peers?,
+                seeds: seeds?,
+                peer_keys: peer_keys?,
                 instance: instance?,
                 zone: zone?,
                 store: store?,
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -77,6 +77,9 @@
         let env = BTreeMap::from([
             ("DANDELIONLINK_LISTEN", "127.0.0.1:0".to_owned()),
             ("DANDELIONLINK_OPS", "127.0.0.1:0".to_owned()),
+            ("DANDELIONLINK_PEERS", "127.0.0.1:0".to_owned()),
+            ("DANDELIONLINK_PEER_KEYS", format!("1:{}", "3c".repeat(32))),
+            ("DANDELIONLINK_SEEDS", self.seeds()),
             ("DANDELIONLINK_INSTANCE", format!("entry-{index}")),
             ("DANDELIONLINK_ZONE", format!("nl-west-{index}")),
             ("DANDELIONLINK_STORE", self.store.address().to_string()),
@@ -92,6 +95,15 @@
         Settings::read(&Args::default(), &env).expect("the rig's settings are right")
     }
 
+    /// Where the daemons that run reach each other.
+    fn seeds(&self) -> String {
+        let running = self.daemons.iter().flatten();
+        running
+            .map(|it| it.peers().to_string())
+            .collect::<Vec<_>>()
+            .join(",")
+    }
+
     /// Puts a catalogue into the store, as the operators' tool would.
     pub(crate) fn apply(&mut self, text: &str) {
         let catalog = Catalog::parse(text).expect("the rig's catalogue is right");
--- a/crates/fake/src/store/db.rs
+++ b/crates/fake/src/store/db.rs
@@ -137,6 +137,7 @@
             responses.push(self.operation(operation, revision)?);
         }
         self.revision = revision;
+        self.tell();
         Ok(json!({ "header": self.header(), "succeeded": holds, "responses": responses }))
     }
 
@@ -166,12 +167,14 @@
     pub(super) fn put(&mut self, key: &[u8], value: &[u8], lease: u64) {
         self.write(key, value, lease, self.revision + 1);
         self.revision += 1;
+        self.tell();
     }
 
     /// Removes one key in a revision of its own.
     pub(super) fn delete(&mut self, key: &[u8]) {
         self.remove(key, self.revision + 1);
         self.revision += 1;
+        self.tell();
     }
 
     fn write(&mut self, key: &[u8], value: &[u8], lease: u64, revision: u64) {
@@ -182,7 +185,7 @@
         };
         let event = json!({ "kv": pair(key, &item) });
         self.items.insert(key.to_vec(), item);
-        self.tell(key, revision, event);
+        self.note(key, revision, event);
     }
 
     fn remove(&mut self, key: &[u8], revision: u64) {
@@ -190,16 +193,28 @@
             return;
         }
         let kv = json!({ "key": STANDARD.encode(key), "mod_revision": revision.to_string() });
-        self.tell(key, revision, json!({ "type": "DELETE", "kv": kv }));
+        self.note(key, revision, json!({ "type": "DELETE", "kv": kv }));
     }
 
-    fn tell(&mut self, key: &[u8], revision: u64, event: Value) {
-        let line = line(revision, &[&event]);
+    fn note(&mut self, key: &[u8], revision: u64, event: Value) {
+        self.history.push((revision, key.to_vec(), event));
+    }
+
+    /// Tells the watches what the newest revision changed, in one line each.
+    fn tell(&mut self) {
+        let revision = self.revision;
+        let changed = self.history.iter().rev().take_while(|it| it.0 == revision);
+        let changed: Vec<_> = changed.collect();
         self.watchers.retain(|watcher| {
-            let concerned = (&watcher.from[..]..&watcher.to[..]).contains(&key);
-            !concerned || watcher.lines.send(line.clone()).is_ok()
+            let concerned = |key: &[u8]| (&watcher.from[..]..&watcher.to[..]).contains(&key);
+            let events = changed
+                .iter()
+                .rev()
+                .filter(|it| concerned(&it.1))
+                .map(|it| &it.2);
+            let events: Vec<_> = events.collect();
+            events.is_empty() || watcher.lines.send(line(revision, &events)).is_ok()
         });
-        self.history.push((revision, key.to_vec(), event));
     }
 
     fn grant(&mut self, ttl: u64) -> Value {
@@ -252,6 +267,7 @@
             self.remove(&key, self.revision + 1);
         }
         self.revision += 1;
+        self.tell();
     }
 
     /// Opens a watch, first with what the history has for it.
@@ -270,8 +286,13 @@
         let result = json!({ "header": self.header(), "created": true });
         send(format!("{}\n", json!({ "result": result })));
         let past = self.history.iter().filter(|it| start > 0 && it.0 >= start);
-        for (revision, _, event) in past.filter(|it| (&from..&to).contains(&&it.1)) {
-            send(line(*revision, &[event]));
+        let mut past = past.filter(|it| (&from..&to).contains(&&it.1)).peekable();
+        while let Some((revision, _, event)) = past.next() {
+            let mut events = vec![event];
+            while let Some(more) = past.next_if(|it| it.0 == *revision) {
+                events.push(&more.2);
+            }
+            send(line(*revision, &events));
         }
         self.watchers.push(Watcher { from, to, lines });
         Ok(stream)
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -4,7 +4,7 @@
 
 use clock::Instant;
 use model::name;
-use wire::{Change, Evidence, Message, Node, Record, Revision};
+use wire::{Change, Message, Node, Record, Revision};
 
 use crate::Held;
 
@@ -53,8 +53,6 @@
     Instances(Vec<Listing>),
     /// The catalogue of this revision was read and can't be put in force.
     Refused(Revision),
-    /// This instance saw something of an upstream.
-    Evidence(Evidence),
     /// Ask every member what it holds, for `status` and `wait`.
     Survey,
     /// This instance takes no new work from now on.
@@ -190,8 +188,6 @@
     Primary(Change),
     /// A member joined, changed its state or restarted.
     Member(Record),
-    /// Evidence about an upstream came from a peer or from here.
-    Evidence(Evidence),
     /// Something an operator wants to know.
     Notice(Notice),
     /// Step with [`Event::Wake`] at this moment, in place of the one before.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,7 +5,7 @@
 use clock::{Instant, Timer};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use wire::{Evidence, Mark, Message, Node, Record, State, Update, View};
+use wire::{Mark, Message, Node, Record, State, Update, View};
 
 use crate::{
     Action, Call, Conf, Event, Member, Mirror, Notice, Table,
@@ -27,8 +27,6 @@
 /// An instance not stepped for this long was paused: its timers all fell due at
 /// once, and peers that answered meanwhile would look silent.
 const PAUSE_MIN: std::time::Duration = std::time::Duration::from_secs(5);
-/// How many instances exchange evidence about a database's upstreams.
-const CANDIDATES: usize = 3;
 
 /// What a moment was subscribed to for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -211,7 +209,6 @@
                 let action = self.force.refuse(revision);
                 self.out.extend(action);
             }
-            Event::Evidence(evidence) => self.spread_evidence(evidence),
             Event::Survey => self.start_survey(now),
             Event::Leave => self.leave(now),
             Event::Stop => self.stop(now),
@@ -248,9 +245,10 @@
                 self.hear(now, from, address, &view, &updates);
             }
             Message::Buckets(sums) => self.compare_buckets(now, address, &sums),
-            Message::Evidence(evidence) => self.out.push(Action::Evidence(evidence)),
-            // What belongs on a stream means nothing in a datagram.
-            Message::Pull(_)
+            // What belongs on a stream means nothing in a datagram, and evidence
+            // is for the failover machines.
+            Message::Evidence(_)
+            | Message::Pull(_)
             | Message::Part(_)
             | Message::Busy
             | Message::Members(_)
@@ -423,23 +421,6 @@
         call
     }
 
-    fn spread_evidence(&mut self, evidence: Evidence) {
-        let key = format!("candidate/{}", evidence.database);
-        let ranked = rank(&key, self.table.members());
-        let candidates: Vec<_> = ranked
-            .into_iter()
-            .take(CANDIDATES)
-            .map(|member| (member.node, member.record.address))
-            .collect();
-        for (node, to) in candidates {
-            if node == self.node {
-                self.out.push(Action::Evidence(evidence.clone()));
-            } else {
-                self.send(to, Message::Evidence(evidence.clone()));
-            }
-        }
-    }
-
     fn notice_pause(&mut self, now: Instant) {
         let gap = now.since(self.last_step);
         if gap < PAUSE_MIN {
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -41,6 +41,13 @@
         /// What the keys begin with.
         prefix: String,
     },
+    /// Reads all keys from `from` up to, and without, `to`.
+    Span {
+        /// The first key.
+        from: String,
+        /// The first key past those that are read.
+        to: String,
+    },
     /// Writes all of `puts` and removes all of `deletes` if every condition
     /// holds; otherwise changes nothing and reads the compared keys.
     Txn {
@@ -71,7 +78,7 @@
 /// What a call brought.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
-    /// To [`Call::Range`]: the pairs, and the store's revision at the reading.
+    /// To [`Call::Range`] and [`Call::Span`]: the pairs, and the store's revision at the reading.
     Pairs {
         /// What was found.
         pairs: Vec<Pair>,
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -38,14 +38,15 @@
         })
     }
 
-    /// Opens a watch on all keys under `prefix`, from `revision` on.
+    /// Opens a watch on all keys from `from` up to, and without, `to`, for the
+    /// changes at `revision` and later.
     ///
     /// # Errors
     ///
     /// [`Fault`] when the store can't be reached or refuses.
-    pub async fn watch(&self, prefix: &str, revision: u64) -> Result<Watch, Fault> {
+    pub async fn watch(&self, from: &str, to: &str, revision: u64) -> Result<Watch, Fault> {
         let request = self.client.post(self.url("/v3/watch"));
-        let body = json::watch(prefix, revision);
+        let body = json::watch((from, to), revision);
         let sending = request.send_json(&body);
         let response = ntex::time::timeout(self.timeout, sending).await;
         let response = response
--- a/crates/store/src/json.rs
+++ b/crates/store/src/json.rs
@@ -13,7 +13,7 @@
 /// The path that a call is posted to.
 pub(crate) fn path(call: &Call) -> &'static str {
     match call {
-        Call::Range { .. } => "/v3/kv/range",
+        Call::Range { .. } | Call::Span { .. } => "/v3/kv/range",
         Call::Txn { .. } => "/v3/kv/txn",
         Call::Grant { .. } => "/v3/lease/grant",
         Call::Keep { .. } => "/v3/lease/keepalive",
@@ -42,10 +42,16 @@
     json!({ "key": text(prefix), "range_end": text(range_end(prefix)) })
 }
 
+/// The body that asks for all keys from `from` up to `to`.
+fn span(from: &str, to: &str) -> Value {
+    json!({ "key": text(from), "range_end": text(to) })
+}
+
 /// The body of a call.
 pub(crate) fn body(call: &Call) -> Value {
     match call {
         Call::Range { prefix } => prefixed(prefix),
+        Call::Span { from, to } => span(from, to),
         Call::Txn {
             compares,
             puts,
@@ -78,9 +84,9 @@
     })
 }
 
-/// The body that opens a watch on `prefix` from `revision` on.
-pub(crate) fn watch(prefix: &str, revision: u64) -> Value {
-    let mut request = prefixed(prefix);
+/// The body that opens a watch from `revision` on.
+pub(crate) fn watch((from, to): (&str, &str), revision: u64) -> Value {
+    let mut request = span(from, to);
     request["start_revision"] = json!(revision.to_string());
     json!({ "create_request": request })
 }
@@ -132,7 +138,7 @@
         return Err(malformed("the header is missing"));
     }
     match call {
-        Call::Range { .. } => Ok(Answer::Pairs {
+        Call::Range { .. } | Call::Span { .. } => Ok(Answer::Pairs {
             pairs: pairs(value)?,
             revision,
         }),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
-use model::{Term, name};
+use model::{Position, Term, name};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -155,34 +155,32 @@
     pub changes: Vec<Change>,
 }
 
-/// What a prober saw of an upstream.
+/// How an instance that probes a database finds its primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Verdict {
-    /// It answered and serves.
-    Serving,
-    /// It did not answer in time.
+    /// It can't tell yet.
+    Unsure,
+    /// It answers.
+    Alive,
+    /// It has not answered for too long.
     Silent,
-    /// It refused the connection.
+    /// It refuses connections, or says that it is no primary.
     Refused,
-    /// It answered, but wrongly.
-    Broken,
 }
 
-/// Direct evidence about an upstream, exchanged between its candidates.
+/// What one candidate tells another of a database's primary.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// The database.
     pub database: name::Database,
-    /// The upstream that was probed.
-    pub upstream: name::Upstream,
-    /// The term that the prober holds the upstream to lead in.
+    /// The term whose primary the verdict is about.
     pub term: Term,
-    /// The prober's zone.
-    pub zone: name::Zone,
-    /// What it saw.
+    /// How the teller finds that primary.
     pub verdict: Verdict,
-    /// How long it has seen this without a break, in milliseconds.
-    pub for_ms: u32,
+    /// How far that primary's log went when it answered the teller last.
+    pub place: Option<Position>,
+    /// The claim of a term that the teller is working on.
+    pub claim: Option<Term>,
 }
 
 /// A message between instances.
@@ -224,7 +222,7 @@
     },
     /// By UDP: digests of the table of members, a bucket each.
     Buckets(Vec<u32>),
-    /// By UDP: what a prober saw of an upstream.
+    /// By UDP: what a candidate finds of a database's primary.
     Evidence(Evidence),
     /// By TCP: asks for what leads from a revision to the newest.
     Pull(Revision),
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -29,12 +29,11 @@
 
 fn evidence() -> Message {
     Message::Evidence(Evidence {
-        database: model::name::Database::new("booking-core").unwrap(),
-        upstream: model::name::Upstream::new("bc-1").unwrap(),
-        term: model::Term(4),
-        zone: model::name::Zone::new("nl-west-a").unwrap(),
+        database: model::name::Database::new("booking-1").unwrap(),
+        term: model::Term(7),
         verdict: Verdict::Silent,
-        for_ms: 300,
+        place: None,
+        claim: Some(model::Term(8)),
     })
 }
 
