--- a/crates/route/src/history.rs
+++ b/crates/route/src/history.rs
@@ -81,6 +81,14 @@
             .last()
     }
 
+    /// The first round that a log at `position` has not reached.
+    pub fn missed(&self, position: Position) -> Option<Instant> {
+        self.backward()
+            .take_while(|round| !position.covers(round.position))
+            .last()
+            .map(|round| round.since)
+    }
+
     /// When the primary is known to have reached `position`, at the latest.
     pub fn reached(&self, position: Position) -> Option<Instant> {
         self.backward()
--- a/crates/route/src/node.rs
+++ b/crates/route/src/node.rs
@@ -5,7 +5,11 @@
 use clock::Instant;
 use model::{Position, name};
 
-use crate::{Answer, History, confirm::position, trend::Trend};
+use crate::{
+    Answer, History,
+    confirm::position,
+    trend::{Sight, Trend},
+};
 
 /// How many different age bounds an upstream's standing is kept for.
 const MAX_BOUNDS: usize = 16;
@@ -81,6 +85,7 @@
     pub(crate) load: Load,
     pub(crate) answer: Option<Answer>,
     as_of: Option<Instant>,
+    sight: Option<Sight>,
     trend: Trend,
     rtt: Duration,
     service: Duration,
@@ -95,6 +100,7 @@
             load: Load::default(),
             answer: None,
             as_of: None,
+            sight: None,
             trend: Trend::new(),
             rtt,
             service,
@@ -119,6 +125,15 @@
         if let (Some(as_of), Some(newest)) = (self.as_of, history.newest()) {
             self.trend.step(newest.since, as_of);
         }
+        let position = answer.position();
+        self.sight = history.reached(position).map(|reached| Sight {
+            sent: answer.sent,
+            reached,
+            missed: history.missed(position),
+        });
+        if let Some(sight) = self.sight {
+            self.trend.see(sight);
+        }
     }
 
     /// A round was confirmed: whoever had reached it is that much younger.
@@ -173,6 +188,9 @@
     /// The moment whose data it should show to a statement that is sent now.
     pub(crate) fn expected_as_of(&self, now: Instant) -> Option<Instant> {
         let as_of = self.as_of?;
+        if self.sight.is_some_and(|sight| self.trend.usual(sight)) {
+            return Some(as_of.max(now - self.trend.delay()));
+        }
         let known = self.answer?.sent.max(as_of);
         Some(as_of + self.trend.ahead(now.since(known)))
     }
--- a/crates/route/src/trend.rs
+++ b/crates/route/src/trend.rs
@@ -16,6 +16,18 @@
 pub(crate) struct Trend {
     base: Option<(Instant, Instant)>,
     pace: f64,
+    delay: Duration,
+}
+
+/// Where a replica stood among the rounds when it was asked.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sight {
+    /// When it was asked.
+    pub(crate) sent: Instant,
+    /// The first round at which the primary had what the replica shows.
+    pub(crate) reached: Instant,
+    /// The first round that the replica has not reached, if any.
+    pub(crate) missed: Option<Instant>,
 }
 
 impl Trend {
@@ -23,6 +35,7 @@
         Self {
             base: None,
             pace: 1.0,
+            delay: Duration::ZERO,
         }
     }
 
@@ -44,6 +57,30 @@
         self.base = Some((newest, as_of));
     }
 
+    /// Learns the usual delay from a sight of the replica.
+    ///
+    /// A round that it missed tells how late it is at least; one that it has
+    /// reached, when it has missed none, how late it is at most.
+    pub(crate) fn see(&mut self, sight: Sight) {
+        let bound = match sight.missed {
+            Some(missed) => sight.sent.since(missed).max(self.delay),
+            None => sight.sent.since(sight.reached).min(self.delay),
+        };
+        let moved = self.delay.as_secs_f64() * (1.0 - WEIGHT) + bound.as_secs_f64() * WEIGHT;
+        self.delay = Duration::from_secs_f64(moved);
+    }
+
+    /// Whether the replica was only as late as usual.
+    pub(crate) fn usual(self, sight: Sight) -> bool {
+        let late = sight.missed.map(|missed| sight.sent.since(missed));
+        late.is_none_or(|late| late <= self.delay + WINDOW)
+    }
+
+    /// How late the replica usually is.
+    pub(crate) fn delay(self) -> Duration {
+        self.delay
+    }
+
     /// How far it will have come after `span`, at no more than real time's
     /// pace: a guess that is too high would be paid with a discarded answer.
     pub(crate) fn ahead(self, span: Duration) -> Duration {
