--- a/crates/route/examples/share/world.rs
+++ b/crates/route/examples/share/world.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use route::{
-    Choice, Conf, Event, Exact, Load, Member, Policy, Read, Router, State, Target, Verdict,
+    Choice, Conf, Event, Exact, Load, Member, Policy, Read, Router, State, Target, Trust, Verdict,
 };
 use session::{Confirmed, Floor, Round, Session, Start};
 
@@ -210,7 +210,7 @@
         session: u64,
         instance: usize,
     },
-    Choose(u64),
+    Awake(u64),
     Committed {
         session: u64,
         instance: usize,
@@ -229,6 +229,7 @@
     round: Round,
     round_began: Instant,
     waiting: Vec<u64>,
+    pending: BTreeMap<u64, (usize, Instant)>,
 }
 
 struct World {
@@ -299,6 +300,7 @@
                     round: Round::new(Duration::from_millis(50)),
                     round_began: Instant::ZERO,
                     waiting: Vec::new(),
+                    pending: BTreeMap::new(),
                 }
             })
             .collect();
@@ -395,7 +397,7 @@
             } => {
                 self.committed(session, instance, lsn);
             }
-            Happening::Choose(request) => self.choose(request),
+            Happening::Awake(request) => self.awake(request),
         }
     }
 
@@ -497,7 +499,11 @@
                 let start = self.instances[at].round.want(self.now, since);
                 self.start(at, start);
             }
-            Choice::Wait { until, .. } => self.at(until.since(self.now), Happening::Choose(id)),
+            Choice::Wait { upstream, until } => {
+                let to = self.index(&upstream);
+                self.instances[at].pending.insert(id, (to, until));
+                self.at(until.since(self.now), Happening::Awake(id));
+            }
             Choice::Hold { .. } | Choice::Refuse(_) => {
                 self.requests.remove(&id);
                 self.tally.refused += 1;
@@ -505,6 +511,43 @@
         }
     }
 
+    /// A wait is over; where proof is wanted the replica is asked first, and
+    /// its answer wakes the read.
+    fn awake(&mut self, id: u64) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let instance = request.instance;
+        let trust = request.read.trust;
+        let Some(&(upstream, until)) = self.instances[instance].pending.get(&id) else {
+            return;
+        };
+        // A report woke it before, and it waits for another moment now.
+        if until != self.now {
+            return;
+        }
+        if trust == Trust::Expected || self.setup.policy != Policy::Routed {
+            self.instances[instance].pending.remove(&id);
+            return self.choose(id);
+        }
+        // One question for each wait: several wakings may fall on one moment.
+        self.instances[instance]
+            .pending
+            .insert(id, (upstream, Instant::ZERO));
+        self.tally.probes += 1;
+        let probe = Happening::ProbeAt {
+            instance,
+            upstream,
+            sent: self.now,
+        };
+        self.at(way(instance, upstream), probe);
+    }
+
+    fn index(&self, upstream: &name::Upstream) -> usize {
+        let known = self.names.iter().position(|n| n == upstream);
+        known.expect("a known upstream")
+    }
+
     fn load(&mut self, instance: usize) {
         for (server, upstream) in self.servers.iter().zip(&self.names) {
             let load = Load {
@@ -583,9 +626,19 @@
             report,
         };
         let place = &mut self.instances[instance];
-        let Some(round) = place.router.step(self.now, event) else {
-            return;
-        };
+        let round = place.router.step(self.now, event);
+        let told = place.pending.extract_if(.., |_, on| on.0 == upstream);
+        let told: Vec<_> = told.map(|(id, _)| id).collect();
+        if let Some(round) = round {
+            self.confirmed(instance, round);
+        }
+        for id in told {
+            self.choose(id);
+        }
+    }
+
+    fn confirmed(&mut self, instance: usize, round: Confirmed) {
+        let place = &mut self.instances[instance];
         if round.since < place.round_began {
             return;
         }
@@ -598,11 +651,7 @@
     }
 
     fn send(&mut self, id: u64, upstream: &name::Upstream, target: Target, confirm: Confirm) {
-        let to = self
-            .names
-            .iter()
-            .position(|n| n == upstream)
-            .expect("a known upstream");
+        let to = self.index(upstream);
         let work = Work::Read {
             request: id,
             target,
