--- a/crates/route/examples/share/main.rs
+++ b/crates/route/examples/share/main.rs
@@ -3,6 +3,7 @@
 //! `cargo run --release -p route --example share -- [seed]`
 
 mod report;
+mod setup;
 mod trace;
 mod world;
 
--- a/crates/route/examples/share/report.rs
+++ b/crates/route/examples/share/report.rs
@@ -5,8 +5,9 @@
 use route::Policy;
 
 use crate::{
+    setup::{Discovery, Judge, Knowledge, Setup, Tally},
     trace::Lag,
-    world::{Discovery, Judge, Knowledge, Setup, Tally, run},
+    world::run,
 };
 
 /// Pairs of lag traces for the two replicas.
--- a/crates/route/tests/share.rs
+++ b/crates/route/tests/share.rs
@@ -1,5 +1,8 @@
 //! Bounds on the replica share, on exact seeded counts in virtual time.
 
+#[path = "../examples/share/setup.rs"]
+#[allow(dead_code)]
+mod setup;
 #[path = "../examples/share/trace.rs"]
 #[allow(dead_code)]
 mod trace;
@@ -10,8 +13,9 @@
 use std::time::Duration;
 
 use route::Policy;
+use setup::{Judge, Setup, Tally};
 use trace::Lag;
-use world::{Judge, Setup, Tally, run};
+use world::run;
 
 fn tally(policy: Policy, lags: [Lag; 2], judge: Judge) -> Tally {
     run(&Setup {
