Pace the failover for thousands of groups

Cause: at the target size 6,600 groups with five candidates that probe every 50 ms cost far more than 9 KB/s a node; a change there may take 11 s. Change: Timing::paced stretches the waits that hang on probes; Conf says how many candidates a group has (candidates() takes it too).

--- a/crates/failover/src/group.rs
+++ b/crates/failover/src/group.rs
@@ -38,6 +38,9 @@
     pub zone: name::Zone,
     /// The group's upstreams.
     pub upstreams: BTreeMap<name::Upstream, Member>,
+    /// How many candidates the group has, [`crate::CANDIDATES`] or fewer in a
+    /// fleet with thousands of groups; the same at all instances.
+    pub candidates: usize,
     /// Differs between any two starts of any instance, for attempt ids.
     pub seed: u64,
     /// The waits.
@@ -205,15 +208,11 @@
     }
 
     fn set_members(&mut self, now: Instant, members: &BTreeMap<name::Instance, name::Zone>) {
-        let zones = self
-            .conf
-            .upstreams
-            .values()
-            .map(|m| m.zone.clone())
-            .collect();
-        let before = self.peers.includes(&self.conf.instance);
-        self.peers
-            .set(candidates(&self.conf.database, members, &zones));
+        let conf = &self.conf;
+        let zones = conf.upstreams.values().map(|m| m.zone.clone()).collect();
+        let ranked = candidates(&conf.database, members, &zones, conf.candidates);
+        let before = self.peers.includes(&conf.instance);
+        self.peers.set(ranked);
         let after = self.peers.includes(&self.conf.instance);
         if after && !before {
             self.timer.subscribe(now, Alarm::Probe);
--- a/crates/failover/src/peers.rs
+++ b/crates/failover/src/peers.rs
@@ -14,14 +14,14 @@
     timing::Timing,
 };
 
-/// The most candidates a group has: enough zones to outvote a blind one, few
-/// enough that probing costs an upstream little.
+/// The usual number of candidates of a group: enough zones to outvote a blind
+/// one, few enough that probing costs an upstream little.
 pub const CANDIDATES: usize = 5;
 
 /// The instances that may promote in a group, best rank first.
 ///
 /// The instance of each zone that rendezvous hashing puts first, zones that
-/// hold upstreams before others, at most [`CANDIDATES`].
+/// hold upstreams before others, at most `most`.
 ///
 /// ```
 /// use std::collections::{BTreeMap, BTreeSet};
@@ -31,7 +31,7 @@
 /// let zone = |z| name::Zone::new(z).unwrap();
 /// let members = BTreeMap::from([("i1", "z1"), ("i2", "z1"), ("i3", "z2")]
 ///     .map(|(i, z)| (name::Instance::new(i).unwrap(), zone(z))));
-/// let ranked = failover::candidates(&database, &members, &BTreeSet::from([zone("z2")]));
+/// let ranked = failover::candidates(&database, &members, &BTreeSet::from([zone("z2")]), 5);
 /// assert_eq!(ranked.len(), 2);
 /// assert_eq!(ranked[0].as_str(), "i3");
 /// ```
@@ -39,6 +39,7 @@
     database: &name::Database,
     members: &BTreeMap<name::Instance, name::Zone>,
     zones: &BTreeSet<name::Zone>,
+    most: usize,
 ) -> Vec<name::Instance> {
     let seed = xxh3_64_with_seed(database.as_str().as_bytes(), 0);
     let weight = |i: &name::Instance| xxh3_64_with_seed(i.as_str().as_bytes(), seed);
@@ -50,7 +51,7 @@
     }
     let mut ranked: Vec<_> = firsts.into_iter().collect();
     ranked.sort_by_key(|&(zone, first)| Reverse((zones.contains(zone), first)));
-    ranked.truncate(CANDIDATES);
+    ranked.truncate(most);
     ranked
         .into_iter()
         .map(|(_, (_, instance))| instance.clone())
--- a/crates/failover/src/timing.rs
+++ b/crates/failover/src/timing.rs
@@ -81,6 +81,36 @@
 }
 
 impl Timing {
+    /// The waits when probes are `probe` apart, for fleets whose thousands of
+    /// groups can't be probed as often as the default has it.
+    ///
+    /// What depends on how often probes and evidence come grows with `probe`;
+    /// the waits for the store and for orders stay.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use failover::Timing;
+    ///
+    /// let timing = Timing::paced(Duration::from_secs(1));
+    /// assert_eq!(timing.floor, Duration::from_secs(4));
+    /// ```
+    pub fn paced(probe: Duration) -> Self {
+        let usual = Self::default();
+        Self {
+            probe,
+            tell: probe,
+            floor: usual.floor.max(probe * 4),
+            cap: usual.cap.max(probe * 6),
+            heard: usual.heard.max(probe * 4),
+            contested: usual.contested.max(probe * 6),
+            unconfirmed: usual.unconfirmed.max(probe * 4),
+            isolated: usual.isolated.max(probe * 6),
+            progress: usual.progress.max(probe * 5),
+            overtake: usual.overtake.max(probe * 4),
+            ..usual
+        }
+    }
+
     /// How long after a change of primary the next one is held off, when
     /// `recent` changes were seen within [`Timing::memory`].
     pub(crate) fn hold(&self, recent: usize) -> Duration {
--- a/crates/failover/tests/failover/chart.rs
+++ b/crates/failover/tests/failover/chart.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clock::Instant;
-use failover::{Conf, Group, State, Timing};
+use failover::{CANDIDATES, Conf, Group, State, Timing};
 use model::name;
 
 #[test]
@@ -13,6 +13,7 @@
         instance: name::Instance::new("i1").unwrap(),
         zone: name::Zone::new("z1").unwrap(),
         upstreams: BTreeMap::new(),
+        candidates: CANDIDATES,
         seed: 1,
         timing: Timing::default(),
     };
--- a/crates/failover/tests/failover/world/instance.rs
+++ b/crates/failover/tests/failover/world/instance.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clock::Instant;
-use failover::{Conf, Group, Lead, Member, Quorum, Stay};
+use failover::{CANDIDATES, Conf, Group, Lead, Member, Quorum, Stay};
 use model::{Position, Report, name};
 
 use super::{Happening, Host, Setup, World, id, upstream, zone};
@@ -49,6 +49,7 @@
             instance: instance(i),
             zone: zone(i % setup.zones),
             upstreams: members(setup, None),
+            candidates: CANDIDATES,
             seed,
             timing: setup.timing.clone(),
         };
