Take answers of the store that come after their call was given up

Cause: with a store slower than the longest wait (800 ms) and no watch event, an instance that starts never learned who leads; each answer was dropped for belonging to an old call. Change: answers to given-up calls count; one that shows nothing new is ignored, so that it does not look like another's change; waiting ends with the outcome.

--- a/crates/failover/src/ledger.rs
+++ b/crates/failover/src/ledger.rs
@@ -5,7 +5,7 @@
 //! with the same expected revision and the same attempt id, so that it takes
 //! effect at most once, and is recognised by that id when it is read back.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use clock::Instant;
 use model::{Phase, Record, name};
@@ -19,6 +19,9 @@
 /// How often the wait for the store doubles.
 const DOUBLINGS: u32 = 3;
 
+/// Calls that were given up and whose answers are still of use.
+const OPEN: usize = 32;
+
 /// What a step of the ledger showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -39,7 +42,7 @@
 
 #[derive(Debug)]
 struct Pending {
-    call: Call,
+    call: Option<Call>,
     waiting: Waiting,
     until: Instant,
 }
@@ -56,6 +59,8 @@
     known: Option<Entry>,
     swap: Option<Swap>,
     pending: Option<Pending>,
+    open: BTreeMap<Call, Option<u128>>,
+    asked: bool,
     failures: u32,
     calls: u64,
     attempts: u64,
@@ -69,6 +74,8 @@
             known: None,
             swap: None,
             pending: None,
+            open: BTreeMap::new(),
+            asked: false,
             failures: 0,
             calls: 0,
             attempts: 0,
@@ -98,6 +105,7 @@
     /// Reads the record, dropping a swap whose outcome no longer matters.
     pub(crate) fn read(&mut self, now: Instant, timing: &Timing) -> Action {
         self.swap = None;
+        self.asked = true;
         self.failures = 0;
         self.send_read(now, timing)
     }
@@ -106,6 +114,7 @@
     pub(crate) fn swap(&mut self, now: Instant, timing: &Timing, record: Record) -> Action {
         let expected = self.known.as_ref().map_or(ABSENT, |e| e.revision);
         self.swap = Some(Swap { expected, record });
+        self.asked = false;
         self.failures = 0;
         self.send(now, timing)
     }
@@ -132,7 +141,19 @@
         call: Call,
         result: Result<Option<Entry>, StoreFault>,
     ) -> (Option<Outcome>, Option<Action>) {
-        if !self.answers(call) {
+        let step = self.take_read(now, timing, call, result);
+        self.rest();
+        step
+    }
+
+    fn take_read(
+        &mut self,
+        now: Instant,
+        timing: &Timing,
+        call: Call,
+        result: Result<Option<Entry>, StoreFault>,
+    ) -> (Option<Outcome>, Option<Action>) {
+        if self.answered(call).is_none() {
             return (None, None);
         }
         let Ok(entry) = result else {
@@ -151,12 +172,11 @@
             _ if revision == ABSENT => {
                 self.known = None;
                 self.swap = None;
+                self.asked = false;
                 (Some(Outcome::Absent), None)
             }
-            _ => {
-                self.swap = None;
-                (Some(Outcome::Learned), None)
-            }
+            // The read was overtaken by a watch or a swap; it shows nothing.
+            _ => (None, None),
         }
     }
 
@@ -168,9 +188,13 @@
     ) -> (Option<Outcome>, Option<Action>) {
         let revision = entry.revision;
         let attempt = entry.record.attempt;
-        self.known = Some(entry);
+        let old = self.known.replace(entry).map(|e| e.revision);
+        let asked = std::mem::take(&mut self.asked);
         let Some(swap) = &self.swap else {
-            return (Some(Outcome::Learned), None);
+            // An answer that came late and shows nothing new must not look as
+            // if another had changed the record.
+            let news = asked || old != Some(revision);
+            return (news.then_some(Outcome::Learned), None);
         };
         if swap.record.attempt == attempt {
             self.swap = None;
@@ -191,20 +215,36 @@
         call: Call,
         result: Result<u64, StoreFault>,
     ) -> (Option<Outcome>, Option<Action>) {
-        if !self.answers(call) {
+        let step = self.take_swapped(now, timing, call, result);
+        self.rest();
+        step
+    }
+
+    fn take_swapped(
+        &mut self,
+        now: Instant,
+        timing: &Timing,
+        call: Call,
+        result: Result<u64, StoreFault>,
+    ) -> (Option<Outcome>, Option<Action>) {
+        let Some(attempt) = self.answered(call) else {
             return (None, None);
-        }
+        };
         match result {
             Ok(revision) => {
-                let Some(swap) = self.swap.take() else {
-                    return (None, None);
+                let ours = |s: &mut Swap| Some(s.record.attempt) == attempt;
+                let Some(swap) = self.swap.take_if(ours) else {
+                    return (None, self.catch_up(now, timing, revision));
                 };
                 let record = swap.record;
                 self.known = Some(Entry { revision, record });
                 (Some(Outcome::Won), None)
             }
             // The conflict may be with our own earlier, unanswered swap.
-            Err(StoreFault::Conflict) => (None, Some(self.send_read(now, timing))),
+            Err(StoreFault::Conflict) if self.swap.is_some() => {
+                (None, Some(self.send_read(now, timing)))
+            }
+            Err(StoreFault::Conflict) => (None, None),
             Err(StoreFault::Unanswered) => {
                 self.back_off(now, timing);
                 (None, None)
@@ -212,6 +252,17 @@
         }
     }
 
+    /// Reads again if a swap that was dropped has taken effect after all, and
+    /// no watch has shown it.
+    fn catch_up(&mut self, now: Instant, timing: &Timing, revision: u64) -> Option<Action> {
+        let known = self.known.as_ref().map_or(ABSENT, |e| e.revision);
+        if known >= revision {
+            return None;
+        }
+        self.asked = true;
+        Some(self.send_read(now, timing))
+    }
+
     /// Takes what a watch showed; `None` if it was known.
     pub(crate) fn on_seen(&mut self, entry: Entry) -> Option<Outcome> {
         if self
@@ -224,6 +275,7 @@
         let ours = self.swap.as_ref().map(|s| s.record.attempt) == Some(entry.record.attempt);
         self.known = Some(entry);
         self.swap = None;
+        self.asked = false;
         self.pending = None;
         Some(if ours { Outcome::Won } else { Outcome::Learned })
     }
@@ -234,8 +286,16 @@
         self.known.as_ref().is_some_and(claim)
     }
 
-    fn answers(&mut self, call: Call) -> bool {
-        self.pending.take_if(|p| p.call == call).is_some()
+    /// Takes a call off the open ones: `Some` with the attempt that it swapped
+    /// in, if any.
+    ///
+    /// An answer counts although its call was given up: while the store takes
+    /// longer than any wait, all answers come late, and dropping them would
+    /// leave this instance without a record for as long as that lasts.
+    fn answered(&mut self, call: Call) -> Option<Option<u128>> {
+        let attempt = self.open.remove(&call)?;
+        self.pending.take_if(|p| p.call == Some(call));
+        Some(attempt)
     }
 
     fn wait(&self, timing: &Timing) -> Duration {
@@ -244,11 +304,10 @@
 
     fn back_off(&mut self, now: Instant, timing: &Timing) {
         self.failures += 1;
-        let call = self.call();
-        self.set(call, Waiting::Backoff, now + self.wait(timing));
+        self.set(None, Waiting::Backoff, now + self.wait(timing));
     }
 
-    fn set(&mut self, call: Call, waiting: Waiting, until: Instant) {
+    fn set(&mut self, call: Option<Call>, waiting: Waiting, until: Instant) {
         self.pending = Some(Pending {
             call,
             waiting,
@@ -256,19 +315,36 @@
         });
     }
 
-    fn send_read(&mut self, now: Instant, timing: &Timing) -> Action {
+    /// Stops waiting once there is nothing to learn, or a slow store would be
+    /// asked again and again.
+    fn rest(&mut self) {
+        if self.swap.is_none() && !self.asked {
+            self.pending = None;
+        }
+    }
+
+    fn open_call(&mut self, attempt: Option<u128>) -> Call {
         let call = self.call();
-        self.set(call, Waiting::Read, now + self.wait(timing));
+        self.open.insert(call, attempt);
+        if self.open.len() > OPEN {
+            self.open.pop_first();
+        }
+        call
+    }
+
+    fn send_read(&mut self, now: Instant, timing: &Timing) -> Action {
+        let call = self.open_call(None);
+        self.set(Some(call), Waiting::Read, now + self.wait(timing));
         Action::Read { call }
     }
 
     fn send(&mut self, now: Instant, timing: &Timing) -> Action {
-        let call = self.call();
         let Some(swap) = &self.swap else {
             return self.send_read(now, timing);
         };
         let (expected, record) = (swap.expected, swap.record.clone());
-        self.set(call, Waiting::Swap, now + self.wait(timing));
+        let call = self.open_call(Some(record.attempt));
+        self.set(Some(call), Waiting::Swap, now + self.wait(timing));
         Action::Swap {
             call,
             expected,
--- a/crates/failover/tests/failover/story.rs
+++ b/crates/failover/tests/failover/story.rs
@@ -335,6 +335,23 @@
     assert!(world.store.swaps <= 4, "{}", world.store.swaps);
 }
 
+/// The store answers, but later than any call waits for it, and no watch has
+/// anything to show. Symptom: an instance that starts then never learns who
+/// leads, and serves no write. Cause: each call was given up before its answer
+/// came, and the late answer was dropped for belonging to an old call.
+#[test]
+fn answers_of_the_store_are_later_than_any_wait() {
+    let mut world = World::open(Setup::umurage(), 54);
+    world.store.slow = millis(2_500);
+    world.run(SECOND * 6);
+    world.verify();
+    assert!(
+        world.gap(&[0, 1, 2], Instant::ZERO).is_some(),
+        "{:?}",
+        world.trace
+    );
+}
+
 /// Two candidates claim at once, because neither hears the other. The swap
 /// settles it; one term has one primary.
 #[test]
