--- a/crates/catalog/src/fault.rs
+++ b/crates/catalog/src/fault.rs
@@ -185,16 +185,16 @@
     },
     /// A name leads nowhere.
     #[error(
-        "{place} names `{name}`, which is not declared; declared are {}",
-        listed(declared)
+        "{place} names `{name}`, which is not declared; nearest are {}",
+        listed(nearest)
     )]
     Dangling {
         /// Where the name stands.
         place: Place,
         /// The name.
         name: String,
-        /// What could have been meant.
-        declared: Vec<String>,
+        /// What could have been meant: the declared names most like it.
+        nearest: Vec<String>,
     },
     /// A database without a server.
     #[error("{item} has no upstream; add a table `upstream.NAME` with its address")]
@@ -312,21 +312,10 @@
     }
 }
 
-/// Longest list of alternatives that a message spells out.
-const MAX_LISTED: usize = 12;
-
 fn listed<T: fmt::Display>(words: &[T]) -> String {
     if words.is_empty() {
         return "none".to_owned();
     }
-    let mut text = words
-        .iter()
-        .take(MAX_LISTED)
-        .map(|word| format!("`{word}`"))
-        .collect::<Vec<_>>()
-        .join(", ");
-    if words.len() > MAX_LISTED {
-        text += &format!(" and {} more", words.len() - MAX_LISTED);
-    }
-    text
+    let words: Vec<_> = words.iter().map(|word| format!("`{word}`")).collect();
+    words.join(", ")
 }
--- a/crates/catalog/src/rules.rs
+++ b/crates/catalog/src/rules.rs
@@ -1,6 +1,10 @@
 //! The rules that a whole catalogue keeps, whatever it was read from.
 
-use std::{collections::BTreeMap, net::SocketAddr, ops::RangeInclusive};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    ops::RangeInclusive,
+};
 
 use model::name;
 
@@ -10,6 +14,9 @@
     limit, scram,
 };
 
+/// How many names a dangling one is compared with in its message.
+const NEAREST: usize = 3;
+
 /// All breaches of the rules, each with the place to mend.
 pub(crate) fn faults(catalog: &Catalog) -> Vec<(Place, What)> {
     let mut faults = Vec::new();
@@ -207,10 +214,13 @@
     name: &str,
     declared: impl Iterator<Item = impl ToString>,
 ) -> (Place, What) {
+    let mut nearest: Vec<_> = declared.map(|declared| declared.to_string()).collect();
+    nearest.sort_by_cached_key(|declared| strsim::damerau_levenshtein(declared, name));
+    nearest.truncate(NEAREST);
     let what = What::Dangling {
         place: place.clone(),
         name: name.to_owned(),
-        declared: declared.map(|name| name.to_string()).collect(),
+        nearest,
     };
     (place, what)
 }
@@ -237,9 +247,9 @@
             doubts.push((Place::whole(item), doubt));
         }
     }
+    let owners: BTreeSet<_> = catalog.entries.values().map(|e| &e.tenant).collect();
     for (name, tenant) in &catalog.tenants {
-        let used = catalog.entries.values().any(|e| e.tenant == *name);
-        if used && tenant.users.is_empty() {
+        if owners.contains(name) && tenant.users.is_empty() {
             let item = Item::Tenant(name.clone());
             doubts.push((Place::whole(item.clone()), Doubt::NoUser { item }));
         }
--- a/crates/catalog/src/text/draft.rs
+++ b/crates/catalog/src/text/draft.rs
@@ -294,16 +294,16 @@
 
 fn located<T>(text: &str, mut remarks: Vec<(usize, T)>) -> Vec<Located<T>> {
     remarks.sort_by_key(|&(offset, _)| offset);
+    let newlines = text.match_indices('\n').map(|(at, _)| at + 1);
+    let starts: Vec<_> = std::iter::once(0).chain(newlines).collect();
     let at = |(offset, what)| {
-        let (line, column) = line_column(text, offset);
+        let line = starts.partition_point(|&start| start <= offset);
+        let start = starts[line - 1];
+        // An offset past the end or within a character is not expected of the
+        // parser; the column is then that of the line's start.
+        let before = text.get(start..offset).unwrap_or_default();
+        let column = before.chars().count() + 1;
         Located { line, column, what }
     };
     remarks.into_iter().map(at).collect()
 }
-
-fn line_column(text: &str, offset: usize) -> (usize, usize) {
-    let before = text.get(..offset).unwrap_or(text);
-    let start = before.rfind('\n').map_or(0, |newline| newline + 1);
-    let line = before.bytes().filter(|&byte| byte == b'\n').count() + 1;
-    (line, before[start..].chars().count() + 1)
-}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -63,7 +63,7 @@
     match system.block_on(args.cmd.run()) {
         Ok(exit) => exit.into(),
         Err(err) => {
-            eprintln!("{name}: {err}");
+            eprintln!("{name}: {}", util::clean_lines(&err.to_string()));
             err.exit().into()
         }
     }
--- a/crates/cli/src/util.rs
+++ b/crates/cli/src/util.rs
@@ -56,6 +56,12 @@
     text.chars().map(shown).collect()
 }
 
+/// `text` without control characters but for the ends of its lines.
+pub(crate) fn clean_lines(text: &str) -> String {
+    let lines: Vec<_> = text.lines().map(clean).collect();
+    lines.join("\n")
+}
+
 /// A table of columns for people.
 #[derive(Debug)]
 pub(crate) struct Table {
@@ -118,10 +124,6 @@
 
 /// One line for each change, or more where fields differ.
 pub(crate) fn lines(changes: &[Change]) -> String {
-    let line = |change: &Change| {
-        let text = change.to_string();
-        let lines: Vec<_> = text.lines().map(clean).collect();
-        lines.join("\n") + "\n"
-    };
+    let line = |change: &Change| clean_lines(&change.to_string()) + "\n";
     changes.iter().map(line).collect()
 }
