Raise the epoch after a restore, and keep history out of the mirrored keys

Cause: the fleet goes by epoch before revision and mirrors the keys from the catalogue to the primaries; heads had no epoch, views compared revisions by number alone, and dandelionlink/history/ stood within that span. Measured: cargo test -p cli -p catalog -p view: 35 + 33 + 3 tests and 8 doc tests pass; clippy clean for these crates. The whole workspace's tests were started once, and stopped by hand after 600 s on a busy machine: not run. Conclusion: status and wait hold across a restored store.

--- a/crates/catalog/examples/size.rs
+++ b/crates/catalog/examples/size.rs
@@ -106,7 +106,7 @@
 
 /// The head's pair, as the first change of an empty store writes it.
 fn head() -> Pair {
-    let plan = plan::renew(&Snapshot::default(), proposal());
+    let plan = plan::renew(&Snapshot::default(), &Catalog::default(), proposal());
     let put = plan.map(|plan| plan.txn.puts[0].clone());
     let put = put.expect("an empty change fits the store");
     Pair {
--- a/crates/catalog/src/head.rs
+++ b/crates/catalog/src/head.rs
@@ -55,6 +55,10 @@
     pub author: String,
     /// Why, in the author's words.
     pub message: String,
+    /// How often operators have declared the store restored from a backup. It
+    /// goes before the revision: a restored store counts from a lower one.
+    #[serde(default)]
+    pub epoch: u32,
     /// When, by the author's clock, as RFC 3339 text; nothing depends on it.
     pub time: String,
 }
--- a/crates/catalog/src/layout.rs
+++ b/crates/catalog/src/layout.rs
@@ -6,7 +6,7 @@
 //! | `dandelionlink/catalog/tenant/NAME` | [`Tenant`](crate::Tenant) |
 //! | `dandelionlink/catalog/database/NAME` | [`Database`](crate::Database) |
 //! | `dandelionlink/catalog/entry/NAME` | [`Entry`](crate::Entry) |
-//! | `dandelionlink/history/NUMBER` | [`Record`](crate::history::Record) |
+//! | `dandelionlink/revision/NUMBER` | [`Record`](crate::history::Record) |
 //!
 //! Every value is a JSON object with a `format` number beside its fields. A
 //! change writes the keys it touches and the head in one transaction, so a
@@ -24,7 +24,10 @@
 pub const PREFIX: &str = "dandelionlink/catalog/";
 
 /// Below it are the records of past changes.
-pub const HISTORY: &str = "dandelionlink/history/";
+///
+/// It sorts behind `dandelionlink/primary/`, so that the span of keys that
+/// every instance mirrors, from the catalogue to the primaries, leaves it out.
+pub const HISTORY: &str = "dandelionlink/revision/";
 
 /// The format of values that this version writes, and the newest it reads.
 pub const FORMAT: u64 = 1;
--- a/crates/catalog/src/plan.rs
+++ b/crates/catalog/src/plan.rs
@@ -134,24 +134,27 @@
     if from.catalog == *to {
         return Err(Error::Same);
     }
-    draw(from, to, proposal)
+    draw(from, to, proposal, epoch(from))
 }
 
-/// Plans to give what is in force a new revision and to change nothing else.
+/// Plans the change from `from` to `to`, if any, in a new epoch.
 ///
 /// A store that was restored from a backup shows a lower revision than the one
-/// that instances hold, and they rightly refuse to go back. Where the restored
-/// catalogue is the wanted one there is nothing to change, so only this makes
-/// a revision that they accept.
+/// that instances hold, and they rightly refuse to go back. Only an operator
+/// can tell that it is to be believed, and does so by raising the epoch.
 ///
 /// # Errors
 ///
-/// [`Error`] where a value does not fit the store.
-pub fn renew(from: &Snapshot, proposal: Proposal) -> Result<Plan, Error> {
-    draw(from, &from.catalog, proposal)
+/// [`Error`] where the change does not fit the store.
+pub fn renew(from: &Snapshot, to: &Catalog, proposal: Proposal) -> Result<Plan, Error> {
+    draw(from, to, proposal, epoch(from) + 1)
 }
 
-fn draw(from: &Snapshot, to: &Catalog, proposal: Proposal) -> Result<Plan, Error> {
+fn epoch(from: &Snapshot) -> u32 {
+    from.head.as_ref().map_or(0, |head| head.epoch)
+}
+
+fn draw(from: &Snapshot, to: &Catalog, proposal: Proposal, epoch: u32) -> Result<Plan, Error> {
     let changes = change::diff(&from.catalog, to);
     let number = from.head.as_ref().map_or(0, |head| head.number) + 1;
     let head = Head {
@@ -159,6 +162,7 @@
         change: proposal.change,
         author: proposal.author,
         message: proposal.message,
+        epoch,
         time: proposal.time,
     };
     let record = Record::new(head.clone(), from.revision, &changes);
--- a/crates/cli/src/cmd/apply.rs
+++ b/crates/cli/src/cmd/apply.rs
@@ -13,6 +13,7 @@
     plan::{self, Proposal},
 };
 use serde::Serialize;
+use view::Revision;
 
 use crate::{
     error::Error,
@@ -57,8 +58,8 @@
     #[argh(switch)]
     in_parts: bool,
 
-    /// give the catalogue a new revision even if there is nothing to change,
-    /// as is needed once after the store was restored from a backup
+    /// raise the epoch, also if there is nothing to change: instances then
+    /// follow a store that was restored from a backup
     #[argh(switch)]
     renew: bool,
 
@@ -80,7 +81,7 @@
 #[serde(rename_all = "lowercase")]
 enum Report<'a> {
     Applied {
-        revision: u64,
+        revision: Revision,
         change: Option<Id>,
         changes: &'a [Change],
     },
@@ -137,14 +138,15 @@
     let mut changes = Vec::new();
     for (at, step) in steps.iter().enumerate() {
         let proposal = propose(args, author, at + 1, steps.len());
-        let plan = match plan::plan(&from, step, proposal.clone()) {
-            Err(plan::Error::Same) => plan::renew(&from, proposal)?,
-            other => other?,
+        let plan = if args.renew && at == 0 {
+            plan::renew(&from, step, proposal)?
+        } else {
+            plan::plan(&from, step, proposal)?
         };
         match sender::send(store, plan).await? {
             Sent::Applied(now, made) => {
                 changes.extend(made);
-                from = now;
+                from = *now;
             }
             Sent::Conflict(conflict) => return lost(args, &conflict, at),
         }
@@ -184,7 +186,11 @@
 }
 
 fn applied(args: &Args, now: &Snapshot, changes: &[Change]) -> Result<Exit, Error> {
-    let revision = now.revision;
+    let head = now.head.as_ref();
+    let revision = Revision {
+        epoch: head.map_or(0, |head| head.epoch),
+        number: now.revision,
+    };
     if args.json {
         let change = now.head.as_ref().map(|head| head.change);
         util::print_json(&Report::Applied {
--- a/crates/cli/src/cmd/wait.rs
+++ b/crates/cli/src/cmd/wait.rs
@@ -6,7 +6,7 @@
 use clock::Clock;
 use ntex::time::sleep;
 use serde::Serialize;
-use view::Status;
+use view::{Revision, Status};
 
 use crate::{
     error::Error,
@@ -40,7 +40,7 @@
 pub(crate) struct Args {
     /// the revision, as `apply` printed it
     #[argh(option)]
-    revision: u64,
+    revision: Revision,
 
     /// seconds to wait, 30 unless given
     #[argh(option, default = "TIMEOUT_S")]
@@ -58,14 +58,14 @@
 /// How far a revision has come.
 #[derive(Debug, Default, PartialEq, Eq, Serialize)]
 struct Progress {
-    revision: u64,
+    revision: Revision,
     in_force: Vec<String>,
     lacking: Vec<String>,
     unreachable: Vec<String>,
 }
 
 impl Progress {
-    fn of(revision: u64, answers: &[Answer<Status>]) -> Result<Self, Error> {
+    fn of(revision: Revision, answers: &[Answer<Status>]) -> Result<Self, Error> {
         let (found, failed) = fleet::parted(answers)?;
         let mut progress = Self {
             revision,
--- a/crates/cli/src/sender.rs
+++ b/crates/cli/src/sender.rs
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub(crate) enum Sent {
     /// It took effect: what is in force by it, and what it changed.
-    Applied(Snapshot, Vec<Change>),
+    Applied(Box<Snapshot>, Vec<Change>),
     /// Another change was faster.
     Conflict(Box<Conflict>),
 }
@@ -55,7 +55,7 @@
         head: Some(plan.head),
         revision,
     };
-    Sent::Applied(now, plan.changes)
+    Sent::Applied(Box::new(now), plan.changes)
 }
 
 /// Reads what is in force, and after it the change's record.
--- a/crates/cli/src/summary.rs
+++ b/crates/cli/src/summary.rs
@@ -4,7 +4,7 @@
 
 use model::{Term, name};
 use serde::Serialize;
-use view::{Health, Status};
+use view::{Health, Revision, Status};
 
 /// Where the knowledge of an instance comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -22,7 +22,7 @@
     /// Its availability zone.
     pub(crate) zone: name::Zone,
     /// The revision in force; none if it is not known.
-    pub(crate) revision: Option<u64>,
+    pub(crate) revision: Option<Revision>,
     /// Whether it is alive.
     pub(crate) health: Health,
     /// Who says so.
@@ -38,7 +38,7 @@
     }
 
     /// Whether `revision`, or one after it, is in force there.
-    pub(crate) fn holds(&self, revision: u64) -> bool {
+    pub(crate) fn holds(&self, revision: Revision) -> bool {
         self.revision.is_some_and(|held| held >= revision)
     }
 }
@@ -71,7 +71,7 @@
 #[derive(Debug, PartialEq, Eq, Serialize)]
 pub(crate) struct Summary {
     /// The latest revision in force anywhere.
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
     /// All zones known.
     pub(crate) zones: BTreeMap<name::Zone, Zone>,
     /// All instances known.
@@ -86,7 +86,7 @@
     pub(crate) fn of(answers: &[&Status]) -> Self {
         let instances = instances(answers);
         let held = instances.values().filter_map(|instance| instance.revision);
-        let revision = held.max().unwrap_or(0);
+        let revision = held.max().unwrap_or_default();
         Self {
             revision,
             zones: zones(&instances, revision),
@@ -127,7 +127,7 @@
 
 fn zones(
     instances: &BTreeMap<name::Instance, Instance>,
-    revision: u64,
+    revision: Revision,
 ) -> BTreeMap<name::Zone, Zone> {
     let mut zones: BTreeMap<_, Zone> = BTreeMap::new();
     for instance in instances.values() {
--- a/crates/view/src/doubt.rs
+++ b/crates/view/src/doubt.rs
@@ -5,6 +5,8 @@
 use model::name;
 use serde::{Deserialize, Serialize};
 
+use crate::Revision;
+
 /// Something that an operator should know.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "kind")]
@@ -19,21 +21,21 @@
     /// The store shows a lower revision than one that was in force.
     StoreOlder {
         /// The revision that the store shows.
-        shown: u64,
+        shown: Revision,
         /// The revision in force.
-        held: u64,
+        held: Revision,
     },
     /// A later revision can't be understood; the one in force is kept.
     Newer {
         /// The revision that is held back.
-        revision: u64,
+        revision: Revision,
         /// Its format, above what this version reads.
         format: u64,
     },
     /// A later revision breaks the rules; the one in force is kept.
     Unfit {
         /// The revision that is held back.
-        revision: u64,
+        revision: Revision,
         /// The first fault.
         reason: String,
     },
@@ -90,7 +92,7 @@
             Self::StoreOlder { shown, held } => write!(
                 f,
                 "the store went back to revision {shown} from {held}: {held} stays in force; \
-                 restore the store or apply the catalogue again"
+                 if it was restored, `apply --renew` the catalogue"
             ),
             Self::Newer { revision, format } => write!(
                 f,
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -6,11 +6,13 @@
 //! in milliseconds before the answer, since clocks of instances differ.
 
 mod doubt;
+mod revision;
 mod session;
 mod status;
 mod upstream;
 
 pub use doubt::Doubt;
+pub use revision::Revision;
 pub use session::{Phase, Session, Sessions};
 pub use status::{Health, Member, Primary, Status, Store};
 pub use upstream::{Link, Pool, Upstream, Upstreams};
--- a/crates/view/src/status.rs
+++ b/crates/view/src/status.rs
@@ -5,7 +5,7 @@
 use model::{Term, name};
 use serde::{Deserialize, Serialize};
 
-use crate::Doubt;
+use crate::{Doubt, Revision};
 
 /// What an instance knows and holds in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -16,8 +16,8 @@
     pub zone: name::Zone,
     /// The version of its program.
     pub version: String,
-    /// The catalogue's revision in force; 0 while it has none.
-    pub revision: u64,
+    /// The catalogue's revision in force; number 0 while it has none.
+    pub revision: Revision,
     /// How long that revision has been in force here, in milliseconds.
     pub applied_ms_ago: u64,
     /// Whether the platform's store answers.
@@ -108,7 +108,7 @@
     /// Whether it is alive.
     pub health: Health,
     /// The catalogue's revision that it told of last; none if it never did.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
     /// Milliseconds since it was last heard of.
     pub heard_ms_ago: u64,
 }
