Hold the head that the tool writes to what instances read

Cause: the head is written by catalog and read by fleet with a type of its own. Change: a test reads one with the other and holds the order of the keys. Conclusion: the two agree on format, epoch and mark.

--- a/crates/catalog/tests/layout.rs
+++ b/crates/catalog/tests/layout.rs
@@ -215,6 +215,24 @@
     assert_eq!(later.head.epoch, 1);
 }
 
+/// Symptom: no instance puts a change in force, or every record of a change is
+/// sent to the whole fleet.
+/// Events: the tool writes a head that instances read with types of their own.
+/// Cause: one value, written and read by two crates.
+#[test]
+fn instances_read_the_head_that_is_written() {
+    let store = Store::default();
+    let plan = plan::renew(&store.snapshot(), &small(8), proposal(42)).unwrap();
+    let head = Key::Head.to_string();
+    let put = plan.txn.puts.iter().find(|put| put.key == head).unwrap();
+    let read = fleet::Head::parse(&put.value).unwrap();
+    assert_eq!((read.format, read.epoch), (1, 1));
+    assert_eq!(read.change, plan.head.change.to_string());
+
+    let primary = "dandelionlink/primary/";
+    assert!(layout::PREFIX < primary && primary < layout::HISTORY);
+}
+
 #[test]
 fn what_does_not_fit_the_store_is_refused_when_planned() {
     let empty = Store::default().snapshot();
