pool: limits, admission, seats, breakers and budgets as pure decisions

Cause: connections and slots of an upstream are scarce and shared by the fleet. Change: Pool (deadline-aware fair admission, connections by generation and sequence), Breaker, Budget, holder::assign, Lease, Seat; example 'load'.

--- /dev/null
+++ b/crates/pool/examples/load/sim.rs
@@ -0,0 +1,407 @@
+//! One upstream, its holder and retrying callers, in virtual time.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, VecDeque},
+    num::NonZeroU32,
+    time::Duration,
+};
+
+use clock::Instant;
+use model::{Priority, name};
+use pool::{
+    Action, Conf, Event, Handle, Pool, Request, Ticket,
+    conn::Generation,
+    pool::{After, Limits},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const CONNECT: Duration = Duration::from_millis(10);
+const WIRE: Duration = Duration::from_micros(100);
+const SLOTS: u16 = 2;
+const ATTEMPTS: u32 = 4;
+const QUEUE: u32 = 1_000;
+
+/// A kind of request: who goes first, its share of the load, its mean work
+/// and its deadline in microseconds.
+pub(crate) struct Kind {
+    pub(crate) priority: Priority,
+    share: f64,
+    work: u64,
+    deadline: u64,
+}
+
+pub(crate) const KINDS: [Kind; 3] = [
+    Kind {
+        priority: Priority::High,
+        share: 0.15,
+        work: 5_000,
+        deadline: 300_000,
+    },
+    Kind {
+        priority: Priority::Normal,
+        share: 0.15,
+        work: 5_000,
+        deadline: 300_000,
+    },
+    Kind {
+        priority: Priority::Low,
+        share: 0.70,
+        work: 5_000,
+        deadline: 200_000,
+    },
+];
+
+/// Statements a second that the slots can serve: two slots, 5 ms each.
+pub(crate) const CAPACITY: f64 = 400.0;
+
+/// How requests are let in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// The pool's.
+    Pool,
+}
+
+/// What became of the requests of one kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Tally {
+    /// First attempts made while measuring.
+    pub(crate) asked: u64,
+    /// Requests done in time, on any attempt.
+    pub(crate) done: u64,
+    /// Requests done in time on the first attempt.
+    pub(crate) first: u64,
+    /// Attempts refused as not run.
+    pub(crate) refused: u64,
+    /// Attempts cut by their deadline after they were sent.
+    pub(crate) cut: u64,
+    /// Sum of the waits between an attempt's arrival and its refusal, in
+    /// microseconds.
+    pub(crate) refusal_wait: u64,
+}
+
+/// A run's result.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Report {
+    pub(crate) kinds: [Tally; 3],
+    /// Requests done in time for each tenant, of the lowest priority.
+    pub(crate) tenants: [u64; 4],
+    /// The most connections open at once.
+    pub(crate) connections: usize,
+}
+
+impl Report {
+    /// Requests done in time.
+    pub(crate) fn done(&self) -> u64 {
+        self.kinds.iter().map(|it| it.done).sum()
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    kind: usize,
+    tenant: usize,
+    attempt: u32,
+    came: Instant,
+    deadline: Instant,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Arrival,
+    Retry(u64),
+    Opened(Generation),
+    Landed(Handle),
+    Ended(Handle),
+    Answered(Handle),
+    Tick,
+}
+
+struct World {
+    now: Instant,
+    heap: BinaryHeap<Reverse<(Instant, u64, Happening)>>,
+    made: u64,
+    rng: ChaCha8Rng,
+    pool: Pool,
+    policy: Policy,
+    rate: f64,
+    measured: (Instant, Instant),
+    asked: BTreeMap<Ticket, Asked>,
+    retries: BTreeMap<u64, Asked>,
+    handles: BTreeMap<Handle, Ticket>,
+    waiting: VecDeque<Handle>,
+    running: BTreeMap<Handle, ()>,
+    tick: Option<Instant>,
+    report: Report,
+    names: Names,
+}
+
+struct Names {
+    entries: [name::Entry; 3],
+    tenants: [name::Tenant; 4],
+}
+
+/// Runs `load` times the capacity for `seconds` after a second to warm up.
+pub(crate) fn run(policy: Policy, load: f64, seconds: u64, seed: u64) -> Report {
+    let slots = match policy {
+        Policy::Pool => SLOTS,
+    };
+    let conf = Conf {
+        connections: 15,
+        slots,
+        warm: 4,
+        idle: Duration::from_secs(60),
+        transaction_idle: Duration::from_secs(10),
+    };
+    let begin = Instant::from_millis(1_000);
+    let mut world = World {
+        now: Instant::ZERO,
+        heap: BinaryHeap::new(),
+        made: 0,
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        pool: Pool::open(conf, 1),
+        policy,
+        rate: load * CAPACITY,
+        measured: (begin, begin + Duration::from_secs(seconds)),
+        asked: BTreeMap::new(),
+        retries: BTreeMap::new(),
+        handles: BTreeMap::new(),
+        waiting: VecDeque::new(),
+        running: BTreeMap::new(),
+        tick: None,
+        report: Report::default(),
+        names: Names {
+            entries: ["pay", "shelf", "calendar"].map(|it| name::Entry::new(it).unwrap()),
+            tenants: ["t1", "t2", "t3", "t4"].map(|it| name::Tenant::new(it).unwrap()),
+        },
+    };
+    world.at(Duration::ZERO, Happening::Arrival);
+    world.step(Event::Tick);
+    while let Some(Reverse((at, _, happening))) = world.heap.pop() {
+        if at >= world.measured.1 {
+            break;
+        }
+        world.now = at;
+        world.happen(happening);
+    }
+    world.report
+}
+
+impl World {
+    fn at(&mut self, after: Duration, happening: Happening) {
+        self.made += 1;
+        self.heap
+            .push(Reverse((self.now + after, self.made, happening)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrival => self.arrive(),
+            Happening::Retry(id) => {
+                if let Some(asked) = self.retries.remove(&id) {
+                    self.submit(asked);
+                }
+            }
+            Happening::Opened(generation) => self.step(Event::Opened(generation)),
+            Happening::Landed(handle) => {
+                self.waiting.push_back(handle);
+                self.serve();
+            }
+            Happening::Ended(handle) => {
+                if self.running.remove(&handle).is_some() {
+                    self.at(WIRE, Happening::Answered(handle));
+                }
+                self.serve();
+            }
+            Happening::Answered(handle) => self.answer(handle),
+            Happening::Tick => {
+                if self.tick == Some(self.now) {
+                    self.tick = None;
+                    self.step(Event::Tick);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let gap = self.exponential(1e6 / self.rate);
+        self.at(Duration::from_micros(gap as u64), Happening::Arrival);
+        let draw = self.rng.random::<f64>();
+        let kind = match draw {
+            x if x < KINDS[0].share => 0,
+            x if x < KINDS[0].share + KINDS[1].share => 1,
+            _ => 2,
+        };
+        // One tenant sends seven tenths of everything.
+        let tenant = match self.rng.random_range(0..10) {
+            0..7 => 0,
+            other => other - 6,
+        };
+        let asked = Asked {
+            kind,
+            tenant,
+            attempt: 1,
+            came: self.now,
+            deadline: self.now,
+        };
+        if self.measuring() {
+            self.report.kinds[kind].asked += 1;
+        }
+        self.submit(asked);
+    }
+
+    fn measuring(&self) -> bool {
+        self.now >= self.measured.0
+    }
+
+    fn submit(&mut self, asked: Asked) {
+        let kind = &KINDS[asked.kind];
+        let deadline = self.now + Duration::from_micros(kind.deadline);
+        self.made += 1;
+        let ticket = Ticket(self.made);
+        let asked = Asked {
+            came: self.now,
+            deadline,
+            ..asked
+        };
+        self.asked.insert(ticket, asked);
+        let fair = self.policy == Policy::Pool;
+        let request = Request {
+            ticket,
+            entry: self.names.entries[asked.kind].clone(),
+            limits: Limits {
+                connections: 15,
+                queue: QUEUE,
+            },
+            tenant: self.names.tenants[if fair { asked.tenant } else { 0 }].clone(),
+            weight: NonZeroU32::MIN,
+            priority: if fair { kind.priority } else { Priority::High },
+            // The naive policy is the same code without any deadline.
+            deadline: if fair {
+                deadline
+            } else {
+                Instant::from_millis(u64::MAX / 2_000)
+            },
+        };
+        self.step(Event::Submit(request));
+    }
+
+    fn step(&mut self, event: Event) {
+        for action in self.pool.step(self.now, event) {
+            self.act(action);
+        }
+        self.report.connections = self.report.connections.max(self.pool.connections());
+        let Some(wake) = self.pool.wake(self.now) else {
+            return;
+        };
+        let wake = wake.max(self.now + Duration::from_micros(1));
+        if self.tick.is_none_or(|at| wake < at) {
+            self.tick = Some(wake);
+            self.at(wake.since(self.now), Happening::Tick);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Open(generation) => self.at(CONNECT, Happening::Opened(generation)),
+            Action::Close(_) => {}
+            Action::Run(ticket, handle) => {
+                self.handles.insert(handle, ticket);
+                self.at(WIRE, Happening::Landed(handle));
+            }
+            Action::Refuse {
+                ticket,
+                retry_after,
+                ..
+            } => {
+                let Some(asked) = self.asked.remove(&ticket) else {
+                    return;
+                };
+                if self.measuring() {
+                    let tally = &mut self.report.kinds[asked.kind];
+                    tally.refused += 1;
+                    tally.refusal_wait += self.now.since(asked.came).as_micros() as u64;
+                }
+                self.retry(asked, retry_after);
+            }
+            Action::Cancel(handle) => {
+                self.waiting.retain(|it| *it != handle);
+                self.running.remove(&handle);
+                self.handles.remove(&handle);
+                self.serve();
+            }
+            Action::Broke(ticket, _) => {
+                let Some(asked) = self.asked.remove(&ticket) else {
+                    return;
+                };
+                if self.measuring() {
+                    self.report.kinds[asked.kind].cut += 1;
+                }
+                self.retry(asked, Duration::ZERO);
+            }
+        }
+    }
+
+    fn retry(&mut self, asked: Asked, after: Duration) {
+        if asked.attempt >= ATTEMPTS {
+            return;
+        }
+        self.made += 1;
+        let id = self.made;
+        let asked = Asked {
+            attempt: asked.attempt + 1,
+            ..asked
+        };
+        self.retries.insert(id, asked);
+        let jitter = Duration::from_micros(self.rng.random_range(1..2_000));
+        self.at(after + jitter, Happening::Retry(id));
+    }
+
+    fn serve(&mut self) {
+        while self.running.len() < usize::from(SLOTS) {
+            let Some(handle) = self.waiting.pop_front() else {
+                return;
+            };
+            let kind = self
+                .handles
+                .get(&handle)
+                .and_then(|it| self.asked.get(it))
+                .map_or(2, |it| it.kind);
+            let mean = KINDS[kind].work as f64;
+            let work = mean / 2.0 + self.exponential(mean / 2.0);
+            self.running.insert(handle, ());
+            self.at(Duration::from_micros(work as u64), Happening::Ended(handle));
+        }
+    }
+
+    fn answer(&mut self, handle: Handle) {
+        if let Some(ticket) = self.handles.remove(&handle) {
+            self.credit(ticket);
+        }
+        self.step(Event::Answered(handle, After::Idle));
+    }
+
+    fn credit(&mut self, ticket: Ticket) {
+        let Some(asked) = self.asked.remove(&ticket) else {
+            return;
+        };
+        let late = self.now > asked.deadline;
+        if self.measuring() {
+            let tally = &mut self.report.kinds[asked.kind];
+            tally.done += u64::from(!late);
+            tally.first += u64::from(!late && asked.attempt == 1);
+            tally.cut += u64::from(late);
+            if !late && asked.kind == 2 {
+                self.report.tenants[asked.tenant] += 1;
+            }
+        }
+        if late {
+            self.retry(asked, Duration::ZERO);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/estimate.rs
@@ -0,0 +1,75 @@
+//! How long statements take, learned from those that ended.
+
+use std::time::Duration;
+
+use clock::Instant;
+
+/// After this long without a sample an estimate halves, and again each time.
+///
+/// An entry whose statements were slow for a moment is refused from then on as
+/// unable to end in time. If its estimate did not fade, nothing would run that
+/// could correct it, and the entry would be refused for ever.
+pub const HALF_LIFE: Duration = Duration::from_secs(1);
+
+const FIRST: Duration = Duration::from_millis(5);
+const GAIN_MEAN: f64 = 1.0 / 16.0;
+const GAIN_DEVIATION: f64 = 1.0 / 8.0;
+
+/// A moving mean of service times with its mean deviation, as TCP keeps them.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use clock::Instant;
+///
+/// let mut estimate = pool::estimate::Estimate::default();
+/// let now = Instant::ZERO;
+/// for _ in 0..200 {
+///     estimate.learn(now, Duration::from_millis(8));
+/// }
+/// assert!(estimate.mean(now).abs_diff(Duration::from_millis(8)) < Duration::from_micros(10));
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct Estimate {
+    mean: f64,
+    deviation: f64,
+    learned: Instant,
+}
+
+impl Default for Estimate {
+    fn default() -> Self {
+        Self {
+            mean: FIRST.as_secs_f64(),
+            deviation: FIRST.as_secs_f64() / 2.0,
+            learned: Instant::ZERO,
+        }
+    }
+}
+
+impl Estimate {
+    /// A statement took `span` from its dispatch to its answer, or was given
+    /// up after `span`: leaving those out would make the estimate too short
+    /// just when everything times out.
+    pub fn learn(&mut self, now: Instant, span: Duration) {
+        let error = span.as_secs_f64() - self.mean;
+        self.mean += error * GAIN_MEAN;
+        self.deviation += (error.abs() - self.deviation) * GAIN_DEVIATION;
+        self.learned = now;
+    }
+
+    /// The time that a statement takes on average.
+    pub fn mean(&self, now: Instant) -> Duration {
+        self.faded(now, self.mean)
+    }
+
+    /// A time within which nearly all statements end.
+    pub fn tail(&self, now: Instant) -> Duration {
+        self.faded(now, self.mean + 2.0 * self.deviation)
+    }
+
+    fn faded(&self, now: Instant, seconds: f64) -> Duration {
+        let halvings = now.since(self.learned).as_secs() / HALF_LIFE.as_secs();
+        let halvings = i32::try_from(halvings).unwrap_or(i32::MAX);
+        Duration::from_secs_f64((seconds * 0.5_f64.powi(halvings)).max(0.0))
+    }
+}
--- /dev/null
+++ b/crates/pool/src/seat.rs
@@ -0,0 +1,420 @@
+//! A seat: the right to a share of an upstream's connections.
+//!
+//! A seat is one key of the store, bound to its holder's lease and changed
+//! only by compare-and-swap. That alone would trust clocks: a holder that is
+//! paused, or cut off from the store only, has its connections open when the
+//! next one starts. A new holder therefore first *fences*: with the upstream's
+//! reserved connection it ends all connections of the seat that are not its
+//! own (`pg_terminate_backend` over `pg_stat_activity`, by application name).
+//! Only then does it open its share.
+//!
+//! The same names at the upstream let a holder go on while the store is down:
+//! as long as it sees nobody else's connections of its seat there, nobody else
+//! uses the seat.
+
+use std::time::Duration;
+
+use clock::Instant;
+
+use crate::lease::{Attempt, Id, Standing};
+
+/// How long a look at the upstream's connections counts while the lease can't
+/// be proved.
+pub const CHECK: Duration = Duration::from_secs(1);
+/// How long a call may stay unanswered before it is made again.
+pub const ANSWER: Duration = Duration::from_secs(1);
+
+/// The store's revision at which a seat was taken; later takers have higher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Epoch(pub u64);
+
+/// What the store holds for a seat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Record {
+    /// Nothing.
+    Absent,
+    /// This instance, since this epoch.
+    Mine(Epoch),
+    /// Another instance, since this epoch.
+    Other(Epoch),
+}
+
+/// Who is seen at the upstream under the seat's name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Seen {
+    /// Only this instance's connections, or none.
+    Alone,
+    /// Another instance's.
+    Other,
+}
+
+/// What happens to a seat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// The ranking puts this instance on the seat.
+    Wanted,
+    /// The ranking puts another instance on it, or this one is stopping.
+    Unwanted,
+    /// The instance's lease as it now stands.
+    Lease(Standing),
+    /// The store's key was read, by a call, a watch or as a claim's answer.
+    Record(Record),
+    /// Peers agree that the holder since this epoch is dead, so that its seat
+    /// can be taken without waiting for its lease.
+    Dead(Epoch),
+    /// The upstream ended all other connections of the seat.
+    Fenced(Attempt),
+    /// The upstream's list of connections was read.
+    Checked(Attempt, Seen),
+    /// Connections were ended by the upstream on an administrator's order:
+    /// another holder has fenced this one.
+    Ousted,
+    /// All connections are closed after [`Action::Close`].
+    Closed,
+    /// Time passed.
+    Tick,
+}
+
+/// What the seat wants done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Write the key with this lease if it still has this epoch, or if it is
+    /// absent; then read it.
+    Claim(Id, Option<Epoch>),
+    /// Read the key: the answer to a claim was lost, or it is not known.
+    Read,
+    /// End the seat's connections that are not this instance's.
+    Fence(Attempt),
+    /// Look who has connections under the seat's name.
+    Check(Attempt),
+    /// Close all connections of the seat at once.
+    Close,
+    /// Delete the key if it still has this epoch.
+    Release(Epoch),
+}
+
+/// What the holder may do with the seat's connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permit {
+    /// Nothing: hold back new statements, open none.
+    Nothing,
+    /// Use those that are open and replace broken ones, one at a time.
+    Replace,
+    /// Open up to the share.
+    Full,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// The seat is not held.
+    Out,
+    /// A claim is on its way; `Kept::Connections` when it is to win back a
+    /// seat whose connections are still open.
+    Claiming { since: Instant, kept: Kept },
+    /// The key is this instance's; others are being ended at the upstream.
+    Fencing {
+        epoch: Epoch,
+        attempt: Attempt,
+        since: Instant,
+    },
+    /// Held under a proved lease.
+    Held { epoch: Epoch, until: Instant },
+    /// Held as far as the upstream shows; the store is silent.
+    Unproved { epoch: Epoch, look: Look },
+    /// Closing all connections, then deleting the key if it is still ours.
+    Closing { epoch: Option<Epoch> },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kept {
+    Nothing,
+    Connections,
+}
+
+/// A look at the upstream's connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Look {
+    attempt: Attempt,
+    sent: Instant,
+    /// When the last look that found nobody else was *sent*.
+    alone: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wish {
+    In,
+    Out,
+}
+
+/// One seat at one instance.
+#[derive(Debug)]
+pub struct Seat {
+    state: State,
+    wish: Wish,
+    lease: Standing,
+    record: Option<Record>,
+    dead: Option<Epoch>,
+    made: u64,
+}
+
+impl Default for Seat {
+    fn default() -> Self {
+        Self {
+            state: State::Out,
+            wish: Wish::Out,
+            lease: Standing::Absent,
+            record: None,
+            dead: None,
+            made: 0,
+        }
+    }
+}
+
+impl Seat {
+    /// Decides what to do about `event`.
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Wanted => self.wish = Wish::In,
+            Event::Unwanted => self.wish = Wish::Out,
+            Event::Lease(standing) => self.leased(now, standing, &mut actions),
+            Event::Record(record) => self.read(now, record, &mut actions),
+            Event::Dead(epoch) => self.dead = self.dead.max(Some(epoch)),
+            Event::Fenced(attempt) => self.fenced(attempt),
+            Event::Checked(attempt, seen) => self.checked(attempt, seen, &mut actions),
+            Event::Ousted => self.ousted(&mut actions),
+            Event::Closed => self.closed(&mut actions),
+            Event::Tick => {}
+        }
+        self.settle(now, &mut actions);
+        actions
+    }
+
+    /// What the holder may do now. Ask right before each use: a holder that
+    /// was paused since its last step finds its lease run out here.
+    pub fn permit(&self, now: Instant) -> Permit {
+        match self.state {
+            State::Held { until, .. } if now < until => Permit::Full,
+            State::Unproved { look, .. } if look.alone.is_some_and(|at| now < at + CHECK) => {
+                Permit::Replace
+            }
+            _ => Permit::Nothing,
+        }
+    }
+
+    /// The epoch since which the seat is this instance's.
+    pub fn epoch(&self) -> Option<Epoch> {
+        match self.state {
+            State::Fencing { epoch, .. }
+            | State::Held { epoch, .. }
+            | State::Unproved { epoch, .. } => Some(epoch),
+            State::Out | State::Claiming { .. } | State::Closing { .. } => None,
+        }
+    }
+
+    /// When to step next at the latest.
+    pub fn wake(&self) -> Option<Instant> {
+        match self.state {
+            State::Out | State::Closing { .. } => None,
+            State::Claiming { since, .. } | State::Fencing { since, .. } => Some(since + ANSWER),
+            State::Held { until, .. } => Some(until),
+            State::Unproved { look, .. } => Some(look.sent + CHECK / 2),
+        }
+    }
+
+    fn read(&mut self, now: Instant, record: Record, actions: &mut Vec<Action>) {
+        self.record = Some(record);
+        match (self.state, record) {
+            (State::Claiming { .. }, Record::Mine(epoch)) => self.fence(now, epoch, actions),
+            (State::Claiming { kept, .. }, Record::Other(_)) => match kept {
+                Kept::Nothing => self.state = State::Out,
+                Kept::Connections => self.close(None, actions),
+            },
+            (State::Claiming { kept, .. }, Record::Absent) => self.claim(now, kept, actions),
+            (
+                State::Fencing { .. } | State::Held { .. } | State::Unproved { .. },
+                Record::Other(_),
+            ) => self.close(None, actions),
+            // The lease that the key rode on has lapsed; others may claim it.
+            (
+                State::Fencing { .. } | State::Held { .. } | State::Unproved { .. },
+                Record::Absent,
+            ) => self.claim(now, Kept::Connections, actions),
+            _ => {}
+        }
+    }
+
+    fn leased(&mut self, now: Instant, standing: Standing, actions: &mut Vec<Action>) {
+        self.lease = standing;
+        // A claim may have waited for the lease.
+        if let (State::Claiming { kept, .. }, Some(Record::Absent)) = (self.state, self.record) {
+            self.claim(now, kept, actions);
+        }
+    }
+
+    fn fence(&mut self, now: Instant, epoch: Epoch, actions: &mut Vec<Action>) {
+        let attempt = self.attempt();
+        self.state = State::Fencing {
+            epoch,
+            attempt,
+            since: now,
+        };
+        actions.push(Action::Fence(attempt));
+    }
+
+    fn fenced(&mut self, answer: Attempt) {
+        let State::Fencing { epoch, attempt, .. } = self.state else {
+            return;
+        };
+        if answer != attempt {
+            return;
+        }
+        // Whether the lease still stands is looked at when the seat settles.
+        self.state = State::Held {
+            epoch,
+            until: Instant::ZERO,
+        };
+    }
+
+    fn checked(&mut self, answer: Attempt, seen: Seen, actions: &mut Vec<Action>) {
+        let State::Unproved { epoch, look } = self.state else {
+            return;
+        };
+        if answer != look.attempt {
+            return;
+        }
+        match seen {
+            Seen::Other => self.close(None, actions),
+            Seen::Alone => {
+                let look = Look {
+                    alone: Some(look.sent),
+                    ..look
+                };
+                self.state = State::Unproved { epoch, look };
+            }
+        }
+    }
+
+    fn ousted(&mut self, actions: &mut Vec<Action>) {
+        if !matches!(self.state, State::Out | State::Closing { .. }) {
+            self.record = None;
+            self.close(None, actions);
+        }
+    }
+
+    fn close(&mut self, epoch: Option<Epoch>, actions: &mut Vec<Action>) {
+        self.state = State::Closing { epoch };
+        actions.push(Action::Close);
+    }
+
+    fn closed(&mut self, actions: &mut Vec<Action>) {
+        let State::Closing { epoch } = self.state else {
+            return;
+        };
+        self.state = State::Out;
+        // The key goes last. Deleted earlier, it would let the next holder in
+        // while connections of this one are open.
+        if let Some(epoch) = epoch {
+            self.record = None;
+            actions.push(Action::Release(epoch));
+        }
+    }
+
+    fn settle(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        match (self.state, self.wish) {
+            (State::Out, Wish::In) => self.claim(now, Kept::Nothing, actions),
+            (State::Out | State::Closing { .. }, _) => {}
+            (
+                State::Claiming {
+                    kept: Kept::Nothing,
+                    ..
+                },
+                Wish::Out,
+            ) => self.state = State::Out,
+            (State::Claiming { since, kept }, _) if now >= since + ANSWER => {
+                self.record = None;
+                self.claim(now, kept, actions);
+            }
+            (State::Claiming { .. }, _) => {}
+            (
+                State::Fencing { epoch, .. }
+                | State::Held { epoch, .. }
+                | State::Unproved { epoch, .. },
+                Wish::Out,
+            ) => self.close(Some(epoch), actions),
+            (State::Fencing { epoch, since, .. }, Wish::In) => {
+                if now >= since + ANSWER {
+                    self.fence(now, epoch, actions);
+                }
+            }
+            (State::Held { epoch, .. } | State::Unproved { epoch, .. }, Wish::In) => {
+                self.prove(now, epoch, actions);
+            }
+        }
+    }
+
+    /// Holds the seat under the lease, or by looking at the upstream.
+    fn prove(&mut self, now: Instant, epoch: Epoch, actions: &mut Vec<Action>) {
+        match self.lease {
+            Standing::Valid(_, until) if now < until => {
+                self.state = State::Held { epoch, until };
+            }
+            // The lease is gone and the key with it: win it back before
+            // anything else, with the connections still open.
+            Standing::Absent => {
+                self.record = None;
+                self.claim(now, Kept::Connections, actions);
+            }
+            Standing::Valid(..) | Standing::Unproved(_) => self.look(now, epoch, actions),
+        }
+    }
+
+    fn look(&mut self, now: Instant, epoch: Epoch, actions: &mut Vec<Action>) {
+        let before = match self.state {
+            State::Unproved { look, .. } => Some(look),
+            _ => None,
+        };
+        if before.is_some_and(|it| now < it.sent + CHECK / 2) {
+            return;
+        }
+        let attempt = self.attempt();
+        let look = Look {
+            attempt,
+            sent: now,
+            alone: before.and_then(|it| it.alone),
+        };
+        self.state = State::Unproved { epoch, look };
+        actions.push(Action::Check(attempt));
+    }
+
+    fn claim(&mut self, now: Instant, kept: Kept, actions: &mut Vec<Action>) {
+        let over = match self.record {
+            None => {
+                self.await_record(now, kept, actions);
+                return;
+            }
+            Some(Record::Absent) => None,
+            Some(Record::Mine(epoch)) => return self.fence(now, epoch, actions),
+            Some(Record::Other(epoch)) if self.dead >= Some(epoch) => Some(epoch),
+            Some(Record::Other(_)) => return,
+        };
+        let Standing::Valid(id, until) = self.lease else {
+            return;
+        };
+        if now >= until {
+            return;
+        }
+        self.state = State::Claiming { since: now, kept };
+        actions.push(Action::Claim(id, over));
+    }
+
+    fn await_record(&mut self, now: Instant, kept: Kept, actions: &mut Vec<Action>) {
+        self.state = State::Claiming { since: now, kept };
+        actions.push(Action::Read);
+    }
+
+    fn attempt(&mut self) -> Attempt {
+        self.made += 1;
+        Attempt(self.made)
+    }
+}
--- /dev/null
+++ b/crates/request/src/lib.rs
@@ -0,0 +1,1 @@
+//! The life of one request: outcomes, retries, request ids and cancels.
