--- /dev/null
+++ b/crates/pool/tests/conn.rs
@@ -0,0 +1,125 @@
+//! Stories of connections: late answers, dead owners, leaving upstreams.
+
+use std::{num::NonZeroU32, time::Duration};
+
+use clock::Instant;
+use model::{Cause, Priority, name};
+use pool::{
+    Action, Conf, Event, Handle, Pool, Request, Ticket,
+    pool::{After, Limits, Service},
+};
+
+const CONF: Conf = Conf {
+    connections: 2,
+    slots: 1,
+    warm: 1,
+    idle: Duration::from_secs(60),
+    transaction_idle: Duration::from_secs(5),
+};
+
+fn request(ticket: u64, priority: Priority) -> Request {
+    Request {
+        ticket: Ticket(ticket),
+        entry: name::Entry::new("pay").unwrap(),
+        limits: Limits {
+            connections: 2,
+            queue: 10,
+        },
+        tenant: name::Tenant::new("t1").unwrap(),
+        weight: NonZeroU32::MIN,
+        priority,
+        deadline: Instant::from_millis(500),
+    }
+}
+
+/// A pool whose first request runs on its one open connection.
+fn running() -> (Pool, Handle) {
+    let mut pool = Pool::open(CONF, 1);
+    let now = Instant::ZERO;
+    let [Action::Open(generation)] = pool.step(now, Event::Tick)[..] else {
+        panic!("no warm connection was opened");
+    };
+    pool.step(now, Event::Opened(generation));
+    let actions = pool.step(now, Event::Submit(request(1, Priority::Low)));
+    let [Action::Run(Ticket(1), handle)] = actions[..] else {
+        panic!("the request did not run: {actions:?}");
+    };
+    (pool, handle)
+}
+
+/// Symptom: a caller gets another's rows. Events: a statement is given up, its
+/// connection goes back, the old answer arrives. Cause: the connection was
+/// pooled with an unread answer.
+#[test]
+fn given_up_statement_takes_its_connection_along() {
+    let (mut pool, handle) = running();
+    let now = Instant::from_millis(1);
+    let actions = pool.step(now, Event::Withdraw(Ticket(1)));
+    assert!(actions.contains(&Action::Cancel(handle)));
+    assert!(actions.contains(&Action::Close(handle.generation)));
+    assert!(!pool.in_flight(handle));
+    assert!(
+        pool.step(now, Event::Answered(handle, After::Idle))
+            .is_empty()
+    );
+}
+
+/// Symptom: an upstream's connections are all held and nothing runs. Events:
+/// the instance that forwarded a transaction dies in it. Cause: nobody takes
+/// the connection back.
+#[test]
+fn transaction_of_a_dead_owner_is_closed() {
+    let (mut pool, handle) = running();
+    pool.step(Instant::ZERO, Event::Answered(handle, After::Transaction));
+    let actions = pool.step(Instant::from_millis(5_000), Event::Tick);
+    assert!(actions.contains(&Action::Close(handle.generation)));
+    assert!(actions.contains(&Action::Broke(Ticket(1), Cause::Deadline)));
+}
+
+/// Symptom: two callers wait for each other until both time out. Events: the
+/// slot's statement waits for a lock of an open transaction, whose next
+/// statement waits for the slot.
+#[test]
+fn open_transaction_never_waits_for_a_slot() {
+    let (mut pool, first) = running();
+    let now = Instant::ZERO;
+    pool.step(now, Event::Answered(first, After::Transaction));
+    let opened = pool.step(now, Event::Submit(request(2, Priority::High)));
+    let [Action::Open(generation)] = opened[..] else {
+        panic!("no connection was opened: {opened:?}");
+    };
+    pool.step(now, Event::Opened(generation));
+    assert_eq!(pool.running(), 1);
+    let next = pool.step(now, Event::Next(Ticket(1), Instant::from_millis(400)));
+    assert!(matches!(next[..], [Action::Run(Ticket(1), _)]));
+    assert_eq!(pool.connections(), 2);
+}
+
+/// Symptom: payments wait behind calendar views.
+#[test]
+fn high_priority_runs_first() {
+    let (mut pool, handle) = running();
+    let now = Instant::ZERO;
+    pool.step(now, Event::Submit(request(2, Priority::Low)));
+    pool.step(now, Event::Submit(request(3, Priority::High)));
+    let actions = pool.step(now, Event::Answered(handle, After::Idle));
+    assert!(matches!(actions[..], [Action::Run(Ticket(3), _)]));
+}
+
+/// Symptom: an upstream that is leaving gets new work.
+#[test]
+fn leaving_upstream_refuses_and_finishes() {
+    let (mut pool, handle) = running();
+    let now = Instant::ZERO;
+    assert!(pool.step(now, Event::Service(Service::Leaving)).is_empty());
+    let refused = pool.step(now, Event::Submit(request(2, Priority::High)));
+    assert!(matches!(
+        refused[..],
+        [Action::Refuse {
+            cause: Cause::NoUpstream,
+            ..
+        }]
+    ));
+    let last = pool.step(now, Event::Answered(handle, After::Idle));
+    assert_eq!(last, [Action::Close(handle.generation)]);
+}
