request: read the ledger's row for a repeat

Cause: an id used again for another statement must not be told the first's tag. Change: ledger::found compares the digest; one test. Measured: cargo test -p request: 8 passed. Conclusion: the driver that sends the ledger's statements is still missing.

--- a/crates/request/src/ledger.rs
+++ b/crates/request/src/ledger.rs
@@ -86,3 +86,23 @@
 pub fn is_repeat(sqlstate: &str, constraint: &str) -> bool {
     sqlstate == "23505" && constraint == CONSTRAINT
 }
+
+/// What a repeat finds in the ledger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Found<'a> {
+    /// The first run, with its command tag.
+    First(&'a str),
+    /// Another statement ran under this id.
+    Different,
+    /// Nothing: the first run was rolled back after all.
+    Nothing,
+}
+
+/// Reads the row that [`find`] asked for: its digest and its tag.
+pub fn found<'a>(digest: u64, row: Option<(u64, &'a str)>) -> Found<'a> {
+    match row {
+        None => Found::Nothing,
+        Some((first, tag)) if first == digest => Found::First(tag),
+        Some(_) => Found::Different,
+    }
+}
--- a/crates/request/tests/outcome.rs
+++ b/crates/request/tests/outcome.rs
@@ -128,3 +128,17 @@
     table.end(two, handle(1));
     assert_eq!(table.cancel(two), Some(handle(2)));
 }
+
+/// Symptom: a caller is told of a booking that was not its own. Events: an id
+/// is used again for another statement. Cause: only the id was compared.
+#[test]
+fn repeat_finds_the_first_outcome_of_the_same_statement_only() {
+    use request::ledger::{Found, found};
+
+    assert_eq!(
+        found(1, Some((1, "INSERT 0 1"))),
+        Found::First("INSERT 0 1")
+    );
+    assert_eq!(found(2, Some((1, "INSERT 0 1"))), Found::Different);
+    assert_eq!(found(1, None), Found::Nothing);
+}
