Let a request wait for a change of primary, within a bound

Cause: an instance that knew no status yet refused its first read, and a write whose primary could not be reached was refused while a new one was promoted. An instance without peers told its failover machine of no member at all, so it never promoted. Change: such requests wait for news up to 3 s; a lone instance tells itself.

--- a/crates/daemon/src/control/duty.rs
+++ b/crates/daemon/src/control/duty.rs
@@ -191,6 +191,7 @@
                 instance: self.instance.clone(),
                 zone: self.zone.clone(),
                 upstreams,
+                candidates: failover::CANDIDATES,
                 seed: self.seed,
                 timing: Timing::default(),
             };
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -136,6 +136,8 @@
         members: BTreeMap::new(),
     };
     peers.carry(actions).await;
+    // An instance that is alone is told of no other member.
+    peers.tell_members().await;
     let mut buf = vec![0; wire::DATAGRAM_MAX + 1];
     let mut draining = conf.watch.clone();
     let mut leaving = false;
--- a/crates/daemon/src/upstreams/ack.rs
+++ b/crates/daemon/src/upstreams/ack.rs
@@ -74,9 +74,15 @@
         }
     }
 
-    /// Begins a round; [`session::Round`] has said that it is time for one.
-    pub(super) fn ask(self: &Rc<Self>, core: &Rc<Core>) {
-        ntex::rt::spawn(ask_all(Rc::clone(self), Rc::clone(core)));
+    /// Asks all upstreams for their status, unless a round is under way.
+    ///
+    /// An instance that is no candidate has no other way to learn who leads
+    /// before the record of a change reaches it.
+    pub(super) fn want_round(self: &Rc<Self>, core: &Rc<Core>, since: Instant) {
+        let now = core.now();
+        if self.round.borrow_mut().want(now, since) == Start::Now {
+            ntex::rt::spawn(ask_all(Rc::clone(self), Rc::clone(core)));
+        }
     }
 
     /// Waits for a round that began at `since` or later.
@@ -99,10 +105,7 @@
             if now >= deadline {
                 return Err(Cause::Deadline);
             }
-            let start = self.round.borrow_mut().want(now, since);
-            if start == Start::Now {
-                self.ask(core);
-            }
+            self.want_round(core, since);
             tokio::select! {
                 () = changed => {}
                 () = sleep(deadline.since(now).min(MOST_PAUSE)) => {}
--- a/crates/daemon/src/upstreams/choose.rs
+++ b/crates/daemon/src/upstreams/choose.rs
@@ -9,10 +9,18 @@
 use session::Confirmed;
 
 use super::{Core, group::Group};
+use crate::job::Job;
 
 /// How long a request that waits for news goes without looking again.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// How long a request waits for somebody to lead.
+///
+/// Longer than a change of primary takes at its worst. A request that waited
+/// on would be held back although nothing can be expected any more; it is
+/// refused at once then, and told when to come back.
+const MOST_HOLD: Duration = Duration::from_secs(3);
+
 /// Where a request goes.
 #[derive(Debug, Clone)]
 pub(super) enum Way {
@@ -70,7 +78,11 @@
                         let _ = self.probe(core, &upstream).await;
                     }
                 }
+                Choice::Hold { .. } if now >= read.began + MOST_HOLD => {
+                    return Err(Cause::NoUpstream);
+                }
                 Choice::Hold { until } => {
+                    self.want_round(core, now);
                     tokio::select! {
                         () = changed => {}
                         () = sleep(until.since(now).min(LOOK)) => {}
@@ -92,6 +104,7 @@
         core: &Rc<Core>,
         deadline: Instant,
     ) -> Result<Way, Cause> {
+        let deadline = deadline.min(core.now() + MOST_HOLD);
         loop {
             let changed = self.changed.notified();
             if let Some(primary) = self.router.borrow().primary() {
@@ -101,9 +114,7 @@
             if now >= deadline {
                 return Err(Cause::NoUpstream);
             }
-            if self.round.borrow_mut().want(now, now) == session::Start::Now {
-                self.ask(core);
-            }
+            self.want_round(core, now);
             tokio::select! {
                 () = changed => {}
                 () = sleep(deadline.since(now).min(LOOK)) => {}
@@ -111,6 +122,21 @@
         }
     }
 
+    /// Waits for news of the group after an upstream could not be reached;
+    /// `false` when the request has waited as long as it may.
+    pub(super) async fn wait_for_news(self: &Rc<Self>, core: &Rc<Core>, job: &Job) -> bool {
+        let now = core.now();
+        if now >= job.deadline.min(job.began + MOST_HOLD) {
+            return false;
+        }
+        self.want_round(core, now);
+        tokio::select! {
+            () = self.changed.notified() => {}
+            () = sleep(LOOK) => {}
+        }
+        true
+    }
+
     fn note_loads(&self, core: &Core) {
         let now = core.now();
         let mut router = self.router.borrow_mut();
--- a/crates/daemon/src/upstreams/run.rs
+++ b/crates/daemon/src/upstreams/run.rs
@@ -156,6 +156,8 @@
     Ended(End),
     /// It did not run there, or what it brought does not hold: once more.
     Again,
+    /// The upstream can't be reached, and nothing was sent.
+    Unsent(Refused),
 }
 
 /// A request outside a transaction.
@@ -169,7 +171,8 @@
         fingerprint: job.batch.fingerprint,
         trust: route::Trust::Expected,
     };
-    for _ in 0..MAX_TRIES {
+    let mut tries = 0;
+    while tries < MAX_TRIES {
         let way = match job.batch.need {
             Need::Read | Need::Setting => group.choose(core, &read).await,
             Need::Begin | Need::Write | Need::Alone => group.primary(core, job.deadline).await,
@@ -180,7 +183,12 @@
         };
         match attempt(core, job, running, group, &way, &mut read).await {
             Try::Ended(end) => return end,
-            Try::Again => {}
+            Try::Again => tries += 1,
+            Try::Unsent(refusal) => {
+                if !group.wait_for_news(core, job).await {
+                    return refused(refusal.cause, refusal.retry_after);
+                }
+            }
         }
     }
     refused(Cause::RetryBudget, None)
@@ -211,15 +219,15 @@
     };
     let mut line = match member.lines.acquire(request).await {
         Ok(line) => line,
-        Err(Refused { cause, retry_after }) => {
-            let read_only = matches!(way, Way::Replica(_));
-            // A replica that can't be reached does not keep a read from others.
-            if read_only && cause == Cause::NoUpstream && core.now() < job.deadline {
+        Err(refusal) if refusal.cause == Cause::NoUpstream => {
+            // A replica that can't be reached does not keep a read from others,
+            // and a primary that can't be reached is being replaced.
+            if matches!(way, Way::Replica(_)) {
                 *read = read.discarded(Target::Replica);
-                return Try::Again;
             }
-            return Try::Ended(refused(cause, retry_after));
+            return Try::Unsent(refusal);
         }
+        Err(refusal) => return Try::Ended(refused(refusal.cause, refusal.retry_after)),
     };
     if line.conn.is_closed() {
         discard(line);
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -220,14 +220,12 @@
         Choice::Confirmed(primary.member.upstream.clone())
     }
 
-    /// Keeps the read while a change of primary may bring an upstream back.
+    /// Nobody is known to lead: an instance that has just started, or a change
+    /// of primary under way. Either is over soon.
     fn hold(&self, read: &Read) -> Choice {
-        if self.nodes.iter().any(|node| node.answer.is_some()) || self.record.is_some() {
-            return Choice::Hold {
-                until: read.deadline,
-            };
+        Choice::Hold {
+            until: read.deadline,
         }
-        Choice::Refuse(Cause::NoUpstream)
     }
 }
 
