--- a/crates/daemon/src/callers/batch.rs
+++ b/crates/daemon/src/callers/batch.rs
@@ -7,7 +7,7 @@
 use route::statement::{Kind, classify, fingerprint, split};
 
 use super::serve::Session;
-use crate::job::{Batch, Closes, Need, Statement, Step};
+use crate::job::{Batch, Closes, Need, Portal, Statement, Step};
 
 /// The most messages in one batch.
 const MAX_STEPS: usize = 10_000;
@@ -153,7 +153,10 @@
                 Ok(Step::DescribeStatement(statement))
             }
             Front::Describe(it) => Ok(Step::DescribePortal(it.name)),
-            Front::Execute(it) => Ok(Step::Execute(it)),
+            Front::Execute(it) => Ok(Step::Execute {
+                portal: it.name,
+                rows: it.max_rows,
+            }),
             Front::Close(it) if it.target_type == b'S' => {
                 session
                     .prepared
@@ -173,7 +176,13 @@
         self.closes = self.closes.max(Some(closes(&statement.sql)));
         self.fingerprint = fingerprint(&statement.sql);
         self.setting = setting(&statement.sql).or(self.setting.take());
-        Ok(Step::Bind(statement, bind))
+        let portal = Portal {
+            name: bind.portal_name,
+            formats: bind.parameter_format_codes,
+            parameters: bind.parameters,
+            results: bind.result_column_format_codes,
+        };
+        Ok(Step::Bind(statement, portal))
     }
 
     /// The batch; `None` when it is only its end.
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -2,9 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use clock::Instant;
 use model::{Class, Outcome, Position, name};
-use pgwire::messages::extendedquery::{Bind, Execute};
+use serde::{Deserialize, Serialize};
 use session::Floor;
 
 /// How many parts of an answer are sent ahead of what the caller has taken.
@@ -22,7 +23,7 @@
 pub(crate) type Settings = BTreeMap<String, String>;
 
 /// A statement that a caller has prepared.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Statement {
     /// Its text.
     pub(crate) sql: String,
@@ -46,21 +47,39 @@
     }
 }
 
+/// A portal that a caller binds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Portal {
+    /// Its name; `None` for the unnamed one.
+    pub(crate) name: Option<String>,
+    /// The formats of the parameters, as the protocol numbers them.
+    pub(crate) formats: Vec<i16>,
+    /// The parameters.
+    pub(crate) parameters: Vec<Option<Bytes>>,
+    /// The formats of the result's columns.
+    pub(crate) results: Vec<i16>,
+}
+
 /// One message of a batch.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Step {
     /// A simple query, which is a batch of its own.
     Query(String),
     /// Prepare a statement and say so.
     Parse(Arc<Statement>),
     /// Bind a portal to a statement.
-    Bind(Arc<Statement>, Bind),
+    Bind(Arc<Statement>, Portal),
     /// Describe a statement.
     DescribeStatement(Arc<Statement>),
     /// Describe a portal.
     DescribePortal(Option<String>),
     /// Run a portal.
-    Execute(Execute),
+    Execute {
+        /// Its name; `None` for the unnamed one.
+        portal: Option<String>,
+        /// How many rows at most; 0 for all.
+        rows: i32,
+    },
     /// Close a statement: upstreams keep theirs, so the proxy answers.
     CloseStatement,
     /// Close a portal.
@@ -72,7 +91,7 @@
 }
 
 /// What a batch needs of the upstream that runs it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Need {
     /// It only reads: a replica will do.
     Read,
@@ -88,7 +107,7 @@
 }
 
 /// Whether a batch ends an open transaction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Closes {
     /// It does not, as far as its text shows.
     Nothing,
@@ -97,7 +116,7 @@
 }
 
 /// Messages that go to one upstream together.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Batch {
     /// The messages.
     pub(crate) steps: Vec<Step>,
@@ -112,7 +131,7 @@
 }
 
 /// Whose request it is, and under which class and limits.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Scope {
     /// The owner.
     pub(crate) tenant: name::Tenant,
@@ -201,7 +220,7 @@
     /// Done, not run, or unknown.
     pub(crate) outcome: Outcome,
     /// What goes to the caller, up to and without the ready message.
-    pub(crate) bytes: bytes::Bytes,
+    pub(crate) bytes: Bytes,
     /// The transaction's state, as the ready message tells it; `None` after a
     /// flush, which has no ready message.
     pub(crate) status: Option<u8>,
@@ -228,7 +247,7 @@
 #[derive(Debug)]
 pub(crate) enum Part {
     /// Bytes for the caller; more follows.
-    Chunk(bytes::Bytes),
+    Chunk(Bytes),
     /// The end.
     End(Box<End>),
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod control;
 pub mod duty;
+mod forward;
 mod job;
 mod ops;
 mod peers;
@@ -71,6 +72,8 @@
         let (says_tx, says) = ring(RING);
         let (words_tx, words) = ring(RING);
         let (calls_tx, calls) = ring(RING);
+        let (outs_tx, outs) = ring(RING);
+        let (ins_tx, ins) = ring(RING);
         let (fleet_answers_tx, fleet_answers) = ring(RING);
 
         let callers_conf = callers::Conf {
@@ -86,8 +89,10 @@
         let upstreams_conf = upstreams::Conf {
             clock,
             zone: settings.zone.clone(),
+            instance: settings.instance.clone(),
             login: settings.login.clone(),
-            share: settings.share,
+            outs: outs_tx,
+            ins,
             asks,
             replies: replies_tx,
             orders,
@@ -125,6 +130,8 @@
             says,
             words: words_tx,
             catalogs: catalogs_tx,
+            outs,
+            ins: ins_tx,
             asks: calls_tx,
             answers: fleet_answers,
             watch: watch.clone(),
--- /dev/null
+++ b/crates/daemon/src/peers/forward.rs
@@ -0,0 +1,247 @@
+//! The streams that carry commands to the holders of connections.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use model::name;
+use ntex::time::{Millis, timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpStream, tcp::OwnedReadHalf},
+    sync::mpsc,
+};
+use wire::{Message, Side, Stream};
+
+use super::stream::{Error, Streams, read_frame};
+use crate::{
+    forward::{Command, Conn, In, Response, Seq},
+    ring,
+};
+
+/// How long a connection to another instance may take.
+const CONNECT: Millis = Millis(1_000);
+
+/// Commands or answers that may wait for one stream.
+const WAITING: usize = 1_024;
+
+type Frames = mpsc::Sender<Message>;
+
+/// The streams of commands, to and from other instances.
+#[derive(Clone)]
+pub(super) struct Forwards {
+    /// To the upstreams' duty.
+    pub(super) ins: ring::Shared<In>,
+    outgoing: Rc<RefCell<HashMap<name::Instance, mpsc::Sender<(Seq, Command)>>>>,
+    incoming: Rc<RefCell<HashMap<Conn, Frames>>>,
+}
+
+impl Forwards {
+    /// Opens with no stream.
+    pub(super) fn open(ins: ring::Shared<In>) -> Self {
+        Self {
+            ins,
+            outgoing: Rc::default(),
+            incoming: Rc::default(),
+        }
+    }
+
+    /// Sends a command to the instance `to`, which listens at `address`.
+    pub(super) async fn ask(
+        &self,
+        streams: &Streams,
+        to: &name::Instance,
+        address: Option<SocketAddr>,
+        seq: Seq,
+        command: Command,
+    ) {
+        let Some(address) = address else {
+            return self.ins.send(In::Unsent { seq }).await;
+        };
+        let known = self.outgoing.borrow().get(to).cloned();
+        let sender = known.unwrap_or_else(|| self.connect(streams, to, address));
+        // A stream that is stuck must not hold up the others.
+        if sender.try_send((seq, command)).is_err() {
+            self.ins.send(In::Unsent { seq }).await;
+        }
+    }
+
+    /// Sends an answer to the instance that asked on `conn`.
+    pub(super) async fn answer(&self, conn: Conn, seq: Seq, response: &Response) {
+        let frames = self.incoming.borrow().get(&conn).cloned();
+        let Some(frames) = frames else { return };
+        let Ok(body) = postcard::to_allocvec(response) else {
+            return;
+        };
+        let message = Message::Answer {
+            generation: 0,
+            sequence: seq,
+            body: Bytes::from(body),
+        };
+        let _ = frames.send(message).await;
+    }
+
+    fn connect(
+        &self,
+        streams: &Streams,
+        to: &name::Instance,
+        address: SocketAddr,
+    ) -> mpsc::Sender<(Seq, Command)> {
+        let (sender, commands) = mpsc::channel(WAITING);
+        self.outgoing
+            .borrow_mut()
+            .insert(to.clone(), sender.clone());
+        let (forwards, streams, to) = (self.clone(), streams.handle(), to.clone());
+        ntex::rt::spawn(async move {
+            forwards
+                .serve_outgoing(&streams, to, address, commands)
+                .await
+        });
+        sender
+    }
+
+    /// Carries commands until the stream ends, and tells what is lost then.
+    async fn serve_outgoing(
+        &self,
+        streams: &Streams,
+        to: name::Instance,
+        address: SocketAddr,
+        mut commands: mpsc::Receiver<(Seq, Command)>,
+    ) {
+        let opened = timeout(CONNECT, open(streams, address)).await;
+        if let Ok(Ok((tcp, end))) = opened {
+            self.carry(tcp, end, &mut commands).await;
+        }
+        self.outgoing.borrow_mut().remove(&to);
+        commands.close();
+        // Commands that still wait have not left.
+        while let Some((seq, _)) = commands.recv().await {
+            self.ins.send(In::Unsent { seq }).await;
+        }
+        self.ins.send(In::Down { to }).await;
+    }
+
+    /// Writes commands and reads answers until the stream ends.
+    async fn carry(
+        &self,
+        tcp: TcpStream,
+        mut end: Stream,
+        commands: &mut mpsc::Receiver<(Seq, Command)>,
+    ) {
+        let (read, mut write) = tcp.into_split();
+        let (frames_tx, mut frames) = mpsc::channel(WAITING);
+        ntex::rt::spawn(read_all(read, frames_tx));
+        loop {
+            tokio::select! {
+                Some((seq, command)) = commands.recv() => {
+                    let body = Bytes::from(postcard::to_allocvec(&command).unwrap_or_default());
+                    let message = Message::Forward { generation: 0, sequence: seq, body };
+                    // What does not fit a frame is refused alone.
+                    let Ok(bytes) = end.seal(&message) else {
+                        self.ins.send(In::Unsent { seq }).await;
+                        continue;
+                    };
+                    if write.write_all(&bytes).await.is_err() {
+                        return;
+                    }
+                }
+                bytes = frames.recv() => {
+                    let Some(bytes) = bytes else { return };
+                    match end.receive(&bytes) {
+                        Ok(frame) => self.answered(frame.message).await,
+                        Err(error) => {
+                            super::datagram::dropped(error);
+                            return;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn answered(&self, message: Message) {
+        if let Message::Answer { sequence, body, .. } = message
+            && let Ok(response) = postcard::from_bytes(&body)
+        {
+            self.ins
+                .send(In::Answered {
+                    seq: sequence,
+                    response,
+                })
+                .await;
+        }
+    }
+
+    /// Serves an instance that asks on `tcp`, whose first command has come.
+    pub(super) async fn serve_incoming(
+        &self,
+        conn: Conn,
+        tcp: TcpStream,
+        mut end: Stream,
+        first: Message,
+    ) {
+        let (answers_tx, mut answers) = mpsc::channel(WAITING);
+        self.incoming.borrow_mut().insert(conn, answers_tx);
+        let (read, mut write) = tcp.into_split();
+        let (frames_tx, mut frames) = mpsc::channel(WAITING);
+        ntex::rt::spawn(read_all(read, frames_tx));
+        self.asked(conn, first).await;
+        loop {
+            tokio::select! {
+                Some(message) = answers.recv() => {
+                    let Ok(bytes) = end.seal(&message) else { break };
+                    if write.write_all(&bytes).await.is_err() {
+                        break;
+                    }
+                }
+                bytes = frames.recv() => {
+                    let Some(bytes) = bytes else { break };
+                    match end.receive(&bytes) {
+                        Ok(frame) => self.asked(conn, frame.message).await,
+                        Err(error) => {
+                            super::datagram::dropped(error);
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+        self.incoming.borrow_mut().remove(&conn);
+        self.ins.send(In::Gone { conn }).await;
+    }
+
+    async fn asked(&self, conn: Conn, message: Message) {
+        if let Message::Forward { sequence, body, .. } = message
+            && let Ok(command) = postcard::from_bytes(&body)
+        {
+            self.ins
+                .send(In::Asked {
+                    conn,
+                    seq: sequence,
+                    command,
+                })
+                .await;
+        }
+    }
+}
+
+/// Connects to another instance's streams.
+async fn open(streams: &Streams, address: SocketAddr) -> Result<(TcpStream, Stream), Error> {
+    let mut tcp = TcpStream::connect(address).await?;
+    tcp.set_nodelay(true)?;
+    let mut nonce = [0; 16];
+    tcp.read_exact(&mut nonce).await?;
+    let end = streams.end(nonce, Side::Connector);
+    Ok((tcp, end))
+}
+
+/// Reads frames, still sealed, until the stream ends.
+///
+/// A task of its own reads, because a read that is given up half-way would
+/// lose the bytes that it has taken.
+async fn read_all(mut read: OwnedReadHalf, frames: mpsc::Sender<Vec<u8>>) {
+    while let Ok(Some(bytes)) = read_frame(&mut read).await {
+        if frames.send(bytes).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod apply;
 mod datagram;
 mod evidence;
+mod forward;
 mod stream;
 
 use std::{
@@ -24,11 +25,13 @@
 
 use crate::{
     duty::{self, Phase, Watch},
+    forward::{In, Out},
     platform::{self, PRIMARIES},
     ring,
 };
 
 use apply::Force;
+use forward::Forwards;
 use stream::Heard;
 
 /// What the control duty asks of the peers' duty.
@@ -87,6 +90,10 @@
     pub(crate) words: ring::Sender<Word>,
     /// To the callers' duty.
     pub(crate) catalogs: ring::Sender<Arc<Snapshot>>,
+    /// From the upstreams' duty.
+    pub(crate) outs: ring::Receiver<Out>,
+    /// To the upstreams' duty.
+    pub(crate) ins: ring::Sender<In>,
     /// To the store's duty.
     pub(crate) asks: ring::Sender<fleet::Store>,
     /// From the store's duty.
@@ -102,6 +109,7 @@
     gate: Gate,
     socket: Rc<tokio::net::UdpSocket>,
     streams: stream::Streams,
+    forwards: Forwards,
     words: ring::Shared<Word>,
     catalogs: ring::Shared<Arc<Snapshot>>,
     asks: ring::Shared<fleet::Store>,
@@ -119,8 +127,10 @@
     let node = Node::of(&conf.fleet.name);
     let incarnation = conf.fleet.incarnation();
     let address = conf.fleet.address;
+    let forwards = Forwards::open(ring::Shared::new(conf.ins));
+    let keys = conf.ring.clone();
     let (streams, mut heard) =
-        stream::Streams::open(conf.listener, node, incarnation, conf.ring.clone());
+        stream::Streams::open(conf.listener, node, incarnation, keys, forwards.clone());
     let (fleet, actions) = Fleet::open(conf.fleet, conf.clock.now());
     let mut peers = Peers {
         clock: conf.clock,
@@ -128,6 +138,7 @@
         gate: Gate::open(node, incarnation, address, conf.ring),
         socket: Rc::new(socket),
         streams,
+        forwards,
         words: ring::Shared::new(conf.words),
         catalogs: ring::Shared::new(conf.catalogs),
         asks: ring::Shared::new(conf.asks),
@@ -153,6 +164,7 @@
             Ok((len, from)) = socket.recv_from(&mut buf) => peers.datagram(&buf[..len], from).await,
             Some(heard) = heard.recv() => peers.heard(heard).await,
             Some(say) = conf.says.recv() => peers.say(say),
+            Some(out) = conf.outs.recv() => peers.out(out).await,
             Some(answer) = conf.answers.recv() => {
                 let platform::FleetAnswer { call, answer } = answer;
                 peers.step(Event::Store { call, answer }).await;
@@ -255,10 +267,30 @@
         if members != self.members {
             metrics::gauge!("dandelionlink_members").set(members.len() as f64);
             self.members.clone_from(&members);
+            self.forwards.ins.send(In::Members(members.clone())).await;
             self.words.send(Word::Members(members)).await;
         }
     }
 
+    async fn out(&mut self, out: Out) {
+        match out {
+            Out::Ask { to, seq, command } => {
+                let member = self.fleet.table().find(Node::of(&to));
+                let address = member.map(|it| it.record.address);
+                self.forwards
+                    .ask(&self.streams, &to, address, seq, command)
+                    .await;
+            }
+            Out::Answer {
+                conn,
+                seq,
+                response,
+            } => {
+                self.forwards.answer(conn, seq, &response).await;
+            }
+        }
+    }
+
     fn say(&mut self, say: Say) {
         match say {
             Say::Tell { to, evidence } => {
--- a/crates/daemon/src/peers/stream.rs
+++ b/crates/daemon/src/peers/stream.rs
@@ -14,13 +14,13 @@
 use fleet::Call;
 use ntex::time::{Millis, timeout};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    sync::{Semaphore, mpsc, oneshot},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
 };
 use wire::{Message, Node, Ring, Side, Stream};
 
-use super::datagram::dropped;
+use super::{datagram::dropped, forward::Forwards};
 
 /// How long a question on a stream may take, answer included.
 const TIMEOUT: Millis = Millis(5_000);
@@ -60,9 +60,11 @@
 
 /// Why a stream ended.
 #[derive(Debug, thiserror::Error)]
-enum Error {
+pub(super) enum Error {
+    /// The connection broke.
     #[error(transparent)]
     Io(#[from] io::Error),
+    /// A frame is not sealed by a peer.
     #[error(transparent)]
     Wire(#[from] wire::Error),
 }
@@ -70,13 +72,13 @@
 type Answers = Rc<RefCell<HashMap<u64, oneshot::Sender<Vec<Message>>>>>;
 
 /// The streams of one instance.
-#[derive(Debug)]
 pub(super) struct Streams {
     node: Node,
     incarnation: u64,
     ring: Ring,
     heard: mpsc::Sender<Heard>,
     answers: Answers,
+    forwards: Forwards,
 }
 
 impl Streams {
@@ -86,6 +88,7 @@
         node: Node,
         incarnation: u64,
         ring: Ring,
+        forwards: Forwards,
     ) -> (Self, mpsc::Receiver<Heard>) {
         let (heard, hearing) = mpsc::channel(MAX_HEARD);
         let answers = Answers::default();
@@ -95,18 +98,20 @@
             ring,
             heard,
             answers,
+            forwards,
         };
         ntex::rt::spawn(accept(listener, streams.handle()));
         (streams, hearing)
     }
 
-    fn handle(&self) -> Self {
+    pub(super) fn handle(&self) -> Self {
         Self {
             node: self.node,
             incarnation: self.incarnation,
             ring: self.ring.clone(),
             heard: self.heard.clone(),
             answers: Rc::clone(&self.answers),
+            forwards: self.forwards.clone(),
         }
     }
 
@@ -129,13 +134,24 @@
         }
     }
 
-    fn end(&self, nonce: [u8; 16], side: Side) -> Stream {
+    /// This instance's end of a stream with that nonce.
+    pub(super) fn end(&self, nonce: [u8; 16], side: Side) -> Stream {
         Stream::open(self.node, self.incarnation, self.ring.clone(), nonce, side)
     }
 }
 
 /// Reads the next frame; `None` at the stream's end.
 async fn read(tcp: &mut TcpStream, end: &mut Stream) -> Result<Option<Message>, Error> {
+    match read_frame(tcp).await? {
+        Some(bytes) => Ok(Some(end.receive(&bytes)?.message)),
+        None => Ok(None),
+    }
+}
+
+/// Reads the next frame, still sealed; `None` at the stream's end.
+pub(super) async fn read_frame(
+    tcp: &mut (impl AsyncRead + Unpin),
+) -> Result<Option<Vec<u8>>, Error> {
     let mut prefix = [0; Stream::LENGTH_LEN];
     match tcp.read_exact(&mut prefix).await {
         Ok(_) => {}
@@ -144,7 +160,7 @@
     }
     let mut bytes = vec![0; Stream::length(prefix)?];
     tcp.read_exact(&mut bytes).await?;
-    Ok(Some(end.receive(&bytes)?.message))
+    Ok(Some(bytes))
 }
 
 async fn ask(
@@ -189,25 +205,55 @@
             continue;
         };
         ntex::rt::spawn(async move {
-            if let Ok(Err(Error::Wire(error))) =
-                timeout(TIMEOUT, serve(&streams, stream, tcp)).await
-            {
+            let ended = serve(&streams, stream, tcp, permit).await;
+            if let Err(Error::Wire(error)) = ended {
                 dropped(error);
             }
             streams.answers.borrow_mut().remove(&stream);
-            drop(permit);
         });
     }
 }
 
-async fn serve(streams: &Streams, stream: u64, mut tcp: TcpStream) -> Result<(), Error> {
+async fn serve(
+    streams: &Streams,
+    stream: u64,
+    mut tcp: TcpStream,
+    permit: OwnedSemaphorePermit,
+) -> Result<(), Error> {
+    let greeting = timeout(TIMEOUT, greet(streams, &mut tcp)).await;
+    let Some((end, message)) = greeting.unwrap_or(Ok(None))? else {
+        return Ok(());
+    };
+    if let Message::Forward { .. } = message {
+        // A stream of commands lasts; it takes no room from the questions.
+        drop(permit);
+        streams
+            .forwards
+            .serve_incoming(stream, tcp, end, message)
+            .await;
+        return Ok(());
+    }
+    let answering = answer(streams, stream, tcp, end, message);
+    timeout(TIMEOUT, answering).await.unwrap_or(Ok(()))
+}
+
+/// Reads the first message of a stream.
+async fn greet(streams: &Streams, tcp: &mut TcpStream) -> Result<Option<(Stream, Message)>, Error> {
     tcp.set_nodelay(true)?;
     let nonce: [u8; 16] = rand::random();
     tcp.write_all(&nonce).await?;
     let mut end = streams.end(nonce, Side::Acceptor);
-    let Some(message) = read(&mut tcp, &mut end).await? else {
-        return Ok(());
-    };
+    let message = read(tcp, &mut end).await?;
+    Ok(message.map(|message| (end, message)))
+}
+
+async fn answer(
+    streams: &Streams,
+    stream: u64,
+    mut tcp: TcpStream,
+    mut end: Stream,
+    message: Message,
+) -> Result<(), Error> {
     let (answer, answered) = oneshot::channel();
     streams.answers.borrow_mut().insert(stream, answer);
     let _ = streams.heard.send(Heard::Asked { stream, message }).await;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -57,9 +57,6 @@
     /// that user's password, if upstreams ask for one
     #[argh(option)]
     pub upstream_password: Option<String>,
-    /// among how many instances an upstream's connections are divided (9)
-    #[argh(option)]
-    pub share: Option<String>,
     /// how many callers may be connected at once (10000)
     #[argh(option)]
     pub callers: Option<String>,
@@ -153,8 +150,6 @@
     pub session_keys: Keys,
     /// How to log in to upstreams.
     pub login: Login,
-    /// Among how many instances an upstream's connections are divided.
-    pub share: u16,
     /// How many callers may be connected at once.
     pub callers: usize,
     /// How long a stop waits for what runs.
@@ -327,7 +322,6 @@
         let session_keys = rdr.keys("session-keys", args.session_keys.as_ref());
         let user = rdr.required("upstream-user", args.upstream_user.as_ref());
         let password = rdr.text("upstream-password", args.upstream_password.as_ref());
-        let share = rdr.number("share", args.share.as_ref(), 9, (1, 10_000));
         let callers = rdr.number("callers", args.callers.as_ref(), 10_000, (1, 1_000_000));
         let drain = rdr.number("drain-ms", args.drain_ms.as_ref(), 30_000, (0, 3_600_000));
         let seed = rdr.number("seed", args.seed.as_ref(), rand::random(), (0, u64::MAX));
@@ -346,7 +340,6 @@
                     user: user?,
                     password,
                 },
-                share: u16::try_from(share?).ok()?,
                 callers: usize::try_from(callers?).ok()?,
                 drain: Duration::from_millis(drain?),
                 seed: seed?,
--- a/crates/daemon/src/upstreams/choose.rs
+++ b/crates/daemon/src/upstreams/choose.rs
@@ -5,7 +5,7 @@
 use clock::Instant;
 use model::{Cause, name};
 use ntex::time::sleep;
-use route::{Choice, Event, Read, Trust};
+use route::{Choice, Event, Read, Target, Trust};
 use session::Confirmed;
 
 use super::{Core, group::Group};
@@ -41,6 +41,14 @@
             }
         }
     }
+
+    /// What the upstream is taken for.
+    pub(super) fn target(&self) -> Target {
+        match self {
+            Self::Replica(_) => Target::Replica,
+            Self::Primary(_) | Self::Confirmed(..) => Target::Primary,
+        }
+    }
 }
 
 impl Group {
--- a/crates/daemon/src/upstreams/group.rs
+++ b/crates/daemon/src/upstreams/group.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
+    num::NonZeroU16,
     rc::Rc,
     time::Duration,
 };
@@ -13,12 +14,22 @@
     quorum::{self, Id},
 };
 use model::{Cause, Record, Report, Role, Term, name};
-use pool::pool::Service;
+use pool::{
+    holder::{self, Candidate, Share},
+    pool::Service,
+};
 use route::{Event, Router, State};
 use session::Confirmed;
 use tokio::sync::{Notify, oneshot};
 
-use super::{Core, control::Control, lines::Lines};
+use super::{
+    Core,
+    control::{Control, Status},
+    lines::Lines,
+    remote,
+    site::Holder,
+};
+use crate::forward::Command;
 
 /// How long a round of status probes may take before the next may begin.
 pub(super) const ROUND_TIMEOUT: Duration = Duration::from_millis(60);
@@ -36,6 +47,54 @@
     pub(super) control: Rc<Control>,
     /// Whether a task asks it for its status until no write waits.
     pub(super) pressed: Cell<bool>,
+    /// Who should have each of its seats, as seen from here.
+    seats: RefCell<Vec<name::Instance>>,
+    /// The seats that this instance has, out of those of the whole database.
+    part: RefCell<Part>,
+    /// Counts up, to divide requests among the holders.
+    turns: Cell<usize>,
+}
+
+/// This instance's seats at an upstream.
+#[derive(Debug, Clone, Default)]
+struct Part {
+    /// The numbers of its seats among those of the database.
+    seats: Vec<u16>,
+    /// How many seats the database has.
+    of: u16,
+}
+
+impl Member {
+    /// Whether this instance holds connections to the upstream.
+    pub(super) fn holds(&self) -> bool {
+        !self.part.borrow().seats.is_empty()
+    }
+
+    /// Where the next request for the upstream goes.
+    pub(super) fn holder(&self, core: &Core) -> Holder {
+        if self.holds() {
+            return Holder::Here;
+        }
+        let seats = self.seats.borrow();
+        let others: Vec<_> = seats.iter().filter(|it| **it != core.instance).collect();
+        if others.is_empty() {
+            return Holder::Nowhere;
+        }
+        self.turns.set(self.turns.get().wrapping_add(1));
+        Holder::There(others[self.turns.get() % others.len()].clone())
+    }
+
+    /// This instance's part of an entry's limit of connections.
+    pub(super) fn entry_part(&self, limit: u16) -> u16 {
+        let part = self.part.borrow();
+        let Some(of) = NonZeroU16::new(part.of) else {
+            return 0;
+        };
+        part.seats
+            .iter()
+            .map(|seat| holder::entry_part(limit, of, *seat))
+            .sum()
+    }
 }
 
 /// One database.
@@ -77,18 +136,19 @@
                 Some(known) => (Rc::clone(&known.lines), Rc::clone(&known.control)),
                 None => ways(core, conf, &database.dbname),
             };
-            lines.set_conf(limits(core, conf));
             lines.set_service(if conf.leaving {
                 Service::Leaving
             } else {
                 Service::In
             });
-            let pressed = Cell::new(false);
             let member = Member {
                 conf: conf.clone(),
                 lines,
                 control,
-                pressed,
+                pressed: Cell::new(false),
+                seats: RefCell::default(),
+                part: RefCell::default(),
+                turns: Cell::new(0),
             };
             members.insert(name.clone(), Rc::new(member));
         }
@@ -97,6 +157,50 @@
             .map(|(name, it)| router_member(name, &it.conf));
         let event = Event::Group(router_members.collect());
         self.router.borrow_mut().step(core.now(), event);
+        if let Some(quorum) = self.quorum.borrow_mut().as_mut() {
+            let names: Vec<_> = members.keys().cloned().collect();
+            quorum.set_upstreams(&names);
+        }
+        drop(members);
+        self.assign(core);
+    }
+
+    /// Ranks who should hold the connections to each upstream, and opens or
+    /// closes this instance's.
+    pub(super) fn assign(&self, core: &Core) {
+        let live = core.members.borrow();
+        let live: Vec<_> = live
+            .iter()
+            .map(|(instance, zone)| Candidate { instance, zone })
+            .collect();
+        let members = self.members.borrow();
+        let of = members
+            .values()
+            .map(|it| holder::seats(it.conf.slots).get())
+            .sum();
+        let mut first = 0;
+        for (name, member) in members.iter() {
+            let seats = holder::seats(member.conf.slots);
+            let count = usize::from(seats.get());
+            let ranked = holder::assign(name, &member.conf.zone, &live, count);
+            let holders = ranked
+                .iter()
+                .cycle()
+                .take(if ranked.is_empty() { 0 } else { count });
+            let holders: Vec<name::Instance> = holders.map(|it| (*it).clone()).collect();
+            let own = (0..).zip(&holders).filter(|(_, it)| **it == core.instance);
+            let own: Vec<u16> = own.map(|(seat, _)| seat).collect();
+            let shares = own.iter().map(|seat| {
+                holder::share(member.conf.connections, member.conf.slots, seats, *seat)
+            });
+            member.lines.set_conf(limits(shares));
+            *member.part.borrow_mut() = Part {
+                seats: own.iter().map(|seat| first + seat).collect(),
+                of,
+            };
+            *member.seats.borrow_mut() = holders;
+            first += seats.get();
+        }
         self.changed.notify_waiters();
     }
 
@@ -174,34 +278,70 @@
     /// Asks an upstream for its status now.
     pub(super) async fn probe(
         &self,
-        core: &Core,
+        core: &Rc<Core>,
         upstream: &name::Upstream,
     ) -> Result<Report, Fault> {
         let member = self.member(upstream).ok_or(Fault::Refused)?;
-        let (sent, report) = member.control.probe().await?;
-        self.report(core.now(), upstream, sent, report);
-        Ok(report)
+        let (database, name) = (self.name.clone(), upstream.clone());
+        let status = match member.holder(core) {
+            Holder::Here => member.control.probe().await,
+            Holder::There(to) => {
+                let command = Command::Probe {
+                    database,
+                    upstream: name,
+                };
+                remote::status(core, &to, command).await
+            }
+            Holder::Nowhere => Err(Fault::Timeout),
+        };
+        self.note(core, upstream, status)
     }
 
     /// Has an upstream carry out an order.
     pub(super) async fn order(
         &self,
-        core: &Core,
+        core: &Rc<Core>,
         upstream: &name::Upstream,
         order: failover::Order,
     ) -> Result<Report, Fault> {
         let member = self.member(upstream).ok_or(Fault::Refused)?;
-        let order = match order {
+        let (database, name) = (self.name.clone(), upstream.clone());
+        let status = match member.holder(core) {
+            Holder::Here => member.control.order(self.resolve(order)?).await,
+            Holder::There(to) => {
+                let command = Command::Order {
+                    database,
+                    upstream: name,
+                    order,
+                };
+                remote::status(core, &to, command).await
+            }
+            Holder::Nowhere => Err(Fault::Timeout),
+        };
+        self.note(core, upstream, status)
+    }
+
+    fn note(
+        &self,
+        core: &Core,
+        upstream: &name::Upstream,
+        status: Status,
+    ) -> Result<Report, Fault> {
+        let (sent, report) = status?;
+        self.report(core.now(), upstream, sent, report);
+        Ok(report)
+    }
+
+    /// An order in the terms that the upstream takes.
+    fn resolve(&self, order: failover::Order) -> Result<upstream::Order, Fault> {
+        Ok(match order {
             failover::Order::Fence { term } => upstream::Order::Fence { term },
             failover::Order::Promote { term } => upstream::Order::Promote { term },
             failover::Order::Follow { term, upstream } => {
                 let primary = self.member(&upstream).ok_or(Fault::Refused)?.conf.address;
                 upstream::Order::Follow { term, primary }
             }
-        };
-        let (sent, report) = member.control.order(order).await?;
-        self.report(core.now(), upstream, sent, report);
-        Ok(report)
+        })
     }
 
     /// The newest round that was confirmed, if it began at `since` or later.
@@ -212,21 +352,22 @@
 
 /// The connections to an upstream that this instance did not know yet.
 fn ways(core: &Core, conf: &catalog::Upstream, dbname: &str) -> (Rc<Lines>, Rc<Control>) {
-    let limits = limits(core, conf);
-    let lines = Lines::open(core.clock, conf.address, &core.login, dbname, limits);
+    let none = limits(std::iter::empty());
+    let lines = Lines::open(core.clock, conf.address, &core.login, dbname, none);
     let control = Control::open(core.clock, conf.address, &core.login, dbname);
     (lines, control)
 }
 
-/// This instance's part of an upstream's limits; one connection of the part
-/// is the control connection.
-fn limits(core: &Core, conf: &catalog::Upstream) -> pool::Conf {
-    let share = core.share.max(1);
-    let connections = (conf.connections / share).saturating_sub(1).max(1);
+/// The limits of all the shares that this instance has of an upstream; one
+/// connection of them is the control connection.
+fn limits(shares: impl Iterator<Item = Share>) -> pool::Conf {
+    let (connections, slots) =
+        shares.fold((0, 0), |sum, it| (sum.0 + it.connections, sum.1 + it.slots));
+    let connections: u16 = connections;
     pool::Conf {
-        connections,
-        slots: connections,
-        warm: 1,
+        connections: connections.saturating_sub(1),
+        slots,
+        warm: slots,
         idle: IDLE,
         transaction_idle: TRANSACTION_IDLE,
     }
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -5,11 +5,15 @@
 mod control;
 mod exchange;
 mod group;
+mod host;
 mod line;
 mod lines;
 mod plan;
+mod remote;
 mod run;
+mod running;
 mod sink;
+mod site;
 
 use std::{
     cell::{Cell, RefCell},
@@ -25,18 +29,20 @@
 use ntex::time::sleep;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::Notify;
 use upstream::Login;
 
 use crate::{
     control::{Answer, Order},
     duty::{self, Phase, Watch},
+    forward::{Conn, In, Out, Seq},
     job::{Ask, Caller, Reply},
     ring,
 };
 
 use group::Group;
 use line::Line;
+use remote::Pending;
+use running::Running;
 
 /// How often the duty looks whether all requests have ended during a stop.
 const DRAIN_STEP: Duration = Duration::from_millis(5);
@@ -50,8 +56,12 @@
     pub(crate) zone: name::Zone,
     /// How the proxy logs in to upstreams.
     pub(crate) login: Login,
-    /// Among how many instances each upstream's connections are divided.
-    pub(crate) share: u16,
+    /// This instance.
+    pub(crate) instance: name::Instance,
+    /// To the peers' duty.
+    pub(crate) outs: ring::Sender<Out>,
+    /// From the peers' duty.
+    pub(crate) ins: ring::Receiver<In>,
     /// From the callers' duty.
     pub(crate) asks: ring::Receiver<Ask>,
     /// To the callers' duty.
@@ -66,22 +76,21 @@
     pub(crate) seed: u64,
 }
 
-/// A request that runs, as cancels and the window of its answer see it.
-#[derive(Debug)]
-struct Running {
-    seq: u64,
-    line: RefCell<Option<(std::net::SocketAddr, upstream::Key)>>,
-    cancelled: Cell<bool>,
-    untaken: Cell<usize>,
-    taken: Notify,
-}
-
 /// What a caller's transaction or open batch holds.
 enum Pin {
     /// A connection.
     Open {
         /// The connection.
-        line: Line,
+        line: Box<Line>,
+        /// The database.
+        group: Rc<Group>,
+    },
+    /// A connection of another instance.
+    Remote {
+        /// The instance.
+        to: name::Instance,
+        /// The command that began the transaction.
+        pin: Seq,
         /// The database.
         group: Rc<Group>,
     },
@@ -94,7 +103,8 @@
     clock: Clock,
     zone: name::Zone,
     login: Login,
-    share: u16,
+    instance: name::Instance,
+    outs: ring::Shared<Out>,
     replies: ring::Shared<Reply>,
     answers: ring::Shared<Answer>,
     groups: RefCell<BTreeMap<name::Database, Rc<Group>>>,
@@ -102,6 +112,15 @@
     pins: RefCell<HashMap<Caller, Pin>>,
     rng: RefCell<ChaCha8Rng>,
     tickets: Cell<u64>,
+    seqs: Cell<Seq>,
+    /// The instances that may be given work, with their zones.
+    members: RefCell<BTreeMap<name::Instance, name::Zone>>,
+    /// Commands to other instances that wait for answers.
+    pending: RefCell<HashMap<Seq, Pending>>,
+    /// Batches that run here for other instances.
+    hosted: RefCell<HashMap<(Conn, Seq), Rc<Running>>>,
+    /// Connections that transactions of other instances hold.
+    guests: RefCell<HashMap<(Conn, Seq), Box<Line>>>,
 }
 
 impl Core {
@@ -114,6 +133,11 @@
         pool::Ticket(self.tickets.get())
     }
 
+    fn next_seq(&self) -> Seq {
+        self.seqs.set(self.seqs.get() + 1);
+        self.seqs.get()
+    }
+
     fn group(&self, database: &name::Database) -> Option<Rc<Group>> {
         self.groups.borrow().get(database).cloned()
     }
@@ -125,7 +149,8 @@
         clock: conf.clock,
         zone: conf.zone,
         login: conf.login,
-        share: conf.share,
+        instance: conf.instance,
+        outs: ring::Shared::new(conf.outs),
         replies: ring::Shared::new(conf.replies),
         answers: ring::Shared::new(conf.answers),
         groups: RefCell::default(),
@@ -133,7 +158,13 @@
         pins: RefCell::default(),
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(conf.seed)),
         tickets: Cell::new(0),
+        seqs: Cell::new(0),
+        members: RefCell::default(),
+        pending: RefCell::default(),
+        hosted: RefCell::default(),
+        guests: RefCell::default(),
     });
+    ntex::rt::spawn(take_ins(Rc::clone(&core), conf.ins));
     ntex::rt::spawn(take_asks(Rc::clone(&core), conf.asks));
     ntex::rt::spawn(take_orders(Rc::clone(&core), conf.orders));
     let mut watch = conf.watch;
@@ -149,7 +180,9 @@
 async fn drained(core: &Core) {
     loop {
         sleep(DRAIN_STEP).await;
-        if core.running.borrow().is_empty() && core.pins.borrow().is_empty() {
+        let own = core.running.borrow().is_empty() && core.pins.borrow().is_empty();
+        let others = core.hosted.borrow().is_empty() && core.guests.borrow().is_empty();
+        if own && others {
             return;
         }
     }
@@ -191,3 +224,19 @@
         ntex::rt::spawn(control::carry_out(Rc::clone(&core), order));
     }
 }
+
+async fn take_ins(core: Rc<Core>, mut ins: ring::Receiver<In>) {
+    while let Some(input) = ins.recv().await {
+        match input {
+            In::Members(members) => {
+                *core.members.borrow_mut() = members;
+                let groups: Vec<_> = core.groups.borrow().values().cloned().collect();
+                groups.iter().for_each(|group| group.assign(&core));
+            }
+            In::Asked { .. } | In::Gone { .. } => host::take(&core, input),
+            In::Answered { .. } | In::Unsent { .. } | In::Down { .. } => {
+                remote::take(&core, input);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/upstreams/plan.rs
+++ b/crates/daemon/src/upstreams/plan.rs
@@ -9,7 +9,8 @@
         Message,
         data::{NoData, ParameterDescription},
         extendedquery::{
-            Bind, BindComplete, Close, CloseComplete, Describe, Flush, Parse, ParseComplete, Sync,
+            Bind, BindComplete, Close, CloseComplete, Describe, Execute, Flush, Parse,
+            ParseComplete, Sync,
         },
         response::CommandComplete,
         simplequery::Query,
@@ -162,14 +163,14 @@
                     self.items.push_back(Item::Given(PARSE_COMPLETE));
                 }
             }
-            Step::Bind(statement, bind) => {
+            Step::Bind(statement, portal) => {
                 self.prepare(line, statement, Show::Nobody);
                 self.put(&Bind::new(
-                    bind.portal_name.clone(),
+                    portal.name.clone(),
                     Some(title(statement)),
-                    bind.parameter_format_codes.clone(),
-                    bind.parameters.clone(),
-                    bind.result_column_format_codes.clone(),
+                    portal.formats.clone(),
+                    portal.parameters.clone(),
+                    portal.results.clone(),
                 ));
                 self.items.push_back(Item::One);
             }
@@ -182,8 +183,8 @@
                 self.put(&Describe::new(b'P', name.clone()));
                 self.items.push_back(Item::One);
             }
-            Step::Execute(execute) => {
-                self.put(execute);
+            Step::Execute { portal, rows } => {
+                self.put(&Execute::new(portal.clone(), *rows));
                 self.items.push_back(Item::Executed);
             }
             Step::CloseStatement => self.items.push_back(Item::Given(CLOSE_COMPLETE)),
@@ -226,7 +227,7 @@
     };
     for step in &batch.steps {
         match step {
-            Step::Query(_) | Step::Execute(_) => {
+            Step::Query(_) | Step::Execute { .. } => {
                 put(&|buf| CommandComplete::new("ROLLBACK".to_owned()).encode(buf));
             }
             Step::Parse(_) => put(&|buf| ParseComplete::new().encode(buf)),
--- a/crates/daemon/src/upstreams/run.rs
+++ b/crates/daemon/src/upstreams/run.rs
@@ -1,18 +1,11 @@
 //! The life of one request at an instance.
 
-use std::{
-    cell::{Cell, RefCell},
-    num::NonZeroU32,
-    rc::Rc,
-};
+use std::rc::Rc;
 
 use bytes::Bytes;
-use model::{Cause, Outcome, Position, Repeat, Report};
+use model::{Cause, Outcome, Position, Repeat, Report, name};
 use ntex::time::sleep;
-use pool::pool::{Limits, Request};
 use route::{Read, Target, Verdict};
-use tokio::sync::Notify;
-use upstream::Error;
 
 use super::{
     Core, Pin, Running,
@@ -22,22 +15,21 @@
     line::Line,
     lines::Refused,
     plan::{Plan, Probes},
-    sink::{Mode, Sink},
+    remote::{self, Talk},
+    sink::{Mode, Sink, To},
+    site::{Errand, Held, Ran, discard, tell},
+};
+use crate::{
+    forward::{Command, Seq},
+    job::{Caller, Closes, End, Job, Need, Part, Reply},
 };
-use crate::job::{Caller, Closes, End, Job, Need, Part, Reply};
 
 /// How often a request is tried at most, whatever its budget.
 const MAX_TRIES: u32 = 8;
 
 /// Runs one request and replies with its end.
 pub(super) async fn serve(core: Rc<Core>, mut job: Job) {
-    let running = Rc::new(Running {
-        seq: job.seq,
-        line: RefCell::default(),
-        cancelled: Cell::new(false),
-        untaken: Cell::new(0),
-        taken: Notify::new(),
-    });
+    let running = Rc::new(Running::open(job.seq));
     core.running
         .borrow_mut()
         .insert(job.caller, Rc::clone(&running));
@@ -79,11 +71,23 @@
 /// Ends what a caller that has gone left behind.
 pub(super) fn leave(core: &Rc<Core>, caller: Caller) {
     if let Some(running) = core.running.borrow_mut().remove(&caller) {
-        running.cancelled.set(true);
-        running.taken.notify_waiters();
+        running.cancel();
     }
-    if let Some(Pin::Open { line, .. }) = core.pins.borrow_mut().remove(&caller) {
-        discard(line);
+    let pin = core.pins.borrow_mut().remove(&caller);
+    match pin {
+        Some(Pin::Open { line, .. }) => discard(*line),
+        Some(Pin::Remote { to, pin, .. }) => tell(core, &to, Command::Leave { pin }),
+        Some(Pin::Failed) | None => {}
+    }
+}
+
+/// The stream to the instance `to` has ended, and it has ended the
+/// transactions that this one had there.
+pub(super) fn lose_pins(core: &Core, to: &name::Instance) {
+    for pin in core.pins.borrow_mut().values_mut() {
+        if matches!(pin, Pin::Remote { to: at, .. } if at == to) {
+            *pin = Pin::Failed;
+        }
     }
 }
 
@@ -100,26 +104,26 @@
 ///
 /// The request's number is compared: a cancel that comes late must not hit
 /// the statement after the one that it was meant for.
-pub(super) fn cancel(core: &Core, caller: Caller, seq: u64) {
+pub(super) fn cancel(core: &Rc<Core>, caller: Caller, seq: u64) {
     let running = core.running.borrow().get(&caller).cloned();
-    let named = running
-        .filter(|it| it.seq == seq)
-        .and_then(|it| it.line.borrow().clone());
-    if let Some((address, key)) = named {
+    let Some(running) = running.filter(|it| it.seq == seq) else {
+        return;
+    };
+    if let Some((to, of)) = running.remote.borrow().clone() {
+        tell(core, &to, Command::Cancel { of });
+    }
+    if let Some((address, key)) = running.line.borrow().clone() {
         ntex::rt::spawn(async move { upstream::cancel(address, &key).await });
     }
 }
 
-fn discard(line: Line) {
-    let home = Rc::clone(&line.home);
-    home.forget(line.ticket);
-    home.discard(line);
-}
-
 async fn run(core: &Rc<Core>, job: &mut Job, running: &Rc<Running>) -> End {
     let pin = core.pins.borrow_mut().remove(&job.caller);
     match pin {
-        Some(Pin::Open { line, group }) => within(core, job, running, line, &group).await,
+        Some(Pin::Open { line, group }) => within(core, job, running, *line, &group).await,
+        Some(Pin::Remote { to, pin, group }) => {
+            within_remote(core, job, running, (&to, pin), &group).await
+        }
         Some(Pin::Failed) => failed(core, job),
         None => match core.group(&job.scope.database) {
             Some(group) => fresh(core, job, running, &group).await,
@@ -202,140 +206,37 @@
     way: &Way,
     read: &mut Read,
 ) -> Try {
-    let Some(member) = group.member(way.upstream()) else {
-        return Try::Again;
+    let mut sink = Sink::open(core, running, To::Caller(job.caller), Mode::Hold);
+    let verdict = Verdict::Holds;
+    let mut errand = Errand {
+        core,
+        group,
+        job,
+        way,
+        read,
+        running,
+        verdict,
     };
-    let request = Request {
-        ticket: core.ticket(),
-        entry: job.scope.entry.clone(),
-        limits: Limits {
-            connections: job.scope.connections,
-            queue: job.scope.queue,
-        },
-        tenant: job.scope.tenant.clone(),
-        weight: NonZeroU32::MIN,
-        priority: job.scope.class.priority,
-        deadline: job.deadline,
-    };
-    let mut line = match member.lines.acquire(request).await {
-        Ok(line) => line,
-        Err(refusal) if refusal.cause == Cause::NoUpstream => {
+    let ran = errand.run(&mut sink).await;
+    let verdict = errand.verdict;
+    match ran {
+        Ran::Heard(heard, held) if verdict != Verdict::Holds => {
+            held.settle(&heard);
+            *read = read.discarded(way.target());
+            Try::Again
+        }
+        Ran::Heard(heard, held) => conclude(core, job, group, way, held, heard, sink).await,
+        Ran::Refused(refusal) if refusal.cause == Cause::NoUpstream => {
             // A replica that can't be reached does not keep a read from others,
             // and a primary that can't be reached is being replaced.
             if matches!(way, Way::Replica(_)) {
                 *read = read.discarded(Target::Replica);
             }
-            return Try::Unsent(refusal);
-        }
-        Err(refusal) => return Try::Ended(refused(refusal.cause, refusal.retry_after)),
-    };
-    if line.conn.is_closed() {
-        discard(line);
-        return Try::Again;
-    }
-    let probes = probes(core, group, job, way, &line, read);
-    let plan = Plan::fresh(&mut line, &job.batch, &job.settings, probes);
-    let mode = match job.batch.need {
-        Need::Read => Mode::Stream,
-        _ => Mode::Hold,
-    };
-    let mut sink = Sink::open(core, running, job.caller, mode);
-    let sent = core.now();
-    let mut verdict = Verdict::Holds;
-    let target = target(way);
-    let mut judge = |report: &Report| {
-        group.report(core.now(), way.upstream(), sent, *report);
-        verdict = group
-            .router
-            .borrow()
-            .verify(core.now(), report, read, target);
-        if verdict == Verdict::Holds {
-            mode
-        } else {
-            Mode::Discard
-        }
-    };
-    *running.line.borrow_mut() = Some((line.address, line.conn.key().clone()));
-    let deadline = job.deadline;
-    let heard = tokio::select! {
-        biased;
-        heard = exchange(sent, &mut line, plan, &mut sink, &mut judge) => Some(heard),
-        () = sleep(deadline.since(core.now())) => None,
-    };
-    *running.line.borrow_mut() = None;
-    match heard {
-        Some(Ok(heard)) => {
-            note(core, group, way, &mut line, &heard);
-            if probes.before && verdict != Verdict::Holds {
-                settle(line, &heard);
-                *read = read.discarded(target);
-                return Try::Again;
-            }
-            conclude(core, job, group, way, line, heard, sink).await
-        }
-        Some(Err(error)) => {
-            discard(line);
-            broken(job, way, &sink, &error)
-        }
-        None => {
-            let (address, key) = (line.address, line.conn.key().clone());
-            ntex::rt::spawn(async move { upstream::cancel(address, &key).await });
-            discard(line);
-            Try::Ended(unknown(Cause::Deadline))
+            Try::Unsent(refusal)
         }
-    }
-}
-
-fn target(way: &Way) -> Target {
-    match way {
-        Way::Replica(_) => Target::Replica,
-        Way::Primary(_) | Way::Confirmed(..) => Target::Primary,
-    }
-}
-
-/// Where the status is asked for on the connection of the request.
-///
-/// A position only goes forward while a connection lives, so the last status
-/// that came on this one may prove enough, and spares the question ahead.
-fn probes(core: &Core, group: &Group, job: &Job, way: &Way, line: &Line, read: &Read) -> Probes {
-    let reads = matches!(job.batch.need, Need::Read | Need::Setting);
-    if !reads {
-        return Probes {
-            before: false,
-            behind: job.batch.need != Need::Begin,
-        };
-    }
-    let proved = line.seen.as_ref().is_some_and(|(_, report)| {
-        let verdict = group
-            .router
-            .borrow()
-            .verify(core.now(), report, read, target(way));
-        verdict == Verdict::Holds
-    });
-    let confirmed = matches!(way, Way::Confirmed(..));
-    Probes {
-        before: !proved && !confirmed,
-        behind: true,
-    }
-}
-
-/// Takes in the status that came with an answer.
-fn note(core: &Core, group: &Group, way: &Way, line: &mut Line, heard: &Heard) {
-    if let Some(report) = heard.behind.or(heard.before) {
-        line.seen = Some((heard.sent, report));
-    }
-    if let Some(report) = heard.behind {
-        group.report(core.now(), way.upstream(), heard.sent, report);
-    }
-}
-
-/// Gives a connection back after an answer that is not passed on.
-fn settle(line: Line, heard: &Heard) {
-    let home = Rc::clone(&line.home);
-    if heard.status == Some(b'I') && !heard.spoiled {
-        home.release(line);
-    } else {
-        discard(line);
+        Ran::Refused(refusal) => Try::Ended(refused(refusal.cause, refusal.retry_after)),
+        Ran::Broken => broken(job, way, &sink),
+        Ran::Late => Try::Ended(unknown(Cause::Deadline)),
     }
 }
 
@@ -345,32 +246,27 @@
     job: &mut Job,
     group: &Rc<Group>,
     way: &Way,
-    line: Line,
+    held: Held,
     heard: Heard,
     sink: Sink<'_>,
 ) -> Try {
     if heard.spoiled {
-        discard(line);
+        held.discard();
         return Try::Ended(refused(Cause::ConnectionLost, None));
     }
     if heard.error.as_deref() == Some(route::READ_ONLY) && !sink.has_streamed() {
-        settle(line, &heard);
+        held.settle(&heard);
         return read_only(core, job, group, way).await;
     }
     if heard.status != Some(b'I') {
-        line.home.hold(&line);
-        let pin = Pin::Open {
-            line,
-            group: Rc::clone(group),
-        };
-        core.pins.borrow_mut().insert(job.caller, pin);
+        held.keep(core, job.caller, group);
         return Try::Ended(end(Outcome::Done, sink.finish(), heard.status));
     }
     let failed = heard.error.is_some();
     if job.batch.need == Need::Alone {
-        discard(line);
+        held.discard();
     } else {
-        settle(line, &heard);
+        held.settle(&heard);
     }
     let wrote = matches!(job.batch.need, Need::Write | Need::Alone | Need::Begin);
     if wrote && !failed {
@@ -445,19 +341,19 @@
 }
 
 /// The connection failed with the request on it.
-fn broken(job: &Job, way: &Way, sink: &Sink<'_>, error: &Error) -> Try {
+fn broken(job: &Job, way: &Way, sink: &Sink<'_>) -> Try {
     let replica_read = matches!(way, Way::Replica(_));
     let repeatable = job.scope.class.repeat == Repeat::Idempotent || replica_read;
     // What may have begun a transaction or changed the connection is not
     // repeated: the caller could not tell what the first run left.
     let plain = matches!(job.batch.need, Need::Read | Need::Write);
-    if repeatable && plain && !sink.has_streamed() && !matches!(error, Error::Protocol(_)) {
+    if repeatable && plain && !sink.has_streamed() {
         return Try::Again;
     }
     Try::Ended(unknown(Cause::ConnectionLost))
 }
 
-/// A statement of an open transaction.
+/// A statement of a transaction on a connection of this instance.
 async fn within(
     core: &Rc<Core>,
     job: &mut Job,
@@ -470,53 +366,98 @@
         discard(line);
         return lost(core, job);
     }
-    let closes = job.batch.closes == Closes::Transaction;
+    let behind = job.batch.closes == Closes::Transaction;
     let plan = Plan::within(
         &mut line,
         &job.batch,
         Probes {
             before: false,
-            behind: closes,
+            behind,
         },
     );
-    let mode = if closes { Mode::Hold } else { Mode::Stream };
-    let mut sink = Sink::open(core, running, job.caller, mode);
+    let mode = mode_within(job);
+    let mut sink = Sink::open(core, running, To::Caller(job.caller), mode);
     *running.line.borrow_mut() = Some((line.address, line.conn.key().clone()));
     let sent = core.now();
     let mut judge = |_: &Report| mode;
     let heard = tokio::select! {
         biased;
-        heard = exchange(sent, &mut line, plan, &mut sink, &mut judge) => Some(heard),
+        heard = exchange(sent, &mut line, plan, &mut sink, &mut judge) => heard.ok(),
         () = sleep(job.deadline.since(sent)) => None,
     };
     *running.line.borrow_mut() = None;
-    let Some(Ok(heard)) = heard else {
+    let Some(mut heard) = heard else {
         discard(line);
-        // Without its COMMIT a transaction rolls back with its connection.
-        return if closes {
-            unknown(Cause::ConnectionLost)
-        } else {
-            lost(core, job)
-        };
+        return cut(core, job);
     };
+    if heard.status == Some(b'I') && heard.behind.is_none() {
+        heard.behind = ask(&line).await.ok().flatten();
+    }
+    let held = Held::Line(Box::new(line));
+    conclude_within(core, job, group, held, heard, sink).await
+}
+
+/// A statement of a transaction on a connection of another instance.
+async fn within_remote(
+    core: &Rc<Core>,
+    job: &mut Job,
+    running: &Rc<Running>,
+    (to, pin): (&name::Instance, Seq),
+    group: &Rc<Group>,
+) -> End {
+    let mut sink = Sink::open(core, running, To::Caller(job.caller), mode_within(job));
+    *running.remote.borrow_mut() = Some((to.clone(), pin));
+    let talk = remote::within(core, job, &mut sink, to, pin).await;
+    *running.remote.borrow_mut() = None;
+    match talk {
+        Talk::Heard(heard) => {
+            let held = Held::Remote {
+                to: to.clone(),
+                pin,
+            };
+            conclude_within(core, job, group, held, heard, sink).await
+        }
+        Talk::Refused(_) => lost(core, job),
+        Talk::Broken | Talk::Late => {
+            tell(core, to, Command::Leave { pin });
+            cut(core, job)
+        }
+    }
+}
+
+fn mode_within(job: &Job) -> Mode {
+    match job.batch.closes {
+        Closes::Transaction => Mode::Hold,
+        Closes::Nothing => Mode::Stream,
+    }
+}
+
+/// The connection of a transaction failed while a statement ran on it.
+fn cut(core: &Core, job: &Job) -> End {
+    // Without its COMMIT a transaction rolls back with its connection.
+    match job.batch.closes {
+        Closes::Transaction => unknown(Cause::ConnectionLost),
+        Closes::Nothing => lost(core, job),
+    }
+}
+
+async fn conclude_within(
+    core: &Rc<Core>,
+    job: &Job,
+    group: &Rc<Group>,
+    held: Held,
+    heard: Heard,
+    sink: Sink<'_>,
+) -> End {
     if heard.status != Some(b'I') {
-        home.hold(&line);
-        let pin = Pin::Open {
-            line,
-            group: Rc::clone(group),
-        };
-        core.pins.borrow_mut().insert(job.caller, pin);
+        held.keep(core, job.caller, group);
         return end(Outcome::Done, sink.finish(), heard.status);
     }
-    let behind = match heard.behind {
-        Some(report) => Some(report),
-        None => ask(&line).await.ok().flatten(),
-    };
-    home.release(line);
+    held.settle(&heard);
     if heard.error.is_some() {
         return end(Outcome::Done, sink.finish(), Some(b'I'));
     }
-    acknowledge(core, job, group, behind, sink).await
+    acknowledge(core, job, group, heard.behind, sink).await
 }
 
 /// The transaction is gone with its connection: it rolled back.
--- a/crates/daemon/src/upstreams/sink.rs
+++ b/crates/daemon/src/upstreams/sink.rs
@@ -6,7 +6,10 @@
 use pg::Frame;
 
 use super::{Core, Running};
-use crate::job::{CHUNK, Caller, Part, Reply, WINDOW};
+use crate::{
+    forward::{Conn, Out, Response},
+    job::{CHUNK, Caller, Part, Reply, WINDOW},
+};
 
 /// How much of an answer is kept back at most, in bytes.
 const MAX_HELD: usize = 256 << 10;
@@ -23,30 +26,44 @@
     Discard,
 }
 
-/// An answer on its way to a caller.
+/// Whom an answer goes to.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum To {
+    /// A caller of this instance.
+    Caller(Caller),
+    /// Another instance, on the stream that it asked on.
+    Peer(Conn),
+}
+
+/// An answer on its way to whoever asked.
 pub(super) struct Sink<'a> {
     core: &'a Core,
     running: Rc<Running>,
-    caller: Caller,
+    to: To,
     buf: BytesMut,
     mode: Mode,
     streamed: bool,
 }
 
 impl<'a> Sink<'a> {
-    /// Opens the way of an answer to a caller's running request.
-    pub(super) fn open(core: &'a Core, running: &Rc<Running>, caller: Caller, mode: Mode) -> Self {
+    /// Opens the way of an answer to a running request.
+    pub(super) fn open(core: &'a Core, running: &Rc<Running>, to: To, mode: Mode) -> Self {
         let buf = BytesMut::new();
         Self {
             core,
             running: Rc::clone(running),
-            caller,
+            to,
             buf,
             mode,
             streamed: false,
         }
     }
 
+    /// What is done with the answer.
+    pub(super) fn mode(&self) -> Mode {
+        self.mode
+    }
+
     /// Changes what is done with the rest.
     pub(super) fn set_mode(&mut self, mode: Mode) {
         self.mode = mode;
@@ -67,13 +84,28 @@
             return;
         }
         self.buf.extend_from_slice(frame.bytes());
-        let row = frame.tag() == b'D';
-        let full = match self.mode {
-            Mode::Stream => self.buf.len() >= CHUNK,
-            Mode::Hold => row && self.buf.len() >= MAX_HELD,
-            Mode::Discard => false,
+        if frame.tag() == b'D' {
+            self.pass_full().await;
+        }
+    }
+
+    /// Takes a part of an answer that comes from a holder; it ends in a row.
+    pub(super) async fn take(&mut self, bytes: &[u8]) {
+        if self.mode != Mode::Discard {
+            self.buf.extend_from_slice(bytes);
+            self.pass_full().await;
+        }
+    }
+
+    /// Passes on what is there if it is much. What is there ends in a row, so
+    /// the message that says that an answer is complete is never passed on
+    /// before the end.
+    async fn pass_full(&mut self) {
+        let bound = match self.mode {
+            Mode::Stream => CHUNK,
+            Mode::Hold | Mode::Discard => MAX_HELD,
         };
-        if full {
+        if self.buf.len() >= bound {
             self.pass().await;
         }
     }
@@ -102,12 +134,27 @@
         self.running.untaken.set(self.running.untaken.get() + 1);
         self.streamed = true;
         let bytes = self.buf.split().freeze();
-        let part = Part::Chunk(bytes);
-        let reply = Reply {
-            caller: self.caller,
-            seq: self.running.seq,
-            part,
-        };
-        self.core.replies.send(reply).await;
+        let seq = self.running.seq;
+        match self.to {
+            To::Caller(caller) => {
+                let reply = Reply {
+                    caller,
+                    seq,
+                    part: Part::Chunk(bytes),
+                };
+                self.core.replies.send(reply).await;
+            }
+            To::Peer(conn) => {
+                let response = Response::Chunk(bytes);
+                self.core
+                    .outs
+                    .send(Out::Answer {
+                        conn,
+                        seq,
+                        response,
+                    })
+                    .await;
+            }
+        }
     }
 }
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -88,7 +88,6 @@
                 format!("1:{}", "5a".repeat(32)),
             ),
             ("DANDELIONLINK_UPSTREAM_USER", "proxy".to_owned()),
-            ("DANDELIONLINK_SHARE", count.to_string()),
             ("DANDELIONLINK_DRAIN_MS", "2000".to_owned()),
         ]);
         let env = |name: &str| env.get(name).cloned();
--- a/crates/failover/src/event.rs
+++ b/crates/failover/src/event.rs
@@ -41,7 +41,7 @@
 pub const ABSENT: u64 = 0;
 
 /// Why an upstream gave no report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum Fault {
     /// The host refuses connections.
     #[error("connection refused")]
@@ -100,7 +100,7 @@
 ///
 /// An upstream refuses with [`Fault::Fenced`] every order whose term is below
 /// the one it is fenced to, and keeps that term over restarts.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Take no write and follow no log of a lower term; then report.
     Fence {
