--- a/crates/slopes/src/bench.rs
+++ b/crates/slopes/src/bench.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clock::Instant;
 use fleet::{Duties, Mirror, Watch};
 use serde::Serialize;
 use wire::{Change, Gate, Mark, Message, Node, Revision, Ring, State, Update, View};
@@ -17,6 +18,9 @@
 /// twice the target's 4,200 changes and three times its 1,651 restarts a day.
 const CHANGES: u32 = 3;
 const RESTARTS: usize = 2;
+/// The target's changes in an hour, made at a pace that the run can afford.
+const HOUR_CHANGES: usize = 175;
+const HOUR_PACE: Duration = Duration::from_millis(100);
 /// How long a change may take to be in force everywhere.
 const SPREAD_MAX: Duration = Duration::from_secs(60);
 /// The target's databases, and entries reckoned at two for each.
@@ -25,15 +29,36 @@
 /// How many probers each database has.
 const PROBERS: usize = 3;
 
-/// What was measured at one size and share of loss.
+/// What happens while a row is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scenario {
+    /// Changes of the catalogue and restarts.
+    Ordinary,
+    /// One instance in a hundred, a relay among them, dies without a word right
+    /// before each change, and is started again after it.
+    Killed,
+    /// A zone dies right before the change.
+    ZoneLost,
+    /// All of that zone's instances start again at once; what is timed is how
+    /// long until the last of them has the catalogue.
+    ZoneStarted,
+    /// A region is cut off from the others and the store.
+    RegionCut,
+    /// That region is joined again, after as many changes as the target has in
+    /// an hour; what is timed is how long until its last instance has them.
+    RegionHealed,
+}
+
+/// What was measured at one size, in one scenario.
 #[derive(Debug, Clone, Serialize)]
 pub struct Row {
+    /// What happened meanwhile.
+    pub scenario: Scenario,
     /// How many instances.
     pub nodes: usize,
     /// The share of datagrams lost.
     pub loss: f64,
-    /// How many instances were killed right before each change that is timed.
-    pub killed: usize,
     /// Until the last reachable instance had a change in force, the slowest of
     /// several changes.
     pub spread_p100_ms: f64,
@@ -65,8 +90,7 @@
     pub violations: usize,
 }
 
-/// Measures one size, at no loss, one and ten in a hundred, and with instances
-/// killed; `heap` tells the bytes allocated in the process.
+/// Measures one size in every scenario; `heap` tells the bytes allocated in the process.
 pub fn measure(nodes: usize, seed: u64, heap: impl Fn() -> usize) -> Vec<Row> {
     let before = heap();
     let mut world = World::open(Setup::sized(nodes, seed));
@@ -78,26 +102,76 @@
     let seal = seal_cost();
     let full = full_bytes(&world);
     let mut rows = Vec::new();
-    for (loss, killed) in [(0.0, 0), (0.01, 0), (0.1, 0), (0.01, nodes.div_ceil(100))] {
-        world.loss = loss;
-        let mut row = measure_loss(&mut world, killed, seal, full);
+    let mut bench = Bench { world, seal, full };
+    for (loss, scenario) in [
+        (0.0, Scenario::Ordinary),
+        (0.01, Scenario::Ordinary),
+        (0.1, Scenario::Ordinary),
+        (0.01, Scenario::Killed),
+        (0.01, Scenario::ZoneLost),
+        (0.01, Scenario::ZoneStarted),
+        (0.01, Scenario::RegionCut),
+        (0.01, Scenario::RegionHealed),
+    ] {
+        bench.world.loss = loss;
+        let mut row = bench.measure(scenario);
         row.heap_per_node = heap().saturating_sub(before) / nodes;
         rows.push(row);
     }
     rows
 }
 
-fn measure_loss(world: &mut World, killed: usize, seal: Duration, full: usize) -> Row {
-    world.reset_counts();
+struct Bench {
+    world: World,
+    /// What sealing or opening a frame takes.
+    seal: Duration,
+    /// The bytes of the target's keys and duties.
+    full: usize,
+}
+
+impl Bench {
+    fn measure(&mut self, scenario: Scenario) -> Row {
+        let world = &mut self.world;
+        world.reset_counts();
+        let spreads = match scenario {
+            Scenario::Ordinary => ordinary(world),
+            Scenario::Killed => killed(world),
+            Scenario::ZoneLost => {
+                kill_zone(world);
+                vec![time_change(world, 0)]
+            }
+            Scenario::ZoneStarted => start_zone(world),
+            Scenario::RegionCut => {
+                set_region(world, 1);
+                vec![time_change(world, 0)]
+            }
+            Scenario::RegionHealed => heal_region(world),
+        };
+        let spent = world.now().since(world.counted_since());
+        world.run(WINDOW.saturating_sub(spent));
+        let span = world.now().since(world.counted_since());
+        self.row(scenario, span, &spreads)
+    }
+}
+
+fn ordinary(world: &mut World) -> Vec<Vec<f64>> {
     let start = world.now();
     let mut spreads = Vec::new();
-    let mut restarts = 0;
     for change in 0..CHANGES {
-        if killed == 0 && restarts < RESTARTS {
-            restart_one(world, restarts);
-            restarts += 1;
+        if (change as usize) < RESTARTS {
+            restart_one(world, change as usize);
         }
-        let victims = choose_victims(world, killed);
+        spreads.push(time_change(world, change));
+        wait_for_turn(world, start, change);
+    }
+    spreads
+}
+
+fn killed(world: &mut World) -> Vec<Vec<f64>> {
+    let start = world.now();
+    let mut spreads = Vec::new();
+    for change in 0..CHANGES {
+        let victims = choose_victims(world, world.len().div_ceil(100));
         for &slot in &victims {
             world.kill(slot);
         }
@@ -105,17 +179,79 @@
         for slot in victims {
             world.start(slot);
         }
-        let spent = world.now().since(start);
-        world.run((WINDOW / CHANGES * (change + 1)).saturating_sub(spent));
+        wait_for_turn(world, start, change);
+    }
+    spreads
+}
+
+/// Changes come at even distances within the window.
+fn wait_for_turn(world: &mut World, start: Instant, change: u32) {
+    let spent = world.now().since(start);
+    world.run((WINDOW / CHANGES * (change + 1)).saturating_sub(spent));
+}
+
+fn zone(world: &World) -> Vec<usize> {
+    let zone = world.zone(world.len() - 1);
+    let slots = 0..world.len();
+    slots.filter(|&slot| world.zone(slot) == zone).collect()
+}
+
+fn kill_zone(world: &mut World) {
+    for slot in zone(world) {
+        world.kill(slot);
     }
-    row(
-        world,
-        world.now().since(start),
-        &spreads,
-        killed,
-        seal,
-        full,
-    )
+}
+
+fn start_zone(world: &mut World) -> Vec<Vec<f64>> {
+    let slots = zone(world);
+    let start = world.now();
+    for &slot in &slots {
+        world.start(slot);
+    }
+    let newest = newest(world);
+    let all = |world: &World| slots.iter().all(|&slot| has(world, slot, newest));
+    world.run_until(SPREAD_MAX, all);
+    vec![taken(world, start, newest, &slots)]
+}
+
+/// Puts the last three of ten zones, or the last of fewer, on an island.
+fn set_region(world: &mut World, island: u8) {
+    for slot in region(world) {
+        world.separate(slot, island);
+    }
+}
+
+fn region(world: &World) -> Vec<usize> {
+    let zones = 1
+        + (0..world.len())
+            .map(|slot| world.zone(slot))
+            .max()
+            .unwrap_or(0);
+    let first = zones - zones.div_ceil(4);
+    let slots = 0..world.len();
+    slots.filter(|&slot| world.zone(slot) >= first).collect()
+}
+
+fn heal_region(world: &mut World) -> Vec<Vec<f64>> {
+    for number in 0..HOUR_CHANGES {
+        let key = format!("catalog/entry/hour-{number}");
+        world.apply(&[(&key, Some(&[7; 200]))]);
+        world.run(HOUR_PACE);
+    }
+    world.run(Duration::from_secs(10));
+    set_region(world, 0);
+    world.reset_counts();
+    let start = world.now();
+    let newest = newest(world);
+    let slots = region(world);
+    let all = |world: &World| slots.iter().all(|&slot| has(world, slot, newest));
+    world.run_until(SPREAD_MAX, all);
+    vec![taken(world, start, newest, &slots)]
+}
+
+fn newest(world: &World) -> Revision {
+    let applied = world.running().map(|slot| world.applied(slot).0);
+    applied.max().unwrap_or(Revision::NONE)
 }
 
 /// Instances spread over the fleet, a relay first: its death costs most.
@@ -138,15 +274,21 @@
     world.start(slot);
 }
 
-/// Applies a change, and tells how long each running instance took.
+/// Applies a change, and tells how long each instance within reach took.
 fn time_change(world: &mut World, change: u32) -> Vec<f64> {
     let text = format!("limits {change} {}", "x".repeat(200));
     let start = world.now();
     let revision = world.apply(&[("catalog/entry/first", Some(text.as_bytes()))]);
-    let all = |world: &World| world.running().all(|slot| has(world, slot, revision));
-    world.run_until(SPREAD_MAX, all);
     let running = world.running();
-    let taken = running.map(|slot| {
+    let reached: Vec<_> = running.filter(|&slot| world.reaches_store(slot)).collect();
+    let all = |world: &World| reached.iter().all(|&slot| has(world, slot, revision));
+    world.run_until(SPREAD_MAX, all);
+    taken(world, start, revision, &reached)
+}
+
+/// How long each of `slots` took to have `revision`, in milliseconds, sorted.
+fn taken(world: &World, start: Instant, revision: Revision, slots: &[usize]) -> Vec<f64> {
+    let taken = slots.iter().map(|&slot| {
         let (applied, at) = world.applied(slot);
         let late = if applied >= revision { at } else { world.now() };
         late.since(start).as_secs_f64() * 1e3
@@ -160,41 +302,37 @@
     world.applied(slot).0 >= revision
 }
 
-fn row(
-    world: &World,
-    span: Duration,
-    spreads: &[Vec<f64>],
-    killed: usize,
-    seal: Duration,
-    full: usize,
-) -> Row {
-    let nodes = world.len();
-    let seconds = span.as_secs_f64();
-    let per_node = |total: u64| total as f64 / nodes as f64 / seconds;
-    let counts: Vec<_> = (0..nodes).map(|slot| world.count(slot)).collect();
-    let bytes = counts.iter().map(|count| count.bytes()).sum();
-    let most = counts.iter().map(|count| count.bytes()).max();
-    let messages: u64 = counts.iter().map(|count| count.messages()).sum();
-    let sealing = seal.as_secs_f64() * messages as f64;
-    let worst = |at: fn(&[f64]) -> f64| spreads.iter().map(|taken| at(taken)).fold(0.0, f64::max);
-    let table_bytes = table_bytes(world);
-    Row {
-        nodes,
-        loss: world.loss,
-        killed,
-        spread_p100_ms: worst(|taken| taken.last().copied().unwrap_or(0.0)),
-        spread_p50_ms: worst(|taken| taken.get(taken.len() / 2).copied().unwrap_or(0.0)),
-        bytes_per_node_s: per_node(bytes),
-        bytes_per_node_s_max: most.unwrap_or(0) as f64 / seconds,
-        messages_per_node_s: per_node(messages),
-        state_bytes: own_bytes(world) + full,
-        table_bytes,
-        heap_per_node: 0,
-        store_calls_s: world.store.calls as f64 / seconds + world.watches() as f64,
-        watches: world.watches(),
-        cpu_share: (world.stepping.as_secs_f64() + sealing) / nodes as f64 / seconds,
-        wrong_suspects: wrong_suspects(world),
-        violations: world.monitor.violations().len(),
+impl Bench {
+    fn row(&self, scenario: Scenario, span: Duration, spreads: &[Vec<f64>]) -> Row {
+        let world = &self.world;
+        let nodes = world.len();
+        let seconds = span.as_secs_f64();
+        let per_node = |total: u64| total as f64 / nodes as f64 / seconds;
+        let counts: Vec<_> = (0..nodes).map(|slot| world.count(slot)).collect();
+        let bytes = counts.iter().map(|count| count.bytes()).sum();
+        let most = counts.iter().map(|count| count.bytes()).max();
+        let messages: u64 = counts.iter().map(|count| count.messages()).sum();
+        let sealing = self.seal.as_secs_f64() * messages as f64;
+        let worst =
+            |at: fn(&[f64]) -> f64| spreads.iter().map(|taken| at(taken)).fold(0.0, f64::max);
+        Row {
+            scenario,
+            nodes,
+            loss: world.loss,
+            spread_p100_ms: worst(|taken| taken.last().copied().unwrap_or(0.0)),
+            spread_p50_ms: worst(|taken| taken.get(taken.len() / 2).copied().unwrap_or(0.0)),
+            bytes_per_node_s: per_node(bytes),
+            bytes_per_node_s_max: most.unwrap_or(0) as f64 / seconds,
+            messages_per_node_s: per_node(messages),
+            state_bytes: own_bytes(world) + self.full,
+            table_bytes: table_bytes(world),
+            heap_per_node: 0,
+            store_calls_s: world.store.calls as f64 / seconds + world.watches() as f64,
+            watches: world.watches(),
+            cpu_share: (world.stepping.as_secs_f64() + sealing) / nodes as f64 / seconds,
+            wrong_suspects: wrong_suspects(world),
+            violations: world.monitor.violations().len(),
+        }
     }
 }
 
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -14,7 +14,7 @@
 mod store;
 mod world;
 
-pub use bench::{Row, measure};
+pub use bench::{Row, Scenario, measure};
 pub use count::Count;
 pub use fit::{Fit, fit};
 pub use monitor::{Monitor, Violation};
--- a/crates/slopes/src/report.rs
+++ b/crates/slopes/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use crate::{Fit, Row, fit};
+use crate::{Fit, Row, Scenario, fit};
 
 type Column = (&'static str, fn(&Row) -> f64);
 
@@ -18,17 +18,17 @@
 /// Writes rows and fits as text.
 pub fn table(rows: &[Row]) -> String {
     let mut buf = String::new();
-    let head = "  nodes  loss killed  p50 ms p100 ms    B/s  max B/s  msg/s  state kB  table kB \
+    let head = "scenario        nodes  loss  p50 ms p100 ms    B/s  max B/s  msg/s  state kB  table kB \
                 heap kB store/s watches  core %  suspects violations";
     let _ = writeln!(buf, "{head}");
     for row in rows {
         let _ = writeln!(
             buf,
-            "{:>7} {:>5} {:>6} {:>7.0} {:>7.0} {:>6.0} {:>8.0} {:>6.2} {:>9.0} {:>9.1} {:>7.0} {:>7.2} \
+            "{:<13} {:>7} {:>5} {:>7.0} {:>7.0} {:>6.0} {:>8.0} {:>6.2} {:>9.0} {:>9.1} {:>7.0} {:>7.2} \
              {:>7} {:>7.4} {:>9} {:>10}",
+            label(row.scenario),
             row.nodes,
             row.loss,
-            row.killed,
             row.spread_p50_ms,
             row.spread_p100_ms,
             row.bytes_per_node_s,
@@ -56,7 +56,7 @@
     for (name, column) in FITTED {
         let points: Vec<_> = rows
             .iter()
-            .filter(|row| row.loss == 0.01 && row.killed == 0)
+            .filter(|row| row.loss == 0.01 && row.scenario == Scenario::Ordinary)
             .map(|row| (row.nodes as f64, column(row)))
             .collect();
         let Some(Fit {
@@ -73,3 +73,14 @@
         );
     }
 }
+
+fn label(scenario: Scenario) -> &'static str {
+    match scenario {
+        Scenario::Ordinary => "ordinary",
+        Scenario::Killed => "killed",
+        Scenario::ZoneLost => "zone-lost",
+        Scenario::ZoneStarted => "zone-started",
+        Scenario::RegionCut => "region-cut",
+        Scenario::RegionHealed => "region-healed",
+    }
+}
--- a/crates/slopes/src/world.rs
+++ b/crates/slopes/src/world.rs
@@ -142,6 +142,7 @@
     pub stepping: Duration,
     /// How many steps were taken.
     pub steps: u64,
+    counted_since: Instant,
     /// While set, whoever asks for all members is told all that run.
     warm: bool,
 }
@@ -177,6 +178,7 @@
             loss: setup.loss,
             stepping: Duration::ZERO,
             steps: 0,
+            counted_since: Instant::ZERO,
             warm: false,
         }
     }
@@ -238,8 +240,14 @@
         self.watches.len()
     }
 
+    /// Since when is counted.
+    pub fn counted_since(&self) -> Instant {
+        self.counted_since
+    }
+
     /// Starts counting anew.
     pub fn reset_counts(&mut self) {
+        self.counted_since = self.now;
         for slot in &mut self.slots {
             slot.count = Count::default();
         }
@@ -301,6 +309,11 @@
         self.slots[slot].island = island;
     }
 
+    /// Whether a slot is on the store's side.
+    pub fn reaches_store(&self, slot: usize) -> bool {
+        self.slots[slot].island == self.store_island
+    }
+
     /// Hands an event to the instance at a slot.
     pub fn tell(&mut self, slot: usize, event: Event) {
         self.step(slot, event);
