Find what differs in the mirror by revision instead of by a scan

Cause: in a run of slopes at 4,000 nodes 70 % of the samples were in the scan of all keys that each change put in force cost. Change: an index of keys by revision. Conclusion: a change costs what it touches.

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -1,6 +1,10 @@
 //! A copy of the store's keys that only moves forward.
 
-use std::{collections::BTreeMap, mem::size_of, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem::size_of,
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use wire::{Change, Revision};
@@ -64,6 +68,9 @@
     digest: u64,
     values: BTreeMap<Arc<str>, Value>,
     removed: BTreeMap<Arc<str>, u64>,
+    /// Keys by the revision that wrote or removed them, so that what differs is
+    /// found without a look at every key.
+    recent: BTreeSet<(u64, Arc<str>)>,
     /// Removals up to this revision may have been forgotten.
     floor: u64,
     /// The newest revision that wrote or removed a key of the catalogue.
@@ -191,17 +198,14 @@
         if nothing || from.epoch != self.revision.epoch || from.number < self.floor {
             return (None, self.all());
         }
-        let values = self
-            .values
-            .iter()
-            .filter(|(_, value)| value.revision > from.number)
-            .map(|(key, value)| change_of(key, value));
-        let removed = self
-            .removed
-            .iter()
-            .filter(|&(_, &revision)| revision > from.number)
-            .map(|(key, &revision)| removal(key, revision));
-        let mut changes: Vec<_> = values.chain(removed).collect();
+        let first = (from.number + 1, Arc::from(""));
+        let recent = self.recent.range(first..);
+        let mut changes: Vec<_> = recent
+            .map(|(revision, key)| match self.values.get(key) {
+                Some(value) => change_of(key, value),
+                None => removal(key, *revision),
+            })
+            .collect();
         changes.sort_by(|a, b| a.key.cmp(&b.key));
         (Some(from), changes)
     }
@@ -221,29 +225,39 @@
             slot * 3 / 2 + key.len() + 16 + value.bytes.len() + 32
         });
         let removed = self.removed.keys().map(|key| 24 * 3 / 2 + key.len() + 16);
-        size_of::<Self>() + values.sum::<usize>() + removed.sum::<usize>()
+        let recent = self.recent.len() * size_of::<(u64, Arc<str>)>() * 3 / 2;
+        size_of::<Self>() + values.sum::<usize>() + removed.sum::<usize>() + recent
     }
 
     fn put(&mut self, change: &Change) {
         if change.key.starts_with(keys::CATALOG) {
             self.catalog = self.catalog.max(change.revision);
         }
+        self.forget(&change.key);
+        self.recent.insert((change.revision, change.key.clone()));
         match &change.value {
             Some(bytes) => {
                 let value = Value {
                     revision: change.revision,
                     bytes: bytes.clone(),
                 };
-                self.removed.remove(&change.key);
                 self.values.insert(change.key.clone(), value);
             }
             None => {
-                self.values.remove(&change.key);
                 self.removed.insert(change.key.clone(), change.revision);
             }
         }
     }
 
+    /// Drops a key, and what is remembered of its removal.
+    fn forget(&mut self, key: &Arc<str>) {
+        let value = self.values.remove(key).map(|value| value.revision);
+        let removed = self.removed.remove(key);
+        for revision in value.into_iter().chain(removed) {
+            self.recent.remove(&(revision, key.clone()));
+        }
+    }
+
     fn forget_removed(&mut self) {
         if self.removed.len() <= REMOVED_MAX {
             return;
@@ -253,6 +267,9 @@
         self.floor = revisions[revisions.len() / 2];
         let floor = self.floor;
         self.removed.retain(|_, revision| *revision > floor);
+        let (values, removed) = (&self.values, &self.removed);
+        self.recent
+            .retain(|(_, key)| values.contains_key(key) || removed.contains_key(key));
     }
 
     fn differences(&self, next: &Self) -> Vec<Change> {
--- a/crates/fleet/tests/mirror.rs
+++ b/crates/fleet/tests/mirror.rs
@@ -68,7 +68,11 @@
 #[test]
 fn any_mirror_catches_up_with_any_newer_one() {
     let writes = prop::collection::vec((0u8..6, prop::option::weighted(0.7, any::<u8>())), 1..30);
-    let pairs = (writes, any::<prop::sample::Index>(), any::<prop::sample::Index>());
+    let pairs = (
+        writes,
+        any::<prop::sample::Index>(),
+        any::<prop::sample::Index>(),
+    );
     runner()
         .run(&pairs, |(writes, a, b)| {
             let mirrors = history(&writes);
@@ -102,15 +106,30 @@
     let mut mirror = Mirror::default();
     let first = change(1, (1, Some(1)));
     mirror
-        .advance(Revision::NONE, revision(1), None, std::slice::from_ref(&first))
+        .advance(
+            Revision::NONE,
+            revision(1),
+            None,
+            std::slice::from_ref(&first),
+        )
         .unwrap();
     let before = (mirror.digest(), contents(&mirror));
     let second = change(2, (2, Some(2)));
     let twice = [second.clone(), second.clone()];
     let errors = [
-        mirror.advance(revision(1), revision(2), Some(7), std::slice::from_ref(&second)),
+        mirror.advance(
+            revision(1),
+            revision(2),
+            Some(7),
+            std::slice::from_ref(&second),
+        ),
         mirror.advance(revision(1), revision(2), None, &twice),
-        mirror.advance(revision(0), revision(2), None, std::slice::from_ref(&second)),
+        mirror.advance(
+            revision(0),
+            revision(2),
+            None,
+            std::slice::from_ref(&second),
+        ),
         mirror.advance(revision(1), revision(1), None, &[]),
         mirror.replace(revision(0), None, &[]).map(|_| ()),
         mirror.replace(revision(2), Some(7), &[first]).map(|_| ()),
--- a/crates/fleet/tests/rank.rs
+++ b/crates/fleet/tests/rank.rs
@@ -4,7 +4,9 @@
 use wire::Node;
 
 fn nodes(count: u64) -> Vec<Node> {
-    (0..count).map(|number| Node(number.to_le_bytes())).collect()
+    (0..count)
+        .map(|number| Node(number.to_le_bytes()))
+        .collect()
 }
 
 fn duties(nodes: &[Node]) -> Duties {
@@ -46,7 +48,11 @@
     let last = everyone[39];
     for (before, after) in before.iter().zip(&after) {
         let kept = after.iter().filter(|&&node| node != last);
-        assert!(kept.eq(before.iter().take(after.iter().filter(|&&n| n != last).count())));
+        assert!(
+            kept.eq(before
+                .iter()
+                .take(after.iter().filter(|&&n| n != last).count()))
+        );
     }
     let of_last = duties(&everyone);
     assert_eq!(of_last.keys_of(last).count(), moved);
--- a/crates/wire/src/key.rs
+++ b/crates/wire/src/key.rs
@@ -137,7 +137,7 @@
 }
 
 fn parse_hex(text: &str) -> Option<Vec<u8>> {
-    if !text.is_ascii() || text.len() % 2 != 0 {
+    if !text.is_ascii() || !text.len().is_multiple_of(2) {
         return None;
     }
     (0..text.len())
