--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -204,6 +204,7 @@
                 }
                 Action::Primary(change) => self.primary(&change).await,
                 Action::Member(_) => changed = true,
+                Action::Zone { zone, path } => tell_zone(&zone, path),
                 Action::Notice(notice) => tell(&notice),
                 Action::Wake(at) => self.wake = Some(at),
             }
@@ -346,6 +347,13 @@
     log::warn!(duty = "peers"; "{notice:?}");
 }
 
+/// Tells operators that a zone is cut off from this instance, or is back.
+fn tell_zone(zone: &name::Zone, path: fleet::Path) {
+    let kind = "zone";
+    metrics::counter!("dandelionlink_fleet_notices_total", "kind" => kind).increment(1);
+    log::warn!(duty = "peers", zone = zone.as_str(); "the way to zone {zone}: {path:?}");
+}
+
 /// The store's key of a key that the fleet mirrors.
 ///
 /// The fleet's keys travel without what all of them begin with.
