pool: measure the wait before a refusal, and the cost of a step

Cause: the load example printed only the mean wait before a refusal, and nothing measured what a step costs.

Change: keep every wait and print mean and p99; add the example cost, which submits and answers at a held queue length.

--- /dev/null
+++ b/crates/pool/examples/cost.rs
@@ -0,0 +1,111 @@
+//! Time per request of [`Pool::step`] with a queue of a given length.
+//!
+//! `cargo run --release -p pool --example cost`
+//!
+//! Each round submits one request and answers the one that runs, so that the
+//! length stays. Wall-clock time: compare runs on one quiet machine only.
+
+use std::{hint::black_box, num::NonZeroU32, time::Duration};
+
+use clock::Instant;
+use model::{Priority, name};
+use pool::{
+    Action, Conf, Event, Handle, Pool, Request, Ticket,
+    pool::{After, Limits},
+};
+
+const LENGTHS: [u64; 4] = [0, 10, 100, 1_000];
+const ROUNDS: u64 = 20_000;
+const TENANTS: u64 = 4;
+
+struct Bench {
+    pool: Pool,
+    made: u64,
+    entry: name::Entry,
+    tenants: Vec<name::Tenant>,
+    running: Option<Handle>,
+}
+
+impl Bench {
+    fn open() -> Self {
+        let conf = Conf {
+            connections: 15,
+            slots: 1,
+            warm: 4,
+            idle: Duration::from_secs(60),
+            transaction_idle: Duration::from_secs(10),
+        };
+        let tenant = |it| name::Tenant::new(&format!("t{it}")).expect("a valid name");
+        let mut bench = Self {
+            pool: Pool::open(conf, 1),
+            made: 0,
+            entry: name::Entry::new("pay").expect("a valid name"),
+            tenants: (0..TENANTS).map(tenant).collect(),
+            running: None,
+        };
+        for action in bench.pool.step(Instant::ZERO, Event::Tick) {
+            if let Action::Open(generation) = action {
+                bench.pool.step(Instant::ZERO, Event::Opened(generation));
+            }
+        }
+        bench
+    }
+
+    fn submit(&mut self, now: Instant) {
+        self.made += 1;
+        let request = Request {
+            ticket: Ticket(self.made),
+            entry: self.entry.clone(),
+            limits: Limits {
+                connections: 15,
+                queue: 10_000,
+            },
+            tenant: self.tenants[(self.made % TENANTS) as usize].clone(),
+            weight: NonZeroU32::MIN,
+            priority: Priority::Normal,
+            deadline: now + Duration::from_secs(100),
+        };
+        let actions = self.pool.step(now, Event::Submit(request));
+        self.take(&actions);
+    }
+
+    fn answer(&mut self, now: Instant) {
+        let Some(handle) = self.running.take() else {
+            return;
+        };
+        let actions = self.pool.step(now, Event::Answered(handle, After::Idle));
+        self.take(&actions);
+    }
+
+    fn take(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Run(_, handle) = action {
+                self.running = Some(*handle);
+            }
+        }
+    }
+}
+
+fn main() {
+    for length in LENGTHS {
+        let mut bench = Bench::open();
+        let mut now = Instant::ZERO;
+        for _ in 0..length + u64::from(length > 0) {
+            bench.submit(now);
+        }
+        let began = std::time::Instant::now();
+        for _ in 0..ROUNDS {
+            now = now + Duration::from_micros(2_500);
+            bench.submit(now);
+            black_box(bench.pool.wake(now));
+            now = now + Duration::from_micros(2_500);
+            bench.answer(now);
+            black_box(bench.pool.wake(now));
+        }
+        let nanos = began.elapsed().as_nanos() / u128::from(ROUNDS);
+        println!(
+            "waiting {length}: {nanos} ns per request; {} wait at the end",
+            bench.pool.waiting()
+        );
+    }
+}
--- a/crates/pool/examples/load/main.rs
+++ b/crates/pool/examples/load/main.rs
@@ -36,14 +36,15 @@
     for (kind, tally) in KINDS.iter().zip(&report.kinds) {
         let share = |count: u64| count as f64 / tally.asked.max(1) as f64;
         println!(
-            "  {:<6} asked {:>6}  in time {:.4}  at first {:.4}  refused {:>6}  cut {:>5}  mean refusal after {:.1} ms",
+            "  {:<6} asked {:>6}  in time {:.4}  at first {:.4}  refused {:>6}  cut {:>5}  refusal after mean {:.1} ms, p99 {:.1} ms",
             format!("{:?}", kind.priority),
             tally.asked,
             share(tally.done),
             share(tally.first),
-            tally.refused,
+            tally.refusals.len(),
             tally.cut,
-            tally.refusal_wait as f64 / 1_000.0 / tally.refused.max(1) as f64,
+            tally.mean_refusal() as f64 / 1_000.0,
+            tally.p99_refusal() as f64 / 1_000.0,
         );
     }
 }
--- a/crates/pool/examples/load/sim.rs
+++ b/crates/pool/examples/load/sim.rs
@@ -64,7 +64,7 @@
 }
 
 /// What became of the requests of one kind.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Tally {
     /// First attempts made while measuring.
     pub(crate) asked: u64,
@@ -72,13 +72,25 @@
     pub(crate) done: u64,
     /// Requests done in time on the first attempt.
     pub(crate) first: u64,
-    /// Attempts refused as not run.
-    pub(crate) refused: u64,
+    /// Waits between the arrival and the refusal of the attempts refused as
+    /// not run, in microseconds.
+    pub(crate) refusals: Vec<u64>,
     /// Attempts cut by their deadline after they were sent.
     pub(crate) cut: u64,
-    /// Sum of the waits between an attempt's arrival and its refusal, in
-    /// microseconds.
-    pub(crate) refusal_wait: u64,
+}
+
+impl Tally {
+    /// The mean wait before a refusal, in microseconds.
+    pub(crate) fn mean_refusal(&self) -> u64 {
+        self.refusals.iter().sum::<u64>() / (self.refusals.len() as u64).max(1)
+    }
+
+    /// The wait that 99 of a hundred refusals do not exceed, in microseconds.
+    pub(crate) fn p99_refusal(&self) -> u64 {
+        let mut waits = self.refusals.clone();
+        waits.sort_unstable();
+        waits.get(waits.len() * 99 / 100).copied().unwrap_or(0)
+    }
 }
 
 /// A run's result.
@@ -324,8 +336,9 @@
                 };
                 if self.measuring() {
                     let tally = &mut self.report.kinds[asked.kind];
-                    tally.refused += 1;
-                    tally.refusal_wait += self.now.since(asked.came).as_micros() as u64;
+                    tally
+                        .refusals
+                        .push(self.now.since(asked.came).as_micros() as u64);
                 }
                 self.retry(asked, retry_after);
             }
--- a/crates/pool/tests/overload.rs
+++ b/crates/pool/tests/overload.rs
@@ -18,6 +18,6 @@
         "{} of {peak}",
         storm.done()
     );
-    assert_eq!((storm.kinds[0].refused, storm.kinds[0].cut), (0, 0));
+    assert_eq!((storm.kinds[0].refusals.len(), storm.kinds[0].cut), (0, 0));
     assert!(storm.connections <= 15);
 }
