pool: refuse on arrival, walk the queue rarely, name no moment twice

Cause: admission counted only the work that waited already. What came later and went first (higher priorities, lighter tenants) pushed a request back until most of its time was over. Each step walked the whole queue several times with a lookup by name per request. wake() left out moments between the last step and the question, so one could be missed for a second.

Change: demand keeps the admitted work per priority and tenant; a request is let in only if half of its time suffices at the speed that is left for it. The queue keeps its work as sums, adds up the shorter side of a place, and is walked at most each ms, at least each 20 ms. With none waiting a request goes straight to its connection. wake() names what no step has seen.

Low at 5 times capacity gets nothing, as strict priority says, and is told at once.

--- a/crates/pool/examples/cost.rs
+++ b/crates/pool/examples/cost.rs
@@ -15,7 +15,9 @@
 };
 
 const LENGTHS: [u64; 4] = [0, 10, 100, 1_000];
-const ROUNDS: u64 = 20_000;
+const ROUNDS: u64 = 4_000;
+/// The best of this many is printed: other processes only make it slower.
+const TRIES: u32 = 9;
 const TENANTS: u64 = 4;
 
 struct Bench {
@@ -93,19 +95,27 @@
         for _ in 0..length + u64::from(length > 0) {
             bench.submit(now);
         }
-        let began = std::time::Instant::now();
-        for _ in 0..ROUNDS {
-            now = now + Duration::from_micros(2_500);
-            bench.submit(now);
-            black_box(bench.pool.wake(now));
-            now = now + Duration::from_micros(2_500);
-            bench.answer(now);
-            black_box(bench.pool.wake(now));
+        let mut best = u128::MAX;
+        for _ in 0..TRIES {
+            best = best.min(round(&mut bench, &mut now));
         }
-        let nanos = began.elapsed().as_nanos() / u128::from(ROUNDS);
         println!(
-            "waiting {length}: {nanos} ns per request; {} wait at the end",
+            "waiting {length}: {best} ns per request; {} wait at the end",
             bench.pool.waiting()
         );
     }
 }
+
+/// Nanoseconds per request.
+fn round(bench: &mut Bench, now: &mut Instant) -> u128 {
+    let began = std::time::Instant::now();
+    for _ in 0..ROUNDS {
+        *now = *now + Duration::from_micros(2_500);
+        bench.submit(*now);
+        black_box(bench.pool.wake(*now));
+        *now = *now + Duration::from_micros(2_500);
+        bench.answer(*now);
+        black_box(bench.pool.wake(*now));
+    }
+    began.elapsed().as_nanos() / u128::from(ROUNDS)
+}
--- a/crates/pool/examples/load/main.rs
+++ b/crates/pool/examples/load/main.rs
@@ -27,16 +27,16 @@
 
 fn print(load: f64, report: &Report, peak: u64) {
     println!(
-        "load {load}: goodput {:.1}/s, {:.3} of peak; low by tenant {:?}; connections {}",
+        "load {load}: goodput {:.1}/s, {:.3} of peak; connections {}",
         report.done() as f64 / SECONDS as f64,
         report.done() as f64 / peak as f64,
-        report.tenants,
         report.connections,
     );
-    for (kind, tally) in KINDS.iter().zip(&report.kinds) {
+    let kinds = KINDS.iter().zip(&report.kinds).zip(&report.tenants);
+    for ((kind, tally), tenants) in kinds {
         let share = |count: u64| count as f64 / tally.asked.max(1) as f64;
         println!(
-            "  {:<6} asked {:>6}  in time {:.4}  at first {:.4}  refused {:>6}  cut {:>5}  refusal after mean {:.1} ms, p99 {:.1} ms",
+            "  {:<6} asked {:>6}  in time {:.4}  at first {:.4}  refused {:>6}  cut {:>5}  refusal after mean {:.1} ms, p99 {:.1} ms; by tenant {:?}",
             format!("{:?}", kind.priority),
             tally.asked,
             share(tally.done),
@@ -45,6 +45,7 @@
             tally.cut,
             tally.mean_refusal() as f64 / 1_000.0,
             tally.p99_refusal() as f64 / 1_000.0,
+            tenants,
         );
     }
 }
--- a/crates/pool/examples/load/sim.rs
+++ b/crates/pool/examples/load/sim.rs
@@ -97,8 +97,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Report {
     pub(crate) kinds: [Tally; 3],
-    /// Requests done in time for each tenant, of the lowest priority.
-    pub(crate) tenants: [u64; 4],
+    /// Requests done in time of each kind for each tenant.
+    pub(crate) tenants: [[u64; 4]; 3],
     /// The most connections open at once.
     pub(crate) connections: usize,
 }
@@ -409,9 +409,7 @@
             tally.done += u64::from(!late);
             tally.first += u64::from(!late && asked.attempt == 1);
             tally.cut += u64::from(late);
-            if !late && asked.kind == 2 {
-                self.report.tenants[asked.tenant] += 1;
-            }
+            self.report.tenants[asked.kind][asked.tenant] += u64::from(!late);
         }
         if late {
             self.retry(asked, Duration::ZERO);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod breaker;
 pub mod budget;
 pub mod conn;
+pub mod demand;
 pub mod estimate;
 pub mod holder;
 pub mod lease;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -7,14 +7,18 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    breaker::{Breaker, Permit},
+    breaker::Breaker,
     conn::{Generation, Handle, State, Table, Within},
+    demand::Demand,
     estimate::Estimate,
     queue::Queue,
 };
 
+mod admit;
 mod pace;
+mod serve;
 
+use admit::Review;
 use pace::Pace;
 
 /// A request at this pool; the caller of the pool chooses it, once each.
@@ -139,6 +143,8 @@
 struct Active {
     request: Request,
     generation: Generation,
+    /// The time that its statement was expected to take.
+    cost: Duration,
 }
 
 /// The connections and the queue of one upstream at the instance that holds it.
@@ -153,6 +159,9 @@
     estimates: HashMap<name::Entry, Estimate>,
     breaker: Breaker,
     pace: Pace,
+    demand: Demand,
+    review: Review,
+    stepped: Instant,
 }
 
 impl Pool {
@@ -168,12 +177,16 @@
             estimates: HashMap::new(),
             breaker: Breaker::default(),
             pace: Pace::default(),
+            demand: Demand::default(),
+            review: Review::default(),
+            stepped: Instant::ZERO,
         }
     }
 
     /// Decides what to do about `event`.
     pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.stepped = now;
         match event {
             Event::Submit(request) => self.submit(now, request, &mut actions),
             Event::Next(ticket, deadline) => self.next(now, ticket, deadline, &mut actions),
@@ -217,17 +230,18 @@
     /// When a request that came now would be through, for the choice between
     /// holders and replicas.
     pub fn expected(&self, now: Instant, entry: &name::Entry) -> Duration {
-        let waiting = self.queue.iter().map(|it| self.mean(now, &it.entry));
-        let ahead = waiting.sum::<Duration>() + self.remaining(now);
-        ahead / u32::from(self.conf.slots.max(1)) + self.mean(now, entry)
+        let ahead = self.queue.work() + self.remaining();
+        ahead / self.slots() + self.mean(now, entry)
     }
 
-    /// The next moment at which [`Event::Tick`] may change anything.
+    /// The next moment at which [`Event::Tick`] may change anything, `now` if
+    /// it has just passed.
+    ///
+    /// Moments that a step has seen are not named again: one that changes
+    /// nothing would make the caller step in a loop. Those that passed since
+    /// the last step are: left out, they would be missed altogether.
     pub fn wake(&self, now: Instant) -> Option<Instant> {
-        let waits = self.queue.iter().flat_map(|it| {
-            let doomed = it.deadline - self.tail(now, &it.entry);
-            [doomed, it.deadline]
-        });
+        let waits = (!self.queue.is_empty()).then(|| self.review.due());
         let spare = self.conns.len() > usize::from(self.conf.warm);
         let ends = self.conns.iter().filter_map(|(_, conn)| match conn.state {
             State::Opening => None,
@@ -235,209 +249,9 @@
             State::Busy { ticket, .. } => Some(self.active.get(&ticket)?.request.deadline),
             State::Held { since, .. } => Some(since + self.conf.transaction_idle),
         });
-        let moments = waits.chain(ends).chain(self.breaker.opens_at());
-        moments.filter(|&at| at > now).min()
-    }
-
-    fn submit(&mut self, now: Instant, request: Request, actions: &mut Vec<Action>) {
-        let refusal = self.refusal(now, &request);
-        if let Some((cause, retry_after)) = refusal {
-            actions.push(Action::Refuse {
-                ticket: request.ticket,
-                cause,
-                retry_after,
-            });
-            return;
-        }
-        let cost = self.mean(now, &request.entry);
-        self.queue.push(request, cost);
-    }
-
-    fn refusal(&mut self, now: Instant, request: &Request) -> Option<(Cause, Duration)> {
-        if self.service == Service::Leaving || self.conf.connections == 0 {
-            return Some((Cause::NoUpstream, Duration::ZERO));
-        }
-        if let Some(at) = self.breaker.opens_at() {
-            return Some((Cause::NoUpstream, at.since(now)));
-        }
-        if now >= request.deadline {
-            return Some((Cause::Deadline, Duration::ZERO));
-        }
-        if self.queue.length(&request.entry) >= request.limits.queue {
-            return Some((Cause::Overload, self.retry_after(now, request)));
-        }
-        None
-    }
-
-    /// Refuses what can no longer end in time, as soon as that is seen.
-    ///
-    /// The queue is walked in the order it will run, so a request that is put
-    /// behind by one of a higher priority is told at once.
-    fn shed(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.queue.is_empty() {
-            return;
-        }
-        if self.service == Service::Leaving || !self.breaker.is_closed() {
-            self.refuse_all(now, actions);
-            return;
-        }
-        let slots = u32::from(self.conf.slots.max(1));
-        let mut ahead = self.remaining(now);
-        let mut doomed = Vec::new();
-        for request in self.queue.iter() {
-            let tail = self.tail(now, &request.entry);
-            let room = request.deadline.since(now);
-            // With nothing ahead the request runs even if the estimate speaks
-            // against it: only running something can correct an estimate.
-            if ahead.is_zero() && !room.is_zero() {
-                ahead += self.mean(now, &request.entry);
-            } else if tail > room {
-                doomed.push((request.ticket, Cause::Deadline));
-            } else if ahead / slots + tail > room {
-                doomed.push((request.ticket, Cause::Overload));
-            } else {
-                ahead += self.mean(now, &request.entry);
-            }
-        }
-        for (ticket, cause) in doomed {
-            self.refuse(now, ticket, cause, actions);
-        }
-    }
-
-    fn refuse_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let retry_after = self.breaker.opens_at().unwrap_or(now).since(now);
-        let tickets: Vec<_> = self.queue.iter().map(|it| it.ticket).collect();
-        for ticket in tickets {
-            self.queue.withdraw(ticket, Duration::ZERO);
-            actions.push(Action::Refuse {
-                ticket,
-                cause: Cause::NoUpstream,
-                retry_after,
-            });
-        }
-    }
-
-    fn refuse(&mut self, now: Instant, ticket: Ticket, cause: Cause, actions: &mut Vec<Action>) {
-        let Some(cost) = self
-            .queue
-            .iter()
-            .find(|it| it.ticket == ticket)
-            .map(|it| self.mean(now, &it.entry))
-        else {
-            return;
-        };
-        let Some(request) = self.queue.withdraw(ticket, cost) else {
-            return;
-        };
-        let retry_after = self.retry_after(now, &request);
-        actions.push(Action::Refuse {
-            ticket,
-            cause,
-            retry_after,
-        });
-    }
-
-    fn retry_after(&mut self, now: Instant, request: &Request) -> Duration {
-        let waiting = self.queue.iter().map(|it| self.mean(now, &it.entry));
-        let backlog = waiting.sum::<Duration>() + self.remaining(now);
-        let slots = u32::from(self.conf.slots.max(1));
-        let cost = self.mean(now, &request.entry) / slots;
-        self.pace.next(now, request.priority, backlog / slots, cost)
-    }
-
-    fn dispatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let slots = usize::from(self.conf.slots);
-        while self.running() < slots {
-            let Some(ticket) = self.runnable() else {
-                return;
-            };
-            let Some(generation) = self.conns.idle() else {
-                self.grow(now, actions);
-                return;
-            };
-            let Some(request) = self.queue.take(ticket) else {
-                return;
-            };
-            let Some(handle) = self.conns.start(now, generation, ticket, Within::First) else {
-                return;
-            };
-            *self.in_use.entry(request.entry.clone()).or_insert(0) += 1;
-            self.active.insert(
-                ticket,
-                Active {
-                    request,
-                    generation,
-                },
-            );
-            actions.push(Action::Run(ticket, handle));
-        }
-    }
-
-    /// The next request whose entry has a connection left.
-    fn runnable(&self) -> Option<Ticket> {
-        let free = |it: &&Request| {
-            self.in_use.get(&it.entry).copied().unwrap_or(0) < it.limits.connections
-        };
-        self.queue.iter().find(free).map(|it| it.ticket)
-    }
-
-    /// Opens a connection for each request that could run now but for it.
-    fn grow(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let opening = self.conns.count(|state| *state == State::Opening);
-        let free = usize::from(self.conf.slots).saturating_sub(self.running());
-        let wanted = self.queue.len().min(free);
-        for _ in opening..wanted {
-            self.open_one(now, actions);
-        }
-    }
-
-    fn open_one(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.conns.len() >= usize::from(self.conf.connections) {
-            return;
-        }
-        if let Permit::Wait(_) = self.breaker.permit(now) {
-            return;
-        }
-        actions.push(Action::Open(self.conns.open()));
-    }
-
-    /// Keeps the warm connections open; after a failure one of them is the
-    /// breaker's probe.
-    fn warm(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.service == Service::Leaving {
-            return;
-        }
-        if !self.breaker.is_closed() {
-            self.open_one(now, actions);
-            return;
-        }
-        let warm = usize::from(self.conf.warm.min(self.conf.connections));
-        for _ in self.conns.len()..warm {
-            self.open_one(now, actions);
-        }
-    }
-
-    /// Closes idle connections that are too many, too old or not wanted.
-    fn trim(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut idle: Vec<_> = self
-            .conns
-            .iter()
-            .filter_map(|(generation, conn)| match conn.state {
-                State::Idle { since } => Some((since, generation)),
-                _ => None,
-            })
-            .collect();
-        idle.sort_unstable();
-        for (since, generation) in idle {
-            let held = self.conns.len();
-            let leaving = self.service == Service::Leaving;
-            let beyond = held > usize::from(self.conf.connections);
-            let aged = held > usize::from(self.conf.warm) && now >= since + self.conf.idle;
-            if leaving || beyond || aged {
-                self.conns.remove(generation);
-                actions.push(Action::Close(generation));
-            }
-        }
+        let moments = waits.into_iter().chain(ends).chain(self.breaker.opens_at());
+        let next = moments.filter(|&at| at > self.stepped).min();
+        next.map(|at| at.max(now))
     }
 
     fn next(&mut self, now: Instant, ticket: Ticket, deadline: Instant, actions: &mut Vec<Action>) {
@@ -467,7 +281,7 @@
     }
 
     fn withdraw(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
-        if self.queue.withdraw(ticket, Duration::ZERO).is_some() {
+        if self.queue.withdraw(ticket).is_some() {
             return;
         }
         self.discard(now, ticket, actions);
@@ -571,15 +385,7 @@
                 actions.push(Action::Broke(ticket, Cause::ConnectionLost));
             }
         }
-        let waiting: Vec<_> = self.queue.iter().map(|it| it.ticket).collect();
-        for ticket in waiting {
-            self.queue.withdraw(ticket, Duration::ZERO);
-            actions.push(Action::Refuse {
-                ticket,
-                cause: Cause::NoUpstream,
-                retry_after: Duration::ZERO,
-            });
-        }
+        self.refuse_each(Duration::ZERO, actions);
     }
 
     /// Takes back connections whose owners left them: the instance that
@@ -623,11 +429,16 @@
     }
 
     /// The work left of what is in flight: half of each on average.
-    fn remaining(&self, now: Instant) -> Duration {
+    fn remaining(&self) -> Duration {
         let busy = self.conns.iter().filter_map(|(_, conn)| match conn.state {
-            State::Busy { ticket, .. } => Some(self.active.get(&ticket)?.request.entry.clone()),
+            State::Busy { ticket, .. } => Some(self.active.get(&ticket)?.cost / 2),
             _ => None,
         });
-        busy.map(|entry| self.mean(now, &entry) / 2).sum()
+        busy.sum()
+    }
+
+    /// The slots as a divisor.
+    fn slots(&self) -> u32 {
+        u32::from(self.conf.slots.max(1))
     }
 }
--- /dev/null
+++ b/crates/pool/src/pool/admit.rs
@@ -0,0 +1,278 @@
+//! Who may wait, and who is told at once that there is no use in it.
+
+use std::time::Duration;
+
+use clock::Instant;
+use model::{Cause, name};
+
+use super::{Action, Pool, Request, Service, Ticket};
+use crate::queue::Place;
+
+/// How much of its time a request may be expected to wait to be let in, in
+/// hundredths. The rest is for statements that take longer than expected:
+/// without it half of those let in last are refused later.
+const ADMITTED: u32 = 50;
+/// The part of the slots that any priority is taken to get, in hundredths:
+/// demand is an estimate and must not say "never".
+const LEAST: f64 = 0.01;
+/// How long the queue is left alone after it was walked. Refusals come later
+/// by that much, and a long queue under a flood costs a bounded share of a
+/// core.
+pub(super) const REST: Duration = Duration::from_millis(1);
+/// How long the queue may be left alone at most: estimates change.
+const REVIEW: Duration = Duration::from_millis(20);
+
+/// When the waiting requests are looked at again.
+#[derive(Debug, Default)]
+pub(super) struct Review {
+    walked: Instant,
+    due: Instant,
+}
+
+impl Review {
+    /// A request with `slack` left came in.
+    fn join(&mut self, now: Instant, slack: Duration) {
+        self.due = self.due.min(now + slack);
+    }
+
+    /// Those behind a place wait longer by `span`.
+    fn delay(&mut self, span: Duration) {
+        self.due = self.due - span;
+    }
+
+    /// When to walk the queue.
+    pub(super) fn due(&self) -> Instant {
+        self.due.max(self.walked + REST)
+    }
+
+    fn walked(&mut self, now: Instant, slack: Duration) {
+        self.walked = now;
+        self.due = now + slack.min(REVIEW);
+    }
+}
+
+/// The expected times of the entries met in one walk.
+#[derive(Default)]
+struct Spans {
+    known: Vec<(name::Entry, Span)>,
+}
+
+#[derive(Clone, Copy)]
+struct Span {
+    mean: Duration,
+    tail: Duration,
+}
+
+impl Spans {
+    fn find(&mut self, pool: &Pool, now: Instant, entry: &name::Entry) -> Span {
+        if let Some((_, span)) = self.known.iter().find(|(known, _)| known == entry) {
+            return *span;
+        }
+        let span = Span {
+            mean: pool.mean(now, entry),
+            tail: pool.tail(now, entry),
+        };
+        self.known.push((entry.clone(), span));
+        span
+    }
+}
+
+impl Pool {
+    pub(super) fn submit(&mut self, now: Instant, request: Request, actions: &mut Vec<Action>) {
+        let place = self.queue.place(&request);
+        let refusal = self
+            .refusal(now, &request)
+            .or_else(|| self.hopeless(now, &request, place));
+        if let Some((cause, retry_after)) = refusal {
+            actions.push(Action::Refuse {
+                ticket: request.ticket,
+                cause,
+                retry_after,
+            });
+            return;
+        }
+        let cost = self.mean(now, &request.entry);
+        self.demand
+            .add(now, request.priority, &request.tenant, cost);
+        if self.queue.is_empty() {
+            if let Some(generation) = self.free(&request) {
+                self.queue.pass(&request, cost);
+                self.start(now, request, generation, cost, actions);
+                return;
+            }
+            self.review.walked(now, REVIEW);
+        } else if !self.queue.is_last(place) {
+            self.review.delay(cost / self.slots());
+        }
+        let slack = self.slack(now, &request, place);
+        self.review.join(now, slack);
+        self.queue.push(request, cost);
+    }
+
+    fn refusal(&mut self, now: Instant, request: &Request) -> Option<(Cause, Duration)> {
+        if self.service == Service::Leaving || self.conf.connections == 0 {
+            return Some((Cause::NoUpstream, Duration::ZERO));
+        }
+        if let Some(at) = self.breaker.opens_at() {
+            return Some((Cause::NoUpstream, at.since(now)));
+        }
+        if now >= request.deadline {
+            return Some((Cause::Deadline, Duration::ZERO));
+        }
+        if self.queue.length(&request.entry) >= request.limits.queue {
+            return Some((Cause::Overload, self.retry_after(now, request)));
+        }
+        None
+    }
+
+    /// Whether a request can't expect to end in time.
+    ///
+    /// It is told now. Let in by its place alone, it would be pushed back by
+    /// what comes after it and goes before it, and be refused when most of its
+    /// time is over; a caller told at once can still go elsewhere.
+    fn hopeless(
+        &mut self,
+        now: Instant,
+        request: &Request,
+        place: Place,
+    ) -> Option<(Cause, Duration)> {
+        let ahead = self.remaining() + self.queue.ahead(place);
+        // With nothing ahead the request runs even if the estimate speaks
+        // against it: only running something can correct an estimate.
+        if ahead.is_zero() {
+            return None;
+        }
+        let room = request.deadline.since(now);
+        let tail = self.tail(now, &request.entry);
+        if tail > room {
+            return Some((Cause::Deadline, self.retry_after(now, request)));
+        }
+        if self.queue.is_empty() && self.running() < usize::from(self.conf.slots) {
+            return None;
+        }
+        let wait = ahead.as_secs_f64() / self.speed(now, request, place);
+        let patience = (room - tail) * ADMITTED / 100;
+        if wait <= patience.as_secs_f64() {
+            return None;
+        }
+        Some((Cause::Overload, self.retry_after(now, request)))
+    }
+
+    /// How many slots work off what is ahead of a place, net of what will come
+    /// later and go first.
+    fn speed(&self, now: Instant, request: &Request, place: Place) -> f64 {
+        let slots = f64::from(self.slots());
+        let higher = self.demand.before(now, request.priority);
+        let free = slots - higher - self.overtaking(now, request, place);
+        free.max(slots * LEAST)
+    }
+
+    /// How many slots the tenants occupy that would overtake the request.
+    fn overtaking(&self, now: Instant, request: &Request, place: Place) -> f64 {
+        if !self.queue.is_overtaken(place) {
+            return 0.0;
+        }
+        let priority = request.priority;
+        let own = self.demand.of_tenant(now, priority, &request.tenant);
+        let behind = self
+            .queue
+            .behind(place)
+            .filter(|tenant| **tenant != request.tenant)
+            .map(|tenant| self.demand.of_tenant(now, priority, tenant));
+        self.demand.of(now, priority) - own - behind.sum::<f64>()
+    }
+
+    /// How much longer a request could wait than its place says.
+    fn slack(&self, now: Instant, request: &Request, place: Place) -> Duration {
+        let ahead = self.remaining() + self.queue.ahead(place);
+        let needed = ahead / self.slots() + self.tail(now, &request.entry);
+        request.deadline.since(now).saturating_sub(needed)
+    }
+
+    /// Refuses what can no longer end in time, as soon as that is seen.
+    ///
+    /// The queue is walked in the order it will run, so a request that is put
+    /// behind by one of a higher priority is told at once.
+    pub(super) fn shed(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        if self.service == Service::Leaving || !self.breaker.is_closed() {
+            self.refuse_all(now, actions);
+            return;
+        }
+        if now < self.review.due() {
+            return;
+        }
+        for (ticket, cause) in self.doomed(now) {
+            self.refuse(now, ticket, cause, actions);
+        }
+    }
+
+    /// Walks the queue: those that can no longer end in time.
+    fn doomed(&mut self, now: Instant) -> Vec<(Ticket, Cause)> {
+        let mut spans = Spans::default();
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.refresh(|entry| spans.find(self, now, entry).mean);
+        self.queue = queue;
+        let slots = self.slots();
+        let mut ahead = self.remaining();
+        let mut least = REVIEW;
+        let mut doomed = Vec::new();
+        for waiting in self.queue.iter() {
+            let request = &waiting.request;
+            let tail = spans.find(self, now, &request.entry).tail;
+            let room = request.deadline.since(now);
+            let needed = ahead / slots + tail;
+            // With nothing ahead it runs, as on arrival.
+            if ahead.is_zero() && !room.is_zero() {
+                ahead += waiting.cost;
+            } else if tail > room {
+                doomed.push((request.ticket, Cause::Deadline));
+            } else if needed > room {
+                doomed.push((request.ticket, Cause::Overload));
+            } else {
+                least = least.min(room - needed);
+                ahead += waiting.cost;
+            }
+        }
+        self.review.walked(now, least);
+        doomed
+    }
+
+    fn refuse_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let retry_after = self.breaker.opens_at().unwrap_or(now).since(now);
+        self.refuse_each(retry_after, actions);
+    }
+
+    /// Refuses all that wait, because there is no upstream for them.
+    pub(super) fn refuse_each(&mut self, retry_after: Duration, actions: &mut Vec<Action>) {
+        let waiting: Vec<_> = self.queue.iter().map(|it| it.request.ticket).collect();
+        for ticket in waiting {
+            self.queue.withdraw(ticket);
+            actions.push(Action::Refuse {
+                ticket,
+                cause: Cause::NoUpstream,
+                retry_after,
+            });
+        }
+    }
+
+    fn refuse(&mut self, now: Instant, ticket: Ticket, cause: Cause, actions: &mut Vec<Action>) {
+        let Some(request) = self.queue.withdraw(ticket) else {
+            return;
+        };
+        let retry_after = self.retry_after(now, &request);
+        actions.push(Action::Refuse {
+            ticket,
+            cause,
+            retry_after,
+        });
+    }
+
+    fn retry_after(&mut self, now: Instant, request: &Request) -> Duration {
+        let backlog = (self.queue.work() + self.remaining()) / self.slots();
+        let cost = self.mean(now, &request.entry) / self.slots();
+        self.pace.next(now, request.priority, backlog, cost)
+    }
+}
--- /dev/null
+++ b/crates/pool/src/pool/serve.rs
@@ -0,0 +1,141 @@
+//! What runs next, and on which connection.
+
+use std::time::Duration;
+
+use clock::Instant;
+
+use super::{Action, Active, Pool, Request, Service, Ticket};
+use crate::{
+    breaker::Permit,
+    conn::{Generation, State, Within},
+};
+
+impl Pool {
+    pub(super) fn dispatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let slots = usize::from(self.conf.slots);
+        while self.running() < slots {
+            let Some(ticket) = self.runnable() else {
+                return;
+            };
+            let Some(generation) = self.conns.idle() else {
+                self.grow(now, actions);
+                return;
+            };
+            let Some(request) = self.queue.take(ticket) else {
+                return;
+            };
+            let cost = self.mean(now, &request.entry);
+            self.start(now, request, generation, cost, actions);
+        }
+    }
+
+    /// The connection on which a request can run without waiting.
+    pub(super) fn free(&self, request: &Request) -> Option<Generation> {
+        let slot = self.running() < usize::from(self.conf.slots);
+        (slot && self.has_connection(request)).then(|| self.conns.idle())?
+    }
+
+    /// Hands a request its connection.
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        request: Request,
+        generation: Generation,
+        cost: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let ticket = request.ticket;
+        let Some(handle) = self.conns.start(now, generation, ticket, Within::First) else {
+            return;
+        };
+        match self.in_use.get_mut(&request.entry) {
+            Some(count) => *count += 1,
+            None => {
+                self.in_use.insert(request.entry.clone(), 1);
+            }
+        }
+        let active = Active {
+            request,
+            generation,
+            cost,
+        };
+        self.active.insert(ticket, active);
+        actions.push(Action::Run(ticket, handle));
+    }
+
+    /// Whether the request's entry has a connection left.
+    fn has_connection(&self, request: &Request) -> bool {
+        let used = self.in_use.get(&request.entry).copied().unwrap_or(0);
+        used < request.limits.connections
+    }
+
+    /// The next request whose entry has a connection left.
+    fn runnable(&self) -> Option<Ticket> {
+        let mut waiting = self.queue.iter().map(|it| &it.request);
+        waiting
+            .find(|it| self.has_connection(it))
+            .map(|it| it.ticket)
+    }
+
+    /// Opens a connection for each request that could run now but for it.
+    fn grow(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let opening = self.conns.count(|state| *state == State::Opening);
+        let free = usize::from(self.conf.slots).saturating_sub(self.running());
+        let wanted = self.queue.len().min(free);
+        for _ in opening..wanted {
+            self.open_one(now, actions);
+        }
+    }
+
+    fn open_one(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.conns.len() >= usize::from(self.conf.connections) {
+            return;
+        }
+        if let Permit::Wait(_) = self.breaker.permit(now) {
+            return;
+        }
+        actions.push(Action::Open(self.conns.open()));
+    }
+
+    /// Keeps the warm connections open; after a failure one of them is the
+    /// breaker's probe.
+    pub(super) fn warm(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.service == Service::Leaving {
+            return;
+        }
+        if !self.breaker.is_closed() {
+            self.open_one(now, actions);
+            return;
+        }
+        let warm = usize::from(self.conf.warm.min(self.conf.connections));
+        for _ in self.conns.len()..warm {
+            self.open_one(now, actions);
+        }
+    }
+
+    /// Closes idle connections that are too many, too old or not wanted.
+    pub(super) fn trim(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let leaving = self.service == Service::Leaving;
+        let ends = |since: Instant| leaving || now >= since + self.conf.idle;
+        let crowded = self.conns.len() > usize::from(self.conf.connections);
+        // Most steps find nothing to close and take no memory for it.
+        let mut idle: Vec<_> = self
+            .conns
+            .iter()
+            .filter_map(|(generation, conn)| match conn.state {
+                State::Idle { since } if crowded || ends(since) => Some((since, generation)),
+                _ => None,
+            })
+            .collect();
+        idle.sort_unstable();
+        for (since, generation) in idle {
+            let held = self.conns.len();
+            let beyond = held > usize::from(self.conf.connections);
+            let aged = held > usize::from(self.conf.warm) && now >= since + self.conf.idle;
+            if leaving || beyond || aged {
+                self.conns.remove(generation);
+                actions.push(Action::Close(generation));
+            }
+        }
+    }
+}
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -14,87 +14,231 @@
 
 use crate::{Request, Ticket};
 
+/// Tenants remembered beyond those that wait before the others are forgotten.
+const REMEMBERED: usize = 64;
+
 /// A request's place: the order of the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Place {
+pub struct Place {
     priority: Priority,
     start: u64,
     ticket: Ticket,
 }
 
+/// A request and the time that it is expected to take.
+#[derive(Debug)]
+pub struct Waiting {
+    /// The request.
+    pub request: Request,
+    /// The time that it is expected to take.
+    pub cost: Duration,
+    /// The virtual time that its tenant was charged.
+    charge: u64,
+}
+
+/// The requests of one priority.
+#[derive(Debug, Default)]
+struct Lane {
+    work: Duration,
+    /// Virtual time.
+    now: u64,
+    ends: HashMap<name::Tenant, u64>,
+}
+
+impl Lane {
+    fn start(&self, tenant: &name::Tenant) -> u64 {
+        self.ends.get(tenant).copied().unwrap_or(0).max(self.now)
+    }
+
+    fn charge(&mut self, tenant: &name::Tenant, end: u64) {
+        match self.ends.get_mut(tenant) {
+            Some(last) => *last = end,
+            None => {
+                self.ends.insert(tenant.clone(), end);
+            }
+        }
+    }
+
+    /// Moves virtual time on to the start of a request that runs.
+    ///
+    /// A tenant whose last end has passed needs no memory: one who comes back
+    /// would start at the virtual time anyway.
+    fn pass(&mut self, start: u64, crowded: usize) {
+        self.now = self.now.max(start);
+        if self.ends.len() > crowded {
+            let now = self.now;
+            self.ends.retain(|_, end| *end > now);
+        }
+    }
+}
+
+/// What a request adds to its tenant's virtual end.
+fn charge(request: &Request, cost: Duration) -> u64 {
+    let micros = u64::try_from(cost.as_micros()).unwrap_or(u64::MAX);
+    micros / u64::from(request.weight.get())
+}
+
 /// The queue of one upstream.
 #[derive(Debug, Default)]
 pub struct Queue {
-    items: BTreeMap<Place, Request>,
+    items: BTreeMap<Place, Waiting>,
     places: HashMap<Ticket, Place>,
     lengths: HashMap<name::Entry, u32>,
-    ends: HashMap<(Priority, name::Tenant), u64>,
-    now: HashMap<Priority, u64>,
+    lanes: BTreeMap<Priority, Lane>,
 }
 
 impl Queue {
+    /// Where a request would wait if it came now.
+    pub fn place(&self, request: &Request) -> Place {
+        let lane = self.lanes.get(&request.priority);
+        Place {
+            priority: request.priority,
+            start: lane.map_or(0, |it| it.start(&request.tenant)),
+            ticket: request.ticket,
+        }
+    }
+
     /// Adds a request that is expected to take `cost`.
     pub fn push(&mut self, request: Request, cost: Duration) {
-        let priority = request.priority;
-        let now = self.now.get(&priority).copied().unwrap_or(0);
-        let end = self
-            .ends
-            .entry((priority, request.tenant.clone()))
-            .or_insert(now);
-        let start = now.max(*end);
-        let micros = u64::try_from(cost.as_micros()).unwrap_or(u64::MAX);
-        *end = start.saturating_add(micros / u64::from(request.weight.get()));
-        let place = Place {
-            priority,
-            start,
-            ticket: request.ticket,
-        };
-        *self.lengths.entry(request.entry.clone()).or_insert(0) += 1;
+        let place = self.place(&request);
+        let charge = charge(&request, cost);
+        let lane = self.lanes.entry(request.priority).or_default();
+        lane.charge(&request.tenant, place.start.saturating_add(charge));
+        lane.work += cost;
+        match self.lengths.get_mut(&request.entry) {
+            Some(length) => *length += 1,
+            None => {
+                self.lengths.insert(request.entry.clone(), 1);
+            }
+        }
         self.places.insert(request.ticket, place);
-        self.items.insert(place, request);
+        let waiting = Waiting {
+            request,
+            cost,
+            charge,
+        };
+        self.items.insert(place, waiting);
+    }
+
+    /// Counts a request that runs at once, with none waiting: its tenant is
+    /// charged as if it had waited.
+    pub fn pass(&mut self, request: &Request, cost: Duration) {
+        let lane = self.lanes.entry(request.priority).or_default();
+        let start = lane.start(&request.tenant);
+        let end = start.saturating_add(charge(request, cost));
+        lane.charge(&request.tenant, end);
+        lane.pass(start, REMEMBERED);
     }
 
     /// The waiting requests, the next to run first.
-    pub fn iter(&self) -> impl Iterator<Item = &Request> {
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
         self.items.values()
     }
 
+    /// The work that waits.
+    pub fn work(&self) -> Duration {
+        self.lanes.values().map(|lane| lane.work).sum()
+    }
+
+    /// The work that would run before a request at `place`.
+    ///
+    /// Of its priority only the shorter side of the place is added up. A flood
+    /// joins at the end of the queue, where a sum from the front would make
+    /// each arrival walk all that wait.
+    pub fn ahead(&self, place: Place) -> Duration {
+        let lanes = self.lanes.range(..place.priority);
+        let higher: Duration = lanes.map(|(_, lane)| lane.work).sum();
+        let own = self
+            .lanes
+            .get(&place.priority)
+            .map_or(Duration::ZERO, |it| it.work);
+        let in_lane = |it: &(&Place, &Waiting)| it.0.priority == place.priority;
+        let mut front = self.items.range(..place).rev().take_while(in_lane);
+        let mut back = self.items.range(place..).take_while(in_lane);
+        let mut before = Duration::ZERO;
+        let mut behind = Duration::ZERO;
+        loop {
+            match front.next() {
+                Some((_, waiting)) => before += waiting.cost,
+                None => return higher + before,
+            }
+            match back.next() {
+                Some((_, waiting)) => behind += waiting.cost,
+                None => return higher + own.saturating_sub(behind),
+            }
+        }
+    }
+
+    /// The tenants of the place's priority whose next request would wait
+    /// behind it. Those of all others would go first if the place lies in the
+    /// future of virtual time, and behind it too if not.
+    pub fn behind(&self, place: Place) -> impl Iterator<Item = &name::Tenant> {
+        let lane = self.lanes.get(&place.priority);
+        let ends = lane.into_iter().flat_map(|it| &it.ends);
+        ends.filter(move |(_, end)| **end >= place.start)
+            .map(|(tenant, _)| tenant)
+    }
+
+    /// Whether requests of tenants that have none waiting would go before it.
+    pub fn is_overtaken(&self, place: Place) -> bool {
+        let lane = self.lanes.get(&place.priority);
+        lane.is_some_and(|it| place.start > it.now)
+    }
+
+    /// Whether nothing of its priority or a lower one waits behind the place.
+    pub fn is_last(&self, place: Place) -> bool {
+        self.items.range(place..).next().is_none()
+    }
+
+    /// Sets the expected time of each waiting request anew.
+    pub fn refresh(&mut self, mut cost: impl FnMut(&name::Entry) -> Duration) {
+        for lane in self.lanes.values_mut() {
+            lane.work = Duration::ZERO;
+        }
+        for (place, waiting) in &mut self.items {
+            waiting.cost = cost(&waiting.request.entry);
+            if let Some(lane) = self.lanes.get_mut(&place.priority) {
+                lane.work += waiting.cost;
+            }
+        }
+    }
+
     /// Takes a request out to run it, which moves virtual time on.
     pub fn take(&mut self, ticket: Ticket) -> Option<Request> {
-        let start = self.places.get(&ticket)?.start;
-        let request = self.remove(ticket)?;
-        let now = self.now.entry(request.priority).or_insert(0);
-        *now = start.max(*now);
-        let (now, priority) = (*now, request.priority);
-        // A tenant whose last end has passed needs no memory: one who comes
-        // back would start at the virtual time anyway.
-        self.ends
-            .retain(|(other, _), end| *other != priority || *end > now);
-        Some(request)
+        let place = *self.places.get(&ticket)?;
+        let waiting = self.remove(ticket)?;
+        let crowded = self.items.len() + REMEMBERED;
+        if let Some(lane) = self.lanes.get_mut(&place.priority) {
+            lane.pass(place.start, crowded);
+        }
+        Some(waiting.request)
     }
 
     /// Takes a request out that will not run, and gives its tenant back the
     /// turn: else refusals would count as service and starve the refused.
-    pub fn withdraw(&mut self, ticket: Ticket, cost: Duration) -> Option<Request> {
-        let request = self.remove(ticket)?;
-        let micros = u64::try_from(cost.as_micros()).unwrap_or(u64::MAX);
-        let key = (request.priority, request.tenant.clone());
-        if let Some(end) = self.ends.get_mut(&key) {
-            *end = end.saturating_sub(micros / u64::from(request.weight.get()));
+    pub fn withdraw(&mut self, ticket: Ticket) -> Option<Request> {
+        let waiting = self.remove(ticket)?;
+        let request = waiting.request;
+        let lane = self.lanes.get_mut(&request.priority)?;
+        if let Some(end) = lane.ends.get_mut(&request.tenant) {
+            *end = end.saturating_sub(waiting.charge);
         }
         Some(request)
     }
 
-    fn remove(&mut self, ticket: Ticket) -> Option<Request> {
+    fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
         let place = self.places.remove(&ticket)?;
-        let request = self.items.remove(&place)?;
-        if let Some(length) = self.lengths.get_mut(&request.entry) {
+        let waiting = self.items.remove(&place)?;
+        if let Some(lane) = self.lanes.get_mut(&place.priority) {
+            lane.work = lane.work.saturating_sub(waiting.cost);
+        }
+        if let Some(length) = self.lengths.get_mut(&waiting.request.entry) {
             *length -= 1;
             if *length == 0 {
-                self.lengths.remove(&request.entry);
+                self.lengths.remove(&waiting.request.entry);
             }
         }
-        Some(request)
+        Some(waiting)
     }
 
     /// How many requests of an entry wait.
--- a/crates/pool/tests/overload.rs
+++ b/crates/pool/tests/overload.rs
@@ -21,3 +21,32 @@
     assert_eq!((storm.kinds[0].refusals.len(), storm.kinds[0].cut), (0, 0));
     assert!(storm.connections <= 15);
 }
+
+/// Symptom: a calendar view is refused 110 ms after it came, when half its
+/// time is over. Events: at full load it is let in by its place in the queue,
+/// payments and lighter tenants come later and go first, until it can't end in
+/// time. Cause: admission counted only what waited already.
+#[test]
+fn refusals_come_on_arrival() {
+    for load in [1.0, 2.0, 5.0] {
+        let report = run(Policy::Pool, load, 10, 1);
+        let low = &report.kinds[2];
+        assert!(low.refusals.len() > 100, "load {load} refuses too little");
+        assert!(low.mean_refusal() < 2_000, "{}", low.mean_refusal());
+        assert!(low.p99_refusal() < 2_000, "{}", low.p99_refusal());
+    }
+}
+
+/// Symptom: one customer's flood takes the calendar from all others. Events:
+/// it sends seven tenths of everything at twice the capacity, and at five
+/// times, where Low gets nothing, it does so to Normal.
+#[test]
+fn tenants_of_a_class_share_what_is_left() {
+    for (load, kind) in [(2.0, 2), (5.0, 1)] {
+        let tenants = run(Policy::Pool, load, 10, 1).tenants[kind];
+        let most = tenants.iter().max().copied().unwrap_or(0);
+        let least = tenants.iter().min().copied().unwrap_or(0);
+        assert!(least > 100, "{tenants:?}");
+        assert!(least * 100 >= most * 90, "{tenants:?}");
+    }
+}
