--- /dev/null
+++ b/crates/daemon/examples/common/mod.rs
@@ -0,0 +1,5 @@
+//! What the examples share; each of them uses a part.
+#![allow(dead_code)]
+
+pub(crate) mod caller;
+pub(crate) mod stage;
--- /dev/null
+++ b/crates/daemon/examples/loopback/latency.rs
@@ -0,0 +1,225 @@
+//! Latency and throughput, directly and through the daemon, in turns.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use tokio::task::spawn_local;
+use tokio_postgres::{Client, Statement};
+
+use crate::common::caller::Caller;
+
+/// Requests of each caller in one turn.
+const REQUESTS: usize = 50;
+
+/// Turns that are not counted: connections are opened and statements prepared.
+const WARM_UP: usize = 4;
+
+/// Digits of a latency that the histogram keeps.
+const DIGITS: u8 = 3;
+
+/// What the callers ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Case {
+    /// A read that accepts data of an age.
+    AgeRead,
+    /// A read of a session that has written before.
+    OwnRead,
+    /// A write; through the daemon a majority holds it before its answer.
+    Write,
+}
+
+impl Case {
+    /// All of them.
+    pub(crate) const ALL: [Self; 3] = [Self::AgeRead, Self::OwnRead, Self::Write];
+
+    /// How tables call it.
+    pub(crate) fn title(self) -> &'static str {
+        match self {
+            Self::AgeRead => "read, at most an age",
+            Self::OwnRead => "read, read-your-writes",
+            Self::Write => "write",
+        }
+    }
+
+    fn entry(self) -> &'static str {
+        match self {
+            Self::AgeRead => "calendar",
+            Self::OwnRead | Self::Write => "slots",
+        }
+    }
+
+    fn sql(self) -> &'static str {
+        match self {
+            Self::AgeRead | Self::OwnRead => "SELECT value FROM kv WHERE key = $1",
+            Self::Write => "UPDATE kv SET value = 'noor' WHERE key = $1",
+        }
+    }
+
+    /// The upstream that a caller asks directly: as through the daemon, writes
+    /// go to the primary and reads may be spread.
+    fn upstream(self, caller: usize, upstreams: &[SocketAddr]) -> SocketAddr {
+        match self {
+            Self::AgeRead | Self::OwnRead => upstreams[caller % upstreams.len()],
+            Self::Write => upstreams[0],
+        }
+    }
+}
+
+/// The figures of one case.
+#[derive(Debug, Serialize)]
+pub(crate) struct Figure {
+    /// The case.
+    pub(crate) case: Case,
+    /// Callers at once.
+    pub(crate) callers: usize,
+    /// Asked directly.
+    pub(crate) direct: Way,
+    /// Asked through the daemon.
+    pub(crate) proxied: Way,
+}
+
+/// The figures of one way.
+#[derive(Debug, Serialize)]
+pub(crate) struct Way {
+    /// Half of the requests took at most this, in microseconds.
+    pub(crate) p50_us: f64,
+    /// 99 of 100 requests took at most this, in microseconds.
+    pub(crate) p99_us: f64,
+    /// Requests in a second.
+    pub(crate) throughput: f64,
+}
+
+/// The callers of one way, and what they have measured.
+struct Side {
+    callers: Vec<Asker>,
+    histogram: Histogram<u64>,
+    took: Duration,
+}
+
+#[derive(Clone)]
+struct Asker {
+    caller: Rc<Caller>,
+    statement: Statement,
+    key: String,
+}
+
+/// Measures a case with `width` callers on each way.
+///
+/// # Errors
+///
+/// Why a caller could not connect, or which request failed.
+pub(crate) async fn measure(
+    case: Case,
+    width: usize,
+    turns: usize,
+    upstreams: &[SocketAddr],
+    daemon: SocketAddr,
+) -> anyhow::Result<Figure> {
+    let upstream = |it| case.upstream(it, upstreams);
+    let mut direct = Side::open(case, width, upstream, upstreams[0]).await?;
+    let mut proxied = Side::open(case, width, |_| daemon, daemon).await?;
+    for turn in 0..WARM_UP + turns {
+        if turn == WARM_UP {
+            direct.forget();
+            proxied.forget();
+        }
+        direct.take_turn().await?;
+        proxied.take_turn().await?;
+    }
+    Ok(Figure {
+        case,
+        callers: width,
+        direct: direct.figures(),
+        proxied: proxied.figures(),
+    })
+}
+
+impl Side {
+    async fn open(
+        case: Case,
+        width: usize,
+        address: impl Fn(usize) -> SocketAddr,
+        writer: SocketAddr,
+    ) -> anyhow::Result<Self> {
+        let mut callers = Vec::new();
+        for index in 0..width {
+            let key = format!("arena-{index}");
+            let own = Caller::open(address(index), case.entry()).await?;
+            if address(index) == writer {
+                seed(&own.client, &key).await?;
+            } else {
+                seed(&Caller::open(writer, case.entry()).await?.client, &key).await?;
+            }
+            callers.push(Asker {
+                statement: own.client.prepare(case.sql()).await?,
+                caller: Rc::new(own),
+                key,
+            });
+        }
+        Ok(Self {
+            callers,
+            histogram: Histogram::new(DIGITS)?,
+            took: Duration::ZERO,
+        })
+    }
+
+    fn forget(&mut self) {
+        self.histogram.reset();
+        self.took = Duration::ZERO;
+    }
+
+    /// Has every caller send its requests, one after the other.
+    async fn take_turn(&mut self) -> anyhow::Result<()> {
+        let began = Instant::now();
+        let tasks: Vec<_> = self
+            .callers
+            .iter()
+            .map(|asker| spawn_local(ask(asker.clone())))
+            .collect();
+        for task in tasks {
+            for nanos in task.await?? {
+                self.histogram.record(nanos)?;
+            }
+        }
+        self.took += began.elapsed();
+        Ok(())
+    }
+
+    fn figures(&self) -> Way {
+        let micros = |quantile| self.histogram.value_at_quantile(quantile) as f64 / 1e3;
+        Way {
+            p50_us: micros(0.5),
+            p99_us: micros(0.99),
+            throughput: self.histogram.len() as f64 / self.took.as_secs_f64(),
+        }
+    }
+}
+
+/// Writes the key that a caller reads, which also gives its session a floor.
+async fn seed(client: &Client, key: &str) -> anyhow::Result<()> {
+    let sql = "INSERT INTO kv (key, value) VALUES ($1, 'mila') ON CONFLICT (key) DO NOTHING";
+    client.execute(sql, &[&key]).await?;
+    Ok(())
+}
+
+async fn ask(asker: Asker) -> anyhow::Result<Vec<u64>> {
+    let mut took = Vec::with_capacity(REQUESTS);
+    for _ in 0..REQUESTS {
+        let began = Instant::now();
+        asker
+            .caller
+            .client
+            .query(&asker.statement, &[&asker.key])
+            .await
+            .context("a request failed")?;
+        took.push(u64::try_from(began.elapsed().as_nanos())?);
+    }
+    Ok(took)
+}
--- /dev/null
+++ b/crates/daemon/examples/quickstart/main.rs
@@ -0,0 +1,73 @@
+//! Dandelionlink in one process: `cargo run --release --example quickstart`.
+//!
+//! A stand-in for the platform's store, three upstreams and two daemons start
+//! on loopback. A session writes through one instance and reads its write
+//! through the other; then the primary crashes and the next write lands. Exits
+//! with 1 if a step fails.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod story;
+
+use argh::FromArgs;
+use signal_hook::{consts::SIGINT, iterator::Signals};
+use tokio::task::LocalSet;
+
+use common::{
+    caller::{PASSWORD, USER},
+    stage::{Conf, Stage, zone},
+};
+
+/// The daemons.
+const DAEMONS: usize = 2;
+
+/// Callers that a daemon takes.
+const CALLERS: usize = 100;
+
+/// Connections of an upstream, as in the brief's larger deployment.
+const CONNECTIONS: usize = 16;
+
+/// Shows a session that moves between two instances, and a change of primary.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// keep listening afterwards, until Ctrl-C
+    #[argh(switch)]
+    stay: bool,
+
+    /// where random choices begin (1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+fn main() -> anyhow::Result<()> {
+    let args: Args = argh::from_env();
+    let mut signals = Signals::new([SIGINT])?;
+    let stage = Stage::open(Conf {
+        daemons: DAEMONS,
+        callers: CALLERS,
+        connections: CONNECTIONS,
+        seed: args.seed,
+    })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, story::tell(&stage))?;
+    if args.stay {
+        println!("\nBoth instances keep listening; Ctrl-C ends them.");
+        print_addresses(&stage);
+        signals.forever().next();
+    }
+    stage.stop();
+    Ok(())
+}
+
+fn print_addresses(stage: &Stage) {
+    for (index, daemon) in stage.daemons.iter().enumerate() {
+        let address = daemon.callers();
+        println!(
+            "  {}: postgres://{USER}:{PASSWORD}@{address}/slots",
+            zone(index)
+        );
+    }
+    println!("They serve one table, kv(key text primary key, value text).");
+}
--- /dev/null
+++ b/crates/daemon/examples/quickstart/story.rs
@@ -0,0 +1,188 @@
+//! The steps, each told as it happens.
+
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, ensure};
+use fake::group::Fault;
+use model::Role;
+use tokio_postgres::error::SqlState;
+
+use super::common::{caller::Caller, stage::Stage};
+
+/// The entry of the catalogue that the session connects to.
+const ENTRY: &str = "slots";
+
+/// The upstream that leads at first.
+const FIRST_PRIMARY: usize = 0;
+
+/// The SQLSTATE of a request that did not run.
+const NOT_RUN: &str = "DL001";
+
+/// The SQLSTATE of a request of which it is not known whether it ran.
+const UNKNOWN: &str = "DL002";
+
+/// How much a replica lags, so that reading one's own write takes care.
+const LAG: Duration = Duration::from_millis(40);
+
+/// How long a booking may take to land.
+const LANDING_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How long the old primary may take to follow the new one.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The pause between two looks or tries.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// Books a key once, however often it is sent.
+const BOOK: &str = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO NOTHING";
+
+/// Reads a booking.
+const READ: &str = "SELECT value FROM kv WHERE key = $1";
+
+/// Tells the whole story.
+///
+/// # Errors
+///
+/// The step that did not come out as it has to.
+pub(crate) async fn tell(stage: &Stage) -> anyhow::Result<()> {
+    introduce(stage);
+    let first = Caller::open(stage.daemons[0].callers(), ENTRY).await?;
+    let second = Caller::open(stage.daemons[1].callers(), ENTRY).await?;
+    println!("2. A client is connected to each instance as user groom, entry {ENTRY}.");
+    roam(stage, &first, &second).await?;
+    crash(stage, &second).await?;
+    come_back(stage).await
+}
+
+fn introduce(stage: &Stage) {
+    println!(
+        "1. Started on loopback: a store, three upstreams of one database, and two\n   \
+         instances. The catalogue is in force as revision {} of the store.",
+        stage.revision
+    );
+}
+
+/// A session writes through one instance and reads through the other.
+async fn roam(stage: &Stage, first: &Caller, second: &Caller) -> anyhow::Result<()> {
+    (0..stage.daemons.len() + 1).for_each(|index| stage.group.set_lag(index, LAG));
+    let began = Instant::now();
+    let tries = book(first, "arena-9", "mila", began).await?;
+    println!(
+        "3. Instance 1 acknowledged the booking of arena-9 for mila after {}, in\n   \
+         {tries}:\n   \
+         the primary ran it and a majority of the upstreams holds it.",
+        millis(began.elapsed())
+    );
+    let token = first
+        .token()
+        .context("the write brought no session token")?;
+    println!("4. With the answer came the session's token: {token}");
+    let set = format!("SET dandelionlink.session = '{token}'");
+    second.client.batch_execute(&set).await?;
+    let began = Instant::now();
+    let value = read(second, "arena-9").await?;
+    ensure!(
+        value == "mila",
+        "instance 2 read {value:?}, not the session's own write"
+    );
+    println!(
+        "5. The session moved to instance 2, gave the token there, and read its own\n   \
+         write after {}, although replicas show what they receive {} late.",
+        millis(began.elapsed()),
+        millis(LAG)
+    );
+    Ok(())
+}
+
+/// The primary crashes, and the next write lands on the one that replaces it.
+async fn crash(stage: &Stage, caller: &Caller) -> anyhow::Result<()> {
+    stage.group.set_fault(FIRST_PRIMARY, Fault::Crashed);
+    let crashed = Instant::now();
+    println!("6. The primary has crashed. The session books arena-10 at once.");
+    let tries = book(caller, "arena-10", "mila", crashed).await?;
+    println!(
+        "7. The booking landed {} after the crash, in\n   {tries}.\n   \
+         That is the failover gap: detect, fence by a majority, promote, and spread.",
+        millis(crashed.elapsed())
+    );
+    let leader = (0..stage.group.addresses().len())
+        .filter(|&index| index != FIRST_PRIMARY)
+        .find(|&index| stage.group.report(index).role == Role::Primary)
+        .context("no upstream leads")?;
+    println!(
+        "   Upstream {} leads now, in term {}.",
+        leader + 1,
+        stage.group.report(leader).received.term
+    );
+    for key in ["arena-9", "arena-10"] {
+        let value = read(caller, key).await?;
+        ensure!(value == "mila", "{key} reads {value:?} after the change");
+    }
+    println!("8. Both bookings read back: nothing that was acknowledged is lost.");
+    Ok(())
+}
+
+/// Sends a booking until it is acknowledged, and tells in how many tries.
+async fn book(caller: &Caller, key: &str, value: &str, began: Instant) -> anyhow::Result<String> {
+    let mut not_run = 0;
+    let mut unknown = 0;
+    loop {
+        let error = match caller.client.execute(BOOK, &[&key, &value]).await {
+            Ok(_) => return Ok(tries(not_run, unknown)),
+            Err(error) => error,
+        };
+        match error.code().map(SqlState::code) {
+            Some(NOT_RUN) => not_run += 1,
+            // Sending it again is right only as the statement books once.
+            Some(UNKNOWN) => unknown += 1,
+            _ => return Err(error).context("the booking was refused"),
+        }
+        ensure!(
+            began.elapsed() < LANDING_TIMEOUT,
+            "the booking did not land: {error}"
+        );
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn tries(not_run: u32, unknown: u32) -> String {
+    if not_run + unknown == 0 {
+        return "one try (the instance held it back until it could run)".to_owned();
+    }
+    format!(
+        "{} tries (before the last: {not_run} not run, {unknown} unknown)",
+        not_run + unknown + 1
+    )
+}
+
+/// The old primary comes back and must follow.
+async fn come_back(stage: &Stage) -> anyhow::Result<()> {
+    stage.group.set_fault(FIRST_PRIMARY, Fault::None);
+    let began = Instant::now();
+    while stage.group.report(FIRST_PRIMARY).role == Role::Primary
+        || stage.group.value(FIRST_PRIMARY, "arena-10").is_none()
+    {
+        ensure!(
+            began.elapsed() < RETURN_TIMEOUT,
+            "the old primary does not follow the new one"
+        );
+        tokio::time::sleep(PAUSE).await;
+    }
+    println!(
+        "9. The old primary came back, was fenced, and follows as a replica; it held\n   \
+         the booking of arena-10 after {}.",
+        millis(began.elapsed())
+    );
+    Ok(())
+}
+
+async fn read(caller: &Caller, key: &str) -> anyhow::Result<String> {
+    let row = caller.client.query_one(READ, &[&key]).await;
+    Ok(row
+        .with_context(|| format!("{key} could not be read"))?
+        .get(0))
+}
+
+fn millis(it: Duration) -> String {
+    format!("{:.1} ms", it.as_secs_f64() * 1e3)
+}
--- /dev/null
+++ b/crates/daemon/tests/readme.rs
@@ -0,0 +1,17 @@
+//! The README's reference of settings is the code's own help.
+
+use argh::FromArgs;
+use daemon::settings::Args;
+
+const README: &str = include_str!("../../../README.md");
+
+#[test]
+fn the_readme_has_the_help_as_it_is_printed() {
+    let early = Args::from_args(&["dandelionlinkd"], &["--help"]).unwrap_err();
+    assert!(early.status.is_ok());
+    assert!(
+        README.contains(early.output.trim()),
+        "put this into README.md, under Settings:\n{}",
+        early.output
+    );
+}
