Ask a replica whose log moves again at once, so that writes do not wait out a pause

Cause: the loop that asks replicas for their positions doubled its pause as long as any write waited. With callers that write all the time some write always waits, so the pause stayed at its most, 4 ms and the timer's grain: p99 16 ms. Change: press_one asks again at once while the log moves, and backs off only while it stands. One probe per upstream is under way at a time, as before.

--- a/crates/daemon/src/upstreams/ack.rs
+++ b/crates/daemon/src/upstreams/ack.rs
@@ -14,8 +14,8 @@
     group::{Group, Member},
 };
 
-/// How soon an upstream that did not hold a write yet is asked again; doubled
-/// up to the most each time.
+/// How soon an upstream whose log has not moved is asked again; doubled up to
+/// the most each time.
 const FIRST_PAUSE: Duration = Duration::from_micros(250);
 const MOST_PAUSE: Duration = Duration::from_millis(4);
 
@@ -111,8 +111,14 @@
     }
 }
 
+/// Asks one upstream for its position until no write waits.
+///
+/// While its log moves it is asked again at once. Were the pause to grow as
+/// long as any write waits, callers that write all the time would find it at
+/// its most, and each write would wait that long for a replica that holds it.
 async fn press_one(group: Rc<Group>, core: Rc<Core>, name: name::Upstream, member: Rc<Member>) {
     let mut pause = FIRST_PAUSE;
+    let mut last = None;
     loop {
         let result = group.probe(&core, &name).await;
         let waiting = group
@@ -123,6 +129,12 @@
         if !waiting {
             break;
         }
+        let held = result.as_ref().ok().map(|report| report.received);
+        if held.is_some() && held != last {
+            last = held;
+            pause = FIRST_PAUSE;
+            continue;
+        }
         if result.is_err() {
             pause = MOST_PAUSE;
         }
