--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -222,19 +222,21 @@
         ahead / u32::from(self.conf.slots.max(1)) + self.mean(now, entry)
     }
 
-    /// The next moment at which [`Event::Tick`] changes anything.
+    /// The next moment at which [`Event::Tick`] may change anything.
     pub fn wake(&self, now: Instant) -> Option<Instant> {
-        let doomed = self
-            .queue
-            .iter()
-            .map(|it| it.deadline - self.tail(now, &it.entry));
+        let waits = self.queue.iter().flat_map(|it| {
+            let doomed = it.deadline - self.tail(now, &it.entry);
+            [doomed, it.deadline]
+        });
+        let spare = self.conns.len() > usize::from(self.conf.warm);
         let ends = self.conns.iter().filter_map(|(_, conn)| match conn.state {
             State::Opening => None,
-            State::Idle { since } => Some(since + self.conf.idle),
+            State::Idle { since } => spare.then_some(since + self.conf.idle),
             State::Busy { ticket, .. } => Some(self.active.get(&ticket)?.request.deadline),
             State::Held { since, .. } => Some(since + self.conf.transaction_idle),
         });
-        doomed.chain(ends).chain(self.breaker.opens_at()).min()
+        let moments = waits.chain(ends).chain(self.breaker.opens_at());
+        moments.filter(|&at| at > now).min()
     }
 
     fn submit(&mut self, now: Instant, request: Request, actions: &mut Vec<Action>) {
