Let the stand-in take cancels, resets and what drivers ask

Cause: the caller edge can't be tested for cancel requests, RESET ALL, and the look-ups that drivers make, because the stand-in refused or ignored them. Change: a cancel request names a session, whose waiting statement ends with 57014; RESET, DEALLOCATE ALL, SET TIME ZONE, version(), current_schema() and the defaults of a few settings are served.

--- a/crates/fake/src/group.rs
+++ b/crates/fake/src/group.rs
@@ -1,7 +1,7 @@
 //! A replicated group of upstreams with terms, lag and faults.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -92,6 +92,8 @@
     pub(crate) nodes: Vec<Node>,
     pub(crate) addresses: Vec<SocketAddr>,
     pub(crate) sessions: u64,
+    /// Sessions that a cancel request has named and that have not seen it yet.
+    pub(crate) cancels: HashSet<u64>,
 }
 
 /// What the group's servers share.
@@ -207,6 +209,7 @@
             nodes: Vec::new(),
             addresses: Vec::new(),
             sessions: 0,
+            cancels: HashSet::new(),
         };
         let shared = Arc::new(Mutex::new(state));
         let mut servers = Vec::new();
--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -131,7 +131,10 @@
             buf.extend_from_slice(&chunk);
             match pg::decode_startup(&mut buf)? {
                 Some(Startup::Tls | Startup::Gss) => self.io.encode_slice(b"N")?,
-                Some(Startup::Cancel(_)) => return Ok(false),
+                Some(Startup::Cancel(request)) => {
+                    self.session.cancel(request.pid, &request.secret_key);
+                    return Ok(false);
+                }
                 Some(Startup::Session(_)) => return Ok(true),
                 None => {
                     if self.io.read_ready().await?.is_none() {
@@ -244,6 +247,9 @@
             }
         };
         let many = plans.len() > 1;
+        if plans.contains(&Plan::Deallocate) {
+            self.statements.clear();
+        }
         for plan in &plans {
             match self.session.run(plan, &[]).await {
                 Ok(outcome) => {
--- a/crates/fake/src/server/exec.rs
+++ b/crates/fake/src/server/exec.rs
@@ -4,6 +4,7 @@
 
 use model::{Position, Role, Term};
 use ntex::time::sleep;
+use pgwire::messages::startup::SecretKey;
 use tokio::sync::Semaphore;
 
 use super::{Cell, Outcome};
@@ -142,6 +143,8 @@
     ) -> Result<Outcome, Refusal> {
         let slots = Arc::clone(&self.slots);
         let slot = slots.acquire().await;
+        // A cancel that comes between two statements hits nothing.
+        self.is_cancelled();
         if self.service > Duration::ZERO && !matches!(plan, Plan::Probe) {
             sleep(self.service).await;
         }
@@ -180,10 +183,16 @@
                 self.settings.insert(name.clone(), value.clone());
                 Ok(tagged("SET"))
             }
-            Plan::Show { name } => Ok(one(
-                "SHOW",
-                self.settings.get(name).map_or("", String::as_str),
-            )),
+            Plan::Show { name } => Ok(one("SHOW", self.setting(name))),
+            Plan::Reset { name: Some(name) } => {
+                self.settings.remove(name);
+                Ok(tagged("RESET"))
+            }
+            Plan::Reset { name: None } => {
+                self.settings.clear();
+                Ok(tagged("RESET"))
+            }
+            Plan::Deallocate => Ok(tagged("DEALLOCATE ALL")),
             Plan::Select {
                 table,
                 columns,
@@ -212,6 +221,30 @@
         }
     }
 
+    /// A setting's value, or its default.
+    fn setting(&self, name: &str) -> &str {
+        let default = match name {
+            "transaction isolation level" | "default_transaction_isolation" => "read committed",
+            "standard_conforming_strings" => "on",
+            "timezone" => "UTC",
+            _ => "",
+        };
+        self.settings.get(name).map_or(default, String::as_str)
+    }
+
+    /// Takes another connection's cancel request; the key is the process number.
+    pub(super) fn cancel(&self, pid: i32, key: &SecretKey) {
+        let id = u64::try_from(pid).unwrap_or(0);
+        if key.as_i32() == Some(pid) {
+            lock(&self.shared).cancels.insert(id);
+        }
+    }
+
+    /// Whether a cancel request has named this session; asked once.
+    fn is_cancelled(&self) -> bool {
+        lock(&self.shared).cancels.remove(&self.id)
+    }
+
     fn end_transaction(&mut self, end: End) -> Outcome {
         let commits = end == End::Commit && !self.failed;
         if commits {
@@ -327,6 +360,10 @@
                     return Ok(());
                 }
             }
+            if self.is_cancelled() {
+                let text = "canceling statement due to user request";
+                return Err(("57014", text.to_owned()));
+            }
             if waited >= LOCK_WAIT {
                 return Err(("55P03", "the row is locked".to_owned()));
             }
--- a/crates/fake/src/sql.rs
+++ b/crates/fake/src/sql.rs
@@ -71,6 +71,12 @@
     Show {
         name: String,
     },
+    /// `RESET name`, or of all settings.
+    Reset {
+        name: Option<String>,
+    },
+    /// `DEALLOCATE ALL`.
+    Deallocate,
     Select {
         table: Option<usize>,
         columns: Vec<(String, Column)>,
@@ -138,16 +144,32 @@
         });
     }
     let (word, rest) = text.split_once(' ')?;
+    if text.eq_ignore_ascii_case("deallocate all") {
+        return Some(Plan::Deallocate);
+    }
+    if word.eq_ignore_ascii_case("reset") {
+        let name = rest.trim();
+        let all = name.eq_ignore_ascii_case("all");
+        return Some(Plan::Reset {
+            name: (!all).then(|| name.to_ascii_lowercase()),
+        });
+    }
     if word.eq_ignore_ascii_case("set") {
+        if let Some(value) = rest.strip_prefix("TIME ZONE ") {
+            return Some(Plan::Set {
+                name: "timezone".to_owned(),
+                value: unquoted(value),
+            });
+        }
         let (name, value) = rest.split_once('=').or_else(|| rest.split_once(" TO "))?;
         return Some(Plan::Set {
-            name: name.trim().to_owned(),
+            name: name.trim().to_ascii_lowercase(),
             value: unquoted(value),
         });
     }
     if word.eq_ignore_ascii_case("show") {
         return Some(Plan::Show {
-            name: rest.trim().to_owned(),
+            name: rest.trim().to_ascii_lowercase(),
         });
     }
     None
@@ -235,12 +257,25 @@
         Expr::Function(it) if it.name.to_string().eq_ignore_ascii_case("count") => {
             ("count".to_owned(), Column::Count)
         }
+        Expr::Function(it) => information(&it.name.to_string())?,
         _ => ("?column?".to_owned(), Column::Constant(literal(expr)?)),
     };
     columns.push((alias.unwrap_or(name), column));
     Ok(())
 }
 
+/// What drivers ask of a server that they have connected to.
+fn information(name: &str) -> Result<(String, Column), Refusal> {
+    let value = match name.to_ascii_lowercase().as_str() {
+        "version" => "PostgreSQL 15.0 (stand-in)",
+        "current_schema" => "public",
+        "current_database" => "booking",
+        _ => return Err(unsupported("this function")),
+    };
+    let column = Column::Constant(Literal::Text(value.to_owned()));
+    Ok((name.to_ascii_lowercase(), column))
+}
+
 fn named(name: &str, from: Option<usize>) -> Result<(String, Column), Refusal> {
     let names = TABLES[from.unwrap_or(0)].1;
     match names.iter().position(|known| *known == name) {
