Bound and hide what a login tells and takes; keep a Flush from committing

Cause: raw-socket tests showed that a peer which has not logged in could make the daemon wait for 16 MB frames, on any number of connections; that an unknown user was refused before the exchange; that a first message was dropped when its sender had closed already, which lost most cancels; that protocol 3.2 was taken without a word; and that the status probe, a simple query, committed a batch that a Flush had left open. Change: pg::LoginCodec bounds login frames to 4 KB; 1,024 logins at once at most; a mock verifier with a stable salt; NegotiateProtocolVersion; no probe behind a Flush. upstreams/plan.rs: Plan::behind.

--- a/crates/daemon/src/callers/auth.rs
+++ b/crates/daemon/src/callers/auth.rs
@@ -115,6 +115,29 @@
     }
 }
 
+/// The iterations of a verifier that PostgreSQL makes by its defaults.
+const ITERATIONS: u32 = 4_096;
+
+/// The bytes of such a verifier's salt.
+const SALT: usize = 16;
+
+/// A verifier for a user that does not exist, which no proof fits.
+///
+/// Its salt comes from a secret that all instances share, so that it is the
+/// same each time, as a real user's is; `pattern` is a real verifier that it
+/// takes its form from. An attacker could else tell who has an account.
+pub(crate) fn mock(secret: &[u8; 32], user: &str, pattern: Option<&Verifier>) -> Verifier {
+    let salt = mac(secret, user.as_bytes());
+    let length = pattern.map_or(SALT, |it| it.salt.len().min(salt.len()));
+    Verifier {
+        iterations: pattern.map_or(ITERATIONS, |it| it.iterations),
+        salt: salt[..length].to_vec(),
+        // No digest of a key that anybody knows.
+        stored: mac(secret, &salt),
+        server: mac(secret, &[&salt[..], &salt[..]].concat()),
+    }
+}
+
 fn mac(key: &[u8], data: &[u8]) -> [u8; 32] {
     let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("an HMAC takes a key of any length");
     mac.update(data);
--- a/crates/daemon/src/callers/batch.rs
+++ b/crates/daemon/src/callers/batch.rs
@@ -184,7 +184,7 @@
     }
 
     /// Whether it goes on behind its answers so far.
-    pub(super) fn flushes(&self) -> bool {
+    pub(crate) fn flushes(&self) -> bool {
         matches!(self.steps.last(), Some(Step::Flush))
     }
 }
--- a/crates/daemon/src/callers/greet.rs
+++ b/crates/daemon/src/callers/greet.rs
@@ -6,16 +6,20 @@
 use catalog::scram::Verifier;
 use model::name;
 use ntex::time::Millis;
-use pg::{Codec, Startup};
+use pg::{LoginCodec, Startup};
 use pgwire::messages::{
     Message,
     cancel::CancelRequest,
-    startup::{Authentication, BackendKeyData, SecretKey},
+    startup::{Authentication, BackendKeyData, NegotiateProtocolVersion, SecretKey},
 };
 use rand::Rng;
 use tokio::sync::mpsc;
 
-use super::{Entry, PARTS, Shared, Stream, auth::Exchange, serve::Session};
+use super::{
+    Entry, PARTS, Shared, Stream,
+    auth::{self, Exchange},
+    serve::Session,
+};
 use crate::{
     duty::Phase,
     job::{Ask, Scope},
@@ -24,8 +28,13 @@
 /// How long a caller may take to log in.
 const LOGIN_TIMEOUT: Millis = Millis(10_000);
 
-/// The longest message of a login, in bytes.
-const MAX_LOGIN: usize = 4_096;
+/// Protocol 3.0 as one number, which is how servers tell their newest.
+const PROTOCOL: i32 = 3 << 16;
+
+/// How many connections may be logging in at once. Together with
+/// [`pg::MAX_STARTUP`] and [`pg::MAX_LOGIN`] it bounds the memory that peers
+/// can take that have not proved who they are.
+const MAX_LOGINS: usize = 1_024;
 
 /// A refusal of the connection, told with its SQLSTATE.
 pub(super) struct Refusal {
@@ -58,22 +67,46 @@
     }
 }
 
+/// Counts a connection among those that are logging in while it lives.
+struct Login(Rc<Shared>);
+
+impl Login {
+    /// Counts one more, if there may be.
+    fn open(shared: &Rc<Shared>) -> Option<Self> {
+        let count = shared.logins.get();
+        if count >= MAX_LOGINS {
+            return None;
+        }
+        shared.logins.set(count + 1);
+        Some(Self(Rc::clone(shared)))
+    }
+}
+
+impl Drop for Login {
+    fn drop(&mut self) {
+        self.0.logins.set(self.0.logins.get() - 1);
+    }
+}
+
 /// Serves one connection from its first byte to its last.
 pub(super) async fn serve(io: Stream, shared: Rc<Shared>) {
-    let login = ntex::time::timeout(LOGIN_TIMEOUT, log_in(&io, &shared)).await;
-    let refusal = match login {
-        Ok(Ok(None)) => return,
-        Ok(Ok(Some(session))) => return session.run(io).await,
-        Ok(Err(refusal)) => refusal,
-        Err(()) => Refusal {
-            state: "57P05",
-            text: "the login took too long".to_owned(),
-        },
+    let Some(counted) = Login::open(&shared) else {
+        return reject(&io, "53300", "too many connections are logging in").await;
     };
-    metrics::counter!("dandelionlink_logins_refused_total", "sqlstate" => refusal.state)
-        .increment(1);
+    let login = ntex::time::timeout(LOGIN_TIMEOUT, log_in(&io, &shared)).await;
+    drop(counted);
+    match login {
+        Ok(Ok(None)) => {}
+        Ok(Ok(Some(session))) => session.run(io).await,
+        Ok(Err(refusal)) => reject(&io, refusal.state, &refusal.text).await,
+        Err(()) => reject(&io, "57P05", "the login took too long").await,
+    }
+}
+
+async fn reject(io: &Stream, state: &'static str, text: &str) {
+    metrics::counter!("dandelionlink_logins_refused_total", "sqlstate" => state).increment(1);
     let mut buf = BytesMut::new();
-    pg::error(&mut buf, refusal.state, &refusal.text, None);
+    pg::fatal(&mut buf, state, text);
     let _ = io.encode_slice(&buf);
     let _ = io.shutdown().await;
 }
@@ -85,8 +118,13 @@
             cancel(shared, &request).await;
             return Ok(None);
         }
+        Some(Startup::Version { major, minor }) => {
+            let text = format!("protocol {major}.{minor} is not served, 3.0 is");
+            return refuse("0A000", text);
+        }
         _ => return Ok(None),
     };
+    negotiate(io, &startup)?;
     if *shared.watch.borrow() > Phase::Run {
         return refuse("57P01", "this instance is stopping; connect again");
     }
@@ -100,9 +138,7 @@
     let user = parameter("user").unwrap_or_default();
     let entry = parameter("database").unwrap_or(user);
     let (scope, verifier) = scope(shared, user, entry)?;
-    if let Some(verifier) = verifier {
-        authenticate(io, verifier).await?;
-    }
+    authenticate(io, verifier, user).await?;
     let mut session = Session::open(Rc::clone(shared), Arc::new(scope), user);
     let options = options(parameter("options").unwrap_or_default());
     let given = startup.parameters.iter();
@@ -170,21 +206,53 @@
 
 /// Reads first messages until one begins something; encryption is declined.
 async fn startup(io: &Stream) -> Result<Option<Startup>, Refusal> {
-    let mut buf = BytesMut::new();
     loop {
-        io.with_read_buf(|src| buf.extend_from_slice(&src.split_to(src.len())));
-        match pg::decode_startup(&mut buf)? {
+        match first(io).await? {
             Some(Startup::Tls | Startup::Gss) => {
                 io.encode_slice(b"N")?;
                 io.send_buf()?;
             }
-            Some(found) => return Ok(Some(found)),
-            None if io.read_ready().await?.is_none() => return Ok(None),
-            None => {}
+            found => return Ok(found),
+        }
+    }
+}
+
+/// Reads one first message; `None` when the caller has gone before its end.
+///
+/// What was received is looked at before the end of the stream is: a cancel
+/// request often comes together with it.
+async fn first(io: &Stream) -> Result<Option<Startup>, Refusal> {
+    let mut open = true;
+    loop {
+        let found = io.with_read_buf(|src| -> Result<_, pg::Error> {
+            let most = src.len().min(pg::MAX_STARTUP);
+            let mut head = BytesMut::from(&src[..most]);
+            let found = pg::decode_startup(&mut head)?;
+            if found.is_some() {
+                drop(src.split_to(most - head.len()));
+            }
+            Ok(found)
+        })?;
+        if found.is_some() || !open {
+            return Ok(found);
         }
+        open = io.read_ready().await?.is_some();
     }
 }
 
+/// Tells a caller that asks for more than protocol 3.0 what there is.
+fn negotiate(io: &Stream, startup: &pgwire::messages::startup::Startup) -> Result<(), Refusal> {
+    let options = startup.parameters.keys();
+    let options: Vec<String> = options
+        .filter(|it| it.starts_with("_pq_."))
+        .cloned()
+        .collect();
+    if startup.protocol_number_minor == 0 && options.is_empty() {
+        return Ok(());
+    }
+    send(io, &NegotiateProtocolVersion::new(PROTOCOL, options))
+}
+
 /// Asks for what a cancel request names, if its key is right.
 async fn cancel(shared: &Shared, request: &CancelRequest) {
     let Some(secret) = request.secret_key.as_i32() else {
@@ -207,7 +275,7 @@
     i32::try_from(caller % (1 << 31)).unwrap_or(0)
 }
 
-fn scope(shared: &Shared, user: &str, entry: &str) -> Result<(Scope, Option<Verifier>), Refusal> {
+fn scope(shared: &Shared, user: &str, entry: &str) -> Result<(Scope, Verifier), Refusal> {
     let snapshot = Arc::clone(&shared.catalog.borrow());
     if snapshot.head.is_none() {
         return refuse("57P03", "this instance has no catalogue yet; connect again");
@@ -218,37 +286,49 @@
         return refuse("3D000", format!("the catalogue has no entry \"{entry}\""));
     };
     let tenant = snapshot.catalog.tenants.get(&found.tenant);
-    // A wrong user and a wrong password are told alike, later: an unknown user
-    // could otherwise be told from a known one.
-    let Some(verifier) = tenant.and_then(|it| it.users.get(user)) else {
-        return refuse(
-            "28P01",
-            format!("password authentication failed for user \"{user}\""),
-        );
-    };
-    let verifier = Verifier::parse(verifier).or_else(|error| refuse("28P01", error.to_string()))?;
-    let scope = Scope::new(name, found);
-    Ok((scope, Some(verifier)))
+    let verifier = tenant.and_then(|it| {
+        let known = it.users.get(user);
+        let known = known.and_then(|text| Verifier::parse(text).ok());
+        // An unknown user is led through the same exchange, so that it can't
+        // be told from a wrong password.
+        let pattern = it
+            .users
+            .values()
+            .find_map(|text| Verifier::parse(text).ok());
+        known.or_else(|| Some(auth::mock(&shared.mock, user, pattern.as_ref())))
+    });
+    let verifier = verifier.unwrap_or_else(|| auth::mock(&shared.mock, user, None));
+    Ok((Scope::new(name, found), verifier))
 }
 
-async fn authenticate(io: &Stream, verifier: Verifier) -> Result<(), Refusal> {
+async fn authenticate(io: &Stream, verifier: Verifier, user: &str) -> Result<(), Refusal> {
     let failed = || Refusal {
         state: "28P01",
-        text: "password authentication failed".to_owned(),
+        text: format!("password authentication failed for user \"{user}\""),
     };
     send(io, &Authentication::SASL(vec!["SCRAM-SHA-256".to_owned()]))?;
     let message = password_message(io).await?;
-    let first = initial_response(&message).ok_or_else(failed)?;
+    let first = initial_response(&message).ok_or_else(malformed)?;
     let salt: [u8; 18] = rand::rng().random();
-    let exchange = Exchange::open(verifier, first, &salt).map_err(|_| failed())?;
+    let exchange = Exchange::open(verifier, first, &salt).map_err(|_| malformed())?;
     let challenge = Bytes::copy_from_slice(exchange.challenge().as_bytes());
     send(io, &Authentication::SASLContinue(challenge))?;
     let message = password_message(io).await?;
-    let last = exchange.finish(&message).map_err(|_| failed())?;
+    let last = exchange.finish(&message).map_err(|error| match error {
+        auth::Error::Proof => failed(),
+        auth::Error::Form | auth::Error::Nonce => malformed(),
+    })?;
     send(io, &Authentication::SASLFinal(Bytes::from(last)))?;
     Ok(())
 }
 
+fn malformed() -> Refusal {
+    Refusal {
+        state: "08P01",
+        text: "a message of SCRAM-SHA-256 was expected".to_owned(),
+    }
+}
+
 fn send(io: &Stream, message: &impl Message) -> Result<(), Refusal> {
     let mut buf = BytesMut::new();
     let _ = message.encode(&mut buf);
@@ -258,12 +338,12 @@
 }
 
 async fn password_message(io: &Stream) -> Result<Bytes, Refusal> {
-    let frame = match io.recv(&Codec).await {
+    let frame = match io.recv(&LoginCodec).await {
         Ok(Some(frame)) => frame,
         Ok(None) => return refuse("08006", "the connection was closed"),
         Err(_) => return refuse("08P01", "a password message was expected"),
     };
-    if frame.tag() != b'p' || frame.body().len() > MAX_LOGIN {
+    if frame.tag() != b'p' {
         return refuse("08P01", "a password message was expected");
     }
     Ok(Bytes::copy_from_slice(frame.body()))
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -9,7 +9,12 @@
 mod serve;
 
 use std::{
-    cell::RefCell, collections::HashMap, net::TcpListener, rc::Rc, sync::Arc, time::Duration,
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
 };
 
 use catalog::layout::Snapshot;
@@ -53,6 +58,8 @@
     pub(crate) watch: Watch,
     /// How many callers may be connected at once.
     pub(crate) limit: usize,
+    /// What the verifiers of unknown users are made from.
+    pub(crate) mock: [u8; 32],
 }
 
 /// A caller's connection, plain or encrypted.
@@ -75,6 +82,9 @@
     made: RefCell<u64>,
     watch: Watch,
     limit: usize,
+    mock: [u8; 32],
+    /// How many connections are logging in.
+    logins: Cell<usize>,
 }
 
 /// Runs the duty until the daemon stops.
@@ -88,6 +98,8 @@
         made: RefCell::new(0),
         watch: conf.watch.clone(),
         limit: conf.limit,
+        mock: conf.mock,
+        logins: Cell::new(0),
     });
     ntex::rt::spawn(deliver(Rc::clone(&shared), conf.replies));
     ntex::rt::spawn(follow(Rc::clone(&shared), conf.catalogs));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -74,6 +74,7 @@
             catalogs,
             watch: watch.clone(),
             limit: settings.callers,
+            mock: settings.mock,
         };
         let upstreams_conf = upstreams::Conf {
             clock,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,6 +9,7 @@
 use argh::FromArgs;
 use model::name;
 use session::{Key, Keys};
+use sha2::{Digest, Sha256};
 use upstream::Login;
 
 /// What the environment variables begin with.
@@ -130,6 +131,9 @@
     pub store: SocketAddr,
     /// What session tokens are signed with.
     pub session_keys: Keys,
+    /// What the verifiers of unknown users are made from; from the session
+    /// keys, so that all instances agree.
+    pub mock: [u8; 32],
     /// How to log in to upstreams.
     pub login: Login,
     /// Among how many instances an upstream's connections are divided.
@@ -224,6 +228,14 @@
     }
 }
 
+/// A secret of its own from the text of the session keys.
+fn mock_secret(keys: &str) -> [u8; 32] {
+    let mut digest = Sha256::new();
+    digest.update(b"dandelionlink verifiers of unknown users");
+    digest.update(keys);
+    digest.finalize().into()
+}
+
 /// Reads one key, or two with the current one first.
 fn keys(text: &str) -> Result<Keys, What> {
     let mut found = text.split(',').map(key);
@@ -282,6 +294,8 @@
         let store = rdr.required("store", args.store.as_ref());
         let store = rdr.address("store", store);
         let session_keys = rdr.keys("session-keys", args.session_keys.as_ref());
+        let mock = rdr.text("session-keys", args.session_keys.as_ref());
+        let mock = mock_secret(&mock.unwrap_or_default());
         let user = rdr.required("upstream-user", args.upstream_user.as_ref());
         let password = rdr.text("upstream-password", args.upstream_password.as_ref());
         let share = rdr.number("share", args.share.as_ref(), 9, (1, 10_000));
@@ -296,6 +310,7 @@
                 zone: zone?,
                 store: store?,
                 session_keys: session_keys?,
+                mock,
                 login: Login {
                     user: user?,
                     password,
--- a/crates/daemon/src/upstreams/plan.rs
+++ b/crates/daemon/src/upstreams/plan.rs
@@ -96,9 +96,7 @@
             plan.query(upstream::PROBE, Item::StatusBefore);
         }
         plan.steps(line, batch);
-        if probes.behind {
-            plan.query(upstream::PROBE, Item::StatusBehind);
-        }
+        plan.behind(batch, probes);
         plan
     }
 
@@ -106,9 +104,7 @@
     pub(super) fn within(line: &mut Line, batch: &Batch, probes: Probes) -> Self {
         let mut plan = Self::default();
         plan.steps(line, batch);
-        if probes.behind {
-            plan.query(upstream::PROBE, Item::StatusBehind);
-        }
+        plan.behind(batch, probes);
         plan
     }
 
@@ -132,6 +128,14 @@
         line.applied.clone_from(settings);
     }
 
+    /// Asks for the status behind the batch, if it ends here. Behind a Flush
+    /// the question would commit what its caller has not ended.
+    fn behind(&mut self, batch: &Batch, probes: Probes) {
+        if probes.behind && !batch.flushes() {
+            self.query(upstream::PROBE, Item::StatusBehind);
+        }
+    }
+
     fn hidden(&mut self, sql: &str) {
         self.query(sql, Item::Hidden);
     }
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -316,7 +316,9 @@
 
         let options = format!("-c dandelionlink.session={token} -c app.desk=4\\ b --app-x=1");
         let third = rig
-            .connect_with(1, "slots", |conf| drop(conf.options(&options)))
+            .connect_with(1, "slots", |conf| {
+                conf.options(&options);
+            })
             .await;
         let third = third.unwrap();
         assert_eq!(cell(&third, "SHOW dandelionlink.session").await, token);
@@ -332,11 +334,15 @@
         let unknown = rig.connect_with(0, "nowhere", |_| ()).await;
         assert_eq!(state(unknown), Some(SqlState::UNDEFINED_DATABASE));
         let wrong = rig
-            .connect_with(0, "slots", |conf| drop(conf.password("x")))
+            .connect_with(0, "slots", |conf| {
+                conf.password("x");
+            })
             .await;
         assert_eq!(state(wrong), Some(SqlState::INVALID_PASSWORD));
         let nobody = rig
-            .connect_with(0, "slots", |conf| drop(conf.user("nobody")))
+            .connect_with(0, "slots", |conf| {
+                conf.user("nobody");
+            })
             .await;
         assert_eq!(state(nobody), Some(SqlState::INVALID_PASSWORD));
     });
--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -136,6 +136,7 @@
                     return Ok(false);
                 }
                 Some(Startup::Session(_)) => return Ok(true),
+                Some(Startup::Version { .. }) => return Ok(false),
                 None => {
                     if self.io.read_ready().await?.is_none() {
                         return Err(End::Closed);
--- a/crates/pg/src/codec.rs
+++ b/crates/pg/src/codec.rs
@@ -10,6 +10,9 @@
 /// A larger one would let a single connection claim memory without bound.
 pub const MAX_FRAME: usize = 16 << 20;
 
+/// The largest message taken from a caller that is logging in, in bytes.
+pub const MAX_LOGIN: usize = 4 << 10;
+
 /// The tag and the length field.
 const HEADER: usize = 5;
 
@@ -24,13 +27,15 @@
         /// What its length field says.
         length: u32,
     },
-    /// The message is larger than [`MAX_FRAME`].
-    #[error("a message of type {tag:?} has {length} bytes, the most is {MAX_FRAME}")]
+    /// The message is larger than it may be.
+    #[error("a message of type {tag:?} has {length} bytes, the most is {most}")]
     Oversized {
         /// The message's type.
         tag: char,
         /// What its length field says.
         length: u32,
+        /// The most bytes that are taken.
+        most: usize,
     },
     /// The contents don't fit the message's type.
     #[error("a message of type {tag:?} is malformed: {what}")]
@@ -80,25 +85,46 @@
     type Error = Error;
 
     fn decode(&self, src: &mut BytesMut) -> Result<Option<Frame>, Error> {
-        if src.len() < HEADER {
-            return Ok(None);
-        }
-        let tag = char::from(src[0]);
-        let length = u32::from_be_bytes([src[1], src[2], src[3], src[4]]);
-        if length < 4 {
-            return Err(Error::Short { tag, length });
-        }
-        let whole = length as usize + 1;
-        if whole > MAX_FRAME {
-            return Err(Error::Oversized { tag, length });
-        }
-        if src.len() < whole {
-            return Ok(None);
-        }
-        Ok(Some(Frame {
-            bytes: src.split_to(whole),
-        }))
+        split(src, MAX_FRAME)
+    }
+}
+
+/// Splits the messages of a login, which are short.
+///
+/// A peer that has not proved who it is could otherwise make the proxy wait
+/// for, and hold, [`MAX_FRAME`] bytes on each of its connections.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LoginCodec;
+
+impl Decoder for LoginCodec {
+    type Item = Frame;
+    type Error = Error;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<Frame>, Error> {
+        split(src, MAX_LOGIN)
+    }
+}
+
+/// Takes a message of at most `most` bytes off `src`, if it is all there.
+fn split(src: &mut BytesMut, most: usize) -> Result<Option<Frame>, Error> {
+    if src.len() < HEADER {
+        return Ok(None);
+    }
+    let tag = char::from(src[0]);
+    let length = u32::from_be_bytes([src[1], src[2], src[3], src[4]]);
+    if length < 4 {
+        return Err(Error::Short { tag, length });
+    }
+    let whole = length as usize + 1;
+    if whole > most {
+        return Err(Error::Oversized { tag, length, most });
+    }
+    if src.len() < whole {
+        return Ok(None);
     }
+    Ok(Some(Frame {
+        bytes: src.split_to(whole),
+    }))
 }
 
 impl Encoder for Codec {
--- a/crates/pg/src/front.rs
+++ b/crates/pg/src/front.rs
@@ -11,7 +11,7 @@
 use crate::{Error, Frame};
 
 /// The largest first message of a connection, in bytes, as PostgreSQL has it.
-const MAX_STARTUP: usize = 10_000;
+pub const MAX_STARTUP: usize = 10_000;
 
 /// The first message of a connection, which has no tag.
 #[derive(Debug)]
@@ -24,6 +24,13 @@
     Cancel(CancelRequest),
     /// The caller begins a session.
     Session(startup::Startup),
+    /// The caller speaks another protocol.
+    Version {
+        /// Its major version.
+        major: u16,
+        /// Its minor version.
+        minor: u16,
+    },
 }
 
 /// Takes the first message off `buf`; `None` when it is not all there yet.
@@ -40,7 +47,11 @@
         return Err(Error::Short { tag: ' ', length });
     }
     if length as usize > MAX_STARTUP {
-        return Err(Error::Oversized { tag: ' ', length });
+        return Err(Error::Oversized {
+            tag: ' ',
+            length,
+            most: MAX_STARTUP,
+        });
     }
     if buf.len() < length as usize {
         return Ok(None);
@@ -63,7 +74,13 @@
             .map(|it| Some(Startup::Cancel(it)))
             .ok_or(malformed("a cancel request"));
     }
-    if whole.last() != Some(&0) {
+    let (major, minor) = (whole.get(4..6), whole.get(6..8));
+    let number = |it: Option<&[u8]>| it.map_or(0, |mut it| it.get_u16());
+    if number(major) != 3 {
+        let (major, minor) = (number(major), number(minor));
+        return Ok(Some(Startup::Version { major, minor }));
+    }
+    if whole.len() == 8 || whole.last() != Some(&0) {
         return Err(malformed("the parameters don't end"));
     }
     let session = startup::Startup::decode(&mut whole, &context)
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -7,6 +7,6 @@
 mod front;
 mod reply;
 
-pub use codec::{Codec, Error, Frame, MAX_FRAME};
-pub use front::{Front, Startup, decode, decode_startup};
-pub use reply::{Reply, error, error_state, parameter, ready};
+pub use codec::{Codec, Error, Frame, LoginCodec, MAX_FRAME, MAX_LOGIN};
+pub use front::{Front, MAX_STARTUP, Startup, decode, decode_startup};
+pub use reply::{Reply, error, error_state, fatal, parameter, ready};
--- a/crates/pg/src/reply.rs
+++ b/crates/pg/src/reply.rs
@@ -19,11 +19,16 @@
 
 /// Appends an error with its SQLSTATE, a text, and a hint if there is one.
 pub fn error(buf: &mut Reply, state: &str, text: &str, hint: Option<&str>) {
-    let severity = if state == "57P01" || state.starts_with("08") {
-        "FATAL"
-    } else {
-        "ERROR"
-    };
+    let ends = state == "57P01" || state.starts_with("08");
+    put_error(buf, if ends { "FATAL" } else { "ERROR" }, state, text, hint);
+}
+
+/// Appends an error that ends the connection.
+pub fn fatal(buf: &mut Reply, state: &str, text: &str) {
+    put_error(buf, "FATAL", state, text, None);
+}
+
+fn put_error(buf: &mut Reply, severity: &str, state: &str, text: &str, hint: Option<&str>) {
     let mut fields = vec![
         (b'S', severity.to_owned()),
         (b'V', severity.to_owned()),
