--- a/crates/fake/src/group.rs
+++ b/crates/fake/src/group.rs
@@ -85,6 +85,8 @@
     pub(crate) peak: usize,
     /// Statements run, for tests that count work.
     pub(crate) statements: u64,
+    /// How often a statement began to wait for a row.
+    pub(crate) waits: u64,
 }
 
 #[derive(Debug)]
@@ -286,6 +288,11 @@
         lock(&self.shared).nodes[index].statements
     }
 
+    /// How often a statement of an upstream began to wait for a row.
+    pub fn waits(&self, index: usize) -> u64 {
+        lock(&self.shared).nodes[index].waits
+    }
+
     /// The most connections that an upstream ever had at once.
     pub fn peak_connections(&self, index: usize) -> usize {
         lock(&self.shared).nodes[index].peak
@@ -329,5 +336,6 @@
         connections: 0,
         peak: 0,
         statements: 0,
+        waits: 0,
     }
 }
--- a/crates/fake/src/server/exec.rs
+++ b/crates/fake/src/server/exec.rs
@@ -354,11 +354,12 @@
         loop {
             {
                 let mut state = lock(&self.shared);
-                let locks = &mut state.nodes[self.node].locks;
-                let holder = locks.entry(place.clone()).or_insert(self.id);
+                let node = &mut state.nodes[self.node];
+                let holder = node.locks.entry(place.clone()).or_insert(self.id);
                 if *holder == self.id {
                     return Ok(());
                 }
+                node.waits += u64::from(waited.is_zero());
             }
             if self.is_cancelled() {
                 let text = "canceling statement due to user request";
