--- a/crates/daemon/src/callers/greet.rs
+++ b/crates/daemon/src/callers/greet.rs
@@ -162,7 +162,7 @@
 /// or `--key=value`; a backslash keeps the character behind it as it is.
 ///
 /// Many drivers can give a setting of the proxy only this way.
-fn options(text: &str) -> Vec<(String, String)> {
+pub(super) fn options(text: &str) -> Vec<(String, String)> {
     let mut words = vec![String::new()];
     let mut chars = text.chars();
     while let Some(char) = chars.next() {
@@ -350,7 +350,7 @@
 }
 
 /// The first message of the exchange, behind the method's name and a length.
-fn initial_response(body: &[u8]) -> Option<&[u8]> {
+pub(super) fn initial_response(body: &[u8]) -> Option<&[u8]> {
     let end = body.iter().position(|&byte| byte == 0)?;
     let (method, rest) = body.split_at(end);
     let (length, message) = rest[1..].split_first_chunk::<4>()?;
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -7,6 +7,8 @@
 mod greet;
 mod local;
 mod serve;
+#[cfg(test)]
+mod tests;
 
 use std::{
     cell::{Cell, RefCell},
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,113 @@
+//! Settings: flags before variables, every fault at once, and `--check`.
+
+use std::{collections::BTreeMap, process::Command};
+
+use daemon::{
+    Settings,
+    settings::{Args, What},
+};
+
+fn right() -> BTreeMap<&'static str, String> {
+    BTreeMap::from([
+        ("DANDELIONLINK_INSTANCE", "entry-1".to_owned()),
+        ("DANDELIONLINK_ZONE", "nl-west-1".to_owned()),
+        ("DANDELIONLINK_STORE", "127.0.0.1:2379".to_owned()),
+        (
+            "DANDELIONLINK_SESSION_KEYS",
+            format!("1:{}", "5a".repeat(32)),
+        ),
+        ("DANDELIONLINK_UPSTREAM_USER", "proxy".to_owned()),
+    ])
+}
+
+fn read(
+    args: &Args,
+    env: &BTreeMap<&'static str, String>,
+) -> Result<Settings, Vec<daemon::settings::Fault>> {
+    Settings::read(args, &|name| env.get(name).cloned())
+}
+
+#[test]
+fn a_flag_goes_before_its_variable() {
+    let mut env = right();
+    env.insert("DANDELIONLINK_CALLERS", "7".to_owned());
+    env.insert("DANDELIONLINK_LISTEN", "127.0.0.1:1".to_owned());
+    let args = Args {
+        listen: Some("127.0.0.1:2".to_owned()),
+        ..Args::default()
+    };
+    let settings = read(&args, &env).expect("they are right");
+    assert_eq!(settings.listen.port(), 2);
+    assert_eq!(settings.callers, 7);
+    assert_eq!(settings.ops.port(), 6433);
+}
+
+#[test]
+fn every_fault_is_told_at_once_and_named() {
+    let mut env = right();
+    env.remove("DANDELIONLINK_INSTANCE");
+    let wrong = [
+        ("DANDELIONLINK_LISTEN", "here"),
+        ("DANDELIONLINK_ZONE", "no zone!"),
+        ("DANDELIONLINK_STORE", "store:2379"),
+        ("DANDELIONLINK_SESSION_KEYS", "1:5a"),
+        ("DANDELIONLINK_SHARE", "0"),
+        ("DANDELIONLINK_CALLERS", "-1"),
+        ("DANDELIONLINK_DRAIN_MS", "soon"),
+        ("DANDELIONLINK_SEED", "x"),
+    ];
+    for (name, value) in wrong {
+        env.insert(name, value.to_owned());
+    }
+    let faults = read(&Args::default(), &env).expect_err("they are wrong");
+    let names: Vec<_> = faults.iter().map(|fault| fault.name).collect();
+    let expected = [
+        "listen",
+        "instance",
+        "zone",
+        "store",
+        "session-keys",
+        "share",
+        "callers",
+        "drain-ms",
+        "seed",
+    ];
+    assert_eq!(names, expected);
+    assert_eq!(faults[1].what, What::Missing);
+    let shares = What::Number {
+        text: "0".to_owned(),
+        least: 1,
+        most: 10_000,
+    };
+    assert_eq!(faults[5].what, shares);
+    let text = faults[7].to_string();
+    assert!(
+        text.contains("--drain-ms") && text.contains("DANDELIONLINK_DRAIN_MS"),
+        "{text}"
+    );
+    let keys = faults[4].to_string();
+    assert!(!keys.contains("5a"), "a secret is told: {keys}");
+}
+
+#[test]
+fn the_program_checks_and_tells_by_its_exit_code() {
+    let check = |env: &BTreeMap<&'static str, String>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dandelionlinkd"));
+        let output = command.env_clear().envs(env).arg("--check").output();
+        output.expect("the program runs")
+    };
+    let output = check(&right());
+    assert_eq!(output.status.code(), Some(0));
+    assert!(output.stderr.is_empty());
+    let mut wrong = right();
+    wrong.remove("DANDELIONLINK_ZONE");
+    wrong.insert("DANDELIONLINK_STORE", "x".to_owned());
+    let output = check(&wrong);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert_eq!(text.lines().count(), 2, "{text}");
+    assert!(
+        text.contains("--zone") && text.contains("DANDELIONLINK_STORE"),
+        "{text}"
+    );
+}
--- a/crates/store/src/json.rs
+++ b/crates/store/src/json.rs
@@ -209,3 +209,6 @@
     }
     Ok(Event::Put(pair))
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/store/src/json/tests.rs
@@ -0,0 +1,127 @@
+//! Arbitrary answers of the store: a typed fault or an answer that is no
+//! larger than its text, and never a panic.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use serde_json::{Value, json};
+
+use super::{answer, events, refusal};
+use crate::{Answer, Call, Event, Fault};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(0x0057_04e5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// The field names that the gateway uses, so that shapes come near to true.
+const FIELDS: [&str; 16] = [
+    "header",
+    "revision",
+    "kvs",
+    "kv",
+    "key",
+    "value",
+    "mod_revision",
+    "succeeded",
+    "responses",
+    "response_range",
+    "result",
+    "events",
+    "type",
+    "ID",
+    "TTL",
+    "compact_revision",
+];
+
+fn leaf() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<u64>().prop_map(|it| Value::from(it.to_string())),
+        "[A-Za-z0-9+/=]{0,12}".prop_map(Value::from),
+        Just(json!("DELETE")),
+        Just(json!("a2V5")),
+    ]
+}
+
+fn value() -> impl Strategy<Value = Value> {
+    leaf().prop_recursive(6, 64, 6, |inner| {
+        let field = prop::sample::select(FIELDS.to_vec());
+        prop_oneof![
+            proptest::collection::vec(inner.clone(), 0..6).prop_map(Value::from),
+            proptest::collection::vec((field, inner), 0..8).prop_map(|fields| {
+                let fields = fields
+                    .into_iter()
+                    .map(|(key, value)| (key.to_owned(), value));
+                Value::Object(fields.collect())
+            }),
+        ]
+    })
+}
+
+fn calls() -> [Call; 4] {
+    [
+        Call::Range {
+            prefix: "a".to_owned(),
+        },
+        Call::Txn {
+            compares: Vec::new(),
+            puts: Vec::new(),
+            deletes: Vec::new(),
+        },
+        Call::Keep { lease: 1 },
+        Call::Revoke { lease: 1 },
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn answers_are_read_or_refused(value in value()) {
+        let text = value.to_string().len();
+        for call in calls() {
+            match answer(&call, &value) {
+                Ok(Answer::Pairs { pairs, .. } | Answer::Conflict { pairs, .. }) => {
+                    let sizes = pairs.iter().map(|it| it.key.len() + it.value.len());
+                    prop_assert!(sizes.sum::<usize>() <= text);
+                }
+                Ok(_) => {}
+                Err(fault) => {
+                    let malformed = matches!(fault, Fault::Malformed { .. });
+                    prop_assert!(malformed, "{fault:?}");
+                }
+            }
+        }
+        refusal(&value);
+    }
+
+    #[test]
+    fn a_watch_s_lines_are_read_or_refused(value in value()) {
+        if let Ok((events, _)) = events(&value) {
+            let keys = events.iter().map(|event| match event {
+                Event::Put(pair) => pair.key.len() + pair.value.len(),
+                Event::Delete { key, .. } => key.len(),
+            });
+            prop_assert!(keys.sum::<usize>() <= value.to_string().len());
+        }
+    }
+
+    #[test]
+    fn arbitrary_text_is_no_answer(bytes in proptest::collection::vec(any::<u8>(), 0..64)) {
+        if let Ok(value) = serde_json::from_slice::<Value>(&bytes) {
+            prop_assert!(answer(&calls()[0], &value).is_err());
+        }
+    }
+}
+
+/// Nesting beyond the library's limit is an error, not a spent stack.
+#[test]
+fn deep_nesting_is_refused() {
+    let text = "[".repeat(100_000);
+    assert!(serde_json::from_str::<Value>(&text).is_err());
+}
--- a/crates/upstream/src/conn.rs
+++ b/crates/upstream/src/conn.rs
@@ -12,6 +12,11 @@
 
 use crate::Error;
 
+/// The most iterations that an upstream may ask for in a login. Each takes
+/// time on the thread that serves all upstreams, which a broken upstream could
+/// else stop for minutes.
+const MAX_ITERATIONS: u32 = 1_000_000;
+
 /// How the proxy logs in to an upstream.
 #[derive(Debug, Clone)]
 pub struct Login {
@@ -172,6 +177,9 @@
                     .map_err(malformed)?;
             }
             (11, Some(exchange)) => {
+                if iterations(rest).is_none_or(|it| it > MAX_ITERATIONS) {
+                    return Err(Error::Login(method));
+                }
                 exchange.update(rest).map_err(malformed)?;
                 frontend::sasl_response(exchange.message(), &mut buf).map_err(malformed)?;
             }
@@ -182,6 +190,13 @@
     }
 }
 
+/// The iteration count in a challenge of SCRAM.
+fn iterations(challenge: &[u8]) -> Option<u32> {
+    let text = std::str::from_utf8(challenge).ok()?;
+    let count = text.split(',').find_map(|it| it.strip_prefix("i="))?;
+    count.parse().ok()
+}
+
 fn key(body: &[u8]) -> Option<Key> {
     let (pid, rest) = body.split_first_chunk::<4>()?;
     let (secret, _) = rest.split_first_chunk::<4>()?;
