--- a/crates/daemon/examples/common/stage.rs
+++ b/crates/daemon/examples/common/stage.rs
@@ -64,7 +64,7 @@
         let revision = apply(store.address(), &text).context("the catalogue was not applied")?;
         let mut daemons = Vec::new();
         for index in 0..conf.daemons {
-            let settings = settings(index, store.address(), conf)?;
+            let settings = settings(index, store.address(), conf, &daemons)?;
             daemons.push(Daemon::spawn(&settings).context("a daemon did not start")?);
         }
         Ok(Self {
@@ -157,7 +157,13 @@
 }
 
 /// The settings of a daemon, as its environment would give them.
-fn settings(index: usize, store: SocketAddr, conf: Conf) -> anyhow::Result<Settings> {
+fn settings(
+    index: usize,
+    store: SocketAddr,
+    conf: Conf,
+    others: &[Daemon],
+) -> anyhow::Result<Settings> {
+    let seeds: Vec<_> = others.iter().map(|it| it.peers().to_string()).collect();
     let env = BTreeMap::from([
         ("DANDELIONLINK_LISTEN", "127.0.0.1:0".to_owned()),
         ("DANDELIONLINK_OPS", "127.0.0.1:0".to_owned()),
@@ -169,7 +175,9 @@
             format!("1:{}", "5a".repeat(32)),
         ),
         ("DANDELIONLINK_UPSTREAM_USER", "proxy".to_owned()),
-        ("DANDELIONLINK_SHARE", conf.daemons.to_string()),
+        ("DANDELIONLINK_PEERS", "127.0.0.1:0".to_owned()),
+        ("DANDELIONLINK_SEEDS", seeds.join(",")),
+        ("DANDELIONLINK_PEER_KEYS", format!("1:{}", "3c".repeat(32))),
         ("DANDELIONLINK_CALLERS", conf.callers.to_string()),
         ("DANDELIONLINK_DRAIN_MS", "2000".to_owned()),
         ("DANDELIONLINK_SEED", conf.seed.to_string()),
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -3,17 +3,28 @@
 mod answer;
 mod auth;
 mod batch;
+mod change;
 mod greet;
 mod local;
 mod serve;
+#[cfg(test)]
+mod tests;
 
 use std::{
-    cell::RefCell, collections::HashMap, net::TcpListener, rc::Rc, sync::Arc, time::Duration,
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
 };
 
 use catalog::layout::Snapshot;
 use clock::Clock;
-use ntex::SharedCfg;
+use ntex::{
+    SharedCfg,
+    io::{Io, Sealed},
+};
 use session::Keys;
 use tokio::sync::mpsc;
 
@@ -49,8 +60,13 @@
     pub(crate) watch: Watch,
     /// How many callers may be connected at once.
     pub(crate) limit: usize,
+    /// What the verifiers of unknown users are made from.
+    pub(crate) mock: [u8; 32],
 }
 
+/// A caller's connection, plain or encrypted.
+type Stream = Io<Sealed>;
+
 /// A caller's end in the duty's table.
 struct Entry {
     secret: i32,
@@ -68,6 +84,9 @@
     made: RefCell<u64>,
     watch: Watch,
     limit: usize,
+    mock: [u8; 32],
+    /// How many connections are logging in.
+    logins: Cell<usize>,
 }
 
 /// Runs the duty until the daemon stops.
@@ -81,6 +100,8 @@
         made: RefCell::new(0),
         watch: conf.watch.clone(),
         limit: conf.limit,
+        mock: conf.mock,
+        logins: Cell::new(0),
     });
     ntex::rt::spawn(deliver(Rc::clone(&shared), conf.replies));
     ntex::rt::spawn(follow(Rc::clone(&shared), conf.catalogs));
@@ -116,7 +137,7 @@
             .into_std()
             .and_then(|it| ntex::rt::from_tcp_stream(it, SharedCfg::default()));
         if let Ok(io) = io {
-            ntex::rt::spawn(greet::serve(io, Rc::clone(shared)));
+            ntex::rt::spawn(greet::serve(io.seal(), Rc::clone(shared)));
         }
     }
 }
--- a/crates/daemon/src/peers/forward.rs
+++ b/crates/daemon/src/peers/forward.rs
@@ -25,13 +25,14 @@
 const WAITING: usize = 1_024;
 
 type Frames = mpsc::Sender<Message>;
+type Commands = mpsc::Sender<(Seq, Command)>;
 
 /// The streams of commands, to and from other instances.
 #[derive(Clone)]
 pub(super) struct Forwards {
     /// To the upstreams' duty.
     pub(super) ins: ring::Shared<In>,
-    outgoing: Rc<RefCell<HashMap<name::Instance, mpsc::Sender<(Seq, Command)>>>>,
+    outgoing: Rc<RefCell<HashMap<name::Instance, Commands>>>,
     incoming: Rc<RefCell<HashMap<Conn, Frames>>>,
 }
 
@@ -85,7 +86,7 @@
         streams: &Streams,
         to: &name::Instance,
         address: SocketAddr,
-    ) -> mpsc::Sender<(Seq, Command)> {
+    ) -> Commands {
         let (sender, commands) = mpsc::channel(WAITING);
         self.outgoing
             .borrow_mut()
--- a/crates/daemon/src/upstreams/run.rs
+++ b/crates/daemon/src/upstreams/run.rs
@@ -112,9 +112,7 @@
     if let Some((to, of)) = running.remote.borrow().clone() {
         tell(core, &to, Command::Cancel { of });
     }
-    if let Some((address, key)) = running.line.borrow().clone() {
-        ntex::rt::spawn(async move { upstream::cancel(address, &key).await });
-    }
+    running.hit();
 }
 
 async fn run(core: &Rc<Core>, job: &mut Job, running: &Rc<Running>) -> End {
@@ -138,7 +136,7 @@
         bytes,
         status,
         events: Vec::new(),
-        setting: None,
+        changes: Vec::new(),
         retry_after: None,
     }
 }
@@ -258,28 +256,58 @@
         held.settle(&heard);
         return read_only(core, job, group, way).await;
     }
-    if heard.status != Some(b'I') {
-        held.keep(core, job.caller, group);
-        return Try::Ended(end(Outcome::Done, sink.finish(), heard.status));
-    }
     let failed = heard.error.is_some();
-    if job.batch.need == Need::Alone {
-        held.discard();
-    } else {
-        held.settle(&heard);
+    let commits = job.batch.closes == Closes::Transaction;
+    if heard.status != Some(b'I') {
+        return Try::Ended(keep_open(core, job, group, held, &heard, sink).await);
     }
+    held.settle(&heard);
     let wrote = matches!(job.batch.need, Need::Write | Need::Alone | Need::Begin);
-    if wrote && !failed {
-        return Try::Ended(acknowledge(core, job, group, heard.behind, sink).await);
+    if wrote && (!failed || commits) {
+        let mut end = acknowledge(core, job, group, heard.behind, sink).await;
+        if !failed {
+            end.changes = std::mem::take(&mut job.batch.changes);
+        }
+        return Try::Ended(end);
     }
     let mut end = end(Outcome::Done, sink.finish(), Some(b'I'));
     if !failed {
-        end.setting = job.batch.setting.take();
+        end.changes = std::mem::take(&mut job.batch.changes);
     }
     end.events = learnt(group, way, &heard);
     Try::Ended(end)
 }
 
+/// The answer to a batch behind which a transaction, or the batch itself, is
+/// still open: the caller keeps the connection.
+///
+/// A text such as `COMMIT; BEGIN` ends a transaction all the same. Its commit
+/// is acknowledged as any other; it would be lost with the primary otherwise.
+async fn keep_open(
+    core: &Rc<Core>,
+    job: &mut Job,
+    group: &Rc<Group>,
+    held: Held,
+    heard: &Heard,
+    sink: Sink<'_>,
+) -> End {
+    held.keep(core, job.caller, group);
+    let commits = job.batch.closes == Closes::Transaction && heard.status.is_some();
+    let mut end = if commits && heard.behind.is_some() {
+        let end = acknowledge(core, job, group, heard.behind, sink).await;
+        End {
+            status: heard.status,
+            ..end
+        }
+    } else {
+        end(Outcome::Done, sink.finish(), heard.status)
+    };
+    if heard.error.is_none() {
+        end.changes = std::mem::take(&mut job.batch.changes);
+    }
+    end
+}
+
 /// What a session learns from an answered read.
 fn learnt(group: &Group, way: &Way, heard: &Heard) -> Vec<session::Event> {
     if let Way::Confirmed(_, round) = way {
@@ -386,6 +414,7 @@
         () = sleep(job.deadline.since(sent)) => None,
     };
     *running.line.borrow_mut() = None;
+    running.spare(&mut line);
     let Some(mut heard) = heard else {
         discard(line);
         return cut(core, job);
@@ -443,21 +472,25 @@
 
 async fn conclude_within(
     core: &Rc<Core>,
-    job: &Job,
+    job: &mut Job,
     group: &Rc<Group>,
     held: Held,
     heard: Heard,
     sink: Sink<'_>,
 ) -> End {
     if heard.status != Some(b'I') {
-        held.keep(core, job.caller, group);
-        return end(Outcome::Done, sink.finish(), heard.status);
+        return keep_open(core, job, group, held, &heard, sink).await;
     }
     held.settle(&heard);
-    if heard.error.is_some() {
+    let closes = job.batch.closes == Closes::Transaction;
+    if heard.error.is_some() && !closes {
         return end(Outcome::Done, sink.finish(), Some(b'I'));
     }
-    acknowledge(core, job, group, heard.behind, sink).await
+    let mut end = acknowledge(core, job, group, heard.behind, sink).await;
+    if heard.error.is_none() {
+        end.changes = std::mem::take(&mut job.batch.changes);
+    }
+    end
 }
 
 /// The transaction is gone with its connection: it rolled back.
--- a/crates/daemon/src/upstreams/running.rs
+++ b/crates/daemon/src/upstreams/running.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use upstream::Key;
 
+use super::line::{Fate, Line};
 use crate::forward::Seq;
 
 /// A request that runs.
@@ -22,6 +23,8 @@
     pub(super) remote: RefCell<Option<(name::Instance, Seq)>>,
     /// Whether whoever asked is gone.
     pub(super) cancelled: Cell<bool>,
+    /// Whether a cancel request has been sent to its connection's server.
+    pub(super) hit: Cell<bool>,
     /// Parts of the answer that were sent and not yet taken.
     pub(super) untaken: Cell<usize>,
     /// Told when a part was taken, or whoever asked is gone.
@@ -36,6 +39,7 @@
             line: RefCell::default(),
             remote: RefCell::default(),
             cancelled: Cell::new(false),
+            hit: Cell::new(false),
             untaken: Cell::new(0),
             taken: Notify::new(),
         }
@@ -48,6 +52,22 @@
         self.taken.notify_one();
     }
 
+    /// Cancels the statement on its connection of this instance.
+    pub(super) fn hit(&self) {
+        if let Some((address, key)) = self.line.borrow().clone() {
+            self.hit.set(true);
+            ntex::rt::spawn(async move { upstream::cancel(address, &key).await });
+        }
+    }
+
+    /// Keeps a connection from the next request while a cancel is on its way
+    /// to it: the cancel names the connection, not the statement.
+    pub(super) fn spare(&self, line: &mut Line) {
+        if self.hit.get() {
+            line.fate = Fate::Close;
+        }
+    }
+
     /// Notes that a part of the answer was taken.
     pub(super) fn take_one(&self) {
         self.untaken.set(self.untaken.get().saturating_sub(1));
