--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -1,6 +1,9 @@
 //! Rumours about members, passed on with heartbeats.
 
-use std::{collections::BTreeMap, mem::size_of};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem::size_of,
+};
 
 use wire::{Mark, Node, State, Update};
 
@@ -34,16 +37,20 @@
 #[derive(Debug, Default)]
 pub(crate) struct Gossip {
     rumours: BTreeMap<Node, Rumour>,
+    /// The same, the least told first.
+    order: BTreeSet<(u8, Node)>,
 }
 
 impl Gossip {
     /// Passes on what the table says of `node` from now on.
     pub(crate) fn tell(&mut self, node: Node, telling: Telling) {
-        let before = self.rumours.get(&node).map(|rumour| rumour.telling);
+        let before = self.forget(node).map(|rumour| rumour.telling);
         let telling = before.map_or(telling, |before| before.min(telling));
-        self.rumours.insert(node, Rumour { sent: 0, telling });
-        if self.rumours.len() > WAITING_MAX {
-            self.drop_stalest();
+        self.keep(node, Rumour { sent: 0, telling });
+        if self.rumours.len() > WAITING_MAX
+            && let Some(&(_, stalest)) = self.order.last()
+        {
+            self.forget(stalest);
         }
     }
 
@@ -61,14 +68,10 @@
             return updates;
         }
         let often = times(table.len());
-        let mut order: Vec<_> = self
-            .rumours
-            .iter()
-            .map(|(&node, rumour)| (rumour.sent, node, rumour.telling))
-            .collect();
-        order.sort_unstable();
-        for (sent, node, telling) in order {
-            let len = match telling {
+        let mut told = Vec::new();
+        for &(_, node) in &self.order {
+            let rumour = self.rumours[&node];
+            let len = match rumour.telling {
                 Telling::Record => RECORD_LEN,
                 Telling::Mark => MARK_LEN,
             };
@@ -76,29 +79,33 @@
                 break;
             }
             room -= len;
-            updates.extend(update(table, node, telling));
-            self.count(node, sent + 1, often);
+            updates.extend(update(table, node, rumour.telling));
+            told.push((node, rumour));
+        }
+        for (node, rumour) in told {
+            self.forget(node);
+            let sent = rumour.sent + 1;
+            if sent < often {
+                self.keep(node, Rumour { sent, ..rumour });
+            }
         }
         updates
     }
 
     pub(crate) fn state_bytes(&self) -> usize {
-        self.rumours.len() * (size_of::<Node>() + size_of::<Rumour>()) * 3 / 2
+        let slot = 2 * size_of::<Node>() + size_of::<Rumour>() + 1;
+        self.rumours.len() * slot * 3 / 2
     }
 
-    fn count(&mut self, node: Node, sent: u8, often: u8) {
-        if sent >= often {
-            self.rumours.remove(&node);
-        } else if let Some(rumour) = self.rumours.get_mut(&node) {
-            rumour.sent = sent;
-        }
+    fn keep(&mut self, node: Node, rumour: Rumour) {
+        self.rumours.insert(node, rumour);
+        self.order.insert((rumour.sent, node));
     }
 
-    fn drop_stalest(&mut self) {
-        let stalest = self.rumours.iter().max_by_key(|(_, rumour)| rumour.sent);
-        if let Some((&node, _)) = stalest {
-            self.rumours.remove(&node);
-        }
+    fn forget(&mut self, node: Node) -> Option<Rumour> {
+        let rumour = self.rumours.remove(&node)?;
+        self.order.remove(&(rumour.sent, node));
+        Some(rumour)
     }
 }
 
