Choose a frame's format by address, and try the newest now and then

Cause: the fleet part named no node with what it sends, so that frames to an instance of the previous format would have gone out in the newest; and two upgraded instances that answer in what they hear would never leave format 1. Change: the gate keeps the format by address; one frame in 16 to a peer of the previous format is in the newest. Conclusion: a rolling upgrade ends in the newest format by itself.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -153,8 +153,6 @@
     Send {
         /// Where to.
         to: SocketAddr,
-        /// Who is there, where known; it tells the format to write.
-        node: Option<Node>,
         /// What to say.
         message: Message,
     },
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -418,11 +418,7 @@
     }
 
     pub(crate) fn send(&mut self, to: SocketAddr, message: Message) {
-        self.out.push(Action::Send {
-            to,
-            node: None,
-            message,
-        });
+        self.out.push(Action::Send { to, message });
     }
 
     pub(crate) fn notice(&mut self, notice: Notice) {
--- a/crates/slopes/src/bench.rs
+++ b/crates/slopes/src/bench.rs
@@ -429,8 +429,10 @@
     };
     let start = std::time::Instant::now();
     for _ in 0..TURNS {
-        let bytes = ours.seal(address, None, &ping).expect("a ping is small");
-        theirs.receive(&bytes).expect("our own frame is authentic");
+        let bytes = ours.seal(address, &ping).expect("a ping is small");
+        theirs
+            .receive(address, &bytes)
+            .expect("our own frame is authentic");
     }
     start.elapsed() / TURNS / 2
 }
--- a/crates/slopes/src/world.rs
+++ b/crates/slopes/src/world.rs
@@ -517,7 +517,7 @@
     fn act_once(&mut self, slot: usize, action: Action) {
         let generation = self.slots[slot].generation;
         match action {
-            Action::Send { to, message, .. } => self.send(slot, to, message),
+            Action::Send { to, message } => self.send(slot, to, message),
             Action::Ask { call, to, message } => {
                 let to = slot_at(to);
                 self.slots[slot].count.sent(count::request(&message));
--- a/crates/wire/src/gate.rs
+++ b/crates/wire/src/gate.rs
@@ -30,9 +30,9 @@
 /// let mut theirs = Gate::open(Node([2; 8]), 1, b, ring);
 ///
 /// let ping = Message::Ping { probe: 1, view: View::default(), updates: vec![] };
-/// let bytes = ours.seal(b, None, &ping).unwrap();
-/// assert_eq!(theirs.receive(&bytes).unwrap().message, ping);
-/// assert_eq!(theirs.receive(&bytes), Err(wire::Error::Replayed));
+/// let bytes = ours.seal(b, &ping).unwrap();
+/// assert_eq!(theirs.receive(a, &bytes).unwrap().message, ping);
+/// assert_eq!(theirs.receive(a, &bytes), Err(wire::Error::Replayed));
 /// ```
 #[derive(Debug)]
 pub struct Gate {
@@ -67,22 +67,16 @@
         &self.ring
     }
 
-    /// Seals `message` for the instance at `to`, in the format that `node`
-    /// last wrote in, or in the newest while it was not heard.
+    /// Seals `message` for the instance at `to`, in the format that was last
+    /// heard from there; the newest is tried now and then, and while nothing was
+    /// heard.
     ///
     /// # Errors
     ///
     /// [`Error::Oversized`], and [`Error::NotInFormat`] for a message that the
     /// peer's format has not.
-    pub fn seal(
-        &mut self,
-        to: SocketAddr,
-        node: Option<Node>,
-        message: &Message,
-    ) -> Result<Vec<u8>, Error> {
-        let format = node
-            .and_then(|node| self.windows.format(node))
-            .unwrap_or(Format::Newest);
+    pub fn seal(&mut self, to: SocketAddr, message: &Message) -> Result<Vec<u8>, Error> {
+        let format = self.windows.format(to);
         self.seal_in(format, to, message)
     }
 
@@ -107,16 +101,16 @@
         frame::seal(&context(to), key, format, &header, message, DATAGRAM_MAX)
     }
 
-    /// Opens a datagram that arrived at our address.
+    /// Opens a datagram that arrived at our address from `from`.
     ///
     /// # Errors
     ///
     /// [`Error`] tells why it must be dropped; the caller counts it by
     /// [`Error::label`].
-    pub fn receive(&mut self, bytes: &[u8]) -> Result<Frame, Error> {
+    pub fn receive(&mut self, from: SocketAddr, bytes: &[u8]) -> Result<Frame, Error> {
         let context = context(self.address);
         let (format, header, message) = frame::open(&context, &self.ring, bytes, DATAGRAM_MAX)?;
-        self.windows.admit(format, &header)?;
+        self.windows.admit(from, format, &header)?;
         Ok(Frame {
             format,
             header,
--- a/crates/wire/src/replay.rs
+++ b/crates/wire/src/replay.rs
@@ -1,6 +1,6 @@
 //! Windows of sequence numbers, so that a replayed datagram is dropped.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use crate::{Error, Header, Node, frame::Format};
 
@@ -9,28 +9,69 @@
 /// The most senders remembered; four times the target fleet.
 const SENDERS_MAX: usize = 16_384;
 
+/// Of this many frames to a peer of the previous format one is in the newest.
+const TRIAL_ONE_IN: u32 = 16;
+
 #[derive(Debug, Clone, Copy)]
 struct Window {
     incarnation: u64,
     highest: u64,
     seen: u128,
-    format: Format,
 }
 
 /// The windows of all senders.
 #[derive(Debug, Default)]
 pub(crate) struct Windows {
     senders: HashMap<Node, Window>,
+    /// Addresses last heard in the previous format, with the frames written to
+    /// them since.
+    previous: HashMap<SocketAddr, u32>,
 }
 
 impl Windows {
     /// Notes an authentic frame, unless it was noted before.
-    pub(crate) fn admit(&mut self, format: Format, header: &Header) -> Result<(), Error> {
+    pub(crate) fn admit(
+        &mut self,
+        from: SocketAddr,
+        format: Format,
+        header: &Header,
+    ) -> Result<(), Error> {
+        self.admit_sequence(header)?;
+        match format {
+            Format::Newest => {
+                self.previous.remove(&from);
+            }
+            Format::Previous if self.previous.len() >= SENDERS_MAX => {}
+            Format::Previous => {
+                self.previous.entry(from).or_default();
+            }
+        }
+        Ok(())
+    }
+
+    /// The format to write to an address: the one last heard from there, but now
+    /// and then the newest.
+    ///
+    /// Two upgraded instances that each answer in the format they heard would
+    /// else stay in the previous one for ever, and never tell each other what
+    /// only the newest can. A peer that is not upgraded drops the trial.
+    pub(crate) fn format(&mut self, to: SocketAddr) -> Format {
+        let Some(written) = self.previous.get_mut(&to) else {
+            return Format::Newest;
+        };
+        *written = written.wrapping_add(1);
+        if written.is_multiple_of(TRIAL_ONE_IN) {
+            Format::Newest
+        } else {
+            Format::Previous
+        }
+    }
+
+    fn admit_sequence(&mut self, header: &Header) -> Result<(), Error> {
         let fresh = Window {
             incarnation: header.incarnation,
             highest: header.sequence,
             seen: 1,
-            format,
         };
         let Some(window) = self.senders.get_mut(&header.sender) else {
             self.make_room();
@@ -44,15 +85,9 @@
             *window = fresh;
             return Ok(());
         }
-        window.format = format;
         window.admit(header.sequence)
     }
 
-    /// The format that `sender` last wrote in.
-    pub(crate) fn format(&self, sender: Node) -> Option<Format> {
-        self.senders.get(&sender).map(|window| window.format)
-    }
-
     /// Drops the sender that started longest ago; only holders of a key can
     /// fill this, so the bound guards memory against a key in wrong hands.
     fn make_room(&mut self) {
--- a/crates/wire/tests/arbitrary.rs
+++ b/crates/wire/tests/arbitrary.rs
@@ -64,7 +64,7 @@
     let bytes = prop::collection::vec(any::<u8>(), 0..1_400);
     runner
         .run(&bytes, |bytes| {
-            let error = gate().receive(&bytes).unwrap_err();
+            let error = gate().receive(address(), &bytes).unwrap_err();
             let oversized = matches!(error, Error::Oversized { .. });
             prop_assert_eq!(oversized, bytes.len() > DATAGRAM_MAX);
             Ok(())
@@ -80,7 +80,7 @@
             let before = HEAP.allocated();
             let most = before + AHEAD_MAX + GROWTH_MAX * frame.len();
             HEAP.set_limit(most).unwrap();
-            let result = gate().receive(&frame);
+            let result = gate().receive(address(), &frame);
             HEAP.set_limit(usize::MAX).unwrap();
             if let Err(error) = result {
                 prop_assert_eq!(error, Error::Malformed);
@@ -95,7 +95,7 @@
     let frame = sealed(Format::Newest, &body);
     HEAP.set_limit(HEAP.allocated() + AHEAD_MAX + GROWTH_MAX * frame.len())
         .unwrap();
-    let result = gate().receive(&frame);
+    let result = gate().receive(address(), &frame);
     HEAP.set_limit(usize::MAX).unwrap();
     assert_eq!(result, Err(Error::Malformed));
 
@@ -106,7 +106,9 @@
         updates: Vec::new(),
     };
     let body = postcard::to_allocvec(&ping).unwrap();
-    let frame = gate().receive(&sealed(Format::Newest, &body)).unwrap();
+    let frame = gate()
+        .receive(address(), &sealed(Format::Newest, &body))
+        .unwrap();
     assert_eq!(frame.message, ping);
     assert_eq!(wire::len(&ping), body.len());
     assert!(Key::new(1, b"short").is_err());
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -45,11 +45,11 @@
     // Cause it guards against: decoding before the seal was verified.
     let mut ours = gate(1, 7, OLD_KEY);
     let mut theirs = gate(2, 7, OLD_KEY);
-    let bytes = ours.seal(address(2), None, &ping(1)).unwrap();
+    let bytes = ours.seal(address(2), &ping(1)).unwrap();
     for at in 0..bytes.len() {
         let mut forged = bytes.clone();
         forged[at] ^= 1;
-        let error = theirs.receive(&forged).unwrap_err();
+        let error = theirs.receive(address(1), &forged).unwrap_err();
         let expected = match at {
             0 => Error::ForeignFormat(3),
             1 => Error::UnknownKey(0),
@@ -58,9 +58,12 @@
         assert_eq!(error, expected, "byte {at}");
     }
     let mut stranger = gate(1, 7, "1:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa");
-    let forged = stranger.seal(address(2), None, &ping(1)).unwrap();
-    assert_eq!(theirs.receive(&forged), Err(Error::Unauthenticated));
-    assert_eq!(theirs.receive(&bytes).unwrap().message, ping(1));
+    let forged = stranger.seal(address(2), &ping(1)).unwrap();
+    assert_eq!(
+        theirs.receive(address(1), &forged),
+        Err(Error::Unauthenticated)
+    );
+    assert_eq!(theirs.receive(address(1), &bytes).unwrap().message, ping(1));
 }
 
 #[test]
@@ -73,33 +76,42 @@
     let mut ours = gate(1, 7, OLD_KEY);
     let mut theirs = gate(2, 7, OLD_KEY);
     let mut others = gate(3, 7, OLD_KEY);
-    let first = ours.seal(address(2), None, &ping(1)).unwrap();
-    let second = ours.seal(address(2), None, &ping(2)).unwrap();
-    assert!(theirs.receive(&second).is_ok());
-    assert!(theirs.receive(&first).is_ok(), "late is not replayed");
-    assert_eq!(theirs.receive(&first), Err(Error::Replayed));
-    assert_eq!(theirs.receive(&second), Err(Error::Replayed));
-    assert_eq!(others.receive(&first), Err(Error::Unauthenticated));
+    let first = ours.seal(address(2), &ping(1)).unwrap();
+    let second = ours.seal(address(2), &ping(2)).unwrap();
+    assert!(theirs.receive(address(1), &second).is_ok());
+    assert!(
+        theirs.receive(address(1), &first).is_ok(),
+        "late is not replayed"
+    );
+    assert_eq!(theirs.receive(address(1), &first), Err(Error::Replayed));
+    assert_eq!(theirs.receive(address(1), &second), Err(Error::Replayed));
+    assert_eq!(
+        others.receive(address(1), &first),
+        Err(Error::Unauthenticated)
+    );
 
     let mut restarted = gate(1, 8, OLD_KEY);
-    let bytes = restarted.seal(address(2), None, &ping(1)).unwrap();
-    assert!(theirs.receive(&bytes).is_ok());
-    let old = ours.seal(address(2), None, &ping(9)).unwrap();
-    assert_eq!(theirs.receive(&old), Err(Error::EarlierIncarnation));
+    let bytes = restarted.seal(address(2), &ping(1)).unwrap();
+    assert!(theirs.receive(address(1), &bytes).is_ok());
+    let old = ours.seal(address(2), &ping(9)).unwrap();
+    assert_eq!(
+        theirs.receive(address(1), &old),
+        Err(Error::EarlierIncarnation)
+    );
 }
 
 #[test]
 fn a_frame_older_than_the_window_is_dropped() {
     let mut ours = gate(1, 7, OLD_KEY);
     let mut theirs = gate(2, 7, OLD_KEY);
-    let old = ours.seal(address(2), None, &ping(0)).unwrap();
-    let edge = ours.seal(address(2), None, &ping(1)).unwrap();
+    let old = ours.seal(address(2), &ping(0)).unwrap();
+    let edge = ours.seal(address(2), &ping(1)).unwrap();
     for probe in 2..129 {
-        let bytes = ours.seal(address(2), None, &ping(probe)).unwrap();
-        theirs.receive(&bytes).unwrap();
+        let bytes = ours.seal(address(2), &ping(probe)).unwrap();
+        theirs.receive(address(1), &bytes).unwrap();
     }
-    assert_eq!(theirs.receive(&old), Err(Error::Replayed));
-    assert!(theirs.receive(&edge).is_ok());
+    assert_eq!(theirs.receive(address(1), &old), Err(Error::Replayed));
+    assert!(theirs.receive(address(1), &edge).is_ok());
 }
 
 #[test]
@@ -118,13 +130,19 @@
         for (a, b) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
             ours.rotate(Ring::parse(&step[a]).unwrap());
             theirs.rotate(Ring::parse(&step[b]).unwrap());
-            let bytes = ours.seal(address(2), None, &ping(1)).unwrap();
-            assert!(theirs.receive(&bytes).is_ok(), "{step:?} {a} {b}");
+            let bytes = ours.seal(address(2), &ping(1)).unwrap();
+            assert!(
+                theirs.receive(address(1), &bytes).is_ok(),
+                "{step:?} {a} {b}"
+            );
         }
     }
     ours.rotate(Ring::parse(OLD_KEY).unwrap());
-    let bytes = ours.seal(address(2), None, &ping(1)).unwrap();
-    assert_eq!(theirs.receive(&bytes), Err(Error::UnknownKey(1)));
+    let bytes = ours.seal(address(2), &ping(1)).unwrap();
+    assert_eq!(
+        theirs.receive(address(1), &bytes),
+        Err(Error::UnknownKey(1))
+    );
 }
 
 #[test]
@@ -149,45 +167,75 @@
         updates: Vec::new(),
     };
     let bytes = old.seal_in(Format::Previous, address(1), &message).unwrap();
-    let frame = new.receive(&bytes).unwrap();
+    let frame = new.receive(address(2), &bytes).unwrap();
     assert_eq!(frame.format, Format::Previous);
     assert_eq!(frame.message, message);
 
-    let peer = Some(frame.header.sender);
-    let answer = new.seal(address(2), peer, &message).unwrap();
+    let answer = new.seal(address(2), &message).unwrap();
     assert_eq!(answer[0], Format::Previous.number());
-    assert_eq!(old.receive(&answer).unwrap().message, message);
-    assert_eq!(
-        new.seal(address(2), peer, &evidence()),
-        Err(Error::NotInFormat)
-    );
+    assert_eq!(old.receive(address(1), &answer).unwrap().message, message);
+    assert_eq!(new.seal(address(2), &evidence()), Err(Error::NotInFormat));
+
+    // A peer that is not upgraded reads most frames, and drops a trial.
+    let formats: Vec<_> = (0..32)
+        .map(|_| new.seal(address(2), &message).unwrap()[0])
+        .collect();
+    assert_eq!(formats.iter().filter(|&&format| format == 1).count(), 30);
 
-    // Once the peer was upgraded it writes format 2, and is answered in it.
-    let bytes = old.seal(address(1), None, &message).unwrap();
-    new.receive(&bytes).unwrap();
-    let answer = new.seal(address(2), peer, &evidence()).unwrap();
+    // Once upgraded it writes format 2, and is answered in it.
+    let mut upgraded = gate(2, 8, OLD_KEY);
+    let bytes = upgraded.seal(address(1), &message).unwrap();
+    new.receive(address(2), &bytes).unwrap();
+    let answer = new.seal(address(2), &evidence()).unwrap();
     assert_eq!(answer[0], Format::Newest.number());
 }
 
+#[test]
+fn upgraded_instances_leave_the_previous_format() {
+    // Symptom: long after an upgrade some pairs still speak format 1, and no
+    // evidence passes between them.
+    // Events: an upgraded instance's first frame is in format 1, because its
+    // predecessor's was; the other, upgraded too, answers in what it hears.
+    // Cause: each end waits for the other to begin.
+    let mut ours = gate(1, 7, OLD_KEY);
+    let mut theirs = gate(2, 7, OLD_KEY);
+    let first = ours
+        .seal_in(Format::Previous, address(2), &ping(0))
+        .unwrap();
+    theirs.receive(address(1), &first).unwrap();
+    let mut last = Vec::new();
+    for probe in 0..40 {
+        let bytes = theirs.seal(address(1), &ping(probe)).unwrap();
+        ours.receive(address(2), &bytes).unwrap();
+        last = ours.seal(address(2), &ping(probe)).unwrap();
+        theirs.receive(address(1), &last).unwrap();
+    }
+    assert_eq!(last[0], Format::Newest.number());
+    assert!(theirs.seal(address(1), &evidence()).is_ok());
+}
+
 #[test]
 fn foreign_formats_and_short_frames_are_dropped() {
     let mut ours = gate(1, 7, OLD_KEY);
-    assert_eq!(ours.receive(&[]), Err(Error::Truncated));
-    assert_eq!(ours.receive(&[2, 1]), Err(Error::Truncated));
-    assert_eq!(ours.receive(&[9; 64]), Err(Error::ForeignFormat(9)));
+    assert_eq!(ours.receive(address(2), &[]), Err(Error::Truncated));
+    assert_eq!(ours.receive(address(2), &[2, 1]), Err(Error::Truncated));
+    assert_eq!(
+        ours.receive(address(2), &[9; 64]),
+        Err(Error::ForeignFormat(9))
+    );
     let huge = vec![2; DATAGRAM_MAX + 1];
     let error = Error::Oversized {
         len: DATAGRAM_MAX + 1,
         max: DATAGRAM_MAX,
     };
-    assert_eq!(ours.receive(&huge), Err(error));
+    assert_eq!(ours.receive(address(2), &huge), Err(error));
 }
 
 #[test]
 fn an_oversized_message_is_not_sent() {
     let mut ours = gate(1, 7, OLD_KEY);
     let message = Message::Buckets(vec![u32::MAX; 400]);
-    let error = ours.seal(address(2), None, &message).unwrap_err();
+    let error = ours.seal(address(2), &message).unwrap_err();
     assert_eq!(error.label(), "oversized");
     let length = u32::try_from(STREAM_MAX + 1).unwrap().to_le_bytes();
     let error = Stream::length(length).unwrap_err();
