Count changes of duty by zone

Cause: at 4,000 nodes half of a sample's time ranked the own zone anew for changes in other zones. Change: the table's version is kept by zone, and only for changes of who may be given work. Conclusion: a relay's duty costs nothing while its zone is quiet.

--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -56,7 +56,7 @@
     duty: Option<Duty>,
 }
 
-/// Whether this instance is a relay, by the table's version that told it:
+/// Whether this instance is a relay, by the version of its zone that told it:
 /// ranking a zone of 400 members each second was most of an instance's work.
 #[derive(Debug, Clone, Copy)]
 struct Duty {
@@ -107,7 +107,7 @@
     }
 
     fn ranked(&mut self) -> Ranked {
-        let version = self.table.version();
+        let version = self.table.version(&self.conf.zone);
         let state = self.state;
         let known = self
             .relay
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -32,6 +32,14 @@
     Stranger,
 }
 
+/// The members of a zone.
+#[derive(Debug, Clone, Default)]
+struct Zone {
+    nodes: Vec<Node>,
+    /// Counts every change of who of them may be given work.
+    version: u64,
+}
+
 /// All members, as this instance knows them.
 ///
 /// Of two records of a member the one of the later incarnation holds, and
@@ -40,9 +48,8 @@
 #[derive(Debug, Clone)]
 pub struct Table {
     members: BTreeMap<Node, Member>,
-    zones: BTreeMap<name::Zone, Vec<Node>>,
+    zones: BTreeMap<name::Zone, Zone>,
     sums: [u32; BUCKETS],
-    version: u64,
 }
 
 impl Default for Table {
@@ -51,7 +58,6 @@
             members: BTreeMap::new(),
             zones: BTreeMap::new(),
             sums: [0; BUCKETS],
-            version: 0,
         }
     }
 }
@@ -69,13 +75,14 @@
 
     /// All members of a zone.
     pub fn zone(&self, zone: &name::Zone) -> impl Iterator<Item = &Member> {
-        let nodes = self.zones.get(zone).map_or(&[][..], Vec::as_slice);
-        nodes.iter().filter_map(|node| self.members.get(node))
+        let nodes = self.nodes(zone).iter();
+        nodes.filter_map(|node| self.members.get(node))
     }
 
     /// The zones that any member is of.
     pub fn zones(&self) -> impl Iterator<Item = &name::Zone> {
-        self.zones.keys()
+        let zones = self.zones.iter().filter(|(_, zone)| !zone.nodes.is_empty());
+        zones.map(|(name, _)| name)
     }
 
     /// How many members are known, whatever their state.
@@ -88,13 +95,13 @@
         self.members.is_empty()
     }
 
-    /// Counts every change that bears on who may be given work.
-    pub(crate) fn version(&self) -> u64 {
-        self.version
+    /// Counts every change of who of a zone may be given work.
+    pub(crate) fn version(&self, zone: &name::Zone) -> u64 {
+        self.zones.get(zone).map_or(0, |zone| zone.version)
     }
 
     pub(crate) fn nodes(&self, zone: &name::Zone) -> &[Node] {
-        self.zones.get(zone).map_or(&[], Vec::as_slice)
+        self.zones.get(zone).map_or(&[], |zone| &zone.nodes)
     }
 
     pub(crate) fn sums(&self) -> &[u32; BUCKETS] {
@@ -153,9 +160,13 @@
         if rank(mark.incarnation, mark.state) <= rank(known.incarnation, known.state) {
             return Merge::Known;
         }
-        self.version += 1;
         let bucket = bucket(mark.node);
         self.sums[bucket] = self.sums[bucket].wrapping_sub(sum(known, mark.node));
+        if (known.state == State::Alive) != (mark.state == State::Alive)
+            && let Some(zone) = self.zones.get_mut(&known.zone)
+        {
+            zone.version += 1;
+        }
         known.incarnation = mark.incarnation;
         known.state = mark.state;
         member.since = now;
@@ -172,8 +183,10 @@
         if member.listed == listed {
             return None;
         }
-        self.version += 1;
         member.listed = listed;
+        if let Some(zone) = self.zones.get_mut(&member.record.zone) {
+            zone.version += 1;
+        }
         Some(member)
     }
 
@@ -184,8 +197,11 @@
     }
 
     pub(crate) fn set_path(&mut self, zone: &name::Zone, path: Path) {
-        self.version += 1;
-        for node in self.zones.get(zone).into_iter().flatten() {
+        let Some(zone) = self.zones.get_mut(zone) else {
+            return;
+        };
+        zone.version += 1;
+        for node in &zone.nodes {
             if let Some(member) = self.members.get_mut(node) {
                 member.path = path;
             }
@@ -250,13 +266,14 @@
         let zone = self.zones.get_key_value(&record.zone);
         let zone = zone.map_or(&record.zone, |(zone, _)| zone).clone();
         let path = self.path(&zone);
-        self.zones.entry(zone.clone()).or_default().push(node);
+        let entry = self.zones.entry(zone.clone()).or_default();
+        entry.nodes.push(node);
+        entry.version += 1;
         let record = Record {
             zone,
             ..record.clone()
         };
         let bucket = bucket(node);
-        self.version += 1;
         self.sums[bucket] = self.sums[bucket].wrapping_add(sum(&record, node));
         let member = Member {
             node,
@@ -273,14 +290,11 @@
         let Some(member) = self.members.remove(&node) else {
             return;
         };
-        self.version += 1;
         let bucket = bucket(node);
         self.sums[bucket] = self.sums[bucket].wrapping_sub(sum(&member.record, node));
-        if let Some(nodes) = self.zones.get_mut(&member.record.zone) {
-            nodes.retain(|other| *other != node);
-            if nodes.is_empty() {
-                self.zones.remove(&member.record.zone);
-            }
+        if let Some(zone) = self.zones.get_mut(&member.record.zone) {
+            zone.nodes.retain(|other| *other != node);
+            zone.version += 1;
         }
     }
 }
