Blame nobody for the time before a zone was reached again

Cause: at 4,000 nodes 160 members were suspected wrongly 30 s after a region healed: others of their zone had just begun to answer. Change: a member is pinged a last time after others of its zone answered.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -55,6 +55,8 @@
         /// Since when they have had time to answer.
         since: Instant,
     },
+    /// Others of its zone answered, and it was pinged once more.
+    Last,
 }
 
 /// Which of the two probes that lead to a suspicion this is.
@@ -298,7 +300,8 @@
             (Stage::Direct, attempt) => self.probe_indirectly(now, probe, target, attempt),
             (Stage::Indirect, Attempt::First) => self.probe(now, target, Attempt::Second),
             (Stage::Indirect, Attempt::Second) => self.ask_witnesses(now, probe, target),
-            (Stage::Witness { since }, _) => self.judge(now, target, since),
+            (Stage::Witness { since }, _) => self.judge(now, probe, target, since),
+            (Stage::Last, _) => self.suspect(now, target),
         }
     }
 
@@ -370,8 +373,8 @@
         self.timer.subscribe(now + INDIRECT_WAIT, Due::Probe(probe));
     }
 
-    /// Suspects the member if others of its zone answered meanwhile.
-    fn judge(&mut self, now: Instant, target: Node, since: Instant) {
+    /// Pings the member a last time if others of its zone answered meanwhile.
+    fn judge(&mut self, now: Instant, probe: u32, target: Node, since: Instant) {
         let Some(member) = self.table.find(target) else {
             return;
         };
@@ -384,12 +387,29 @@
             self.probes.heard.get(&zone)
         };
         if heard.is_some_and(|&heard| heard >= since) {
-            self.suspect(now, target);
+            self.probe_last(now, probe, target);
         } else if zone != self.conf.zone && member.path == Path::Open {
             self.set_path(&zone, Path::CutOff);
         }
     }
 
+    /// Where the way to a zone opens in this moment, others there answer, and a
+    /// member that was asked before would be blamed for the time before.
+    fn probe_last(&mut self, now: Instant, probe: u32, target: Node) {
+        let Some(member) = self.table.find(target) else {
+            return;
+        };
+        let to = member.record.address;
+        let purpose = Purpose::Own {
+            target,
+            stage: Stage::Last,
+            attempt: Attempt::Second,
+        };
+        self.probes.waiting.insert(probe, purpose);
+        self.ping(to, probe, None);
+        self.timer.subscribe(now + INDIRECT_WAIT, Due::Probe(probe));
+    }
+
     /// Looks whether a zone that is cut off answers again.
     fn greet_cut_off(&mut self) {
         let cut: Vec<_> = self
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -313,3 +313,30 @@
         record(&world).name
     );
 }
+
+#[test]
+fn healing_blames_nobody_for_the_time_before() {
+    // Symptom: after a cut of a minute many members are suspects, though all run.
+    // Events: the way between two parts opens while probes into the other part
+    // have failed, and others there were just asked whether they answer.
+    // Cause: they answer, so the member that did not seemed to be dead.
+    for seed in 0..8 {
+        let mut world = world(90, seed);
+        for slot in 0..90 {
+            world.separate(slot, u8::from(world.zone(slot) >= 7));
+        }
+        world.run(60 * SECOND);
+        for slot in 0..90 {
+            world.separate(slot, 0);
+        }
+        let mut suspects = 0;
+        for _ in 0..5 {
+            world.run(SECOND);
+            suspects += (0..90)
+                .flat_map(|at| (0..90).map(move |of| (at, of)))
+                .filter(|&(at, of)| state(&world, at, of) == State::Suspect)
+                .count();
+        }
+        assert_eq!(suspects, 0, "seed {seed}");
+    }
+}
