--- /dev/null
+++ b/crates/fleet/src/hear.rs
@@ -0,0 +1,156 @@
+//! Taking in what peers tell.
+
+use std::net::SocketAddr;
+
+use clock::Instant;
+use wire::{Message, Node, Record, State, Update, View};
+
+use crate::{Action, Fleet, Path, gossip::Telling, table::Merge};
+
+impl Fleet {
+    pub(crate) fn on_message(
+        &mut self,
+        now: Instant,
+        from: Node,
+        address: SocketAddr,
+        message: Message,
+    ) {
+        match message {
+            Message::Ping {
+                probe,
+                view,
+                updates,
+            } => {
+                self.hear(now, from, address, &view, &updates);
+                self.answer_ping(from, address, probe);
+            }
+            Message::Ack {
+                probe,
+                view,
+                updates,
+            } => {
+                self.hear(now, from, address, &view, &updates);
+                self.on_ack(now, from, address, probe);
+            }
+            Message::Probe { probe, target } => self.help(now, address, probe, target),
+            Message::Rumour {
+                view,
+                delta,
+                updates,
+            } => {
+                if let Some(delta) = delta {
+                    self.on_delta(now, &view, &delta);
+                }
+                self.hear(now, from, address, &view, &updates);
+            }
+            Message::Buckets(sums) => self.compare_buckets(now, address, &sums),
+            Message::Evidence(evidence) => self.out.push(Action::Evidence(evidence)),
+            // What belongs on a stream means nothing in a datagram.
+            Message::Pull(_)
+            | Message::Part(_)
+            | Message::Busy
+            | Message::Members { .. }
+            | Message::Table(_)
+            | Message::Forward { .. }
+            | Message::Answer { .. } => {}
+        }
+    }
+
+    /// Takes in what every heartbeat and rumour tells.
+    fn hear(
+        &mut self,
+        now: Instant,
+        from: Node,
+        address: SocketAddr,
+        view: &View,
+        updates: &[Update],
+    ) {
+        for update in updates {
+            self.merge(now, update);
+        }
+        self.note_heard(now, from, view);
+        self.compare_views(now, from, address, view);
+    }
+
+    fn note_heard(&mut self, now: Instant, from: Node, view: &View) {
+        let Some(member) = self.table.find_mut(from) else {
+            return;
+        };
+        member.view = Some((*view, now));
+        let zone = member.record.zone.clone();
+        if member.path == Path::CutOff {
+            self.set_path(&zone, Path::Open);
+        }
+        self.probes.note_heard(now, zone);
+    }
+
+    pub(crate) fn set_path(&mut self, zone: &model::name::Zone, path: Path) {
+        self.table.set_path(zone, path);
+        let zone = zone.clone();
+        self.out.push(Action::Zone { zone, path });
+    }
+
+    pub(crate) fn merge(&mut self, now: Instant, update: &Update) {
+        let (node, telling) = match self.take_in(now, update) {
+            (_, Merge::Known | Merge::Stranger) => return,
+            (node, Merge::Joined) => (node, Telling::Record),
+            (node, Merge::Changed) => (node, Telling::Mark),
+        };
+        self.announce(now, node, telling);
+    }
+
+    /// Merges what is told of a member, unless it is of this instance itself.
+    fn take_in(&mut self, now: Instant, update: &Update) -> (Node, Merge) {
+        let (node, incarnation, state) = match update {
+            Update::Record(record) => (Node::of(&record.name), record.incarnation, record.state),
+            Update::Mark(mark) => (mark.node, mark.incarnation, mark.state),
+        };
+        if node == self.node {
+            self.refute(now, incarnation, state);
+            return (node, Merge::Known);
+        }
+        (node, self.table.merge(now, update))
+    }
+
+    /// Merges a record from a peer's table. It is not passed on as a rumour: a
+    /// member that joins would repeat the whole table to those who know it.
+    pub(crate) fn merge_quietly(&mut self, now: Instant, record: &Record) {
+        let update = Update::Record(record.clone());
+        if let (node, Merge::Joined | Merge::Changed) = self.take_in(now, &update) {
+            self.report_member(node);
+        }
+    }
+
+    /// Passes on a change of a member, and tells the daemon.
+    pub(crate) fn announce(&mut self, now: Instant, node: Node, telling: Telling) {
+        self.gossip.tell(node, telling);
+        let state = self.table.find(node).map(|member| member.record.state);
+        // Work goes on to a leaving member, and passes by one that has started,
+        // until that is known; so neither waits for heartbeats.
+        if telling == Telling::Record || state == Some(State::Leaving) {
+            self.start_push(now);
+        }
+        self.report_member(node);
+    }
+
+    fn report_member(&mut self, node: Node) {
+        let Some(member) = self.table.find(node) else {
+            return;
+        };
+        let record = member.record.clone();
+        self.out.push(Action::Member(record));
+    }
+
+    /// Contradicts a rumour about this instance that is not true.
+    ///
+    /// A paused or slow instance is suspected by peers and gets no work; it
+    /// would stay out of service for ever unless a later incarnation overruled
+    /// the suspicion.
+    fn refute(&mut self, now: Instant, incarnation: u64, state: State) {
+        if (incarnation, state) <= (self.incarnation, self.state) {
+            return;
+        }
+        self.incarnation = self.incarnation.max(incarnation) + 1;
+        self.tell_self(now);
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod force;
 mod gossip;
+mod hear;
 mod keys;
 mod list;
 mod member;
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -8,8 +8,11 @@
 
 mod bench;
 mod count;
+mod delay;
+mod edge;
 mod fit;
 mod monitor;
+mod queue;
 mod report;
 mod store;
 mod world;
--- a/crates/slopes/src/world.rs
+++ b/crates/slopes/src/world.rs
@@ -1,33 +1,23 @@
 //! A plain seeded queue that passes messages with delay and loss.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use clock::Instant;
-use fleet::{Action, Answer, Call, Conf, Event, Fleet, Notice, Request};
+use fleet::{Action, Call, Conf, Event, Fleet, Notice};
 use model::name;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wire::{Message, Record, Revision};
 
-use crate::{Count, Monitor, Store, count};
+use crate::{
+    Count, Monitor, Store, count,
+    queue::{Item, Queue},
+};
 
-/// One-way delays in microseconds.
-const SAME_ZONE: u64 = 250;
-const SAME_REGION: u64 = 1_500;
-const OTHER_REGION: u64 = 40_000;
-const STORE: u64 = 3_000;
-/// What a lost segment of a stream costs.
-const RETRANSMIT: u64 = 200_000;
 /// How long an instance waits for a connection that nobody answers.
 const CONNECT_WAIT: u64 = 1_000_000;
-/// The most zones, and into how many regions they are divided.
-const ZONES: usize = 10;
-const REGIONS: usize = 3;
+/// The most zones.
+pub(crate) const ZONES: usize = 10;
 const PORT: u16 = 7_000;
 
 /// A hook that changes the actions of an instance, to break it on purpose.
@@ -59,49 +49,11 @@
     }
 }
 
-#[derive(Debug)]
-enum Item {
-    Wake(usize, u32),
-    Datagram(usize, usize, Message),
-    Ask(usize, u32, Call, usize, Message),
-    Answer(usize, u32, Call, Vec<Message>),
-    Failed(usize, u32, Call),
-    Call(usize, u32, Call, Request),
-    Store(usize, u32, Call, Answer),
-}
-
-#[derive(Debug)]
-struct Queued {
-    at: Instant,
-    order: u64,
-    item: Box<Item>,
-}
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Queued {}
-
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Queued {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// One place where an instance runs.
 #[derive(Debug)]
-struct Slot {
-    zone: usize,
-    island: u8,
+pub(crate) struct Slot {
+    pub(crate) zone: usize,
+    pub(crate) island: u8,
     /// Counts the processes that ran here.
     generation: u32,
     fleet: Option<Fleet>,
@@ -116,14 +68,13 @@
 #[derive(Debug)]
 pub struct World {
     setup: Setup,
-    now: Instant,
-    rng: ChaCha8Rng,
-    queue: BinaryHeap<Reverse<Queued>>,
-    order: u64,
-    slots: Vec<Slot>,
+    pub(crate) now: Instant,
+    pub(crate) rng: ChaCha8Rng,
+    queue: Queue,
+    pub(crate) slots: Vec<Slot>,
     streams: BTreeMap<u64, (usize, u32, Call)>,
     stream: u64,
-    watches: BTreeMap<(usize, Call), u32>,
+    pub(crate) watches: BTreeMap<(usize, Call), u32>,
     /// The platform's store.
     pub store: Store,
     /// Whether the store answers nobody.
@@ -163,8 +114,7 @@
             setup,
             now: Instant::ZERO,
             rng: ChaCha8Rng::seed_from_u64(setup.seed),
-            queue: BinaryHeap::new(),
-            order: 0,
+            queue: Queue::default(),
             slots: slots.collect(),
             streams: BTreeMap::new(),
             stream: 0,
@@ -319,61 +269,12 @@
         self.step(slot, event);
     }
 
-    /// Applies a change of the catalogue, as the operators' tool does.
-    pub fn apply(&mut self, changes: &[(&str, Option<&[u8]>)]) -> Revision {
-        self.apply_as(1, 0, changes)
-    }
-
-    /// Applies a change of the catalogue under another format or epoch.
-    pub fn apply_as(
-        &mut self,
-        format: u16,
-        epoch: u32,
-        changes: &[(&str, Option<&[u8]>)],
-    ) -> Revision {
-        let number = self.store.apply(format, epoch, changes);
-        let revision = Revision { epoch, number };
-        let values = self.store.values().iter();
-        let catalog = values
-            .filter(|(key, _)| key.starts_with("catalog/"))
-            .map(|(key, (_, value))| (key.clone(), value.clone()));
-        if self.slots.len() <= 100 {
-            self.monitor.written(revision, catalog.collect());
-        }
-        self.tell_watches(number);
-        revision
-    }
-
-    /// Writes keys that are not of the catalogue, such as a primary's record.
-    pub fn write(&mut self, changes: &[(&str, Option<&[u8]>)]) -> u64 {
-        let number = self.store.write(changes);
-        self.tell_watches(number);
-        number
-    }
-
-    /// Makes the store fail or answer again.
-    pub fn set_store_down(&mut self, down: bool) {
-        self.store_down = down;
-        if !down {
-            return;
-        }
-        for ((slot, call), generation) in std::mem::take(&mut self.watches) {
-            self.answer_store(slot, generation, call, Answer::Down);
-        }
-    }
-
     /// Passes messages for a time.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
-        while let Some(Reverse(next)) = self.queue.peek() {
-            if next.at > end {
-                break;
-            }
-            let Some(Reverse(queued)) = self.queue.pop() else {
-                break;
-            };
-            self.now = queued.at;
-            self.pass(*queued.item);
+        while let Some((at, item)) = self.queue.pop(end) {
+            self.now = at;
+            self.pass(item);
         }
         self.now = end;
     }
@@ -561,60 +462,6 @@
         self.queue_in(delay, Item::Answer(to, generation, call, messages));
     }
 
-    fn serve(&mut self, slot: usize, generation: u32, call: Call, request: Request) {
-        if self.slots[slot].island != self.store_island {
-            return;
-        }
-        self.store.calls += 1;
-        if self.store_down {
-            self.answer_store(slot, generation, call, Answer::Down);
-            return;
-        }
-        match request {
-            Request::Range => {
-                let answer = self.store.range();
-                self.answer_store(slot, generation, call, answer);
-            }
-            Request::Head => {
-                let answer = self.store.head();
-                self.answer_store(slot, generation, call, answer);
-            }
-            Request::Unwatch => {
-                self.watches.remove(&(slot, call));
-            }
-            Request::Watch { from } => {
-                self.watches.insert((slot, call), generation);
-                // A stream: its answers arrive in order, so one delay for all.
-                let delay = self.store_delay(slot);
-                for answer in self.store.watch(from) {
-                    self.queue_in(delay, Item::Store(slot, generation, call, answer));
-                }
-            }
-        }
-    }
-
-    fn tell_watches(&mut self, revision: u64) {
-        if self.store_down {
-            return;
-        }
-        let watches: Vec<_> = self.watches.iter().map(|(key, at)| (*key, *at)).collect();
-        for ((slot, call), generation) in watches {
-            if self.slots[slot].island != self.store_island {
-                continue;
-            }
-            self.store.calls += 1;
-            let answers: Vec<_> = self.store.changes_from(revision).collect();
-            for answer in answers {
-                self.answer_store(slot, generation, call, answer);
-            }
-        }
-    }
-
-    fn answer_store(&mut self, slot: usize, generation: u32, call: Call, answer: Answer) {
-        let delay = self.store_delay(slot);
-        self.queue_in(delay, Item::Store(slot, generation, call, answer));
-    }
-
     fn least_within_reach(&self, slot: usize) -> Revision {
         let peers = self.running().filter(|&peer| {
             peer != slot && self.joined(slot, peer) && self.slots[peer].paused.is_none()
@@ -629,45 +476,12 @@
         self.slots[a].island == self.slots[b].island
     }
 
-    fn delay(&mut self, a: usize, b: usize) -> u64 {
-        let [a, b] = [a, b].map(|slot| self.slots[slot].zone);
-        let region = |zone| zone * REGIONS / ZONES;
-        let base = if a == b {
-            SAME_ZONE
-        } else if region(a) == region(b) {
-            SAME_REGION
-        } else {
-            OTHER_REGION
-        };
-        base + self.rng.random_range(0..=base / 2)
-    }
-
-    /// The store answers in order, so its delay does not vary.
-    fn store_delay(&self, slot: usize) -> u64 {
-        let region = self.slots[slot].zone * REGIONS / ZONES;
-        if region == 0 { STORE } else { OTHER_REGION }
-    }
-
-    fn retransmit(&mut self) -> u64 {
-        let lost = 1.0 - (1.0 - self.loss).powi(2);
-        if lost > 0.0 && self.rng.random_bool(lost) {
-            RETRANSMIT
-        } else {
-            0
-        }
-    }
-
-    fn queue_in(&mut self, micros: u64, item: Item) {
+    pub(crate) fn queue_in(&mut self, micros: u64, item: Item) {
         self.queue_at(self.now + Duration::from_micros(micros), item);
     }
 
     fn queue_at(&mut self, at: Instant, item: Item) {
-        self.order += 1;
-        self.queue.push(Reverse(Queued {
-            at: at.max(self.now),
-            order: self.order,
-            item: Box::new(item),
-        }));
+        self.queue.push(at.max(self.now), item);
     }
 }
 
