Part a world's setup from it

Change: setup is a module of its own. Measured: the tests of slopes and fleet pass. Conclusion: none.

--- a/crates/slopes/src/delay.rs
+++ b/crates/slopes/src/delay.rs
@@ -2,7 +2,7 @@
 
 use rand::Rng;
 
-use crate::{World, world::ZONES};
+use crate::{World, setup::ZONES};
 
 /// One-way delays in microseconds.
 const SAME_ZONE: u64 = 250;
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -14,6 +14,7 @@
 mod monitor;
 mod queue;
 mod report;
+mod setup;
 mod store;
 mod world;
 
@@ -22,5 +23,6 @@
 pub use fit::{Fit, fit};
 pub use monitor::{Monitor, Violation};
 pub use report::table;
+pub use setup::Setup;
 pub use store::Store;
-pub use world::{Setup, Tamper, World};
+pub use world::{Tamper, World};
--- a/crates/slopes/src/world.rs
+++ b/crates/slopes/src/world.rs
@@ -10,45 +10,17 @@
 use wire::{Message, Record, Revision};
 
 use crate::{
-    Count, Monitor, Store, count,
+    Count, Monitor, Setup, Store, count,
     queue::{Item, Queue},
 };
 
 /// How long an instance waits for a connection that nobody answers.
 const CONNECT_WAIT: u64 = 1_000_000;
-/// The most zones.
-pub(crate) const ZONES: usize = 10;
 const PORT: u16 = 7_000;
 
 /// A hook that changes the actions of an instance, to break it on purpose.
 pub type Tamper = fn(usize, &mut Vec<Action>);
 
-/// What a world is opened with.
-#[derive(Debug, Clone, Copy)]
-pub struct Setup {
-    /// How many instances.
-    pub nodes: usize,
-    /// Over how many zones; at most one per three instances is used by
-    /// [`Setup::sized`].
-    pub zones: usize,
-    /// Where its random choices start.
-    pub seed: u64,
-    /// The share of datagrams that is lost.
-    pub loss: f64,
-}
-
-impl Setup {
-    /// A world of `nodes` instances over up to ten zones.
-    pub fn sized(nodes: usize, seed: u64) -> Self {
-        Self {
-            nodes,
-            zones: (nodes / 3).clamp(1, ZONES),
-            seed,
-            loss: 0.0,
-        }
-    }
-}
-
 /// One place where an instance runs.
 #[derive(Debug)]
 pub(crate) struct Slot {
