pool: a seat is used by one holder at a time, shown under faults

Cause: the fence ends the connections that it sees. A login under way during it landed afterwards and was used beside the new holder's; a holder taken for dead while it lived, with no connection open, was never told at all. Nothing tested seats with several holders.

Change: seat::admit judges each new connection after its login by the epochs that it finds at the upstream: a later one closes it unused, an earlier one is ended first. tests/seats drives four holders, a store and an upstream of 16 connections through lapses, outages, lost answers, pauses past the lease, holders cut off, false reports of death, deaths and restarts. Stories: a dead holder's seat, an old report of death, two claimants, lapse and re-claim, a seat lost meanwhile, a login during a fence.

The upstream's own limit stays the guard of the count of logins; it is not wired into the daemon yet.

--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -8,6 +8,13 @@
 //! own (`pg_terminate_backend` over `pg_stat_activity`, by application name).
 //! Only then does it open its share.
 //!
+//! A fence ends what is there, not what is still on its way. Each connection
+//! therefore carries its holder's epoch in its name, and after its login and
+//! before its first use it looks who else is there ([`admit`]). Of two
+//! connections of different epochs at least one looks when the other is
+//! there, and in each order the lower epoch gives way, so statements of two
+//! holders never mix, whatever clocks and messages do.
+//!
 //! The same names at the upstream let a holder go on while the store is down:
 //! as long as it sees nobody else's connections of its seat there, nobody else
 //! uses the seat.
@@ -48,6 +55,41 @@
     Other,
 }
 
+/// What a new connection may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Entry {
+    /// Run statements.
+    Use,
+    /// Nothing until the connections of earlier epochs are ended; then look
+    /// again.
+    Fence,
+    /// Close: a later holder is here, which is [`Event::Ousted`].
+    Close,
+}
+
+/// What a connection may do that was opened under `own` epoch, when `others`
+/// are the epochs of other holders' connections of the seat, read after its
+/// login and before its first use.
+///
+/// Without this look a login that was under way during a fence would be used
+/// next to the new holder's connections: a paused process sends its next
+/// message long after it checked its lease.
+///
+/// ```
+/// use pool::seat::{Entry, Epoch, admit};
+///
+/// assert_eq!(admit(Epoch(7), []), Entry::Use);
+/// assert_eq!(admit(Epoch(7), [Epoch(3)]), Entry::Fence);
+/// assert_eq!(admit(Epoch(7), [Epoch(3), Epoch(9)]), Entry::Close);
+/// ```
+pub fn admit(own: Epoch, others: impl IntoIterator<Item = Epoch>) -> Entry {
+    match others.into_iter().max() {
+        None => Entry::Use,
+        Some(highest) if highest > own => Entry::Close,
+        Some(_) => Entry::Fence,
+    }
+}
+
 /// What happens to a seat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
--- a/crates/pool/tests/seat.rs
+++ b/crates/pool/tests/seat.rs
@@ -78,3 +78,98 @@
     assert_eq!(lease.standing(answered), Standing::Valid(Id(1), until));
     assert_eq!(lease.standing(until), Standing::Unproved(Id(1)));
 }
+
+/// Symptom: a seat stays unused for a minute after its holder died. Events:
+/// peers agree on the death long before the lease ends. Cause: the claim
+/// waited for the key to go.
+#[test]
+fn dead_holders_seat_is_taken_before_its_lease_ends() {
+    let now = Instant::ZERO;
+    let mut seat = Seat::default();
+    seat.step(now, Event::Lease(Standing::Valid(Id(2), UNTIL)));
+    seat.step(now, Event::Wanted);
+    assert_eq!(seat.step(now, Event::Record(Record::Other(Epoch(7)))), []);
+    let claim = seat.step(now, Event::Dead(Epoch(7)));
+    assert_eq!(claim, [Action::Claim(Id(2), Some(Epoch(7)))]);
+    let fence = seat.step(now, Event::Record(Record::Mine(Epoch(9))));
+    assert_eq!(fence, [Action::Fence(Attempt(1))]);
+    assert_eq!(seat.permit(now), Permit::Nothing);
+    seat.step(now, Event::Fenced(Attempt(1)));
+    assert_eq!(seat.permit(now), Permit::Full);
+}
+
+/// Symptom: a live holder loses its seat. Events: an old report of its
+/// predecessor's death comes late. Cause: the report named no epoch.
+#[test]
+fn old_report_of_death_takes_nothing() {
+    let now = Instant::ZERO;
+    let mut seat = Seat::default();
+    seat.step(now, Event::Lease(Standing::Valid(Id(2), UNTIL)));
+    seat.step(now, Event::Wanted);
+    seat.step(now, Event::Record(Record::Other(Epoch(9))));
+    assert_eq!(seat.step(now, Event::Dead(Epoch(7))), []);
+}
+
+/// Symptom: two holders open a share each. Events: two instances see the seat
+/// free and claim it at once; the answer that the other won reaches the loser
+/// when it has waited for it. Cause: the loser took its claim for granted.
+#[test]
+fn loser_of_two_claims_opens_nothing() {
+    let now = Instant::ZERO;
+    let mut loser = Seat::default();
+    loser.step(now, Event::Lease(Standing::Valid(Id(2), UNTIL)));
+    loser.step(now, Event::Wanted);
+    let claim = loser.step(now, Event::Record(Record::Absent));
+    assert_eq!(claim, [Action::Claim(Id(2), None)]);
+    // The answer is lost: the key is read, never assumed.
+    let later = Instant::from_millis(1_000);
+    assert_eq!(loser.step(later, Event::Tick), [Action::Read]);
+    assert_eq!(loser.permit(later), Permit::Nothing);
+    let lost = loser.step(later, Event::Record(Record::Other(Epoch(8))));
+    assert_eq!(lost, []);
+    assert_eq!(loser.permit(later), Permit::Nothing);
+    assert_eq!(loser.epoch(), None);
+}
+
+/// Symptom: every connection is cut after an outage of the store. Events: the
+/// lease lapses, nobody else claims, the holder claims again. Cause: it closed
+/// its connections although nobody had taken the seat.
+#[test]
+fn lapsed_seat_is_won_back_with_its_connections() {
+    let mut seat = held();
+    let now = Instant::from_millis(10);
+    let again = seat.step(now, Event::Lease(Standing::Absent));
+    assert_eq!(again, [Action::Read]);
+    assert_eq!(seat.permit(now), Permit::Nothing);
+    seat.step(now, Event::Lease(Standing::Valid(Id(3), UNTIL)));
+    let claim = seat.step(now, Event::Record(Record::Absent));
+    assert_eq!(claim, [Action::Claim(Id(3), None)]);
+    let fence = seat.step(now, Event::Record(Record::Mine(Epoch(12))));
+    assert_eq!(fence, [Action::Fence(Attempt(2))]);
+    seat.step(now, Event::Fenced(Attempt(2)));
+    assert_eq!(seat.permit(now), Permit::Full);
+    assert_eq!(seat.epoch(), Some(Epoch(12)));
+}
+
+/// Symptom: as above, but another holder has the seat meanwhile.
+#[test]
+fn lapsed_seat_that_another_took_is_closed() {
+    let mut seat = held();
+    let now = Instant::from_millis(10);
+    seat.step(now, Event::Lease(Standing::Absent));
+    let lost = seat.step(now, Event::Record(Record::Other(Epoch(12))));
+    assert_eq!(lost, [Action::Close]);
+    assert_eq!(seat.permit(now), Permit::Nothing);
+}
+
+/// Symptom: two holders use a seat. Events: a login is under way while the
+/// seat is fenced, and ends when the new holder has begun. Cause: the fence
+/// ends only the connections that it sees.
+#[test]
+fn login_under_way_during_a_fence_is_closed_unused() {
+    use pool::seat::{Entry, admit};
+
+    assert_eq!(admit(Epoch(7), [Epoch(9)]), Entry::Close);
+    assert_eq!(admit(Epoch(9), [Epoch(7)]), Entry::Fence);
+    assert_eq!(admit(Epoch(9), []), Entry::Use);
+}
--- /dev/null
+++ b/crates/pool/tests/seats/main.rs
@@ -0,0 +1,71 @@
+//! At most one holder uses a seat, whatever fails.
+//!
+//! Seeded interleavings of lapses, store outages, lost answers, pauses past
+//! the lease, holders cut off from the store, false reports of death, deaths
+//! and restarts. `DANDELIONLINK_HUNT=n` runs n seeds more.
+
+mod fakes;
+mod world;
+
+use fakes::{LIMIT, Violation};
+use world::{Report, Variant, run};
+
+const SECONDS: u64 = 120;
+const SEEDS: u64 = 12;
+
+fn reports(variant: Variant) -> Vec<Report> {
+    let more = std::env::var("DANDELIONLINK_HUNT").ok();
+    let more: u64 = more.and_then(|it| it.parse().ok()).unwrap_or(0);
+    (0..SEEDS + more)
+        .map(|seed| run(variant, SECONDS, seed))
+        .collect()
+}
+
+/// The seeds of a broken variant in which the check found two holders.
+fn caught(variant: Variant) -> usize {
+    let two = |it: &Violation| matches!(it, Violation::Two { .. });
+    let reports = reports(variant);
+    let caught = reports
+        .iter()
+        .filter(|it| it.upstream.violations.iter().any(two));
+    caught.count()
+}
+
+/// Symptom: statements of two holders reach an upstream through one seat, and
+/// it has more connections in use than its limit.
+#[test]
+fn one_holder_at_a_time_within_its_share() {
+    let mut refused = 0;
+    for (seed, report) in reports(Variant::Real).iter().enumerate() {
+        let upstream = &report.upstream;
+        assert_eq!(upstream.violations, [], "seed {seed}");
+        assert!(upstream.most <= LIMIT, "seed {seed}");
+        // The faults did change holders, and the seats work after them.
+        assert!(upstream.changes > 4, "seed {seed}: {}", upstream.changes);
+        assert!(upstream.statements.iter().all(|&it| it > 1_000));
+        assert!(report.quiet.iter().all(|&it| it > 1_000), "seed {seed}");
+        refused += upstream.refused;
+    }
+    println!("connections that the upstream had to refuse: {refused}");
+}
+
+/// Symptom: as above. Cause: a new holder started with its predecessor's
+/// connections open.
+#[test]
+fn check_finds_a_missing_fence() {
+    assert!(caught(Variant::NoFence) > 0);
+}
+
+/// Symptom: as above. Events: a login is under way when the seat is fenced.
+/// Cause: it was used without a look at who else is there.
+#[test]
+fn check_finds_a_missing_look() {
+    assert!(caught(Variant::NoLook) > 0);
+}
+
+/// Symptom: as above. Events: a holder wakes from a pause longer than its
+/// lease. Cause: it went on as if no time had passed.
+#[test]
+fn check_finds_trust_in_the_clock() {
+    assert!(caught(Variant::TrustsItsClock) > 0);
+}
--- /dev/null
+++ b/crates/pool/tests/seats/world.rs
@@ -0,0 +1,532 @@
+//! Several holders, one store and one upstream in virtual time, with faults.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::Duration,
+};
+
+use clock::Instant;
+use pool::{
+    Seat,
+    holder::{seats, share},
+    lease::{self, Attempt, Id, Lease},
+    seat::{Action, Entry, Epoch, Event, Permit, Seen, admit},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fakes::{Conn, Holder, LIMIT, SEATS, Store, Upstream};
+
+const HOLDERS: usize = 4;
+const STEP: Duration = Duration::from_millis(50);
+const FAULT: Duration = Duration::from_millis(800);
+
+/// The seat logic, or a variant of it that is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Variant {
+    Real,
+    /// A new holder starts without ending its predecessor's connections.
+    NoFence,
+    /// New connections are used without a look at who else is there.
+    NoLook,
+    /// A holder that was paused goes on with what it was permitted before.
+    TrustsItsClock,
+}
+
+/// What a run came to.
+#[derive(Debug)]
+pub(crate) struct Report {
+    pub(crate) upstream: Upstream,
+    /// Statements at each seat in the quiet time at the end.
+    pub(crate) quiet: [u64; SEATS],
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Call {
+    Grant(Attempt, Duration),
+    Renew(Attempt, Id),
+    Claim(usize, Id, Option<Epoch>),
+    Read(usize),
+    Release(usize, Epoch),
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Op {
+    Open(u64, Epoch),
+    Look(u64, Epoch),
+    End(u64, Epoch),
+    Run(u64),
+    Close(u64),
+    Fence(Attempt, Epoch),
+    Check(Attempt),
+}
+
+#[derive(Debug, Clone)]
+enum News {
+    Lease(lease::Event),
+    Seat(usize, Event),
+    Opened(usize, u64, Epoch),
+    Looked(usize, u64, Epoch, Vec<Epoch>),
+    Gone(usize, u64),
+}
+
+#[derive(Debug, Clone)]
+enum Happening {
+    Step(Holder),
+    Store(Holder, Call),
+    Upstream(Holder, usize, Op),
+    News(Holder, News),
+    Fault,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Open {
+    /// Its login or its look is under way.
+    Pending,
+    Usable,
+}
+
+#[derive(Debug)]
+struct Process {
+    lease: Lease,
+    seats: [Seat; SEATS],
+    conns: [BTreeMap<u64, Open>; SEATS],
+    permits: [Permit; SEATS],
+    paused: Instant,
+    woken: bool,
+    cut: Instant,
+    dead: bool,
+}
+
+impl Process {
+    fn open() -> Self {
+        Self {
+            lease: Lease::open(9),
+            seats: Default::default(),
+            conns: Default::default(),
+            permits: [Permit::Nothing; SEATS],
+            paused: Instant::ZERO,
+            woken: false,
+            cut: Instant::ZERO,
+            dead: false,
+        }
+    }
+}
+
+pub(crate) struct World {
+    now: Instant,
+    heap: BinaryHeap<Reverse<(Instant, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    made: u64,
+    rng: ChaCha8Rng,
+    variant: Variant,
+    store: Store,
+    outage: Instant,
+    upstream: Upstream,
+    processes: Vec<Process>,
+    quiet: Instant,
+}
+
+/// Runs faults for `seconds`, and then half a minute without.
+pub(crate) fn run(variant: Variant, seconds: u64, seed: u64) -> Report {
+    let mut world = World {
+        now: Instant::ZERO,
+        heap: BinaryHeap::new(),
+        happenings: BTreeMap::new(),
+        made: 0,
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        variant,
+        store: Store::default(),
+        outage: Instant::ZERO,
+        upstream: Upstream::default(),
+        processes: Vec::new(),
+        quiet: Instant::from_millis(seconds * 1_000),
+    };
+    for _ in 0..HOLDERS {
+        world.start();
+    }
+    world.at(FAULT, Happening::Fault);
+    let end = world.quiet + Duration::from_secs(30);
+    let mut before = None;
+    while let Some(Reverse((at, id))) = world.heap.pop() {
+        if at >= end {
+            break;
+        }
+        if at >= world.quiet + Duration::from_secs(20) && before.is_none() {
+            before = Some(world.upstream.statements);
+        }
+        world.now = at;
+        if let Some(happening) = world.happenings.remove(&id) {
+            world.happen(happening);
+        }
+    }
+    let before = before.unwrap_or_default();
+    let after = world.upstream.statements;
+    Report {
+        quiet: std::array::from_fn(|seat| after[seat] - before[seat]),
+        upstream: world.upstream,
+    }
+}
+
+impl World {
+    fn at(&mut self, after: Duration, happening: Happening) {
+        self.made += 1;
+        self.heap.push(Reverse((self.now + after, self.made)));
+        self.happenings.insert(self.made, happening);
+    }
+
+    /// A message's way: mostly short, at times as long as a pause.
+    fn way(&mut self) -> Duration {
+        let slow = self.now < self.quiet && self.rng.random_bool(0.03);
+        let most = if slow { 12_000 } else { 20 };
+        Duration::from_micros(self.rng.random_range(100..most * 1_000))
+    }
+
+    fn start(&mut self) {
+        self.processes.push(Process::open());
+        self.at(STEP, Happening::Step(self.processes.len() - 1));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Fault => self.fault(),
+            Happening::Store(holder, call) => self.call(holder, call),
+            Happening::Upstream(holder, seat, op) => self.serve(holder, seat, op),
+            Happening::Step(holder) => self.wait_or(holder, happening, |it| it.step(holder)),
+            Happening::News(holder, ref news) => {
+                let news = news.clone();
+                self.wait_or(holder, happening, |it| it.hear(holder, news));
+            }
+        }
+    }
+
+    /// A paused process hears and does everything when it wakes.
+    fn wait_or(&mut self, holder: Holder, happening: Happening, act: impl FnOnce(&mut Self)) {
+        let process = &self.processes[holder];
+        if process.dead {
+            return;
+        }
+        match process.paused {
+            paused if self.now < paused => self.at(paused.since(self.now), happening),
+            _ => act(self),
+        }
+    }
+
+    fn fault(&mut self) {
+        if self.now >= self.quiet {
+            return;
+        }
+        let pause = Duration::from_millis(FAULT.as_millis() as u64 / 2);
+        let way = self.way();
+        self.at(pause + way, Happening::Fault);
+        let span = Duration::from_millis(self.rng.random_range(10..15_000));
+        let until = (self.now + span).min(self.quiet);
+        let holder = self.rng.random_range(0..self.processes.len());
+        match self.rng.random_range(0..8) {
+            0 => self.outage = until,
+            1 => self.processes[holder].cut = until,
+            2 | 3 => {
+                self.processes[holder].paused = until;
+                self.processes[holder].woken = true;
+            }
+            4 => self.kill(holder),
+            _ => self.suspect(),
+        }
+    }
+
+    /// A process dies; the upstream sees its connections end, some late.
+    fn kill(&mut self, holder: Holder) {
+        if std::mem::replace(&mut self.processes[holder].dead, true) {
+            return;
+        }
+        let conns = self.upstream.conns.iter();
+        let mine: Vec<_> = conns
+            .filter(|(_, it)| it.holder == holder)
+            .map(|(&id, it)| (id, it.seat))
+            .collect();
+        for (id, seat) in mine {
+            let way = self.way();
+            self.at(way, Happening::Upstream(holder, seat, Op::Close(id)));
+        }
+        self.start();
+    }
+
+    /// Peers take a holder for dead, rightly or not.
+    fn suspect(&mut self) {
+        let seat = self.rng.random_range(0..SEATS);
+        let Some(epoch) = self.store.epoch(seat) else {
+            return;
+        };
+        for holder in 0..self.processes.len() {
+            let way = self.way();
+            let news = News::Seat(seat, Event::Dead(epoch));
+            self.at(way, Happening::News(holder, news));
+        }
+    }
+
+    fn call(&mut self, holder: Holder, call: Call) {
+        self.store.lapse(self.now);
+        let process = &self.processes[holder];
+        if self.now < self.outage || self.now < process.cut {
+            return;
+        }
+        let news = match call {
+            Call::Grant(attempt, ttl) => {
+                let id = self.store.grant(self.now + ttl);
+                News::Lease(lease::Event::Granted(attempt, id))
+            }
+            Call::Renew(attempt, id) => {
+                let until = self.now + lease::MIN_INTERVAL * lease::INTERVALS;
+                News::Lease(match self.store.renew(id, until) {
+                    true => lease::Event::Renewed(attempt),
+                    false => lease::Event::Gone(attempt),
+                })
+            }
+            Call::Claim(seat, id, over) => {
+                self.store.claim(holder, seat, id, over);
+                self.record(holder, seat)
+            }
+            Call::Read(seat) => self.record(holder, seat),
+            Call::Release(seat, epoch) => {
+                self.store.release(seat, epoch);
+                self.record(holder, seat)
+            }
+        };
+        // The answer may be lost after the call took effect.
+        if self.now >= self.quiet || !self.rng.random_bool(0.1) {
+            self.tell(holder, news);
+        }
+    }
+
+    fn record(&self, holder: Holder, seat: usize) -> News {
+        News::Seat(seat, Event::Record(self.store.read(holder, seat)))
+    }
+
+    fn tell(&mut self, holder: Holder, news: News) {
+        let way = self.way();
+        self.at(way, Happening::News(holder, news));
+    }
+
+    fn serve(&mut self, holder: Holder, seat: usize, op: Op) {
+        match op {
+            Op::Open(id, epoch) => {
+                let conn = Conn {
+                    holder,
+                    seat,
+                    epoch,
+                    used: false,
+                };
+                let news = match self.upstream.open(id, conn) {
+                    true => News::Opened(seat, id, epoch),
+                    false => News::Gone(seat, id),
+                };
+                self.tell(holder, news);
+            }
+            Op::Look(id, epoch) => {
+                let others = self.upstream.others(holder, seat);
+                if self.upstream.conns.contains_key(&id) {
+                    self.tell(holder, News::Looked(seat, id, epoch, others));
+                }
+            }
+            Op::End(id, epoch) => {
+                self.end(holder, seat, epoch);
+                self.serve(holder, seat, Op::Look(id, epoch));
+            }
+            Op::Run(id) => {
+                let share = share(LIMIT as u16, 2, seats(2), seat as u16);
+                if !self.upstream.run(id, usize::from(share.connections)) {
+                    self.tell(holder, News::Gone(seat, id));
+                }
+            }
+            Op::Close(id) => {
+                self.upstream.conns.remove(&id);
+            }
+            Op::Fence(attempt, epoch) => {
+                if self.variant != Variant::NoFence {
+                    self.end(holder, seat, epoch);
+                }
+                self.tell(holder, News::Seat(seat, Event::Fenced(attempt)));
+            }
+            Op::Check(attempt) => {
+                let seen = match self.upstream.others(holder, seat).is_empty() {
+                    true => Seen::Alone,
+                    false => Seen::Other,
+                };
+                self.tell(holder, News::Seat(seat, Event::Checked(attempt, seen)));
+            }
+        }
+    }
+
+    fn end(&mut self, holder: Holder, seat: usize, below: Epoch) {
+        for (id, conn) in self.upstream.end(holder, seat, below) {
+            self.tell(conn.holder, News::Gone(seat, id));
+            self.tell(conn.holder, News::Seat(seat, Event::Ousted));
+        }
+    }
+
+    fn hear(&mut self, holder: Holder, news: News) {
+        let now = self.now;
+        match news {
+            News::Lease(event) => {
+                let actions = self.processes[holder].lease.step(now, event);
+                self.renew(holder, actions);
+                self.step_seats(holder);
+            }
+            News::Seat(seat, event) => self.step_seat(holder, seat, event),
+            News::Opened(seat, id, epoch) => {
+                let way = self.way();
+                self.at(way, Happening::Upstream(holder, seat, Op::Look(id, epoch)));
+            }
+            News::Looked(seat, id, epoch, others) => self.looked(holder, seat, id, epoch, others),
+            News::Gone(seat, id) => {
+                self.processes[holder].conns[seat].remove(&id);
+            }
+        }
+    }
+
+    fn looked(&mut self, holder: Holder, seat: usize, id: u64, epoch: Epoch, others: Vec<Epoch>) {
+        let way = self.way();
+        let Some(conn) = self.processes[holder].conns[seat].get_mut(&id) else {
+            // The seat was given up while it opened.
+            self.at(way, Happening::Upstream(holder, seat, Op::Close(id)));
+            return;
+        };
+        let trusting = self.variant != Variant::Real;
+        match admit(epoch, others) {
+            _ if trusting => *conn = Open::Usable,
+            Entry::Use => *conn = Open::Usable,
+            Entry::Fence => self.at(way, Happening::Upstream(holder, seat, Op::End(id, epoch))),
+            Entry::Close => {
+                self.processes[holder].conns[seat].remove(&id);
+                self.at(way, Happening::Upstream(holder, seat, Op::Close(id)));
+                self.step_seat(holder, seat, Event::Ousted);
+            }
+        }
+    }
+
+    fn step(&mut self, holder: Holder) {
+        self.at(STEP, Happening::Step(holder));
+        let trusts = self.variant == Variant::TrustsItsClock;
+        if std::mem::take(&mut self.processes[holder].woken) && trusts {
+            for seat in 0..SEATS {
+                self.work(holder, seat, self.processes[holder].permits[seat]);
+            }
+        }
+        let actions = self.processes[holder]
+            .lease
+            .step(self.now, lease::Event::Tick);
+        self.renew(holder, actions);
+        self.step_seats(holder);
+        for seat in 0..SEATS {
+            if self.rng.random_bool(0.02) {
+                let wish = match self.rng.random_bool(0.8) || self.now >= self.quiet {
+                    true => Event::Wanted,
+                    false => Event::Unwanted,
+                };
+                self.step_seat(holder, seat, wish);
+            }
+            // What the watch of the store shows.
+            if self.rng.random_bool(0.1) {
+                self.send(holder, Call::Read(seat));
+            }
+            let permit = self.processes[holder].seats[seat].permit(self.now);
+            self.processes[holder].permits[seat] = permit;
+            self.work(holder, seat, permit);
+        }
+    }
+
+    fn work(&mut self, holder: Holder, seat: usize, permit: Permit) {
+        let share = share(LIMIT as u16, 2, seats(2), seat as u16);
+        let process = &self.processes[holder];
+        let conns = &process.conns[seat];
+        let pending = conns.values().any(|it| *it == Open::Pending);
+        let most = match permit {
+            Permit::Nothing => return,
+            Permit::Replace if pending => conns.len(),
+            Permit::Replace => conns.len() + 1,
+            Permit::Full => usize::from(share.connections),
+        };
+        let usable = conns.iter().filter(|(_, it)| **it == Open::Usable);
+        let usable: Vec<_> = usable.map(|(&id, _)| id).collect();
+        let wanted = most.min(usize::from(share.connections));
+        let more = wanted.saturating_sub(conns.len());
+        let Some(epoch) = process.seats[seat].epoch() else {
+            return;
+        };
+        for id in usable {
+            let way = self.way();
+            self.at(way, Happening::Upstream(holder, seat, Op::Run(id)));
+        }
+        for _ in 0..more {
+            self.made += 1;
+            let id = self.made;
+            self.processes[holder].conns[seat].insert(id, Open::Pending);
+            let way = self.way();
+            self.at(way, Happening::Upstream(holder, seat, Op::Open(id, epoch)));
+        }
+    }
+
+    fn renew(&mut self, holder: Holder, actions: Vec<lease::Action>) {
+        for action in actions {
+            self.send(
+                holder,
+                match action {
+                    lease::Action::Grant(attempt, ttl) => Call::Grant(attempt, ttl),
+                    lease::Action::Renew(attempt, id) => Call::Renew(attempt, id),
+                },
+            );
+        }
+    }
+
+    fn send(&mut self, holder: Holder, call: Call) {
+        let way = self.way();
+        self.at(way, Happening::Store(holder, call));
+    }
+
+    fn step_seats(&mut self, holder: Holder) {
+        let standing = self.processes[holder].lease.standing(self.now);
+        for seat in 0..SEATS {
+            self.step_seat(holder, seat, Event::Lease(standing));
+        }
+    }
+
+    fn step_seat(&mut self, holder: Holder, seat: usize, event: Event) {
+        let process = &mut self.processes[holder];
+        let actions = process.seats[seat].step(self.now, event);
+        for action in actions {
+            self.act(holder, seat, action);
+        }
+    }
+
+    fn act(&mut self, holder: Holder, seat: usize, action: Action) {
+        let way = self.way();
+        match action {
+            Action::Claim(id, over) => self.send(holder, Call::Claim(seat, id, over)),
+            Action::Read => self.send(holder, Call::Read(seat)),
+            Action::Release(epoch) => self.send(holder, Call::Release(seat, epoch)),
+            Action::Fence(attempt) => {
+                let epoch = self.processes[holder].seats[seat].epoch();
+                if let Some(epoch) = epoch {
+                    let op = Op::Fence(attempt, epoch);
+                    self.at(way, Happening::Upstream(holder, seat, op));
+                }
+            }
+            Action::Check(attempt) => {
+                self.at(way, Happening::Upstream(holder, seat, Op::Check(attempt)));
+            }
+            Action::Close => {
+                let conns = std::mem::take(&mut self.processes[holder].conns[seat]);
+                let mut last = Duration::ZERO;
+                for (id, _) in conns {
+                    let way = self.way();
+                    last = last.max(way);
+                    self.at(way, Happening::Upstream(holder, seat, Op::Close(id)));
+                }
+                // The process waits until the upstream has ended them all.
+                let closed = News::Seat(seat, Event::Closed);
+                self.at(last + way, Happening::News(holder, closed));
+            }
+        }
+    }
+}
