--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod cancel;
 pub mod ledger;
+pub mod once;
 mod request;
 
+pub use once::Once;
 pub use request::{Action, Answer, Event, Request, Target};
--- a/crates/request/src/request.rs
+++ b/crates/request/src/request.rs
@@ -163,10 +163,10 @@
             Answer::Rejected(state) if matches!(&state, b"40001" | b"40P01") => {
                 self.retry(now, budget, Outcome::Done)
             }
-            Answer::Rejected(state) if &state == b"57014" => {
-                self.end(Outcome::NotRun(Cause::Deadline), None)
-            }
-            // The server's own error is the caller's whole answer.
+            // The server's own error is the caller's whole answer. So is a
+            // cancel (57014) here: by the server's statement timeout or the
+            // caller. The deadline's own cancel goes out with the request's
+            // end, and its answer comes after that.
             Answer::Rejected(_) => self.end(Outcome::Done, None),
         }
     }
