pool: an entry at its own limit holds up no other

Cause: what waits for an entry whose connections are all in open transactions was counted as work ahead of others. With 50 such requests waiting a request of the same tenant by another entry was refused as overload while the slots were free. The first of those that wait was told of its deadline up to 20 ms late.

Change: a request that finds a slot and a connection free runs, whoever waits. Stuck entries' work is left out of what is ahead, on arrival and when the queue is walked.

Tests: two stories in tests/blocked.rs; both fail on the commit before.

--- a/crates/pool/src/pool/admit.rs
+++ b/crates/pool/src/pool/admit.rs
@@ -6,7 +6,7 @@
 use model::{Cause, name};
 
 use super::{Action, Pool, Request, Service, Ticket};
-use crate::queue::Place;
+use crate::{conn::State, queue::Place};
 
 /// How much of its time a request may be expected to wait to be let in, in
 /// hundredths. The rest is for statements that take longer than expected:
@@ -94,12 +94,14 @@
         let cost = self.mean(now, &request.entry);
         self.demand
             .add(now, request.priority, &request.tenant, cost);
+        // Whatever waits while a slot and a connection are free waits for its
+        // entry's own connections.
+        if let Some(generation) = self.free(&request) {
+            self.queue.pass(&request, cost);
+            self.start(now, request, generation, cost, actions);
+            return;
+        }
         if self.queue.is_empty() {
-            if let Some(generation) = self.free(&request) {
-                self.queue.pass(&request, cost);
-                self.start(now, request, generation, cost, actions);
-                return;
-            }
             self.review.walked(now, REVIEW);
         } else if !self.queue.is_last(place) {
             self.review.delay(cost / self.slots());
@@ -136,7 +138,7 @@
         request: &Request,
         place: Place,
     ) -> Option<(Cause, Duration)> {
-        let ahead = self.remaining() + self.queue.ahead(place);
+        let ahead = self.remaining() + self.runnable_ahead(request, place);
         // With nothing ahead the request runs even if the estimate speaks
         // against it: only running something can correct an estimate.
         if ahead.is_zero() {
@@ -147,7 +149,7 @@
         if tail > room {
             return Some((Cause::Deadline, self.retry_after(now, request)));
         }
-        if self.queue.is_empty() && self.running() < usize::from(self.conf.slots) {
+        if self.free(request).is_some() {
             return None;
         }
         let wait = ahead.as_secs_f64() / self.speed(now, request, place);
@@ -184,7 +186,7 @@
 
     /// How much longer a request could wait than its place says.
     fn slack(&self, now: Instant, request: &Request, place: Place) -> Duration {
-        let ahead = self.remaining() + self.queue.ahead(place);
+        let ahead = self.remaining() + self.runnable_ahead(request, place);
         let needed = ahead / self.slots() + self.tail(now, &request.entry);
         request.deadline.since(now).saturating_sub(needed)
     }
@@ -219,13 +221,16 @@
         let mut ahead = self.remaining();
         let mut least = REVIEW;
         let mut doomed = Vec::new();
+        let stuck: Vec<_> = self.stuck().iter().map(|it| it.entry.clone()).collect();
         for waiting in self.queue.iter() {
             let request = &waiting.request;
             let tail = spans.find(self, now, &request.entry).tail;
             let room = request.deadline.since(now);
             let needed = ahead / slots + tail;
+            let stuck = stuck.contains(&request.entry);
             // With nothing ahead it runs, as on arrival.
-            if ahead.is_zero() && !room.is_zero() {
+            if ahead.is_zero() && !room.is_zero() && !stuck {
+                least = least.min(room);
                 ahead += waiting.cost;
             } else if tail > room {
                 doomed.push((request.ticket, Cause::Deadline));
@@ -233,13 +238,55 @@
                 doomed.push((request.ticket, Cause::Overload));
             } else {
                 least = least.min(room - needed);
-                ahead += waiting.cost;
+                if !stuck {
+                    ahead += waiting.cost;
+                }
             }
         }
         self.review.walked(now, least);
         doomed
     }
 
+    /// The entries all of whose connections are in open transactions that
+    /// have nothing in flight, by a request of each.
+    ///
+    /// What waits of them occupies no slot before one of those ends. Counted
+    /// as work ahead, it would get others refused while the slots are free.
+    fn stuck(&self) -> Vec<&Request> {
+        let mut held: Vec<(&Request, u16)> = Vec::new();
+        for (_, conn) in self.conns.iter() {
+            let State::Held { ticket, .. } = conn.state else {
+                continue;
+            };
+            let Some(active) = self.active.get(&ticket) else {
+                continue;
+            };
+            let request = &active.request;
+            match held.iter_mut().find(|(it, _)| it.entry == request.entry) {
+                Some((_, count)) => *count += 1,
+                None => held.push((request, 1)),
+            }
+        }
+        let stuck = held
+            .into_iter()
+            .filter(|(it, count)| *count >= it.limits.connections);
+        stuck.map(|(request, _)| request).collect()
+    }
+
+    /// The work ahead of a place that can run before it.
+    fn runnable_ahead(&self, request: &Request, place: Place) -> Duration {
+        let ahead = self.queue.ahead(place);
+        if ahead.is_zero() {
+            return ahead;
+        }
+        let stuck = self.stuck();
+        let others = stuck
+            .iter()
+            .filter(|it| it.priority <= request.priority && it.entry != request.entry);
+        let idle = others.map(|it| self.queue.entry_work(&it.entry)).sum();
+        ahead.saturating_sub(idle)
+    }
+
     fn refuse_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let retry_after = self.breaker.opens_at().unwrap_or(now).since(now);
         self.refuse_each(retry_after, actions);
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -78,12 +78,19 @@
     micros / u64::from(request.weight.get())
 }
 
+/// What waits of one entry.
+#[derive(Debug, Default)]
+struct Line {
+    length: u32,
+    work: Duration,
+}
+
 /// The queue of one upstream.
 #[derive(Debug, Default)]
 pub struct Queue {
     items: BTreeMap<Place, Waiting>,
     places: HashMap<Ticket, Place>,
-    lengths: HashMap<name::Entry, u32>,
+    lines: HashMap<name::Entry, Line>,
     lanes: BTreeMap<Priority, Lane>,
 }
 
@@ -105,11 +112,12 @@
         let lane = self.lanes.entry(request.priority).or_default();
         lane.charge(&request.tenant, place.start.saturating_add(charge));
         lane.work += cost;
-        match self.lengths.get_mut(&request.entry) {
-            Some(length) => *length += 1,
-            None => {
-                self.lengths.insert(request.entry.clone(), 1);
-            }
+        if !self.lines.contains_key(&request.entry) {
+            self.lines.insert(request.entry.clone(), Line::default());
+        }
+        if let Some(line) = self.lines.get_mut(&request.entry) {
+            line.length += 1;
+            line.work += cost;
         }
         self.places.insert(request.ticket, place);
         let waiting = Waiting {
@@ -195,6 +203,9 @@
         for lane in self.lanes.values_mut() {
             lane.work = Duration::ZERO;
         }
+        for (entry, line) in &mut self.lines {
+            line.work = cost(entry) * line.length;
+        }
         for (place, waiting) in &mut self.items {
             waiting.cost = cost(&waiting.request.entry);
             if let Some(lane) = self.lanes.get_mut(&place.priority) {
@@ -232,10 +243,11 @@
         if let Some(lane) = self.lanes.get_mut(&place.priority) {
             lane.work = lane.work.saturating_sub(waiting.cost);
         }
-        if let Some(length) = self.lengths.get_mut(&waiting.request.entry) {
-            *length -= 1;
-            if *length == 0 {
-                self.lengths.remove(&waiting.request.entry);
+        if let Some(line) = self.lines.get_mut(&waiting.request.entry) {
+            line.length -= 1;
+            line.work = line.work.saturating_sub(waiting.cost);
+            if line.length == 0 {
+                self.lines.remove(&waiting.request.entry);
             }
         }
         Some(waiting)
@@ -243,7 +255,12 @@
 
     /// How many requests of an entry wait.
     pub fn length(&self, entry: &name::Entry) -> u32 {
-        self.lengths.get(entry).copied().unwrap_or(0)
+        self.lines.get(entry).map_or(0, |it| it.length)
+    }
+
+    /// The work of an entry that waits.
+    pub fn entry_work(&self, entry: &name::Entry) -> Duration {
+        self.lines.get(entry).map_or(Duration::ZERO, |it| it.work)
     }
 
     /// How many requests wait.
--- /dev/null
+++ b/crates/pool/tests/blocked.rs
@@ -0,0 +1,98 @@
+//! Stories of an entry that has used up its own connections.
+
+use std::{num::NonZeroU32, time::Duration};
+
+use clock::Instant;
+use model::{Priority, name};
+use pool::{
+    Action, Conf, Event, Pool, Request, Ticket,
+    pool::{After, Limits},
+};
+
+const CONF: Conf = Conf {
+    connections: 3,
+    slots: 1,
+    warm: 3,
+    idle: Duration::from_secs(60),
+    transaction_idle: Duration::from_secs(60),
+};
+
+fn request(ticket: u64, entry: &str, connections: u16) -> Request {
+    Request {
+        ticket: Ticket(ticket),
+        entry: name::Entry::new(entry).unwrap(),
+        limits: Limits {
+            connections,
+            queue: 1_000,
+        },
+        tenant: name::Tenant::new("t1").unwrap(),
+        weight: NonZeroU32::MIN,
+        priority: Priority::Normal,
+        deadline: Instant::from_millis(300),
+    }
+}
+
+/// A pool with open connections, one in a transaction of the entry "narrow",
+/// whose only one it is, and 50 more requests of that entry waiting.
+fn blocked() -> Pool {
+    let mut pool = Pool::open(CONF, 1);
+    let now = Instant::ZERO;
+    for action in pool.step(now, Event::Tick) {
+        if let Action::Open(generation) = action {
+            pool.step(now, Event::Opened(generation));
+        }
+    }
+    let actions = pool.step(now, Event::Submit(request(1, "narrow", 1)));
+    let [Action::Run(_, handle)] = actions[..] else {
+        panic!("it did not run: {actions:?}");
+    };
+    pool.step(now, Event::Answered(handle, After::Transaction));
+    for ticket in 2..52 {
+        pool.step(now, Event::Submit(request(ticket, "narrow", 1)));
+    }
+    assert!(pool.waiting() > 10, "{}", pool.waiting());
+    pool
+}
+
+/// Symptom: reservations are refused as overload while the upstream idles.
+/// Events: another entry of the same class waits for its own transaction to
+/// end. Cause: its queue was counted as work ahead, though it can't run.
+#[test]
+fn entry_at_its_limit_holds_up_no_other() {
+    let mut pool = blocked();
+    let now = Instant::from_millis(1);
+    let actions = pool.step(now, Event::Submit(request(100, "wide", 2)));
+    let [Action::Run(Ticket(100), first)] = actions[..] else {
+        panic!("it did not run: {actions:?}");
+    };
+    // The slot is taken: the next waits, and is not refused for the others.
+    let waits = pool.step(now, Event::Submit(request(101, "wide", 2)));
+    assert_eq!(waits, []);
+    let walked = Instant::from_millis(40);
+    assert_eq!(pool.step(walked, Event::Tick), []);
+    let next = pool.step(walked, Event::Answered(first, After::Idle));
+    assert!(
+        matches!(next[..], [Action::Run(Ticket(101), _)]),
+        "{next:?}"
+    );
+}
+
+/// Symptom: as above, the other way: requests that can't run before their
+/// deadline are never told. Events: the transaction stays open.
+#[test]
+fn requests_of_a_blocked_entry_are_refused_by_their_deadline() {
+    let mut pool = blocked();
+    let mut now = Instant::ZERO;
+    let mut refused = Vec::new();
+    while let Some(at) = pool.wake(now).filter(|it| *it <= Instant::from_millis(300)) {
+        now = at;
+        for action in pool.step(now, Event::Tick) {
+            if let Action::Refuse { ticket, .. } = action {
+                refused.push(ticket);
+            }
+        }
+    }
+    assert_eq!(pool.waiting(), 0, "{refused:?}");
+    assert!(refused.len() > 10, "{refused:?}");
+    assert!(now < Instant::from_millis(300), "{now:?}");
+}
