--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -104,14 +104,16 @@
     /// Peers agree that the holder since this epoch is dead, so that its seat
     /// can be taken without waiting for its lease.
     Dead(Epoch),
-    /// The upstream ended all other connections of the seat.
+    /// The upstream ended all other connections of the seat, and a look after
+    /// that shows none: ending a connection takes the upstream a moment.
     Fenced(Attempt),
     /// The upstream's list of connections was read.
     Checked(Attempt, Seen),
     /// Connections were ended by the upstream on an administrator's order:
     /// another holder has fenced this one.
     Ousted,
-    /// All connections are closed after [`Action::Close`].
+    /// All connections are closed after [`Action::Close`], and the upstream has
+    /// ended them: told earlier, the seat's next share would come on top.
     Closed,
     /// Time passed.
     Tick,
