--- a/crates/daemon/examples/common/stage.rs
+++ b/crates/daemon/examples/common/stage.rs
@@ -62,9 +62,10 @@
             .context("the group of upstreams did not start")?;
         let text = catalog_text(&group.addresses(), conf.connections);
         let revision = apply(store.address(), &text).context("the catalogue was not applied")?;
-        let mut daemons = Vec::new();
+        let mut daemons: Vec<Daemon> = Vec::new();
         for index in 0..conf.daemons {
-            let settings = settings(index, store.address(), conf)?;
+            let seeds: Vec<_> = daemons.iter().map(Daemon::peers).collect();
+            let settings = settings(index, store.address(), &seeds, conf)?;
             daemons.push(Daemon::spawn(&settings).context("a daemon did not start")?);
         }
         Ok(Self {
@@ -157,10 +158,19 @@
 }
 
 /// The settings of a daemon, as its environment would give them.
-fn settings(index: usize, store: SocketAddr, conf: Conf) -> anyhow::Result<Settings> {
+fn settings(
+    index: usize,
+    store: SocketAddr,
+    seeds: &[SocketAddr],
+    conf: Conf,
+) -> anyhow::Result<Settings> {
+    let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
     let env = BTreeMap::from([
         ("DANDELIONLINK_LISTEN", "127.0.0.1:0".to_owned()),
         ("DANDELIONLINK_OPS", "127.0.0.1:0".to_owned()),
+        ("DANDELIONLINK_PEERS", "127.0.0.1:0".to_owned()),
+        ("DANDELIONLINK_PEER_KEYS", format!("1:{}", "3c".repeat(32))),
+        ("DANDELIONLINK_SEEDS", seeds.join(",")),
         ("DANDELIONLINK_INSTANCE", format!("entry-{}", index + 1)),
         ("DANDELIONLINK_ZONE", zone(index)),
         ("DANDELIONLINK_STORE", store.to_string()),
