Decide the pause between questions for a position in a struct of its own, and test it

Cause: the pause that held writes back stood inside a loop that no test could reach. Change: upstreams::pace::Pace, pure; tests tell the failure's story.

--- a/crates/daemon/src/upstreams/ack.rs
+++ b/crates/daemon/src/upstreams/ack.rs
@@ -12,13 +12,9 @@
 use super::{
     Core,
     group::{Group, Member},
+    pace::{MOST_PAUSE, Pace},
 };
 
-/// How soon an upstream whose log has not moved is asked again; doubled up to
-/// the most each time.
-const FIRST_PAUSE: Duration = Duration::from_micros(250);
-const MOST_PAUSE: Duration = Duration::from_millis(4);
-
 impl Group {
     /// Waits until a majority holds the log up to `position` of the term that
     /// still counts.
@@ -115,13 +111,8 @@
 }
 
 /// Asks one upstream for its position until no write waits.
-///
-/// While its log moves it is asked again at once. Were the pause to grow as
-/// long as any write waits, callers that write all the time would find it at
-/// its most, and each write would wait that long for a replica that holds it.
 async fn press_one(group: Rc<Group>, core: Rc<Core>, name: name::Upstream, member: Rc<Member>) {
-    let mut pause = FIRST_PAUSE;
-    let mut last = None;
+    let mut pace = Pace::open();
     loop {
         let result = group.probe(&core, &name).await;
         let waiting = group
@@ -132,17 +123,10 @@
         if !waiting {
             break;
         }
-        let held = result.as_ref().ok().map(|report| report.received);
-        if held.is_some() && held != last {
-            last = held;
-            pause = FIRST_PAUSE;
-            continue;
-        }
-        if result.is_err() {
-            pause = MOST_PAUSE;
+        let pause = pace.next(result.ok().map(|report| report.received));
+        if pause > Duration::ZERO {
+            sleep(pause).await;
         }
-        sleep(pause).await;
-        pause = (pause * 2).min(MOST_PAUSE);
     }
     member.pressed.set(false);
 }
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -7,6 +7,7 @@
 mod group;
 mod line;
 mod lines;
+mod pace;
 mod plan;
 mod run;
 mod sink;
