--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -6,7 +6,7 @@
 use model::name;
 use wire::{Change, Message, Node, Record, Revision};
 
-use crate::Held;
+use crate::{Held, Path};
 
 /// Numbers a call, so that an answer that comes late finds no taker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -188,6 +188,14 @@
     Primary(Change),
     /// A member joined, changed its state or restarted.
     Member(Record),
+    /// Nobody in a zone answers this instance, or someone does again. Its
+    /// members keep their states: it may be this instance that is cut off.
+    Zone {
+        /// The zone.
+        zone: name::Zone,
+        /// Whether it answers.
+        path: Path,
+    },
     /// Something an operator wants to know.
     Notice(Notice),
     /// Step with [`Event::Wake`] at this moment, in place of the one before.
