--- a/crates/daemon/examples/common/stage.rs
+++ b/crates/daemon/examples/common/stage.rs
@@ -179,7 +179,6 @@
             format!("1:{}", "5a".repeat(32)),
         ),
         ("DANDELIONLINK_UPSTREAM_USER", "proxy".to_owned()),
-        ("DANDELIONLINK_SHARE", conf.daemons.to_string()),
         ("DANDELIONLINK_CALLERS", conf.callers.to_string()),
         ("DANDELIONLINK_DRAIN_MS", "2000".to_owned()),
         ("DANDELIONLINK_SEED", conf.seed.to_string()),
