--- a/crates/daemon/examples/common/stage.rs
+++ b/crates/daemon/examples/common/stage.rs
@@ -62,9 +62,10 @@
             .context("the group of upstreams did not start")?;
         let text = catalog_text(&group.addresses(), conf.connections);
         let revision = apply(store.address(), &text).context("the catalogue was not applied")?;
-        let mut daemons = Vec::new();
+        let mut daemons: Vec<Daemon> = Vec::new();
         for index in 0..conf.daemons {
-            let settings = settings(index, store.address(), conf, &daemons)?;
+            let seeds: Vec<_> = daemons.iter().map(Daemon::peers).collect();
+            let settings = settings(index, store.address(), &seeds, conf)?;
             daemons.push(Daemon::spawn(&settings).context("a daemon did not start")?);
         }
         Ok(Self {
@@ -160,13 +161,16 @@
 fn settings(
     index: usize,
     store: SocketAddr,
+    seeds: &[SocketAddr],
     conf: Conf,
-    others: &[Daemon],
 ) -> anyhow::Result<Settings> {
-    let seeds: Vec<_> = others.iter().map(|it| it.peers().to_string()).collect();
+    let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
     let env = BTreeMap::from([
         ("DANDELIONLINK_LISTEN", "127.0.0.1:0".to_owned()),
         ("DANDELIONLINK_OPS", "127.0.0.1:0".to_owned()),
+        ("DANDELIONLINK_PEERS", "127.0.0.1:0".to_owned()),
+        ("DANDELIONLINK_PEER_KEYS", format!("1:{}", "3c".repeat(32))),
+        ("DANDELIONLINK_SEEDS", seeds.join(",")),
         ("DANDELIONLINK_INSTANCE", format!("entry-{}", index + 1)),
         ("DANDELIONLINK_ZONE", zone(index)),
         ("DANDELIONLINK_STORE", store.to_string()),
@@ -175,9 +179,6 @@
             format!("1:{}", "5a".repeat(32)),
         ),
         ("DANDELIONLINK_UPSTREAM_USER", "proxy".to_owned()),
-        ("DANDELIONLINK_PEERS", "127.0.0.1:0".to_owned()),
-        ("DANDELIONLINK_SEEDS", seeds.join(",")),
-        ("DANDELIONLINK_PEER_KEYS", format!("1:{}", "3c".repeat(32))),
         ("DANDELIONLINK_CALLERS", conf.callers.to_string()),
         ("DANDELIONLINK_DRAIN_MS", "2000".to_owned()),
         ("DANDELIONLINK_SEED", conf.seed.to_string()),
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -8,6 +8,7 @@
 mod host;
 mod line;
 mod lines;
+mod pace;
 mod plan;
 mod remote;
 mod run;
