Serve TLS to callers where settings name a certificate and its key

Cause: callers could only connect in the clear. Change: tls-certificate and tls-key, checked at the start with typed faults; a request for TLS is answered S and the handshake goes through ntex-tls with rustls and its ring provider; bytes ahead of the handshake are refused; each kind of encryption may be asked for once. SCRAM stays without channel binding. A first form layered TLS on a sealed connection, which panics in ntex and ended the callers' thread; the test showed it, and the layer goes on before now.

--- a/crates/daemon/src/callers/greet.rs
+++ b/crates/daemon/src/callers/greet.rs
@@ -1,11 +1,15 @@
 //! The beginning of a caller's connection: startup, login and greeting.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use catalog::scram::Verifier;
 use model::name;
-use ntex::time::Millis;
+use ntex::{
+    io::{Filter, Io},
+    time::Millis,
+};
+use ntex_tls::rustls::TlsServerFilter;
 use pg::{LoginCodec, Startup};
 use pgwire::messages::{
     Message,
@@ -23,6 +27,7 @@
 use crate::{
     duty::Phase,
     job::{Ask, Scope},
+    tls::Tls,
 };
 
 /// How long a caller may take to log in.
@@ -88,12 +93,31 @@
     }
 }
 
+/// How a connection began.
+enum Began {
+    /// With this message.
+    With(Stream, Startup),
+    /// With something that is refused.
+    Refused(Stream, Refusal),
+    /// The caller is gone, or its TLS broke off.
+    Gone,
+}
+
 /// Serves one connection from its first byte to its last.
-pub(super) async fn serve(io: Stream, shared: Rc<Shared>) {
+pub(super) async fn serve(io: Io, shared: Rc<Shared>) {
     let Some(counted) = Login::open(&shared) else {
-        return reject(&io, "53300", "too many connections are logging in").await;
+        return reject(&io.seal(), "53300", "too many connections are logging in").await;
     };
-    let login = ntex::time::timeout(LOGIN_TIMEOUT, log_in(&io, &shared)).await;
+    let started = shared.clock.now();
+    let began = ntex::time::timeout(LOGIN_TIMEOUT, begin(io, &shared)).await;
+    let (io, startup) = match began {
+        Ok(Began::With(io, startup)) => (io, startup),
+        Ok(Began::Refused(io, refusal)) => return reject(&io, refusal.state, &refusal.text).await,
+        Ok(Began::Gone) | Err(()) => return,
+    };
+    let spent = shared.clock.now().since(started);
+    let left = Duration::from(LOGIN_TIMEOUT).saturating_sub(spent);
+    let login = ntex::time::timeout(Millis::from(left), log_in(&io, &shared, startup)).await;
     drop(counted);
     match login {
         Ok(Ok(None)) => {}
@@ -111,18 +135,22 @@
     let _ = io.shutdown().await;
 }
 
-async fn log_in(io: &Stream, shared: &Rc<Shared>) -> Result<Option<Session>, Refusal> {
-    let startup = match startup(io).await? {
-        Some(Startup::Session(startup)) => startup,
-        Some(Startup::Cancel(request)) => {
+async fn log_in(
+    io: &Stream,
+    shared: &Rc<Shared>,
+    startup: Startup,
+) -> Result<Option<Session>, Refusal> {
+    let startup = match startup {
+        Startup::Session(startup) => startup,
+        Startup::Cancel(request) => {
             cancel(shared, &request).await;
             return Ok(None);
         }
-        Some(Startup::Version { major, minor }) => {
+        Startup::Version { major, minor } => {
             let text = format!("protocol {major}.{minor} is not served, 3.0 is");
             return refuse("0A000", text);
         }
-        _ => return Ok(None),
+        Startup::Tls | Startup::Gss => return Ok(None),
     };
     negotiate(io, &startup)?;
     if *shared.watch.borrow() > Phase::Run {
@@ -204,24 +232,78 @@
     Some((key.to_owned(), value.to_owned()))
 }
 
-/// Reads first messages until one begins something; encryption is declined.
-async fn startup(io: &Stream) -> Result<Option<Startup>, Refusal> {
+/// Reads first messages until one begins something. Callers may ask for
+/// encryption of each kind once before; TLS is served if settings say so.
+async fn begin(io: Io, shared: &Shared) -> Began {
+    let (mut tls, mut gss) = (false, false);
     loop {
-        match first(io).await? {
-            Some(Startup::Tls | Startup::Gss) => {
-                io.encode_slice(b"N")?;
-                io.send_buf()?;
-            }
-            found => return Ok(found),
+        let found = match first(&io).await {
+            Ok(Some(found)) => found,
+            Ok(None) => return Began::Gone,
+            Err(refusal) => return Began::Refused(io.seal(), refusal),
+        };
+        let asked = match found {
+            Startup::Tls => &mut tls,
+            Startup::Gss => &mut gss,
+            found => return Began::With(io.seal(), found),
+        };
+        if std::mem::replace(asked, true) {
+            return Began::Refused(io.seal(), twice());
+        }
+        match (&found, &shared.tls) {
+            (Startup::Tls, Some(tls)) => return secure(io, tls).await,
+            _ if decline(&io).is_err() => return Began::Gone,
+            _ => {}
         }
     }
 }
 
+fn twice() -> Refusal {
+    Refusal {
+        state: "08P01",
+        text: "encryption was asked for twice".to_owned(),
+    }
+}
+
+fn decline(io: &Io) -> std::io::Result<()> {
+    io.encode_slice(b"N")?;
+    io.send_buf()
+}
+
+/// Goes on in TLS.
+///
+/// Bytes that are there already were sent in the clear. Taken for part of the
+/// encrypted session, they would let somebody on the way put statements in
+/// front of the caller's own (as in CVE-2021-23214).
+async fn secure(io: Io, tls: &Tls) -> Began {
+    if io.with_read_buf(|src| !src.is_empty()) {
+        let refusal = Refusal {
+            state: "08P01",
+            text: "data came ahead of the TLS handshake".to_owned(),
+        };
+        return Began::Refused(io.seal(), refusal);
+    }
+    if io.encode_slice(b"S").and_then(|()| io.send_buf()).is_err() {
+        return Began::Gone;
+    }
+    // The layer goes on before the sealing: a sealed connection takes none.
+    let Ok(io) = TlsServerFilter::create(io, tls.conf(), LOGIN_TIMEOUT).await else {
+        return Began::Gone;
+    };
+    let io = io.seal();
+    match first(&io).await {
+        Ok(Some(Startup::Tls | Startup::Gss)) => Began::Refused(io, twice()),
+        Ok(Some(found)) => Began::With(io, found),
+        Ok(None) => Began::Gone,
+        Err(refusal) => Began::Refused(io, refusal),
+    }
+}
+
 /// Reads one first message; `None` when the caller has gone before its end.
 ///
 /// What was received is looked at before the end of the stream is: a cancel
 /// request often comes together with it.
-async fn first(io: &Stream) -> Result<Option<Startup>, Refusal> {
+async fn first<F: Filter>(io: &Io<F>) -> Result<Option<Startup>, Refusal> {
     let mut open = true;
     loop {
         let found = io.with_read_buf(|src| -> Result<_, pg::Error> {
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -32,6 +32,7 @@
     duty::{self, Phase, Watch},
     job::{self, Ask, Caller, Part, Reply},
     ring,
+    tls::Tls,
 };
 
 /// How long an accept that failed waits, as when file descriptors are short.
@@ -62,6 +63,8 @@
     pub(crate) limit: usize,
     /// What the verifiers of unknown users are made from.
     pub(crate) mock: [u8; 32],
+    /// What callers are served TLS with, if they are.
+    pub(crate) tls: Option<Tls>,
 }
 
 /// A caller's connection, plain or encrypted.
@@ -85,6 +88,7 @@
     watch: Watch,
     limit: usize,
     mock: [u8; 32],
+    tls: Option<Tls>,
     /// How many connections are logging in.
     logins: Cell<usize>,
 }
@@ -101,6 +105,7 @@
         watch: conf.watch.clone(),
         limit: conf.limit,
         mock: conf.mock,
+        tls: conf.tls,
         logins: Cell::new(0),
     });
     ntex::rt::spawn(deliver(Rc::clone(&shared), conf.replies));
@@ -137,7 +142,7 @@
             .into_std()
             .and_then(|it| ntex::rt::from_tcp_stream(it, SharedCfg::default()));
         if let Ok(io) = io {
-            ntex::rt::spawn(greet::serve(io.seal(), Rc::clone(shared)));
+            ntex::rt::spawn(greet::serve(io, Rc::clone(shared)));
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod platform;
 pub mod ring;
 pub mod settings;
+pub mod tls;
 mod upstreams;
 
 use std::{
@@ -75,6 +76,7 @@
             watch: watch.clone(),
             limit: settings.callers,
             mock: settings.mock,
+            tls: settings.tls.clone(),
         };
         let upstreams_conf = upstreams::Conf {
             clock,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt,
     net::{Ipv4Addr, SocketAddr},
+    path::Path,
     time::Duration,
 };
 
@@ -12,6 +13,8 @@
 use sha2::{Digest, Sha256};
 use upstream::Login;
 
+use crate::tls::{self, Tls};
+
 /// What the environment variables begin with.
 const PREFIX: &str = "DANDELIONLINK_";
 
@@ -46,6 +49,13 @@
     /// that user's password, if upstreams ask for one
     #[argh(option)]
     pub upstream_password: Option<String>,
+    /// the PEM file of the certificate chain for callers; TLS is served if it
+    /// and the key are given
+    #[argh(option)]
+    pub tls_certificate: Option<String>,
+    /// the PEM file of the certificate's private key
+    #[argh(option)]
+    pub tls_key: Option<String>,
     /// among how many instances an upstream's connections are divided (9)
     #[argh(option)]
     pub share: Option<String>,
@@ -100,6 +110,12 @@
     /// A key can't be used.
     #[error("{0}")]
     Key(#[from] session::Error),
+    /// A certificate, or its key, can't be used.
+    #[error("{0}")]
+    Tls(#[from] tls::Error),
+    /// Of two settings that go together, the other is missing.
+    #[error("is missing; it goes with --{0}")]
+    Without(&'static str),
 }
 
 impl fmt::Display for Fault {
@@ -136,6 +152,8 @@
     pub mock: [u8; 32],
     /// How to log in to upstreams.
     pub login: Login,
+    /// What callers are served TLS with, if they are.
+    pub tls: Option<Tls>,
     /// Among how many instances an upstream's connections are divided.
     pub share: u16,
     /// How many callers may be connected at once.
@@ -219,6 +237,32 @@
         }
     }
 
+    /// The certificate and its key; both or neither are given.
+    fn tls(&mut self, certificate: Option<&String>, key: Option<&String>) -> Option<Tls> {
+        const NAMES: (&str, &str) = ("tls-certificate", "tls-key");
+        let certificate = self.text(NAMES.0, certificate);
+        let key = self.text(NAMES.1, key);
+        match (certificate, key) {
+            (None, None) => None,
+            (None, Some(_)) => self.fail(NAMES.0, What::Without(NAMES.1)),
+            (Some(_), None) => self.fail(NAMES.1, What::Without(NAMES.0)),
+            (Some(certificate), Some(key)) => {
+                let chain = tls::certificates(Path::new(&certificate));
+                let chain = self.checked(NAMES.0, chain);
+                let key = self.checked(NAMES.1, tls::key(Path::new(&key)));
+                let joined = tls::join(chain?, key?);
+                self.checked(NAMES.1, joined)
+            }
+        }
+    }
+
+    fn checked<T>(&mut self, name: &'static str, result: Result<T, tls::Error>) -> Option<T> {
+        match result {
+            Ok(found) => Some(found),
+            Err(error) => self.fail(name, error.into()),
+        }
+    }
+
     fn keys(&mut self, name: &'static str, flag: Option<&String>) -> Option<Keys> {
         let text = self.required(name, flag)?;
         match keys(&text) {
@@ -298,6 +342,7 @@
         let mock = mock_secret(&mock.unwrap_or_default());
         let user = rdr.required("upstream-user", args.upstream_user.as_ref());
         let password = rdr.text("upstream-password", args.upstream_password.as_ref());
+        let tls = rdr.tls(args.tls_certificate.as_ref(), args.tls_key.as_ref());
         let share = rdr.number("share", args.share.as_ref(), 9, (1, 10_000));
         let callers = rdr.number("callers", args.callers.as_ref(), 10_000, (1, 1_000_000));
         let drain = rdr.number("drain-ms", args.drain_ms.as_ref(), 30_000, (0, 3_600_000));
@@ -315,6 +360,7 @@
                     user: user?,
                     password,
                 },
+                tls,
                 share: u16::try_from(share?).ok()?,
                 callers: usize::try_from(callers?).ok()?,
                 drain: Duration::from_millis(drain?),
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -56,6 +56,11 @@
 impl Rig {
     /// Starts `count` daemons before a group of three.
     pub(crate) fn open(count: usize) -> Self {
+        Self::open_with(count, &Args::default())
+    }
+
+    /// Starts `count` daemons with these flags before a group of three.
+    pub(crate) fn open_with(count: usize, args: &Args) -> Self {
         let store = fake::Store::spawn().expect("a store");
         let group = fake::Group::spawn(3, &fake::group::Conf::default()).expect("a group");
         let mut rig = Self {
@@ -66,14 +71,14 @@
         };
         rig.apply(&text(&rig.group.addresses()));
         for index in 0..count {
-            let daemon = Daemon::spawn(&rig.settings(index, count)).expect("a daemon");
+            let daemon = Daemon::spawn(&rig.settings(index, count, args)).expect("a daemon");
             rig.daemons.push(Some(daemon));
         }
         rig
     }
 
     /// The settings of a daemon of the rig.
-    pub(crate) fn settings(&self, index: usize, count: usize) -> Settings {
+    pub(crate) fn settings(&self, index: usize, count: usize, args: &Args) -> Settings {
         let env = BTreeMap::from([
             ("DANDELIONLINK_LISTEN", "127.0.0.1:0".to_owned()),
             ("DANDELIONLINK_OPS", "127.0.0.1:0".to_owned()),
@@ -89,7 +94,7 @@
             ("DANDELIONLINK_DRAIN_MS", "2000".to_owned()),
         ]);
         let env = |name: &str| env.get(name).cloned();
-        Settings::read(&Args::default(), &env).expect("the rig's settings are right")
+        Settings::read(args, &env).expect("the rig's settings are right")
     }
 
     /// Puts a catalogue into the store, as the operators' tool would.
--- a/crates/pg/tests/decode.rs
+++ b/crates/pg/tests/decode.rs
@@ -108,7 +108,7 @@
 
     #[test]
     fn an_announced_length_is_refused_before_it_is_awaited(tag: u8, length: u32) {
-        let mut src = BytesMut::copy_from_slice(&[&[tag], &length.to_be_bytes()[..]].concat());
+        let mut src = BytesMut::copy_from_slice([&[tag], &length.to_be_bytes()[..]].concat());
         let result = LoginCodec.decode(&mut src);
         let fits = (4..MAX_LOGIN as u32).contains(&length);
         prop_assert_eq!(result.is_ok(), fits);
--- a/crates/upstream/tests/bad.rs
+++ b/crates/upstream/tests/bad.rs
@@ -126,7 +126,7 @@
     fn a_status_is_read_or_refused(
         body in prop_oneof![row(), proptest::collection::vec(any::<u8>(), 0..100)],
     ) {
-        let mut src = ntex::util::BytesMut::copy_from_slice(&message(b'D', &body));
+        let mut src = ntex::util::BytesMut::copy_from_slice(message(b'D', &body));
         let frame = pg::Codec.decode(&mut src).unwrap().unwrap();
         if let Err(error) = report(&frame) {
             prop_assert!(matches!(error, Error::Status(_)));
