--- a/crates/catalog/tests/apply.rs
+++ b/crates/catalog/tests/apply.rs
@@ -194,6 +194,48 @@
     assert_eq!(store.revision, 1);
 }
 
+#[test]
+fn what_never_left_or_was_rejected_is_told_as_not_run() {
+    let store = store();
+    let (mut apply, _) = open(&store, 9, 2);
+    let action = apply.step(Event::Rejected);
+    assert!(
+        matches!(action, Action::Done(Outcome::NotRun)),
+        "{action:?}"
+    );
+
+    let (mut apply, _) = open(&store, 9, 2);
+    let mut action = apply.step(Event::NotSent);
+    while let Action::Read(..) = action {
+        action = apply.step(Event::ReadFailed);
+    }
+    assert!(
+        matches!(action, Action::Done(Outcome::NotRun)),
+        "{action:?}"
+    );
+}
+
+/// Symptom: a change is told as not run, and is in force a moment later.
+/// Events: the first request is lost on its way; the second is rejected; then
+/// the first arrives.
+/// Cause: a rejection speaks of one request only.
+#[test]
+fn a_rejection_does_not_settle_an_earlier_doubt() {
+    let store = store();
+    let (mut apply, _) = open(&store, 9, 2);
+    apply.step(Event::Lost);
+    let action = apply.step(Event::Read(evidence(&store, 2)));
+    assert!(matches!(action, Action::Send(..)), "{action:?}");
+    let mut action = apply.step(Event::Rejected);
+    while let Action::Read(..) = action {
+        action = apply.step(Event::ReadFailed);
+    }
+    assert!(
+        matches!(action, Action::Done(Outcome::Unknown)),
+        "{action:?}"
+    );
+}
+
 /// Symptom: a change in force is told as a conflict.
 /// Events: its answer is lost, and by the time its author reads back so many
 /// changes followed that its record was removed.
--- a/crates/daemon/src/callers/batch.rs
+++ b/crates/daemon/src/callers/batch.rs
@@ -7,7 +7,7 @@
 use route::statement::{Kind, classify, fingerprint, split};
 
 use super::{change, local, serve::Session};
-use crate::job::{Batch, Change, Closes, Leaves, Need, Statement, Step};
+use crate::job::{Batch, Change, Closes, Leaves, Need, Portal, Statement, Step};
 
 /// The most messages in one batch.
 const MAX_STEPS: usize = 10_000;
@@ -264,7 +264,10 @@
                 Ok(Step::DescribeStatement(statement))
             }
             Front::Describe(it) => Ok(Step::DescribePortal(it.name)),
-            Front::Execute(it) => Ok(Step::Execute(it)),
+            Front::Execute(it) => Ok(Step::Execute {
+                portal: it.name,
+                rows: it.max_rows,
+            }),
             Front::Close(it) if it.target_type == b'S' => {
                 session.unprepare(it.name.as_deref().unwrap_or_default());
                 Ok(Step::CloseStatement)
@@ -285,7 +288,13 @@
         self.leaves = self.leaves.max(Some(leaves(&statement.sql, &changes)));
         self.changes.extend(changes);
         session.check_changes(&self.changes)?;
-        Ok(Step::Bind(statement, bind))
+        let portal = Portal {
+            name: bind.portal_name,
+            formats: bind.parameter_format_codes,
+            parameters: bind.parameters,
+            results: bind.result_column_format_codes,
+        };
+        Ok(Step::Bind(statement, portal))
     }
 
     /// Who answers; only the statements tell, and all must agree.
@@ -310,7 +319,7 @@
         let names_portal = |step: &Step| {
             matches!(
                 step,
-                Step::Execute(_) | Step::DescribePortal(_) | Step::ClosePortal(_)
+                Step::Execute { .. } | Step::DescribePortal(_) | Step::ClosePortal(_)
             )
         };
         let default = if self.steps.iter().any(names_portal) {
--- a/crates/daemon/src/callers/local.rs
+++ b/crates/daemon/src/callers/local.rs
@@ -208,11 +208,11 @@
                 }
             }
             Step::CloseStatement | Step::ClosePortal(_) => put(buf, &CloseComplete::new()),
-            Step::DescribePortal(_) | Step::Execute(_) => {
+            Step::DescribePortal(_) | Step::Execute { .. } => {
                 let Some(plan) = &bound else {
                     return refuse(buf, "34000", "the portal does not exist");
                 };
-                if matches!(step, Step::Execute(_)) {
+                if matches!(step, Step::Execute { .. }) {
                     plan.run(session, buf)?;
                 } else {
                     plan.describe(buf);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -30,6 +30,18 @@
     /// where operators and the balancer connect, as IP:PORT (127.0.0.1:6433)
     #[argh(option)]
     pub ops: Option<String>,
+    /// where other instances reach this one, by UDP and TCP, as IP:PORT
+    /// (127.0.0.1:6434)
+    #[argh(option)]
+    pub peers: Option<String>,
+    /// some other instances, as IP:PORT with commas between; the first ones to
+    /// be asked about the rest
+    #[argh(option)]
+    pub seeds: Option<String>,
+    /// the keys that frames between instances are sealed with, as ID:HEX and,
+    /// while they are changed, the other one behind a comma; the first seals
+    #[argh(option)]
+    pub peer_keys: Option<String>,
     /// this instance's name, unlike any other's
     #[argh(option)]
     pub instance: Option<String>,
@@ -56,9 +68,6 @@
     /// the PEM file of the certificate's private key
     #[argh(option)]
     pub tls_key: Option<String>,
-    /// among how many instances an upstream's connections are divided (9)
-    #[argh(option)]
-    pub share: Option<String>,
     /// how many callers may be connected at once (10000)
     #[argh(option)]
     pub callers: Option<String>,
@@ -107,7 +116,7 @@
     /// It is not a list of keys; the text is not repeated, it is secret.
     #[error("is not a list of at most two keys written ID:HEX")]
     Keys,
-    /// A key can't be used.
+    /// A session key can't be used.
     #[error("{0}")]
     Key(#[from] session::Error),
     /// A certificate, or its key, can't be used.
@@ -116,6 +125,9 @@
     /// Of two settings that go together, the other is missing.
     #[error("is missing; it goes with --{0}")]
     Without(&'static str),
+    /// The peers' keys can't be used.
+    #[error("{0}")]
+    PeerKeys(#[from] wire::KeyError),
 }
 
 impl fmt::Display for Fault {
@@ -139,6 +151,12 @@
     pub listen: SocketAddr,
     /// Where operators connect.
     pub ops: SocketAddr,
+    /// Where other instances reach this one.
+    pub peers: SocketAddr,
+    /// Some other instances.
+    pub seeds: Vec<SocketAddr>,
+    /// The keys that frames between instances are sealed with.
+    pub peer_keys: wire::Ring,
     /// This instance.
     pub instance: name::Instance,
     /// Its availability zone.
@@ -154,8 +172,6 @@
     pub login: Login,
     /// What callers are served TLS with, if they are.
     pub tls: Option<Tls>,
-    /// Among how many instances an upstream's connections are divided.
-    pub share: u16,
     /// How many callers may be connected at once.
     pub callers: usize,
     /// How long a stop waits for what runs.
@@ -256,6 +272,25 @@
         }
     }
 
+    fn addresses(&mut self, name: &'static str, flag: Option<&String>) -> Option<Vec<SocketAddr>> {
+        let text = self.text(name, flag).unwrap_or_default();
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
+        parts
+            .map(|part| self.address(name, Some(part.to_owned())))
+            .collect()
+    }
+
+    fn peer_keys(&mut self, name: &'static str, flag: Option<&String>) -> Option<wire::Ring> {
+        let text = self.required(name, flag)?;
+        match wire::Ring::parse(&text) {
+            Ok(ring) => Some(ring),
+            Err(error) => self.fail(name, error.into()),
+        }
+    }
+
     fn checked<T>(&mut self, name: &'static str, result: Result<T, tls::Error>) -> Option<T> {
         match result {
             Ok(found) => Some(found),
@@ -319,7 +354,7 @@
     ///
     /// let faults = Settings::read(&Args::default(), &|_| None).unwrap_err();
     /// let names: Vec<_> = faults.iter().map(|fault| fault.name).collect();
-    /// assert_eq!(names, ["instance", "zone", "store", "session-keys", "upstream-user"]);
+    /// assert_eq!(names, ["peer-keys", "instance", "zone", "store", "session-keys", "upstream-user"]);
     /// assert!(faults.iter().all(|fault| fault.what == What::Missing));
     /// ```
     ///
@@ -333,6 +368,9 @@
         };
         let listen = rdr.local("listen", args.listen.as_ref(), 6432);
         let ops = rdr.local("ops", args.ops.as_ref(), 6433);
+        let peers = rdr.local("peers", args.peers.as_ref(), 6434);
+        let seeds = rdr.addresses("seeds", args.seeds.as_ref());
+        let peer_keys = rdr.peer_keys("peer-keys", args.peer_keys.as_ref());
         let instance = rdr.named("instance", args.instance.as_ref(), name::Instance::new);
         let zone = rdr.named("zone", args.zone.as_ref(), name::Zone::new);
         let store = rdr.required("store", args.store.as_ref());
@@ -343,7 +381,6 @@
         let user = rdr.required("upstream-user", args.upstream_user.as_ref());
         let password = rdr.text("upstream-password", args.upstream_password.as_ref());
         let tls = rdr.tls(args.tls_certificate.as_ref(), args.tls_key.as_ref());
-        let share = rdr.number("share", args.share.as_ref(), 9, (1, 10_000));
         let callers = rdr.number("callers", args.callers.as_ref(), 10_000, (1, 1_000_000));
         let drain = rdr.number("drain-ms", args.drain_ms.as_ref(), 30_000, (0, 3_600_000));
         let seed = rdr.number("seed", args.seed.as_ref(), rand::random(), (0, u64::MAX));
@@ -351,6 +388,9 @@
             Some(Self {
                 listen: listen?,
                 ops: ops?,
+                peers: peers?,
+                seeds: seeds?,
+                peer_keys: peer_keys?,
                 instance: instance?,
                 zone: zone?,
                 store: store?,
@@ -361,7 +401,6 @@
                     password,
                 },
                 tls,
-                share: u16::try_from(share?).ok()?,
                 callers: usize::try_from(callers?).ok()?,
                 drain: Duration::from_millis(drain?),
                 seed: seed?,
--- a/crates/daemon/src/upstreams/ack.rs
+++ b/crates/daemon/src/upstreams/ack.rs
@@ -14,8 +14,8 @@
     group::{Group, Member},
 };
 
-/// How soon an upstream that did not hold a write yet is asked again; doubled
-/// up to the most each time.
+/// How soon an upstream whose log has not moved is asked again; doubled up to
+/// the most each time.
 const FIRST_PAUSE: Duration = Duration::from_micros(250);
 const MOST_PAUSE: Duration = Duration::from_millis(4);
 
@@ -74,9 +74,15 @@
         }
     }
 
-    /// Begins a round; [`session::Round`] has said that it is time for one.
-    pub(super) fn ask(self: &Rc<Self>, core: &Rc<Core>) {
-        ntex::rt::spawn(ask_all(Rc::clone(self), Rc::clone(core)));
+    /// Asks all upstreams for their status, unless a round is under way.
+    ///
+    /// An instance that is no candidate has no other way to learn who leads
+    /// before the record of a change reaches it.
+    pub(super) fn want_round(self: &Rc<Self>, core: &Rc<Core>, since: Instant) {
+        let now = core.now();
+        if self.round.borrow_mut().want(now, since) == Start::Now {
+            ntex::rt::spawn(ask_all(Rc::clone(self), Rc::clone(core)));
+        }
     }
 
     /// Waits for a round that began at `since` or later.
@@ -99,10 +105,7 @@
             if now >= deadline {
                 return Err(Cause::Deadline);
             }
-            let start = self.round.borrow_mut().want(now, since);
-            if start == Start::Now {
-                self.ask(core);
-            }
+            self.want_round(core, since);
             tokio::select! {
                 () = changed => {}
                 () = sleep(deadline.since(now).min(MOST_PAUSE)) => {}
@@ -111,8 +114,14 @@
     }
 }
 
+/// Asks one upstream for its position until no write waits.
+///
+/// While its log moves it is asked again at once. Were the pause to grow as
+/// long as any write waits, callers that write all the time would find it at
+/// its most, and each write would wait that long for a replica that holds it.
 async fn press_one(group: Rc<Group>, core: Rc<Core>, name: name::Upstream, member: Rc<Member>) {
     let mut pause = FIRST_PAUSE;
+    let mut last = None;
     loop {
         let result = group.probe(&core, &name).await;
         let waiting = group
@@ -123,6 +132,12 @@
         if !waiting {
             break;
         }
+        let held = result.as_ref().ok().map(|report| report.received);
+        if held.is_some() && held != last {
+            last = held;
+            pause = FIRST_PAUSE;
+            continue;
+        }
         if result.is_err() {
             pause = MOST_PAUSE;
         }
--- a/crates/daemon/tests/tls.rs
+++ b/crates/daemon/tests/tls.rs
@@ -145,6 +145,7 @@
             zone: Some("nl-west-1".to_owned()),
             store: Some("127.0.0.1:2379".to_owned()),
             session_keys: Some(format!("1:{}", "5a".repeat(32))),
+            peer_keys: Some(format!("1:{}", "3c".repeat(32))),
             upstream_user: Some("proxy".to_owned()),
             ..Args::default()
         };
--- a/crates/failover/src/timing.rs
+++ b/crates/failover/src/timing.rs
@@ -25,6 +25,11 @@
     /// How long a place of the primary's log that a voucher told may be missing
     /// from a majority before the vouching counts no more.
     pub unconfirmed: Duration,
+    /// How long a majority may miss a place of a primary that everybody reaches
+    /// before the primary counts as isolated from its replicas.
+    pub isolated: Duration,
+    /// How long a claim on an isolated primary waits for a majority without it.
+    pub shun: Duration,
     /// How recent an advance of the replicas shows that the primary replicates.
     pub progress: Duration,
     /// How long a claim may stand still before another candidate overtakes it.
@@ -59,6 +64,8 @@
             rank: Duration::from_millis(60),
             contested: Duration::from_millis(1_000),
             unconfirmed: Duration::from_millis(300),
+            isolated: Duration::from_millis(1_200),
+            shun: Duration::from_millis(300),
             progress: Duration::from_millis(500),
             overtake: Duration::from_millis(600),
             order: Duration::from_millis(100),
@@ -74,6 +81,36 @@
 }
 
 impl Timing {
+    /// The waits when probes are `probe` apart, for fleets whose thousands of
+    /// groups can't be probed as often as the default has it.
+    ///
+    /// What depends on how often probes and evidence come grows with `probe`;
+    /// the waits for the store and for orders stay.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use failover::Timing;
+    ///
+    /// let timing = Timing::paced(Duration::from_secs(1));
+    /// assert_eq!(timing.floor, Duration::from_secs(4));
+    /// ```
+    pub fn paced(probe: Duration) -> Self {
+        let usual = Self::default();
+        Self {
+            probe,
+            tell: probe,
+            floor: usual.floor.max(probe * 4),
+            cap: usual.cap.max(probe * 6),
+            heard: usual.heard.max(probe * 4),
+            contested: usual.contested.max(probe * 6),
+            unconfirmed: usual.unconfirmed.max(probe * 4),
+            isolated: usual.isolated.max(probe * 6),
+            progress: usual.progress.max(probe * 5),
+            overtake: usual.overtake.max(probe * 4),
+            ..usual
+        }
+    }
+
     /// How long after a change of primary the next one is held off, when
     /// `recent` changes were seen within [`Timing::memory`].
     pub(crate) fn hold(&self, recent: usize) -> Duration {
