--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -224,7 +224,7 @@
 /// the connection went back to the pool as if it had not been changed.
 #[test]
 fn settings_stay_with_their_session() {
-    let rig = Rig::open(1);
+    let rig = Rig::open(2);
     run(async {
         let first = rig.connect(0, "slots").await;
         let others = [rig.connect(0, "slots").await, rig.connect(0, "slots").await];
@@ -354,10 +354,17 @@
 /// the form of a newer protocol and never compared.
 #[test]
 fn a_cancel_hits_its_statement_and_no_other() {
-    let rig = Rig::open(1);
+    let rig = Rig::open(2);
+    // One of the two instances holds the primary's connections.
+    cancel(&rig, 0);
+    cancel(&rig, 1);
+}
+
+fn cancel(rig: &Rig, index: usize) {
     run(async {
         let mut holder = rig.connect(0, "slots").await;
-        let waiter = rig.connect(0, "slots").await;
+        let waiter = rig.connect(index, "slots").await;
+        waiter.batch_execute("DELETE FROM kv").await.unwrap();
         let held = holder.transaction().await.unwrap();
         held.execute(INSERT, &[&"a", &"1"]).await.unwrap();
         let token = waiter.cancel_token();
