--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod platform;
 pub mod ring;
 pub mod settings;
+pub mod tls;
 mod upstreams;
 
 use std::{
@@ -86,6 +87,7 @@
             watch: watch.clone(),
             limit: settings.callers,
             mock: settings.mock,
+            tls: settings.tls.clone(),
         };
         let upstreams_conf = upstreams::Conf {
             clock,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt,
     net::{Ipv4Addr, SocketAddr},
+    path::Path,
     time::Duration,
 };
 
@@ -12,6 +13,8 @@
 use sha2::{Digest, Sha256};
 use upstream::Login;
 
+use crate::tls::{self, Tls};
+
 /// What the environment variables begin with.
 const PREFIX: &str = "DANDELIONLINK_";
 
@@ -58,6 +61,13 @@
     /// that user's password, if upstreams ask for one
     #[argh(option)]
     pub upstream_password: Option<String>,
+    /// the PEM file of the certificate chain for callers; TLS is served if it
+    /// and the key are given
+    #[argh(option)]
+    pub tls_certificate: Option<String>,
+    /// the PEM file of the certificate's private key
+    #[argh(option)]
+    pub tls_key: Option<String>,
     /// how many callers may be connected at once (10000)
     #[argh(option)]
     pub callers: Option<String>,
@@ -109,6 +119,12 @@
     /// A session key can't be used.
     #[error("{0}")]
     Key(#[from] session::Error),
+    /// A certificate, or its key, can't be used.
+    #[error("{0}")]
+    Tls(#[from] tls::Error),
+    /// Of two settings that go together, the other is missing.
+    #[error("is missing; it goes with --{0}")]
+    Without(&'static str),
     /// The peers' keys can't be used.
     #[error("{0}")]
     PeerKeys(#[from] wire::KeyError),
@@ -154,6 +170,8 @@
     pub mock: [u8; 32],
     /// How to log in to upstreams.
     pub login: Login,
+    /// What callers are served TLS with, if they are.
+    pub tls: Option<Tls>,
     /// How many callers may be connected at once.
     pub callers: usize,
     /// How long a stop waits for what runs.
@@ -235,6 +253,25 @@
         }
     }
 
+    /// The certificate and its key; both or neither are given.
+    fn tls(&mut self, certificate: Option<&String>, key: Option<&String>) -> Option<Tls> {
+        const NAMES: (&str, &str) = ("tls-certificate", "tls-key");
+        let certificate = self.text(NAMES.0, certificate);
+        let key = self.text(NAMES.1, key);
+        match (certificate, key) {
+            (None, None) => None,
+            (None, Some(_)) => self.fail(NAMES.0, What::Without(NAMES.1)),
+            (Some(_), None) => self.fail(NAMES.1, What::Without(NAMES.0)),
+            (Some(certificate), Some(key)) => {
+                let chain = tls::certificates(Path::new(&certificate));
+                let chain = self.checked(NAMES.0, chain);
+                let key = self.checked(NAMES.1, tls::key(Path::new(&key)));
+                let joined = tls::join(chain?, key?);
+                self.checked(NAMES.1, joined)
+            }
+        }
+    }
+
     fn addresses(&mut self, name: &'static str, flag: Option<&String>) -> Option<Vec<SocketAddr>> {
         let text = self.text(name, flag).unwrap_or_default();
         let parts = text
@@ -254,6 +291,13 @@
         }
     }
 
+    fn checked<T>(&mut self, name: &'static str, result: Result<T, tls::Error>) -> Option<T> {
+        match result {
+            Ok(found) => Some(found),
+            Err(error) => self.fail(name, error.into()),
+        }
+    }
+
     fn keys(&mut self, name: &'static str, flag: Option<&String>) -> Option<Keys> {
         let text = self.required(name, flag)?;
         match keys(&text) {
@@ -336,6 +380,7 @@
         let mock = mock_secret(&mock.unwrap_or_default());
         let user = rdr.required("upstream-user", args.upstream_user.as_ref());
         let password = rdr.text("upstream-password", args.upstream_password.as_ref());
+        let tls = rdr.tls(args.tls_certificate.as_ref(), args.tls_key.as_ref());
         let callers = rdr.number("callers", args.callers.as_ref(), 10_000, (1, 1_000_000));
         let drain = rdr.number("drain-ms", args.drain_ms.as_ref(), 30_000, (0, 3_600_000));
         let seed = rdr.number("seed", args.seed.as_ref(), rand::random(), (0, u64::MAX));
@@ -355,6 +400,7 @@
                     user: user?,
                     password,
                 },
+                tls,
                 callers: usize::try_from(callers?).ok()?,
                 drain: Duration::from_millis(drain?),
                 seed: seed?,
