store: count a refusal as not run only where its code proves it

Cause: Fault::may_have_run told every refusal as not run, but etcd answers codes 4, 13 and 14 also for calls that still take effect; the tool kept a list of its own.

--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -19,12 +19,6 @@
 /// The longest that a call takes.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
-/// gRPC's codes for calls that were refused before they could take effect:
-/// invalid argument, permission denied, resource exhausted, unimplemented and
-/// unauthenticated. Others, such as unavailable, also come with a time-out
-/// after which etcd may still carry the call out.
-const NOT_RUN: [i64; 5] = [3, 7, 8, 12, 16];
-
 /// Why the store can't be used.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -124,10 +118,8 @@
 fn event(fault: &Fault) -> Event {
     match fault {
         Fault::Unreachable { .. } => Event::NotSent,
-        Fault::Refused { code, .. } if NOT_RUN.contains(code) => Event::Rejected,
-        Fault::Refused { .. } | Fault::Lost | Fault::Compacted { .. } | Fault::Malformed { .. } => {
-            Event::Lost
-        }
+        fault if fault.may_have_run() => Event::Lost,
+        _ => Event::Rejected,
     }
 }
 
