--- a/crates/cli/src/cmd/sessions.rs
+++ b/crates/cli/src/cmd/sessions.rs
@@ -56,7 +56,16 @@
 
 fn text(views: &[&Sessions]) -> String {
     let mut table = Table::new(&[
-        "INSTANCE", "ENTRY", "USER", "CLIENT", "PHASE", "FOR", "TOKEN",
+        "INSTANCE",
+        "TENANT",
+        "ENTRY",
+        "USER",
+        "CLIENT",
+        "LOGIN",
+        "PHASE",
+        "FOR",
+        "TRANSACTION",
+        "TOKEN",
     ]);
     let mut text = String::new();
     for view in views {
@@ -75,11 +84,14 @@
 fn row(view: &Sessions, session: &Session) -> Vec<String> {
     vec![
         view.instance.to_string(),
+        util::or_dash(session.tenant.as_ref()),
         session.entry.to_string(),
         session.user.clone(),
         session.client.to_string(),
+        util::or_dash(session.connected_ms.map(util::span)),
         session.phase.to_string(),
         util::span(session.phase_ms),
+        util::or_dash(session.transaction_ms.map(util::span)),
         util::or_dash(session.token),
     ]
 }
--- a/crates/cli/src/cmd/upstreams.rs
+++ b/crates/cli/src/cmd/upstreams.rs
@@ -55,8 +55,8 @@
 
 fn text(views: &[&Upstreams]) -> String {
     let mut table = Table::new(&[
-        "INSTANCE", "DATABASE", "UPSTREAM", "ZONE", "LINK", "ROLE", "POSITION", "LAG", "LEAVING",
-        "OPEN", "BUSY", "LIMIT", "WAITING",
+        "INSTANCE", "DATABASE", "UPSTREAM", "ZONE", "LINK", "ROLE", "RECEIVED", "POSITION", "LAG",
+        "LEAVING", "OPEN", "BUSY", "LIMIT", "WAITING", "BREAKER",
     ]);
     for view in views {
         for upstream in &view.upstreams {
@@ -80,6 +80,7 @@
         upstream.zone.to_string(),
         upstream.link.to_string(),
         util::or_dash(role),
+        util::or_dash(upstream.received),
         util::or_dash(upstream.position),
         util::or_dash(upstream.lag_ms.map(util::span)),
         leaving.to_owned(),
@@ -87,5 +88,6 @@
         count(|pool| pool.busy),
         count(|pool| pool.limit),
         count(|pool| pool.waiting),
+        util::or_dash(upstream.pool.and_then(|pool| pool.breaker)),
     ]
 }
--- a/crates/cli/tests/cmd/sessions.rs
+++ b/crates/cli/tests/cmd/sessions.rs
@@ -7,6 +7,7 @@
     let dir = Workdir::new();
     let session = |entry: &str, phase: &str| {
         json!({
+            "tenant": "yard", "connected_ms": 90000, "transaction_ms": 80000,
             "entry": entry, "user": "app", "client": "10.9.0.1:40000",
             "phase": phase, "phase_ms": 75000, "token": { "term": 3, "lsn": 4096 },
         })
@@ -24,7 +25,7 @@
     let cells: Vec<_> = lines[2].split_whitespace().collect();
     assert_eq!(
         cells.join(" "),
-        "i-1 calendar app 10.9.0.1:40000 in transaction 75 s 3@0/1000"
+        "i-1 yard calendar app 10.9.0.1:40000 90 s in transaction 75 s 80 s 3@0/1000"
     );
     let run = dir.run(&[
         "sessions",
--- a/crates/cli/tests/cmd/upstreams.rs
+++ b/crates/cli/tests/cmd/upstreams.rs
@@ -13,9 +13,13 @@
         "upstreams": [
             {
                 "database": "core", "upstream": "a", "zone": "z1", "address": "10.0.0.1:5432",
-                "link": "up", "role": "Primary", "position": { "term": 3, "lsn": 4096 },
+                "link": "up", "role": "Primary", "received": { "term": 3, "lsn": 8192 },
+                "position": { "term": 3, "lsn": 4096 },
                 "lag_ms": 0, "leaving": false,
-                "pool": { "open": 5, "busy": 2, "limit": 16, "waiting": 1 },
+                "pool": {
+                    "open": 5, "busy": 2, "limit": 16, "waiting": 1,
+                    "breaker": { "state": "open", "retry_ms": 80 },
+                },
             },
             {
                 "database": "more", "upstream": "b", "zone": "z2", "address": "10.0.0.2:5432",
@@ -35,9 +39,12 @@
         .collect();
     assert_eq!(
         rows[1].join(" "),
-        "i-1 core a z1 up primary 3@0/1000 0 ms no 5 2 16 1"
+        "i-1 core a z1 up primary 3@0/2000 3@0/1000 0 ms no 5 2 16 1 open for 80 ms"
+    );
+    assert_eq!(
+        rows[2].join(" "),
+        "i-1 more b z2 down - - - - yes - - - - -"
     );
-    assert_eq!(rows[2].join(" "), "i-1 more b z2 down - - - yes - - - -");
 
     let run = dir.run(&["upstreams", "--database", "more", "--instance", &at]);
     assert_eq!(run.out.lines().count(), 2, "{run:?}");
--- /dev/null
+++ b/crates/cli/tests/running.rs
@@ -0,0 +1,143 @@
+//! The tool before daemons that run, in the test's own process.
+
+#[path = "../../daemon/tests/rig/mod.rs"]
+mod rig;
+#[allow(dead_code)]
+#[path = "cmd/workdir.rs"]
+mod workdir;
+
+use std::time::Duration;
+
+use rig::{Rig, run};
+use serde_json::Value;
+use workdir::{Run, Workdir};
+
+/// How often the tool is run until it shows what it must.
+const TRIES: usize = 300;
+
+/// The operators' ports of the rig's daemons, as the tool takes them.
+fn instances(rig: &Rig) -> String {
+    let ports = rig.daemons.iter().flatten();
+    let ports: Vec<_> = ports.map(|it| it.ops().to_string()).collect();
+    ports.join(",")
+}
+
+/// Runs the tool until its JSON passes `test`.
+async fn until(args: &[&str], test: impl Fn(&Value) -> bool) -> Value {
+    let dir = Workdir::new();
+    let mut last = None;
+    for _ in 0..TRIES {
+        let run = dir.run(args);
+        if run.code == 0 && test(&run.json()) {
+            return run.json();
+        }
+        last = Some(run);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{args:?} never showed it: {last:?}");
+}
+
+fn doubts(status: &Value) -> Vec<&Value> {
+    let answers = status["answers"].as_array().unwrap();
+    let doubts = answers.iter().map(|it| &it["answer"]["doubts"]);
+    doubts.flat_map(|it| it.as_array().unwrap()).collect()
+}
+
+fn row<'a>(run: &'a Run, start: &[&str]) -> Vec<&'a str> {
+    let rows = run.out.lines().map(|it| it.split_whitespace().collect());
+    let mut found = rows.filter(|it: &Vec<&str>| it.starts_with(start));
+    found.next().unwrap_or_else(|| panic!("{start:?}: {run:?}"))
+}
+
+#[test]
+fn the_fleet_its_upstreams_and_its_callers_are_shown() {
+    let rig = Rig::open(2);
+    let at = instances(&rig);
+    let revision = rig.store.revision().to_string();
+    let dir = Workdir::new();
+    let wait = ["wait", "--revision", &revision, "--instance", &at];
+    let waited = dir.run(&wait);
+    assert_eq!(waited.code, 0, "{waited:?}");
+    let in_force = format!("revision {revision} is in force at 2 instances\n");
+    assert_eq!(waited.out, in_force);
+
+    run(async {
+        let client = rig.connect(0, "slots").await;
+        let insert = "INSERT INTO kv (key, value) VALUES ('a', '1')";
+        client.batch_execute(insert).await.unwrap();
+        client.batch_execute("BEGIN").await.unwrap();
+        client
+            .batch_execute(&insert.replace("'a'", "'b'"))
+            .await
+            .unwrap();
+
+        let status = ["status", "--json", "--instance", &at];
+        let sees_other = |it: &Value| {
+            let answers = it["answers"].as_array().unwrap();
+            let mut members = answers.iter().map(|it| &it["answer"]["members"]);
+            members.all(|it| it[0]["health"] == "alive")
+        };
+        let shown = until(&status, |it| doubts(it).is_empty() && sees_other(it)).await;
+        assert_eq!(shown["summary"]["revision"]["number"].to_string(), revision);
+        let primary = &shown["summary"]["primaries"]["booking"];
+        assert_eq!(primary["upstream"], "booking-0");
+        assert_eq!(primary["seen_by"], 2);
+        for zone in ["nl-west-0", "nl-west-1"] {
+            assert_eq!(shown["summary"]["zones"][zone]["in_force"], 1);
+        }
+
+        let upstreams = dir.run(&["upstreams", "--instance", &at]);
+        assert_eq!(upstreams.code, 0, "{upstreams:?}");
+        let primary = row(&upstreams, &["entry-0", "booking", "booking-0"]);
+        assert_eq!(primary[3..6], ["nl-west-0", "up", "primary"]);
+        assert_eq!(primary[6], primary[7], "a primary has replayed its own log");
+        let view = ["upstreams", "--json", "--instance", &at];
+        // One connection is in the transaction, wherever the holders are.
+        let sum = |it: &Value, what: &str| {
+            let answers = it.as_array().unwrap().iter();
+            let pools = answers.map(|it| &it["answer"]["upstreams"][0]["pool"][what]);
+            pools.filter_map(Value::as_u64).sum::<u64>()
+        };
+        let busy = until(&view, |it| sum(it, "busy") == 1).await;
+        assert!((1..=16).contains(&sum(&busy, "limit")), "{busy}");
+
+        let sessions = dir.run(&["sessions", "--instance", &at]);
+        assert!(sessions.out.contains("entry-0: 1 shown of 1 sessions\n"));
+        assert!(sessions.out.contains("entry-1: 0 shown of 0 sessions\n"));
+        let held = row(&sessions, &["entry-0", "yard", "slots", "groom"]);
+        assert_eq!(held[7..9], ["in", "transaction"], "{held:?}");
+
+        client.batch_execute("COMMIT").await.unwrap();
+        let sessions = dir.run(&["sessions", "--json", "--instance", &at]).json();
+        let idle = &sessions[0]["answer"]["sessions"][0];
+        assert_eq!(idle["phase"], "idle");
+        assert_eq!(idle["transaction_ms"], Value::Null);
+        assert!(idle["token"]["lsn"].as_u64().unwrap() > 0);
+    });
+}
+
+#[test]
+fn a_store_that_is_down_and_an_upstream_that_is_gone_are_told() {
+    let rig = Rig::open(1);
+    let at = instances(&rig);
+    let status = ["status", "--json", "--instance", &at];
+    let has = |it: &Value, kind: &str| doubts(it).iter().any(|it| it["kind"] == kind);
+    run(async {
+        drop(rig.connect(0, "slots").await);
+        until(&status, |it| doubts(it).is_empty()).await;
+        rig.store.set_fault(fake::store::Fault::Down);
+        rig.group.set_fault(2, fake::group::Fault::Crashed);
+        let wrong = until(&status, |it| {
+            has(it, "store-silent") && has(it, "upstream-silent")
+        });
+        let store = &wrong.await["answers"][0]["answer"]["store"];
+        assert_eq!(store["state"], "silent");
+    });
+    let told = Workdir::new().run(&["status", "--instance", &at]);
+    assert!(
+        told.out.contains("  entry-0: the store is silent for "),
+        "{told:?}"
+    );
+    let gone = "  entry-0: upstream `booking-2` of database `booking` is silent for ";
+    assert!(told.out.contains(gone), "{told:?}");
+}
--- /dev/null
+++ b/crates/daemon/src/board.rs
@@ -0,0 +1,174 @@
+//! What operators ask of the duties, and what each duty shows of itself.
+//!
+//! A duty makes its part only when it is asked, in its own thread, so nothing
+//! is counted or copied on the way of a statement. What can go wrong: a duty
+//! that hangs would hang the operators' port too, just when it is needed. Each
+//! question therefore waits a bounded time, and a duty that does not answer is
+//! named as a doubt.
+
+use std::{sync::Arc, sync::atomic::AtomicBool, time::Duration};
+
+use model::{Term, name};
+use tokio::sync::{mpsc, oneshot};
+use view::{Doubt, Duty, Member, Revision, Session, Upstream};
+
+/// How long a duty may take to show its part.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Questions that may wait for a duty; more are answered as by a silent one.
+const WAITING: usize = 4;
+
+/// Where one duty is asked for its part.
+#[derive(Debug)]
+pub(crate) struct Desk<T>(mpsc::Sender<oneshot::Sender<T>>);
+
+/// The questions, as the duty takes them.
+pub(crate) type Asked<T> = mpsc::Receiver<oneshot::Sender<T>>;
+
+/// Makes the two ends.
+pub(crate) fn desk<T>() -> (Desk<T>, Asked<T>) {
+    let (ask, asked) = mpsc::channel(WAITING);
+    (Desk(ask), asked)
+}
+
+impl<T> Desk<T> {
+    /// Asks for the part; `None` when the duty does not answer in time.
+    pub(crate) async fn ask(&self) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        self.0.try_send(answer).ok()?;
+        tokio::time::timeout(TIMEOUT, answered).await.ok()?.ok()
+    }
+}
+
+/// What the peers' duty shows.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    /// The catalogue's revision in force.
+    pub(crate) revision: Revision,
+    /// For how many milliseconds.
+    pub(crate) applied_ms_ago: u64,
+    /// The other instances.
+    pub(crate) members: Vec<Member>,
+    /// What is wrong with the fleet or the catalogue.
+    pub(crate) doubts: Vec<Doubt>,
+}
+
+/// What the control duty shows of one database.
+#[derive(Debug)]
+pub(crate) struct Lead {
+    /// The database.
+    pub(crate) database: name::Database,
+    /// The latest term known.
+    pub(crate) term: Term,
+    /// Who leads in it; none while it is only claimed.
+    pub(crate) upstream: Option<name::Upstream>,
+}
+
+/// What the upstreams' duty shows of one database.
+#[derive(Debug)]
+pub(crate) struct Group {
+    /// The database.
+    pub(crate) database: name::Database,
+    /// Milliseconds since a majority confirmed a primary; none if not yet.
+    pub(crate) confirmed_ms_ago: Option<u64>,
+    /// Its upstreams.
+    pub(crate) upstreams: Vec<Upstream>,
+    /// What is wrong with it.
+    pub(crate) doubts: Vec<Doubt>,
+}
+
+/// What the upstreams' duty shows.
+#[derive(Debug)]
+pub(crate) struct Groups {
+    /// All databases, by name.
+    pub(crate) groups: Vec<Group>,
+    /// The callers whose request waits and was not sent yet.
+    pub(crate) queued: Vec<u64>,
+}
+
+/// What the callers' duty shows.
+#[derive(Debug)]
+pub(crate) struct Callers {
+    /// How many there are.
+    pub(crate) total: u64,
+    /// Some of them with their numbers, those in longest work first.
+    pub(crate) sessions: Vec<(u64, Session)>,
+}
+
+/// Where all duties are asked, and what is known without asking.
+#[derive(Debug)]
+pub(crate) struct Board {
+    /// This instance.
+    pub(crate) instance: name::Instance,
+    /// Its availability zone.
+    pub(crate) zone: name::Zone,
+    /// Whether callers find a catalogue in force.
+    pub(crate) serving: Arc<AtomicBool>,
+    /// The peers' duty.
+    pub(crate) fleet: Desk<Fleet>,
+    /// The control duty.
+    pub(crate) leads: Desk<Vec<Lead>>,
+    /// The upstreams' duty.
+    pub(crate) groups: Desk<Groups>,
+    /// The callers' duty.
+    pub(crate) callers: Desk<Callers>,
+    /// The store's duty.
+    pub(crate) store: Desk<view::Store>,
+}
+
+/// The other ends of a board, one for each duty.
+#[derive(Debug)]
+pub(crate) struct Ends {
+    /// Of the peers' duty.
+    pub(crate) fleet: Asked<Fleet>,
+    /// Of the control duty.
+    pub(crate) leads: Asked<Vec<Lead>>,
+    /// Of the upstreams' duty.
+    pub(crate) groups: Asked<Groups>,
+    /// Of the callers' duty.
+    pub(crate) callers: Asked<Callers>,
+    /// Of the store's duty.
+    pub(crate) store: Asked<view::Store>,
+}
+
+impl Board {
+    /// Makes the board of an instance, and the duties' ends of it.
+    pub(crate) fn open(instance: &name::Instance, zone: &name::Zone) -> (Self, Ends) {
+        let (fleet, fleet_end) = desk();
+        let (leads, leads_end) = desk();
+        let (groups, groups_end) = desk();
+        let (callers, callers_end) = desk();
+        let (store, store_end) = desk();
+        let board = Self {
+            instance: instance.clone(),
+            zone: zone.clone(),
+            serving: Arc::default(),
+            fleet,
+            leads,
+            groups,
+            callers,
+            store,
+        };
+        let ends = Ends {
+            fleet: fleet_end,
+            leads: leads_end,
+            groups: groups_end,
+            callers: callers_end,
+            store: store_end,
+        };
+        (board, ends)
+    }
+}
+
+/// The part of `duty`, or a doubt in its place.
+pub(crate) fn or_doubt<T>(part: Option<T>, duty: Duty, doubts: &mut Vec<Doubt>) -> Option<T> {
+    if part.is_none() {
+        doubts.push(Doubt::DutySilent { duty });
+    }
+    part
+}
+
+/// A span as the views tell it, in whole milliseconds.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/callers/greet.rs
+++ b/crates/daemon/src/callers/greet.rs
@@ -1,6 +1,6 @@
 //! The beginning of a caller's connection: startup, login and greeting.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use catalog::scram::Verifier;
@@ -59,8 +59,8 @@
 }
 
 /// Serves one connection from its first byte to its last.
-pub(super) async fn serve(io: Io, shared: Rc<Shared>) {
-    let login = ntex::time::timeout(LOGIN_TIMEOUT, log_in(&io, &shared)).await;
+pub(super) async fn serve(io: Io, client: SocketAddr, shared: Rc<Shared>) {
+    let login = ntex::time::timeout(LOGIN_TIMEOUT, log_in(&io, client, &shared)).await;
     let refusal = match login {
         Ok(Ok(None)) => return,
         Ok(Ok(Some(session))) => return session.run(io).await,
@@ -78,7 +78,11 @@
     let _ = io.shutdown().await;
 }
 
-async fn log_in(io: &Io, shared: &Rc<Shared>) -> Result<Option<Session>, Refusal> {
+async fn log_in(
+    io: &Io,
+    client: SocketAddr,
+    shared: &Rc<Shared>,
+) -> Result<Option<Session>, Refusal> {
     let startup = match startup(io).await? {
         Some(Startup::Session(startup)) => startup,
         Some(Startup::Cancel(request)) => {
@@ -103,7 +107,7 @@
     if let Some(verifier) = verifier {
         authenticate(io, verifier).await?;
     }
-    let mut session = Session::open(Rc::clone(shared), Arc::new(scope), user);
+    let mut session = Session::open(Rc::clone(shared), Arc::new(scope), user, client);
     if let Some(text) = parameter("dandelionlink.session") {
         session
             .present(text)
@@ -241,6 +245,7 @@
             secret,
             seq: 0,
             parts,
+            face: Rc::clone(&session.face),
         },
     );
     session.enter(caller, taken);
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -6,9 +6,18 @@
 mod greet;
 mod local;
 mod serve;
+mod view;
 
 use std::{
-    cell::RefCell, collections::HashMap, net::TcpListener, rc::Rc, sync::Arc, time::Duration,
+    cell::RefCell,
+    collections::HashMap,
+    net::TcpListener,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use catalog::layout::Snapshot;
@@ -18,11 +27,15 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    board::{self, Asked},
     duty::{self, Phase, Watch},
     job::{self, Ask, Caller, Part, Reply},
+    meter::Meters,
     ring,
 };
 
+use self::view::Face;
+
 /// How long an accept that failed waits, as when file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -45,6 +58,12 @@
     pub(crate) replies: ring::Receiver<Reply>,
     /// Changes of the catalogue.
     pub(crate) catalogs: ring::Receiver<Arc<Snapshot>>,
+    /// Where requests are counted.
+    pub(crate) meters: Meters,
+    /// Told once callers find a catalogue in force.
+    pub(crate) serving: Arc<AtomicBool>,
+    /// What operators ask.
+    pub(crate) asked: Asked<board::Callers>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
     /// How many callers may be connected at once.
@@ -56,6 +75,7 @@
     secret: i32,
     seq: u64,
     parts: mpsc::Sender<(u64, Part)>,
+    face: Rc<Face>,
 }
 
 /// What the tasks of the duty share.
@@ -66,6 +86,8 @@
     catalog: RefCell<Arc<Snapshot>>,
     callers: RefCell<HashMap<Caller, Entry>>,
     made: RefCell<u64>,
+    meters: Meters,
+    serving: Arc<AtomicBool>,
     watch: Watch,
     limit: usize,
 }
@@ -79,10 +101,13 @@
         catalog: RefCell::default(),
         callers: RefCell::default(),
         made: RefCell::new(0),
+        meters: conf.meters,
+        serving: conf.serving,
         watch: conf.watch.clone(),
         limit: conf.limit,
     });
     ntex::rt::spawn(deliver(Rc::clone(&shared), conf.replies));
+    ntex::rt::spawn(view::serve(Rc::clone(&shared), conf.asked));
     ntex::rt::spawn(follow(Rc::clone(&shared), conf.catalogs));
     let mut watch = conf.watch;
     tokio::select! {
@@ -107,7 +132,7 @@
         return;
     };
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, client)) = listener.accept().await else {
             ntex::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -116,7 +141,7 @@
             .into_std()
             .and_then(|it| ntex::rt::from_tcp_stream(it, SharedCfg::default()));
         if let Ok(io) = io {
-            ntex::rt::spawn(greet::serve(io, Rc::clone(shared)));
+            ntex::rt::spawn(greet::serve(io, client, Rc::clone(shared)));
         }
     }
 }
@@ -144,6 +169,8 @@
 async fn follow(shared: Rc<Shared>, mut catalogs: ring::Receiver<Arc<Snapshot>>) {
     while let Some(snapshot) = catalogs.recv().await {
         *shared.catalog.borrow_mut() = Arc::clone(&snapshot);
+        let serves = snapshot.head.is_some();
         shared.asks.send(Ask::Catalog(snapshot)).await;
+        shared.serving.store(serves, Ordering::Release);
     }
 }
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -1,6 +1,6 @@
 //! A caller's session: its messages in, its answers out.
 
-use std::{collections::HashMap, rc::Rc, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::BytesMut;
 use catalog::layout::Snapshot;
@@ -14,10 +14,12 @@
     Shared, answer,
     batch::{Draft, Fault},
     local,
+    view::Face,
 };
 use crate::{
     duty::{self, Phase},
     job::{Ask, Batch, Caller, Job, Part, Scope, Settings, Statement},
+    meter::Meter,
     ring::Full,
 };
 
@@ -48,6 +50,10 @@
     pub(super) settings: Arc<Settings>,
     pub(super) request: Option<String>,
     pub(super) prepared: HashMap<String, Arc<Statement>>,
+    /// Where its requests are counted.
+    meter: Arc<Meter>,
+    /// What operators see of it.
+    pub(super) face: Rc<Face>,
     pub(super) parts: Option<mpsc::Receiver<(u64, Part)>>,
     /// After a fault the messages up to the next Sync are skipped.
     skipping: bool,
@@ -75,8 +81,15 @@
 
 impl Session {
     /// Opens the session of a caller that logged in as `user`.
-    pub(super) fn open(shared: Rc<Shared>, scope: Arc<Scope>, user: &str) -> Self {
+    pub(super) fn open(
+        shared: Rc<Shared>,
+        scope: Arc<Scope>,
+        user: &str,
+        client: SocketAddr,
+    ) -> Self {
         let now = shared.clock.now();
+        let meter = shared.meters.of(&scope.tenant, &scope.entry);
+        let face = Rc::new(Face::open(now, &scope, user, client));
         let catalog = Arc::clone(&shared.catalog.borrow());
         Self {
             shared,
@@ -89,6 +102,8 @@
             settings: Arc::default(),
             request: None,
             prepared: HashMap::new(),
+            meter,
+            face,
             parts: None,
             skipping: false,
             catalog,
@@ -276,22 +291,32 @@
         let same =
             found.filter(|it| it.tenant == self.scope.tenant && it.database == self.scope.database);
         let Some(entry) = same else { return false };
+        // The tenant and the entry are the same, and so is the meter.
         self.scope = Arc::new(Scope::new(&self.scope.entry, entry));
         self.catalog = newest;
         true
     }
 
+    /// Refuses a request that never left the instance.
+    async fn not_run(&mut self, io: &Io, cause: Cause) -> Result<(), End> {
+        let outcome = Outcome::NotRun(cause);
+        self.meter.ended(outcome, Duration::ZERO);
+        answer::not_run(self, io, outcome).await
+    }
+
     /// Has a batch run and passes its answer on.
     async fn run_batch(&mut self, io: &Io, batch: Batch) -> Result<(), End> {
         if !self.refresh() {
-            return answer::not_run(self, io, Outcome::NotRun(Cause::Catalogue)).await;
+            return self.not_run(io, Cause::Catalogue).await;
         }
         self.seq += 1;
         if let Some(entry) = self.shared.callers.borrow_mut().get_mut(&self.caller) {
             entry.seq = self.seq;
         }
         let began = self.shared.clock.now();
+        self.face.begin(began, &self.scope);
         let job = Job {
+            meter: Arc::clone(&self.meter),
             caller: self.caller,
             seq: self.seq,
             scope: Arc::clone(&self.scope),
@@ -303,10 +328,16 @@
             deadline: began + self.scope.deadline,
             request: self.request.take(),
         };
-        if let Err(Full(_)) = self.shared.asks.push(Ask::Run(Box::new(job))) {
-            return answer::not_run(self, io, Outcome::NotRun(Cause::RingFull)).await;
-        }
-        answer::pass(self, io).await
+        let result = match self.shared.asks.push(Ask::Run(Box::new(job))) {
+            Ok(()) => answer::pass(self, io).await,
+            Err(Full(_)) => {
+                metrics::counter!("dandelionlink_ring_full_total", "ring" => "asks").increment(1);
+                self.not_run(io, Cause::RingFull).await
+            }
+        };
+        let now = self.shared.clock.now();
+        self.face.end(now, self.status, self.state.position());
+        result
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/callers/view.rs
@@ -0,0 +1,124 @@
+//! What operators see of the callers.
+
+use std::{
+    cell::{Cell, RefCell},
+    cmp::Reverse,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use clock::Instant;
+use model::Position;
+use view::Phase;
+
+use super::Shared;
+use crate::{
+    board::{self, Asked, millis},
+    job::{Caller, Scope},
+};
+
+/// How many callers are shown at most.
+const SHOWN: usize = 100;
+
+/// What a caller's session shows of itself.
+#[derive(Debug)]
+pub(super) struct Face {
+    scope: RefCell<Arc<Scope>>,
+    user: String,
+    client: SocketAddr,
+    began: Instant,
+    phase: Cell<Phase>,
+    since: Cell<Instant>,
+    transaction: Cell<Option<Instant>>,
+    token: Cell<Option<Position>>,
+}
+
+impl Face {
+    /// Shows a session that begins at `now`.
+    pub(super) fn open(now: Instant, scope: &Arc<Scope>, user: &str, client: SocketAddr) -> Self {
+        Self {
+            scope: RefCell::new(Arc::clone(scope)),
+            user: user.to_owned(),
+            client,
+            began: now,
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(now),
+            transaction: Cell::default(),
+            token: Cell::default(),
+        }
+    }
+
+    /// A request began.
+    pub(super) fn begin(&self, now: Instant, scope: &Arc<Scope>) {
+        if !Arc::ptr_eq(&self.scope.borrow(), scope) {
+            *self.scope.borrow_mut() = Arc::clone(scope);
+        }
+        self.set(now, Phase::Running);
+    }
+
+    /// A request ended and left the session in this state of a transaction, as
+    /// the ready message tells it.
+    pub(super) fn end(&self, now: Instant, status: u8, token: Option<Position>) {
+        let transaction = self.transaction.get();
+        if status == b'I' {
+            self.transaction.set(None);
+            self.set(now, Phase::Idle);
+        } else {
+            self.transaction.set(transaction.or(Some(self.since.get())));
+            self.set(now, Phase::InTransaction);
+        }
+        self.token.set(token);
+    }
+
+    fn set(&self, now: Instant, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(now);
+    }
+
+    fn view(&self, now: Instant) -> view::Session {
+        let scope = self.scope.borrow();
+        let ago = |then: Instant| millis(now.since(then));
+        view::Session {
+            tenant: Some(scope.tenant.clone()),
+            entry: scope.entry.clone(),
+            user: self.user.clone(),
+            client: self.client,
+            connected_ms: Some(ago(self.began)),
+            transaction_ms: self.transaction.get().map(ago),
+            phase: self.phase.get(),
+            phase_ms: ago(self.since.get()),
+            token: self.token.get(),
+        }
+    }
+}
+
+/// Answers operators until the daemon stops.
+pub(super) async fn serve(shared: Rc<Shared>, mut asked: Asked<board::Callers>) {
+    while let Some(answer) = asked.recv().await {
+        let _ = answer.send(callers(&shared));
+    }
+}
+
+/// All callers counted, and those shown that have been at work the longest:
+/// first those that hold something, then the idle ones.
+fn callers(shared: &Shared) -> board::Callers {
+    let now = shared.clock.now();
+    let callers = shared.callers.borrow();
+    let mut faces: Vec<(Caller, &Face)> = callers.iter().map(|(id, it)| (*id, &*it.face)).collect();
+    let rank = |face: &Face| {
+        let idle = face.phase.get() == Phase::Idle;
+        let since = face.transaction.get().unwrap_or(face.since.get());
+        (Reverse(!idle), since)
+    };
+    if faces.len() > SHOWN {
+        faces.select_nth_unstable_by_key(SHOWN - 1, |(_, face)| rank(face));
+        faces.truncate(SHOWN);
+    }
+    faces.sort_by_key(|(_, face)| rank(face));
+    let shown = faces.iter().map(|(id, face)| (*id, face.view(now)));
+    board::Callers {
+        total: callers.len() as u64,
+        sessions: shown.collect(),
+    }
+}
--- a/crates/daemon/src/control/duty.rs
+++ b/crates/daemon/src/control/duty.rs
@@ -10,6 +10,7 @@
 
 use super::{Answer, Order};
 use crate::{
+    board::{Asked, Lead},
     duty::{self, Phase, Watch},
     peers::{Say, Word},
     platform::{self, Told},
@@ -37,6 +38,8 @@
     pub(crate) says: ring::Sender<Say>,
     /// From the peers' duty.
     pub(crate) words: ring::Receiver<Word>,
+    /// What operators ask.
+    pub(crate) asked: Asked<Vec<Lead>>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
     /// Where the attempts' numbers begin.
@@ -84,12 +87,27 @@
             Some(answer) = conf.answers.recv() => control.answer(answer),
             Some(told) = conf.told.recv() => control.told(told),
             Some(word) = conf.words.recv() => control.word(word),
+            Some(answer) = conf.asked.recv() => drop(answer.send(control.leads())),
             () = sleep(pause) => control.tick(),
         }
     }
 }
 
 impl Control {
+    /// What operators see of the databases.
+    fn leads(&self) -> Vec<Lead> {
+        let lead = |(database, slot): (&name::Database, &Slot)| {
+            let term = slot.group.term().unwrap_or_default();
+            let lead = slot.group.lead().filter(|lead| lead.term == term);
+            Lead {
+                database: database.clone(),
+                term,
+                upstream: lead.map(|it| it.upstream.clone()),
+            }
+        };
+        self.groups.iter().map(lead).collect()
+    }
+
     /// How long until the first machine wants to be woken.
     fn pause(&self) -> std::time::Duration {
         const QUIET: std::time::Duration = std::time::Duration::from_secs(1);
@@ -205,7 +223,8 @@
                     self.groups.insert(name.clone(), slot);
                     self.step(name, Event::Members(self.members.clone()));
                 }
-                Err(error) => log::error!(duty = "control"; "the state chart is faulty: {error}"),
+                Err(error) => log::error!(
+                    duty = "control", database = name.as_str(); "the state chart is faulty: {error}"),
             }
         }
     }
@@ -269,7 +288,11 @@
                 }
             }
             // Evidence may be lost, and is told again.
-            Action::Tell { to, evidence } => drop(self.says.push(Say::Tell { to, evidence })),
+            Action::Tell { to, evidence } => {
+                if self.says.push(Say::Tell { to, evidence }).is_err() {
+                    ring_full("says");
+                }
+            }
         }
     }
 
@@ -277,13 +300,13 @@
     /// counts it as unanswered and asks again, as with a lost packet.
     fn order(&mut self, order: Order) {
         if self.orders.push(order).is_err() {
-            metrics::counter!("dandelionlink_ring_full_total", "ring" => "orders").increment(1);
+            ring_full("orders");
         }
     }
 
     fn ask(&mut self, ask: platform::Ask) {
         if self.asks.push(ask).is_err() {
-            metrics::counter!("dandelionlink_ring_full_total", "ring" => "store").increment(1);
+            ring_full("store");
         }
     }
 
@@ -298,10 +321,11 @@
         if slot.told == Some(lead.term) {
             return;
         }
-        slot.told = Some(lead.term);
+        if slot.told.replace(lead.term).is_some() {
+            metrics::counter!("dandelionlink_failovers_total").increment(1);
+        }
         log::info!(
-            duty = "control", database = database.as_str(), instance = self.instance.as_str(),
-            zone = self.zone.as_str();
+            duty = "control", database = database.as_str();
             "{} leads in term {}", lead.upstream, lead.term
         );
         let record = Record {
@@ -320,6 +344,10 @@
     }
 }
 
+fn ring_full(ring: &'static str) {
+    metrics::counter!("dandelionlink_ring_full_total", "ring" => ring).increment(1);
+}
+
 /// The upstreams of a database, as the failover machine sees them.
 fn members(database: &catalog::Database) -> BTreeMap<name::Upstream, Member> {
     let member = |it: &catalog::Upstream| {
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use session::Floor;
 
+use crate::meter::Meter;
+
 /// How many parts of an answer are sent ahead of what the caller has taken.
 ///
 /// Together with [`CHUNK`] it bounds the memory that one caller's answer takes.
@@ -167,6 +169,8 @@
 /// One request of a caller.
 #[derive(Debug)]
 pub(crate) struct Job {
+    /// Where it is counted.
+    pub(crate) meter: Arc<Meter>,
     /// The caller; its requests come one by one.
     pub(crate) caller: Caller,
     /// Counts the caller's requests, so that a late answer finds no taker.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,11 +4,13 @@
 //! decisions are in crates of their own (`route`, `session`, `failover`,
 //! `pool`); here they are wired to sockets and to the clock.
 
+mod board;
 mod callers;
 mod control;
 pub mod duty;
 mod forward;
 mod job;
+mod meter;
 mod ops;
 mod peers;
 mod platform;
@@ -19,9 +21,11 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 
+use board::Board;
 use clock::Clock;
 use duty::{Duty, Phase};
 use ring::ring;
@@ -54,6 +58,7 @@
     ///
     /// Fails when a port can't be bound or a thread can't be had.
     pub fn spawn(settings: &Settings) -> io::Result<Self> {
+        ops::install();
         let clock = Clock::open();
         let (phase, watch) = watch::channel(Phase::Run);
         let callers = bind(settings.listen)?;
@@ -76,6 +81,9 @@
         let (ins_tx, ins) = ring(RING);
         let (fleet_answers_tx, fleet_answers) = ring(RING);
 
+        let meters = meter::Meters::default();
+        let (board, ends) = Board::open(&settings.instance, &settings.zone);
+
         let callers_conf = callers::Conf {
             listener: callers,
             clock,
@@ -83,6 +91,9 @@
             asks: asks_tx,
             replies,
             catalogs,
+            meters: meters.clone(),
+            serving: Arc::clone(&board.serving),
+            asked: ends.callers,
             watch: watch.clone(),
             limit: settings.callers,
         };
@@ -97,6 +108,8 @@
             replies: replies_tx,
             orders,
             answers: answers_tx,
+            meters,
+            asked: ends.groups,
             watch: watch.clone(),
             seed: settings.seed,
         };
@@ -110,15 +123,18 @@
             told,
             says: says_tx,
             words,
+            asked: ends.leads,
             watch: watch.clone(),
             seed: settings.seed,
         };
         let store_conf = platform::Conf {
             endpoint: settings.store,
+            clock,
             asks: store_asks,
             told: told_tx,
             calls,
             answers: fleet_answers_tx,
+            asked: ends.store,
             watch: watch.clone(),
         };
         let peers_conf = peers::Conf {
@@ -134,10 +150,12 @@
             ins: ins_tx,
             asks: calls_tx,
             answers: fleet_answers,
+            asked: ends.fleet,
             watch: watch.clone(),
         };
         let ops_conf = ops::Conf {
             listener: ops,
+            board,
             watch,
         };
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use daemon::{Daemon, Settings, settings::Args};
-use logforth::{append, layout::JsonLayout, record::LevelFilter};
+use logforth::{append, diagnostic, layout::JsonLayout, record::LevelFilter};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
@@ -34,22 +34,27 @@
 }
 
 fn serve(settings: &Settings) -> anyhow::Result<()> {
+    // Every line names the instance and its zone, also those of libraries.
+    let mut place = diagnostic::StaticDiagnostic::default();
+    place.insert("instance", settings.instance.as_str());
+    place.insert("zone", settings.zone.as_str());
     logforth::starter_log::builder()
-        .dispatch(|dispatch| {
+        .dispatch(move |dispatch| {
             let stdout = append::Stdout::default().with_layout(JsonLayout::default());
             dispatch
                 .filter(LevelFilter::MoreSevereEqual(logforth::record::Level::Info))
+                .diagnostic(place)
                 .append(stdout)
         })
         .apply();
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let daemon = Daemon::spawn(settings)?;
     log::info!(
-        instance = settings.instance.as_str(), zone = settings.zone.as_str();
+        duty = "daemon";
         "callers connect to {}, operators to {}", daemon.callers(), daemon.ops()
     );
     signals.forever().next();
-    log::info!(instance = settings.instance.as_str(), zone = settings.zone.as_str(); "stopping");
+    log::info!(duty = "daemon"; "stopping");
     daemon.stop();
     Ok(())
 }
--- /dev/null
+++ b/crates/daemon/src/meter.rs
@@ -0,0 +1,202 @@
+//! What is counted of each tenant's entries.
+//!
+//! The handles are made once for each entry and kept by its sessions, so a statement costs a few additions and no text.
+
+use std::{
+    array,
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, OnceLock, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use clock::Instant;
+use metrics::{Counter, Histogram, counter, histogram};
+use model::{Cause, Outcome, name};
+
+/// How many entries have figures of their own; those that come later are
+/// counted together as [`OTHER`], until the instance restarts.
+///
+/// What would go wrong without a bound: entries come and go with the
+/// catalogue, but a figure once told is told for ever, so each scrape, and the
+/// memory of whoever keeps the figures, would grow with every change.
+pub(crate) const ENTRIES: usize = 500;
+
+/// The tenant and the entry of what is counted together.
+pub(crate) const OTHER: &str = "other";
+
+/// How often one entry's requests of unknown outcome are logged at most.
+const LOG_EVERY: Duration = Duration::from_secs(1);
+
+/// How many ends a request can have: done, and not run or unknown for each
+/// cause.
+const ENDS: usize = 1 + 2 * CAUSES.len();
+
+/// All causes, with their labels.
+const CAUSES: [(Cause, &str); 9] = [
+    (Cause::Overload, "overload"),
+    (Cause::Deadline, "deadline"),
+    (Cause::NoUpstream, "no_upstream"),
+    (Cause::ConnectionLost, "connection_lost"),
+    (Cause::Replaced, "replaced"),
+    (Cause::Stopping, "stopping"),
+    (Cause::RetryBudget, "retry_budget"),
+    (Cause::Catalogue, "catalogue"),
+    (Cause::RingFull, "ring_full"),
+];
+
+/// Who served a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Server {
+    /// A replica whose data had this age, if the age is known.
+    Replica(Option<Duration>),
+    /// The primary.
+    Primary,
+}
+
+/// The figures of one entry.
+#[derive(Debug)]
+pub(crate) struct Meter {
+    tenant: String,
+    entry: String,
+    latency: Histogram,
+    queue: Histogram,
+    lag: Histogram,
+    replica_reads: Counter,
+    primary_reads: Counter,
+    discarded: Counter,
+    retries: Counter,
+    /// Made when first needed: most ends never come.
+    ends: [OnceLock<Counter>; ENDS],
+    logged: AtomicU64,
+}
+
+impl Meter {
+    fn open(tenant: &str, entry: &str) -> Self {
+        let (tenant, entry) = (tenant.to_owned(), entry.to_owned());
+        let labels = [("tenant", tenant.clone()), ("entry", entry.clone())];
+        let reads = |served: &'static str| {
+            counter!(
+                "dandelionlink_reads_total",
+                "tenant" => tenant.clone(), "entry" => entry.clone(), "served" => served
+            )
+        };
+        Self {
+            latency: histogram!("dandelionlink_request_seconds", &labels),
+            queue: histogram!("dandelionlink_queue_seconds", &labels),
+            lag: histogram!("dandelionlink_replica_lag_seconds", &labels),
+            replica_reads: reads("replica"),
+            primary_reads: reads("primary"),
+            discarded: counter!("dandelionlink_answers_discarded_total", &labels),
+            retries: counter!("dandelionlink_retries_total", &labels),
+            ends: array::from_fn(|_| OnceLock::new()),
+            logged: AtomicU64::new(0),
+            tenant,
+            entry,
+        }
+    }
+
+    /// A request ended after `took`.
+    pub(crate) fn ended(&self, outcome: Outcome, took: Duration) {
+        self.latency.record(took.as_secs_f64());
+        let end = &self.ends[place(outcome)];
+        end.get_or_init(|| self.end(outcome)).increment(1);
+    }
+
+    fn end(&self, outcome: Outcome) -> Counter {
+        let (outcome, cause) = match outcome {
+            Outcome::Done => ("done", ""),
+            Outcome::NotRun(cause) => ("not_run", label(cause)),
+            Outcome::Unknown(cause) => ("unknown", label(cause)),
+        };
+        counter!(
+            "dandelionlink_requests_total",
+            "tenant" => self.tenant.clone(),
+            "entry" => self.entry.clone(),
+            "outcome" => outcome,
+            "cause" => cause
+        )
+    }
+
+    /// A request waited this long for a connection and got one.
+    pub(crate) fn queued(&self, waited: Duration) {
+        self.queue.record(waited.as_secs_f64());
+    }
+
+    /// A read was answered.
+    pub(crate) fn read(&self, server: Server) {
+        match server {
+            Server::Replica(lag) => {
+                self.replica_reads.increment(1);
+                if let Some(lag) = lag {
+                    self.lag.record(lag.as_secs_f64());
+                }
+            }
+            Server::Primary => self.primary_reads.increment(1),
+        }
+    }
+
+    /// An answer was not passed on, since it was too old for its reader.
+    pub(crate) fn discarded(&self) {
+        self.discarded.increment(1);
+    }
+
+    /// A request is tried once more.
+    pub(crate) fn retried(&self) {
+        self.retries.increment(1);
+    }
+
+    /// Whether a request of unknown outcome may be logged now: an outage must
+    /// not bury the other lines under one line for each statement.
+    pub(crate) fn may_log(&self, now: Instant) -> bool {
+        let next = now.as_micros() + LOG_EVERY.as_micros() as u64;
+        let update = |due: u64| (due <= now.as_micros()).then_some(next);
+        let order = Ordering::Relaxed;
+        self.logged.fetch_update(order, order, update).is_ok()
+    }
+}
+
+/// The place of an end's counter.
+fn place(outcome: Outcome) -> usize {
+    let at = |cause| CAUSES.iter().position(|(it, _)| *it == cause).unwrap_or(0);
+    match outcome {
+        Outcome::Done => 0,
+        Outcome::NotRun(cause) => 1 + at(cause),
+        Outcome::Unknown(cause) => 1 + CAUSES.len() + at(cause),
+    }
+}
+
+fn label(cause: Cause) -> &'static str {
+    let found = CAUSES.iter().find(|(it, _)| *it == cause);
+    found.map_or(OTHER, |(_, label)| label)
+}
+
+/// The meters of all entries that had a request here, shared by the duties.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Meters(Arc<Mutex<Known>>);
+
+#[derive(Debug, Default)]
+struct Known {
+    entries: HashMap<(name::Tenant, name::Entry), Arc<Meter>>,
+    other: Option<Arc<Meter>>,
+}
+
+impl Meters {
+    /// The meter of an entry of the catalogue.
+    pub(crate) fn of(&self, tenant: &name::Tenant, entry: &name::Entry) -> Arc<Meter> {
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (tenant.clone(), entry.clone());
+        if let Some(meter) = known.entries.get(&key) {
+            return Arc::clone(meter);
+        }
+        if known.entries.len() >= ENTRIES {
+            let other = || Arc::new(Meter::open(OTHER, OTHER));
+            return Arc::clone(known.other.get_or_insert_with(other));
+        }
+        let meter = Arc::new(Meter::open(tenant.as_str(), entry.as_str()));
+        known.entries.insert(key, Arc::clone(&meter));
+        meter
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ops/page.rs
@@ -0,0 +1,106 @@
+//! The views: each duty's part put together.
+
+use std::collections::{BTreeMap, HashSet};
+
+use view::{Doubt, Duty, Phase, Primary, Sessions, Status, Store, Upstreams};
+
+use crate::{
+    board::{Board, Fleet, Group, Groups, Lead, or_doubt},
+    duty,
+};
+
+/// What `/status` shows.
+pub(super) async fn status(board: &Board, phase: duty::Phase) -> Status {
+    let (fleet, leads, groups, store) = tokio::join!(
+        board.fleet.ask(),
+        board.leads.ask(),
+        board.groups.ask(),
+        board.store.ask(),
+    );
+    let mut doubts = Vec::new();
+    if phase > duty::Phase::Run {
+        doubts.push(Doubt::Stopping);
+    }
+    let fleet = or_doubt(fleet, Duty::Peers, &mut doubts);
+    let leads = or_doubt(leads, Duty::Control, &mut doubts).unwrap_or_default();
+    let groups = or_doubt(groups, Duty::Upstreams, &mut doubts);
+    let store = or_doubt(store, Duty::Store, &mut doubts).unwrap_or(Store::Idle);
+    if let Store::Silent { since_ms } = store {
+        doubts.push(Doubt::StoreSilent { since_ms });
+    }
+    let fleet = fleet.unwrap_or_else(|| Fleet {
+        revision: view::Revision::default(),
+        applied_ms_ago: 0,
+        members: Vec::new(),
+        doubts: Vec::new(),
+    });
+    doubts.extend(fleet.doubts);
+    let groups = groups.map_or_else(Vec::new, |it| it.groups);
+    let primaries = primaries(leads, &groups);
+    doubts.extend(primaries.iter().filter_map(leaderless));
+    doubts.extend(groups.into_iter().flat_map(|it| it.doubts));
+    Status {
+        instance: board.instance.clone(),
+        zone: board.zone.clone(),
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        revision: fleet.revision,
+        applied_ms_ago: fleet.applied_ms_ago,
+        store,
+        primaries,
+        members: fleet.members,
+        doubts,
+    }
+}
+
+fn primaries(leads: Vec<Lead>, groups: &[Group]) -> Vec<Primary> {
+    let confirmed: BTreeMap<_, _> = groups
+        .iter()
+        .map(|it| (&it.database, it.confirmed_ms_ago))
+        .collect();
+    let primary = |lead: Lead| {
+        let confirmed = confirmed.get(&lead.database).copied().flatten();
+        Primary {
+            database: lead.database,
+            term: lead.term,
+            upstream: lead.upstream,
+            confirmed_ms_ago: confirmed,
+        }
+    };
+    leads.into_iter().map(primary).collect()
+}
+
+fn leaderless(primary: &Primary) -> Option<Doubt> {
+    let database = primary.database.clone();
+    let none = primary.upstream.is_none();
+    none.then_some(Doubt::NoPrimary { database })
+}
+
+/// What `/upstreams` shows; `None` when the duty that knows does not answer.
+pub(super) async fn upstreams(board: &Board) -> Option<Upstreams> {
+    let Groups { groups, .. } = board.groups.ask().await?;
+    Some(Upstreams {
+        instance: board.instance.clone(),
+        upstreams: groups.into_iter().flat_map(|it| it.upstreams).collect(),
+    })
+}
+
+/// What `/sessions` shows; `None` when the duty that knows does not answer.
+pub(super) async fn sessions(board: &Board) -> Option<Sessions> {
+    let (callers, groups) = tokio::join!(board.callers.ask(), board.groups.ask());
+    let callers = callers?;
+    let queued: HashSet<_> = groups
+        .map_or_else(Vec::new, |it| it.queued)
+        .into_iter()
+        .collect();
+    let sessions = callers.sessions.into_iter().map(|(caller, mut session)| {
+        if session.phase == Phase::Running && queued.contains(&caller) {
+            session.phase = Phase::Queued;
+        }
+        session
+    });
+    Some(Sessions {
+        instance: board.instance.clone(),
+        total: callers.total,
+        sessions: sessions.collect(),
+    })
+}
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod evidence;
 mod forward;
 mod stream;
+mod view;
 
 use std::{
     collections::BTreeMap,
@@ -24,12 +25,14 @@
 use wire::{Gate, Message, Node, Ring};
 
 use crate::{
+    board::{self, Asked},
     duty::{self, Phase, Watch},
     forward::{In, Out},
     platform::{self, PRIMARIES},
     ring,
 };
 
+use self::view::Kept;
 use apply::Force;
 use forward::Forwards;
 use stream::Heard;
@@ -98,6 +101,8 @@
     pub(crate) asks: ring::Sender<fleet::Store>,
     /// From the store's duty.
     pub(crate) answers: ring::Receiver<platform::FleetAnswer>,
+    /// What operators ask.
+    pub(crate) asked: Asked<board::Fleet>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
 }
@@ -116,6 +121,7 @@
     force: Force,
     wake: Option<Instant>,
     members: BTreeMap<name::Instance, name::Zone>,
+    kept: Kept,
 }
 
 /// Runs the duty until the daemon stops.
@@ -145,6 +151,7 @@
         force: Force::default(),
         wake: None,
         members: BTreeMap::new(),
+        kept: Kept::default(),
     };
     peers.carry(actions).await;
     // An instance that is alone is told of no other member.
@@ -169,6 +176,7 @@
                 let platform::FleetAnswer { call, answer } = answer;
                 peers.step(Event::Store { call, answer }).await;
             }
+            Some(answer) = conf.asked.recv() => drop(answer.send(peers.view())),
             () = sleep(pause) => peers.step(Event::Wake).await,
         }
     }
@@ -205,7 +213,10 @@
                 Action::Primary(change) => self.primary(&change).await,
                 Action::Member(_) => changed = true,
                 Action::Zone { zone, path } => tell_zone(&zone, path),
-                Action::Notice(notice) => tell(&notice),
+                Action::Notice(notice) => {
+                    self.kept.note(&notice);
+                    tell(&notice);
+                }
                 Action::Wake(at) => self.wake = Some(at),
             }
         }
@@ -231,12 +242,14 @@
         match self.force.apply(scope, changes) {
             Ok(snapshot) => {
                 let snapshot = Arc::new(snapshot);
+                self.kept.applied(self.clock.now());
                 metrics::gauge!("dandelionlink_catalog_revision").set(snapshot.revision as f64);
                 self.words.send(Word::Catalog(Arc::clone(&snapshot))).await;
                 self.catalogs.send(snapshot).await;
             }
             Err(error) => {
                 log::error!(duty = "peers"; "catalogue {revision} is held back: {error}");
+                self.kept.refused(revision, error.to_string());
                 let actions = self.fleet.step(self.clock.now(), Event::Refused(revision));
                 // A refusal only brings notices, never another catalogue.
                 Box::pin(self.carry(actions)).await;
--- /dev/null
+++ b/crates/daemon/src/peers/view.rs
@@ -0,0 +1,157 @@
+//! What operators see of the fleet and of the catalogue in force.
+
+use std::collections::BTreeSet;
+
+use clock::Instant;
+use fleet::{Held, Notice, Reason, Watch};
+use model::name;
+use view::{Doubt, Health, Revision};
+use wire::State;
+
+use super::Peers;
+use crate::board::{self, millis};
+
+/// What the duty keeps for operators only.
+#[derive(Debug, Default)]
+pub(super) struct Kept {
+    /// When the catalogue in force was put there.
+    applied: Option<Instant>,
+    /// Why the last catalogue that was refused was.
+    refused: Option<(wire::Revision, String)>,
+    /// The store's revision and the one held, since the store went back.
+    behind: Option<(wire::Revision, wire::Revision)>,
+}
+
+impl Kept {
+    /// A catalogue was put in force.
+    pub(super) fn applied(&mut self, now: Instant) {
+        self.applied = Some(now);
+        self.refused = None;
+    }
+
+    /// A catalogue was refused.
+    pub(super) fn refused(&mut self, revision: wire::Revision, reason: String) {
+        self.refused = Some((revision, reason));
+    }
+
+    /// Takes in what the fleet's part tells.
+    pub(super) fn note(&mut self, notice: &Notice) {
+        match notice {
+            Notice::StoreBehind { store, held } => self.behind = Some((*store, *held)),
+            Notice::StoreBack => self.behind = None,
+            _ => {}
+        }
+    }
+}
+
+impl Peers {
+    /// What operators see.
+    pub(super) fn view(&self) -> board::Fleet {
+        let now = self.clock.now();
+        let applied = self.kept.applied.unwrap_or(now);
+        board::Fleet {
+            revision: revision(self.fleet.applied()),
+            applied_ms_ago: millis(now.since(applied)),
+            members: self.members_view(now),
+            doubts: self.doubts(),
+        }
+    }
+
+    fn members_view(&self, now: Instant) -> Vec<view::Member> {
+        let others = self.fleet.table().members();
+        let others = others.filter(|it| it.node != self.fleet.node());
+        let member = |it: &fleet::Member| {
+            let heard = it.view.map_or(it.since, |(_, heard)| heard.max(it.since));
+            let told = it.view.map(|(view, _)| view);
+            view::Member {
+                instance: it.record.name.clone(),
+                zone: it.record.zone.clone(),
+                address: it.record.address,
+                health: health(it.record.state),
+                revision: told.map(|it| revision(it.applied.unwrap_or(it.revision))),
+                heard_ms_ago: millis(now.since(heard)),
+            }
+        };
+        let mut members: Vec<_> = others.map(member).collect();
+        members.sort_by(|a, b| a.instance.cmp(&b.instance));
+        members
+    }
+
+    fn doubts(&self) -> Vec<Doubt> {
+        let status = self.fleet.status();
+        let mut doubts = Vec::new();
+        if status.applied == wire::Revision::NONE {
+            doubts.push(Doubt::NoCatalog);
+        }
+        doubts.extend(status.held.map(|held| self.held(held)));
+        let behind = self.kept.behind.filter(|_| status.watch != Watch::On);
+        doubts.extend(behind.map(|(shown, held)| Doubt::StoreOlder {
+            shown: revision(shown),
+            held: revision(held),
+        }));
+        doubts.extend(self.silent_zones());
+        doubts
+    }
+
+    fn held(&self, held: Held) -> Doubt {
+        let reason = match held.reason {
+            Reason::Format(format) => {
+                return Doubt::Newer {
+                    revision: revision(held.revision),
+                    format: format.into(),
+                };
+            }
+            Reason::NoHead => "it has no readable head".to_owned(),
+            Reason::Incomplete => {
+                "keys were written behind its head, so it was not made in one transaction"
+                    .to_owned()
+            }
+            Reason::Refused => self.kept.refused.as_ref().map_or_else(
+                || "it can't be read".to_owned(),
+                |(_, reason)| reason.clone(),
+            ),
+        };
+        Doubt::Unfit {
+            revision: revision(held.revision),
+            reason,
+        }
+    }
+
+    /// Zones of which no instance answers; an instance that said goodbye is
+    /// not missed.
+    fn silent_zones(&self) -> Vec<Doubt> {
+        let table = self.fleet.table();
+        let own = self.fleet.table().find(self.fleet.node());
+        let own = own.map(|it| &it.record.zone);
+        let mut silent = BTreeSet::new();
+        let mut heard = 0;
+        for zone in table.zones().filter(|zone| Some(*zone) != own) {
+            let states: Vec<_> = table.zone(zone).map(|it| it.record.state).collect();
+            if states.contains(&State::Alive) || states.contains(&State::Leaving) {
+                heard += 1;
+            } else if states.contains(&State::Suspect) {
+                silent.insert(zone.clone());
+            }
+        }
+        let alone = own.filter(|_| heard == 0 && !silent.is_empty());
+        let alone = alone.map(|zone: &name::Zone| Doubt::ZoneAlone { zone: zone.clone() });
+        let silent = silent.into_iter().map(|zone| Doubt::ZoneSilent { zone });
+        alone.into_iter().chain(silent).collect()
+    }
+}
+
+fn revision(of: wire::Revision) -> Revision {
+    Revision {
+        epoch: of.epoch,
+        number: of.number,
+    }
+}
+
+fn health(state: State) -> Health {
+    match state {
+        State::Alive => Health::Alive,
+        State::Suspect => Health::Suspect,
+        State::Leaving => Health::Leaving,
+        State::Gone => Health::Dead,
+    }
+}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,24 +1,30 @@
 //! The store's duty: the catalogue and the primaries' records.
 
+mod reach;
+
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::Duration,
 };
 
+use clock::Clock;
 use failover::{Call, Entry, StoreFault};
 use fleet::{HEAD, RANGE_END, RANGE_START, Request};
 use model::{Record, name};
-use store::{Answer, Compare, Edge, Event, Fault, Gateway, Pair, Put};
+use store::{Answer, Compare, Event, Fault, Gateway, Pair, Put};
 use tokio::sync::oneshot;
 use wire::Change;
 
 use crate::{
+    board::Asked,
     duty::{self, Phase, Watch},
     peers::{full_key, short_key},
     ring,
 };
 
+use reach::Client;
+
 /// Below it is one key for each database, with its primary's record.
 pub(crate) const PRIMARIES: &str = "dandelionlink/primary/";
 
@@ -85,6 +91,8 @@
 pub(crate) struct Conf {
     /// Where the store's gateway is.
     pub(crate) endpoint: SocketAddr,
+    /// The machine's clock.
+    pub(crate) clock: Clock,
     /// From the control duty.
     pub(crate) asks: ring::Receiver<Ask>,
     /// To the control duty.
@@ -93,6 +101,8 @@
     pub(crate) calls: ring::Receiver<fleet::Store>,
     /// To the peers' duty.
     pub(crate) answers: ring::Sender<FleetAnswer>,
+    /// What operators ask.
+    pub(crate) asked: Asked<view::Store>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
 }
@@ -105,19 +115,27 @@
         log::error!(duty = "store"; "the store's client could not be made");
         return;
     };
-    ntex::rt::spawn(take_asks(gateway.clone(), conf.asks, told));
-    ntex::rt::spawn(take_calls(gateway, conf.calls, answers));
+    let store = Client::open(gateway, conf.clock);
+    ntex::rt::spawn(take_asks(store.clone(), conf.asks, told));
+    ntex::rt::spawn(show(store.clone(), conf.asked));
+    ntex::rt::spawn(take_calls(store, conf.calls, answers));
     let mut watch = conf.watch;
     duty::reached(&mut watch, Phase::Stop).await;
 }
 
-async fn take_asks(gateway: Gateway, mut asks: ring::Receiver<Ask>, told: ring::Shared<Told>) {
+async fn show(store: Client, mut asked: Asked<view::Store>) {
+    while let Some(answer) = asked.recv().await {
+        let _ = answer.send(store.view());
+    }
+}
+
+async fn take_asks(store: Client, mut asks: ring::Receiver<Ask>, told: ring::Shared<Told>) {
     while let Some(ask) = asks.recv().await {
-        let (gateway, told) = (gateway.clone(), told.clone());
+        let (store, told) = (store.clone(), told.clone());
         ntex::rt::spawn(async move {
             let answer = match ask {
                 Ask::Read { database, call } => {
-                    let result = read(&gateway, &database).await;
+                    let result = read(&store, &database).await;
                     Told::Read {
                         database,
                         call,
@@ -130,7 +148,7 @@
                     expected,
                     record,
                 } => {
-                    let result = swap(&gateway, &database, expected, &record).await;
+                    let result = swap(&store, &database, expected, &record).await;
                     Told::Swapped {
                         database,
                         call,
@@ -147,12 +165,12 @@
     format!("{PRIMARIES}{database}")
 }
 
-async fn read(gateway: &Gateway, database: &name::Database) -> Result<Option<Entry>, StoreFault> {
+async fn read(store: &Client, database: &name::Database) -> Result<Option<Entry>, StoreFault> {
     let key = key(database);
     let call = store::Call::Range {
         prefix: key.clone(),
     };
-    let Ok(Answer::Pairs { pairs, .. }) = gateway.call(&call).await else {
+    let Ok(Answer::Pairs { pairs, .. }) = store.call(&call).await else {
         return Err(StoreFault::Unanswered);
     };
     // The range has the keys of databases whose names begin with this one's.
@@ -161,7 +179,7 @@
 }
 
 async fn swap(
-    gateway: &Gateway,
+    store: &Client,
     database: &name::Database,
     expected: u64,
     record: &Record,
@@ -180,9 +198,12 @@
         }],
         deletes: Vec::new(),
     };
-    match gateway.call(&call).await {
+    match store.call(&call).await {
         Ok(Answer::Swapped { revision }) => Ok(revision),
         Ok(Answer::Conflict { .. }) => Err(StoreFault::Conflict),
+        // Also where the fault proves that the swap did not run: the machine
+        // then reads the record back, which costs a call and is never wrong,
+        // whereas a conflict would say that somebody else has changed it.
         Ok(_) | Err(_) => Err(StoreFault::Unanswered),
     }
 }
@@ -196,16 +217,16 @@
 }
 
 /// Answers the fleet's calls until the daemon stops.
-async fn take_calls(gateway: Gateway, mut calls: ring::Receiver<fleet::Store>, answers: Answers) {
+async fn take_calls(store: Client, mut calls: ring::Receiver<fleet::Store>, answers: Answers) {
     let mut watches: HashMap<fleet::Call, oneshot::Sender<()>> = HashMap::new();
     while let Some(fleet::Store { call, request }) = calls.recv().await {
-        let (gateway, answers) = (gateway.clone(), answers.clone());
+        let (store, answers) = (store.clone(), answers.clone());
         match request {
             Request::Range => {
-                ntex::rt::spawn(async move { answers.tell(call, range(&gateway).await).await });
+                ntex::rt::spawn(async move { answers.tell(call, range(&store).await).await });
             }
             Request::Head => {
-                ntex::rt::spawn(async move { answers.tell(call, head(&gateway).await).await });
+                ntex::rt::spawn(async move { answers.tell(call, head(&store).await).await });
             }
             Request::Watch { from } => {
                 let (stop, stopped) = oneshot::channel();
@@ -213,7 +234,7 @@
                 watches.insert(call, stop);
                 ntex::rt::spawn(async move {
                     tokio::select! {
-                        answer = watch(&gateway, from, call, &answers) => {
+                        answer = watch(&store, from, call, &answers) => {
                             answers.tell(call, answer).await;
                         }
                         _ = stopped => {}
@@ -235,12 +256,12 @@
     }
 }
 
-async fn range(gateway: &Gateway) -> fleet::Answer {
+async fn range(store: &Client) -> fleet::Answer {
     let span = store::Call::Span {
         from: full_key(RANGE_START),
         to: full_key(RANGE_END),
     };
-    match gateway.call(&span).await {
+    match store.call(&span).await {
         Ok(Answer::Pairs { pairs, revision }) => {
             let changes = pairs.into_iter().filter_map(put).collect();
             fleet::Answer::Range { revision, changes }
@@ -249,12 +270,12 @@
     }
 }
 
-async fn head(gateway: &Gateway) -> fleet::Answer {
+async fn head(store: &Client) -> fleet::Answer {
     let key = full_key(HEAD);
     let call = store::Call::Range {
         prefix: key.clone(),
     };
-    match gateway.call(&call).await {
+    match store.call(&call).await {
         Ok(Answer::Pairs { pairs, revision }) => {
             let written = pairs.iter().find(|it| it.key == key).map(|it| it.revision);
             fleet::Answer::Head { revision, written }
@@ -264,14 +285,9 @@
 }
 
 /// Passes on what a watch shows, and returns how it ended.
-async fn watch(
-    gateway: &Gateway,
-    from: u64,
-    call: fleet::Call,
-    answers: &Answers,
-) -> fleet::Answer {
+async fn watch(store: &Client, from: u64, call: fleet::Call, answers: &Answers) -> fleet::Answer {
     let (first, past) = (full_key(RANGE_START), full_key(RANGE_END));
-    let Ok(mut watch) = gateway.watch(&first, &past, from).await else {
+    let Ok(mut watch) = store.watch(&first, &past, from).await else {
         return fleet::Answer::Down;
     };
     let mut told = false;
--- /dev/null
+++ b/crates/daemon/src/platform/reach.rs
@@ -0,0 +1,140 @@
+//! Whether the platform's store answers, as this instance's own calls tell.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::{Clock, Instant};
+use store::{Answer, Call, Edge, Fault, Gateway, Watch};
+
+use crate::board::millis;
+
+/// After how long without a call the store counts as not asked.
+const IDLE: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Default)]
+struct Seen {
+    answered: Option<Instant>,
+    /// The first failure since the last answer.
+    failing: Option<Instant>,
+}
+
+/// The store's client, which notes how its calls end.
+#[derive(Debug, Clone)]
+pub(super) struct Client {
+    gateway: Gateway,
+    clock: Clock,
+    seen: Rc<RefCell<Seen>>,
+    /// How many watches are open.
+    watches: Rc<Cell<usize>>,
+}
+
+/// A watch that counts as an open one while it lives.
+#[derive(Debug)]
+pub(super) struct Watching {
+    watch: Watch,
+    client: Client,
+}
+
+impl Client {
+    /// Takes a gateway over.
+    pub(super) fn open(gateway: Gateway, clock: Clock) -> Self {
+        Self {
+            gateway,
+            clock,
+            seen: Rc::default(),
+            watches: Rc::default(),
+        }
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] tells whether the call may have taken effect.
+    pub(super) async fn call(&self, call: &Call) -> Result<Answer, Fault> {
+        let result = self.gateway.call(call).await;
+        self.note(result.as_ref().err());
+        result
+    }
+
+    /// Opens a watch on the keys from `from` up to, and without, `to`.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] when the store can't be reached or refuses.
+    pub(super) async fn watch(
+        &self,
+        from: &str,
+        to: &str,
+        revision: u64,
+    ) -> Result<Watching, Fault> {
+        let result = self.gateway.watch(from, to, revision).await;
+        self.note(result.as_ref().err());
+        let watch = result?;
+        self.watches.set(self.watches.get() + 1);
+        Ok(Watching {
+            watch,
+            client: self.clone(),
+        })
+    }
+
+    /// What operators see.
+    pub(super) fn view(&self) -> view::Store {
+        let now = self.clock.now();
+        let seen = self.seen.borrow();
+        if let Some(failing) = seen.failing {
+            let since = seen.answered.unwrap_or(failing);
+            return view::Store::Silent {
+                since_ms: millis(now.since(since)),
+            };
+        }
+        let Some(answered) = seen.answered else {
+            return view::Store::Idle;
+        };
+        let age = now.since(answered);
+        // An open watch is an open call: silence on it is what it should bring.
+        if self.watches.get() == 0 && age > IDLE {
+            return view::Store::Idle;
+        }
+        view::Store::Answering {
+            answered_ms_ago: millis(age),
+        }
+    }
+
+    fn note(&self, fault: Option<&Fault>) {
+        let now = self.clock.now();
+        let mut seen = self.seen.borrow_mut();
+        match fault {
+            // A refusal is an answer as well.
+            None | Some(Fault::Refused { .. } | Fault::Compacted { .. }) => {
+                seen.answered = Some(now);
+                seen.failing = None;
+            }
+            Some(Fault::Unreachable { .. } | Fault::Lost | Fault::Malformed { .. }) => {
+                seen.failing.get_or_insert(now);
+            }
+        }
+    }
+}
+
+impl Watching {
+    /// Waits for changes.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault`] when the watch broke or asks for what is no longer kept.
+    pub(super) async fn next(&mut self) -> Result<(Vec<store::Event>, u64), Fault> {
+        let result = self.watch.next().await;
+        self.client.note(result.as_ref().err());
+        result
+    }
+}
+
+impl Drop for Watching {
+    fn drop(&mut self) {
+        self.client.watches.set(self.client.watches.get() - 1);
+    }
+}
--- a/crates/daemon/src/upstreams/group.rs
+++ b/crates/daemon/src/upstreams/group.rs
@@ -28,6 +28,7 @@
     lines::Lines,
     remote,
     site::Holder,
+    view::Sight,
 };
 use crate::forward::Command;
 
@@ -108,6 +109,8 @@
     /// Told whenever something became known.
     pub(super) changed: Notify,
     pub(super) round: RefCell<session::Round>,
+    /// When the upstreams were asked for their status, and answered.
+    pub(super) sights: RefCell<BTreeMap<name::Upstream, Sight>>,
 }
 
 impl Group {
@@ -122,6 +125,7 @@
             waits: Cell::new(0),
             changed: Notify::new(),
             round: RefCell::new(session::Round::new(ROUND_TIMEOUT)),
+            sights: RefCell::default(),
         }
     }
 
@@ -129,6 +133,9 @@
     pub(super) fn follow(&self, core: &Core, database: &catalog::Database) {
         let mut members = self.members.borrow_mut();
         members.retain(|name, _| database.upstreams.contains_key(name));
+        let mut sights = self.sights.borrow_mut();
+        sights.retain(|name, _| database.upstreams.contains_key(name));
+        drop(sights);
         for (name, conf) in &database.upstreams {
             let same = |it: &Rc<Member>| it.conf.address == conf.address;
             let known = members.get(name).filter(|it| same(it));
@@ -327,6 +334,10 @@
         upstream: &name::Upstream,
         status: Status,
     ) -> Result<Report, Fault> {
+        let mut sights = self.sights.borrow_mut();
+        let sight = sights.entry(upstream.clone()).or_default();
+        sight.note(core.now(), &status);
+        drop(sights);
         let (sent, report) = status?;
         self.report(core.now(), upstream, sent, report);
         Ok(report)
--- a/crates/daemon/src/upstreams/host.rs
+++ b/crates/daemon/src/upstreams/host.rs
@@ -163,7 +163,10 @@
         .filter(|it| it.holds())
         .ok_or(none)?;
     let request = request(core, &member, &run.scope, deadline);
+    let asked = core.now();
     let line = member.lines.acquire(request).await?;
+    let meter = core.meters.of(&run.scope.tenant, &run.scope.entry);
+    meter.queued(core.now().since(asked));
     if line.conn.is_closed() {
         discard(line);
         return Err(none);
--- a/crates/daemon/src/upstreams/lines.rs
+++ b/crates/daemon/src/upstreams/lines.rs
@@ -50,7 +50,7 @@
     address: SocketAddr,
     login: Login,
     dbname: String,
-    pool: RefCell<Pool>,
+    pub(super) pool: RefCell<Pool>,
     idle: RefCell<HashMap<Generation, Idle>>,
     waiters: RefCell<HashMap<Ticket, Waiter>>,
     /// Transactions whose connection the pool has taken away.
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -14,6 +14,7 @@
 mod running;
 mod sink;
 mod site;
+mod view;
 
 use std::{
     cell::{Cell, RefCell},
@@ -32,10 +33,12 @@
 use upstream::Login;
 
 use crate::{
+    board::{self, Asked},
     control::{Answer, Order},
     duty::{self, Phase, Watch},
     forward::{Conn, In, Out, Seq},
     job::{Ask, Caller, Reply},
+    meter::Meters,
     ring,
 };
 
@@ -70,6 +73,10 @@
     pub(crate) orders: ring::Receiver<Order>,
     /// To the control duty.
     pub(crate) answers: ring::Sender<Answer>,
+    /// Where requests are counted.
+    pub(crate) meters: Meters,
+    /// What operators ask.
+    pub(crate) asked: Asked<board::Groups>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
     /// Where the random numbers begin.
@@ -100,6 +107,7 @@
 
 /// What the tasks of the duty share.
 struct Core {
+    meters: Meters,
     clock: Clock,
     zone: name::Zone,
     login: Login,
@@ -159,6 +167,7 @@
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(conf.seed)),
         tickets: Cell::new(0),
         seqs: Cell::new(0),
+        meters: conf.meters,
         members: RefCell::default(),
         pending: RefCell::default(),
         hosted: RefCell::default(),
@@ -166,6 +175,7 @@
     });
     ntex::rt::spawn(take_ins(Rc::clone(&core), conf.ins));
     ntex::rt::spawn(take_asks(Rc::clone(&core), conf.asks));
+    ntex::rt::spawn(view::serve(Rc::clone(&core), conf.asked));
     ntex::rt::spawn(take_orders(Rc::clone(&core), conf.orders));
     let mut watch = conf.watch;
     duty::reached(&mut watch, Phase::Drain).await;
--- a/crates/daemon/src/upstreams/remote.rs
+++ b/crates/daemon/src/upstreams/remote.rs
@@ -157,6 +157,7 @@
         let command = Command::Run(Box::new(run));
         let asking = Asking::open(core, to, command).await;
         let pin = asking.seq;
+        self.running.sent.set(true);
         *self.running.remote.borrow_mut() = Some((to.clone(), pin));
         let mut judge = |report: &Report| self.judge(sent, report);
         let ran = converse(job, sink, asking, to, sent, &mut judge).await;
--- a/crates/daemon/src/upstreams/run.rs
+++ b/crates/daemon/src/upstreams/run.rs
@@ -22,6 +22,7 @@
 use crate::{
     forward::{Command, Seq},
     job::{Caller, Closes, End, Job, Need, Part, Reply},
+    meter::Server,
 };
 
 /// How often a request is tried at most, whatever its budget.
@@ -51,21 +52,18 @@
 }
 
 fn count(core: &Core, job: &Job, outcome: Outcome) {
-    let outcome = match outcome {
-        Outcome::Done => "done",
-        Outcome::NotRun(_) => "not_run",
-        Outcome::Unknown(_) => "unknown",
-    };
-    let tenant = job.scope.tenant.to_string();
-    let entry = job.scope.entry.to_string();
-    let took = core.now().since(job.began).as_secs_f64();
-    metrics::histogram!(
-        "dandelionlink_request_seconds",
-        "tenant" => tenant,
-        "entry" => entry,
-        "outcome" => outcome
-    )
-    .record(took);
+    let now = core.now();
+    job.meter.ended(outcome, now.since(job.began));
+    if let Outcome::Unknown(cause) = outcome
+        && job.meter.may_log(now)
+    {
+        let scope = &job.scope;
+        log::warn!(
+            duty = "upstreams", tenant = scope.tenant.as_str(), class = scope.entry.as_str(),
+            database = scope.database.as_str();
+            "a request ended as unknown: {cause}"
+        );
+    }
 }
 
 /// Ends what a caller that has gone left behind.
@@ -187,7 +185,10 @@
         };
         match attempt(core, job, running, group, &way, &mut read).await {
             Try::Ended(end) => return end,
-            Try::Again => tries += 1,
+            Try::Again => {
+                job.meter.retried();
+                tries += 1;
+            }
             Try::Unsent(refusal) => {
                 if !group.wait_for_news(core, job).await {
                     return refused(refusal.cause, refusal.retry_after);
@@ -222,6 +223,7 @@
     match ran {
         Ran::Heard(heard, held) if verdict != Verdict::Holds => {
             held.settle(&heard);
+            job.meter.discarded();
             *read = read.discarded(way.target());
             Try::Again
         }
@@ -274,12 +276,25 @@
     }
     let mut end = end(Outcome::Done, sink.finish(), Some(b'I'));
     if !failed {
+        count_read(job, group, way);
         end.setting = job.batch.setting.take();
     }
     end.events = learnt(group, way, &heard);
     Try::Ended(end)
 }
 
+/// Counts an answered read by who served it.
+fn count_read(job: &Job, group: &Group, way: &Way) {
+    if job.batch.need != Need::Read {
+        return;
+    }
+    let server = match way {
+        Way::Replica(upstream) => Server::Replica(group.router.borrow().lag(upstream)),
+        Way::Primary(_) | Way::Confirmed(..) => Server::Primary,
+    };
+    job.meter.read(server);
+}
+
 /// What a session learns from an answered read.
 fn learnt(group: &Group, way: &Way, heard: &Heard) -> Vec<session::Event> {
     if let Way::Confirmed(_, round) = way {
@@ -377,6 +392,7 @@
     );
     let mode = mode_within(job);
     let mut sink = Sink::open(core, running, To::Caller(job.caller), mode);
+    running.sent.set(true);
     *running.line.borrow_mut() = Some((line.address, line.conn.key().clone()));
     let sent = core.now();
     let mut judge = |_: &Report| mode;
@@ -406,6 +422,7 @@
     group: &Rc<Group>,
 ) -> End {
     let mut sink = Sink::open(core, running, To::Caller(job.caller), mode_within(job));
+    running.sent.set(true);
     *running.remote.borrow_mut() = Some((to.clone(), pin));
     let talk = remote::within(core, job, &mut sink, to, pin).await;
     *running.remote.borrow_mut() = None;
--- a/crates/daemon/src/upstreams/running.rs
+++ b/crates/daemon/src/upstreams/running.rs
@@ -20,6 +20,8 @@
     pub(super) line: RefCell<Option<(SocketAddr, Key)>>,
     /// The command to another instance that it waits for.
     pub(super) remote: RefCell<Option<(name::Instance, Seq)>>,
+    /// Whether it was sent to an upstream, or to a holder of connections.
+    pub(super) sent: Cell<bool>,
     /// Whether whoever asked is gone.
     pub(super) cancelled: Cell<bool>,
     /// Parts of the answer that were sent and not yet taken.
@@ -35,6 +37,7 @@
             seq,
             line: RefCell::default(),
             remote: RefCell::default(),
+            sent: Cell::new(false),
             cancelled: Cell::new(false),
             untaken: Cell::new(0),
             taken: Notify::new(),
--- a/crates/daemon/src/upstreams/site.rs
+++ b/crates/daemon/src/upstreams/site.rs
@@ -159,10 +159,12 @@
     async fn run_here(&mut self, member: &Member, sink: &mut Sink<'_>) -> Ran {
         let (core, job) = (self.core, self.job);
         let request = request(core, member, &job.scope, job.deadline);
+        let asked = core.now();
         let mut line = match member.lines.acquire(request).await {
             Ok(line) => line,
             Err(refusal) => return Ran::Refused(refusal),
         };
+        job.meter.queued(core.now().since(asked));
         if line.conn.is_closed() {
             discard(line);
             return Ran::Refused(Refused {
@@ -180,6 +182,7 @@
             behind: job.batch.need != Need::Begin,
         };
         let plan = Plan::fresh(&mut line, &job.batch, &job.settings, probes);
+        self.running.sent.set(true);
         *self.running.line.borrow_mut() = Some((line.address, line.conn.key().clone()));
         let sent = core.now();
         let mut judge = |report: &Report| self.judge(sent, report);
--- /dev/null
+++ b/crates/daemon/src/upstreams/view.rs
@@ -0,0 +1,202 @@
+//! What operators see of the databases and their upstreams.
+
+use std::{rc::Rc, time::Duration};
+
+use clock::Instant;
+use failover::Fault;
+use model::{Position, name};
+use view::{Breaker, Doubt, Link, Pool, Upstream};
+
+use super::{
+    Core,
+    control::Status,
+    group::{Group, Member},
+    lines::Lines,
+};
+use crate::board::{self, Asked, millis};
+
+/// An upstream whose data is older serves none of the usual reads: the
+/// catalogues of the users allow two seconds.
+const BEHIND: Duration = Duration::from_secs(2);
+
+/// A status older than this says nothing of whether the upstream answers now.
+const OLD: Duration = Duration::from_secs(5);
+
+/// For how long an upstream must fail before operators are told.
+const SILENT: Duration = Duration::from_secs(1);
+
+/// For how long no round must confirm a primary before operators are told.
+const UNCONFIRMED: Duration = Duration::from_secs(2);
+
+/// When an upstream was asked for its status, and answered.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Sight {
+    /// The end of the first question.
+    first: Option<Instant>,
+    /// The end of the last question.
+    asked: Option<Instant>,
+    /// The last answer.
+    answered: Option<Instant>,
+    /// The first failure since then.
+    failing: Option<Instant>,
+}
+
+impl Sight {
+    /// Notes how a question ended; a refused order is an answer as well.
+    pub(super) fn note(&mut self, now: Instant, status: &Status) {
+        self.first.get_or_insert(now);
+        self.asked = Some(now);
+        match status {
+            Ok(_) | Err(Fault::Fenced(_)) => {
+                self.answered = Some(now);
+                self.failing = None;
+            }
+            Err(Fault::Refused | Fault::Timeout | Fault::Broken) => {
+                self.failing.get_or_insert(now);
+            }
+        }
+    }
+}
+
+/// Answers operators until the daemon stops.
+pub(super) async fn serve(core: Rc<Core>, mut asked: Asked<board::Groups>) {
+    while let Some(answer) = asked.recv().await {
+        let _ = answer.send(groups(&core));
+    }
+}
+
+fn groups(core: &Core) -> board::Groups {
+    let now = core.now();
+    let groups = core.groups.borrow();
+    let running = core.running.borrow();
+    let queued = running.iter().filter(|(_, it)| !it.sent.get());
+    board::Groups {
+        groups: groups.values().map(|it| it.view(now)).collect(),
+        queued: queued.map(|(caller, _)| *caller).collect(),
+    }
+}
+
+impl Group {
+    fn view(&self, now: Instant) -> board::Group {
+        let members = self.members.borrow();
+        let mut doubts = Vec::new();
+        let mut upstreams = Vec::new();
+        for (name, member) in members.iter() {
+            let upstream = self.upstream(now, name, member);
+            doubts.extend(self.member_doubts(now, &upstream));
+            upstreams.push(upstream);
+        }
+        let confirmed = self.router.borrow().confirmed().map(|it| it.since);
+        doubts.extend(self.unconfirmed(now, confirmed));
+        board::Group {
+            database: self.name.clone(),
+            confirmed_ms_ago: confirmed.map(|at| millis(now.since(at))),
+            upstreams,
+            doubts,
+        }
+    }
+
+    fn upstream(&self, now: Instant, name: &name::Upstream, member: &Member) -> Upstream {
+        let router = self.router.borrow();
+        let answer = router.answer(name);
+        let report = answer.map(|it| it.report);
+        let position = |report: model::Report| Position {
+            term: report.received.term,
+            lsn: report.replayed,
+        };
+        let sight = self.sight(name);
+        let answered = answer.map(|it| it.sent).max(sight.answered);
+        let link = match sight.failing {
+            Some(_) => Link::Down,
+            None if answered.is_some_and(|at| now.since(at) <= OLD) => Link::Up,
+            None => Link::Unsure,
+        };
+        Upstream {
+            database: self.name.clone(),
+            upstream: name.clone(),
+            zone: member.conf.zone.clone(),
+            address: member.conf.address,
+            link,
+            role: report.map(|it| it.role),
+            received: report.map(|it| it.received),
+            position: report.map(position),
+            lag_ms: router.lag(name).map(millis),
+            leaving: member.conf.leaving,
+            pool: member.holds().then(|| member.lines.view(now)),
+        }
+    }
+
+    fn sight(&self, name: &name::Upstream) -> Sight {
+        self.sights.borrow().get(name).copied().unwrap_or_default()
+    }
+
+    fn member_doubts(&self, now: Instant, upstream: &Upstream) -> Vec<Doubt> {
+        let mut doubts = Vec::new();
+        let database = || self.name.clone();
+        let name = || upstream.upstream.clone();
+        let failing = self
+            .sight(&upstream.upstream)
+            .failing
+            .map(|at| now.since(at));
+        if let Some(span) = failing.filter(|span| *span >= SILENT) {
+            doubts.push(Doubt::UpstreamSilent {
+                database: database(),
+                upstream: name(),
+                since_ms: millis(span),
+            });
+        }
+        let lag_ms = upstream.lag_ms.filter(|lag| *lag > millis(BEHIND));
+        if let Some(lag_ms) = lag_ms {
+            doubts.push(Doubt::UpstreamBehind {
+                database: database(),
+                upstream: name(),
+                lag_ms,
+            });
+        }
+        let breaker = upstream.pool.and_then(|it| it.breaker);
+        if matches!(breaker, Some(Breaker::Open { .. })) {
+            doubts.push(Doubt::BreakerOpen {
+                database: database(),
+                upstream: name(),
+            });
+        }
+        doubts
+    }
+
+    /// That no majority confirms a primary, although most upstreams were asked
+    /// of late. An instance that asks nobody can't tell.
+    fn unconfirmed(&self, now: Instant, confirmed: Option<Instant>) -> Option<Doubt> {
+        let members = self.members.borrow();
+        let sights = self.sights.borrow();
+        let recent = |it: &&Sight| it.asked.is_some_and(|at| now.since(at) <= OLD);
+        let asked = sights.values().filter(recent).count();
+        let first = || sights.values().filter_map(|it| it.first).min();
+        let since = confirmed.or_else(first)?;
+        let span = now.since(since);
+        let doubted = asked > members.len() / 2 && span >= UNCONFIRMED;
+        doubted.then(|| Doubt::Unconfirmed {
+            database: self.name.clone(),
+            since_ms: millis(span),
+        })
+    }
+}
+
+impl Lines {
+    fn view(&self, now: Instant) -> Pool {
+        let pool = self.pool.borrow();
+        let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
+        let breaker = match pool.breaker().opens_at() {
+            Some(at) => Breaker::Open {
+                retry_ms: millis(at.since(now)),
+            },
+            None => Breaker::Closed,
+        };
+        Pool {
+            open: count(pool.connections()),
+            busy: count(pool.busy()),
+            limit: pool.limit().into(),
+            waiting: count(pool.waiting()),
+            breaker: Some(breaker),
+        }
+    }
+}
--- a/crates/failover/src/group.rs
+++ b/crates/failover/src/group.rs
@@ -144,6 +144,14 @@
         self.lead.as_ref()
     }
 
+    /// The latest term that the store's record is known to have opened; above
+    /// that of [`Group::lead`] while it is only claimed.
+    pub fn term(&self) -> Option<Term> {
+        let known = self.ledger.known().map(|entry| entry.record.term);
+        let lead = self.lead.as_ref().map(|lead| lead.term);
+        known.max(lead)
+    }
+
     /// Where the machine stands.
     pub fn state(&self) -> State {
         self.state
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -214,6 +214,22 @@
             .count(|state| matches!(state, State::Busy { .. }))
     }
 
+    /// Connections that run a statement or are held by a transaction.
+    pub fn busy(&self) -> usize {
+        self.conns
+            .count(|state| matches!(state, State::Busy { .. } | State::Held { .. }))
+    }
+
+    /// How many connections there may be.
+    pub fn limit(&self) -> u16 {
+        self.conf.connections
+    }
+
+    /// The upstream's circuit breaker.
+    pub fn breaker(&self) -> &Breaker {
+        &self.breaker
+    }
+
     /// When a request that came now would be through, for the choice between
     /// holders and replicas.
     pub fn expected(&self, now: Instant, entry: &name::Entry) -> Duration {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -144,6 +144,22 @@
         self.leader().map(|node| &node.member.upstream)
     }
 
+    /// The newest status that the upstream gave, if it ever gave one.
+    pub fn answer(&self, upstream: &name::Upstream) -> Option<Answer> {
+        self.node(upstream)?.answer
+    }
+
+    /// How old the upstream's data was when it last gave its status; `None`
+    /// where that is not known.
+    pub fn lag(&self, upstream: &name::Upstream) -> Option<Duration> {
+        let node = self.node(upstream)?;
+        Some(node.answer?.sent.since(node.as_of()?))
+    }
+
+    fn node(&self, upstream: &name::Upstream) -> Option<&Node> {
+        self.nodes.iter().find(|n| n.member.upstream == *upstream)
+    }
+
     /// Judges an answer, which came at `now`, by the position that was asked
     /// ahead of the read on the same connection.
     ///
--- a/crates/view/src/doubt.rs
+++ b/crates/view/src/doubt.rs
@@ -60,7 +60,7 @@
         /// For how many milliseconds.
         since_ms: u64,
     },
-    /// An upstream is so far behind that it serves no reads.
+    /// An upstream is so far behind that it serves no fresh reads.
     UpstreamBehind {
         /// Its database.
         database: name::Database,
@@ -69,6 +69,23 @@
         /// How far behind it is, in milliseconds.
         lag_ms: u64,
     },
+    /// The circuit breaker of an upstream is open: it failed several times.
+    BreakerOpen {
+        /// Its database.
+        database: name::Database,
+        /// The upstream.
+        upstream: name::Upstream,
+    },
+    /// Nothing is heard from any instance of any other zone.
+    ZoneAlone {
+        /// The zone of this instance.
+        zone: name::Zone,
+    },
+    /// A thread of the instance does not answer.
+    DutySilent {
+        /// What it is there for.
+        duty: Duty,
+    },
     /// Nothing is heard from any instance of another zone.
     ZoneSilent {
         /// The zone.
@@ -81,6 +98,34 @@
     Other,
 }
 
+/// What a thread of an instance is there for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Duty {
+    /// Connections from applications.
+    Callers,
+    /// Connections to upstreams.
+    Upstreams,
+    /// Who leads each database.
+    Control,
+    /// Other instances and the spread of the catalogue.
+    Peers,
+    /// The platform's store.
+    Store,
+}
+
+impl fmt::Display for Duty {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Callers => "callers",
+            Self::Upstreams => "upstreams",
+            Self::Control => "control",
+            Self::Peers => "peers",
+            Self::Store => "store",
+        })
+    }
+}
+
 impl fmt::Display for Doubt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -125,7 +170,20 @@
             } => write!(
                 f,
                 "upstream `{upstream}` of database `{database}` is {lag_ms} ms behind: \
-                 it serves no reads"
+                 it serves no reads that ask for fresh data"
+            ),
+            Self::BreakerOpen { database, upstream } => write!(
+                f,
+                "upstream `{upstream}` of database `{database}` failed several times: \
+                 its breaker is open and it gets no work"
+            ),
+            Self::ZoneAlone { zone } => write!(
+                f,
+                "no other zone is heard: zone `{zone}` serves on alone with what it has"
+            ),
+            Self::DutySilent { duty } => write!(
+                f,
+                "the thread of duty `{duty}` does not answer: what it knows is not shown"
             ),
             Self::ZoneSilent { zone } => write!(f, "nothing is heard from zone `{zone}`"),
             Self::Stopping => f.write_str("the instance is stopping"),
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -11,11 +11,11 @@
 mod status;
 mod upstream;
 
-pub use doubt::Doubt;
+pub use doubt::{Doubt, Duty};
 pub use revision::Revision;
 pub use session::{Phase, Session, Sessions};
 pub use status::{Health, Member, Primary, Status, Store};
-pub use upstream::{Link, Pool, Upstream, Upstreams};
+pub use upstream::{Breaker, Link, Pool, Upstream, Upstreams};
 
 /// The path of [`Status`].
 pub const STATUS: &str = "/status";
--- a/crates/view/src/session.rs
+++ b/crates/view/src/session.rs
@@ -19,12 +19,21 @@
 /// One caller's session.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Session {
+    /// The tenant that it belongs to; none if the instance does not tell.
+    #[serde(default)]
+    pub tenant: Option<name::Tenant>,
     /// The entry it is connected to.
     pub entry: name::Entry,
     /// The user it logged in as.
     pub user: String,
     /// Where it connects from.
     pub client: SocketAddr,
+    /// Milliseconds since it logged in; none if the instance does not tell.
+    #[serde(default)]
+    pub connected_ms: Option<u64>,
+    /// Milliseconds that its transaction is open; none outside one.
+    #[serde(default)]
+    pub transaction_ms: Option<u64>,
     /// What it does.
     pub phase: Phase,
     /// Milliseconds that it has been doing that.
--- a/crates/view/src/upstream.rs
+++ b/crates/view/src/upstream.rs
@@ -29,6 +29,9 @@
     pub link: Link,
     /// Whether it takes writes; none if it never told.
     pub role: Option<Role>,
+    /// How far it has received its log; none if it never told.
+    #[serde(default)]
+    pub received: Option<Position>,
     /// How far it has replayed its log; none if it never told.
     pub position: Option<Position>,
     /// How old its data was when last asked, in milliseconds.
@@ -72,4 +75,29 @@
     pub limit: u32,
     /// How many requests wait for one.
     pub waiting: u32,
+    /// Whether requests pass; none if the instance does not tell.
+    #[serde(default)]
+    pub breaker: Option<Breaker>,
+}
+
+/// Whether the circuit breaker of an upstream lets requests pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum Breaker {
+    /// They pass.
+    Closed,
+    /// They are refused, as the upstream failed several times.
+    Open {
+        /// Milliseconds until one may pass to try it.
+        retry_ms: u64,
+    },
+}
+
+impl fmt::Display for Breaker {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => f.write_str("closed"),
+            Self::Open { retry_ms } => write!(f, "open for {retry_ms} ms"),
+        }
+    }
 }
