--- a/crates/cli/tests/running.rs
+++ b/crates/cli/tests/running.rs
@@ -141,3 +141,32 @@
     let gone = "  entry-0: upstream `booking-2` of database `booking` is silent for ";
     assert!(told.out.contains(gone), "{told:?}");
 }
+
+/// A change that this version can't read is told, and the last one stays.
+#[test]
+fn a_catalogue_of_a_newer_format_is_held_back_and_a_stop_is_told() {
+    let mut rig = Rig::open(1);
+    let at = instances(&rig);
+    let status = ["status", "--json", "--instance", &at];
+    let in_force = rig.store.revision();
+    run(async {
+        let client = rig.connect(0, "slots").await;
+        until(&status, |it| doubts(it).is_empty()).await;
+        let head = catalog::layout::Key::Head.to_string();
+        rig.store.put(&head, br#"{"format":99}"#);
+        let held = until(&status, |it| !doubts(it).is_empty()).await;
+        let doubt = doubts(&held)[0];
+        assert_eq!(doubt["kind"], "newer", "{held}");
+        assert_eq!(doubt["format"], 99);
+        assert_eq!(doubt["revision"]["number"], rig.store.revision());
+        assert_eq!(held["summary"]["revision"]["number"], in_force);
+
+        client.batch_execute("BEGIN").await.unwrap();
+        let daemon = rig.daemons[0].take().unwrap();
+        let stopped = tokio::task::spawn_blocking(move || daemon.stop());
+        let stops = |it: &Value| doubts(it).iter().any(|it| it["kind"] == "stopping");
+        until(&status, stops).await;
+        client.batch_execute("COMMIT").await.unwrap();
+        stopped.await.unwrap();
+    });
+}
--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -200,3 +200,6 @@
         meter
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/meter/tests.rs
@@ -0,0 +1,59 @@
+use std::{sync::Arc, time::Duration};
+
+use clock::Instant;
+use model::{Cause, Outcome, name};
+
+use super::{CAUSES, ENDS, ENTRIES, Meters, place};
+
+fn entry(number: usize) -> name::Entry {
+    name::Entry::new(&format!("entry-{number}")).unwrap()
+}
+
+/// Symptom: the figures' page grew to tens of megabytes, and scrapes timed
+/// out. Events: a catalogue whose entries were renamed by every change. Cause:
+/// each entry that there ever was had figures of its own.
+#[test]
+fn entries_beyond_the_bound_are_counted_together() {
+    let meters = Meters::default();
+    let tenant = name::Tenant::new("yard").unwrap();
+    let first = meters.of(&tenant, &entry(0));
+    for number in 1..ENTRIES {
+        assert_eq!(
+            meters.of(&tenant, &entry(number)).entry,
+            format!("entry-{number}")
+        );
+    }
+    let late = meters.of(&tenant, &entry(ENTRIES));
+    assert_eq!(
+        (late.tenant.as_str(), late.entry.as_str()),
+        ("other", "other")
+    );
+    let later = meters.of(&tenant, &entry(ENTRIES + 1));
+    assert!(Arc::ptr_eq(&late, &later));
+    assert!(Arc::ptr_eq(&first, &meters.of(&tenant, &entry(0))));
+}
+
+#[test]
+fn every_end_has_a_counter_of_its_own() {
+    let mut places = vec![place(Outcome::Done)];
+    for (cause, _) in CAUSES {
+        places.push(place(Outcome::NotRun(cause)));
+        places.push(place(Outcome::Unknown(cause)));
+    }
+    places.sort_unstable();
+    assert_eq!(places, (0..ENDS).collect::<Vec<_>>());
+    // A cause that is new in `model` must be added to the labels.
+    let newest = Cause::RingFull as usize;
+    assert_eq!(newest + 1, CAUSES.len());
+}
+
+#[test]
+fn unknown_outcomes_are_logged_once_a_second() {
+    let meters = Meters::default();
+    let tenant = name::Tenant::new("yard").unwrap();
+    let meter = meters.of(&tenant, &entry(0));
+    let start = Instant::from_millis(5_000);
+    assert!(meter.may_log(start));
+    assert!(!meter.may_log(start + Duration::from_millis(999)));
+    assert!(meter.may_log(start + Duration::from_millis(1_000)));
+}
--- a/crates/daemon/src/ops/gauge.rs
+++ b/crates/daemon/src/ops/gauge.rs
@@ -118,3 +118,6 @@
     let database = upstream.database.to_string();
     (database, upstream.upstream.to_string())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/upstreams/host.rs
+++ b/crates/daemon/src/upstreams/host.rs
@@ -237,7 +237,10 @@
             response,
         }) {
             Ok(()) => Mode::Stream,
-            Err(_) => Mode::Discard,
+            Err(_) => {
+                metrics::counter!("dandelionlink_ring_full_total", "ring" => "outs").increment(1);
+                Mode::Discard
+            }
         }
     };
     let sent = core.now();
--- /dev/null
+++ b/crates/daemon/tests/log.rs
@@ -0,0 +1,66 @@
+//! The log of a daemon that runs as a process of its own.
+
+use std::{
+    io::{BufRead, BufReader},
+    process::{Child, Command, Stdio},
+};
+
+use serde_json::Value;
+
+/// How many lines are read in search of one.
+const LINES: usize = 100;
+
+/// A daemon that ends with the test.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn every_line_names_instance_and_zone_and_the_daemons_own_the_duty() {
+    let store = fake::Store::spawn().unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_dandelionlinkd"))
+        .env_clear()
+        .env("DANDELIONLINK_LISTEN", "127.0.0.1:0")
+        .env("DANDELIONLINK_OPS", "127.0.0.1:0")
+        .env("DANDELIONLINK_PEERS", "127.0.0.1:0")
+        .env("DANDELIONLINK_PEER_KEYS", format!("1:{}", "3c".repeat(32)))
+        .env(
+            "DANDELIONLINK_SESSION_KEYS",
+            format!("1:{}", "5a".repeat(32)),
+        )
+        .env("DANDELIONLINK_INSTANCE", "entry-7")
+        .env("DANDELIONLINK_ZONE", "nl-west-2")
+        .env("DANDELIONLINK_STORE", store.address().to_string())
+        .env("DANDELIONLINK_UPSTREAM_USER", "proxy")
+        .stdout(Stdio::piped())
+        .stdin(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut process = Process(child);
+    // The store breaks, so that another duty has something to say as well.
+    store.set_fault(fake::store::Fault::Down);
+    let out = process.0.stdout.take().unwrap();
+    let mut duties = Vec::new();
+    for line in BufReader::new(out).lines().take(LINES) {
+        let line: Value = serde_json::from_str(&line.unwrap()).unwrap();
+        assert_eq!(line["diags"]["instance"], "entry-7", "{line}");
+        assert_eq!(line["diags"]["zone"], "nl-west-2", "{line}");
+        assert!(line["level"].is_string(), "{line}");
+        let target = line["target"].as_str().unwrap();
+        // Libraries know of no duties.
+        if !target.starts_with("daemon") && !target.starts_with("dandelionlinkd") {
+            continue;
+        }
+        let duty = line["kvs"]["duty"].as_str();
+        duties.push(duty.unwrap_or_else(|| panic!("{line}")).to_owned());
+        if duties.iter().any(|it| it == "daemon") && duties.iter().any(|it| it == "peers") {
+            return;
+        }
+    }
+    panic!("only these duties spoke: {duties:?}");
+}
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -154,36 +154,43 @@
     },
 }
 
-/// gRPC's codes with which the store refuses a call that it has not carried
-/// out and will not carry out.
+/// Whether one of gRPC's codes proves that the store has not carried a call out
+/// and will not carry it out.
 ///
-/// What would go wrong with a longer list: a swap that took effect would be
-/// told as not run, and be made a second time. Codes 4 (deadline exceeded),
-/// 13 (internal) and 14 (unavailable) are left out for that reason: etcd also
+/// What would go wrong if more did: a swap that took effect would be told as
+/// not run, and be made a second time. Codes 4 (deadline exceeded), 13
+/// (internal) and 14 (unavailable) prove nothing for that reason: etcd also
 /// gives them when it has proposed the change and the time ran out before it
-/// was known to be committed, after which the change may still be. So are 1
+/// was known to be committed, after which the change may still be. Nor do 1
 /// (cancelled), 2 (unknown), 10 (aborted) and 15 (data loss), which say
 /// nothing of how far the call had come, and 6 (already exists), which may be
 /// the answer to a repeat of a call that was carried out.
-const NOT_RUN: [i64; 8] = [
-    // Invalid argument: etcd checks a call's form before it proposes it.
-    3,
-    // Not found: the lease that the call names is gone, and the change that
-    // hangs on it is refused whole.
-    5, // Permission denied: rights are checked before the change is applied.
-    7,
-    // Resource exhausted: too many calls, or no space left, which is looked at
-    // before a change is proposed. In doubt is the one change that fills the
-    // space: etcd is said to look again when it applies it, and to answer so
-    // although it took effect.
-    8,
-    // Failed precondition: the call does not fit the store's state, such as
-    // authentication that is not enabled; nothing is applied.
-    9,  // Out of range: the revision asked for is compacted or in the future.
-    11, // Unimplemented: this server knows no such call.
-    12, // Unauthenticated: the caller is not known, which is checked first.
-    16,
-];
+fn proves_not_run(code: i64) -> bool {
+    match code {
+        // Invalid argument: etcd checks a call's form before it proposes it.
+        3 => true,
+        // Not found: the lease that the call names is gone, and the change
+        // that hangs on it is refused whole.
+        5 => true,
+        // Permission denied: rights are checked before a change is applied.
+        7 => true,
+        // Resource exhausted: too many calls, or no space left, which is
+        // looked at before a change is proposed. In doubt is the one change
+        // that fills the space: etcd is said to look again when it applies it,
+        // and to answer so although it took effect.
+        8 => true,
+        // Failed precondition: the call does not fit the store's state, such
+        // as authentication that is not enabled; nothing is applied.
+        9 => true,
+        // Out of range: the revision asked for is compacted, or to come.
+        11 => true,
+        // Unimplemented: this server knows no such call.
+        12 => true,
+        // Unauthenticated: the caller is not known, which is checked first.
+        16 => true,
+        _ => false,
+    }
+}
 
 impl Fault {
     /// Whether a change asked for by the call may have taken effect, or may
@@ -201,7 +208,7 @@
         match self {
             Self::Unreachable { .. } | Self::Compacted { .. } => false,
             Self::Lost | Self::Malformed { .. } => true,
-            Self::Refused { code, .. } => !NOT_RUN.contains(code),
+            Self::Refused { code, .. } => !proves_not_run(*code),
         }
     }
 }
