--- a/crates/daemon/src/callers/greet.rs
+++ b/crates/daemon/src/callers/greet.rs
@@ -1,6 +1,6 @@
 //! The beginning of a caller's connection: startup, login and greeting.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use catalog::scram::Verifier;
@@ -104,7 +104,7 @@
 }
 
 /// Serves one connection from its first byte to its last.
-pub(super) async fn serve(io: Io, shared: Rc<Shared>) {
+pub(super) async fn serve(io: Io, client: SocketAddr, shared: Rc<Shared>) {
     let Some(counted) = Login::open(&shared) else {
         return reject(&io.seal(), "53300", "too many connections are logging in").await;
     };
@@ -117,7 +117,8 @@
     };
     let spent = shared.clock.now().since(started);
     let left = Duration::from(LOGIN_TIMEOUT).saturating_sub(spent);
-    let login = ntex::time::timeout(Millis::from(left), log_in(&io, &shared, startup)).await;
+    let login =
+        ntex::time::timeout(Millis::from(left), log_in(&io, client, &shared, startup)).await;
     drop(counted);
     match login {
         Ok(Ok(None)) => {}
@@ -137,6 +138,7 @@
 
 async fn log_in(
     io: &Stream,
+    client: SocketAddr,
     shared: &Rc<Shared>,
     startup: Startup,
 ) -> Result<Option<Session>, Refusal> {
@@ -167,7 +169,7 @@
     let entry = parameter("database").unwrap_or(user);
     let (scope, verifier) = scope(shared, user, entry)?;
     authenticate(io, verifier, user).await?;
-    let mut session = Session::open(Rc::clone(shared), Arc::new(scope), user);
+    let mut session = Session::open(Rc::clone(shared), Arc::new(scope), user, client);
     let options = options(parameter("options").unwrap_or_default());
     let given = startup.parameters.iter();
     let given = given.map(|(key, value)| (key.as_str(), value.as_str()));
@@ -455,6 +457,7 @@
             secret,
             seq: 0,
             parts,
+            face: Rc::clone(&session.face),
         },
     );
     session.enter(caller, taken);
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -9,13 +9,17 @@
 mod serve;
 #[cfg(test)]
 mod tests;
+mod view;
 
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
     net::TcpListener,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -29,12 +33,16 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    board::{self, Asked},
     duty::{self, Phase, Watch},
     job::{self, Ask, Caller, Part, Reply},
+    meter::Meters,
     ring,
     tls::Tls,
 };
 
+use self::view::Face;
+
 /// How long an accept that failed waits, as when file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -57,6 +65,12 @@
     pub(crate) replies: ring::Receiver<Reply>,
     /// Changes of the catalogue.
     pub(crate) catalogs: ring::Receiver<Arc<Snapshot>>,
+    /// Where requests are counted.
+    pub(crate) meters: Meters,
+    /// Told once callers find a catalogue in force.
+    pub(crate) serving: Arc<AtomicBool>,
+    /// What operators ask.
+    pub(crate) asked: Asked<board::Callers>,
     /// The daemon's phase.
     pub(crate) watch: Watch,
     /// How many callers may be connected at once.
@@ -75,6 +89,7 @@
     secret: i32,
     seq: u64,
     parts: mpsc::Sender<(u64, Part)>,
+    face: Rc<Face>,
 }
 
 /// What the tasks of the duty share.
@@ -85,6 +100,8 @@
     catalog: RefCell<Arc<Snapshot>>,
     callers: RefCell<HashMap<Caller, Entry>>,
     made: RefCell<u64>,
+    meters: Meters,
+    serving: Arc<AtomicBool>,
     watch: Watch,
     limit: usize,
     mock: [u8; 32],
@@ -102,6 +119,8 @@
         catalog: RefCell::default(),
         callers: RefCell::default(),
         made: RefCell::new(0),
+        meters: conf.meters,
+        serving: conf.serving,
         watch: conf.watch.clone(),
         limit: conf.limit,
         mock: conf.mock,
@@ -109,6 +128,7 @@
         logins: Cell::new(0),
     });
     ntex::rt::spawn(deliver(Rc::clone(&shared), conf.replies));
+    ntex::rt::spawn(view::serve(Rc::clone(&shared), conf.asked));
     ntex::rt::spawn(follow(Rc::clone(&shared), conf.catalogs));
     let mut watch = conf.watch;
     tokio::select! {
@@ -133,7 +153,7 @@
         return;
     };
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, client)) = listener.accept().await else {
             ntex::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -142,7 +162,7 @@
             .into_std()
             .and_then(|it| ntex::rt::from_tcp_stream(it, SharedCfg::default()));
         if let Ok(io) = io {
-            ntex::rt::spawn(greet::serve(io, Rc::clone(shared)));
+            ntex::rt::spawn(greet::serve(io, client, Rc::clone(shared)));
         }
     }
 }
@@ -170,6 +190,8 @@
 async fn follow(shared: Rc<Shared>, mut catalogs: ring::Receiver<Arc<Snapshot>>) {
     while let Some(snapshot) = catalogs.recv().await {
         *shared.catalog.borrow_mut() = Arc::clone(&snapshot);
+        let serves = snapshot.head.is_some();
         shared.asks.send(Ask::Catalog(snapshot)).await;
+        shared.serving.store(serves, Ordering::Release);
     }
 }
--- a/crates/daemon/src/peers/forward.rs
+++ b/crates/daemon/src/peers/forward.rs
@@ -81,12 +81,7 @@
         let _ = frames.send(message).await;
     }
 
-    fn connect(
-        &self,
-        streams: &Streams,
-        to: &name::Instance,
-        address: SocketAddr,
-    ) -> Commands {
+    fn connect(&self, streams: &Streams, to: &name::Instance, address: SocketAddr) -> Commands {
         let (sender, commands) = mpsc::channel(WAITING);
         self.outgoing
             .borrow_mut()
--- a/crates/daemon/src/upstreams/running.rs
+++ b/crates/daemon/src/upstreams/running.rs
@@ -21,6 +21,8 @@
     pub(super) line: RefCell<Option<(SocketAddr, Key)>>,
     /// The command to another instance that it waits for.
     pub(super) remote: RefCell<Option<(name::Instance, Seq)>>,
+    /// Whether it was sent to an upstream, or to a holder of connections.
+    pub(super) sent: Cell<bool>,
     /// Whether whoever asked is gone.
     pub(super) cancelled: Cell<bool>,
     /// Whether a cancel request has been sent to its connection's server.
@@ -38,6 +40,7 @@
             seq,
             line: RefCell::default(),
             remote: RefCell::default(),
+            sent: Cell::new(false),
             cancelled: Cell::new(false),
             hit: Cell::new(false),
             untaken: Cell::new(0),
