--- a/crates/slopes/tests/counts.rs
+++ b/crates/slopes/tests/counts.rs
@@ -62,12 +62,12 @@
     let bounds = [
         bound(Scenario::Ordinary, 0.0, [500.0, 1_220.0, 6.2, 25.0]),
         bound(Scenario::Ordinary, 0.01, [500.0, 1_250.0, 6.6, 25.0]),
-        bound(Scenario::Ordinary, 0.1, [1_000.0, 1_560.0, 10.0, 25.0]),
+        bound(Scenario::Ordinary, 0.1, [800.0, 1_560.0, 10.0, 25.0]),
         bound(Scenario::Killed, 0.01, [500.0, 1_300.0, 6.8, 25.0]),
         bound(Scenario::ZoneLost, 0.01, [500.0, 700.0, 5.5, 21.0]),
         bound(Scenario::ZoneStarted, 0.01, [200.0, 720.0, 5.2, 24.0]),
         bound(Scenario::RegionCut, 0.01, [500.0, 830.0, 7.6, 23.0]),
-        bound(Scenario::RegionHealed, 0.01, [800.0, 1_650.0, 5.5, 30.0]),
+        bound(Scenario::RegionHealed, 0.01, [800.0, 1_450.0, 5.5, 30.0]),
     ];
     assert_within(&rows, &bounds);
 }
