pool: a connection closed under a statement keeps its place a while

Cause: discard() forgot a connection at once. The server is still at its statement, so after a few timeouts the replacements come on top of the limit and are refused. Logins and connections of unknown state reset the breaker's count, so an upstream that takes connections and breaks each under its first statement kept its traffic.

Change: an abandoned connection counts until Event::Closed names it, at most 500 ms. Only answers reset the count of failures; a login still ends a probe.

The daemon should send Closed, Withdraw for what it cuts at a deadline, and Lost for what broke; it sends Answered(Unusable) for all today.

--- a/crates/pool/src/conn.rs
+++ b/crates/pool/src/conn.rs
@@ -1,6 +1,6 @@
 //! The connections of one upstream and the statement each of them carries.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use clock::Instant;
 use serde::{Deserialize, Serialize};
@@ -80,10 +80,21 @@
     }
 }
 
+/// How long a connection that was closed under a running statement counts
+/// against the limit, unless the upstream is known to have ended it before.
+///
+/// A server notices that its client has gone when the statement ends or the
+/// cancel arrives. Counted as gone at once, each would be replaced meanwhile:
+/// after a few timeouts the upstream would have more connections than its
+/// limit, refuse the next ones, and so open the breaker.
+pub const LINGER: Duration = Duration::from_millis(500);
+
 /// All connections of one pool, by generation.
 #[derive(Debug)]
 pub struct Table {
     conns: BTreeMap<Generation, Conn>,
+    /// Closed under a statement, and when.
+    ending: BTreeMap<Generation, Instant>,
     made: u64,
 }
 
@@ -93,6 +104,7 @@
     pub fn new(epoch: u32) -> Self {
         Self {
             conns: BTreeMap::new(),
+            ending: BTreeMap::new(),
             made: u64::from(epoch) << 32,
         }
     }
@@ -116,6 +128,28 @@
         self.conns.remove(&generation)
     }
 
+    /// Forgets a connection that was closed under a statement; it counts
+    /// against the limit until [`Table::ended`] or [`LINGER`] has passed.
+    pub fn abandon(&mut self, now: Instant, generation: Generation) {
+        self.conns.remove(&generation);
+        self.ending.insert(generation, now);
+    }
+
+    /// The upstream has ended a connection that was abandoned.
+    pub fn ended(&mut self, generation: Generation) {
+        self.ending.remove(&generation);
+    }
+
+    /// Frees the places of abandoned connections that have lingered.
+    pub fn expire(&mut self, now: Instant) {
+        self.ending.retain(|_, since| now < *since + LINGER);
+    }
+
+    /// When the next place of an abandoned connection is free.
+    pub fn expires(&self) -> Option<Instant> {
+        self.ending.values().map(|since| *since + LINGER).min()
+    }
+
     /// The connection, unless it is gone.
     pub fn find(&self, generation: Generation) -> Option<&Conn> {
         self.conns.get(&generation)
@@ -174,6 +208,11 @@
     }
 
     /// How many connections count against the limit.
+    pub fn counted(&self) -> usize {
+        self.conns.len() + self.ending.len()
+    }
+
+    /// How many connections there are.
     pub fn len(&self) -> usize {
         self.conns.len()
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -103,6 +103,8 @@
     Opened(Generation),
     /// A connection could not be opened, or broke.
     Lost(Generation),
+    /// The upstream has ended a connection after [`Action::Close`].
+    Closed(Generation),
     /// A statement's whole answer was read.
     Answered(Handle, After),
     /// The shares changed.
@@ -187,12 +189,14 @@
     pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.stepped = now;
+        self.conns.expire(now);
         match event {
             Event::Submit(request) => self.submit(now, request, &mut actions),
             Event::Next(ticket, deadline) => self.next(now, ticket, deadline, &mut actions),
             Event::Withdraw(ticket) => self.withdraw(now, ticket, &mut actions),
             Event::Opened(generation) => self.opened(now, generation, &mut actions),
             Event::Lost(generation) => self.lost(now, generation, &mut actions),
+            Event::Closed(generation) => self.conns.ended(generation),
             Event::Answered(handle, after) => self.answered(now, handle, after, &mut actions),
             Event::Conf(conf) => self.conf = conf,
             Event::Service(service) => self.service = service,
@@ -213,7 +217,7 @@
 
     /// Connections that count against the limit.
     pub fn connections(&self) -> usize {
-        self.conns.len()
+        self.conns.counted()
     }
 
     /// Requests that wait.
@@ -249,7 +253,9 @@
             State::Busy { ticket, .. } => Some(self.active.get(&ticket)?.request.deadline),
             State::Held { since, .. } => Some(since + self.conf.transaction_idle),
         });
-        let moments = waits.into_iter().chain(ends).chain(self.breaker.opens_at());
+        let places = self.conns.expires();
+        let moments = waits.into_iter().chain(ends).chain(places);
+        let moments = moments.chain(self.breaker.opens_at());
         let next = moments.filter(|&at| at > self.stepped).min();
         next.map(|at| at.max(now))
     }
@@ -298,6 +304,7 @@
             return;
         };
         if let State::Busy { since, .. } = conn.state {
+            self.conns.abandon(now, generation);
             self.learn(now, &active.request.entry, now.since(since));
             if now >= active.request.deadline {
                 self.breaker.failure(now);
@@ -317,7 +324,11 @@
             return;
         };
         conn.state = State::Idle { since: now };
-        self.breaker.success();
+        // A login ends a probe, but proves no statement: counted as success,
+        // it would hide an upstream that breaks each connection when used.
+        if !self.breaker.is_closed() {
+            self.breaker.success();
+        }
     }
 
     fn lost(&mut self, now: Instant, generation: Generation, actions: &mut Vec<Action>) {
@@ -348,7 +359,12 @@
             After::Transaction => State::Held { ticket, since: now },
             After::Idle | After::Unusable => State::Idle { since: now },
         };
-        self.breaker.success();
+        // A connection that came to grief says nothing good of its upstream:
+        // taken for a success, it would keep the breaker closed on one that
+        // takes connections and breaks each.
+        if after != After::Unusable {
+            self.breaker.success();
+        }
         if let Some(active) = self.active.get(&ticket) {
             let entry = active.request.entry.clone();
             self.learn(now, &entry, now.since(since));
--- a/crates/pool/src/pool/serve.rs
+++ b/crates/pool/src/pool/serve.rs
@@ -88,7 +88,7 @@
     }
 
     fn open_one(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.conns.len() >= usize::from(self.conf.connections) {
+        if self.conns.counted() >= usize::from(self.conf.connections) {
             return;
         }
         if let Permit::Wait(_) = self.breaker.permit(now) {
--- a/crates/pool/tests/conn.rs
+++ b/crates/pool/tests/conn.rs
@@ -6,6 +6,8 @@
 use model::{Cause, Priority, name};
 use pool::{
     Action, Conf, Event, Handle, Pool, Request, Ticket,
+    breaker::THRESHOLD,
+    conn::LINGER,
     pool::{After, Limits, Service},
 };
 
@@ -123,3 +125,80 @@
     let last = pool.step(now, Event::Answered(handle, After::Idle));
     assert_eq!(last, [Action::Close(handle.generation)]);
 }
+
+/// Symptom: the upstream refuses connections beyond its limit. Events: two
+/// statements time out, their connections are closed and replaced, the server
+/// is still at the statements. Cause: a closed connection was taken for gone.
+#[test]
+fn connection_closed_under_a_statement_keeps_its_place() {
+    let conf = Conf {
+        connections: 1,
+        ..CONF
+    };
+    let (mut pool, handle) = running();
+    pool.step(Instant::ZERO, Event::Conf(conf));
+    let now = Instant::from_millis(1);
+    pool.step(now, Event::Submit(request(2, Priority::High)));
+    let cut = pool.step(now, Event::Withdraw(Ticket(1)));
+    let close = Action::Close(handle.generation);
+    assert_eq!(cut, [Action::Cancel(handle), close]);
+    assert_eq!(pool.connections(), 1);
+    let ended = Event::Closed(handle.generation);
+    let replaced = pool.step(Instant::from_millis(5), ended);
+    assert!(matches!(replaced[..], [Action::Open(_)]), "{replaced:?}");
+    assert_eq!(pool.connections(), 1);
+}
+
+/// Symptom: the pool stays without a connection. Events: the end of a closed
+/// connection is never told. Cause: its place was kept for ever.
+#[test]
+fn place_of_a_closed_connection_is_free_in_the_end() {
+    let conf = Conf {
+        connections: 1,
+        ..CONF
+    };
+    let (mut pool, _) = running();
+    pool.step(Instant::ZERO, Event::Conf(conf));
+    let now = Instant::from_millis(1);
+    pool.step(now, Event::Withdraw(Ticket(1)));
+    let free = now + LINGER;
+    assert_eq!(pool.wake(now), Some(free));
+    let replaced = pool.step(free, Event::Tick);
+    assert!(matches!(replaced[..], [Action::Open(_)]), "{replaced:?}");
+}
+
+/// Symptom: every request to an upstream fails, and it keeps getting them.
+/// Events: it takes connections and breaks each under its first statement.
+/// Cause: each login, and the end of a connection whose state was not known,
+/// counted as a success and reset the breaker's count of failures.
+#[test]
+fn upstream_that_breaks_every_statement_opens_the_breaker() {
+    let mut pool = Pool::open(CONF, 1);
+    let now = Instant::ZERO;
+    let mut actions = pool.step(now, Event::Tick);
+    for round in 0..=u64::from(THRESHOLD) {
+        let Some(Action::Open(generation)) = actions.pop() else {
+            panic!("no connection was opened in round {round}");
+        };
+        pool.step(now, Event::Opened(generation));
+        let ran = pool.step(now, Event::Submit(request(round, Priority::Low)));
+        let [Action::Run(_, handle)] = ran[..] else {
+            panic!("it did not run: {ran:?}");
+        };
+        let end = match round {
+            2 => Event::Answered(handle, After::Unusable),
+            _ => Event::Lost(generation),
+        };
+        actions = pool.step(now, end);
+        actions.retain(|it| matches!(it, Action::Open(_)));
+    }
+    assert_eq!(actions, []);
+    let refused = pool.step(now, Event::Submit(request(99, Priority::High)));
+    assert!(matches!(
+        refused[..],
+        [Action::Refuse {
+            cause: Cause::NoUpstream,
+            ..
+        }]
+    ));
+}
