pool: a former holder does not oust the present one

Cause: while the store is silent a holder gave its seat up on any other connection under its name. A former holder that wakes and logs in left the seat to nobody until the store was back.

Change: a look tells earlier from later epochs (Seen::Earlier). The earlier ones are ended, and the holder goes on once a look finds it alone.

Tests: former_holder_does_not_oust_the_present_one.

--- a/crates/pool/src/seat.rs
+++ b/crates/pool/src/seat.rs
@@ -51,7 +51,9 @@
 pub enum Seen {
     /// Only this instance's connections, or none.
     Alone,
-    /// Another instance's.
+    /// Another instance's of an earlier epoch, and none of a later.
+    Earlier,
+    /// Another instance's of a later epoch.
     Other,
 }
 
@@ -329,6 +331,10 @@
         }
         match seen {
             Seen::Other => self.close(None, actions),
+            // A former holder woke up. Given up for it, the seat would be
+            // nobody's until the store is back; it is ended, and the next look
+            // shows whether this one is alone.
+            Seen::Earlier => actions.push(Action::Fence(answer)),
             Seen::Alone => {
                 let look = Look {
                     alone: Some(look.sent),
--- a/crates/pool/tests/seat.rs
+++ b/crates/pool/tests/seat.rs
@@ -173,3 +173,19 @@
     assert_eq!(admit(Epoch(9), [Epoch(7)]), Entry::Fence);
     assert_eq!(admit(Epoch(9), []), Entry::Use);
 }
+
+/// Symptom: nobody holds a seat until the store is back. Events: the store is
+/// down, the holder goes on alone, the former holder wakes from a pause and a
+/// login of its lands. Cause: any other connection made the holder give up.
+#[test]
+fn former_holder_does_not_oust_the_present_one() {
+    let mut seat = held();
+    assert_eq!(seat.step(UNTIL, Event::Tick), [Action::Check(Attempt(2))]);
+    let fence = seat.step(UNTIL, Event::Checked(Attempt(2), Seen::Earlier));
+    assert_eq!(fence, [Action::Fence(Attempt(2))]);
+    assert_eq!(seat.permit(UNTIL), Permit::Nothing);
+    let later = UNTIL + Duration::from_millis(500);
+    assert_eq!(seat.step(later, Event::Tick), [Action::Check(Attempt(3))]);
+    seat.step(later, Event::Checked(Attempt(3), Seen::Alone));
+    assert_eq!(seat.permit(later), Permit::Replace);
+}
