pool: dispatch looks at each entry once

Cause: with many requests waiting for their entry's own connection, dispatch looked at all of them at each answer.

Change: the queue keeps the places of each entry; if the next to run can't, the first of each entry is looked at.

--- a/crates/pool/examples/cost.rs
+++ b/crates/pool/examples/cost.rs
@@ -3,7 +3,8 @@
 //! `cargo run --release -p pool --example cost`
 //!
 //! Each round submits one request and answers the one that runs, so that the
-//! length stays. Wall-clock time: compare runs on one quiet machine only.
+//! length stays. Stuck requests wait for their entry's only connection, which
+//! a transaction holds. Wall-clock time: compare runs on one quiet machine only.
 
 use std::{hint::black_box, num::NonZeroU32, time::Duration};
 
@@ -35,7 +36,7 @@
             slots: 1,
             warm: 4,
             idle: Duration::from_secs(60),
-            transaction_idle: Duration::from_secs(10),
+            transaction_idle: Duration::from_secs(10_000),
         };
         let tenant = |it| name::Tenant::new(&format!("t{it}")).expect("a valid name");
         let mut bench = Self {
@@ -53,19 +54,35 @@
         bench
     }
 
+    /// Has `length` requests of another entry wait for its only connection.
+    fn stick(&mut self, now: Instant, length: u64) {
+        let entry = name::Entry::new("narrow").expect("a valid name");
+        for _ in 0..=length {
+            self.request(now, entry.clone(), 1);
+            if let Some(handle) = self.running.take() {
+                let held = Event::Answered(handle, After::Transaction);
+                self.pool.step(now, held);
+            }
+        }
+    }
+
     fn submit(&mut self, now: Instant) {
+        self.request(now, self.entry.clone(), 15);
+    }
+
+    fn request(&mut self, now: Instant, entry: name::Entry, connections: u16) {
         self.made += 1;
         let request = Request {
             ticket: Ticket(self.made),
-            entry: self.entry.clone(),
+            entry,
             limits: Limits {
-                connections: 15,
+                connections,
                 queue: 10_000,
             },
             tenant: self.tenants[(self.made % TENANTS) as usize].clone(),
             weight: NonZeroU32::MIN,
             priority: Priority::Normal,
-            deadline: now + Duration::from_secs(100),
+            deadline: now + Duration::from_secs(10_000),
         };
         let actions = self.pool.step(now, Event::Submit(request));
         self.take(&actions);
@@ -91,19 +108,28 @@
 fn main() {
     for length in LENGTHS {
         let mut bench = Bench::open();
-        let mut now = Instant::ZERO;
+        let now = Instant::ZERO;
         for _ in 0..length + u64::from(length > 0) {
             bench.submit(now);
         }
-        let mut best = u128::MAX;
-        for _ in 0..TRIES {
-            best = best.min(round(&mut bench, &mut now));
-        }
-        println!(
-            "waiting {length}: {best} ns per request; {} wait at the end",
-            bench.pool.waiting()
-        );
+        print("waiting", length, &mut bench, now);
+    }
+    for length in LENGTHS {
+        let mut bench = Bench::open();
+        bench.stick(Instant::ZERO, length);
+        print("stuck", length, &mut bench, Instant::ZERO);
+    }
+}
+
+fn print(what: &str, length: u64, bench: &mut Bench, mut now: Instant) {
+    let mut best = u128::MAX;
+    for _ in 0..TRIES {
+        best = best.min(round(bench, &mut now));
     }
+    println!(
+        "{what} {length}: {best} ns per request; {} wait at the end",
+        bench.pool.waiting()
+    );
 }
 
 /// Nanoseconds per request.
--- a/crates/pool/src/pool/serve.rs
+++ b/crates/pool/src/pool/serve.rs
@@ -71,10 +71,7 @@
 
     /// The next request whose entry has a connection left.
     fn runnable(&self) -> Option<Ticket> {
-        let mut waiting = self.queue.iter().map(|it| &it.request);
-        waiting
-            .find(|it| self.has_connection(it))
-            .map(|it| it.ticket)
+        self.queue.first(|it| self.has_connection(it))
     }
 
     /// Opens a connection for each request that could run now but for it.
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -6,7 +6,7 @@
 //! first. A tenant that floods the queue only pushes its own requests back.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -81,10 +81,16 @@
 /// What waits of one entry.
 #[derive(Debug, Default)]
 struct Line {
-    length: u32,
+    places: BTreeSet<Place>,
     work: Duration,
 }
 
+impl Line {
+    fn length(&self) -> u32 {
+        u32::try_from(self.places.len()).unwrap_or(u32::MAX)
+    }
+}
+
 /// The queue of one upstream.
 #[derive(Debug, Default)]
 pub struct Queue {
@@ -116,7 +122,7 @@
             self.lines.insert(request.entry.clone(), Line::default());
         }
         if let Some(line) = self.lines.get_mut(&request.entry) {
-            line.length += 1;
+            line.places.insert(place);
             line.work += cost;
         }
         self.places.insert(request.ticket, place);
@@ -143,6 +149,21 @@
         self.items.values()
     }
 
+    /// The first waiting request of an entry that passes a test which is the
+    /// same for all requests of an entry.
+    ///
+    /// Mostly that is the next to run. Else only the first of each entry is
+    /// looked at: a long line of an entry that can't run is not walked.
+    pub fn first(&self, test: impl Fn(&Request) -> bool) -> Option<Ticket> {
+        let (place, waiting) = self.items.first_key_value()?;
+        if test(&waiting.request) {
+            return Some(place.ticket);
+        }
+        let firsts = self.lines.values().filter_map(|it| it.places.first());
+        let runnable = firsts.filter(|it| self.items.get(it).is_some_and(|it| test(&it.request)));
+        runnable.min().map(|it| it.ticket)
+    }
+
     /// The work that waits.
     pub fn work(&self) -> Duration {
         self.lanes.values().map(|lane| lane.work).sum()
@@ -204,7 +225,7 @@
             lane.work = Duration::ZERO;
         }
         for (entry, line) in &mut self.lines {
-            line.work = cost(entry) * line.length;
+            line.work = cost(entry) * line.length();
         }
         for (place, waiting) in &mut self.items {
             waiting.cost = cost(&waiting.request.entry);
@@ -244,9 +265,9 @@
             lane.work = lane.work.saturating_sub(waiting.cost);
         }
         if let Some(line) = self.lines.get_mut(&waiting.request.entry) {
-            line.length -= 1;
+            line.places.remove(&place);
             line.work = line.work.saturating_sub(waiting.cost);
-            if line.length == 0 {
+            if line.places.is_empty() {
                 self.lines.remove(&waiting.request.entry);
             }
         }
@@ -255,7 +276,7 @@
 
     /// How many requests of an entry wait.
     pub fn length(&self, entry: &name::Entry) -> u32 {
-        self.lines.get(entry).map_or(0, |it| it.length)
+        self.lines.get(entry).map_or(0, Line::length)
     }
 
     /// The work of an entry that waits.
