Let a request with an id land once, and find its first outcome when repeated

Cause: a lost answer left the caller to choose between a lost and a doubled booking; the request crate's ledger was not driven by the daemon. Change: a write with a request id (SET dandelionlink.request, or a comment) is run as BEGIN, the id, the statement, its tag, COMMIT, held back until a majority has it; doubtful ends are tried again within the deadline. An id that can promise nothing is refused with DL003 before anything runs. Measured: 180 bookings by 6 callers at 3 instances through a crash of the primary, each repeated until answered: 180 rows, no unique key broken.

--- a/crates/clock/src/instant.rs
+++ b/crates/clock/src/instant.rs
@@ -2,7 +2,7 @@
 
 use std::{
     ops::{Add, Sub},
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 /// A moment, in microseconds since its clock was opened.
@@ -63,16 +63,30 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: std::time::Instant,
+    epoch: Duration,
 }
 
 impl Clock {
     /// Opens a clock that counts from now.
     pub fn open() -> Self {
+        let epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         Self {
             start: std::time::Instant::now(),
+            epoch: epoch.unwrap_or_default(),
         }
     }
 
+    /// The time since the Unix epoch: the machine's clock when this one was
+    /// opened, counted on without a jump.
+    ///
+    /// ```
+    /// let clock = clock::Clock::open();
+    /// assert!(clock.since_epoch() <= clock.since_epoch());
+    /// ```
+    pub fn since_epoch(&self) -> Duration {
+        self.epoch + self.start.elapsed()
+    }
+
     /// The moment it is.
     pub fn now(&self) -> Instant {
         Instant::ZERO + self.start.elapsed()
--- a/crates/daemon/src/callers/batch.rs
+++ b/crates/daemon/src/callers/batch.rs
@@ -36,6 +36,9 @@
     /// More settings than are kept for a session, or too long ones.
     #[error("too many session settings, or too long ones")]
     TooManySettings,
+    /// The request id can't promise a single run.
+    #[error("{0}")]
+    Request(request::ledger::Error),
     /// The batch has too many messages before its end.
     #[error("too many messages before Sync")]
     TooLong,
@@ -47,6 +50,7 @@
         match self {
             Self::Copy | Self::Chain | Self::Mixed => "0A000",
             Self::NoStatement(_) => "26000",
+            Self::Request(_) => "DL003",
             Self::TooManyStatements | Self::TooManySettings | Self::TooLong => "54000",
         }
     }
--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -7,6 +7,7 @@
 use model::{Cause, Outcome};
 use ntex::util::Either;
 use pg::{Codec, Front};
+use request::ledger;
 use session::{Keys, Token};
 use tokio::sync::mpsc;
 
@@ -19,7 +20,9 @@
 };
 use crate::{
     duty::{self, Phase},
-    job::{Ask, Batch, Caller, Change, Closes, Job, Part, Scope, Settings, Statement, Step},
+    job::{
+        Ask, Batch, Caller, Change, Closes, Job, Part, Scope, Settings, Statement, Step, Tagged,
+    },
     meter::Meter,
     ring::Full,
 };
@@ -335,7 +338,7 @@
     async fn end_skipping(&mut self, io: &Stream) -> Result<(), End> {
         self.skipping = false;
         if self.is_open() {
-            return self.run_batch(io, Batch::sync(), Show::Caller).await;
+            return self.run_batch(io, Batch::sync(), None, Show::Caller).await;
         }
         self.ready(io).await
     }
@@ -366,8 +369,9 @@
         }
         let batch = Batch::simple(sql);
         let checked = batch.and_then(|it| self.check_changes(&it.changes).map(|()| it));
-        match checked {
-            Ok(batch) => self.run_batch(io, batch, Show::Caller).await,
+        let tagged = checked.and_then(|batch| Ok((self.tagged(&batch)?, batch)));
+        match tagged {
+            Ok((tagged, batch)) => self.run_batch(io, batch, tagged, Show::Caller).await,
             Err(fault) => {
                 self.refuse(io, &fault).await?;
                 self.ready(io).await
@@ -411,7 +415,13 @@
     async fn run_draft(&mut self, io: &Stream, draft: Draft) -> Result<(), End> {
         let flushes = draft.flushes();
         match draft.finish(self) {
-            Ok(Whole::Batch(batch)) => self.run_batch(io, batch, Show::Caller).await,
+            Ok(Whole::Batch(batch)) => match self.tagged(&batch) {
+                Ok(tagged) => self.run_batch(io, batch, tagged, Show::Caller).await,
+                Err(fault) => {
+                    self.refuse(io, &fault).await?;
+                    self.end_local(io, flushes).await
+                }
+            },
             Ok(Whole::Local(steps)) => self.run_local(io, &steps, flushes).await,
             Err(fault) => {
                 self.refuse(io, &fault).await?;
@@ -445,7 +455,8 @@
         if self.status == b'T' || self.is_open() {
             // The server never saw the statement, but the caller's transaction
             // is not what it meant any more.
-            self.run_batch(io, Batch::fail(), Show::Nobody).await?;
+            self.run_batch(io, Batch::fail(), None, Show::Nobody)
+                .await?;
         }
         let mut buf = BytesMut::new();
         pg::error(&mut buf, fault.sqlstate(), &fault.to_string(), None);
@@ -476,8 +487,38 @@
         answer::not_run(self, io, outcome).await
     }
 
+    /// The request id for a batch, if it has one: from a comment in the
+    /// statement, or set ahead of it.
+    fn tagged(&mut self, batch: &Batch) -> Result<Option<Tagged>, Fault> {
+        if !batch.takes_request() {
+            return Ok(None);
+        }
+        let comment = batch.steps.iter().find_map(|step| match step {
+            Step::Query(sql) => route::tag::parse(sql).request,
+            Step::Bind(statement, _) => route::tag::parse(&statement.sql).request,
+            _ => None,
+        });
+        let Some(text) = comment.or(self.request.take()) else {
+            return Ok(None);
+        };
+        let number = u128::from_str_radix(&text.replace('-', ""), 16);
+        let number = number.map_err(|_| Fault::Request(ledger::Error::Version))?;
+        let now = self.shared.clock.since_epoch();
+        let id = ledger::Id::new(number, now).map_err(Fault::Request)?;
+        Ok(Some(Tagged {
+            id,
+            digest: batch.digest(),
+        }))
+    }
+
     /// Has a batch run and passes its answer on.
-    async fn run_batch(&mut self, io: &Stream, batch: Batch, show: Show) -> Result<(), End> {
+    async fn run_batch(
+        &mut self,
+        io: &Stream,
+        batch: Batch,
+        tagged: Option<Tagged>,
+        show: Show,
+    ) -> Result<(), End> {
         let mut batch = batch;
         self.flushing = batch.flushes();
         if self.is_open() && self.status == b'I' && !self.flushing {
@@ -504,7 +545,7 @@
             seen: self.state.seen(),
             began,
             deadline: began + self.scope.deadline,
-            request: self.request.take(),
+            request: tagged,
         };
         let result = match self.shared.asks.push(Ask::Run(Box::new(job))) {
             Ok(()) => answer::pass(self, io, show).await,
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -108,6 +108,37 @@
     Alone,
 }
 
+impl Batch {
+    /// Whether it runs a statement that writes, so that a request id is for it.
+    ///
+    /// Drivers prepare and describe a statement in batches of their own, ahead
+    /// of the one that runs it.
+    pub(crate) fn takes_request(&self) -> bool {
+        let runs = |step: &Step| matches!(step, Step::Query(_) | Step::Execute { .. });
+        self.need == Need::Write && self.closes == Closes::Nothing && self.steps.iter().any(runs)
+    }
+
+    /// The fingerprint of its statements with their parameters.
+    pub(crate) fn digest(&self) -> request::ledger::Digest {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        for step in &self.steps {
+            match step {
+                Step::Query(sql) => hash.update(sql.as_bytes()),
+                Step::Bind(statement, portal) => {
+                    hash.update(statement.sql.as_bytes());
+                    for parameter in &portal.parameters {
+                        let length = parameter.as_ref().map_or(u64::MAX, |it| it.len() as u64);
+                        hash.update(&length.to_be_bytes());
+                        hash.update(parameter.as_deref().unwrap_or_default());
+                    }
+                }
+                _ => {}
+            }
+        }
+        request::ledger::Digest(hash.digest())
+    }
+}
+
 /// Whether a batch ends an open transaction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Closes {
@@ -188,6 +219,15 @@
     }
 }
 
+/// A request's id, with the fingerprint of what it runs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Tagged {
+    /// The id.
+    pub(crate) id: request::ledger::Id,
+    /// The fingerprint.
+    pub(crate) digest: request::ledger::Digest,
+}
+
 /// One request of a caller.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -212,7 +252,7 @@
     /// When it is given up.
     pub(crate) deadline: Instant,
     /// The id that makes a repeat find the first run.
-    pub(crate) request: Option<String>,
+    pub(crate) request: Option<Tagged>,
 }
 
 /// What the callers' duty sends.
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -8,6 +8,7 @@
 mod host;
 mod line;
 mod lines;
+mod once;
 mod pace;
 mod plan;
 mod remote;
--- a/crates/daemon/src/upstreams/plan.rs
+++ b/crates/daemon/src/upstreams/plan.rs
@@ -232,6 +232,47 @@
 
 /// The answer to a batch that ends a transaction which is already gone.
 pub(super) fn rolled_back(batch: &Batch) -> Bytes {
+    repeated(batch, "ROLLBACK")
+}
+
+/// The messages of an answer, one by one.
+fn messages(mut bytes: &[u8]) -> impl Iterator<Item = (u8, &[u8])> {
+    std::iter::from_fn(move || {
+        let (head, rest) = bytes.split_first_chunk::<5>()?;
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let (body, rest) = rest.split_at_checked(length.checked_sub(4)?)?;
+        bytes = rest;
+        Some((head[0], body))
+    })
+}
+
+/// The SQLSTATE of an answer's error, if it has one.
+pub(super) fn refusal(bytes: &[u8]) -> Option<[u8; 5]> {
+    let error = messages(bytes).find(|(tag, _)| *tag == b'E')?;
+    pg::error_state(error.1)?.as_bytes().try_into().ok()
+}
+
+/// The last command tag of an answer.
+pub(super) fn command_tag(bytes: &[u8]) -> Option<String> {
+    let last = messages(bytes).filter(|(tag, _)| *tag == b'C').last()?;
+    let text = last.1.strip_suffix(&[0])?;
+    std::str::from_utf8(text).ok().map(str::to_owned)
+}
+
+/// The first cell of an answer's first row, as text.
+pub(super) fn first_cell(bytes: &[u8]) -> Option<String> {
+    let (_, row) = messages(bytes).find(|(tag, _)| *tag == b'D')?;
+    let (_, rest) = row.split_first_chunk::<2>()?;
+    let (length, rest) = rest.split_first_chunk::<4>()?;
+    let length = usize::try_from(i32::from_be_bytes(*length)).ok()?;
+    std::str::from_utf8(rest.get(..length)?)
+        .ok()
+        .map(str::to_owned)
+}
+
+/// The answer to a batch that is not run, in which each statement that the
+/// caller runs ends with `tag`.
+pub(super) fn repeated(batch: &Batch, tag: &str) -> Bytes {
     let mut buf = BytesMut::new();
     let mut put = |message: &dyn Fn(&mut BytesMut) -> PgWireResult<()>| {
         // These messages are far below the library's size limits.
@@ -240,7 +281,7 @@
     for step in &batch.steps {
         match step {
             Step::Query(_) | Step::Execute { .. } => {
-                put(&|buf| CommandComplete::new("ROLLBACK".to_owned()).encode(buf));
+                put(&|buf| CommandComplete::new(tag.to_owned()).encode(buf));
             }
             Step::Parse(_) => put(&|buf| ParseComplete::new().encode(buf)),
             Step::Bind(..) => put(&|buf| BindComplete::new().encode(buf)),
--- a/crates/daemon/src/upstreams/run.rs
+++ b/crates/daemon/src/upstreams/run.rs
@@ -14,6 +14,7 @@
     group::Group,
     line::Line,
     lines::Refused,
+    once,
     plan::{Plan, Probes},
     remote::{self, Talk},
     sink::{Mode, Sink, To},
@@ -114,6 +115,14 @@
 }
 
 async fn run(core: &Rc<Core>, job: &mut Job, running: &Rc<Running>) -> End {
+    match job.request {
+        Some(tagged) => once::serve(core, job, running, tagged).await,
+        None => pass_to(core, job, running).await,
+    }
+}
+
+/// Runs the job's batch on the connection that its caller holds, or on any.
+pub(super) async fn pass_to(core: &Rc<Core>, job: &mut Job, running: &Rc<Running>) -> End {
     let pin = core.pins.borrow_mut().remove(&job.caller);
     match pin {
         Some(Pin::Open { line, group }) => within(core, job, running, *line, &group).await,
@@ -472,6 +481,10 @@
 }
 
 fn mode_within(job: &Job) -> Mode {
+    if job.request.is_some() {
+        // The statement does not count before its id is committed with it.
+        return Mode::Hold;
+    }
     match job.batch.closes {
         Closes::Transaction => Mode::Hold,
         Closes::Nothing => Mode::Stream,
--- /dev/null
+++ b/crates/daemon/tests/once.rs
@@ -0,0 +1,113 @@
+//! Requests with an id land once, however often they are sent.
+
+mod rig;
+
+use std::time::{Duration, SystemTime};
+
+use fake::group::Fault;
+use rig::{Rig, run};
+use tokio_postgres::{Client, Error};
+
+/// A request id made now: a UUID of version 7 that ends in `number`.
+fn id(number: u64) -> String {
+    let now = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap();
+    let made = now.as_millis() << 80;
+    format!("{:032x}", made | 7 << 76 | 2 << 62 | u128::from(number))
+}
+
+async fn book(client: &Client, id: &str, key: &str) -> Result<u64, Error> {
+    client
+        .batch_execute(&format!("SET dandelionlink.request = '{id}'"))
+        .await?;
+    let insert = "INSERT INTO kv (key, value) VALUES ($1, 'mila')";
+    client.execute(insert, &[&key]).await
+}
+
+fn state(error: &Error) -> String {
+    error
+        .code()
+        .map_or_else(String::new, |state| state.code().to_owned())
+}
+
+/// Symptom: an owner is billed twice. Events: the booking is sent, its answer
+/// is lost, the application sends it again to another instance. Cause, where
+/// it fails: nothing in the database tells that it ran.
+#[test]
+fn a_repeat_at_another_instance_finds_the_first_outcome() {
+    let rig = Rig::open(2);
+    run(async {
+        let first = rig.connect(0, "slots").await;
+        let second = rig.connect(1, "slots").await;
+        assert_eq!(book(&first, &id(1), "arena-9").await.unwrap(), 1);
+        // Run again, the same insert would break the unique key.
+        let again = id(1);
+        let repeat = book(&first, &again, "arena-9").await.unwrap_err();
+        assert_eq!(state(&repeat), "23505");
+        let twice = id(2);
+        assert_eq!(book(&first, &twice, "arena-10").await.unwrap(), 1);
+        assert_eq!(book(&second, &twice, "arena-10").await.unwrap(), 1);
+        assert_eq!(book(&first, &twice, "arena-10").await.unwrap(), 1);
+        let rows = second.query("SELECT key FROM kv", &[]).await.unwrap();
+        assert_eq!(rows.len(), 2);
+    });
+}
+
+#[test]
+fn an_id_that_can_promise_nothing_is_refused() {
+    let rig = Rig::open(1);
+    run(async {
+        let client = rig.connect(0, "slots").await;
+        let used = id(3);
+        book(&client, &used, "a").await.unwrap();
+        let other = book(&client, &used, "b").await.unwrap_err();
+        assert_eq!(state(&other), "DL003");
+        let old = format!("{:032x}", 7_u128 << 76);
+        assert_eq!(state(&book(&client, &old, "c").await.unwrap_err()), "DL003");
+        assert_eq!(
+            state(&book(&client, "no-id", "c").await.unwrap_err()),
+            "DL003"
+        );
+        let rows = client.query("SELECT key FROM kv", &[]).await.unwrap();
+        assert_eq!(rows.len(), 1);
+        book(&client, &id(4), "c").await.unwrap();
+    });
+}
+
+/// Symptom: during a change of primary a booking is lost or doubled. Events:
+/// the primary crashes while bookings with ids are sent, and each is repeated
+/// until it is answered. Cause, where it fails: a repeat runs although the
+/// first run's commit survived, or an answer came for one that did not.
+#[test]
+fn bookings_with_ids_land_once_through_a_change_of_primary() {
+    let rig = Rig::open(3);
+    let mut tasks = Vec::new();
+    run(async {
+        for caller in 0..6_u64 {
+            let client = rig.connect((caller % 3) as usize, "slots").await;
+            tasks.push(tokio::spawn(async move {
+                for round in 0..30 {
+                    let key = format!("{caller}-{round}");
+                    let id = id(1_000 * caller + round);
+                    let mut tries = 0;
+                    while let Err(error) = book(&client, &id, &key).await {
+                        let told = state(&error);
+                        assert!(told.starts_with("DL00"), "{key}: {error:?}");
+                        tries += 1;
+                        assert!(tries < 200, "{key} never landed");
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
+                }
+            }));
+        }
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        rig.group.set_fault(0, Fault::Crashed);
+        for task in tasks {
+            task.await.unwrap();
+        }
+        let client = rig.connect(0, "status").await;
+        let rows = client.query("SELECT key FROM kv", &[]).await.unwrap();
+        assert_eq!(rows.len(), 6 * 30);
+    });
+}
