--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -16,6 +16,8 @@
     Run,
     /// Take nothing new and finish what runs.
     Drain,
+    /// This instance's callers are gone: finish what runs for other instances.
+    Settle,
     /// Leave now.
     Stop,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -48,7 +48,8 @@
     peers: SocketAddr,
     drain: Duration,
     phase: watch::Sender<Phase>,
-    front: Vec<Duty>,
+    front: Duty,
+    middle: Duty,
     back: Vec<Duty>,
 }
 
@@ -164,12 +165,12 @@
 
         let back = vec![
             Duty::spawn("metrics", move || ops::run(ops_conf))?,
-            Duty::spawn("upstreams", move || upstreams::run(upstreams_conf))?,
             Duty::spawn("control", move || control::run(control_conf))?,
             Duty::spawn("peers", move || peers::run(peers_conf))?,
             Duty::spawn("store", move || platform::run(store_conf))?,
         ];
-        let front = vec![Duty::spawn("callers", move || callers::run(callers_conf))?];
+        let middle = Duty::spawn("upstreams", move || upstreams::run(upstreams_conf))?;
+        let front = Duty::spawn("callers", move || callers::run(callers_conf))?;
         let drain = settings.drain;
         Ok(Self {
             callers: caller_address,
@@ -178,6 +179,7 @@
             drain,
             phase,
             front,
+            middle,
             back,
         })
     }
@@ -205,11 +207,19 @@
         let drain = self.drain;
         let (done, over) = std::sync::mpsc::channel();
         let bound = std::thread::spawn(move || {
-            // Ends early when the callers' duty has ended, which drops `done`.
+            // Ends early when nothing runs any more, which drops `done`.
             let _ = over.recv_timeout(drain);
             phase.send_replace(Phase::Stop);
         });
-        self.front.into_iter().for_each(Duty::join);
+        self.front.join();
+        self.phase.send_if_modified(|phase| {
+            let drains = *phase < Phase::Settle;
+            if drains {
+                *phase = Phase::Settle;
+            }
+            drains
+        });
+        self.middle.join();
         drop::<std::sync::mpsc::Sender<()>>(done);
         let _ = bound.join();
         self.back.into_iter().for_each(Duty::join);
@@ -218,7 +228,9 @@
     /// Leaves at once, as a process that is killed would.
     pub fn kill(self) {
         self.phase.send_replace(Phase::Stop);
-        self.front.into_iter().chain(self.back).for_each(Duty::join);
+        self.front.join();
+        self.middle.join();
+        self.back.into_iter().for_each(Duty::join);
     }
 }
 
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -52,6 +52,9 @@
 /// How often the duty looks whether all requests have ended during a stop.
 const DRAIN_STEP: Duration = Duration::from_millis(5);
 
+/// How long nothing must have run before a stop goes on.
+const DRAIN_QUIET: Duration = Duration::from_millis(300);
+
 /// What the upstreams' duty is given.
 #[derive(Debug)]
 pub(crate) struct Conf {
@@ -180,22 +183,26 @@
     ntex::rt::spawn(view::serve(Rc::clone(&core), conf.asked));
     ntex::rt::spawn(take_orders(Rc::clone(&core), conf.orders));
     let mut watch = conf.watch;
-    duty::reached(&mut watch, Phase::Drain).await;
+    // The callers' duty ends first and may ask on behalf of a caller until then.
+    duty::reached(&mut watch, Phase::Settle).await;
     tokio::select! {
         () = drained(&core) => {}
         () = duty::reached(&mut watch, Phase::Stop) => {}
     }
-    // The callers' duty ends first and may still ask on behalf of a caller.
-    duty::reached(&mut watch, Phase::Stop).await;
 }
 
+/// Waits until nothing has run here for a while.
+///
+/// Other instances learn that this one leaves a little later, and go on to send
+/// their batches until then: a stop in between would cut them.
 async fn drained(core: &Core) {
-    loop {
+    let mut quiet = core.now();
+    while core.now().since(quiet) < DRAIN_QUIET {
         sleep(DRAIN_STEP).await;
         let own = core.running.borrow().is_empty() && core.pins.borrow().is_empty();
         let others = core.hosted.borrow().is_empty() && core.guests.borrow().is_empty();
-        if own && others {
-            return;
+        if !own || !others {
+            quiet = core.now();
         }
     }
 }
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -1,7 +1,15 @@
 //! A store, a group of upstreams and daemons in one process, on loopback.
 #![allow(dead_code)]
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use catalog::{
     Catalog,
@@ -99,6 +107,17 @@
         Settings::read(args, &env).expect("the rig's settings are right")
     }
 
+    /// Stops a daemon as SIGTERM would, and starts it again where it was.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let address = self.address(index);
+        if let Some(daemon) = self.daemons[index].take() {
+            daemon.stop();
+        }
+        let mut settings = self.settings(index, &Args::default());
+        settings.listen = address;
+        self.daemons[index] = Some(Daemon::spawn(&settings).expect("a daemon"));
+    }
+
     /// Where the daemons that run reach each other.
     fn seeds(&self) -> String {
         let running = self.daemons.iter().flatten();
@@ -202,3 +221,48 @@
         .build();
     runtime.expect("a runtime").block_on(future)
 }
+
+/// Connects to a daemon's address until it takes the caller.
+async fn connect_at(address: SocketAddr) -> Client {
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host("127.0.0.1")
+        .port(address.port())
+        .user("groom")
+        .password(PASSWORD)
+        .dbname("slots");
+    for _ in 0..1_000 {
+        if let Ok((client, connection)) = config.connect(NoTls).await {
+            tokio::spawn(connection);
+            return client;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("no connection to {address}");
+}
+
+/// Writes key after key by way of one daemon until told to stop, connecting
+/// anew when the daemon says that it stops; returns how many keys it wrote.
+///
+/// # Panics
+///
+/// When a request is cut: when its outcome is unknown, or when it ran although
+/// its session was ended as idle.
+pub(crate) async fn write_until(address: SocketAddr, stop: Arc<AtomicBool>) -> usize {
+    let mut client = connect_at(address).await;
+    let mut written = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let key = format!("{}-{written}", address.port());
+        let insert = "INSERT INTO kv (key, value) VALUES ($1, 'x')";
+        match client.execute(insert, &[&key]).await {
+            Ok(_) => written += 1,
+            Err(error) => match error.code().map(|state| state.code().to_owned()) {
+                None => client = connect_at(address).await,
+                Some(state) if state == "57P01" => client = connect_at(address).await,
+                Some(state) if state == "DL001" => {}
+                Some(state) => panic!("{key} was cut: {state} {error:?}"),
+            },
+        }
+    }
+    written
+}
--- a/crates/fake/src/group.rs
+++ b/crates/fake/src/group.rs
@@ -85,6 +85,8 @@
     pub(crate) peak: usize,
     /// Statements run, for tests that count work.
     pub(crate) statements: u64,
+    /// Those of them that read a table.
+    pub(crate) selects: u64,
     /// How often a statement began to wait for a row.
     pub(crate) waits: u64,
 }
@@ -293,6 +295,11 @@
         lock(&self.shared).nodes[index].waits
     }
 
+    /// How many statements that read a table an upstream has run.
+    pub fn selects(&self, index: usize) -> u64 {
+        lock(&self.shared).nodes[index].selects
+    }
+
     /// The most connections that an upstream ever had at once.
     pub fn peak_connections(&self, index: usize) -> usize {
         lock(&self.shared).nodes[index].peak
@@ -336,6 +343,7 @@
         connections: 0,
         peak: 0,
         statements: 0,
+        selects: 0,
         waits: 0,
     }
 }
--- a/crates/fake/src/server/exec.rs
+++ b/crates/fake/src/server/exec.rs
@@ -165,6 +165,9 @@
         {
             let mut state = lock(&self.shared);
             state.nodes[self.node].statements += 1;
+            if matches!(plan, Plan::Select { table: Some(_), .. }) {
+                state.nodes[self.node].selects += 1;
+            }
             state.replicate();
         }
         match plan {
