pool: split the world of the seat tests

Change: its faults and the edges' answers are modules of their own; no other change.

Conclusion: moved only.

--- a/crates/pool/tests/seats/world.rs
+++ b/crates/pool/tests/seats/world.rs
@@ -11,12 +11,15 @@
     Seat,
     holder::{seats, share},
     lease::{self, Attempt, Id, Lease},
-    seat::{Action, Entry, Epoch, Event, Permit, Seen, admit},
+    seat::{Action, Entry, Epoch, Event, Permit, admit},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::fakes::{Conn, Holder, LIMIT, SEATS, Store, Upstream};
+use crate::fakes::{Holder, LIMIT, SEATS, Store, Upstream};
+
+mod edges;
+mod faults;
 
 const HOLDERS: usize = 4;
 const STEP: Duration = Duration::from_millis(50);
@@ -213,160 +216,6 @@
         }
     }
 
-    fn fault(&mut self) {
-        if self.now >= self.quiet {
-            return;
-        }
-        let pause = Duration::from_millis(FAULT.as_millis() as u64 / 2);
-        let way = self.way();
-        self.at(pause + way, Happening::Fault);
-        let span = Duration::from_millis(self.rng.random_range(10..15_000));
-        let until = (self.now + span).min(self.quiet);
-        let holder = self.rng.random_range(0..self.processes.len());
-        match self.rng.random_range(0..8) {
-            0 => self.outage = until,
-            1 => self.processes[holder].cut = until,
-            2 | 3 => {
-                self.processes[holder].paused = until;
-                self.processes[holder].woken = true;
-            }
-            4 => self.kill(holder),
-            _ => self.suspect(),
-        }
-    }
-
-    /// A process dies; the upstream sees its connections end, some late.
-    fn kill(&mut self, holder: Holder) {
-        if std::mem::replace(&mut self.processes[holder].dead, true) {
-            return;
-        }
-        let conns = self.upstream.conns.iter();
-        let mine: Vec<_> = conns
-            .filter(|(_, it)| it.holder == holder)
-            .map(|(&id, it)| (id, it.seat))
-            .collect();
-        for (id, seat) in mine {
-            let way = self.way();
-            self.at(way, Happening::Upstream(holder, seat, Op::Close(id)));
-        }
-        self.start();
-    }
-
-    /// Peers take a holder for dead, rightly or not.
-    fn suspect(&mut self) {
-        let seat = self.rng.random_range(0..SEATS);
-        let Some(epoch) = self.store.epoch(seat) else {
-            return;
-        };
-        for holder in 0..self.processes.len() {
-            let way = self.way();
-            let news = News::Seat(seat, Event::Dead(epoch));
-            self.at(way, Happening::News(holder, news));
-        }
-    }
-
-    fn call(&mut self, holder: Holder, call: Call) {
-        self.store.lapse(self.now);
-        let process = &self.processes[holder];
-        if self.now < self.outage || self.now < process.cut {
-            return;
-        }
-        let news = match call {
-            Call::Grant(attempt, ttl) => {
-                let id = self.store.grant(self.now + ttl);
-                News::Lease(lease::Event::Granted(attempt, id))
-            }
-            Call::Renew(attempt, id) => {
-                let until = self.now + lease::MIN_INTERVAL * lease::INTERVALS;
-                News::Lease(match self.store.renew(id, until) {
-                    true => lease::Event::Renewed(attempt),
-                    false => lease::Event::Gone(attempt),
-                })
-            }
-            Call::Claim(seat, id, over) => {
-                self.store.claim(holder, seat, id, over);
-                self.record(holder, seat)
-            }
-            Call::Read(seat) => self.record(holder, seat),
-            Call::Release(seat, epoch) => {
-                self.store.release(seat, epoch);
-                self.record(holder, seat)
-            }
-        };
-        // The answer may be lost after the call took effect.
-        if self.now >= self.quiet || !self.rng.random_bool(0.1) {
-            self.tell(holder, news);
-        }
-    }
-
-    fn record(&self, holder: Holder, seat: usize) -> News {
-        News::Seat(seat, Event::Record(self.store.read(holder, seat)))
-    }
-
-    fn tell(&mut self, holder: Holder, news: News) {
-        let way = self.way();
-        self.at(way, Happening::News(holder, news));
-    }
-
-    fn serve(&mut self, holder: Holder, seat: usize, op: Op) {
-        match op {
-            Op::Open(id, epoch) => {
-                let conn = Conn {
-                    holder,
-                    seat,
-                    epoch,
-                    used: false,
-                };
-                let news = match self.upstream.open(id, conn) {
-                    true => News::Opened(seat, id, epoch),
-                    false => News::Gone(seat, id),
-                };
-                self.tell(holder, news);
-            }
-            Op::Look(id, epoch) => {
-                let others = self.upstream.others(holder, seat);
-                if self.upstream.conns.contains_key(&id) {
-                    self.tell(holder, News::Looked(seat, id, epoch, others));
-                }
-            }
-            Op::End(id, epoch) => {
-                self.end(holder, seat, epoch);
-                self.serve(holder, seat, Op::Look(id, epoch));
-            }
-            Op::Run(id) => {
-                let share = share(LIMIT as u16, 2, seats(2), seat as u16);
-                if !self.upstream.run(id, usize::from(share.connections)) {
-                    self.tell(holder, News::Gone(seat, id));
-                }
-            }
-            Op::Close(id) => {
-                self.upstream.conns.remove(&id);
-            }
-            Op::Fence(attempt, epoch) => {
-                if self.variant != Variant::NoFence {
-                    self.end(holder, seat, epoch);
-                }
-                self.tell(holder, News::Seat(seat, Event::Fenced(attempt)));
-            }
-            Op::Check(attempt, epoch) => {
-                let others = self.upstream.others(holder, seat);
-                let seen = match admit(epoch, others) {
-                    Entry::Use => Seen::Alone,
-                    Entry::Fence => Seen::Earlier,
-                    Entry::Close => Seen::Other,
-                };
-                self.tell(holder, News::Seat(seat, Event::Checked(attempt, seen)));
-            }
-        }
-    }
-
-    fn end(&mut self, holder: Holder, seat: usize, below: Epoch) {
-        for (id, conn) in self.upstream.end(holder, seat, below) {
-            self.tell(conn.holder, News::Gone(seat, id));
-            self.tell(conn.holder, News::Seat(seat, Event::Ousted));
-        }
-    }
-
     fn hear(&mut self, holder: Holder, news: News) {
         let now = self.now;
         match news {
--- /dev/null
+++ b/crates/pool/tests/seats/world/faults.rs
@@ -0,0 +1,63 @@
+//! What fails, when and for whom.
+
+use std::time::Duration;
+
+use pool::seat::Event;
+use rand::Rng;
+
+use super::{FAULT, Happening, News, Op, World};
+use crate::fakes::{Holder, SEATS};
+
+impl World {
+    pub(super) fn fault(&mut self) {
+        if self.now >= self.quiet {
+            return;
+        }
+        let pause = Duration::from_millis(FAULT.as_millis() as u64 / 2);
+        let way = self.way();
+        self.at(pause + way, Happening::Fault);
+        let span = Duration::from_millis(self.rng.random_range(10..15_000));
+        let until = (self.now + span).min(self.quiet);
+        let holder = self.rng.random_range(0..self.processes.len());
+        match self.rng.random_range(0..8) {
+            0 => self.outage = until,
+            1 => self.processes[holder].cut = until,
+            2 | 3 => {
+                self.processes[holder].paused = until;
+                self.processes[holder].woken = true;
+            }
+            4 => self.kill(holder),
+            _ => self.suspect(),
+        }
+    }
+
+    /// A process dies; the upstream sees its connections end, some late.
+    fn kill(&mut self, holder: Holder) {
+        if std::mem::replace(&mut self.processes[holder].dead, true) {
+            return;
+        }
+        let conns = self.upstream.conns.iter();
+        let mine: Vec<_> = conns
+            .filter(|(_, it)| it.holder == holder)
+            .map(|(&id, it)| (id, it.seat))
+            .collect();
+        for (id, seat) in mine {
+            let way = self.way();
+            self.at(way, Happening::Upstream(holder, seat, Op::Close(id)));
+        }
+        self.start();
+    }
+
+    /// Peers take a holder for dead, rightly or not.
+    fn suspect(&mut self) {
+        let seat = self.rng.random_range(0..SEATS);
+        let Some(epoch) = self.store.epoch(seat) else {
+            return;
+        };
+        for holder in 0..self.processes.len() {
+            let way = self.way();
+            let news = News::Seat(seat, Event::Dead(epoch));
+            self.at(way, Happening::News(holder, news));
+        }
+    }
+}
