--- a/crates/pool/tests/seats/main.rs
+++ b/crates/pool/tests/seats/main.rs
@@ -28,7 +28,12 @@
     let caught = reports
         .iter()
         .filter(|it| it.upstream.violations.iter().any(two));
-    caught.count()
+    let caught = caught.count();
+    println!(
+        "{variant:?}: two holders in {caught} of {} runs",
+        reports.len()
+    );
+    caught
 }
 
 /// Symptom: statements of two holders reach an upstream through one seat, and
