daemon: tell a catalogue's revision from the store's, and lag from silence

Cause: with two of three upstreams down, status called the primary 17 s behind: lag was counted from now while nothing was confirmed. After a change of a primary's record, another instance's mirrored revision passed for its catalogue's, so this instance seemed to lack a change. Change: lag is counted from the newest confirmed round; a member's revision is this instance's own where both mirror past it and nothing is held back. Conclusion: both stories are tests.

--- a/crates/cli/tests/running.rs
+++ b/crates/cli/tests/running.rs
@@ -170,3 +170,43 @@
         stopped.await.unwrap();
     });
 }
+
+/// Symptom: with two upstreams down, `status` called the primary itself 17 s
+/// behind, and an instance that had left made the other seem to lack a change.
+/// Cause: lag was counted from now, though nobody confirmed anything any more,
+/// and the store's revision of a primary's record passed for a catalogue's.
+#[test]
+fn a_primary_that_nobody_confirms_is_told_and_not_called_behind() {
+    let mut rig = Rig::open(2);
+    let at = rig.daemons[0].as_ref().unwrap().ops().to_string();
+    let status = ["status", "--json", "--instance", &at];
+    run(async {
+        let sees_other = |it: &Value| {
+            let other = &it["answers"][0]["answer"]["members"][0];
+            doubts(it).is_empty() && other["instance"] == "entry-1"
+        };
+        let before = until(&status, sees_other).await;
+        rig.daemons[1].take().unwrap().kill();
+        rig.group.set_fault(1, fake::group::Fault::Crashed);
+        rig.group.set_fault(2, fake::group::Fault::Crashed);
+        let kinds = |it: &Value| {
+            let kinds = doubts(it).into_iter().map(|it| it["kind"].clone());
+            kinds.collect::<Vec<_>>()
+        };
+        let told = |it: &Value| {
+            let kinds = kinds(it);
+            kinds.contains(&"unconfirmed".into())
+                && kinds.iter().filter(|it| *it == "upstream-silent").count() == 2
+        };
+        let shown = until(&status, told).await;
+        assert!(
+            !kinds(&shown).contains(&"upstream-behind".into()),
+            "{shown}"
+        );
+        let confirmed = &shown["summary"]["primaries"]["booking"]["confirmed_ms_ago"];
+        assert!(confirmed.as_u64().unwrap() >= 2_000, "{shown}");
+        let revision = |it: &Value| it["summary"]["revision"].clone();
+        assert_eq!(revision(&shown), revision(&before));
+        assert_eq!(shown["summary"]["zones"]["nl-west-0"]["in_force"], 1);
+    });
+}
--- a/crates/daemon/src/peers/view.rs
+++ b/crates/daemon/src/peers/view.rs
@@ -58,17 +58,18 @@
     }
 
     fn members_view(&self, now: Instant) -> Vec<view::Member> {
+        let status = self.fleet.status();
         let others = self.fleet.table().members();
         let others = others.filter(|it| it.node != self.fleet.node());
         let member = |it: &fleet::Member| {
             let heard = it.view.map_or(it.since, |(_, heard)| heard.max(it.since));
-            let told = it.view.map(|(view, _)| view);
+            let told = it.view.map(|(view, _)| in_force(&status, &view));
             view::Member {
                 instance: it.record.name.clone(),
                 zone: it.record.zone.clone(),
                 address: it.record.address,
                 health: health(it.record.state),
-                revision: told.map(|it| revision(it.applied.unwrap_or(it.revision))),
+                revision: told.map(revision),
                 heard_ms_ago: millis(now.since(heard)),
             }
         };
@@ -117,27 +118,52 @@
         }
     }
 
-    /// Zones of which no instance answers; an instance that said goodbye is
-    /// not missed.
     fn silent_zones(&self) -> Vec<Doubt> {
         let table = self.fleet.table();
-        let own = self.fleet.table().find(self.fleet.node());
-        let own = own.map(|it| &it.record.zone);
-        let mut silent = BTreeSet::new();
-        let mut heard = 0;
-        for zone in table.zones().filter(|zone| Some(*zone) != own) {
-            let states: Vec<_> = table.zone(zone).map(|it| it.record.state).collect();
-            if states.contains(&State::Alive) || states.contains(&State::Leaving) {
-                heard += 1;
-            } else if states.contains(&State::Suspect) {
-                silent.insert(zone.clone());
-            }
+        let Some(own) = table.find(self.fleet.node()) else {
+            return Vec::new();
+        };
+        let states = |zone| table.zone(zone).map(|it| it.record.state).collect();
+        let zones = table.zones().map(|zone| (zone.clone(), states(zone)));
+        silent_zones(&own.record.zone, zones)
+    }
+}
+
+/// Zones of which no instance answers, by the states of each zone's instances.
+/// One that said goodbye is not missed.
+fn silent_zones(
+    own: &name::Zone,
+    zones: impl Iterator<Item = (name::Zone, Vec<State>)>,
+) -> Vec<Doubt> {
+    let mut silent = BTreeSet::new();
+    let mut heard = 0;
+    for (zone, states) in zones.filter(|(zone, _)| zone != own) {
+        if states.contains(&State::Alive) || states.contains(&State::Leaving) {
+            heard += 1;
+        } else if states.contains(&State::Suspect) {
+            silent.insert(zone);
         }
-        let alone = own.filter(|_| heard == 0 && !silent.is_empty());
-        let alone = alone.map(|zone: &name::Zone| Doubt::ZoneAlone { zone: zone.clone() });
-        let silent = silent.into_iter().map(|zone| Doubt::ZoneSilent { zone });
-        alone.into_iter().chain(silent).collect()
     }
+    let alone = heard == 0 && !silent.is_empty();
+    let alone = alone.then(|| Doubt::ZoneAlone { zone: own.clone() });
+    let silent = silent.into_iter().map(|zone| Doubt::ZoneSilent { zone });
+    alone.into_iter().chain(silent).collect()
+}
+
+/// The catalogue's revision that another instance has in force.
+///
+/// It tells how far it mirrors the store, which each change of a primary
+/// moves on as well. Shown as it is, it would make this instance, whose
+/// catalogue is the same, seem to lack a change that there never was.
+fn in_force(own: &fleet::Status, told: &wire::View) -> wire::Revision {
+    if let Some(applied) = told.applied {
+        return applied;
+    }
+    let known = own.applied <= told.revision && told.revision <= own.mirrored;
+    if known && own.held.is_none() {
+        return own.applied;
+    }
+    told.revision
 }
 
 fn revision(of: wire::Revision) -> Revision {
@@ -155,3 +181,6 @@
         State::Gone => Health::Dead,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/peers/view/tests.rs
@@ -0,0 +1,85 @@
+use fleet::{Held, Reason, Status, Watch};
+use model::name;
+use view::Doubt;
+use wire::{Revision, State, View};
+
+use super::{in_force, silent_zones};
+
+fn zone(name: &str) -> name::Zone {
+    name::Zone::new(name).unwrap()
+}
+
+fn at(number: u64) -> Revision {
+    Revision { epoch: 0, number }
+}
+
+fn status(applied: u64, mirrored: u64) -> Status {
+    Status {
+        mirrored: at(mirrored),
+        applied: at(applied),
+        held: None,
+        watch: Watch::Off,
+        zones: Vec::new(),
+    }
+}
+
+fn told(revision: u64, applied: Option<u64>) -> View {
+    View {
+        revision: at(revision),
+        applied: applied.map(at),
+        ..View::default()
+    }
+}
+
+/// Symptom: `status` said that an instance lacked the latest catalogue, and
+/// `apply` had not been used for days. Events: a primary was replaced; the
+/// store's revision rose by its record; another instance told that revision.
+/// Cause: how far an instance mirrors the store was taken for its catalogue.
+#[test]
+fn a_change_of_primary_is_no_revision_of_the_catalogue() {
+    assert_eq!(in_force(&status(7, 8), &told(8, None)), at(7));
+    assert_eq!(in_force(&status(7, 8), &told(7, None)), at(7));
+}
+
+#[test]
+fn an_instance_that_lags_or_holds_back_is_shown_so() {
+    assert_eq!(in_force(&status(7, 8), &told(5, None)), at(5));
+    assert_eq!(in_force(&status(7, 8), &told(8, Some(3))), at(3));
+}
+
+#[test]
+fn an_instance_that_is_ahead_is_believed() {
+    assert_eq!(in_force(&status(7, 8), &told(9, None)), at(9));
+    let held = Held {
+        revision: at(8),
+        reason: Reason::Refused,
+    };
+    let holding = Status {
+        held: Some(held),
+        ..status(7, 8)
+    };
+    assert_eq!(in_force(&holding, &told(8, None)), at(8));
+}
+
+#[test]
+fn a_zone_is_silent_when_nobody_there_answers() {
+    let own = zone("a");
+    let zones = [
+        (zone("a"), vec![State::Suspect]),
+        (zone("b"), vec![State::Suspect, State::Alive]),
+        (zone("c"), vec![State::Suspect, State::Gone]),
+        (zone("d"), vec![State::Gone]),
+    ];
+    let silent = silent_zones(&own, zones.into_iter());
+    assert_eq!(silent, [Doubt::ZoneSilent { zone: zone("c") }]);
+}
+
+#[test]
+fn a_zone_is_alone_when_all_others_are_silent() {
+    let own = zone("a");
+    let zones = [(zone("b"), vec![State::Suspect])];
+    let found = silent_zones(&own, zones.into_iter());
+    let alone = Doubt::ZoneAlone { zone: own.clone() };
+    assert_eq!(found, [alone, Doubt::ZoneSilent { zone: zone("b") }]);
+    assert_eq!(silent_zones(&own, std::iter::empty()), []);
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -149,11 +149,15 @@
         self.node(upstream)?.answer
     }
 
-    /// How old the upstream's data was when it last gave its status; `None`
-    /// where that is not known.
+    /// How far the upstream's data was behind the newest confirmed round when
+    /// it last gave its status; `None` where that is not known.
+    ///
+    /// It is not counted from now: while no majority confirms a round, nobody
+    /// knows what an upstream lacks, and all would seem to fall behind.
     pub fn lag(&self, upstream: &name::Upstream) -> Option<Duration> {
         let node = self.node(upstream)?;
-        Some(node.answer?.sent.since(node.as_of()?))
+        let newest = self.confirmed()?.since;
+        Some(newest.min(node.answer?.sent).since(node.as_of()?))
     }
 
     fn node(&self, upstream: &name::Upstream) -> Option<&Node> {
