--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -3,13 +3,16 @@
 mod answer;
 mod auth;
 mod batch;
+mod change;
 mod greet;
 mod local;
 mod serve;
+#[cfg(test)]
+mod tests;
 mod view;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::TcpListener,
     rc::Rc,
@@ -22,7 +25,10 @@
 
 use catalog::layout::Snapshot;
 use clock::Clock;
-use ntex::SharedCfg;
+use ntex::{
+    SharedCfg,
+    io::{Io, Sealed},
+};
 use session::Keys;
 use tokio::sync::mpsc;
 
@@ -32,6 +38,7 @@
     job::{self, Ask, Caller, Part, Reply},
     meter::Meters,
     ring,
+    tls::Tls,
 };
 
 use self::view::Face;
@@ -68,8 +75,15 @@
     pub(crate) watch: Watch,
     /// How many callers may be connected at once.
     pub(crate) limit: usize,
+    /// What the verifiers of unknown users are made from.
+    pub(crate) mock: [u8; 32],
+    /// What callers are served TLS with, if they are.
+    pub(crate) tls: Option<Tls>,
 }
 
+/// A caller's connection, plain or encrypted.
+type Stream = Io<Sealed>;
+
 /// A caller's end in the duty's table.
 struct Entry {
     secret: i32,
@@ -90,6 +104,10 @@
     serving: Arc<AtomicBool>,
     watch: Watch,
     limit: usize,
+    mock: [u8; 32],
+    tls: Option<Tls>,
+    /// How many connections are logging in.
+    logins: Cell<usize>,
 }
 
 /// Runs the duty until the daemon stops.
@@ -105,6 +123,9 @@
         serving: conf.serving,
         watch: conf.watch.clone(),
         limit: conf.limit,
+        mock: conf.mock,
+        tls: conf.tls,
+        logins: Cell::new(0),
     });
     ntex::rt::spawn(deliver(Rc::clone(&shared), conf.replies));
     ntex::rt::spawn(view::serve(Rc::clone(&shared), conf.asked));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod platform;
 pub mod ring;
 pub mod settings;
+pub mod tls;
 mod upstreams;
 
 use std::{
@@ -96,6 +97,8 @@
             asked: ends.callers,
             watch: watch.clone(),
             limit: settings.callers,
+            mock: settings.mock,
+            tls: settings.tls.clone(),
         };
         let upstreams_conf = upstreams::Conf {
             clock,
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -199,7 +199,7 @@
         let mut changed = false;
         for action in actions {
             match action {
-                Action::Send { to, node, message } => self.send(to, node, &message),
+                Action::Send { to, message } => self.send(to, &message),
                 Action::Ask { call, to, message } => self.streams.ask(call, to, message),
                 Action::Reply { stream, messages } => self.streams.reply(stream, messages),
                 Action::Store(store) => self.ask_store(store),
@@ -312,7 +312,7 @@
                 let address = self.fleet.table().find(node).map(|it| it.record.address);
                 if let Some(address) = address {
                     let message = Message::Evidence(evidence::to_wire(&evidence));
-                    self.send(address, Some(node), &message);
+                    self.send(address, &message);
                 }
             }
         }
--- a/crates/daemon/src/upstreams/host.rs
+++ b/crates/daemon/src/upstreams/host.rs
@@ -86,8 +86,8 @@
         }
         Command::Cancel { of } => {
             let running = core.hosted.borrow().get(&(conn, of)).cloned();
-            if let Some((address, key)) = running.and_then(|it| it.line.borrow().clone()) {
-                let _ = upstream::cancel(address, &key).await;
+            if let Some(running) = running {
+                running.hit();
             }
         }
         Command::Probe { database, upstream } => {
@@ -198,7 +198,7 @@
         discard(line);
         return Response::Broken;
     };
-    keep_or_release(core, (conn, seq), line, &heard, run.batch.need);
+    keep_or_release(core, (conn, seq), line, &heard);
     Response::End(Box::new(finish(heard, bytes)))
 }
 
@@ -254,6 +254,7 @@
         }
     };
     core.hosted.borrow_mut().remove(&(conn, seq));
+    running.spare(line);
     if heard.is_none() {
         let (address, key) = (line.address, line.conn.key().clone());
         ntex::rt::spawn(async move { upstream::cancel(address, &key).await });
@@ -265,7 +266,7 @@
     Some((heard, sink.finish()))
 }
 
-fn keep_or_release(core: &Core, key: (Conn, Seq), line: Line, heard: &Heard, need: Need) {
+fn keep_or_release(core: &Core, key: (Conn, Seq), line: Line, heard: &Heard) {
     if heard.spoiled {
         return discard(line);
     }
@@ -273,8 +274,6 @@
     if heard.status != Some(b'I') {
         home.hold(&line);
         core.guests.borrow_mut().insert(key, Box::new(line));
-    } else if need == Need::Alone {
-        discard(line);
     } else {
         home.release(line);
     }
@@ -331,6 +330,6 @@
         heard.behind = super::exchange::ask(&line).await.ok().flatten();
     }
     // The transaction keeps the number of the command that began it.
-    keep_or_release(core, (conn, pin), line, &heard, batch.need);
+    keep_or_release(core, (conn, pin), line, &heard);
     Response::End(Box::new(finish(heard, bytes)))
 }
--- a/crates/daemon/src/upstreams/site.rs
+++ b/crates/daemon/src/upstreams/site.rs
@@ -192,6 +192,7 @@
             () = sleep(job.deadline.since(sent)) => None,
         };
         *self.running.line.borrow_mut() = None;
+        self.running.spare(&mut line);
         match heard {
             Some(Ok(heard)) => {
                 if let Some(report) = heard.behind.or(heard.before) {
--- a/crates/daemon/tests/ready.rs
+++ b/crates/daemon/tests/ready.rs
@@ -2,6 +2,7 @@
 
 mod rig;
 
+use daemon::settings::Args;
 use rig::{Rig, run};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -25,7 +26,7 @@
 fn an_instance_without_a_catalogue_is_not_ready() {
     let mut rig = Rig::open(0);
     rig.store.set_fault(fake::store::Fault::Down);
-    let daemon = daemon::Daemon::spawn(&rig.settings(0, 1)).unwrap();
+    let daemon = daemon::Daemon::spawn(&rig.settings(0, &Args::default())).unwrap();
     let ops = daemon.ops();
     rig.daemons.push(Some(daemon));
     run(async {
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -56,6 +56,11 @@
 impl Rig {
     /// Starts `count` daemons before a group of three.
     pub(crate) fn open(count: usize) -> Self {
+        Self::open_with(count, &Args::default())
+    }
+
+    /// Starts `count` daemons with these flags before a group of three.
+    pub(crate) fn open_with(count: usize, args: &Args) -> Self {
         let store = fake::Store::spawn().expect("a store");
         let group = fake::Group::spawn(3, &fake::group::Conf::default()).expect("a group");
         let mut rig = Self {
@@ -66,14 +71,14 @@
         };
         rig.apply(&text(&rig.group.addresses()));
         for index in 0..count {
-            let daemon = Daemon::spawn(&rig.settings(index, count)).expect("a daemon");
+            let daemon = Daemon::spawn(&rig.settings(index, args)).expect("a daemon");
             rig.daemons.push(Some(daemon));
         }
         rig
     }
 
     /// The settings of a daemon of the rig.
-    pub(crate) fn settings(&self, index: usize, count: usize) -> Settings {
+    pub(crate) fn settings(&self, index: usize, args: &Args) -> Settings {
         let env = BTreeMap::from([
             ("DANDELIONLINK_LISTEN", "127.0.0.1:0".to_owned()),
             ("DANDELIONLINK_OPS", "127.0.0.1:0".to_owned()),
@@ -91,7 +96,7 @@
             ("DANDELIONLINK_DRAIN_MS", "2000".to_owned()),
         ]);
         let env = |name: &str| env.get(name).cloned();
-        Settings::read(&Args::default(), &env).expect("the rig's settings are right")
+        Settings::read(args, &env).expect("the rig's settings are right")
     }
 
     /// Where the daemons that run reach each other.
@@ -141,8 +146,22 @@
             .callers()
     }
 
-    /// Connects to a daemon as a caller of `entry`, once it has the catalogue.
-    pub(crate) async fn connect(&self, index: usize, entry: &str) -> Client {
+    /// Connects to a daemon once, with what `change` makes of the settings.
+    pub(crate) async fn connect_with(
+        &self,
+        index: usize,
+        entry: &str,
+        change: impl FnOnce(&mut tokio_postgres::Config),
+    ) -> Result<Client, tokio_postgres::Error> {
+        let mut config = self.config(index, entry);
+        change(&mut config);
+        let (client, connection) = config.connect(NoTls).await?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+
+    /// The settings of a caller of `entry`.
+    pub(crate) fn config(&self, index: usize, entry: &str) -> tokio_postgres::Config {
         let address = self.address(index);
         let mut config = tokio_postgres::Config::new();
         config
@@ -151,6 +170,12 @@
             .user("groom")
             .password(PASSWORD)
             .dbname(entry);
+        config
+    }
+
+    /// Connects to a daemon as a caller of `entry`, once it has the catalogue.
+    pub(crate) async fn connect(&self, index: usize, entry: &str) -> Client {
+        let config = self.config(index, entry);
         for _ in 0..200 {
             if let Ok((client, connection)) = config.connect(NoTls).await {
                 tokio::spawn(connection);
--- a/crates/fake/src/group.rs
+++ b/crates/fake/src/group.rs
@@ -1,7 +1,7 @@
 //! A replicated group of upstreams with terms, lag and faults.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -85,6 +85,8 @@
     pub(crate) peak: usize,
     /// Statements run, for tests that count work.
     pub(crate) statements: u64,
+    /// How often a statement began to wait for a row.
+    pub(crate) waits: u64,
 }
 
 #[derive(Debug)]
@@ -92,6 +94,8 @@
     pub(crate) nodes: Vec<Node>,
     pub(crate) addresses: Vec<SocketAddr>,
     pub(crate) sessions: u64,
+    /// Sessions that a cancel request has named and that have not seen it yet.
+    pub(crate) cancels: HashSet<u64>,
 }
 
 /// What the group's servers share.
@@ -207,6 +211,7 @@
             nodes: Vec::new(),
             addresses: Vec::new(),
             sessions: 0,
+            cancels: HashSet::new(),
         };
         let shared = Arc::new(Mutex::new(state));
         let mut servers = Vec::new();
@@ -283,6 +288,11 @@
         lock(&self.shared).nodes[index].statements
     }
 
+    /// How often a statement of an upstream began to wait for a row.
+    pub fn waits(&self, index: usize) -> u64 {
+        lock(&self.shared).nodes[index].waits
+    }
+
     /// The most connections that an upstream ever had at once.
     pub fn peak_connections(&self, index: usize) -> usize {
         lock(&self.shared).nodes[index].peak
@@ -326,5 +336,6 @@
         connections: 0,
         peak: 0,
         statements: 0,
+        waits: 0,
     }
 }
--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -131,8 +131,12 @@
             buf.extend_from_slice(&chunk);
             match pg::decode_startup(&mut buf)? {
                 Some(Startup::Tls | Startup::Gss) => self.io.encode_slice(b"N")?,
-                Some(Startup::Cancel(_)) => return Ok(false),
+                Some(Startup::Cancel(request)) => {
+                    self.session.cancel(request.pid, &request.secret_key);
+                    return Ok(false);
+                }
                 Some(Startup::Session(_)) => return Ok(true),
+                Some(Startup::Version { .. }) => return Ok(false),
                 None => {
                     if self.io.read_ready().await?.is_none() {
                         return Err(End::Closed);
@@ -178,7 +182,10 @@
                 Front::Sync => {
                     skipping = false;
                     self.session.end_batch();
-                    self.portals.clear();
+                    // Portals live as long as their transaction.
+                    if self.session.status() == b'I' {
+                        self.portals.clear();
+                    }
                     pg::ready(&mut buf, self.session.status());
                     self.send(buf.split()).await?;
                 }
@@ -244,6 +251,9 @@
             }
         };
         let many = plans.len() > 1;
+        if plans.contains(&Plan::Deallocate) {
+            self.statements.clear();
+        }
         for plan in &plans {
             match self.session.run(plan, &[]).await {
                 Ok(outcome) => {
