Check the nine promises over a history of typed events

Change: crate check, one checker a file, fed with what the stand-ins know to be true; also freshness, lost writes and connection limits.

--- /dev/null
+++ b/crates/check/src/lost.rs
@@ -0,0 +1,63 @@
+//! Acknowledged writes are never lost.
+
+use std::collections::{BTreeMap, HashMap};
+
+use model::{Outcome, Position};
+
+use crate::{Effect, Event, Operation, Request, Violation};
+
+/// Checks that every acknowledged operation is in the log at the end.
+///
+/// A repeat that found its operation run before, and is answered as done,
+/// acknowledges the first run.
+#[derive(Debug, Default)]
+pub struct Lost {
+    asked: HashMap<Request, Operation>,
+    written: HashMap<Operation, Position>,
+    acknowledged: BTreeMap<Operation, Position>,
+}
+
+impl Lost {
+    /// Takes one event; what is missing is told at [`Event::Settled`].
+    pub fn observe(&mut self, event: &Event) -> Vec<Violation> {
+        match event {
+            Event::Asked {
+                request, operation, ..
+            } => {
+                self.asked.insert(*request, *operation);
+            }
+            Event::Ran {
+                request,
+                effect: Effect::Write { at },
+                ..
+            } => {
+                if let Some(operation) = self.asked.get(request) {
+                    self.written.insert(*operation, *at);
+                }
+            }
+            Event::Answered {
+                request, answer, ..
+            } => self.answered(*request, answer.outcome),
+            Event::Kept { operation } => {
+                self.acknowledged.remove(operation);
+            }
+            Event::Settled => return self.settled(),
+            _ => {}
+        }
+        Vec::new()
+    }
+
+    fn answered(&mut self, request: Request, outcome: Outcome) {
+        let operation = self.asked.remove(&request);
+        let written = operation.and_then(|operation| self.written.get(&operation));
+        if let (Some(operation), Some(at), Outcome::Done) = (operation, written, outcome) {
+            self.acknowledged.insert(operation, *at);
+        }
+    }
+
+    fn settled(&mut self) -> Vec<Violation> {
+        let missing = std::mem::take(&mut self.acknowledged).into_iter();
+        let lost = missing.map(|(operation, at)| Violation::Lost { operation, at });
+        lost.collect()
+    }
+}
--- /dev/null
+++ b/crates/check/src/replaced.rs
@@ -0,0 +1,88 @@
+//! No acknowledgement by a replaced primary.
+
+use std::collections::HashMap;
+
+use model::{Lsn, Outcome, Position, Term, name};
+
+use crate::{Effect, Event, Request, Violation};
+
+/// Checks that no write is acknowledged that a new primary's log leaves out,
+/// or that ran on a primary after it had been replaced.
+///
+/// A write that a majority confirmed before the change of primary is part of
+/// the new primary's log, and its answer may still be on its way then.
+#[derive(Debug, Default)]
+pub struct Replaced {
+    terms: HashMap<name::Database, Vec<(Term, Lsn)>>,
+    asked: HashMap<Request, (name::Database, Option<Write>)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Write {
+    at: Position,
+    led: Term,
+}
+
+impl Replaced {
+    /// Takes one event.
+    pub fn observe(&mut self, event: &Event) -> Option<Violation> {
+        match event {
+            Event::Asked {
+                request, database, ..
+            } => {
+                self.asked.insert(*request, (database.clone(), None));
+                None
+            }
+            Event::Ran {
+                request,
+                effect: Effect::Write { at },
+                ..
+            } => {
+                let (database, write) = self.asked.get_mut(request)?;
+                let terms = self.terms.get(database);
+                let led = terms.and_then(|terms| terms.last());
+                *write = Some(Write {
+                    at: *at,
+                    led: led.map_or(at.term, |&(term, _)| term),
+                });
+                None
+            }
+            Event::Promoted {
+                database,
+                term,
+                fork,
+            } => {
+                let terms = self.terms.entry(database.clone()).or_default();
+                terms.push((*term, *fork));
+                None
+            }
+            Event::Answered {
+                request, answer, ..
+            } => {
+                let (database, write) = self.asked.remove(request)?;
+                if answer.outcome != Outcome::Done {
+                    return None;
+                }
+                self.answered(*request, &database, write?)
+            }
+            _ => None,
+        }
+    }
+
+    fn answered(
+        &self,
+        request: Request,
+        database: &name::Database,
+        write: Write,
+    ) -> Option<Violation> {
+        let at = write.at;
+        if write.led > at.term {
+            let term = write.led;
+            return Some(Violation::AcknowledgedByReplaced { request, at, term });
+        }
+        let terms = self.terms.get(database)?;
+        let left_out = |&&(term, fork): &&(Term, Lsn)| term > at.term && fork < at.lsn;
+        let &(term, _) = terms.iter().find(left_out)?;
+        Some(Violation::AcknowledgedByReplaced { request, at, term })
+    }
+}
--- /dev/null
+++ b/crates/check/src/suite.rs
@@ -0,0 +1,80 @@
+//! All checkers together.
+
+use clock::Instant;
+
+use crate::{
+    Event, Fresh, Leaving, Limit, Lost, NotRun, Once, ReadYourWrites, Replaced, Revision, Stop,
+    Unmixed, Violation, Whole,
+};
+
+/// Every checker, fed with one history.
+///
+/// ```
+/// use check::{Event, Suite, Violation};
+/// use clock::Instant;
+/// use model::name::Instance;
+///
+/// let mut suite = Suite::default();
+/// let instance = Instance::new("a1").unwrap();
+/// for revision in [1, 2] {
+///     suite.observe(Instant::ZERO, &Event::Accepted { revision });
+/// }
+/// for revision in [2, 1] {
+///     let instance = instance.clone();
+///     suite.observe(Instant::ZERO, &Event::Applied { instance, revision });
+/// }
+/// assert!(matches!(suite.violations(), [Violation::Reverted { from: 2, to: 1, .. }]));
+/// ```
+#[derive(Debug, Default)]
+pub struct Suite {
+    read_your_writes: ReadYourWrites,
+    fresh: Fresh,
+    replaced: Replaced,
+    unmixed: Unmixed,
+    whole: Whole,
+    not_run: NotRun,
+    once: Once,
+    leaving: Leaving,
+    stop: Stop,
+    revision: Revision,
+    lost: Lost,
+    limit: Limit,
+    violations: Vec<Violation>,
+    events: u64,
+}
+
+impl Suite {
+    /// Hands one event to every checker.
+    pub fn observe(&mut self, at: Instant, event: &Event) {
+        self.events += 1;
+        let found = &mut self.violations;
+        found.extend(self.read_your_writes.observe(event));
+        found.extend(self.fresh.observe(event));
+        found.extend(self.replaced.observe(event));
+        found.extend(self.unmixed.observe(event));
+        found.extend(self.whole.observe(event));
+        found.extend(self.not_run.observe(event));
+        found.extend(self.once.observe(event));
+        found.extend(self.leaving.observe(at, event));
+        found.extend(self.stop.observe(event));
+        found.extend(self.revision.observe(event));
+        found.extend(self.lost.observe(event));
+        found.extend(self.limit.observe(event));
+    }
+
+    /// What was found so far.
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+
+    /// How many acknowledged writes were lost.
+    pub fn lost(&self) -> usize {
+        let lost = |v: &&Violation| matches!(v, Violation::Lost { .. });
+        self.violations.iter().filter(lost).count()
+    }
+
+    /// How many events were seen.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+}
--- /dev/null
+++ b/crates/check/src/transaction.rs
@@ -0,0 +1,64 @@
+//! Transactions are never mixed.
+
+use std::collections::HashMap;
+
+use crate::{Connection, Event, Request, Transaction, Violation};
+
+/// Checks that an open transaction has its connection to itself, and keeps it.
+#[derive(Debug, Default)]
+pub struct Unmixed {
+    open: HashMap<Connection, Transaction>,
+    places: HashMap<Transaction, Connection>,
+}
+
+impl Unmixed {
+    /// Takes one event.
+    pub fn observe(&mut self, event: &Event) -> Option<Violation> {
+        match event {
+            Event::Ran {
+                request,
+                connection,
+                transaction,
+                ..
+            } => self.ran(*request, *connection, *transaction),
+            Event::Ended { transaction } => {
+                let connection = self.places.remove(transaction)?;
+                self.open.remove(&connection);
+                None
+            }
+            Event::Closed { connection } => {
+                let transaction = self.open.remove(connection)?;
+                self.places.remove(&transaction);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn ran(
+        &mut self,
+        request: Request,
+        connection: Connection,
+        transaction: Option<Transaction>,
+    ) -> Option<Violation> {
+        let open = self.open.get(&connection).copied();
+        if let Some(open) = open.filter(|&open| Some(open) != transaction) {
+            return Some(Violation::Mixed {
+                request,
+                connection,
+                open,
+            });
+        }
+        let transaction = transaction?;
+        let first = *self.places.entry(transaction).or_insert(connection);
+        if first != connection {
+            return Some(Violation::Split {
+                transaction,
+                first,
+                second: connection,
+            });
+        }
+        self.open.insert(connection, transaction);
+        None
+    }
+}
