Check reads that go back in time, and repeats that find the first run

Cause: a session could see an entry come and go unnoticed, and a repeat that only found the first outcome raised no token. Change: the read-your-writes checker keeps written and seen apart; what was merely seen may be lost with a term. A found effect carries its place.

--- a/crates/check/src/event.rs
+++ b/crates/check/src/event.rs
@@ -169,7 +169,10 @@
         at: Position,
     },
     /// It found that its operation had been run before, and did nothing.
-    Nothing,
+    Found {
+        /// Where the first run had left the log.
+        at: Position,
+    },
 }
 
 /// What an answer says.
--- a/crates/check/src/fresh.rs
+++ b/crates/check/src/fresh.rs
@@ -62,7 +62,7 @@
 
     fn answered(&mut self, request: Request, asked: Asked) -> Option<Violation> {
         match (asked.effect?, asked.freshness) {
-            (Effect::Write { at }, _) => {
+            (Effect::Write { at } | Effect::Found { at }, _) => {
                 let acknowledged = self.acknowledged.entry(asked.database).or_default();
                 *acknowledged = (*acknowledged).max(at);
                 None
@@ -82,7 +82,7 @@
                     limit,
                 })
             }
-            (Effect::Read { .. }, Freshness::Session) | (Effect::Nothing, _) => None,
+            (Effect::Read { .. }, Freshness::Session) => None,
         }
     }
 }
--- a/crates/check/src/session.rs
+++ b/crates/check/src/session.rs
@@ -9,20 +9,38 @@
 /// Checks that a session sees its own writes, and never goes back in time.
 ///
 /// A read is held against what the session had been *answered* before it asked:
-/// requests that one session has under way together are not ordered.
+/// requests that one session has under way together are not ordered. What a
+/// session merely read may be lost with a primary before it was acknowledged to
+/// anybody, so a read under a later term is held against acknowledged writes only.
 #[derive(Debug, Default)]
 pub struct ReadYourWrites {
-    tokens: HashMap<Session, Position>,
+    tokens: HashMap<Session, Token>,
     asked: HashMap<Request, Asked>,
 }
 
+#[derive(Debug, Clone, Copy, Default)]
+struct Token {
+    written: Position,
+    seen: Position,
+}
+
 #[derive(Debug)]
 struct Asked {
     session: Session,
-    token: Position,
+    token: Token,
     effect: Option<Effect>,
 }
 
+impl Token {
+    fn lacking(self, reached: Position) -> Option<Position> {
+        if !reached.covers(self.written) {
+            return Some(self.written);
+        }
+        let lineage = reached.term <= self.seen.term;
+        (lineage && !reached.covers(self.seen)).then_some(self.seen)
+    }
+}
+
 impl ReadYourWrites {
     /// Takes one event.
     pub fn observe(&mut self, event: &Event) -> Option<Violation> {
@@ -30,10 +48,9 @@
             Event::Asked {
                 request, session, ..
             } => {
-                let token = self.tokens.get(session).copied().unwrap_or_default();
                 let asked = Asked {
                     session: *session,
-                    token,
+                    token: self.tokens.get(session).copied().unwrap_or_default(),
                     effect: None,
                 };
                 self.asked.insert(*request, asked);
@@ -59,22 +76,22 @@
     }
 
     fn answered(&mut self, request: Request, asked: &Asked) -> Option<Violation> {
-        let reached = match asked.effect? {
+        let token = self.tokens.entry(asked.session).or_default();
+        let seen = match asked.effect? {
             Effect::Read { seen, .. } => seen,
-            Effect::Write { at } => at,
-            Effect::Nothing => return None,
+            Effect::Write { at } | Effect::Found { at } => {
+                token.written.term = token.written.term.max(at.term);
+                token.written.lsn = token.written.lsn.max(at.lsn);
+                return None;
+            }
         };
-        let token = self.tokens.entry(asked.session).or_default();
-        token.term = token.term.max(reached.term);
-        token.lsn = token.lsn.max(reached.lsn);
-        if reached.covers(asked.token) {
-            return None;
-        }
+        token.seen = token.seen.max(seen);
+        let token = asked.token.lacking(seen)?;
         Some(Violation::OwnWriteUnseen {
             session: asked.session,
             request,
-            seen: reached,
-            token: asked.token,
+            seen,
+            token,
         })
     }
 }
--- a/crates/check/tests/promises.rs
+++ b/crates/check/tests/promises.rs
@@ -122,6 +122,29 @@
     assert_tells(logic, told);
 }
 
+/// Symptom: a calendar loses an entry that was there a moment ago. Events: two
+/// reads of one session go to two replicas. Cause: the broken router keeps no
+/// account of what the session has read.
+#[test]
+fn reads_go_back() {
+    let logic = |variant| {
+        let second = match variant {
+            Sound => read(1, 30, Duration::ZERO),
+            Broken => read(1, 10, Duration::ZERO),
+        };
+        vec![
+            asked(1, 1, 7, Freshness::Session),
+            ran(1, read(1, 30, Duration::ZERO)),
+            done(1, 7),
+            asked(2, 2, 7, Freshness::Session),
+            ran(2, second),
+            done(2, 7),
+        ]
+    };
+    let told = |v: &Violation| matches!(v, Violation::OwnWriteUnseen { .. });
+    assert_tells(logic, told);
+}
+
 /// Symptom: the shelf status shows a box that another reader has taken.
 /// Events: one session's write at 20 is acknowledged; another's current read
 /// sees 10. Cause: the broken router treats a current read like a session's.
@@ -355,7 +378,9 @@
 fn ran_twice() {
     let logic = |variant| {
         let second = match variant {
-            Sound => Effect::Nothing,
+            Sound => Effect::Found {
+                at: Position::new(1, 10),
+            },
             Broken => write(1, 20),
         };
         vec![
@@ -549,7 +574,12 @@
             ran(1, write(1, 20)),
             answered(1, 7, Answer::bare(Outcome::Unknown(Cause::Deadline))),
             asked(2, 5, 7, Freshness::Current),
-            ran(2, Effect::Nothing),
+            ran(
+                2,
+                Effect::Found {
+                    at: Position::new(1, 20),
+                },
+            ),
             done(2, 7),
         ];
         [&begin, kept, &[Event::Settled]].concat()
