--- a/crates/check/src/session.rs
+++ b/crates/check/src/session.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use model::{Outcome, Position};
+use model::{Outcome, Position, name};
 
 use crate::{Effect, Event, Request, Session, Violation};
 
@@ -11,17 +11,18 @@
 /// A read is held against what the session had been *answered* before it asked:
 /// requests that one session has under way together are not ordered. What a
 /// session merely read may be lost with a primary before it was acknowledged to
-/// anybody, so a read under a later term is held against acknowledged writes only.
+/// anybody, so it binds later reads only within one term and at one instance.
 #[derive(Debug, Default)]
 pub struct ReadYourWrites {
     tokens: HashMap<Session, Token>,
     asked: HashMap<Request, Asked>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Token {
     written: Position,
     seen: Position,
+    instance: Option<name::Instance>,
 }
 
 #[derive(Debug)]
@@ -32,7 +33,15 @@
 }
 
 impl Token {
-    fn lacking(self, reached: Position) -> Option<Position> {
+    /// The session goes on at an instance, which knows only of reads there.
+    fn at(&mut self, instance: &name::Instance) {
+        if self.instance.as_ref() != Some(instance) {
+            self.seen = Position::default();
+            self.instance = Some(instance.clone());
+        }
+    }
+
+    fn lacking(&self, reached: Position) -> Option<Position> {
         if !reached.covers(self.written) {
             return Some(self.written);
         }
@@ -46,16 +55,28 @@
     pub fn observe(&mut self, event: &Event) -> Option<Violation> {
         match event {
             Event::Asked {
-                request, session, ..
+                request,
+                session,
+                instance,
+                ..
             } => {
+                let token = self.tokens.entry(*session).or_default();
+                token.at(instance);
                 let asked = Asked {
                     session: *session,
-                    token: self.tokens.get(session).copied().unwrap_or_default(),
+                    token: token.clone(),
                     effect: None,
                 };
                 self.asked.insert(*request, asked);
                 None
             }
+            Event::Crashed { instance } => {
+                let here = |t: &&mut Token| t.instance.as_ref() == Some(instance);
+                for token in self.tokens.values_mut().filter(here) {
+                    token.seen = Position::default();
+                }
+                None
+            }
             Event::Ran {
                 request, effect, ..
             } => {
@@ -85,7 +106,9 @@
                 return None;
             }
         };
-        token.seen = token.seen.max(seen);
+        if token.instance == asked.token.instance {
+            token.seen = token.seen.max(seen);
+        }
         let token = asked.token.lacking(seen)?;
         Some(Violation::OwnWriteUnseen {
             session: asked.session,
--- /dev/null
+++ b/crates/policy/src/jitter.rs
@@ -0,0 +1,110 @@
+//! Ordinary days: changes of primary that nothing called for.
+
+use std::time::Duration;
+
+use clock::Instant;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    net::exponential,
+    site::Site,
+    world::{Fault, Load, World},
+};
+
+/// The mean time between two stalls of one upstream.
+const STALLS: f64 = 20.0;
+/// The longest stall: a checkpoint or a neighbour on the host.
+const MAX_STALL: Duration = Duration::from_millis(200);
+/// The mean time between two pauses of one instance.
+const PAUSES: f64 = 30.0;
+/// The longest pause.
+const MAX_PAUSE: Duration = Duration::from_millis(150);
+/// The mean time between two restarts of an instance.
+const RESTARTS: f64 = 600.0;
+/// The mean time between two slow spells of the store.
+const SLOW: f64 = 300.0;
+
+/// What an ordinary time showed.
+#[derive(Debug, Clone, Copy)]
+pub struct Quiet {
+    /// Changes of primary.
+    pub promotions: usize,
+    /// Acknowledged writes that are gone.
+    pub lost: usize,
+    /// Promises broken.
+    pub violations: usize,
+    /// Calls to the store, over all instances, by the failover of one group.
+    pub store_calls: u64,
+    /// Requests that were done, and all requests.
+    pub done: u64,
+    /// Requests that were refused or ended unknown.
+    pub failed: u64,
+}
+
+/// Runs `span` of ordinary time.
+pub fn quiet(site: Site, span: Duration, seed: u64) -> Quiet {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x0071_7e12);
+    let mut world = World::open(site, seed);
+    let load = Load {
+        callers: 1,
+        every: Duration::from_millis(500),
+        reads: 50,
+        roams: 10,
+    };
+    world.load(Instant::from_millis(1_000), load);
+    let end = Instant::from_millis(1_000) + span;
+    for server in 0..site.upstreams {
+        every(&mut rng, STALLS, end, |rng, at| {
+            let stall = MAX_STALL.mul_f64(rng.random());
+            world.plan(at, Fault::Stall(server, stall));
+        });
+    }
+    for instance in 0..site.instances {
+        every(&mut rng, PAUSES, end, |rng, at| {
+            let pause = MAX_PAUSE.mul_f64(rng.random());
+            world.plan(at, Fault::Pause(instance, pause));
+        });
+        every(&mut rng, RESTARTS, end, |_, at| {
+            world.plan(at, Fault::Kill(instance))
+        });
+    }
+    every(&mut rng, SLOW, end, |rng, at| {
+        let extra = Duration::from_millis(rng.random_range(10..200));
+        world.plan(at, Fault::StoreSlow(extra));
+        world.plan(at + Duration::from_secs(5), Fault::StoreUp);
+    });
+    world.run(end);
+    world.quiet();
+    world.run(end + Duration::from_secs(2));
+    world.settle();
+    let tally = world.tally();
+    Quiet {
+        promotions: world
+            .marks
+            .values()
+            .filter(|m| m.promoted.is_some())
+            .count(),
+        lost: world.suite.lost(),
+        violations: world.suite.violations().len(),
+        store_calls: world.store.calls,
+        done: tally.done,
+        failed: tally.not_run + tally.unknown,
+    }
+}
+
+fn every(
+    rng: &mut ChaCha8Rng,
+    mean: f64,
+    end: Instant,
+    mut plan: impl FnMut(&mut ChaCha8Rng, Instant),
+) {
+    let mut at = Instant::from_millis(1_500);
+    loop {
+        at = at + Duration::from_secs_f64(exponential(rng, mean));
+        if at >= end {
+            return;
+        }
+        plan(rng, at);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,9 @@
+//! Measures the decisions in virtual time, on the operators' sizes.
+
+pub mod gap;
+pub mod jitter;
+pub mod net;
+pub mod server;
+pub mod site;
+pub mod stat;
+pub mod world;
--- /dev/null
+++ b/crates/policy/src/net.rs
@@ -0,0 +1,115 @@
+//! Latency, jitter, loss and partitions between zones.
+
+use std::{collections::HashSet, time::Duration};
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::site::Site;
+
+/// How long a lost segment takes to be sent again on a stream.
+const RETRANSMIT: Duration = Duration::from_millis(200);
+/// One message in this many is delayed by a full queue on its way.
+const DELAYED_ONE_IN: u32 = 1_000;
+/// The longest such delay.
+const MAX_DELAY: Duration = Duration::from_millis(40);
+/// One message in this many is lost.
+const LOST_ONE_IN: u32 = 5_000;
+
+/// Where a message starts or ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Place {
+    /// An availability zone.
+    Zone(usize),
+    /// The platform, whose store is in no zone.
+    Platform,
+}
+
+/// How a message travels.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Carrier {
+    /// A datagram: lost for good.
+    Datagram,
+    /// A stream: a lost segment comes late.
+    Stream,
+}
+
+/// The network of one deployment.
+#[derive(Debug)]
+pub struct Net {
+    site: Site,
+    rng: ChaCha8Rng,
+    cut: HashSet<(Place, Place)>,
+}
+
+impl Net {
+    /// Opens the network without partitions.
+    pub fn open(site: Site, rng: ChaCha8Rng) -> Self {
+        Self {
+            site,
+            rng,
+            cut: HashSet::new(),
+        }
+    }
+
+    /// Parts two places, in both directions.
+    pub fn cut(&mut self, a: Place, b: Place) {
+        self.cut.insert((a.min(b), a.max(b)));
+    }
+
+    /// Parts a zone from every other place.
+    pub fn isolate(&mut self, zone: usize) {
+        for other in (0..self.site.zones).filter(|&other| other != zone) {
+            self.cut(Place::Zone(zone), Place::Zone(other));
+        }
+        self.cut(Place::Zone(zone), Place::Platform);
+    }
+
+    /// Ends all partitions.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Whether messages pass between two places.
+    pub fn passes(&self, a: Place, b: Place) -> bool {
+        !self.cut.contains(&(a.min(b), a.max(b)))
+    }
+
+    /// How long a message takes, or `None` if it is lost.
+    pub fn send(&mut self, from: Place, to: Place, carrier: Carrier) -> Option<Duration> {
+        if !self.passes(from, to) {
+            return None;
+        }
+        let span = self.latency(from, to);
+        if self.rng.random_ratio(1, LOST_ONE_IN) {
+            return match carrier {
+                Carrier::Datagram => None,
+                Carrier::Stream => Some(span + RETRANSMIT),
+            };
+        }
+        Some(span)
+    }
+
+    /// The latency between two places, without jitter.
+    pub fn base(&self, from: Place, to: Place) -> Duration {
+        match (from, to) {
+            (Place::Platform, _) | (_, Place::Platform) => self.site.store,
+            (a, b) if a == b => self.site.inside,
+            _ => self.site.between,
+        }
+    }
+
+    fn latency(&mut self, from: Place, to: Place) -> Duration {
+        let base = self.base(from, to);
+        let jitter = base.mul_f64(exponential(&mut self.rng, 0.1));
+        if self.rng.random_ratio(1, DELAYED_ONE_IN) {
+            return base + jitter + MAX_DELAY.mul_f64(self.rng.random());
+        }
+        base + jitter
+    }
+}
+
+/// A number of the exponential distribution.
+pub fn exponential(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
--- /dev/null
+++ b/crates/policy/src/stat.rs
@@ -0,0 +1,77 @@
+//! Quantiles of measured spans.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// The longest span that is told apart, in microseconds.
+const LONGEST: u64 = 3_600_000_000;
+
+/// Spans of one kind, in microseconds.
+#[derive(Debug)]
+pub struct Spans {
+    histogram: Histogram<u64>,
+}
+
+impl Default for Spans {
+    fn default() -> Self {
+        let histogram = Histogram::new_with_bounds(1, LONGEST, 3);
+        let histogram = histogram.expect("three digits are within its range");
+        Self { histogram }
+    }
+}
+
+/// What is told of spans, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Quantiles {
+    /// How many there were.
+    pub count: u64,
+    /// The median.
+    pub p50_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The longest.
+    pub max_ms: f64,
+}
+
+impl Spans {
+    /// Adds a span.
+    pub fn add(&mut self, span: Duration) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        self.histogram.saturating_record(micros.max(1));
+    }
+
+    /// What is told of them.
+    pub fn quantiles(&self) -> Quantiles {
+        let ms = |micros: u64| micros as f64 / 1_000.0;
+        Quantiles {
+            count: self.histogram.len(),
+            p50_ms: ms(self.histogram.value_at_quantile(0.5)),
+            p99_ms: ms(self.histogram.value_at_quantile(0.99)),
+            max_ms: ms(self.histogram.max()),
+        }
+    }
+}
+
+/// Runs `job` for each number below `count` on all processors, and gives the
+/// results in order.
+pub fn parallel<T: Send>(count: u64, job: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let threads = std::thread::available_parallelism().map_or(1, usize::from) as u64;
+    let mut results: Vec<(u64, T)> = std::thread::scope(|scope| {
+        let job = &job;
+        let spawn = |first: u64| {
+            scope.spawn(move || {
+                let mine = (first..count).step_by(threads as usize);
+                mine.map(|n| (n, job(n))).collect::<Vec<_>>()
+            })
+        };
+        let handles: Vec<_> = (0..threads).map(spawn).collect();
+        let joined = handles.into_iter().map(|h| h.join());
+        joined
+            .flat_map(|r| r.unwrap_or_else(|panic| std::panic::resume_unwind(panic)))
+            .collect()
+    });
+    results.sort_by_key(|(n, _)| *n);
+    results.into_iter().map(|(_, result)| result).collect()
+}
--- /dev/null
+++ b/crates/policy/src/world.rs
@@ -0,0 +1,347 @@
+//! One database group with its instances, callers and store, in virtual time.
+//!
+//! The decisions are the real ones; what stands around them is small: logs,
+//! latencies, a record. Faults are put in by the bench or the test.
+
+mod caller;
+mod instance;
+mod platform;
+mod upstream;
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use check::{Event, Suite};
+use clock::{Instant, Timer};
+use failover::{Call, Timing};
+use model::{Phase, Position, Record, Term, name};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    net::{Carrier, Net, Place},
+    server::{Condition, Follow, Server},
+    site::Site,
+};
+
+pub use caller::{Caller, Kind, Landing, Load, Tally};
+pub use instance::Instance;
+pub use platform::Store;
+
+use caller::Desk;
+use instance::Arrival;
+use upstream::Ask;
+
+/// Something that happens at its moment.
+#[derive(Debug)]
+enum Happening {
+    Tick {
+        instance: usize,
+        epoch: u32,
+    },
+    AtServer {
+        server: usize,
+        from: usize,
+        ask: Ask,
+    },
+    AtInstance {
+        instance: usize,
+        epoch: u32,
+        arrival: Arrival,
+    },
+    AtStore {
+        from: usize,
+        call: Call,
+        ask: platform::Ask,
+    },
+    Stream {
+        follower: usize,
+        follow: Follow,
+        upto: usize,
+    },
+    Connect {
+        follower: usize,
+    },
+    Caller(usize),
+    Repeat {
+        caller: usize,
+        operation: check::Operation,
+        left: u32,
+    },
+    Answer {
+        request: check::Request,
+        answer: check::Answer,
+        token: Option<Position>,
+        term: Option<Term>,
+    },
+    Start {
+        instance: usize,
+    },
+    Fault(Fault),
+}
+
+/// What is done to the world.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// An upstream's process dies; its host refuses connections.
+    Crash(usize),
+    /// An upstream's host goes silent.
+    Silence(usize),
+    /// An upstream comes back with the log and role that it had.
+    Restart(usize),
+    /// An upstream does nothing for a while and does not know it.
+    Stall(usize, Duration),
+    /// A zone is parted from every other place.
+    Isolate(usize),
+    /// All partitions end.
+    Heal,
+    /// The store stops answering.
+    StoreDown,
+    /// The store takes this much longer for each call.
+    StoreSlow(Duration),
+    /// The store loses this many answers after the calls took effect.
+    LoseAnswers(u32),
+    /// The store is as usual.
+    StoreUp,
+    /// An instance dies and starts anew, knowing nothing.
+    Kill(usize),
+    /// An instance does nothing for a while and does not know it.
+    Pause(usize, Duration),
+    /// The instance that next sends such a message dies on sending it.
+    KillOn(Step),
+}
+
+/// A step of a change of primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The claim is sent to the store.
+    Claim,
+    /// The group is ordered to be fenced.
+    Fence,
+    /// The chosen upstream is ordered to lead.
+    Promote,
+    /// The new primary is sent to the store.
+    Record,
+}
+
+/// When a term's change of primary reached its steps.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Mark {
+    /// The claim was sent.
+    pub claim_sent: Option<Instant>,
+    /// The claimant learned that it had the claim.
+    pub claimed: Option<Instant>,
+    /// The promotion was ordered.
+    pub ordered: Option<Instant>,
+    /// The upstream leads.
+    pub promoted: Option<Instant>,
+}
+
+/// One database group and all that stands around it.
+#[derive(Debug)]
+pub struct World {
+    /// The deployment.
+    pub site: Site,
+    /// The upstreams.
+    pub servers: Vec<Server>,
+    /// The instances.
+    pub instances: Vec<Instance>,
+    /// The platform's store.
+    pub store: Store,
+    /// The checkers.
+    pub suite: Suite,
+    /// The steps of each term's change of primary.
+    pub marks: HashMap<Term, Mark>,
+    now: Instant,
+    timer: Timer<Happening>,
+    net: Net,
+    rng: ChaCha8Rng,
+    names: Vec<name::Upstream>,
+    database: name::Database,
+    tails: HashMap<usize, Instant>,
+    desk: Desk,
+    timing: Timing,
+    connecting: HashSet<usize>,
+    kill_on: Option<Step>,
+}
+
+fn numbered<T>(prefix: &str, number: usize, make: fn(&str) -> Result<T, name::Error>) -> T {
+    make(&format!("{prefix}{number}")).expect("a short lower-case word is a name")
+}
+
+impl World {
+    /// Opens a group that upstream 0 leads in term 1, with idle callers.
+    pub fn open(site: Site, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let net = Net::open(site, ChaCha8Rng::seed_from_u64(rng.random()));
+        let first = Term(1);
+        let leader = Follow {
+            leader: 0,
+            term: first,
+        };
+        let servers = (0..site.upstreams)
+            .map(|u| Server::open(u % site.zones, first, (u > 0).then_some(leader)))
+            .collect();
+        let names: Vec<_> = (0..site.upstreams)
+            .map(|u| numbered("u", u, name::Upstream::new))
+            .collect();
+        let record = Record {
+            term: first,
+            phase: Phase::Led {
+                upstream: names[0].clone(),
+            },
+            fork: model::Lsn(0),
+            attempt: 0,
+        };
+        let mut world = Self {
+            site,
+            servers,
+            instances: Vec::new(),
+            store: Store::open(record),
+            suite: Suite::default(),
+            marks: HashMap::new(),
+            now: Instant::ZERO,
+            timer: Timer::default(),
+            net,
+            rng,
+            names,
+            database: numbered("db", 0, name::Database::new),
+            tails: HashMap::new(),
+            desk: Desk::default(),
+            timing: Timing::default(),
+            connecting: HashSet::new(),
+            kill_on: None,
+        };
+        for instance in 0..site.instances {
+            world.start(instance);
+        }
+        world
+    }
+
+    /// The moment it is.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Lets a fault happen at a moment.
+    pub fn plan(&mut self, at: Instant, fault: Fault) {
+        self.timer.subscribe(at, Happening::Fault(fault));
+    }
+
+    /// Runs to a moment.
+    pub fn run(&mut self, until: Instant) {
+        while let Some(at) = self.timer.next().filter(|&at| at <= until) {
+            self.now = at;
+            for happening in self.timer.expired(at) {
+                self.happen(happening);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Tells the checkers what the current primary's log has, and ends.
+    pub fn settle(&mut self) {
+        let leaders = self.servers.iter().filter(|s| s.condition == Condition::Up);
+        let Some(leader) = leaders.max_by_key(|s| s.position()) else {
+            return;
+        };
+        let kept: Vec<_> = leader.log().iter().filter_map(|e| e.operation).collect();
+        for operation in kept {
+            self.tell(Event::Kept { operation });
+        }
+        self.tell(Event::Settled);
+    }
+
+    /// The upstream that leads by its own word, in the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |u: &usize| self.servers[*u].role() == model::Role::Primary;
+        (0..self.servers.len())
+            .filter(leads)
+            .max_by_key(|&u| self.servers[u].position().term)
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick { instance, epoch } => self.tick(instance, epoch),
+            Happening::AtServer { server, from, ask } => self.at_server(server, from, ask),
+            Happening::AtInstance {
+                instance,
+                epoch,
+                arrival,
+            } => self.at_instance(instance, epoch, arrival),
+            Happening::AtStore { from, call, ask } => self.at_store(from, call, ask),
+            Happening::Stream {
+                follower,
+                follow,
+                upto,
+            } => self.streamed(follower, follow, upto),
+            Happening::Connect { follower } => self.connect(follower),
+            Happening::Caller(caller) => self.call(caller),
+            Happening::Repeat {
+                caller,
+                operation,
+                left,
+            } => self.repeat(caller, operation, left),
+            Happening::Answer {
+                request,
+                answer,
+                token,
+                term,
+            } => self.answered(request, answer, token, term),
+            Happening::Start { instance } => self.start(instance),
+            Happening::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Crash(u) => self.crash(u),
+            Fault::Silence(u) => self.servers[u].condition = Condition::Silent,
+            Fault::Restart(u) => self.restart(u),
+            Fault::Stall(u, span) => self.servers[u].stalled = self.now + span,
+            Fault::Isolate(zone) => self.net.isolate(zone),
+            Fault::Heal => self.net.heal(),
+            Fault::StoreDown => self.store.down = true,
+            Fault::StoreSlow(extra) => self.store.extra = extra,
+            Fault::LoseAnswers(count) => self.store.lose = count,
+            Fault::StoreUp => self.store.recover(),
+            Fault::Kill(i) => self.kill(i),
+            Fault::Pause(i, span) => self.instances[i].paused = self.now + span,
+            Fault::KillOn(step) => self.kill_on = Some(step),
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.suite.observe(self.now, &event);
+    }
+
+    fn after(&mut self, span: Duration, happening: Happening) {
+        self.timer.subscribe(self.now + span, happening);
+    }
+
+    /// Sends over the network; nothing comes of it if it is lost.
+    fn send(&mut self, from: Place, to: Place, carrier: Carrier, happening: Happening) -> bool {
+        match self.net.send(from, to, carrier) {
+            Some(span) => {
+                self.after(span, happening);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn server_place(&self, server: usize) -> Place {
+        Place::Zone(self.servers[server].zone)
+    }
+
+    fn instance_place(&self, instance: usize) -> Place {
+        Place::Zone(self.instances[instance].zone)
+    }
+
+    fn index(&self, upstream: &name::Upstream) -> usize {
+        let found = self.names.iter().position(|name| name == upstream);
+        found.expect("the group was opened with these names")
+    }
+}
--- /dev/null
+++ b/crates/policy/src/world/caller.rs
@@ -0,0 +1,283 @@
+//! The callers: they ask steadily, repeat what is unknown, and roam.
+
+use std::{collections::HashMap, time::Duration};
+
+use check::{Answer, Event, Operation, Request};
+use clock::Instant;
+use model::{Freshness, Outcome, Position, Repeat, Term, name};
+use rand::Rng;
+
+use super::{Happening, World, instance::Arrival, numbered};
+
+/// How long a caller waits before it repeats a write with an unknown outcome.
+const REPEAT: Duration = Duration::from_millis(20);
+/// How often it does so.
+const REPEATS: u32 = 8;
+
+/// How the callers behave.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// How many callers each zone has.
+    pub callers: usize,
+    /// How long after one request a caller sends its next.
+    pub every: Duration,
+    /// How many of a hundred requests are reads.
+    pub reads: u32,
+    /// How many of a hundred requests a caller sends to another instance than
+    /// the one before.
+    pub roams: u32,
+}
+
+/// What a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A write with a request id.
+    Write,
+    /// A read.
+    Read(Freshness),
+}
+
+/// A request on its way to an instance.
+#[derive(Debug, Clone)]
+pub(super) struct Errand {
+    pub(super) caller: usize,
+    pub(super) request: Request,
+    pub(super) operation: Operation,
+    pub(super) kind: Kind,
+    pub(super) token: Option<Position>,
+    pub(super) roamed: bool,
+}
+
+/// One caller.
+#[derive(Debug, Clone, Copy)]
+pub struct Caller {
+    /// Its availability zone.
+    pub zone: usize,
+    instance: usize,
+    token: Option<Position>,
+}
+
+/// A write that was acknowledged to its caller.
+#[derive(Debug, Clone, Copy)]
+pub struct Landing {
+    /// When the caller sent the request that was acknowledged.
+    pub asked: Instant,
+    /// When the acknowledgement reached it.
+    pub at: Instant,
+    /// The term in which a majority held it.
+    pub term: Term,
+    /// The caller's zone.
+    pub zone: usize,
+}
+
+/// How many requests ended how.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Tally {
+    /// Done.
+    pub done: u64,
+    /// Not run.
+    pub not_run: u64,
+    /// Unknown.
+    pub unknown: u64,
+}
+
+#[derive(Debug)]
+struct Open {
+    caller: usize,
+    operation: Operation,
+    kind: Kind,
+    asked: Instant,
+    left: u32,
+}
+
+/// All that the callers remember.
+#[derive(Debug, Default)]
+pub(super) struct Desk {
+    load: Option<Load>,
+    callers: Vec<Caller>,
+    open: HashMap<Request, Open>,
+    requests: u64,
+    operations: u64,
+    landings: Vec<Landing>,
+    tally: Tally,
+}
+
+impl World {
+    /// Lets callers ask from `from` on.
+    pub fn load(&mut self, from: Instant, load: Load) {
+        self.desk.load = Some(load);
+        for zone in 0..self.site.zones {
+            for _ in 0..load.callers {
+                let instance = self.instance_near(zone);
+                let caller = self.desk.callers.len();
+                self.desk.callers.push(Caller {
+                    zone,
+                    instance,
+                    token: None,
+                });
+                let offset = load.every.mul_f64(self.rng.random());
+                let at = from + offset;
+                self.timer.subscribe(at, Happening::Caller(caller));
+            }
+        }
+    }
+
+    /// Lets no caller ask anything new.
+    pub fn quiet(&mut self) {
+        self.desk.load = None;
+    }
+
+    /// The writes that were acknowledged.
+    pub fn landings(&self) -> &[Landing] {
+        &self.desk.landings
+    }
+
+    /// How many requests ended how.
+    pub fn tally(&self) -> Tally {
+        self.desk.tally
+    }
+
+    fn instance_near(&mut self, zone: usize) -> usize {
+        let all = 0..self.instances.len();
+        let live: Vec<_> = all.filter(|&i| self.instances[i].up).collect();
+        let near: Vec<_> = live
+            .iter()
+            .copied()
+            .filter(|&i| self.instances[i].zone == zone)
+            .collect();
+        let choice = if near.is_empty() { &live } else { &near };
+        choice[self.rng.random_range(0..choice.len())]
+    }
+
+    pub(super) fn call(&mut self, caller: usize) {
+        let Some(load) = self.desk.load else {
+            return;
+        };
+        self.after(load.every, Happening::Caller(caller));
+        let kind = match self.rng.random_range(0..100) < load.reads {
+            false => Kind::Write,
+            true if self.rng.random_ratio(1, 4) => Kind::Read(Freshness::Current),
+            true => Kind::Read(Freshness::Session),
+        };
+        self.desk.operations += 1;
+        let operation = Operation(self.desk.operations);
+        let roams = self.rng.random_range(0..100) < load.roams;
+        self.ask(caller, operation, kind, REPEATS, roams);
+    }
+
+    pub(super) fn repeat(&mut self, caller: usize, operation: Operation, left: u32) {
+        self.ask(caller, operation, Kind::Write, left, true);
+    }
+
+    fn ask(&mut self, caller: usize, operation: Operation, kind: Kind, left: u32, roams: bool) {
+        let zone = self.desk.callers[caller].zone;
+        let before = self.desk.callers[caller].instance;
+        let stays = !roams && self.instances[before].up;
+        let instance = match stays {
+            true => before,
+            false => self.instance_near(zone),
+        };
+        let stays = instance == before;
+        self.desk.callers[caller].instance = instance;
+        self.desk.requests += 1;
+        let request = Request(self.desk.requests);
+        let open = Open {
+            caller,
+            operation,
+            kind,
+            asked: self.now,
+            left,
+        };
+        self.desk.open.insert(request, open);
+        self.tell_asked(caller, request, operation, kind, instance);
+        // One in four that roam come with nothing but their name.
+        let bare = !stays && self.rng.random_ratio(1, 4);
+        let token = self.desk.callers[caller].token.filter(|_| !bare);
+        let errand = Errand {
+            caller,
+            request,
+            operation,
+            kind,
+            token,
+            roamed: !stays,
+        };
+        let span = self.site.callers;
+        self.later(instance, span, Arrival::Errand(errand));
+    }
+
+    fn tell_asked(
+        &mut self,
+        caller: usize,
+        request: Request,
+        operation: Operation,
+        kind: Kind,
+        instance: usize,
+    ) {
+        let freshness = match kind {
+            Kind::Write => Freshness::Session,
+            Kind::Read(freshness) => freshness,
+        };
+        self.tell(Event::Asked {
+            request,
+            operation,
+            session: check::Session(caller as u64),
+            instance: numbered("i", instance, name::Instance::new),
+            database: self.database.clone(),
+            freshness,
+            repeat: Repeat::Once,
+        });
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        request: Request,
+        answer: Answer,
+        token: Option<Position>,
+        term: Option<Term>,
+    ) {
+        let Some(open) = self.desk.open.remove(&request) else {
+            return;
+        };
+        let session = check::Session(open.caller as u64);
+        self.tell(Event::Answered {
+            request,
+            session,
+            answer,
+        });
+        let caller = &mut self.desk.callers[open.caller];
+        if let Some(token) = token {
+            caller.token = Some(caller.token.map_or(token, |t| session::join(t, token)));
+        }
+        let zone = caller.zone;
+        match answer.outcome {
+            Outcome::Done => {
+                self.desk.tally.done += 1;
+                if let (Kind::Write, Some(term)) = (open.kind, term) {
+                    self.desk.landings.push(Landing {
+                        asked: open.asked,
+                        at: self.now,
+                        term,
+                        zone,
+                    });
+                }
+            }
+            Outcome::NotRun(_) => self.desk.tally.not_run += 1,
+            Outcome::Unknown(_) => {
+                self.desk.tally.unknown += 1;
+                self.repeat_later(&open);
+            }
+        }
+    }
+
+    fn repeat_later(&mut self, open: &Open) {
+        if open.kind != Kind::Write || open.left == 0 {
+            return;
+        }
+        let happening = Happening::Repeat {
+            caller: open.caller,
+            operation: open.operation,
+            left: open.left - 1,
+        };
+        self.after(REPEAT, happening);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/world/platform.rs
@@ -0,0 +1,137 @@
+//! The platform's store: one record, compare-and-swap, watches, bad days.
+
+use std::time::Duration;
+
+use failover::event::{Call, Entry, Event as Decision, StoreFault};
+use model::Record;
+
+use crate::net::{Carrier, Place};
+
+use super::{Happening, World, instance::Arrival};
+
+/// How long the store takes over a call.
+const SERVICE: Duration = Duration::from_millis(1);
+
+/// What the store is asked.
+#[derive(Debug, Clone)]
+pub(super) enum Ask {
+    /// The record.
+    Read,
+    /// The record as a watch begins with it.
+    Watch,
+    /// To replace the record if it is still at this revision.
+    Swap(u64, Record),
+}
+
+/// The store, as far as one group sees it.
+#[derive(Debug)]
+pub struct Store {
+    /// Whether it takes no calls.
+    pub down: bool,
+    /// How much longer than usual each call takes.
+    pub extra: Duration,
+    /// How many of the next answers are lost.
+    pub lose: u32,
+    /// How many calls it took.
+    pub calls: u64,
+    entry: Entry,
+}
+
+impl Store {
+    /// Opens the store with a first record.
+    pub fn open(record: Record) -> Self {
+        Self {
+            down: false,
+            extra: Duration::ZERO,
+            lose: 0,
+            calls: 0,
+            entry: Entry {
+                revision: 1,
+                record,
+            },
+        }
+    }
+
+    /// Ends all that ails it.
+    pub fn recover(&mut self) {
+        self.down = false;
+        self.extra = Duration::ZERO;
+        self.lose = 0;
+    }
+
+    /// The record.
+    pub fn entry(&self) -> &Entry {
+        &self.entry
+    }
+
+    fn swap(&mut self, expected: u64, record: Record) -> Result<u64, StoreFault> {
+        if self.entry.revision != expected {
+            return Err(StoreFault::Conflict);
+        }
+        self.entry.revision += 1;
+        self.entry.record = record;
+        Ok(self.entry.revision)
+    }
+}
+
+impl World {
+    pub(super) fn ask_store(&mut self, from: usize, call: Call, ask: Ask) {
+        let place = self.instance_place(from);
+        let happening = Happening::AtStore { from, call, ask };
+        self.send(place, Place::Platform, Carrier::Stream, happening);
+    }
+
+    pub(super) fn at_store(&mut self, from: usize, call: Call, ask: Ask) {
+        if self.store.down {
+            return;
+        }
+        self.store.calls += 1;
+        let decision = match ask {
+            Ask::Read => {
+                let result = Ok(Some(self.store.entry.clone()));
+                Decision::Read { call, result }
+            }
+            Ask::Watch => Decision::Seen(self.store.entry.clone()),
+            Ask::Swap(expected, record) => {
+                let result = self.store.swap(expected, record);
+                if result.is_ok() {
+                    self.notify();
+                }
+                Decision::Swapped { call, result }
+            }
+        };
+        if self.store.lose > 0 {
+            self.store.lose -= 1;
+            return;
+        }
+        let span = SERVICE + self.store.extra;
+        self.store_answers(from, span, Arrival::Group(decision));
+    }
+
+    /// Tells the watchers: one instance of each zone, which tells the others.
+    fn notify(&mut self) {
+        let entry = self.store.entry.clone();
+        let span = SERVICE + self.store.extra;
+        for zone in 0..self.site.zones {
+            let here = |i: &usize| self.instances[*i].zone == zone && self.instances[*i].up;
+            let Some(relay) = (0..self.instances.len()).find(here) else {
+                continue;
+            };
+            self.store_answers(relay, span, Arrival::Watched(entry.clone()));
+        }
+    }
+
+    fn store_answers(&mut self, to: usize, span: Duration, arrival: Arrival) {
+        let place = self.instance_place(to);
+        let Some(travel) = self.net.send(Place::Platform, place, Carrier::Stream) else {
+            return;
+        };
+        let epoch = self.instances[to].epoch;
+        let happening = Happening::AtInstance {
+            instance: to,
+            epoch,
+            arrival,
+        };
+        self.after(span + travel, happening);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/world/upstream.rs
@@ -0,0 +1,296 @@
+//! The upstreams' side: probes, orders, writes and replication.
+
+use std::time::Duration;
+
+use check::{Connection, Effect, Event};
+use clock::Instant;
+use failover::event::{Call, Event as Decision, Fault, Order};
+use model::{Lsn, Position, Report, Term};
+
+use crate::{
+    net::Carrier,
+    server::{Condition, Follow, Refusal, Written},
+};
+
+use super::{Happening, Kind, World, instance::Arrival};
+
+/// How long an upstream takes to answer a probe.
+const PROBE: Duration = Duration::from_micros(100);
+/// How long it takes to change its settings and leave its primary.
+const FENCE: Duration = Duration::from_millis(5);
+/// How long it takes from the order to lead to its first write.
+const PROMOTE: Duration = Duration::from_millis(50);
+/// How long a replica waits before it connects to its primary again.
+const RECONNECT: Duration = Duration::from_millis(100);
+/// How long a replica takes to flush what it received.
+const FLUSH: Duration = Duration::from_micros(300);
+
+/// What an upstream is asked.
+#[derive(Debug, Clone)]
+pub(super) enum Ask {
+    /// The group's question or order, with the moment it was sent.
+    Group(Call, Option<Order>),
+    /// A write.
+    Write(check::Request, check::Operation),
+    /// A read, with the position asked ahead of it.
+    Read(check::Request),
+    /// Its position, for the writes that wait for a majority.
+    Poll(Instant),
+}
+
+/// What an upstream said to a write.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Reply {
+    /// It ran, or had run before.
+    Ran(Position, Report),
+    /// It was refused, so it did not run.
+    Refused,
+    /// The host refused the connection, so that nothing left.
+    Unreachable,
+    /// The connection broke after the bytes had left.
+    Broken,
+}
+
+impl World {
+    pub(super) fn at_server(&mut self, server: usize, from: usize, ask: Ask) {
+        let now = self.now;
+        match self.servers[server].condition {
+            Condition::Silent => return,
+            Condition::Crashed => return self.refuse(server, from, &ask),
+            Condition::Up => {}
+        }
+        if self.servers[server].stalled > now {
+            let wait = self.servers[server].stalled.since(now);
+            return self.after(wait, Happening::AtServer { server, from, ask });
+        }
+        match ask {
+            Ask::Group(call, order) => self.order(server, from, call, order),
+            Ask::Write(request, operation) => self.write(server, from, request, operation),
+            Ask::Read(request) => {
+                let report = self.servers[server].report();
+                let seen = route::position(&report);
+                let age = Duration::ZERO;
+                self.ran(server, request, Effect::Read { seen, age });
+                let arrival = Arrival::Read(server, request, Some(report));
+                self.reply(server, from, self.site.service, arrival);
+            }
+            Ask::Poll(asked) => {
+                let report = self.servers[server].report();
+                let arrival = Arrival::Polled(server, asked, report);
+                self.reply(server, from, PROBE, arrival);
+            }
+        }
+    }
+
+    fn refuse(&mut self, server: usize, from: usize, ask: &Ask) {
+        let arrival = match ask {
+            Ask::Group(call, _) => self.answer(server, *call, Err(Fault::Refused)),
+            Ask::Write(request, _) => Arrival::Wrote(server, *request, Reply::Unreachable),
+            Ask::Read(request) => Arrival::Read(server, *request, None),
+            Ask::Poll(_) => return,
+        };
+        self.reply(server, from, Duration::ZERO, arrival);
+    }
+
+    fn answer(&self, server: usize, call: Call, result: Result<Report, Fault>) -> Arrival {
+        let upstream = self.names[server].clone();
+        Arrival::Group(Decision::Answer {
+            call,
+            upstream,
+            result,
+        })
+    }
+
+    fn reply(&mut self, server: usize, to: usize, span: Duration, arrival: Arrival) {
+        let (from, place) = (self.server_place(server), self.instance_place(to));
+        let Some(travel) = self.net.send(from, place, Carrier::Stream) else {
+            return;
+        };
+        let epoch = self.instances[to].epoch;
+        let happening = Happening::AtInstance {
+            instance: to,
+            epoch,
+            arrival,
+        };
+        self.after(span + travel, happening);
+    }
+
+    fn order(&mut self, server: usize, from: usize, call: Call, order: Option<Order>) {
+        let (span, result) = match order {
+            None => (PROBE, Ok(self.servers[server].report())),
+            Some(Order::Fence { term }) => (FENCE, self.servers[server].fence(term)),
+            Some(Order::Promote { term }) => (PROMOTE, self.promote(server, term)),
+            Some(Order::Follow { term, upstream }) => {
+                let leader = self.index(&upstream);
+                (FENCE, self.follow(server, Follow { leader, term }))
+            }
+        };
+        let result = result.map_err(|refusal| match refusal {
+            Refusal::Fenced(term) => Fault::Fenced(term),
+            Refusal::Replica => Fault::Broken,
+        });
+        let arrival = self.answer(server, call, result);
+        self.reply(server, from, span, arrival);
+    }
+
+    fn promote(&mut self, server: usize, term: Term) -> Result<Report, Refusal> {
+        let before = self.servers[server].position();
+        let fork = self.servers[server].promote(term)?;
+        if before.term < term {
+            self.promoted(server, term, fork);
+        }
+        Ok(self.servers[server].report())
+    }
+
+    fn promoted(&mut self, server: usize, term: Term, fork: Lsn) {
+        let at = self.now + PROMOTE;
+        self.servers[server].stalled = at;
+        self.marks.entry(term).or_default().promoted = Some(at);
+        self.tell(Event::Promoted {
+            database: self.database.clone(),
+            term,
+            fork,
+        });
+    }
+
+    fn follow(&mut self, server: usize, follow: Follow) -> Result<Report, Refusal> {
+        let known = self.servers[server].follow;
+        self.servers[server].follow(follow)?;
+        if known != Some(follow) {
+            self.after(Duration::ZERO, Happening::Connect { follower: server });
+        }
+        Ok(self.servers[server].report())
+    }
+
+    /// A replica connects to its primary and takes in what it lacks.
+    pub(super) fn connect(&mut self, follower: usize) {
+        self.connecting.remove(&follower);
+        let Some(follow) = self.servers[follower].follow else {
+            return;
+        };
+        if self.servers[follower].condition != Condition::Up {
+            return;
+        }
+        let (from, to) = (
+            self.server_place(follow.leader),
+            self.server_place(follower),
+        );
+        let leads = self.servers[follow.leader].leads(follow.term);
+        if !leads || !self.net.passes(from, to) {
+            return self.connect_later(follower);
+        }
+        let leader = self.servers[follow.leader].log().to_vec();
+        self.servers[follower].rewind(&leader);
+        self.stream(follower, follow);
+    }
+
+    fn connect_later(&mut self, follower: usize) {
+        if self.connecting.insert(follower) {
+            self.after(RECONNECT, Happening::Connect { follower });
+        }
+    }
+
+    fn stream(&mut self, follower: usize, follow: Follow) {
+        let (from, to) = (
+            self.server_place(follow.leader),
+            self.server_place(follower),
+        );
+        let upto = self.servers[follow.leader].log().len();
+        let Some(span) = self.net.send(from, to, Carrier::Stream) else {
+            return self.connect_later(follower);
+        };
+        let tail = self.tails.get(&follower).copied().unwrap_or_default();
+        let at = tail.max(self.now + span + FLUSH);
+        self.tails.insert(follower, at);
+        let happening = Happening::Stream {
+            follower,
+            follow,
+            upto,
+        };
+        self.timer.subscribe(at, happening);
+    }
+
+    pub(super) fn streamed(&mut self, follower: usize, follow: Follow, upto: usize) {
+        let here = &self.servers[follower];
+        if here.follow != Some(follow) || here.condition != Condition::Up {
+            return;
+        }
+        if here.stalled > self.now {
+            let happening = Happening::Stream {
+                follower,
+                follow,
+                upto,
+            };
+            return self.after(here.stalled.since(self.now), happening);
+        }
+        let have = here.log().len();
+        let leader = self.servers[follow.leader].log();
+        let news = leader.get(have..upto).unwrap_or_default().to_vec();
+        self.servers[follower].receive(&news);
+    }
+
+    fn write(
+        &mut self,
+        server: usize,
+        from: usize,
+        request: check::Request,
+        operation: check::Operation,
+    ) {
+        let reply = match self.servers[server].write(operation) {
+            Ok(Written::Added(at)) => {
+                self.ran(server, request, Effect::Write { at });
+                self.replicate(server);
+                Reply::Ran(at, self.servers[server].report())
+            }
+            Ok(Written::Found(at)) => {
+                self.ran(server, request, Effect::Found { at });
+                Reply::Ran(
+                    self.servers[server].position(),
+                    self.servers[server].report(),
+                )
+            }
+            Err(_) => Reply::Refused,
+        };
+        let span = self.site.service;
+        self.reply(server, from, span, Arrival::Wrote(server, request, reply));
+    }
+
+    fn ran(&mut self, server: usize, request: check::Request, effect: Effect) {
+        self.tell(Event::Ran {
+            request,
+            connection: Connection(server as u64),
+            transaction: None,
+            effect,
+        });
+    }
+
+    fn replicate(&mut self, leader: usize) {
+        let term = self.servers[leader].position().term;
+        let follow = Follow { leader, term };
+        for follower in 0..self.servers.len() {
+            if self.servers[follower].follow == Some(follow) {
+                self.stream(follower, follow);
+            }
+        }
+    }
+
+    /// An upstream starts again with the disk it had.
+    pub(super) fn restart(&mut self, server: usize) {
+        self.servers[server].condition = Condition::Up;
+        self.after(Duration::ZERO, Happening::Connect { follower: server });
+    }
+
+    /// An upstream's process dies, and with it the connections to it.
+    pub(super) fn crash(&mut self, server: usize) {
+        self.servers[server].condition = Condition::Crashed;
+        for instance in 0..self.instances.len() {
+            for (request, kind) in self.instances[instance].under_way(server) {
+                let arrival = match kind {
+                    Kind::Write => Arrival::Wrote(server, request, Reply::Broken),
+                    Kind::Read(_) => Arrival::Read(server, request, None),
+                };
+                self.reply(server, instance, Duration::ZERO, arrival);
+            }
+        }
+    }
+}
