--- a/crates/policy/src/gap.rs
+++ b/crates/policy/src/gap.rs
@@ -18,10 +18,8 @@
 const BEGIN: Instant = Instant::from_millis(1_500);
 /// The earliest moment of the failure; it comes within 500 ms of it.
 const FAIL: u64 = 2_000_000;
-/// How long a trial goes on before what was broken comes back.
-const BACK: Duration = Duration::from_secs(5);
-/// How long it goes on from there.
-const REST: Duration = Duration::from_secs(3);
+/// How long it goes on once what was broken is back.
+const REST: Duration = Duration::from_secs(2);
 /// The last requests' deadline and what the answers travel.
 const DRAIN: Duration = Duration::from_millis(1_500);
 
@@ -52,6 +50,14 @@
 }
 
 impl Kind {
+    /// How long a trial goes on before what was broken comes back.
+    fn back(self) -> Duration {
+        match self {
+            Self::Stall | Self::StoreDown => Duration::from_secs(5),
+            _ => Duration::from_secs(3),
+        }
+    }
+
     /// All of them.
     pub const ALL: [Self; 10] = [
         Self::Crash,
@@ -103,15 +109,16 @@
     if kind == Kind::CrashTwice {
         crash_next(&mut world, fail);
     }
-    world.run(fail + BACK);
-    world.plan(fail + BACK, Fault::Heal);
-    world.plan(fail + BACK, Fault::StoreUp);
+    let back = fail + kind.back();
+    world.run(back);
+    world.plan(back, Fault::Heal);
+    world.plan(back, Fault::StoreUp);
     for server in 0..site.upstreams {
-        world.plan(fail + BACK, Fault::Restart(server));
+        world.plan(back, Fault::Restart(server));
     }
-    world.run(fail + BACK + REST);
+    world.run(back + REST);
     world.quiet();
-    world.run(fail + BACK + REST + DRAIN);
+    world.run(back + REST + DRAIN);
     world.settle();
     (world, fail)
 }
@@ -153,7 +160,7 @@
 /// that a majority is left.
 fn crash_next(world: &mut World, fail: Instant) {
     let mut at = fail;
-    while at < fail + BACK {
+    while at < fail + Duration::from_secs(2) {
         at = at + Duration::from_millis(1);
         world.run(at);
         let leads = |u: &usize| world.servers[*u].role() == Role::Primary;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod gap;
 pub mod jitter;
+pub mod lag;
 pub mod net;
+pub mod reads;
 pub mod server;
 pub mod site;
 pub mod stat;
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -128,6 +128,16 @@
         &self.log
     }
 
+    /// Whether a read here shows an operation.
+    pub fn holds(&self, operation: Operation) -> bool {
+        self.ledger.contains_key(&operation)
+    }
+
+    /// Drops an operation from the ledger, though not from the log.
+    pub fn forget(&mut self, operation: Operation) {
+        self.ledger.remove(&operation);
+    }
+
     /// Runs a write, with the ledger's entry in the same transaction.
     pub fn write(&mut self, operation: Operation) -> Result<Written, Refusal> {
         if self.role != Role::Primary {
--- a/crates/policy/src/stat.rs
+++ b/crates/policy/src/stat.rs
@@ -42,6 +42,12 @@
         self.histogram.saturating_record(micros.max(1));
     }
 
+    /// Adds all spans of another.
+    pub fn merge(&mut self, other: &Self) {
+        let merged = self.histogram.add(&other.histogram);
+        merged.expect("all have the same bounds");
+    }
+
     /// What is told of them.
     pub fn quantiles(&self) -> Quantiles {
         let ms = |micros: u64| micros as f64 / 1_000.0;
