--- a/crates/check/tests/promises.rs
+++ b/crates/check/tests/promises.rs
@@ -145,6 +145,45 @@
     assert_tells(logic, told);
 }
 
+/// What a session reads by a request from an earlier stay at an instance, not
+/// yet acknowledged to anybody, does not bind its reads in a later stay. Found
+/// by a hunt: a current read at i6 was answered after the session had been at
+/// i2 and had come back to i6 with its token.
+#[test]
+fn read_of_an_earlier_stay() {
+    let at = |instance: &str, request| match asked(request, request, 7, Freshness::Session) {
+        Event::Asked {
+            request,
+            operation,
+            session,
+            database,
+            freshness,
+            repeat,
+            ..
+        } => Event::Asked {
+            request,
+            operation,
+            session,
+            instance: name::Instance::new(instance).unwrap(),
+            database,
+            freshness,
+            repeat,
+        },
+        other => other,
+    };
+    let history = [
+        at("i6", 1),
+        at("i2", 2),
+        at("i6", 3),
+        ran(1, read(1, 30, Duration::ZERO)),
+        done(1, 7),
+        at("i6", 4),
+        ran(4, read(1, 20, Duration::ZERO)),
+        done(4, 7),
+    ];
+    assert_eq!(observe(&history), []);
+}
+
 /// Symptom: the shelf status shows a box that another reader has taken.
 /// Events: one session's write at 20 is acknowledged; another's current read
 /// sees 10. Cause: the broken router treats a current read like a session's.
