Send each upstream one statement ahead of its slots

Change: the bench gives each seat's pool one statement more than its slots, and its stand-in keeps what has no slot waiting.

--- a/crates/policy/src/load/bench.rs
+++ b/crates/policy/src/load/bench.rs
@@ -1,7 +1,7 @@
 //! One group under load: pools, instances that forward, callers that repeat.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -38,6 +38,9 @@
 const QUEUE: u32 = 256;
 /// Connections that a pool keeps open.
 const WARM: u16 = 2;
+/// Statements that a pool sends beyond its slots, so that a slot has its next
+/// one at hand while an answer travels.
+const AHEAD: u16 = 1;
 
 #[derive(Debug)]
 enum Happening {
@@ -52,6 +55,10 @@
         seat: usize,
         generation: Generation,
     },
+    Reach {
+        seat: usize,
+        handle: Handle,
+    },
     Ran {
         seat: usize,
         handle: Handle,
@@ -82,6 +89,13 @@
     ran: HashMap<Handle, Ticket>,
 }
 
+/// What an upstream has to do.
+#[derive(Debug, Default)]
+struct Upstream {
+    busy: u16,
+    waiting: VecDeque<(usize, Handle)>,
+}
+
 /// One request of a caller, with its repeats.
 #[derive(Debug)]
 struct Open {
@@ -103,6 +117,7 @@
     net: Net,
     rng: ChaCha8Rng,
     seats: Vec<Seat>,
+    upstreams: Vec<Upstream>,
     routers: Vec<Router>,
     names: Vec<name::Upstream>,
     tenants: Vec<name::Tenant>,
@@ -142,6 +157,7 @@
             net,
             rng,
             seats: Vec::new(),
+            upstreams: (0..site.upstreams).map(|_| Upstream::default()).collect(),
             routers: Vec::new(),
             names: (0..site.upstreams).map(upstream).collect(),
             tenants: (0..TENANTS).map(tenant).collect(),
@@ -171,7 +187,7 @@
                 let share = holder::share(site.connections, site.slots, seats, index);
                 let conf = Conf {
                     connections: share.connections,
-                    slots: share.slots,
+                    slots: share.slots + AHEAD,
                     warm: WARM,
                     idle: Duration::from_secs(30),
                     transaction_idle: Duration::from_secs(10),
@@ -231,6 +247,7 @@
             Happening::Opened { seat, generation } => {
                 self.step(seat, pool::Event::Opened(generation));
             }
+            Happening::Reach { seat, handle } => self.reach(seat, handle),
             Happening::Ran { seat, handle } => self.ran(seat, handle),
             Happening::Read { seat, handle } => self.read(seat, handle),
             Happening::Tick { seat } => {
@@ -427,18 +444,33 @@
             transaction: None,
         });
         self.seats[seat].running.insert(handle, request);
-        let upstream = self.seats[seat].upstream;
-        let same = self.seats.iter().filter(|s| s.upstream == upstream);
-        let running: usize = same.map(|s| s.running.len()).sum();
-        // Beyond its slots an upstream only shares out the same work.
-        let crowd = (running as f64 / f64::from(self.site.slots)).max(1.0);
-        let mean = self.site.service.as_secs_f64() * crowd;
+        self.after(self.site.inside, Happening::Reach { seat, handle });
+    }
+
+    /// A statement reached its upstream, which runs as many as it has slots and
+    /// lets the others wait.
+    fn reach(&mut self, seat: usize, handle: Handle) {
+        let upstream = &mut self.upstreams[self.seats[seat].upstream];
+        if upstream.busy >= self.site.slots {
+            upstream.waiting.push_back((seat, handle));
+            return;
+        }
+        upstream.busy += 1;
+        let mean = self.site.service.as_secs_f64();
         let service = Duration::from_secs_f64(exponential(&mut self.rng, mean));
-        let span = self.site.inside + service;
-        self.after(span, Happening::Ran { seat, handle });
+        self.after(service, Happening::Ran { seat, handle });
     }
 
     fn ran(&mut self, seat: usize, handle: Handle) {
+        let upstream = &mut self.upstreams[self.seats[seat].upstream];
+        upstream.busy -= 1;
+        while let Some((seat, handle)) = upstream.waiting.pop_front() {
+            // What was cancelled while it waited is dropped.
+            if self.seats[seat].running.contains_key(&handle) {
+                self.reach(seat, handle);
+                break;
+            }
+        }
         let Some(request) = self.seats[seat].running.remove(&handle) else {
             return;
         };
