--- /dev/null
+++ b/crates/check/src/session.rs
@@ -0,0 +1,125 @@
+//! Read-your-writes: a session never reads a state older than what it wrote.
+
+use std::collections::HashMap;
+
+use model::{Outcome, Position, name};
+
+use crate::{Effect, Event, Request, Session, Violation};
+
+/// Checks that a session sees its own writes, and never goes back in time.
+///
+/// A read is held against what the session had been *answered* before it asked:
+/// requests that one session has under way together are not ordered. What a
+/// session merely read may be lost with a primary before it was acknowledged to
+/// anybody, so it binds later reads only within one term and at one instance.
+#[derive(Debug, Default)]
+pub struct ReadYourWrites {
+    tokens: HashMap<Session, Token>,
+    asked: HashMap<Request, Asked>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Token {
+    written: Position,
+    seen: Position,
+    instance: Option<name::Instance>,
+    /// Counts the session's stays at instances: one that comes back to an
+    /// instance is not known there, also not by what it has under way there.
+    stay: u64,
+}
+
+#[derive(Debug)]
+struct Asked {
+    session: Session,
+    token: Token,
+    effect: Option<Effect>,
+}
+
+impl Token {
+    /// The session goes on at an instance, which knows only of reads there.
+    fn at(&mut self, instance: &name::Instance) {
+        if self.instance.as_ref() != Some(instance) {
+            self.seen = Position::default();
+            self.instance = Some(instance.clone());
+            self.stay += 1;
+        }
+    }
+
+    fn lacking(&self, reached: Position) -> Option<Position> {
+        if !reached.covers(self.written) {
+            return Some(self.written);
+        }
+        let lineage = reached.term <= self.seen.term;
+        (lineage && !reached.covers(self.seen)).then_some(self.seen)
+    }
+}
+
+impl ReadYourWrites {
+    /// Takes one event.
+    pub fn observe(&mut self, event: &Event) -> Option<Violation> {
+        match event {
+            Event::Asked {
+                request,
+                session,
+                instance,
+                ..
+            } => {
+                let token = self.tokens.entry(*session).or_default();
+                token.at(instance);
+                let asked = Asked {
+                    session: *session,
+                    token: token.clone(),
+                    effect: None,
+                };
+                self.asked.insert(*request, asked);
+                None
+            }
+            Event::Crashed { instance } => {
+                let here = |t: &&mut Token| t.instance.as_ref() == Some(instance);
+                for token in self.tokens.values_mut().filter(here) {
+                    token.seen = Position::default();
+                    token.stay += 1;
+                }
+                None
+            }
+            Event::Ran {
+                request, effect, ..
+            } => {
+                self.asked.get_mut(request)?.effect = Some(*effect);
+                None
+            }
+            Event::Answered {
+                request, answer, ..
+            } => {
+                let asked = self.asked.remove(request)?;
+                if answer.outcome != Outcome::Done {
+                    return None;
+                }
+                self.answered(*request, &asked)
+            }
+            _ => None,
+        }
+    }
+
+    fn answered(&mut self, request: Request, asked: &Asked) -> Option<Violation> {
+        let token = self.tokens.entry(asked.session).or_default();
+        let seen = match asked.effect? {
+            Effect::Read { seen, .. } => seen,
+            Effect::Write { at } | Effect::Found { at } => {
+                token.written.term = token.written.term.max(at.term);
+                token.written.lsn = token.written.lsn.max(at.lsn);
+                return None;
+            }
+        };
+        if token.stay == asked.token.stay {
+            token.seen = token.seen.max(seen);
+        }
+        let token = asked.token.lacking(seen)?;
+        Some(Violation::OwnWriteUnseen {
+            session: asked.session,
+            request,
+            seen,
+            token,
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,13 @@
+//! Measures the decisions in virtual time, on the operators' sizes.
+
+pub mod gap;
+pub mod jitter;
+pub mod lag;
+pub mod load;
+pub mod net;
+pub mod reads;
+pub mod report;
+pub mod server;
+pub mod site;
+pub mod stat;
+pub mod world;
