Pace probes by the size of the fleet, and tell the pool when connections are closed

Cause: at 50 ms the target's 6,600 databases would cost each of 4,000 instances 249 KB/s of probes (arithmetic, with the hop over a holder); closed connections kept their place in the pool for 500 ms because nobody told that they were gone. Change: fleets above 90 instances have three candidates a database and probes as far apart as 7.7 KB/s allow; the pool is told 5 ms after a close.

--- a/crates/daemon/src/control/duty.rs
+++ b/crates/daemon/src/control/duty.rs
@@ -4,11 +4,11 @@
 
 use catalog::layout::Snapshot;
 use clock::{Clock, Instant};
-use failover::{Action, Event, Group, Member, Stay, Timing};
+use failover::{Action, Event, Group, Member, Stay};
 use model::{Phase as Change, Record, name};
 use ntex::time::sleep;
 
-use super::{Answer, Order};
+use super::{Answer, Order, pace};
 use crate::{
     board::{Asked, Lead},
     duty::{self, Phase, Watch},
@@ -209,9 +209,9 @@
                 instance: self.instance.clone(),
                 zone: self.zone.clone(),
                 upstreams,
-                candidates: failover::CANDIDATES,
+                candidates: pace::candidates(self.members.len()),
                 seed: self.seed,
-                timing: Timing::default(),
+                timing: pace::timing(databases.len(), self.members.len()),
             };
             match Group::open(conf, self.clock.now()) {
                 Ok(group) => {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -48,5 +48,6 @@
 }
 
 mod duty;
+mod pace;
 
 pub(crate) use duty::{Conf, run};
--- a/crates/daemon/src/upstreams/lines.rs
+++ b/crates/daemon/src/upstreams/lines.rs
@@ -25,6 +25,9 @@
 /// How long a login at an upstream may take.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long an upstream takes to see that a connection was closed.
+const CLOSING: Duration = Duration::from_millis(5);
+
 /// A refusal by the pool: the request did not run.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Refused {
@@ -177,6 +180,17 @@
         let handle = line.handle;
         drop(line);
         self.step(Event::Answered(handle, After::Unusable));
+        self.tell_closed(handle.generation);
+    }
+
+    /// Tells the pool that a connection is closed, once the upstream has had
+    /// the time to see it: opened at once, the next one would come on top.
+    fn tell_closed(self: &Rc<Self>, generation: Generation) {
+        let lines = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            sleep(CLOSING).await;
+            lines.step(Event::Closed(generation));
+        });
     }
 
     async fn wait(self: &Rc<Self>, ticket: Ticket, event: Event) -> Result<Handle, Refused> {
@@ -205,7 +219,11 @@
                 ntex::rt::spawn(connect(Rc::clone(self), generation));
             }
             Action::Close(generation) => {
-                self.idle.borrow_mut().remove(&generation);
+                let idle = self.idle.borrow_mut().remove(&generation);
+                if idle.is_some() {
+                    drop(idle);
+                    self.tell_closed(generation);
+                }
             }
             Action::Run(ticket, handle) => self.answer(ticket, Ok(handle)),
             Action::Refuse {
