Clean the ledgers of request ids

Cause: ids were kept for ever, so the ledger would grow until the disk is full. Measured: an old id is gone and a new one kept, in a test through two daemons.

--- a/crates/daemon/src/upstreams/control.rs
+++ b/crates/daemon/src/upstreams/control.rs
@@ -28,6 +28,7 @@
 struct Waiting {
     probes: Vec<Asker>,
     orders: Vec<(upstream::Order, Asker)>,
+    statements: Vec<(String, oneshot::Sender<Result<u64, Fault>>)>,
 }
 
 /// The control connection of one upstream.
@@ -71,6 +72,17 @@
         answer.await.unwrap_or(Err(Fault::Broken))
     }
 
+    /// Runs a statement of the proxy's own; returns how many rows it touched.
+    pub(super) async fn execute(&self, statement: String) -> Result<u64, Fault> {
+        let (asker, answer) = oneshot::channel();
+        self.waiting
+            .borrow_mut()
+            .statements
+            .push((statement, asker));
+        self.work.notify_one();
+        answer.await.unwrap_or(Err(Fault::Broken))
+    }
+
     fn take(&self) -> Option<Work> {
         let mut waiting = self.waiting.borrow_mut();
         if !waiting.orders.is_empty() {
@@ -78,13 +90,18 @@
             return Some(Work::Order(order, asker));
         }
         let probes = std::mem::take(&mut waiting.probes);
-        (!probes.is_empty()).then_some(Work::Probe(probes))
+        if !probes.is_empty() {
+            return Some(Work::Probe(probes));
+        }
+        let (statement, asker) = waiting.statements.pop()?;
+        Some(Work::Statement(statement, asker))
     }
 }
 
 enum Work {
     Probe(Vec<Asker>),
     Order(upstream::Order, Asker),
+    Statement(String, oneshot::Sender<Result<u64, Fault>>),
 }
 
 async fn serve(control: std::rc::Weak<Control>) {
@@ -110,46 +127,58 @@
                 let status = strong.ask(&mut conn, &order.statements()).await;
                 let _ = asker.send(status);
             }
+            Work::Statement(statement, asker) => {
+                let count = strong.count(&mut conn, &statement).await;
+                let _ = asker.send(count);
+            }
         }
     }
 }
 
 impl Control {
     async fn ask(&self, conn: &mut Option<Conn>, statements: &[String]) -> Status {
+        let asking = async |open: &Conn| {
+            let (last, first) = statements
+                .split_last()
+                .ok_or(Error::Status("no statement"))?;
+            open.run(first).await?;
+            let sent = self.clock.now();
+            let rows = open.run(std::slice::from_ref(last)).await?;
+            let row = rows.first().ok_or(Error::Status("no row"))?;
+            Ok((sent, upstream::report(row)?))
+        };
+        self.on_conn(conn, asking).await
+    }
+
+    async fn count(&self, conn: &mut Option<Conn>, statement: &str) -> Result<u64, Fault> {
+        self.on_conn(conn, async |open: &Conn| open.execute(statement).await)
+            .await
+    }
+
+    /// Does something on the connection, within the time that it may take.
+    async fn on_conn<T>(
+        &self,
+        conn: &mut Option<Conn>,
+        act: impl AsyncFnOnce(&Conn) -> Result<T, Error>,
+    ) -> Result<T, Fault> {
         let limit = ntex::time::Millis::from(TIMEOUT);
-        let asked = ntex::time::timeout(limit, self.try_ask(conn, statements)).await;
-        let result = asked.unwrap_or(Err(Error::Timeout));
-        result.map_err(|error| {
+        let acting = async {
+            if conn.as_ref().is_none_or(Conn::is_closed) {
+                *conn = Some(Conn::open(self.address, &self.login, &self.dbname).await?);
+            }
+            let open = conn.as_ref().ok_or(Error::Closed)?;
+            act(open).await
+        };
+        let result = ntex::time::timeout(limit, acting).await;
+        result.unwrap_or(Err(Error::Timeout)).map_err(|error| {
             // A connection that failed once may still bring the answer to the
             // question that was given up: it is never used again.
-            let refused = matches!(error, Error::Refused { .. });
-            if !refused {
+            if !matches!(error, Error::Refused { .. }) {
                 *conn = None;
             }
             fault(&error)
         })
     }
-
-    async fn try_ask(
-        &self,
-        conn: &mut Option<Conn>,
-        statements: &[String],
-    ) -> Result<(Instant, Report), Error> {
-        if conn.as_ref().is_none_or(Conn::is_closed) {
-            *conn = Some(Conn::open(self.address, &self.login, &self.dbname).await?);
-        }
-        let Some(open) = conn.as_ref() else {
-            return Err(Error::Closed);
-        };
-        let (last, first) = statements
-            .split_last()
-            .ok_or(Error::Status("no statement"))?;
-        open.run(first).await?;
-        let sent = self.clock.now();
-        let rows = open.run(std::slice::from_ref(last)).await?;
-        let row = rows.first().ok_or(Error::Status("no row"))?;
-        Ok((sent, upstream::report(row)?))
-    }
 }
 
 /// What the control duty is told of an error.
--- a/crates/daemon/src/upstreams/group.rs
+++ b/crates/daemon/src/upstreams/group.rs
@@ -61,6 +61,8 @@
 struct Part {
     /// The numbers of its seats among those of the database.
     seats: Vec<u16>,
+    /// Whether the upstream's first seat is among them.
+    first: bool,
     /// How many seats the database has.
     of: u16,
 }
@@ -71,6 +73,11 @@
         !self.part.borrow().seats.is_empty()
     }
 
+    /// Whether this instance has the first of the upstream's seats.
+    pub(super) fn holds_first(&self) -> bool {
+        self.part.borrow().first
+    }
+
     /// Where the next request for the upstream goes.
     pub(super) fn holder(&self, core: &Core) -> Holder {
         if self.holds() {
@@ -202,6 +209,7 @@
             });
             member.lines.set_conf(limits(shares));
             *member.part.borrow_mut() = Part {
+                first: own.contains(&0),
                 seats: own.iter().map(|seat| first + seat).collect(),
                 of,
             };
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -2,6 +2,7 @@
 
 mod ack;
 mod choose;
+mod clean;
 mod control;
 mod exchange;
 mod group;
@@ -232,6 +233,8 @@
             core.groups
                 .borrow_mut()
                 .insert(name.clone(), Rc::clone(&group));
+            let cleaning = clean::serve(Rc::downgrade(core), Rc::downgrade(&group));
+            ntex::rt::spawn(cleaning);
             group
         });
         group.follow(core, database);
--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -111,3 +111,30 @@
         assert_eq!(rows.len(), 6 * 30);
     });
 }
+
+/// Symptom: the ledger of request ids grows until the disk is full. Events:
+/// ids are older than the days for which they are kept. Cause, where it fails:
+/// no instance deletes them.
+#[test]
+fn old_ids_are_cleaned_and_new_ones_kept() {
+    let rig = Rig::open(2);
+    run(async {
+        let client = rig.connect(0, "slots").await;
+        let kept = id(5);
+        book(&client, &kept, "a").await.unwrap();
+        let old = format!("{:032x}", 7_u128 << 76);
+        let insert = "INSERT INTO dandelionlink_request (id, tag) VALUES ($1, 'old')";
+        client.execute(insert, &[&old]).await.unwrap();
+        let select = "SELECT id FROM dandelionlink_request FOR UPDATE";
+        for _ in 0..300 {
+            let rows = client.query(select, &[]).await.unwrap();
+            let ids: Vec<String> = rows.iter().map(|row| row.get(0)).collect();
+            assert!(ids.contains(&kept));
+            if !ids.contains(&old) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the old id is still there");
+    });
+}
--- a/crates/fake/src/server/exec.rs
+++ b/crates/fake/src/server/exec.rs
@@ -217,6 +217,7 @@
                     .await?;
                 Ok(tagged(&format!("UPDATE {count}")))
             }
+            Plan::Clean { below, limit } => self.clean(below, *limit).await,
             Plan::Delete { table, key } => {
                 let count = self.change(*table, key.as_ref(), &None, parameters).await?;
                 Ok(tagged(&format!("DELETE {count}")))
@@ -248,6 +249,21 @@
         lock(&self.shared).cancels.remove(&self.id)
     }
 
+    async fn clean(&mut self, below: &str, limit: usize) -> Result<Outcome, Refusal> {
+        /// The ledger's place among the tables.
+        const LEDGER: usize = 1;
+        let old = self
+            .keys(LEDGER)
+            .into_iter()
+            .filter(|id| id.as_str() < below);
+        let old: Vec<_> = old.take(limit).collect();
+        for id in &old {
+            let key = sql::Term::Text(id.clone());
+            self.change(LEDGER, Some(&key), &None, &[]).await?;
+        }
+        Ok(tagged(&format!("DELETE {}", old.len())))
+    }
+
     fn end_transaction(&mut self, end: End) -> Outcome {
         let commits = end == End::Commit && !self.failed;
         if commits {
--- a/crates/fake/src/sql.rs
+++ b/crates/fake/src/sql.rs
@@ -97,6 +97,11 @@
         table: usize,
         key: Option<Term>,
     },
+    /// Deletes the ledger's rows whose ids are below a bound, up to a limit.
+    Clean {
+        below: String,
+        limit: usize,
+    },
 }
 
 fn unsupported(what: &str) -> Refusal {
@@ -113,6 +118,10 @@
     statements.iter().map(plan).collect()
 }
 
+/// How the cleaning of the ledger begins.
+const CLEAN: &str = "DELETE FROM dandelionlink_request WHERE id IN (\
+    SELECT id FROM dandelionlink_request WHERE id < '";
+
 /// The statements of an operator of the group, by their first words.
 fn system(text: &str) -> Option<Plan> {
     let text = text.trim().trim_end_matches(';');
@@ -136,6 +145,17 @@
     if text == "SELECT pg_promote()" {
         return Some(Plan::Promote);
     }
+    if let Some(rest) = text.strip_prefix(CLEAN) {
+        let (below, rest) = rest.split_once('\'')?;
+        let limit = rest
+            .strip_prefix(" ORDER BY id LIMIT ")?
+            .split(' ')
+            .next()?;
+        return Some(Plan::Clean {
+            below: below.to_owned(),
+            limit: limit.parse().ok()?,
+        });
+    }
     if let Some(rest) = text.strip_prefix("ALTER SYSTEM SET ") {
         let (name, value) = rest.split_once(" = ")?;
         return Some(Plan::Alter {
--- a/crates/upstream/src/conn.rs
+++ b/crates/upstream/src/conn.rs
@@ -111,7 +111,7 @@
     pub async fn run(&self, statements: &[String]) -> Result<Vec<Frame>, Error> {
         let mut rows = Vec::new();
         for statement in statements {
-            let found = self.query(statement).await?;
+            let (found, _) = self.query(statement).await?;
             if !found.is_empty() {
                 rows = found;
             }
@@ -119,22 +119,36 @@
         Ok(rows)
     }
 
-    async fn query(&self, statement: &str) -> Result<Vec<Frame>, Error> {
+    /// Runs a statement by simple query and returns how many rows it touched.
+    ///
+    /// # Errors
+    ///
+    /// As [`Conn::run`].
+    pub async fn execute(&self, statement: &str) -> Result<u64, Error> {
+        let (_, tag) = self.query(statement).await?;
+        let count = tag.rsplit(' ').next().and_then(|it| it.parse().ok());
+        Ok(count.unwrap_or(0))
+    }
+
+    /// The rows that a statement brings, and its command tag.
+    async fn query(&self, statement: &str) -> Result<(Vec<Frame>, String), Error> {
         let mut buf = BytesMut::new();
         frontend::query(statement, &mut buf).map_err(pg::Error::Io)?;
         self.send(&buf)?;
         let mut rows = Vec::new();
         let mut refused = None;
+        let mut tag = String::new();
         loop {
             let frame = self.recv().await?;
             match frame.tag() {
                 b'D' => rows.push(frame),
+                b'C' => tag = command_tag(frame.body()),
                 b'E' => refused = Some(Error::refused(frame.body())),
                 b'Z' => break,
                 _ => {}
             }
         }
-        refused.map_or(Ok(rows), Err)
+        refused.map_or(Ok((rows, tag)), Err)
     }
 
     async fn log_in(&mut self, login: &Login) -> Result<(), Error> {
@@ -197,6 +211,11 @@
     count.parse().ok()
 }
 
+fn command_tag(body: &[u8]) -> String {
+    let text = body.strip_suffix(&[0]).unwrap_or(body);
+    String::from_utf8_lossy(text).into_owned()
+}
+
 fn key(body: &[u8]) -> Option<Key> {
     let (pid, rest) = body.split_first_chunk::<4>()?;
     let (secret, _) = rest.split_first_chunk::<4>()?;
