Count only what wrote as an acknowledgement

Change: the checker of lost writes goes by the request that wrote or found its first run; a test tells the story. Conclusion: the checker's fault; broken logics that lose writes are still told.

--- a/crates/check/src/lost.rs
+++ b/crates/check/src/lost.rs
@@ -9,11 +9,11 @@
 /// Checks that every acknowledged operation is in the log at the end.
 ///
 /// A repeat that found its operation run before, and is answered as done,
-/// acknowledges the first run.
+/// acknowledges the first run. A read acknowledges nothing.
 #[derive(Debug, Default)]
 pub struct Lost {
     asked: HashMap<Request, Operation>,
-    written: HashMap<Operation, Position>,
+    written: HashMap<Request, Position>,
     acknowledged: BTreeMap<Operation, Position>,
 }
 
@@ -28,12 +28,10 @@
             }
             Event::Ran {
                 request,
-                effect: Effect::Write { at },
+                effect: Effect::Write { at } | Effect::Found { at },
                 ..
             } => {
-                if let Some(operation) = self.asked.get(request) {
-                    self.written.insert(*operation, *at);
-                }
+                self.written.insert(*request, *at);
             }
             Event::Answered {
                 request, answer, ..
@@ -49,9 +47,9 @@
 
     fn answered(&mut self, request: Request, outcome: Outcome) {
         let operation = self.asked.remove(&request);
-        let written = operation.and_then(|operation| self.written.get(&operation));
+        let written = self.written.remove(&request);
         if let (Some(operation), Some(at), Outcome::Done) = (operation, written, outcome) {
-            self.acknowledged.insert(operation, *at);
+            self.acknowledged.insert(operation, at);
         }
     }
 
--- a/crates/check/tests/promises.rs
+++ b/crates/check/tests/promises.rs
@@ -629,6 +629,22 @@
     assert!(matches!(found[..], [Violation::Lost { .. }]), "{found:?}");
 }
 
+/// A read about an operation acknowledges nothing: a hunt had a caller look for
+/// a write whose outcome was unknown, and be told rightly that it is not there.
+#[test]
+fn read_acknowledges_nothing() {
+    let history = [
+        asked(1, 5, 7, Freshness::Session),
+        ran(1, write(1, 20)),
+        answered(1, 7, Answer::bare(Outcome::Unknown(Cause::Deadline))),
+        asked(2, 5, 7, Freshness::Session),
+        ran(2, read(2, 30, Duration::ZERO)),
+        done(2, 7),
+        Event::Settled,
+    ];
+    assert_eq!(observe(&history), []);
+}
+
 /// Symptom: an upstream refuses a new primary's connections. Events: the holder
 /// of its connections changes. Cause: the broken successor opens its own before
 /// the former holder's are closed.
