Hand holders over without cutting requests or blaming the upstream

Cause: a rolling restart of nine instances ended requests as unknown. A stop closed streams with commands on them; the end of an old stream ended commands on the next one; a holder that could not be reached was taken for evidence against its upstream; control connections of former holders stayed open and took the present ones' room; a command that waited for a connection was told as not begun and then ran. Change: a stopping holder says that it leaves, finishes what it took, and says a last word after which nothing unanswered has begun; ends of streams name the last command that they carried; probes try every holder and then their own way; released control connections are closed; commands count from their arrival.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -18,6 +18,9 @@
 /// Numbers the commands of one instance.
 pub(crate) type Seq = u64;
 
+/// The number of no command.
+pub(crate) const NO_SEQ: Seq = 0;
+
 /// A batch that is to run on an upstream outside a transaction.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Run {
@@ -130,6 +133,17 @@
     /// The upstream's connection failed, the batch may have run; ends the
     /// command.
     Broken,
+    /// The holder is stopping: it finishes what it has, and new work should go
+    /// to others. It carries [`NO_SEQ`].
+    ///
+    /// Membership tells this too, but takes longer than a stop waits.
+    Leaving,
+    /// The holder takes no command any more, and whatever it has not answered
+    /// it has not begun. It carries [`NO_SEQ`] and is the last on its stream.
+    ///
+    /// A stop that just closed the stream would leave the commands that were
+    /// on their way in doubt, and each planned restart would cut some.
+    Bye,
 }
 
 /// From the upstreams' duty to the peers' duty.
@@ -153,6 +167,10 @@
         /// The answer.
         response: Response,
     },
+    /// Tell all that ask here [`Response::Leaving`].
+    Leaving,
+    /// Tell all that ask here [`Response::Bye`].
+    Bye,
 }
 
 /// From the peers' duty to the upstreams' duty.
@@ -186,10 +204,24 @@
         /// The command.
         seq: Seq,
     },
+    /// Another instance has said [`Response::Leaving`].
+    Leaving {
+        /// The instance.
+        to: name::Instance,
+    },
+    /// Another instance has said [`Response::Bye`].
+    Left {
+        /// The instance.
+        to: name::Instance,
+        /// The last command that its stream carried.
+        upto: Seq,
+    },
     /// The stream to another instance has ended, and what was asked on it is
     /// lost: commands may have run, transactions have rolled back.
     Down {
         /// The instance.
         to: name::Instance,
+        /// The last command that the stream carried.
+        upto: Seq,
     },
 }
--- a/crates/daemon/src/peers/forward.rs
+++ b/crates/daemon/src/peers/forward.rs
@@ -1,6 +1,11 @@
 //! The streams that carry commands to the holders of connections.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use model::name;
@@ -12,9 +17,12 @@
 };
 use wire::{Message, Side, Stream};
 
-use super::stream::{Error, Streams, read_frame};
+use super::{
+    datagram::dropped,
+    stream::{Error, Streams, read_frame},
+};
 use crate::{
-    forward::{Command, Conn, In, Response, Seq},
+    forward::{Command, Conn, In, NO_SEQ, Response, Seq},
     ring,
 };
 
@@ -34,6 +42,8 @@
     pub(super) ins: ring::Shared<In>,
     outgoing: Rc<RefCell<HashMap<name::Instance, Commands>>>,
     incoming: Rc<RefCell<HashMap<Conn, Frames>>>,
+    /// What the instances that ask here were told last of this one's stop.
+    told: Rc<Cell<Option<Farewell>>>,
 }
 
 impl Forwards {
@@ -43,6 +53,7 @@
             ins,
             outgoing: Rc::default(),
             incoming: Rc::default(),
+            told: Rc::default(),
         }
     }
 
@@ -81,6 +92,15 @@
         let _ = frames.send(message).await;
     }
 
+    /// Tells all instances that ask here that this one is stopping.
+    pub(super) async fn leave(&self, farewell: Farewell) {
+        self.told.set(Some(farewell));
+        let all: Vec<_> = self.incoming.borrow().values().cloned().collect();
+        for frames in all {
+            let _ = frames.send(farewell.message()).await;
+        }
+    }
+
     fn connect(&self, streams: &Streams, to: &name::Instance, address: SocketAddr) -> Commands {
         let (sender, commands) = mpsc::channel(WAITING);
         self.outgoing
@@ -95,7 +115,7 @@
         sender
     }
 
-    /// Carries commands until the stream ends, and tells what is lost then.
+    /// Carries commands until the stream ends, and tells what became of them.
     async fn serve_outgoing(
         &self,
         streams: &Streams,
@@ -103,50 +123,59 @@
         address: SocketAddr,
         mut commands: mpsc::Receiver<(Seq, Command)>,
     ) {
+        let mut upto = NO_SEQ;
         let opened = timeout(CONNECT, open(streams, address)).await;
-        if let Ok(Ok((tcp, end))) = opened {
-            self.carry(tcp, end, &mut commands).await;
-        }
+        let ended = match opened {
+            Ok(Ok((tcp, end))) => self.carry(&to, tcp, end, &mut commands, &mut upto).await,
+            Ok(Err(_)) | Err(()) => Ended::Broken,
+        };
         self.outgoing.borrow_mut().remove(&to);
         commands.close();
         // Commands that still wait have not left.
         while let Some((seq, _)) = commands.recv().await {
             self.ins.send(In::Unsent { seq }).await;
         }
-        self.ins.send(In::Down { to }).await;
+        let input = match ended {
+            Ended::Left => In::Left { to, upto },
+            Ended::Broken => In::Down { to, upto },
+        };
+        self.ins.send(input).await;
     }
 
-    /// Writes commands and reads answers until the stream ends.
+    /// Writes commands and reads answers until the stream ends; notes the last
+    /// command that may have left in `upto`.
     async fn carry(
         &self,
+        to: &name::Instance,
         tcp: TcpStream,
         mut end: Stream,
         commands: &mut mpsc::Receiver<(Seq, Command)>,
-    ) {
+        upto: &mut Seq,
+    ) -> Ended {
         let (read, mut write) = tcp.into_split();
         let (frames_tx, mut frames) = mpsc::channel(WAITING);
         ntex::rt::spawn(read_all(read, frames_tx));
         loop {
             tokio::select! {
                 Some((seq, command)) = commands.recv() => {
-                    let body = Bytes::from(postcard::to_allocvec(&command).unwrap_or_default());
-                    let message = Message::Forward { generation: 0, sequence: seq, body };
                     // What does not fit a frame is refused alone.
-                    let Ok(bytes) = end.seal(&message) else {
+                    let Ok(bytes) = end.seal(&forward(seq, &command)) else {
                         self.ins.send(In::Unsent { seq }).await;
                         continue;
                     };
+                    *upto = seq;
                     if write.write_all(&bytes).await.is_err() {
-                        return;
+                        return Ended::Broken;
                     }
                 }
                 bytes = frames.recv() => {
-                    let Some(bytes) = bytes else { return };
+                    let Some(bytes) = bytes else { return Ended::Broken };
                     match end.receive(&bytes) {
-                        Ok(frame) => self.answered(frame.message).await,
+                        Ok(frame) if is_bye(&frame.message) => return Ended::Left,
+                        Ok(frame) => self.answered(to, frame.message).await,
                         Err(error) => {
-                            super::datagram::dropped(error);
-                            return;
+                            dropped(error);
+                            return Ended::Broken;
                         }
                     }
                 }
@@ -154,16 +183,18 @@
         }
     }
 
-    async fn answered(&self, message: Message) {
+    async fn answered(&self, to: &name::Instance, message: Message) {
         if let Message::Answer { sequence, body, .. } = message
             && let Ok(response) = postcard::from_bytes(&body)
         {
-            self.ins
-                .send(In::Answered {
+            let input = match response {
+                Response::Leaving => In::Leaving { to: to.clone() },
+                response => In::Answered {
                     seq: sequence,
                     response,
-                })
-                .await;
+                },
+            };
+            self.ins.send(input).await;
         }
     }
 
@@ -176,6 +207,9 @@
         first: Message,
     ) {
         let (answers_tx, mut answers) = mpsc::channel(WAITING);
+        if let Some(farewell) = self.told.get() {
+            let _ = answers_tx.try_send(farewell.message());
+        }
         self.incoming.borrow_mut().insert(conn, answers_tx);
         let (read, mut write) = tcp.into_split();
         let (frames_tx, mut frames) = mpsc::channel(WAITING);
@@ -188,13 +222,17 @@
                     if write.write_all(&bytes).await.is_err() {
                         break;
                     }
+                    if is_bye(&message) {
+                        let _ = write.shutdown().await;
+                        break;
+                    }
                 }
                 bytes = frames.recv() => {
                     let Some(bytes) = bytes else { break };
                     match end.receive(&bytes) {
                         Ok(frame) => self.asked(conn, frame.message).await,
                         Err(error) => {
-                            super::datagram::dropped(error);
+                            dropped(error);
                             break;
                         }
                     }
@@ -220,6 +258,54 @@
     }
 }
 
+/// How a stream of commands ended.
+#[derive(Debug)]
+enum Ended {
+    /// The holder said [`Response::Bye`].
+    Left,
+    /// In any other way.
+    Broken,
+}
+
+/// The frame of a command.
+fn forward(seq: Seq, command: &Command) -> Message {
+    let body = postcard::to_allocvec(command).unwrap_or_default();
+    Message::Forward {
+        generation: 0,
+        sequence: seq,
+        body: Bytes::from(body),
+    }
+}
+
+/// What a stopping instance tells those that ask it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Farewell {
+    /// [`Response::Leaving`].
+    Leaving,
+    /// [`Response::Bye`].
+    Bye,
+}
+
+impl Farewell {
+    fn message(self) -> Message {
+        let response = match self {
+            Self::Leaving => Response::Leaving,
+            Self::Bye => Response::Bye,
+        };
+        let body = postcard::to_allocvec(&response).unwrap_or_default();
+        Message::Answer {
+            generation: 0,
+            sequence: NO_SEQ,
+            body: Bytes::from(body),
+        }
+    }
+}
+
+/// Whether a message is the last of a stopping instance.
+fn is_bye(message: &Message) -> bool {
+    *message == Farewell::Bye.message()
+}
+
 /// Connects to another instance's streams.
 async fn open(streams: &Streams, address: SocketAddr) -> Result<(TcpStream, Stream), Error> {
     let mut tcp = TcpStream::connect(address).await?;
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -34,7 +34,7 @@
 
 use self::view::Kept;
 use apply::Force;
-use forward::Forwards;
+use forward::{Farewell, Forwards};
 use stream::Heard;
 
 /// What the control duty asks of the peers' duty.
@@ -302,6 +302,8 @@
             } => {
                 self.forwards.answer(conn, seq, &response).await;
             }
+            Out::Leaving => self.forwards.leave(Farewell::Leaving).await,
+            Out::Bye => self.forwards.leave(Farewell::Bye).await,
         }
     }
 
--- a/crates/daemon/src/upstreams/ack.rs
+++ b/crates/daemon/src/upstreams/ack.rs
@@ -114,7 +114,7 @@
 async fn press_one(group: Rc<Group>, core: Rc<Core>, name: name::Upstream, member: Rc<Member>) {
     let mut pace = Pace::open();
     loop {
-        let result = group.probe(&core, &name).await;
+        let report = group.probe(&core, &name).await.and_then(Result::ok);
         let waiting = group
             .quorum
             .borrow()
@@ -123,7 +123,7 @@
         if !waiting {
             break;
         }
-        let pause = pace.next(result.ok().map(|report| report.received));
+        let pause = pace.next(report.map(|report| report.received));
         if pause > Duration::ZERO {
             sleep(pause).await;
         }
--- a/crates/daemon/src/upstreams/control.rs
+++ b/crates/daemon/src/upstreams/control.rs
@@ -4,7 +4,12 @@
 //! ask while a probe is under way wait for the next one, because an answer
 //! only counts from the moment at which its question was sent.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use clock::{Clock, Instant};
 use failover::Fault;
@@ -18,6 +23,9 @@
 /// How long a probe or an order may take on its connection.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The SQLSTATE of a server that has all the connections that it takes.
+const TOO_MANY: &str = "53300";
+
 /// A status and the moment at which it was asked for.
 pub(super) type Status = Result<(Instant, Report), Fault>;
 
@@ -39,6 +47,18 @@
     dbname: String,
     waiting: RefCell<Waiting>,
     work: Notify,
+    standing: Cell<Use>,
+}
+
+/// Whether this instance holds connections to the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Use {
+    /// It does: the control connection stays open.
+    Held,
+    /// It does not: the connection is closed once it has nothing to do. Kept
+    /// open, those of all former holders would leave no room for the present
+    /// ones, whose probes would then fail as if the upstream were gone.
+    Released,
 }
 
 impl Control {
@@ -51,11 +71,18 @@
             dbname: dbname.to_owned(),
             waiting: RefCell::default(),
             work: Notify::new(),
+            standing: Cell::new(Use::Released),
         });
         ntex::rt::spawn(serve(Rc::downgrade(&control)));
         control
     }
 
+    /// Tells whether this instance holds connections to the upstream.
+    pub(super) fn set_use(&self, standing: Use) {
+        self.standing.set(standing);
+        self.work.notify_one();
+    }
+
     /// Asks for the status, by a question sent after this call.
     pub(super) async fn probe(&self) -> Status {
         let (asker, answer) = oneshot::channel();
@@ -111,6 +138,9 @@
             return;
         };
         let Some(work) = strong.take() else {
+            if strong.standing.get() == Use::Released {
+                conn = None;
+            }
             let idle = ntex::time::Millis(1_000);
             let _ = ntex::time::timeout(idle, strong.work.notified()).await;
             continue;
@@ -188,6 +218,8 @@
             Fault::Refused
         }
         Error::Timeout => Fault::Timeout,
+        // Its connections are taken, so it is there.
+        Error::Refused { state, .. } if state == TOO_MANY => Fault::Timeout,
         Error::Refused { state, message } if state == upstream::FENCED => {
             let term = message.rsplit(' ').nth(1).and_then(|it| it.parse().ok());
             term.map_or(Fault::Broken, |term| Fault::Fenced(model::Term(term)))
@@ -212,7 +244,9 @@
             let Some(group) = core.group(&database) else {
                 return;
             };
-            let result = group.probe(&core, &upstream).await;
+            let Some(result) = group.probe(&core, &upstream).await else {
+                return;
+            };
             core.answers
                 .send(Answer {
                     database,
@@ -231,7 +265,9 @@
             let Some(group) = core.group(&database) else {
                 return;
             };
-            let result = group.order(&core, &upstream, order).await;
+            let Some(result) = group.order(&core, &upstream, order).await else {
+                return;
+            };
             core.answers
                 .send(Answer {
                     database,
--- a/crates/daemon/src/upstreams/group.rs
+++ b/crates/daemon/src/upstreams/group.rs
@@ -14,6 +14,7 @@
     quorum::{self, Id},
 };
 use model::{Cause, Record, Report, Role, Term, name};
+use ntex::time::sleep;
 use pool::{
     holder::{self, Candidate, Share},
     pool::Service,
@@ -24,9 +25,9 @@
 
 use super::{
     Core,
-    control::{Control, Status},
+    control::{Control, Status, Use},
     lines::Lines,
-    remote,
+    remote::{self, Lost},
     site::Holder,
     view::Sight,
 };
@@ -35,6 +36,11 @@
 /// How long a round of status probes may take before the next may begin.
 pub(super) const ROUND_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// How often another holder is tried for a probe or an order, and how long
+/// after the one before.
+const WAYS: usize = 2;
+const WAY_PAUSE: Duration = Duration::from_millis(5);
+
 /// After how long without work a connection beyond the warm ones is closed.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -84,12 +90,17 @@
             return Holder::Here;
         }
         let seats = self.seats.borrow();
-        let others: Vec<_> = seats.iter().filter(|it| **it != core.instance).collect();
-        if others.is_empty() {
+        let leaving = core.leaving.borrow();
+        let others = || seats.iter().filter(|it| **it != core.instance);
+        let mut staying: Vec<_> = others().filter(|it| !leaving.contains(*it)).collect();
+        if staying.is_empty() {
+            staying = others().collect();
+        }
+        if staying.is_empty() {
             return Holder::Nowhere;
         }
         self.turns.set(self.turns.get().wrapping_add(1));
-        Holder::There(others[self.turns.get() % others.len()].clone())
+        Holder::There(staying[self.turns.get() % staying.len()].clone())
     }
 
     /// This instance's part of an entry's limit of connections.
@@ -207,6 +218,12 @@
             let shares = own.iter().map(|seat| {
                 holder::share(member.conf.connections, member.conf.slots, seats, *seat)
             });
+            let standing = if own.is_empty() {
+                Use::Released
+            } else {
+                Use::Held
+            };
+            member.control.set_use(standing);
             member.lines.set_conf(limits(shares));
             *member.part.borrow_mut() = Part {
                 first: own.contains(&0),
@@ -290,50 +307,67 @@
         }
     }
 
-    /// Asks an upstream for its status now.
+    /// Asks an upstream for its status now; `None` when no way leads to it.
     pub(super) async fn probe(
         &self,
         core: &Rc<Core>,
         upstream: &name::Upstream,
-    ) -> Result<Report, Fault> {
-        let member = self.member(upstream).ok_or(Fault::Refused)?;
-        let (database, name) = (self.name.clone(), upstream.clone());
-        let status = match member.holder(core) {
-            Holder::Here => member.control.probe().await,
-            Holder::There(to) => {
-                let command = Command::Probe {
-                    database,
-                    upstream: name,
-                };
-                remote::status(core, &to, command).await
-            }
-            Holder::Nowhere => Err(Fault::Timeout),
+    ) -> Option<Result<Report, Fault>> {
+        let member = self.member(upstream)?;
+        let here = async || Ok(member.control.probe().await);
+        let command = || Command::Probe {
+            database: self.name.clone(),
+            upstream: upstream.clone(),
         };
-        self.note(core, upstream, status)
+        let status = self.by_any_way(core, &member, here, command).await?;
+        Some(self.note(core, upstream, status))
     }
 
-    /// Has an upstream carry out an order.
+    /// Has an upstream carry out an order; `None` when no way leads to it.
     pub(super) async fn order(
         &self,
         core: &Rc<Core>,
         upstream: &name::Upstream,
         order: failover::Order,
-    ) -> Result<Report, Fault> {
-        let member = self.member(upstream).ok_or(Fault::Refused)?;
-        let (database, name) = (self.name.clone(), upstream.clone());
-        let status = match member.holder(core) {
-            Holder::Here => member.control.order(self.resolve(order)?).await,
-            Holder::There(to) => {
-                let command = Command::Order {
-                    database,
-                    upstream: name,
-                    order,
-                };
-                remote::status(core, &to, command).await
-            }
-            Holder::Nowhere => Err(Fault::Timeout),
+    ) -> Option<Result<Report, Fault>> {
+        let member = self.member(upstream)?;
+        let here = async || match self.resolve(order.clone()) {
+            Ok(order) => Ok(member.control.order(order).await),
+            Err(fault) => Ok(Err(fault)),
         };
-        self.note(core, upstream, status)
+        let command = || Command::Order {
+            database: self.name.clone(),
+            upstream: upstream.clone(),
+            order: order.clone(),
+        };
+        let status = self.by_any_way(core, &member, here, command).await?;
+        Some(self.note(core, upstream, status))
+    }
+
+    /// Tries the upstream's holders in turn, and last its own way.
+    ///
+    /// That a holder can't be reached is no evidence about the upstream. Taken
+    /// for some, a restart of its holders would replace a healthy primary.
+    async fn by_any_way(
+        &self,
+        core: &Rc<Core>,
+        member: &Member,
+        here: impl AsyncFn() -> Result<Status, Lost>,
+        command: impl Fn() -> Command,
+    ) -> Option<Status> {
+        for _ in 0..WAYS {
+            let status = match member.holder(core) {
+                Holder::Here => here().await,
+                Holder::There(to) => remote::status(core, &to, command()).await,
+                Holder::Nowhere => Err(Lost),
+            };
+            if let Ok(status) = status {
+                return Some(status);
+            }
+            sleep(WAY_PAUSE).await;
+        }
+        // The connection that no share has is left for this.
+        here().await.ok()
     }
 
     fn note(
--- a/crates/daemon/src/upstreams/host.rs
+++ b/crates/daemon/src/upstreams/host.rs
@@ -27,7 +27,12 @@
 /// Takes what another instance asks, or that it is gone.
 pub(super) fn take(core: &Rc<Core>, input: In) {
     match input {
+        // What comes after the last words is proved not to have run.
+        In::Asked { .. } if core.closed.get() => {}
         In::Asked { conn, seq, command } => {
+            // Counted from here: a command that waits for a connection would
+            // otherwise be told as not begun, and then run.
+            core.taken.set(core.taken.get() + 1);
             ntex::rt::spawn(carry_out(Rc::clone(core), conn, seq, command));
         }
         In::Gone { conn } => gone(core, conn),
@@ -64,14 +69,19 @@
 }
 
 async fn carry_out(core: Rc<Core>, conn: Conn, seq: Seq, command: Command) {
+    carry(&core, conn, seq, command).await;
+    core.taken.set(core.taken.get() - 1);
+}
+
+async fn carry(core: &Rc<Core>, conn: Conn, seq: Seq, command: Command) {
     match command {
-        Command::Run(run) => host(&core, conn, seq, *run).await,
+        Command::Run(run) => host(core, conn, seq, *run).await,
         Command::Within {
             pin,
             batch,
             left_us,
         } => {
-            within(&core, (conn, seq), pin, &batch, left_us).await;
+            within(core, (conn, seq), pin, &batch, left_us).await;
         }
         Command::Leave { pin } => {
             if let Some(line) = core.guests.borrow_mut().remove(&(conn, pin)) {
@@ -91,26 +101,37 @@
             }
         }
         Command::Probe { database, upstream } => {
-            let result = match held(&core, &database, &upstream) {
-                Some(group) => group.probe(&core, &upstream).await,
-                None => Err(failover::Fault::Broken),
+            let response = match held(core, &database, &upstream) {
+                Some(group) => told(group.probe(core, &upstream).await),
+                None => NOT_HELD,
             };
-            answer(&core, conn, seq, Response::Status(result)).await;
+            answer(core, conn, seq, response).await;
         }
         Command::Order {
             database,
             upstream,
             order,
         } => {
-            let result = match held(&core, &database, &upstream) {
-                Some(group) => group.order(&core, &upstream, order).await,
-                None => Err(failover::Fault::Broken),
+            let response = match held(core, &database, &upstream) {
+                Some(group) => told(group.order(core, &upstream, order).await),
+                None => NOT_HELD,
             };
-            answer(&core, conn, seq, Response::Status(result)).await;
+            answer(core, conn, seq, response).await;
         }
     }
 }
 
+/// The answer of an instance that holds no connection to the upstream: it says
+/// nothing of the upstream itself.
+const NOT_HELD: Response = Response::Refused {
+    cause: Cause::NoUpstream,
+    retry_after_us: None,
+};
+
+fn told(result: Option<Result<Report, failover::Fault>>) -> Response {
+    result.map_or(NOT_HELD, Response::Status)
+}
+
 /// The group, if this instance holds connections to the upstream.
 ///
 /// A command is never passed on a second time: two instances whose views
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -21,7 +21,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -56,6 +56,9 @@
 /// How long nothing must have run before a stop goes on.
 const DRAIN_QUIET: Duration = Duration::from_millis(300);
 
+/// How long the last words to other instances have until the streams close.
+const BYE: Duration = Duration::from_millis(50);
+
 /// What the upstreams' duty is given.
 #[derive(Debug)]
 pub(crate) struct Conf {
@@ -126,9 +129,15 @@
     pins: RefCell<HashMap<Caller, Pin>>,
     rng: RefCell<ChaCha8Rng>,
     tickets: Cell<u64>,
+    /// How many commands of other instances are being carried out.
+    taken: Cell<usize>,
+    /// Whether no command of another instance is taken any more.
+    closed: Cell<bool>,
     seqs: Cell<Seq>,
     /// The instances that may be given work, with their zones.
     members: RefCell<BTreeMap<name::Instance, name::Zone>>,
+    /// Those of them that have said that they are stopping.
+    leaving: RefCell<BTreeSet<name::Instance>>,
     /// Commands to other instances that wait for answers.
     pending: RefCell<HashMap<Seq, Pending>>,
     /// Batches that run here for other instances.
@@ -172,9 +181,12 @@
         pins: RefCell::default(),
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(conf.seed)),
         tickets: Cell::new(0),
+        taken: Cell::new(0),
+        closed: Cell::new(false),
         seqs: Cell::new(0),
         meters: conf.meters,
         members: RefCell::default(),
+        leaving: RefCell::default(),
         pending: RefCell::default(),
         hosted: RefCell::default(),
         guests: RefCell::default(),
@@ -184,12 +196,18 @@
     ntex::rt::spawn(view::serve(Rc::clone(&core), conf.asked));
     ntex::rt::spawn(take_orders(Rc::clone(&core), conf.orders));
     let mut watch = conf.watch;
+    duty::reached(&mut watch, Phase::Drain).await;
+    core.outs.send(Out::Leaving).await;
     // The callers' duty ends first and may ask on behalf of a caller until then.
     duty::reached(&mut watch, Phase::Settle).await;
     tokio::select! {
         () = drained(&core) => {}
-        () = duty::reached(&mut watch, Phase::Stop) => {}
+        // What still runs is cut, and its end must not be told as "not run".
+        () = duty::reached(&mut watch, Phase::Stop) => return,
     }
+    core.closed.set(true);
+    core.outs.send(Out::Bye).await;
+    sleep(BYE).await;
 }
 
 /// Waits until nothing has run here for a while.
@@ -201,7 +219,7 @@
     while core.now().since(quiet) < DRAIN_QUIET {
         sleep(DRAIN_STEP).await;
         let own = core.running.borrow().is_empty() && core.pins.borrow().is_empty();
-        let others = core.hosted.borrow().is_empty() && core.guests.borrow().is_empty();
+        let others = core.taken.get() == 0 && core.guests.borrow().is_empty();
         if !own || !others {
             quiet = core.now();
         }
@@ -251,12 +269,20 @@
     while let Some(input) = ins.recv().await {
         match input {
             In::Members(members) => {
+                // One that membership has let go of may come back.
+                core.leaving
+                    .borrow_mut()
+                    .retain(|it| members.contains_key(it));
                 *core.members.borrow_mut() = members;
                 let groups: Vec<_> = core.groups.borrow().values().cloned().collect();
                 groups.iter().for_each(|group| group.assign(&core));
             }
             In::Asked { .. } | In::Gone { .. } => host::take(&core, input),
-            In::Answered { .. } | In::Unsent { .. } | In::Down { .. } => {
+            In::Answered { .. }
+            | In::Unsent { .. }
+            | In::Leaving { .. }
+            | In::Left { .. }
+            | In::Down { .. } => {
                 remote::take(&core, input);
             }
         }
--- a/crates/daemon/src/upstreams/remote.rs
+++ b/crates/daemon/src/upstreams/remote.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use clock::Instant;
-use failover::Fault;
 use model::{Cause, Report, name};
 use ntex::time::sleep;
 use route::Verdict;
@@ -52,24 +51,32 @@
     match input {
         In::Answered { seq, response } => hand(core, seq, Came::Response(response)),
         In::Unsent { seq } => hand(core, seq, Came::Unsent),
-        In::Down { to } => {
-            let lost: Vec<_> = {
-                let pending = core.pending.borrow();
-                pending
-                    .iter()
-                    .filter(|(_, it)| it.to == to)
-                    .map(|(seq, _)| *seq)
-                    .collect()
-            };
-            for seq in lost {
-                hand(core, seq, Came::Down);
-            }
-            super::run::lose_pins(core, &to);
+        In::Leaving { to } => {
+            core.leaving.borrow_mut().insert(to);
         }
+        In::Left { to, upto } => end_all(core, &to, upto, || Came::Unsent),
+        In::Down { to, upto } => end_all(core, &to, upto, || Came::Down),
         In::Members(_) | In::Asked { .. } | In::Gone { .. } => {}
     }
 }
 
+/// Ends the commands to an instance up to the last that its stream carried.
+///
+/// Later ones may be on their way on the next stream already.
+fn end_all(core: &Rc<Core>, to: &name::Instance, upto: Seq, came: impl Fn() -> Came) {
+    let lost: Vec<_> = {
+        let pending = core.pending.borrow();
+        let of = pending
+            .iter()
+            .filter(|(seq, it)| it.to == *to && **seq <= upto);
+        of.map(|(seq, _)| *seq).collect()
+    };
+    for seq in lost {
+        hand(core, seq, came());
+    }
+    super::run::lose_pins(core, to, upto);
+}
+
 fn hand(core: &Core, seq: Seq, came: Came) {
     let answers = core.pending.borrow().get(&seq).map(|it| it.answers.clone());
     if let Some(answers) = answers
@@ -120,14 +127,22 @@
     }
 }
 
+/// The way to an upstream failed, which says nothing of the upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lost;
+
 /// Asks an upstream for its status, or has it carry out an order, by way of
 /// the holder `to`.
-pub(super) async fn status(core: &Rc<Core>, to: &name::Instance, command: Command) -> Status {
+pub(super) async fn status(
+    core: &Rc<Core>,
+    to: &name::Instance,
+    command: Command,
+) -> Result<Status, Lost> {
     let sent = core.now();
     let mut asking = Asking::open(core, to, command).await;
     match asking.next().await {
-        Came::Response(Response::Status(result)) => result.map(|report| (sent, report)),
-        Came::Response(_) | Came::Unsent | Came::Down => Err(Fault::Broken),
+        Came::Response(Response::Status(result)) => Ok(result.map(|report| (sent, report))),
+        Came::Response(_) | Came::Unsent | Came::Down => Err(Lost),
     }
 }
 
@@ -266,7 +281,9 @@
                 let retry_after = retry_after_us.map(std::time::Duration::from_micros);
                 return Talk::Refused(Refused { cause, retry_after });
             }
-            Response::Broken | Response::Status(_) => return Talk::Broken,
+            Response::Broken | Response::Status(_) | Response::Leaving | Response::Bye => {
+                return Talk::Broken;
+            }
         }
     }
 }
--- a/crates/daemon/src/upstreams/run.rs
+++ b/crates/daemon/src/upstreams/run.rs
@@ -82,9 +82,9 @@
 
 /// The stream to the instance `to` has ended, and it has ended the
 /// transactions that this one had there.
-pub(super) fn lose_pins(core: &Core, to: &name::Instance) {
+pub(super) fn lose_pins(core: &Core, to: &name::Instance, upto: Seq) {
     for pin in core.pins.borrow_mut().values_mut() {
-        if matches!(pin, Pin::Remote { to: at, .. } if at == to) {
+        if matches!(pin, Pin::Remote { to: at, pin, .. } if at == to && *pin <= upto) {
             *pin = Pin::Failed;
         }
     }
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -8,6 +8,9 @@
 use rig::{Rig, run, text};
 use tokio_postgres::Client;
 
+/// The instances of each operator today.
+const INSTANCES: usize = 9;
+
 async fn write(client: &Client, key: &str) -> Result<u64, tokio_postgres::Error> {
     let insert = "INSERT INTO kv (key, value) VALUES ($1, 'x')";
     client.execute(insert, &[&key]).await
@@ -177,9 +180,9 @@
 /// stop closes a connection whose request still runs, or a write lands twice.
 #[test]
 fn a_rolling_restart_cuts_no_request() {
-    let mut rig = Rig::open(3);
+    let mut rig = Rig::open(INSTANCES);
     let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
-    let addresses: Vec<_> = (0..3).map(|index| rig.address(index)).collect();
+    let addresses: Vec<_> = (0..INSTANCES).map(|index| rig.address(index)).collect();
     let callers: Vec<_> = addresses
         .into_iter()
         .map(|address| {
@@ -187,7 +190,7 @@
             std::thread::spawn(move || run(rig::write_until(address, stop)))
         })
         .collect();
-    for index in 0..3 {
+    for index in 0..INSTANCES {
         rig.restart(index);
     }
     stop.store(true, std::sync::atomic::Ordering::Relaxed);
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -94,7 +94,7 @@
             ("DANDELIONLINK_PEER_KEYS", format!("1:{}", "3c".repeat(32))),
             ("DANDELIONLINK_SEEDS", self.seeds()),
             ("DANDELIONLINK_INSTANCE", format!("entry-{index}")),
-            ("DANDELIONLINK_ZONE", format!("nl-west-{index}")),
+            ("DANDELIONLINK_ZONE", format!("nl-west-{}", index % 3)),
             ("DANDELIONLINK_STORE", self.store.address().to_string()),
             (
                 "DANDELIONLINK_SESSION_KEYS",
@@ -116,6 +116,9 @@
         let mut settings = self.settings(index, &Args::default());
         settings.listen = address;
         self.daemons[index] = Some(Daemon::spawn(&settings).expect("a daemon"));
+        // As an operator does, the next one waits until this one is ready: it
+        // takes callers once it has the catalogue.
+        run(async { drop(connect_at(address).await) });
     }
 
     /// Where the daemons that run reach each other.
