--- a/crates/daemon/src/upstreams/group.rs
+++ b/crates/daemon/src/upstreams/group.rs
@@ -25,7 +25,7 @@
 
 use super::{
     Core,
-    control::{Control, Status, Use},
+    control::{Control, FULL, Status, Use},
     lines::Lines,
     remote::{self, Lost},
     site::Holder,
@@ -38,8 +38,8 @@
 
 /// How often another holder is tried for a probe or an order, and how long
 /// after the one before.
-const WAYS: usize = 2;
-const WAY_PAUSE: Duration = Duration::from_millis(5);
+const WAYS: usize = 6;
+const WAY_PAUSE: Duration = Duration::from_millis(15);
 
 /// After how long without work a connection beyond the warm ones is closed.
 const IDLE: Duration = Duration::from_secs(60);
@@ -344,7 +344,7 @@
         Some(self.note(core, upstream, status))
     }
 
-    /// Tries the upstream's holders in turn, and last its own way.
+    /// Tries the upstream's holders in turn.
     ///
     /// That a holder can't be reached is no evidence about the upstream. Taken
     /// for some, a restart of its holders would replace a healthy primary.
@@ -361,13 +361,16 @@
                 Holder::There(to) => remote::status(core, &to, command()).await,
                 Holder::Nowhere => Err(Lost),
             };
-            if let Ok(status) = status {
+            // An upstream without room for another connection is there, and
+            // tells nothing more.
+            if let Ok(status) = status
+                && status != Err(FULL)
+            {
                 return Some(status);
             }
             sleep(WAY_PAUSE).await;
         }
-        // The connection that no share has is left for this.
-        here().await.ok()
+        None
     }
 
     fn note(
--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -115,7 +115,10 @@
         if !self.session.admit(conf.connections) {
             let mut buf = BytesMut::new();
             pg::error(&mut buf, "53300", "sorry, too many clients already", None);
-            return self.send(buf).await;
+            self.send(buf).await?;
+            // Closed at once, the connection would take the words with it.
+            self.io.shutdown().await?;
+            return Ok(());
         }
         let result = self.greet_and_loop().await;
         self.session.leave();
