--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -18,6 +18,7 @@
 mod sink;
 mod site;
 mod view;
+mod within;
 
 use std::{
     cell::{Cell, RefCell},
