Judge confirmed reads by their own round

Cause (found by reading the policy bench's glue, which has the check): a read was sent to the primary that had been chosen, while the round that confirmed a primary could be of the one that had replaced it meanwhile; the answer was then passed on unjudged, though it may miss what the new primary acknowledged. Change: the status ahead of a confirmed read must be of the round's term and at its place; the session learns the place behind the read as with other reads.

--- a/crates/daemon/src/upstreams/remote.rs
+++ b/crates/daemon/src/upstreams/remote.rs
@@ -192,10 +192,12 @@
     }
 
     fn proof(&self) -> Proof {
-        let confirmed = matches!(self.way, Way::Confirmed(..));
-        if !self.reads() || confirmed {
+        if !self.reads() {
             return Proof::None;
         }
+        if let Way::Confirmed(_, round) = self.way {
+            return Proof::Covering(round.position);
+        }
         // An age can't be judged by an old status.
         let aged = matches!(self.read.freshness, model::Freshness::Age(_));
         match self.read.floor {
--- a/crates/daemon/src/upstreams/run.rs
+++ b/crates/daemon/src/upstreams/run.rs
@@ -332,17 +332,18 @@
 
 /// What a session learns from an answered read.
 fn learnt(group: &Group, way: &Way, heard: &Heard) -> Vec<session::Event> {
+    let mut events = Vec::new();
     if let Way::Confirmed(_, round) = way {
-        return vec![session::Event::ReadConfirmed(*round)];
+        events.push(session::Event::ReadConfirmed(*round));
     }
-    let Some(report) = heard.behind else {
-        return Vec::new();
-    };
-    let confirmed = group.router.borrow().confirmed();
-    vec![session::Event::Read {
-        upto: route::position(&report),
-        confirmed,
-    }]
+    // Also a confirmed read may have shown more than its round confirmed.
+    // Unnoted, the session's next read could go to a replica that lacks it.
+    if let Some(report) = heard.behind {
+        let confirmed = group.router.borrow().confirmed();
+        let upto = route::position(&report);
+        events.push(session::Event::Read { upto, confirmed });
+    }
+    events
 }
 
 /// A read-only upstream refused the statement, which proves that it did not run.
--- a/crates/daemon/src/upstreams/site.rs
+++ b/crates/daemon/src/upstreams/site.rs
@@ -137,17 +137,36 @@
 
     /// Whether a status that came before proves that the answer will pass.
     fn proves(&self, report: &Report) -> bool {
+        self.check(report) == Verdict::Holds
+    }
+
+    /// What a status says of an answer that came behind it on one connection.
+    ///
+    /// The round that confirmed a primary may be another one's: the primary
+    /// was perhaps replaced after it had been chosen and before the round. A
+    /// read that goes to the replaced one would miss what the new one has
+    /// acknowledged, so it has to have reached the round's own place.
+    fn check(&self, report: &Report) -> Verdict {
+        if let Way::Confirmed(_, round) = self.way {
+            let position = route::position(report);
+            let same = position.term == round.position.term;
+            let holds = same && position.covers(round.position);
+            return if holds {
+                Verdict::Holds
+            } else {
+                Verdict::Deposed
+            };
+        }
         let router = self.group.router.borrow();
         let now = self.core.now();
-        router.verify(now, report, self.read, self.way.target()) == Verdict::Holds
+        router.verify(now, report, self.read, self.way.target())
     }
 
     /// Judges the answer by the status ahead of it.
     pub(super) fn judge(&mut self, sent: clock::Instant, report: &Report) -> Mode {
         let now = self.core.now();
         self.group.report(now, self.way.upstream(), sent, *report);
-        let router = self.group.router.borrow();
-        self.verdict = router.verify(now, report, self.read, self.way.target());
+        self.verdict = self.check(report);
         if self.verdict == Verdict::Holds {
             self.mode()
         } else {
@@ -176,9 +195,8 @@
             .seen
             .as_ref()
             .is_some_and(|(_, report)| self.proves(report));
-        let confirmed = matches!(self.way, Way::Confirmed(..));
         let probes = Probes {
-            before: self.reads() && !proved && !confirmed,
+            before: self.reads() && !proved,
             behind: job.batch.need != Need::Begin,
         };
         let plan = Plan::fresh(&mut line, &job.batch, &job.settings, probes);
