--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -138,6 +138,11 @@
         };
     }
 
+    /// The revision of the catalogue that was applied last.
+    pub(crate) fn revision(&self) -> u64 {
+        self.applied.revision
+    }
+
     /// Where callers of a daemon connect.
     pub(crate) fn address(&self, index: usize) -> SocketAddr {
         self.daemons[index]
