Make two tests as strict as they read

Cause: the flapping test's bound had been raised from 2 to 14 changes after the hold was made to double, so that a hold which never grew enough could pass; the test of late answers passed also if every query had failed. Change: in the last half of the 400 reads the replica changes twice at most; each caller must have had its three uncancelled queries answered, with one row each.

--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -119,6 +119,7 @@
         for caller in 0..6 {
             let client = rig.connect(caller % 2, "slots").await;
             tasks.push(tokio::spawn(async move {
+                let mut answered = 0;
                 for round in 0..6 {
                     let key = ["a", "b", "c"][(caller + round) % 3];
                     let cancel = client.cancel_token();
@@ -130,14 +131,17 @@
                             let _ = cancel.cancel_query(tokio_postgres::NoTls).await;
                         }
                     });
-                    for row in rows.unwrap_or_default() {
-                        assert_eq!(row.get::<_, &str>(0), key);
-                    }
+                    let Ok(rows) = rows else { continue };
+                    assert_eq!(rows.len(), 1);
+                    assert_eq!(rows[0].get::<_, &str>(0), key);
+                    answered += 1;
                 }
+                answered
             }));
         }
         for task in tasks {
-            task.await.unwrap();
+            // The three that were not cancelled are answered in any case.
+            assert!(task.await.unwrap() >= 3);
         }
     });
 }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -314,12 +314,18 @@
 /// in as soon as it was within the bound again, as the variant without hold does.
 #[test]
 fn a_replica_at_the_edge_does_not_flap() {
-    assert!(changes_at_the_edge(Duration::ZERO) > 80);
+    let undamped = changes_at_the_edge(Duration::ZERO);
+    assert!(undamped.len() > 80);
     let damped = changes_at_the_edge(Duration::from_millis(50));
-    assert!(damped <= 14, "{damped} changes in 400 reads");
+    assert!(damped.len() <= 14, "{damped:?}");
+    // The hold doubles, so that the changes die out: in the last half of the
+    // time it comes in once more at most.
+    let late = damped.iter().filter(|&&tick| tick >= 200).count();
+    assert!(late <= 2, "{damped:?}");
 }
 
-fn changes_at_the_edge(hold: Duration) -> u32 {
+/// The reads, of 400, at which the replica came in or went out.
+fn changes_at_the_edge(hold: Duration) -> Vec<u64> {
     let bound = Duration::from_millis(200);
     let conf = Conf {
         hold,
@@ -331,7 +337,7 @@
         at(1_000),
         Event::Breaker(&group::upstream("u2"), Breaker::Open),
     );
-    let mut changes = 0;
+    let mut changes = Vec::new();
     let mut last = None;
     for tick in 0..400 {
         let now = 1_010 + tick * 10;
@@ -342,7 +348,9 @@
         group.replica("u2", now, 1, now);
         let calendar = read(now, known(1, 10)).freshness(Freshness::Age(bound));
         let replica = matches!(group.choose(now, &calendar), Choice::Replica(_));
-        changes += u32::from(last.is_some_and(|last| last != replica));
+        if last.is_some_and(|last| last != replica) {
+            changes.push(tick);
+        }
         last = Some(replica);
     }
     changes
