--- a/crates/daemon/src/callers/serve.rs
+++ b/crates/daemon/src/callers/serve.rs
@@ -1,30 +1,27 @@
 //! A caller's session: its messages in, its answers out.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+mod submit;
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 use bytes::BytesMut;
 use catalog::layout::Snapshot;
-use model::{Cause, Outcome};
 use ntex::util::Either;
 use pg::{Codec, Front};
-use request::ledger;
 use session::{Keys, Token};
 use tokio::sync::mpsc;
 
 use super::{
     Shared, Stream,
-    answer::{self, Show},
-    batch::{Draft, Fault, Whole},
+    answer::Show,
+    batch::{Draft, Fault},
     local,
     view::Face,
 };
 use crate::{
     duty::{self, Phase},
-    job::{
-        Ask, Batch, Caller, Change, Closes, Job, Part, Scope, Settings, Statement, Step, Tagged,
-    },
+    job::{Ask, Batch, Caller, Change, Part, Scope, Settings, Statement},
     meter::Meter,
-    ring::Full,
 };
 
 /// How many statements a caller may have prepared at once.
@@ -411,153 +408,6 @@
         self.prepared.insert(name.to_owned(), Arc::clone(statement));
         Ok(())
     }
-
-    async fn run_draft(&mut self, io: &Stream, draft: Draft) -> Result<(), End> {
-        let flushes = draft.flushes();
-        match draft.finish(self) {
-            Ok(Whole::Batch(batch)) => match self.tagged(&batch) {
-                Ok(tagged) => self.run_batch(io, batch, tagged, Show::Caller).await,
-                Err(fault) => {
-                    self.refuse(io, &fault).await?;
-                    self.end_local(io, flushes).await
-                }
-            },
-            Ok(Whole::Local(steps)) => self.run_local(io, &steps, flushes).await,
-            Err(fault) => {
-                self.refuse(io, &fault).await?;
-                self.end_local(io, flushes).await
-            }
-        }
-    }
-
-    async fn run_local(&mut self, io: &Stream, steps: &[Step], flushes: bool) -> Result<(), End> {
-        let mut buf = BytesMut::new();
-        let result = local::answer_steps(self, steps, &mut buf);
-        send(io, &buf).await?;
-        if result.is_ok() && flushes {
-            return Ok(());
-        }
-        self.end_local(io, flushes).await
-    }
-
-    /// Ends a batch that was answered or refused here: behind a Flush the rest
-    /// of it is skipped, and its Sync brings the ready message.
-    async fn end_local(&mut self, io: &Stream, flushes: bool) -> Result<(), End> {
-        if flushes {
-            self.skipping = true;
-            return Ok(());
-        }
-        self.ready(io).await
-    }
-
-    /// Tells the fault of a batch that never leaves the instance.
-    async fn refuse(&mut self, io: &Stream, fault: &Fault) -> Result<(), End> {
-        if self.status == b'T' || self.is_open() {
-            // The server never saw the statement, but the caller's transaction
-            // is not what it meant any more.
-            self.run_batch(io, Batch::fail(), None, Show::Nobody)
-                .await?;
-        }
-        let mut buf = BytesMut::new();
-        pg::error(&mut buf, fault.sqlstate(), &fault.to_string(), None);
-        send(io, &buf).await
-    }
-
-    /// Takes the entry's limits from the newest catalogue; `false` when the
-    /// entry is gone or belongs to somebody else now.
-    fn refresh(&mut self) -> bool {
-        let newest = Arc::clone(&self.shared.catalog.borrow());
-        if Arc::ptr_eq(&newest, &self.catalog) {
-            return true;
-        }
-        let found = newest.catalog.entries.get(&self.scope.entry);
-        let same =
-            found.filter(|it| it.tenant == self.scope.tenant && it.database == self.scope.database);
-        let Some(entry) = same else { return false };
-        // The tenant and the entry are the same, and so is the meter.
-        self.scope = Arc::new(Scope::new(&self.scope.entry, entry));
-        self.catalog = newest;
-        true
-    }
-
-    /// Refuses a request that never left the instance.
-    async fn not_run(&mut self, io: &Stream, cause: Cause) -> Result<(), End> {
-        let outcome = Outcome::NotRun(cause);
-        self.meter.ended(outcome, Duration::ZERO);
-        answer::not_run(self, io, outcome).await
-    }
-
-    /// The request id for a batch, if it has one: from a comment in the
-    /// statement, or set ahead of it.
-    fn tagged(&mut self, batch: &Batch) -> Result<Option<Tagged>, Fault> {
-        if !batch.takes_request() {
-            return Ok(None);
-        }
-        let comment = batch.steps.iter().find_map(|step| match step {
-            Step::Query(sql) => route::tag::parse(sql).request,
-            Step::Bind(statement, _) => route::tag::parse(&statement.sql).request,
-            _ => None,
-        });
-        let Some(text) = comment.or(self.request.take()) else {
-            return Ok(None);
-        };
-        let number = u128::from_str_radix(&text.replace('-', ""), 16);
-        let number = number.map_err(|_| Fault::Request(ledger::Error::Version))?;
-        let now = self.shared.clock.since_epoch();
-        let id = ledger::Id::new(number, now).map_err(Fault::Request)?;
-        Ok(Some(Tagged {
-            id,
-            digest: batch.digest(),
-        }))
-    }
-
-    /// Has a batch run and passes its answer on.
-    async fn run_batch(
-        &mut self,
-        io: &Stream,
-        batch: Batch,
-        tagged: Option<Tagged>,
-        show: Show,
-    ) -> Result<(), End> {
-        let mut batch = batch;
-        self.flushing = batch.flushes();
-        if self.is_open() && self.status == b'I' && !self.flushing {
-            // The end of a batch commits what its parts wrote.
-            batch.closes = Closes::Transaction;
-        }
-        if !self.refresh() {
-            return self.not_run(io, Cause::Catalogue).await;
-        }
-        self.seq += 1;
-        if let Some(entry) = self.shared.callers.borrow_mut().get_mut(&self.caller) {
-            entry.seq = self.seq;
-        }
-        let began = self.shared.clock.now();
-        self.face.begin(began, &self.scope);
-        let job = Job {
-            meter: Arc::clone(&self.meter),
-            caller: self.caller,
-            seq: self.seq,
-            scope: Arc::clone(&self.scope),
-            batch,
-            settings: Arc::clone(&self.settings),
-            floor: self.state.floor(),
-            seen: self.state.seen(),
-            began,
-            deadline: began + self.scope.deadline,
-            request: tagged,
-        };
-        let result = match self.shared.asks.push(Ask::Run(Box::new(job))) {
-            Ok(()) => answer::pass(self, io, show).await,
-            Err(Full(_)) => {
-                metrics::counter!("dandelionlink_ring_full_total", "ring" => "asks").increment(1);
-                self.not_run(io, Cause::RingFull).await
-            }
-        };
-        let now = self.shared.clock.now();
-        self.face.end(now, self.status, self.state.position());
-        result
-    }
 }
 
 /// Sends bytes to the caller, and waits while too much is unsent.
