--- /dev/null
+++ b/crates/lead/src/vote.rs
@@ -0,0 +1,63 @@
+//! Whether a primary is gone, judged by all instances that can be heard.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How long a primary must fail before those who see it fail may outvote silence.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// What one instance sees of a primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It answered a moment ago.
+    Fine,
+    /// It fails, again and again.
+    Failing,
+    /// There was no reason to ask it.
+    Unknown,
+}
+
+/// The verdicts of the instances that were heard lately, the own one included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tally {
+    /// Who saw it answer.
+    pub fine: usize,
+    /// Who sees it fail.
+    pub failing: usize,
+    /// Who can't tell.
+    pub unknown: usize,
+}
+
+impl Tally {
+    /// Counts one more verdict.
+    pub fn add(&mut self, verdict: Verdict) {
+        match verdict {
+            Verdict::Fine => self.fine += 1,
+            Verdict::Failing => self.failing += 1,
+            Verdict::Unknown => self.unknown += 1,
+        }
+    }
+
+    /// Whether the primary is to be replaced, after failing here for `failing_for`.
+    ///
+    /// One zone's blindness is not a dead primary: more must see it fail than see
+    /// it answer, and those heard must be half of the `known` instances. A list of
+    /// instances lags by seconds after many were killed, so after a while those
+    /// who are heard decide alone.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let tally = lead::Tally { fine: 1, failing: 3, unknown: 1 };
+    /// assert!(tally.gone(9, Duration::from_millis(300)));
+    /// let blind = lead::Tally { fine: 5, failing: 4, unknown: 0 };
+    /// assert!(!blind.gone(9, Duration::from_secs(10)));
+    /// ```
+    pub fn gone(&self, known: usize, failing_for: Duration) -> bool {
+        if self.failing <= self.fine {
+            return false;
+        }
+        let heard = self.fine + self.failing + self.unknown;
+        heard * 2 >= known || failing_for >= PATIENCE
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/catalog.rs
@@ -0,0 +1,85 @@
+//! The operators' catalogue and the upstreams, as one instance uses them.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+
+/// How fresh a route's reads must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// Every commit that anybody was told of.
+    Current,
+    /// The session's own commits, and everybody's up to this age.
+    OwnWrites(Duration),
+    /// Everybody's commits up to this age.
+    Bounded(Duration),
+}
+
+/// An entry of the catalogue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// The name that operators gave it.
+    pub name: String,
+    /// The name that callers give.
+    pub database: Bytes,
+    /// The group of upstreams that it goes to.
+    pub service: Rc<str>,
+    /// How fresh reads must be.
+    pub freshness: Freshness,
+    /// How long a statement may take.
+    pub timeout: Duration,
+    /// How soon it should be answered.
+    pub aim: Duration,
+    /// Who goes first; zero is the highest.
+    pub priority: u8,
+}
+
+/// What the catalogue says of a group of upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// How many connections an upstream takes, from all instances together.
+    pub connections: usize,
+    /// How many replicas hold a commit before it is acknowledged.
+    pub sync: usize,
+}
+
+/// The operators' catalogue.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Catalog {
+    /// Its version; a lower one never comes into force again.
+    pub version: u64,
+    /// Routes by the names that callers give.
+    pub routes: HashMap<Bytes, Rc<Route>>,
+    /// Services by name.
+    pub services: HashMap<Rc<str>, Service>,
+    /// How long a transaction may rest before it is undone.
+    pub rest: Duration,
+}
+
+/// Whether an upstream takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stay {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// An upstream's entry in the list.
+///
+/// The list lags: an entry is neither a proof of life nor one of the role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Upstream {
+    /// Its id; an address may be used again by another.
+    pub id: Rc<str>,
+    /// The group it belongs to.
+    pub service: Rc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Whether it takes new work.
+    pub stay: Stay,
+    /// Whether it calls itself the primary.
+    pub leads: bool,
+}
--- /dev/null
+++ b/crates/proxy/src/control.rs
@@ -0,0 +1,380 @@
+//! Keeping what decisions are made with: catalogue, upstreams, records and proofs.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use clock::{Boot, Instant};
+use lead::{Phase, Record};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped},
+    group::Group,
+    node::Node,
+    peers, probe, takeover,
+};
+
+/// How long the store may take to answer a read.
+const READ: Duration = Duration::from_millis(400);
+
+/// How long a watch waits. A watch whose connection went silent is noticed only
+/// behind its wait.
+const WATCH: Duration = Duration::from_millis(2_500);
+
+/// How long a watch's answer may come behind its wait.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+
+/// The pause behind a failed call, and how far it grows.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(700));
+
+/// The shortest pause between two proofs.
+const PROVE_GAP: Duration = Duration::from_millis(15);
+
+/// How long a need for proofs lasts.
+const WANTED: Duration = Duration::from_secs(2);
+
+/// How long the list of upstreams is remembered as having been longer.
+const MEMORY: Duration = Duration::from_secs(15);
+
+/// How long an instance stays in the store's list without a sign of life.
+const LISTED: Duration = Duration::from_secs(10);
+
+/// How often connections are looked through.
+const TIDY: Duration = Duration::from_millis(250);
+
+/// How long a connection beyond an even share may lie idle.
+const IDLE: Duration = Duration::from_millis(400);
+
+/// The key of a group's record.
+pub fn lead_key<E: Edge>(service: &str) -> String {
+    format!("{}lead/{service}", E::OWN)
+}
+
+/// The key of the right to give orders.
+pub fn duty_key<E: Edge>() -> String {
+    format!("{}duty", E::OWN)
+}
+
+fn instances<E: Edge>() -> String {
+    format!("{}instance/", E::OWN)
+}
+
+/// Starts all tasks that keep the node's knowledge up to date.
+pub fn spawn<E: Edge>(node: &Rc<Node<E>>) {
+    spawn_local(follow(Rc::clone(node)));
+    spawn_local(prove(Rc::clone(node)));
+    spawn_local(register(Rc::clone(node)));
+    spawn_local(tidy(Rc::clone(node)));
+    spawn_local(takeover::oversee(Rc::clone(node)));
+}
+
+/// Reads a prefix from the store, or through another instance.
+async fn read<E: Edge>(node: &Node<E>, prefix: &str) -> Result<Items, Fault> {
+    match timeout(READ, node.edge.store().read(prefix)).await {
+        Ok(Ok(items)) => {
+            node.stored.set(Boot.now());
+            Ok(items)
+        }
+        _ => peers::read(node, prefix).await,
+    }
+}
+
+/// Follows the catalogue, the upstreams and the records.
+async fn follow<E: Edge>(node: Rc<Node<E>>) {
+    let mut pause = AGAIN.0;
+    let mut lost = false;
+    loop {
+        let Ok(mut at) = refresh(&node).await else {
+            if !lost {
+                log::warn!(dependency = "store"; "lost");
+            }
+            lost = true;
+            sleep(pause).await;
+            pause = (pause * 2).min(AGAIN.1);
+            continue;
+        };
+        if lost {
+            log::info!(dependency = "store"; "regained");
+        }
+        lost = false;
+        while let Ok(next) = watch(&node, at).await {
+            at = next;
+            pause = AGAIN.0;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(AGAIN.1);
+    }
+}
+
+/// Reads everything anew; the revision to watch from.
+async fn refresh<E: Edge>(node: &Rc<Node<E>>) -> Result<u64, Fault> {
+    let catalog = read(node, E::CATALOG).await?;
+    for item in &catalog.items {
+        take(node, item);
+    }
+    let upstreams = read(node, E::UPSTREAMS).await?;
+    let ids: Vec<&str> = upstreams.items.iter().map(|item| id_of::<E>(&item.key)).collect();
+    node.retain(&|id| ids.contains(&id));
+    for item in &upstreams.items {
+        take(node, item);
+    }
+    node.listed.set(true);
+    let own = read(node, E::OWN).await?;
+    list::<E>(node, &own);
+    for item in &own.items {
+        take(node, item);
+    }
+    Ok(catalog.at)
+}
+
+fn list<E: Edge>(node: &Node<E>, own: &Items) {
+    let prefix = instances::<E>();
+    let mut listed = HashMap::new();
+    for item in &own.items {
+        let Some(name) = item.key.strip_prefix(&prefix) else {
+            continue;
+        };
+        let text = std::str::from_utf8(&item.value).unwrap_or_default();
+        if let Ok(address) = text.parse::<SocketAddr>()
+            && name != node.settings.name
+        {
+            listed.insert(name.to_owned(), address);
+        }
+    }
+    node.peers.list(&listed);
+}
+
+async fn watch<E: Edge>(node: &Rc<Node<E>>, after: u64) -> Result<u64, Fault> {
+    let store = node.edge.store();
+    let waiting = timeout(WATCH + WATCH_SLACK, store.watch("", after, WATCH));
+    let changes = tokio::select! {
+        changes = waiting => changes.map_err(|_| Fault::Unknown)??,
+        () = node.refresh.notified() => return Err(Fault::Refused),
+    };
+    node.stored.set(Boot.now());
+    let mut relist = false;
+    for change in &changes.changes {
+        match change {
+            Change::Put(item) => {
+                relist |= item.key.starts_with(&instances::<E>());
+                take(node, item);
+            }
+            Change::Gone(key) => {
+                relist |= key.starts_with(&instances::<E>());
+                if key.starts_with(E::UPSTREAMS) {
+                    node.remove(id_of::<E>(key));
+                }
+            }
+        }
+    }
+    if relist && let Ok(own) = read(node, &instances::<E>()).await {
+        list::<E>(node, &own);
+    }
+    Ok(changes.at)
+}
+
+fn id_of<E: Edge>(key: &str) -> &str {
+    key.strip_prefix(E::UPSTREAMS).unwrap_or(key)
+}
+
+/// Takes in one item of the store.
+fn take<E: Edge>(node: &Rc<Node<E>>, item: &Item) {
+    if item.key == E::CATALOG {
+        match E::catalog(&item.value) {
+            Ok(catalog) => {
+                node.apply(catalog);
+                *node.peers.catalog.borrow_mut() = Some(item.clone());
+            }
+            Err(error) => log::error!(error:%; "the catalogue can't be read"),
+        }
+    } else if item.key.starts_with(E::UPSTREAMS) {
+        match E::upstream(&item.key, &item.value) {
+            Ok(upstream) => node.put(upstream),
+            Err(error) => log::error!(error:%, key = &*item.key; "an upstream can't be read"),
+        }
+    } else if item.key.starts_with(&lead_key::<E>("")) {
+        record(node, item);
+    }
+}
+
+/// Takes in a group's record.
+fn record<E: Edge>(node: &Node<E>, item: &Item) -> Option<Rc<Group>> {
+    let service = item.key.strip_prefix(&lead_key::<E>(""))?;
+    let record: Record = serde_json::from_slice(&item.value).ok()?;
+    let group = node.group_of(&service.into());
+    let text = format!("{record:?}");
+    if group.learn(record, item.revision) {
+        log::info!(service, revision = item.revision; "record: {text}");
+    }
+    Some(group)
+}
+
+/// Keeps the proofs of all primaries fresh for as long as somebody needs them.
+async fn prove<E: Edge>(node: Rc<Node<E>>) {
+    loop {
+        let now = Boot.now();
+        let groups = node.groups();
+        let needed = groups.iter().any(|g| g.wanted.get() + WANTED > now || g.known().is_none());
+        if needed && !groups.is_empty() {
+            match round(&node).await {
+                Ok(()) => {}
+                Err(_) => ask_upstreams(&node).await,
+            }
+        }
+        sleep(PROVE_GAP).await;
+        let _ = timeout(node.settings.renew, node.prove.notified()).await;
+    }
+}
+
+/// One reading of all records: it proves those that stand.
+async fn round<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
+    let sent = Boot.now();
+    let items = read(node, &lead_key::<E>("")).await?;
+    for item in &items.items {
+        if let Some(group) = record(node, item) {
+            group.prove(item.revision, sent, node.settings.proof);
+        }
+    }
+    for group in node.groups() {
+        let key = lead_key::<E>(&group.service);
+        if !items.items.iter().any(|item| item.key == key) {
+            found(node, &group).await;
+        }
+    }
+    Ok(())
+}
+
+/// Proves primaries by their groups when the store says nothing.
+///
+/// Whoever replaces a primary first tells one member to hold for the next term,
+/// and waits then as long as any proof lasts. So if every member answers that it
+/// has heard of no newer term, none was told so before the question was sent.
+async fn ask_upstreams<E: Edge>(node: &Rc<Node<E>>) {
+    let mut rounds = Vec::new();
+    for group in node.groups() {
+        let now = Boot.now();
+        if group.wanted.get() + WANTED < now || !group.is_whole(now, MEMORY) {
+            continue;
+        }
+        rounds.push(ask_group(node, group));
+    }
+    futures_util::future::join_all(rounds).await;
+}
+
+async fn ask_group<E: Edge>(node: &Rc<Node<E>>, group: Rc<Group>) {
+    let Some(known) = group.known() else {
+        return;
+    };
+    let Some((leader, term)) = group.primary() else {
+        return;
+    };
+    let sent = Boot.now();
+    if group.proof().covers(sent + node.settings.renew) {
+        return;
+    }
+    let members = group.members();
+    if members.len() < 2 {
+        return;
+    }
+    let said = probe::all::<E::Protocol>(&members).await;
+    if probe::confirms(&members, &said, &leader, term) {
+        group.prove(known.revision, sent, node.settings.proof);
+    }
+}
+
+/// Writes a group's first record, from what its members say.
+async fn found<E: Edge>(node: &Rc<Node<E>>, group: &Group) {
+    let members = group.members();
+    if members.is_empty() {
+        return;
+    }
+    sleep(Duration::from_millis(rand::random_range(0..300))).await;
+    if group.known().is_some() {
+        return;
+    }
+    let said = probe::all::<E::Protocol>(&members).await;
+    let leaders = members.iter().zip(&said).filter_map(|(member, said)| {
+        let status = said.status().filter(|status| status.leads)?;
+        Some((status.term, member))
+    });
+    let Some((term, member)) = leaders.max_by_key(|(term, _)| *term) else {
+        return;
+    };
+    let record = Record {
+        term,
+        upstream: member.upstream.id.to_string(),
+        phase: Phase::Stable,
+        by: node.settings.name.clone(),
+    };
+    let key = lead_key::<E>(&group.service);
+    let swap = Swap {
+        expected: vec![(key.clone(), 0)],
+        puts: vec![(key, encode(&record), 0)],
+        deletes: Vec::new(),
+    };
+    let swapped = timeout(READ, node.edge.store().swap(&swap)).await;
+    log::info!(service = &*group.service, term = term.0, swapped:?; "first record");
+    node.prove.notify_one();
+}
+
+/// A record as the store keeps it.
+pub fn encode<T: serde::Serialize>(record: &T) -> Bytes {
+    serde_json::to_vec(record).map(Bytes::from).unwrap_or_default()
+}
+
+/// Keeps this instance in the store's list.
+async fn register<E: Edge>(node: Rc<Node<E>>) {
+    let mut lease = 0;
+    loop {
+        if lease == 0 {
+            lease = enlist(&node).await.unwrap_or_default();
+        } else {
+            let kept = timeout(READ, node.edge.store().keep(lease)).await;
+            if kept == Ok(Err(Fault::Missing)) {
+                lease = 0;
+                continue;
+            }
+        }
+        let pause = match lease {
+            0 => AGAIN.1,
+            _ => LISTED / 3,
+        };
+        sleep(pause).await;
+    }
+}
+
+async fn enlist<E: Edge>(node: &Node<E>) -> Option<u64> {
+    let store = node.edge.store();
+    let lease = timeout(READ, store.grant(LISTED)).await.ok()?.ok()?;
+    let key = format!("{}{}", instances::<E>(), node.settings.name);
+    let value = Bytes::from(node.settings.peers.to_string());
+    let swap = Swap {
+        puts: vec![(key, value, lease)],
+        ..Swap::default()
+    };
+    match timeout(READ, store.swap(&swap)).await {
+        Ok(Ok(Swapped::Done(_))) => Some(lease),
+        _ => None,
+    }
+}
+
+/// Closes connections that others may need.
+async fn tidy<E: Edge>(node: Rc<Node<E>>) {
+    loop {
+        sleep(TIDY).await;
+        let now: Instant = Boot.now();
+        let catalog = node.catalog();
+        let instances = node.peers.count();
+        for group in node.groups() {
+            let entry = catalog.services.get(&group.service);
+            let connections = entry.map_or(1, |entry| entry.connections);
+            let share = (connections / instances).max(1);
+            for member in group.members() {
+                member.pool.trim(now, share, IDLE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,28 @@
+//! One instance's whole path on one thread.
+//!
+//! A statement goes one way: [`session`] reads it from its caller, [`run`] decides
+//! where it may run and [`line`] carries it there and back. [`control`] keeps what
+//! these decide with (catalogue, upstreams, proofs) in [`node::Node`], and
+//! [`takeover`] replaces primaries. What is outside of the process is met at the
+//! edges in [`edge`]; another protocol, store or platform is put there.
+
+pub mod catalog;
+pub mod control;
+pub mod edge;
+pub mod group;
+pub mod line;
+pub mod message;
+pub mod node;
+pub mod peers;
+pub mod pool;
+pub mod probe;
+pub mod run;
+pub mod serve;
+pub mod session;
+pub mod settings;
+pub mod takeover;
+pub mod transaction;
+
+pub use edge::Edge;
+pub use node::Node;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/proxy/src/line.rs
@@ -0,0 +1,293 @@
+//! One connection to an upstream.
+
+use std::{collections::BTreeMap, collections::HashSet, io, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use clock::{Boot, Instant};
+use socket2::{SockRef, TcpKeepalive};
+use thiserror::Error;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    edge::Protocol,
+    group::Member,
+    message::{Code, Command, Reply, Shape, State},
+};
+
+/// How long a connection may take to be made and greeted.
+const OPEN: Duration = Duration::from_millis(400);
+
+/// How long sent bytes may stay unconfirmed before the kernel gives up.
+const UNCONFIRMED: Duration = Duration::from_millis(2_000);
+
+/// How much is read at once.
+const CHUNK: usize = 8 * 1024;
+
+/// Why there is no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Refused {
+    /// The upstream has as many as it takes.
+    #[error("the upstream takes no more connections")]
+    TooMany,
+    /// Another upstream has the address now.
+    #[error("another upstream has this address")]
+    Misrouted,
+    /// Nobody answers there.
+    #[error("the upstream can't be reached")]
+    Unreachable,
+}
+
+/// The connection broke before the answer was whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the connection broke before the answer was whole")]
+pub struct Broken;
+
+impl From<io::Error> for Broken {
+    fn from(_: io::Error) -> Self {
+        Self
+    }
+}
+
+/// The values of a session.
+pub type Values = BTreeMap<Bytes, Bytes>;
+
+/// One connection to an upstream.
+///
+/// It is used by one session at a time. It knows which values and prepared
+/// statements the upstream has for it, so that a session finds just its own.
+#[derive(Debug)]
+pub struct Line {
+    stream: TcpStream,
+    buf: BytesMut,
+    out: BytesMut,
+    values: Values,
+    prepared: HashSet<String>,
+    awaited: usize,
+    state: State,
+    answered: Instant,
+    member: Rc<Member>,
+    counted: Counted,
+}
+
+/// Counts a connection for as long as it is open.
+#[derive(Debug)]
+pub struct Counted(Rc<Member>);
+
+impl Counted {
+    /// Counts one more connection to `member`.
+    pub fn new(member: &Rc<Member>) -> Self {
+        member.pool.open.set(member.pool.open.get() + 1);
+        Self(Rc::clone(member))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let open = &self.0.pool.open;
+        open.set(open.get() - 1);
+    }
+}
+
+impl Line {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Nothing was run; [`Refused`] tells who is to blame.
+    pub async fn open<P: Protocol>(
+        member: &Rc<Member>,
+        counted: Counted,
+    ) -> Result<Self, Refused> {
+        let opened = timeout(OPEN, Self::greet::<P>(member, counted)).await;
+        opened.unwrap_or(Err(Refused::Unreachable))
+    }
+
+    async fn greet<P: Protocol>(member: &Rc<Member>, counted: Counted) -> Result<Self, Refused> {
+        let upstream = &member.upstream;
+        let stream = TcpStream::connect(upstream.address).await;
+        let stream = stream.map_err(|_| Refused::Unreachable)?;
+        let _ = tune(&stream);
+        let mut line = Self {
+            stream,
+            buf: BytesMut::new(),
+            out: BytesMut::new(),
+            values: Values::new(),
+            prepared: HashSet::new(),
+            awaited: 0,
+            state: State::Idle,
+            answered: Boot.now(),
+            member: Rc::clone(member),
+            counted,
+        };
+        let hello = Command::Start(&upstream.service, &upstream.id);
+        if line.ask::<P>(&hello).await.is_ok() {
+            return Ok(line);
+        }
+        match P::rejected(&line.buf) {
+            Some(Code::TooMany) => Err(Refused::TooMany),
+            Some(Code::Misrouted) => Err(Refused::Misrouted),
+            _ => Err(Refused::Unreachable),
+        }
+    }
+
+    /// The upstream behind the connection.
+    pub fn member(&self) -> &Rc<Member> {
+        &self.member
+    }
+
+    /// When the upstream last answered here.
+    pub fn answered(&self) -> Instant {
+        self.answered
+    }
+
+    /// Where the connection stands.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether nothing is open or awaited, so that another session may have it.
+    pub fn is_clean(&self) -> bool {
+        self.awaited == 0 && self.state == State::Idle && self.buf.is_empty()
+    }
+
+    /// Whether the connection has not been closed while it lay idle.
+    ///
+    /// A statement that is sent on a connection which the upstream has closed is
+    /// lost without a trace, and a write would end as unknown for no reason.
+    pub fn is_open(&self) -> bool {
+        let mut byte = [0];
+        match self.stream.try_read(&mut byte) {
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+
+    /// Whether the upstream has just these values for this connection.
+    pub fn has(&self, values: &Values) -> bool {
+        self.values == *values
+    }
+
+    /// Puts the commands in line that give the connection a session's values.
+    pub fn align<P: Protocol>(&mut self, values: &Values) {
+        if self.values == *values {
+            return;
+        }
+        let stale = self.values.keys().any(|name| !values.contains_key(name));
+        if stale {
+            self.put::<P>(&Command::Reset);
+            self.values.clear();
+            self.prepared.clear();
+        }
+        for (name, value) in values {
+            if self.values.get(name) == Some(value) {
+                continue;
+            }
+            self.put::<P>(&Command::Set(name, value));
+            self.values.insert(name.clone(), value.clone());
+        }
+    }
+
+    /// Puts the command in line that prepares `shape`, if it is not; its name here.
+    ///
+    /// The name is made of the shape, so names of different sessions never collide
+    /// and a shape is prepared once for all sessions that use the connection.
+    pub fn prepare<P: Protocol>(&mut self, shape: &Shape) -> String {
+        let kind = match shape.access {
+            crate::message::Access::Read => 'r',
+            crate::message::Access::Write => 'w',
+        };
+        let name = format!("{kind}{:016x}", xxh3_64(&shape.text));
+        if !self.prepared.contains(&name) {
+            self.put::<P>(&Command::Prepare(&name, shape));
+            self.prepared.insert(name.clone());
+        }
+        name
+    }
+
+    /// Clears all values and prepared statements, which also shows a sign of life.
+    ///
+    /// # Errors
+    ///
+    /// As [`Line::ask`].
+    pub async fn reset<P: Protocol>(&mut self) -> Result<Reply, Broken> {
+        self.values.clear();
+        self.prepared.clear();
+        self.ask::<P>(&Command::Reset).await
+    }
+
+    /// Forgets what is prepared, because the upstream says that it is not.
+    pub fn unprepare(&mut self) {
+        self.prepared.clear();
+    }
+
+    fn put<P: Protocol>(&mut self, command: &Command<'_>) {
+        P::command(command, &mut self.out);
+        self.awaited += 1;
+    }
+
+    /// Sends what is in line and `command`; returns the answer to `command`.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the upstream refused what was put in line before:
+    /// `command` may have run, and the connection is of no more use. The same
+    /// holds if the future is dropped before it is done.
+    pub async fn ask<P: Protocol>(&mut self, command: &Command<'_>) -> Result<Reply, Broken> {
+        self.put::<P>(command);
+        let out = self.out.split();
+        self.stream.write_all(&out).await?;
+        loop {
+            let reply = self.next::<P>().await?;
+            self.awaited -= 1;
+            self.state = reply.state;
+            if self.awaited == 0 {
+                self.answered = Boot.now();
+                self.member.answered(self.answered);
+                return Ok(reply);
+            }
+            if reply.verdict.is_err() {
+                return Err(Broken);
+            }
+        }
+    }
+
+    async fn next<P: Protocol>(&mut self) -> Result<Reply, Broken> {
+        loop {
+            match P::reply(&mut self.buf) {
+                Ok(Some(reply)) => return Ok(reply),
+                Ok(None) => {}
+                Err(_) => return Err(Broken),
+            }
+            self.buf.reserve(CHUNK);
+            if self.stream.read_buf(&mut self.buf).await? == 0 {
+                return Err(Broken);
+            }
+        }
+    }
+
+    /// The count that this connection takes, to open another one in its place.
+    pub fn into_counted(self) -> Counted {
+        self.counted
+    }
+}
+
+/// Sets a socket up so that a peer which went silent is noticed.
+///
+/// # Errors
+///
+/// The kernel refuses an option.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(UNCONFIRMED))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/crates/proxy/src/node.rs
@@ -0,0 +1,213 @@
+//! What one instance knows, shared by all of its tasks.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use clock::{Boot, Instant};
+use tokio::{sync::Notify, time::timeout};
+
+use crate::{
+    catalog::{Catalog, Route, Upstream},
+    edge::Edge,
+    group::{Group, Member},
+    peers::Peers,
+    settings::Settings,
+};
+
+/// How far an instance is with its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It serves.
+    Serve,
+    /// It was told to stop at this moment.
+    Stop(Instant),
+}
+
+/// What one instance knows, shared by all of its tasks.
+#[derive(Debug)]
+pub struct Node<E: Edge> {
+    /// What is outside of the process.
+    pub edge: E,
+    /// What it was told at its start.
+    pub settings: Settings,
+    /// A number of this life of the process.
+    pub life: u64,
+    catalog: RefCell<Rc<Catalog>>,
+    groups: RefCell<HashMap<Rc<str>, Rc<Group>>>,
+    /// Other instances.
+    pub peers: Peers,
+    /// How far it is with its life.
+    pub stage: Cell<Stage>,
+    /// Told when the stage changes.
+    pub staged: Notify,
+    /// Told when somebody needs a proof now.
+    pub prove: Notify,
+    /// Told when the catalogue or the upstreams may have changed.
+    pub refresh: Notify,
+    /// Whether the list of upstreams was read.
+    pub listed: Cell<bool>,
+    /// When the store last answered.
+    pub stored: Cell<Instant>,
+    /// How many sessions are open.
+    pub sessions: Cell<usize>,
+}
+
+impl<E: Edge> Node<E> {
+    /// A node that knows nothing yet.
+    pub fn new(edge: E, settings: Settings) -> Self {
+        Self {
+            edge,
+            peers: Peers::new(&settings),
+            settings,
+            life: rand::random(),
+            catalog: RefCell::default(),
+            groups: RefCell::default(),
+            stage: Cell::new(Stage::Serve),
+            staged: Notify::new(),
+            prove: Notify::new(),
+            refresh: Notify::new(),
+            listed: Cell::new(false),
+            stored: Cell::default(),
+            sessions: Cell::new(0),
+        }
+    }
+
+    /// The catalogue in force.
+    pub fn catalog(&self) -> Rc<Catalog> {
+        Rc::clone(&self.catalog.borrow())
+    }
+
+    /// Puts a catalogue in force, unless one of the same or a higher version is.
+    pub fn apply(&self, catalog: Catalog) {
+        let old = self.catalog();
+        if catalog.version <= old.version {
+            return;
+        }
+        log::info!(
+            revision = catalog.version, was = old.version, routes = catalog.routes.len();
+            "catalogue in force"
+        );
+        for (service, entry) in &catalog.services {
+            let group = self.group_of(service);
+            for member in group.members() {
+                member.pool.limit.set(limit(entry.connections));
+            }
+        }
+        *self.catalog.borrow_mut() = Rc::new(catalog);
+    }
+
+    /// The route that callers of `database` take.
+    pub fn route(&self, database: &Bytes) -> Option<Rc<Route>> {
+        self.catalog.borrow().routes.get(database).cloned()
+    }
+
+    /// The group of a service; made if it is new.
+    pub fn group_of(&self, service: &Rc<str>) -> Rc<Group> {
+        let mut groups = self.groups.borrow_mut();
+        let new = || Rc::new(Group::new(service));
+        Rc::clone(groups.entry(Rc::clone(service)).or_insert_with(new))
+    }
+
+    /// All groups that the catalogue names, in order of their names.
+    pub fn groups(&self) -> Vec<Rc<Group>> {
+        let catalog = self.catalog();
+        let mut names: Vec<_> = catalog.services.keys().collect();
+        names.sort();
+        names.into_iter().map(|name| self.group_of(name)).collect()
+    }
+
+    /// Takes in an entry of the list of upstreams.
+    pub fn put(&self, upstream: Upstream) {
+        let group = self.group_of(&upstream.service);
+        let id = Rc::clone(&upstream.id);
+        let catalog = self.catalog();
+        let connections = catalog.services.get(&upstream.service);
+        group.put(upstream);
+        if let (Some(member), Some(entry)) = (group.member(&id), connections) {
+            member.pool.limit.set(limit(entry.connections));
+        }
+    }
+
+    /// Drops the upstream with this id, whichever group it is in.
+    pub fn remove(&self, id: &str) {
+        for group in self.groups.borrow().values() {
+            group.remove(id);
+        }
+    }
+
+    /// Keeps only the upstreams whose ids `stays` names.
+    pub fn retain(&self, stays: &dyn Fn(&str) -> bool) {
+        for group in self.groups.borrow().values() {
+            for member in group.members() {
+                if !stays(&member.upstream.id) {
+                    group.remove(&member.upstream.id);
+                }
+            }
+        }
+    }
+
+    /// Whether the instance can take callers.
+    pub fn is_ready(&self) -> bool {
+        if self.stage.get() != Stage::Serve || !self.listed.get() {
+            return false;
+        }
+        let groups = self.groups();
+        !groups.is_empty() && groups.iter().any(|group| group.known().is_some())
+    }
+
+    /// Waits until it is proved that the primary led at `moment`, or `wait` is over.
+    pub async fn proved(&self, group: &Group, moment: Instant, wait: Duration) -> Proved {
+        group.wanted.set(Boot.now());
+        if let Some((member, _)) = group.primary()
+            && group.proof().covers(moment)
+        {
+            return Proved::Primary(member);
+        }
+        let proved = async {
+            loop {
+                let changed = group.changed.notified();
+                if let Some((member, _)) = group.primary()
+                    && group.proof().covers(moment)
+                {
+                    return Proved::Primary(member);
+                }
+                self.prove.notify_one();
+                changed.await;
+            }
+        };
+        timeout(wait, proved).await.unwrap_or(Proved::Nobody)
+    }
+
+    /// Takes in settings that were changed while the process runs.
+    pub fn reload(&self, settings: &Settings) {
+        let changed = *settings != self.settings;
+        log::info!(changed; "settings read again");
+        self.refresh.notify_one();
+    }
+
+    /// Whether a stop was asked for.
+    pub fn is_stopping(&self) -> bool {
+        matches!(self.stage.get(), Stage::Stop(_))
+    }
+}
+
+/// Who may be used as the primary.
+#[derive(Debug)]
+pub enum Proved {
+    /// This upstream.
+    Primary(Rc<Member>),
+    /// Nobody, as far as could be told in time.
+    Nobody,
+}
+
+/// How many of an upstream's connections one instance may take.
+///
+/// Half, so that no instance keeps all others out.
+fn limit(connections: usize) -> usize {
+    (connections / 2).max(1)
+}
--- /dev/null
+++ b/crates/proxy/src/peers.rs
@@ -0,0 +1,385 @@
+//! Other instances: what they say of themselves, and what they pass on.
+//!
+//! Every instance sends a short beat to all others by UDP, more often when it has
+//! something urgent to say. Over TCP an instance that the store turns away asks
+//! another one to read the store for it.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::{BufMut, BytesMut};
+use clock::{Boot, Instant};
+use lead::{Tally, Verdict};
+use model::Term;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::Notify,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    edge::{Edge, Fault, Item, Items, Store},
+    line,
+    node::Node,
+    probe,
+    settings::Settings,
+};
+
+/// How often beats are sent when nothing is urgent.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// How long a beat counts.
+const HEARD: Duration = Duration::from_millis(1_200);
+
+/// How long an instance that is not heard stays known if the store does not list it.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// The shortest pause between two beats.
+const CALM: Duration = Duration::from_millis(20);
+
+/// How long a peer may take to pass something on.
+const PASS: Duration = Duration::from_millis(500);
+
+/// How long a store's answer may take for a peer.
+const READ: Duration = Duration::from_millis(350);
+
+/// The longest frame.
+const FRAME: usize = 16 << 20;
+
+/// The longest beat.
+const DATAGRAM: usize = 8 << 10;
+
+/// What an instance says of a primary.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Belief {
+    service: String,
+    term: Term,
+    verdict: Verdict,
+}
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Beat {
+    name: String,
+    address: SocketAddr,
+    version: u64,
+    beliefs: Vec<Belief>,
+    leaving: bool,
+}
+
+/// What an instance asks another.
+#[derive(Debug, Serialize, Deserialize)]
+enum Ask {
+    /// Read the store for me, now.
+    Read(String),
+    /// The catalogue you have.
+    Catalog,
+}
+
+/// What it is told.
+#[derive(Debug, Serialize, Deserialize)]
+enum Told {
+    Items(Items),
+    Catalog(Option<Item>),
+    Nothing,
+}
+
+/// Another instance.
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard: Option<Instant>,
+    listed: bool,
+    version: u64,
+    beliefs: Vec<Belief>,
+}
+
+/// Other instances.
+#[derive(Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    table: RefCell<HashMap<String, Peer>>,
+    /// Told when a beat should be sent at once.
+    pub urgent: Notify,
+    /// The catalogue as the store holds it, to be passed on.
+    pub catalog: RefCell<Option<Item>>,
+}
+
+impl Peers {
+    /// Nobody is known but the seeds.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            own: settings.peers,
+            seeds: settings.seeds.clone(),
+            table: RefCell::default(),
+            urgent: Notify::new(),
+            catalog: RefCell::default(),
+        }
+    }
+
+    /// Takes in the store's list of instances.
+    pub fn list(&self, listed: &HashMap<String, SocketAddr>) {
+        let mut table = self.table.borrow_mut();
+        for (name, address) in listed {
+            let peer = table.entry(name.clone()).or_insert_with(|| Peer {
+                address: *address,
+                heard: None,
+                listed: true,
+                version: 0,
+                beliefs: Vec::new(),
+            });
+            peer.address = *address;
+        }
+        for (name, peer) in table.iter_mut() {
+            peer.listed = listed.contains_key(name);
+        }
+    }
+
+    /// How many instances there are as far as is known, this one included.
+    pub fn count(&self) -> usize {
+        let now = Boot.now();
+        let mut table = self.table.borrow_mut();
+        table.retain(|_, p| p.listed || p.heard.is_some_and(|at| at + FORGET > now));
+        table.len() + 1
+    }
+
+    /// Other instances that were heard lately.
+    fn heard(&self) -> Vec<SocketAddr> {
+        let now = Boot.now();
+        let table = self.table.borrow();
+        let heard = |p: &&Peer| p.heard.is_some_and(|at| at + HEARD > now);
+        table.values().filter(heard).map(|p| p.address).collect()
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let mut all: Vec<_> = self.table.borrow().values().map(|p| p.address).collect();
+        if all.is_empty() {
+            all.clone_from(&self.seeds);
+        }
+        all.retain(|address| *address != self.own);
+        all
+    }
+
+    /// What those who were heard lately say of the primary of `service` in `term`,
+    /// the `own` verdict included, and the names of those who see it fail.
+    pub fn tally(&self, service: &str, term: Term, own: Verdict) -> (Tally, Vec<String>) {
+        let now = Boot.now();
+        let mut tally = Tally::default();
+        tally.add(own);
+        let mut failing = Vec::new();
+        for (name, peer) in self.table.borrow().iter() {
+            if peer.heard.is_none_or(|at| at + HEARD <= now) {
+                continue;
+            }
+            let same = |b: &&Belief| b.service == service && b.term == term;
+            let belief = peer.beliefs.iter().find(same);
+            let verdict = belief.map_or(Verdict::Unknown, |b| b.verdict);
+            if verdict == Verdict::Failing {
+                failing.push(name.clone());
+            }
+            tally.add(verdict);
+        }
+        (tally, failing)
+    }
+
+    /// Names of the instances that were heard lately.
+    pub fn names(&self) -> Vec<String> {
+        let now = Boot.now();
+        let table = self.table.borrow();
+        let heard = |p: &Peer| p.heard.is_some_and(|at| at + HEARD > now);
+        let names = table.iter().filter(|(_, p)| heard(p));
+        names.map(|(name, _)| name.clone()).collect()
+    }
+}
+
+/// Sends and takes beats until the process ends.
+pub async fn beats<E: Edge>(node: Rc<Node<E>>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    let receiver = Rc::clone(&socket);
+    let receiving = Rc::clone(&node);
+    spawn_local(async move {
+        let mut buf = vec![0; DATAGRAM];
+        loop {
+            let Ok((size, _)) = receiver.recv_from(&mut buf).await else {
+                sleep(CALM).await;
+                continue;
+            };
+            if let Ok(beat) = postcard::from_bytes::<Beat>(&buf[..size]) {
+                take(&receiving, beat);
+            }
+        }
+    });
+    loop {
+        let beat = beat(&node);
+        if let Ok(bytes) = postcard::to_stdvec(&beat) {
+            for address in node.peers.addresses() {
+                let _ = socket.try_send_to(&bytes, address);
+            }
+        }
+        sleep(CALM).await;
+        let _ = timeout(BEAT, node.peers.urgent.notified()).await;
+    }
+}
+
+fn beat<E: Edge>(node: &Node<E>) -> Beat {
+    let now = Boot.now();
+    let mut beliefs = Vec::new();
+    for group in node.groups() {
+        let Some((primary, term)) = group.primary() else {
+            continue;
+        };
+        beliefs.push(Belief {
+            service: group.service.to_string(),
+            term,
+            verdict: primary.verdict(now),
+        });
+    }
+    Beat {
+        name: node.settings.name.clone(),
+        address: node.settings.peers,
+        version: node.catalog().version,
+        beliefs,
+        leaving: node.is_stopping(),
+    }
+}
+
+fn take<E: Edge>(node: &Rc<Node<E>>, beat: Beat) {
+    if beat.name == node.settings.name {
+        return;
+    }
+    let newer = beat.version > node.catalog().version;
+    look_too(node, &beat.beliefs);
+    let mut table = node.peers.table.borrow_mut();
+    if beat.leaving {
+        table.remove(&beat.name);
+        return;
+    }
+    let peer = table.entry(beat.name).or_insert_with(|| Peer {
+        address: beat.address,
+        heard: None,
+        listed: false,
+        version: 0,
+        beliefs: Vec::new(),
+    });
+    peer.address = beat.address;
+    peer.heard = Some(Boot.now());
+    peer.beliefs = beat.beliefs;
+    let again = peer.version == beat.version;
+    peer.version = beat.version;
+    drop(table);
+    // The same news a second time: the store's own word should have come by now.
+    if newer && again {
+        let node = Rc::clone(node);
+        let address = beat.address;
+        spawn_local(async move { fetch(&node, address).await });
+    }
+}
+
+/// Asks a primary that another instance sees fail, so that one's word is checked.
+fn look_too<E: Edge>(node: &Rc<Node<E>>, beliefs: &[Belief]) {
+    for belief in beliefs.iter().filter(|b| b.verdict == Verdict::Failing) {
+        let service: Rc<str> = belief.service.as_str().into();
+        let group = node.group_of(&service);
+        let Some((primary, term)) = group.primary() else {
+            continue;
+        };
+        let quiet = primary.health().answered + BEAT / 2 < Boot.now();
+        if term == belief.term && quiet {
+            probe::check(node, &group, &primary);
+        }
+    }
+}
+
+/// Takes the catalogue of another instance.
+async fn fetch<E: Edge>(node: &Node<E>, address: SocketAddr) {
+    let Ok(Ok(Told::Catalog(Some(item)))) = timeout(PASS, call(address, &Ask::Catalog)).await
+    else {
+        return;
+    };
+    if let Ok(catalog) = E::catalog(&item.value) {
+        node.apply(catalog);
+        *node.peers.catalog.borrow_mut() = Some(item);
+    }
+}
+
+/// Reads the store through another instance.
+///
+/// # Errors
+///
+/// No instance that was heard lately could read it.
+pub async fn read<E: Edge>(node: &Node<E>, prefix: &str) -> Result<Items, Fault> {
+    let mut heard = node.peers.heard();
+    for _ in 0..2 {
+        let Some(address) = heard.choose(&mut rand::rng()).copied() else {
+            return Err(Fault::Unknown);
+        };
+        heard.retain(|other| *other != address);
+        let ask = Ask::Read(prefix.to_owned());
+        if let Ok(Ok(Told::Items(items))) = timeout(PASS, call(address, &ask)).await {
+            return Ok(items);
+        }
+    }
+    Err(Fault::Unknown)
+}
+
+async fn call(address: SocketAddr, ask: &Ask) -> io::Result<Told> {
+    let mut stream = TcpStream::connect(address).await?;
+    let _ = line::tune(&stream);
+    send(&mut stream, ask).await?;
+    receive(&mut stream).await
+}
+
+/// Answers other instances until the process ends.
+pub async fn serve<E: Edge>(node: Rc<Node<E>>, listener: TcpListener) {
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            sleep(CALM).await;
+            continue;
+        };
+        let node = Rc::clone(&node);
+        spawn_local(async move {
+            let _ = timeout(PASS * 2, answer(&node, &mut stream)).await;
+        });
+    }
+}
+
+async fn answer<E: Edge>(node: &Node<E>, stream: &mut TcpStream) -> io::Result<()> {
+    let told = match receive::<Ask>(stream).await? {
+        Ask::Read(prefix) => match timeout(READ, node.edge.store().read(&prefix)).await {
+            Ok(Ok(items)) => Told::Items(items),
+            _ => Told::Nothing,
+        },
+        Ask::Catalog => Told::Catalog(node.peers.catalog.borrow().clone()),
+    };
+    send(stream, &told).await
+}
+
+async fn send<T: Serialize>(stream: &mut TcpStream, frame: &T) -> io::Result<()> {
+    let body = postcard::to_stdvec(frame).map_err(io::Error::other)?;
+    let size = u32::try_from(body.len()).map_err(io::Error::other)?;
+    let mut out = BytesMut::with_capacity(body.len() + 4);
+    out.put_u32(size);
+    out.extend_from_slice(&body);
+    stream.write_all(&out).await
+}
+
+async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+    let size = stream.read_u32().await? as usize;
+    if size > FRAME {
+        return Err(io::Error::other("the frame is too long"));
+    }
+    let mut body = vec![0; size];
+    stream.read_exact(&mut body).await?;
+    postcard::from_bytes(&body).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/proxy/src/probe.rs
@@ -0,0 +1,163 @@
+//! Asking upstreams what they are, and telling them what to be.
+
+use std::{rc::Rc, time::Duration};
+
+use clock::Boot;
+use model::Term;
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    edge::{Edge, Protocol},
+    group::{Group, Member},
+    line::{Counted, Line, Refused, Values},
+    message::{Code, Command, Status},
+    node::Node,
+    pool,
+};
+
+/// How long an upstream may take to say what it is.
+pub const ANSWER: Duration = Duration::from_millis(300);
+
+/// The pause between two questions to an upstream that fails.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What came of a question or an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Said {
+    /// What the upstream says of itself.
+    Status(Status),
+    /// It lives, but has no room to say more.
+    Full,
+    /// It refused the order.
+    Refused(Code),
+    /// It did not answer.
+    Silent,
+}
+
+impl Said {
+    /// What the upstream says of itself, if it does.
+    pub fn status(self) -> Option<Status> {
+        match self {
+            Self::Status(status) => Some(status),
+            _ => None,
+        }
+    }
+}
+
+/// Asks `member` what it is.
+pub async fn status<P: Protocol>(member: &Rc<Member>) -> Said {
+    order::<P>(member, &Command::Status, ANSWER).await
+}
+
+/// Gives `member` an order, or asks it, and reads what it says of itself.
+pub async fn order<P: Protocol>(
+    member: &Rc<Member>,
+    command: &Command<'_>,
+    within: Duration,
+) -> Said {
+    let said = timeout(within, exchange::<P>(member, command)).await;
+    let said = said.unwrap_or(Said::Silent);
+    match said {
+        Said::Silent => member.failed(Boot.now()),
+        Said::Status(_) | Said::Full | Said::Refused(_) => member.answered(Boot.now()),
+    }
+    said
+}
+
+async fn exchange<P: Protocol>(member: &Rc<Member>, command: &Command<'_>) -> Said {
+    let mut fresh = false;
+    loop {
+        let idle = match fresh {
+            true => None,
+            false => member.pool.idle(&Values::new()),
+        };
+        fresh |= idle.is_none();
+        let line = match idle {
+            Some(line) => Ok(line),
+            None => Line::open::<P>(member, Counted::new(member)).await,
+        };
+        let mut line = match line {
+            Ok(line) => line,
+            Err(Refused::TooMany) => return Said::Full,
+            Err(Refused::Misrouted | Refused::Unreachable) => return Said::Silent,
+        };
+        let Ok(reply) = line.ask::<P>(command).await else {
+            pool::discard::<P>(line);
+            if fresh {
+                return Said::Silent;
+            }
+            fresh = true;
+            continue;
+        };
+        pool::release::<P>(line);
+        return match &reply.verdict {
+            Ok(()) => P::status(&reply).map_or(Said::Refused(Code::Other), Said::Status),
+            Err(failure) if failure.code == Code::Busy => Said::Full,
+            Err(failure) => Said::Refused(failure.code),
+        };
+    }
+}
+
+/// Notes that `member` did not answer a statement, and looks after it.
+pub fn doubt<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, member: &Rc<Member>) {
+    member.failed(Boot.now());
+    check(node, group, member);
+}
+
+/// Asks `member` again and again until it answers or is no member any more.
+pub fn check<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, member: &Rc<Member>) {
+    if member.probed.replace(true) {
+        return;
+    }
+    let (node, group, member) = (Rc::clone(node), Rc::clone(group), Rc::clone(member));
+    spawn_local(async move {
+        let mut told = false;
+        while status::<E::Protocol>(&member).await == Said::Silent {
+            let id = &member.upstream.id;
+            if group.member(id).is_none_or(|m| !Rc::ptr_eq(&m, &member)) {
+                break;
+            }
+            if member.is_failing() && !told {
+                told = true;
+                log::info!(service = &*group.service, upstream = &**id; "upstream fails");
+                node.peers.urgent.notify_one();
+            }
+            sleep(AGAIN).await;
+        }
+        if told {
+            let id = &*member.upstream.id;
+            log::info!(service = &*group.service, upstream = id; "upstream is back, or gone for good");
+            node.peers.urgent.notify_one();
+        }
+        member.probed.set(false);
+    });
+}
+
+/// Asks all members of a group at once.
+pub async fn all<P: Protocol>(members: &[Rc<Member>]) -> Vec<Said> {
+    each::<P>(members, &Command::Status).await
+}
+
+/// Gives all members the same order at once.
+pub async fn each<P: Protocol>(members: &[Rc<Member>], command: &Command<'_>) -> Vec<Said> {
+    let mut tasks = Vec::with_capacity(members.len());
+    for member in members {
+        tasks.push(order::<P>(member, command, ANSWER));
+    }
+    futures_util::future::join_all(tasks).await
+}
+
+/// Whether all members answered that nothing newer than `term` was heard of, and
+/// `leader` that it leads.
+pub fn confirms(members: &[Rc<Member>], said: &[Said], leader: &Rc<Member>, term: Term) -> bool {
+    members.iter().zip(said).all(|(member, said)| {
+        let Some(status) = said.status() else {
+            return false;
+        };
+        let leads = !Rc::ptr_eq(member, leader) || status.leads;
+        status.term <= term && status.held <= term && leads
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/run.rs
@@ -0,0 +1,509 @@
+//! Where a statement runs, and what its caller is told.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use clock::{Boot, Instant};
+use model::Position;
+use tokio::time::timeout;
+
+use crate::{
+    catalog::{Freshness, Route, Stay},
+    edge::{Edge, Protocol},
+    group::{Group, Member},
+    line::{Broken, Line, Refused, Values},
+    message::{Access, Code, Command, Query, Reply, Shape, State},
+    node::{Node, Proved},
+    pool, probe,
+};
+
+/// How long a pause between two tries is.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// How long samples of a primary's position are kept beyond any age in use.
+const KEEP: Duration = Duration::from_secs(10);
+
+/// A connection that lay idle longer is asked for a sign of life before a write.
+const STALE_LINE: Duration = Duration::from_millis(500);
+
+/// How long the sign of life may take.
+const SIGN: Duration = Duration::from_millis(150);
+
+/// What a way to an upstream in another zone weighs against a wait there.
+const FAR: Duration = Duration::from_millis(6);
+
+/// What the primary weighs more, since only it can run writes.
+const LEADER: Duration = Duration::from_millis(8);
+
+/// The shortest time after which a read is tried elsewhere as well.
+const PATIENCE: Duration = Duration::from_millis(120);
+
+/// What a caller is told, and where its session stands then.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The bytes of the answer.
+    pub bytes: Bytes,
+    /// Where the session stands.
+    pub state: State,
+    /// How far the upstream's log went.
+    pub position: Option<Position>,
+    /// Why the statement did not succeed.
+    pub failure: Option<Code>,
+}
+
+impl Outcome {
+    /// An upstream's own answer.
+    pub fn of(reply: Reply) -> Self {
+        Self {
+            failure: reply.verdict.as_ref().err().map(|failure| failure.code),
+            bytes: reply.raw,
+            state: reply.state,
+            position: reply.position,
+        }
+    }
+
+    /// A refusal of this process's own making.
+    pub fn refusal<P: Protocol>(code: Code, text: &str, state: State) -> Self {
+        let mut out = BytesMut::new();
+        P::refusal(code, text, state, &mut out);
+        Self {
+            bytes: out.freeze(),
+            state,
+            position: None,
+            failure: Some(code),
+        }
+    }
+
+    /// A success of this process's own making.
+    pub fn done<P: Protocol>(state: State) -> Self {
+        let mut out = BytesMut::new();
+        P::done(state, &mut out);
+        Self {
+            bytes: out.freeze(),
+            state,
+            position: None,
+            failure: None,
+        }
+    }
+}
+
+/// The text of a refusal that tells when to come back.
+pub const COME_BACK: &str = "not run, come back in 100 ms";
+
+/// What a session brings to a statement.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    /// The route it takes.
+    pub route: &'a Route,
+    /// The statement.
+    pub query: &'a Query,
+    /// The prepared statement that is run, with what stands behind its name.
+    pub prepared: Option<(&'a Shape, &'a [u8])>,
+    /// The session's values.
+    pub values: &'a Values,
+    /// The position of the session's last commit.
+    pub own: Option<Position>,
+    /// When its first byte was here.
+    pub at: Instant,
+}
+
+/// Where a read may run.
+#[derive(Debug)]
+pub struct Place {
+    /// The upstream.
+    pub member: Rc<Member>,
+    /// The position that its log must have reached.
+    pub floor: Option<Position>,
+    /// Whether it runs there as on the primary.
+    pub leads: bool,
+}
+
+/// The lowest position that a read on `route` may show, if it can be told.
+fn floor(group: &Group, route: &Route, own: Option<Position>, at: Instant) -> Option<Position> {
+    match route.freshness {
+        Freshness::Current => None,
+        Freshness::Bounded(age) => group.floor(at, age),
+        Freshness::OwnWrites(age) => {
+            let floor = group.floor(at, age)?;
+            let current = group.primary().map(|(_, term)| term);
+            match own {
+                // A commit of an earlier term may be on no log any more.
+                Some(own) if current.is_some_and(|term| own.term < term) => None,
+                Some(own) => Some(floor.max(own)),
+                None => Some(floor),
+            }
+        }
+    }
+}
+
+/// How soon a statement is likely to be answered by `member`.
+fn cost(member: &Member, zone: &str, leads: bool) -> Duration {
+    let queued = member.running.get() + member.pool.waiting();
+    let queued = u32::try_from(queued).unwrap_or(u32::MAX);
+    let mut cost = member.latency().saturating_mul(queued.saturating_add(1));
+    if member.upstream.zone != zone {
+        cost += FAR;
+    }
+    if leads {
+        cost += LEADER;
+    }
+    cost
+}
+
+/// Where a read runs next; `None` if nobody may run it now.
+pub async fn place<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    ask: &Ask<'_>,
+    tried: &[Rc<str>],
+    wait: Duration,
+) -> Option<Place> {
+    if let Some(floor) = floor(group, ask.route, ask.own, ask.at) {
+        let now = Boot.now();
+        let primary = group.primary().map(|(member, _)| Rc::clone(&member.upstream.id));
+        let leads = |member: &Member| primary.as_deref() == Some(&*member.upstream.id);
+        let usable = |member: &&Rc<Member>| {
+            let fit = member.stay.get() == Stay::Ready || leads(member);
+            let held = member.is_lagging(now) && !leads(member);
+            fit && !held && !member.is_failing() && !tried.contains(&member.upstream.id)
+        };
+        let members = group.members();
+        let best = members
+            .iter()
+            .filter(usable)
+            .min_by_key(|member| cost(member, &node.settings.zone, leads(member)));
+        if let Some(member) = best {
+            let leads = leads(member);
+            return Some(Place {
+                member: Rc::clone(member),
+                floor: Some(floor),
+                leads,
+            });
+        }
+    }
+    match node.proved(group, ask.at, wait).await {
+        Proved::Primary(member) => Some(Place {
+            member,
+            floor: None,
+            leads: true,
+        }),
+        Proved::Nobody => None,
+    }
+}
+
+/// Sends a statement on a connection that is already its own.
+///
+/// # Errors
+///
+/// The connection broke, or `within` is over: the statement may have run.
+pub async fn send<P: Protocol>(
+    line: &mut Line,
+    ask: &Ask<'_>,
+    floor: Option<Position>,
+    within: Duration,
+) -> Result<Reply, Lost> {
+    let id = &ask.query.id;
+    let asked = match ask.prepared {
+        Some((shape, rest)) => {
+            let name = line.prepare::<P>(shape);
+            let after = floor;
+            let name = &name;
+            let command = Command::Execute {
+                id,
+                after,
+                name,
+                rest,
+            };
+            timeout(within, line.ask::<P>(&command)).await
+        }
+        None => {
+            let command = Command::Forward {
+                id,
+                after: floor,
+                text: &ask.query.text,
+            };
+            timeout(within, line.ask::<P>(&command)).await
+        }
+    };
+    match asked {
+        Ok(Ok(reply)) => Ok(reply),
+        Ok(Err(Broken)) => Err(Lost::Broken),
+        Err(_) => Err(Lost::Late),
+    }
+}
+
+/// Why a statement that was sent has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lost {
+    /// The connection broke.
+    Broken,
+    /// It took too long.
+    Late,
+}
+
+/// Counts a statement that runs at an upstream.
+#[derive(Debug)]
+pub struct Running(Rc<Member>, Instant);
+
+impl Running {
+    /// Begins to count.
+    pub fn new(member: &Rc<Member>) -> Self {
+        member.running.set(member.running.get() + 1);
+        Self(Rc::clone(member), Boot.now())
+    }
+
+    /// When it began.
+    pub fn since(&self) -> Instant {
+        self.1
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+        self.0.took(Boot.now().since(self.1));
+    }
+}
+
+/// Whether an upstream's code says that the statement did not run.
+pub fn is_not_run(code: Code) -> bool {
+    matches!(
+        code,
+        Code::Busy
+            | Code::Lagging
+            | Code::ReadOnly
+            | Code::Misrouted
+            | Code::TooMany
+            | Code::NoStatement
+    )
+}
+
+/// Notes what an upstream's answer says about it.
+pub fn note<E: Edge>(node: &Node<E>, group: &Group, place: &Place, sent: Instant, reply: &Reply) {
+    let member = &place.member;
+    match &reply.verdict {
+        Ok(()) => {
+            member.caught_up();
+            let primary = group.primary();
+            if let (Some((lead, term)), Some(position)) = (primary, reply.position)
+                && Rc::ptr_eq(&lead, member)
+                && position.term == term
+            {
+                group.sample(term, sent, position, KEEP);
+            }
+        }
+        Err(failure) if failure.code == Code::Lagging && !place.leads => {
+            member.lagged(Boot.now());
+        }
+        Err(failure) if failure.code == Code::ReadOnly => node.prove.notify_one(),
+        Err(_) => {}
+    }
+}
+
+/// What is left of a span that began at `since`.
+pub fn left(span: Duration, since: Instant) -> Duration {
+    span.saturating_sub(Boot.now().since(since))
+}
+
+/// Runs a single read.
+pub async fn read<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, ask: &Ask<'_>) -> Outcome {
+    let mut tried: Vec<Rc<str>> = Vec::new();
+    let mut last = None;
+    let timeout_at = ask.route.timeout;
+    let mut sent_once = false;
+    loop {
+        let hold = left(node.settings.hold.min(timeout_at), ask.at);
+        if hold.is_zero() {
+            break;
+        }
+        let Some(place) = place(node, group, ask, &tried, hold).await else {
+            break;
+        };
+        let Some(mut line) = connect::<E>(node, &place.member, ask, hold).await else {
+            tried.push(Rc::clone(&place.member.upstream.id));
+            pause(&tried, group).await;
+            continue;
+        };
+        let running = Running::new(&place.member);
+        line.align::<E::Protocol>(ask.values);
+        sent_once = true;
+        let rest = left(timeout_at, ask.at);
+        let patience = ask.route.aim.max(PATIENCE).min(rest);
+        let sent = running.since();
+        let reply = send::<E::Protocol>(&mut line, ask, place.floor, patience).await;
+        drop(running);
+        match reply {
+            Ok(reply) => {
+                note(node, group, &place, sent, &reply);
+                if matches!(&reply.verdict, Err(f) if f.code == Code::NoStatement) {
+                    line.unprepare();
+                }
+                pool::release::<E::Protocol>(line);
+                let again = match &reply.verdict {
+                    Ok(()) => false,
+                    Err(failure) => {
+                        is_not_run(failure.code)
+                            || (matches!(failure.code, Code::Failed | Code::Timeout)
+                                && tried.is_empty())
+                    }
+                };
+                if !again {
+                    return Outcome::of(reply);
+                }
+                last = Some(reply);
+            }
+            Err(lost) => {
+                pool::discard::<E::Protocol>(line);
+                probe::doubt(node, group, &place.member);
+                log::debug!(upstream = &*place.member.upstream.id, lost:?; "read without an answer");
+            }
+        }
+        tried.push(Rc::clone(&place.member.upstream.id));
+        pause(&tried, group).await;
+        if tried.len() >= group.members().len() {
+            tried.clear();
+        }
+    }
+    match last {
+        Some(reply) => Outcome::of(reply),
+        None if sent_once => Outcome::refusal::<E::Protocol>(
+            Code::Timeout,
+            "a read had no answer in time",
+            State::Idle,
+        ),
+        None => Outcome::refusal::<E::Protocol>(Code::Busy, COME_BACK, State::Idle),
+    }
+}
+
+/// Waits a little once everybody was tried.
+async fn pause(tried: &[Rc<str>], group: &Group) {
+    if tried.len() >= group.members().len() {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// A connection to `member` within `wait`.
+pub async fn connect<E: Edge>(
+    node: &Rc<Node<E>>,
+    member: &Rc<Member>,
+    ask: &Ask<'_>,
+    wait: Duration,
+) -> Option<Line> {
+    let priority = ask.route.priority;
+    let acquired = pool::acquire::<E::Protocol>(member, priority, ask.values);
+    match timeout(wait, acquired).await {
+        Ok(Ok(line)) => Some(line),
+        Ok(Err(Refused::TooMany)) | Err(_) => None,
+        Ok(Err(Refused::Unreachable | Refused::Misrouted)) => {
+            node.refresh.notify_one();
+            None
+        }
+    }
+}
+
+/// Runs a single write.
+pub async fn write<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, ask: &Ask<'_>) -> Outcome {
+    let mut last = None;
+    loop {
+        let hold = left(node.settings.hold.min(ask.route.timeout), ask.at);
+        if hold.is_zero() {
+            break;
+        }
+        let Proved::Primary(member) = node.proved(group, Boot.now(), hold).await else {
+            break;
+        };
+        let Some(mut line) = connect::<E>(node, &member, ask, hold).await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        if !is_alive::<E::Protocol>(&mut line).await {
+            pool::discard::<E::Protocol>(line);
+            probe::doubt(node, group, &member);
+            continue;
+        }
+        let Some((lead, _)) = group.primary() else {
+            pool::release::<E::Protocol>(line);
+            continue;
+        };
+        if !Rc::ptr_eq(&lead, &member) || !group.proof().covers(Boot.now()) {
+            pool::release::<E::Protocol>(line);
+            continue;
+        }
+        let running = Running::new(&member);
+        line.align::<E::Protocol>(ask.values);
+        let rest = left(ask.route.timeout, ask.at);
+        let sent = running.since();
+        let reply = send::<E::Protocol>(&mut line, ask, None, rest).await;
+        drop(running);
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(lost) => {
+                pool::discard::<E::Protocol>(line);
+                probe::doubt(node, group, &member);
+                log::info!(upstream = &*member.upstream.id, lost:?; "write without an answer");
+                return in_doubt::<E>();
+            }
+        };
+        if matches!(&reply.verdict, Err(f) if f.code == Code::NoStatement) {
+            line.unprepare();
+        }
+        pool::release::<E::Protocol>(line);
+        let place = Place {
+            member,
+            floor: None,
+            leads: true,
+        };
+        note(node, group, &place, sent, &reply);
+        match &reply.verdict {
+            Ok(()) => return acknowledged(node, group, &place.member, reply, ask).await,
+            Err(failure) if !is_not_run(failure.code) => return Outcome::of(reply),
+            Err(_) => last = Some(reply),
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    match last {
+        Some(reply) => Outcome::of(reply),
+        None => Outcome::refusal::<E::Protocol>(Code::Busy, COME_BACK, State::Idle),
+    }
+}
+
+/// Whether a connection that lay idle for long still has its upstream.
+///
+/// A connection can go silent without a reset. A write that is sent on one ends as
+/// unknown; one that was never sent can be sent elsewhere.
+async fn is_alive<P: Protocol>(line: &mut Line) -> bool {
+    if line.answered() + STALE_LINE > Boot.now() {
+        return true;
+    }
+    matches!(timeout(SIGN, line.reset::<P>()).await, Ok(Ok(_)))
+}
+
+/// The answer to a write whose upstream's answer never came.
+pub fn in_doubt<E: Edge>() -> Outcome {
+    Outcome::refusal::<E::Protocol>(Code::InDoubt, "it may have been kept", State::Idle)
+}
+
+/// Passes on a commit's answer once it is proved that its upstream still led then.
+///
+/// A replaced primary that has not noticed keeps on committing, and what it commits
+/// is undone later. So its word counts only if it had not been replaced when its
+/// answer was here; if that can't be told, the caller hears that it is unknown.
+pub async fn acknowledged<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    member: &Rc<Member>,
+    reply: Reply,
+    ask: &Ask<'_>,
+) -> Outcome {
+    let now = Boot.now();
+    let wait = left(ask.route.timeout, ask.at);
+    match node.proved(group, now, wait).await {
+        Proved::Primary(lead) if Rc::ptr_eq(&lead, member) => Outcome::of(reply),
+        _ => in_doubt::<E>(),
+    }
+}
+
+/// Whether a session on this route may read what is not current.
+pub fn needs_primary(route: &Route, access: Access) -> bool {
+    access == Access::Write || route.freshness == Freshness::Current
+}
--- /dev/null
+++ b/crates/proxy/src/serve.rs
@@ -0,0 +1,69 @@
+//! The start and the stop of an instance.
+
+use std::{io, rc::Rc, time::Duration};
+
+use clock::Boot;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::spawn_local,
+    time::sleep,
+};
+
+use crate::{
+    control,
+    edge::Edge,
+    node::{Node, Stage},
+    peers, session,
+};
+
+/// How often a stopping instance looks whether anybody is left.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long a stopping instance takes new callers at least: the balancer needs two
+/// misses, a second apart, to send them elsewhere.
+const STAY: Duration = Duration::from_millis(2_600);
+
+/// Starts all tasks of an instance.
+///
+/// # Errors
+///
+/// A port can't be bound.
+pub async fn spawn<E: Edge>(node: &Rc<Node<E>>) -> io::Result<()> {
+    let settings = &node.settings;
+    let callers = TcpListener::bind(settings.callers).await?;
+    let passing = TcpListener::bind(settings.peers).await?;
+    let beats = UdpSocket::bind(settings.peers).await?;
+    log::info!(
+        instance = &*settings.name, zone = &*settings.zone,
+        callers:% = settings.callers, peers:% = settings.peers,
+        version = env!("CARGO_PKG_VERSION"); "started"
+    );
+    control::spawn(node);
+    spawn_local(peers::beats(Rc::clone(node), beats));
+    spawn_local(peers::serve(Rc::clone(node), passing));
+    spawn_local(session::listen(Rc::clone(node), callers));
+    Ok(())
+}
+
+/// Stops an instance: takes callers until the balancer has noticed, lets what runs
+/// end, and returns when nobody is left or the time is over.
+pub async fn stop<E: Edge>(node: &Rc<Node<E>>) {
+    let since = Boot.now();
+    node.stage.set(Stage::Stop(since));
+    node.staged.notify_waiters();
+    node.peers.urgent.notify_one();
+    log::info!(sessions = node.sessions.get(); "stopping");
+    let grace = node.settings.grace;
+    let stay = STAY.min(grace / 2);
+    let last = grace * 9 / 10;
+    loop {
+        let spent = Boot.now().since(since);
+        let empty = node.sessions.get() == 0 && spent >= stay;
+        if empty || spent >= last {
+            break;
+        }
+        sleep(LOOK).await;
+    }
+    let ms = u64::try_from(Boot.now().since(since).as_millis()).unwrap_or(u64::MAX);
+    log::info!(cut = node.sessions.get(), ms; "stopped");
+}
--- /dev/null
+++ b/crates/proxy/src/session.rs
@@ -0,0 +1,461 @@
+//! A caller's session: one connection, its values, prepared statements and position.
+
+use std::{collections::HashMap, io, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use clock::{Boot, Instant};
+use model::Position;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::{sleep_until, timeout},
+};
+
+use crate::{
+    catalog::Route,
+    edge::{Edge, Protocol},
+    line::{self, Values},
+    message::{Access, Code, Query, Request, Shape, State, Statement},
+    node::{Node, Stage},
+    run::{self, Ask, Outcome},
+    transaction::{self, Begun, Transaction},
+};
+
+/// How long a caller may take to say which database it wants.
+const HELLO: Duration = Duration::from_secs(10);
+
+/// How much is read at once.
+const CHUNK: usize = 4 * 1024;
+
+/// How long a transaction may rest if the catalogue does not say.
+const REST: Duration = Duration::from_secs(60);
+
+/// How long after the order to stop idle sessions are kept: the balancer still
+/// sends callers for a while, and a caller's statement may be on its way.
+const LINGER: Duration = Duration::from_millis(1_500);
+
+/// Takes callers until the process ends.
+pub async fn listen<E: Edge>(node: Rc<Node<E>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = Rc::clone(&node);
+                spawn_local(async move {
+                    node.sessions.set(node.sessions.get() + 1);
+                    let _ = serve(&node, stream).await;
+                    node.sessions.set(node.sessions.get() - 1);
+                });
+            }
+            Err(error) => {
+                log::warn!(error:%; "no caller could be taken");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// A caller's session.
+#[derive(Debug)]
+struct Session {
+    database: Bytes,
+    values: Values,
+    prepared: HashMap<Bytes, Shape>,
+    own: Option<(Rc<str>, Position)>,
+    transaction: Transaction,
+}
+
+/// What a session waits for.
+enum Wake {
+    Read(usize),
+    Rested,
+    Stopped,
+}
+
+async fn serve<E: Edge>(node: &Rc<Node<E>>, mut stream: TcpStream) -> io::Result<()> {
+    let _ = line::tune(&stream);
+    let mut buf = BytesMut::new();
+    let hello = timeout(HELLO, hello::<E>(&mut stream, &mut buf)).await;
+    let Ok(Ok(Some(database))) = hello else {
+        return Ok(());
+    };
+    let mut out = BytesMut::new();
+    if node.route(&database).is_none() {
+        E::Protocol::rejection(Code::NoDatabase, "no such database", &mut out);
+        return stream.write_all(&out).await;
+    }
+    E::Protocol::welcome(&mut out);
+    stream.write_all(&out).await?;
+    let mut session = Session {
+        database,
+        values: Values::new(),
+        prepared: HashMap::new(),
+        own: None,
+        transaction: Transaction::None,
+    };
+    let ended = converse(node, &mut session, &mut stream, &mut buf).await;
+    if let Transaction::Pinned(pinned) = session.transaction {
+        transaction::undo::<E::Protocol>(pinned);
+    }
+    ended
+}
+
+/// Reads which database the caller wants.
+async fn hello<E: Edge>(stream: &mut TcpStream, buf: &mut BytesMut) -> io::Result<Option<Bytes>> {
+    loop {
+        match E::Protocol::request(buf) {
+            Ok(Some(Request::Start(database))) => return Ok(Some(database)),
+            Ok(None) => {}
+            Ok(Some(_)) | Err(_) => {
+                let mut out = BytesMut::new();
+                E::Protocol::rejection(Code::Malformed, "a session starts first", &mut out);
+                stream.write_all(&out).await?;
+                return Ok(None);
+            }
+        }
+        buf.reserve(CHUNK);
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+async fn converse<E: Edge>(
+    node: &Rc<Node<E>>,
+    session: &mut Session,
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+) -> io::Result<()> {
+    let mut rest_from = Boot.now();
+    loop {
+        match E::Protocol::request(buf) {
+            Ok(Some(Request::Query(query))) => {
+                let outcome = session.answer(node, &query).await;
+                stream.write_all(&outcome.bytes).await?;
+                rest_from = Boot.now();
+                continue;
+            }
+            Ok(Some(Request::Bye)) => return Ok(()),
+            Ok(Some(Request::Start(_))) | Err(_) => {
+                let mut out = BytesMut::new();
+                let state = session.transaction.state();
+                E::Protocol::refusal(Code::Malformed, "not understood", state, &mut out);
+                return stream.write_all(&out).await;
+            }
+            Ok(None) => {}
+        }
+        buf.reserve(CHUNK);
+        match wake(node, session, stream, buf, rest_from).await? {
+            Wake::Read(0) => return Ok(()),
+            Wake::Read(_) => {}
+            Wake::Rested => session.rested::<E>(),
+            Wake::Stopped => return Ok(()),
+        }
+    }
+}
+
+/// Waits for the caller, for the end of its transaction's rest, or for the stop.
+async fn wake<E: Edge>(
+    node: &Rc<Node<E>>,
+    session: &Session,
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    rest_from: Instant,
+) -> io::Result<Wake> {
+    loop {
+        let staged = node.staged.notified();
+        let stop = stop_at(node, session, buf);
+        let rest = match &session.transaction {
+            Transaction::Pinned(_) => {
+                let limit = match node.catalog().rest {
+                    Duration::ZERO => REST,
+                    limit => limit,
+                };
+                Some(tokio::time::Instant::now() + run::left(limit, rest_from))
+            }
+            _ => None,
+        };
+        tokio::select! {
+            biased;
+            read = stream.read_buf(buf) => return Ok(Wake::Read(read?)),
+            () = staged => {}
+            () = maybe(rest) => return Ok(Wake::Rested),
+            () = maybe(stop) => return Ok(Wake::Stopped),
+        }
+    }
+}
+
+async fn maybe(at: Option<tokio::time::Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// When a session is closed because the instance stops.
+///
+/// Between transactions soon; in one, it has the first half of the time until the
+/// process is killed.
+fn stop_at<E: Edge>(
+    node: &Node<E>,
+    session: &Session,
+    buf: &BytesMut,
+) -> Option<tokio::time::Instant> {
+    let Stage::Stop(since) = node.stage.get() else {
+        return None;
+    };
+    let span = match session.transaction.state() {
+        State::Idle if buf.is_empty() => LINGER.min(node.settings.grace / 3),
+        _ => node.settings.grace / 2,
+    };
+    Some(tokio::time::Instant::now() + run::left(span, since))
+}
+
+impl Session {
+    /// Undoes a transaction that rested too long; the caller hears it with its next
+    /// statement, because nothing may be said to it unasked.
+    fn rested<E: Edge>(&mut self) {
+        let transaction = std::mem::replace(&mut self.transaction, Transaction::Failed);
+        if let Transaction::Pinned(pinned) = transaction {
+            transaction::undo::<E::Protocol>(pinned);
+        }
+    }
+
+    async fn answer<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query) -> Outcome {
+        let at = Boot.now();
+        let outcome = self.dispatch(node, query, at).await;
+        if let Some(code) = outcome.failure {
+            log::info!(
+                request = &*String::from_utf8_lossy(&query.id),
+                database = &*String::from_utf8_lossy(&self.database),
+                code:?,
+                ms = Boot.now().since(at).as_millis() as u64;
+                "refused or failed"
+            );
+        }
+        outcome
+    }
+
+    async fn dispatch<E: Edge>(
+        &mut self,
+        node: &Rc<Node<E>>,
+        query: &Query,
+        at: Instant,
+    ) -> Outcome {
+        let state = self.transaction.state();
+        if state == State::Failed {
+            return self.failed::<E>(query);
+        }
+        match &query.statement {
+            Statement::Begin(access) => self.begin(node, query, *access, at),
+            Statement::Commit => self.commit(node, query, at).await,
+            Statement::Rollback => self.rollback::<E>(),
+            Statement::Read => self.run(node, query, None, Access::Read, at).await,
+            Statement::Write => self.run(node, query, None, Access::Write, at).await,
+            Statement::Set(name, value) => {
+                self.values.insert(name.clone(), value.clone());
+                Outcome::done::<E::Protocol>(state)
+            }
+            Statement::Prepare(name, shape) => {
+                self.prepared.insert(name.clone(), shape.clone());
+                Outcome::done::<E::Protocol>(state)
+            }
+            Statement::Forget(name) => match self.prepared.remove(name) {
+                Some(_) => Outcome::done::<E::Protocol>(state),
+                None => unknown::<E>(state),
+            },
+            Statement::Execute(name, rest) => match self.prepared.get(name).cloned() {
+                Some(shape) => {
+                    let access = shape.access;
+                    let prepared = Some((&shape, &**rest));
+                    self.run(node, query, prepared, access, at).await
+                }
+                None => unknown::<E>(state),
+            },
+            Statement::Malformed => malformed::<E>(state),
+        }
+    }
+
+    /// A statement in a transaction that failed: only its end is taken.
+    fn failed<E: Edge>(&mut self, query: &Query) -> Outcome {
+        match query.statement {
+            Statement::Rollback => self.rollback::<E>(),
+            Statement::Commit => {
+                self.transaction = Transaction::None;
+                let text = "the transaction was undone";
+                Outcome::refusal::<E::Protocol>(Code::Aborted, text, State::Idle)
+            }
+            _ => malformed::<E>(State::Failed),
+        }
+    }
+
+    fn begin<E: Edge>(
+        &mut self,
+        node: &Node<E>,
+        query: &Query,
+        access: Access,
+        at: Instant,
+    ) -> Outcome {
+        if self.transaction.state() != State::Idle {
+            return malformed::<E>(self.transaction.state());
+        }
+        let Some(route) = node.route(&self.database) else {
+            return no_database::<E>();
+        };
+        self.transaction = Transaction::Begun(Begun {
+            query: query.clone(),
+            access,
+            route,
+            at,
+        });
+        Outcome::done::<E::Protocol>(State::Open)
+    }
+
+    fn rollback<E: Edge>(&mut self) -> Outcome {
+        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
+        if let Transaction::Pinned(pinned) = transaction {
+            transaction::undo::<E::Protocol>(pinned);
+        }
+        Outcome::done::<E::Protocol>(State::Idle)
+    }
+
+    async fn commit<E: Edge>(
+        &mut self,
+        node: &Rc<Node<E>>,
+        query: &Query,
+        at: Instant,
+    ) -> Outcome {
+        if self.transaction.state() == State::Idle {
+            return malformed::<E>(State::Idle);
+        }
+        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
+        let values = self.values.clone();
+        let (pinned, route) = match transaction {
+            Transaction::Pinned(pinned) => {
+                let route = Rc::clone(&pinned.route);
+                (pinned, route)
+            }
+            Transaction::Begun(begun) => {
+                let ask = self.ask(&begun.route, query, None, &values, at);
+                match transaction::pin(node, &begun, &ask).await {
+                    Ok(pinned) => (pinned, Rc::clone(&begun.route)),
+                    Err(_) => {
+                        let code = Code::Aborted;
+                        return Outcome::refusal::<E::Protocol>(code, run::COME_BACK, State::Idle);
+                    }
+                }
+            }
+            Transaction::None | Transaction::Failed => return malformed::<E>(State::Idle),
+        };
+        let ask = self.ask(&route, query, None, &values, at);
+        let (outcome, transaction) = transaction::commit(node, pinned, &ask).await;
+        self.transaction = transaction;
+        self.learn(&route, &outcome, Access::Write);
+        outcome
+    }
+
+    async fn run<E: Edge>(
+        &mut self,
+        node: &Rc<Node<E>>,
+        query: &Query,
+        prepared: Option<(&Shape, &[u8])>,
+        access: Access,
+        at: Instant,
+    ) -> Outcome {
+        let values = self.values.clone();
+        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
+        let pinned = match transaction {
+            Transaction::None => return self.single(node, query, prepared, access, at).await,
+            Transaction::Failed => return malformed::<E>(State::Failed),
+            Transaction::Pinned(pinned) => pinned,
+            Transaction::Begun(begun) => {
+                let ask = self.ask(&begun.route, query, None, &values, at);
+                match transaction::pin(node, &begun, &ask).await {
+                    Ok(pinned) => pinned,
+                    Err(refusal) => {
+                        self.transaction = Transaction::Failed;
+                        return refusal;
+                    }
+                }
+            }
+        };
+        let route = Rc::clone(&pinned.route);
+        let ask = self.ask(&route, query, prepared, &values, at);
+        let (outcome, transaction) = transaction::step(node, pinned, &ask, access).await;
+        self.transaction = transaction;
+        outcome
+    }
+
+    async fn single<E: Edge>(
+        &mut self,
+        node: &Rc<Node<E>>,
+        query: &Query,
+        prepared: Option<(&Shape, &[u8])>,
+        access: Access,
+        at: Instant,
+    ) -> Outcome {
+        let Some(route) = node.route(&self.database) else {
+            return no_database::<E>();
+        };
+        let group = node.group_of(&route.service);
+        let values = self.values.clone();
+        let ask = self.ask(&route, query, prepared, &values, at);
+        let outcome = match access {
+            Access::Read => run::read(node, &group, &ask).await,
+            Access::Write => run::write(node, &group, &ask).await,
+        };
+        self.learn(&route, &outcome, access);
+        outcome
+    }
+
+    fn ask<'a>(
+        &self,
+        route: &'a Route,
+        query: &'a Query,
+        prepared: Option<(&'a Shape, &'a [u8])>,
+        values: &'a Values,
+        at: Instant,
+    ) -> Ask<'a> {
+        let own = self.own.as_ref().filter(|(of, _)| *of == route.service);
+        Ask {
+            route,
+            query,
+            prepared,
+            values,
+            own: own.map(|(_, position)| *position),
+            at,
+        }
+    }
+
+    /// Remembers how far the session must see from now on.
+    ///
+    /// After a commit that is the commit's position. A read that was proved to run
+    /// on the primary of a later term shows all that is left of earlier commits, so
+    /// its position takes the place of one that no log may have any more.
+    fn learn(&mut self, route: &Route, outcome: &Outcome, access: Access) {
+        let Some(position) = outcome.position else {
+            return;
+        };
+        if outcome.failure.is_some() {
+            return;
+        }
+        let own = self.own.as_ref().filter(|(of, _)| *of == route.service);
+        let later = own.is_some_and(|(_, own)| own.term < position.term);
+        let further = own.is_none_or(|(_, own)| *own < position);
+        if (access == Access::Write && further) || later {
+            self.own = Some((Rc::clone(&route.service), position));
+        }
+    }
+}
+
+fn malformed<E: Edge>(state: State) -> Outcome {
+    Outcome::refusal::<E::Protocol>(Code::Malformed, "not understood here", state)
+}
+
+fn unknown<E: Edge>(state: State) -> Outcome {
+    Outcome::refusal::<E::Protocol>(Code::NoStatement, "no such statement", state)
+}
+
+fn no_database<E: Edge>() -> Outcome {
+    Outcome::refusal::<E::Protocol>(Code::NoDatabase, "no such database", State::Idle)
+}
--- /dev/null
+++ b/crates/proxy/src/settings.rs
@@ -0,0 +1,35 @@
+//! What an instance is told at its start.
+
+use std::{net::SocketAddr, time::Duration};
+
+/// What an instance is told at its start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// This instance's name, unlike any other's.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other instances reach this one, by UDP and TCP.
+    pub peers: SocketAddr,
+    /// Some other instances, to be asked first; they may be gone.
+    pub seeds: Vec<SocketAddr>,
+    /// How long a stop may take until the process is killed.
+    pub grace: Duration,
+    /// How long one proof of a primary holds; the same for all instances.
+    pub proof: Duration,
+    /// How often a proof is renewed.
+    pub renew: Duration,
+    /// How long a request may wait for somebody to run it.
+    pub hold: Duration,
+}
+
+/// How long one proof of a primary holds, unless set.
+pub const PROOF: Duration = Duration::from_millis(1_500);
+
+/// How often a proof is renewed, unless set.
+pub const RENEW: Duration = Duration::from_millis(500);
+
+/// How long a request may wait for somebody to run it, unless set.
+pub const HOLD: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/crates/proxy/src/transaction.rs
@@ -0,0 +1,290 @@
+//! Transactions: one upstream connection from the first statement to the end.
+
+use std::{rc::Rc, time::Duration};
+
+use clock::{Boot, Instant};
+use tokio::{task::spawn_local, time::timeout};
+
+use crate::{
+    catalog::Route,
+    edge::{Edge, Protocol},
+    group::Group,
+    line::Line,
+    message::{Access, Code, Command, Query, State},
+    node::{Node, Proved},
+    pool, probe,
+    run::{self, Ask, Outcome, Place},
+};
+
+/// How long undoing a transaction may take until its connection is closed instead.
+const UNDO: Duration = Duration::from_millis(300);
+
+/// How long a pause between two tries is.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Where a session's transaction stands.
+#[derive(Debug)]
+pub enum Transaction {
+    /// There is none.
+    None,
+    /// It was begun, but no statement needed an upstream yet.
+    Begun(Begun),
+    /// It runs on a connection of its own.
+    Pinned(Pinned),
+    /// It failed and was undone; it waits for its end.
+    Failed,
+}
+
+/// A transaction without a connection.
+#[derive(Debug)]
+pub struct Begun {
+    /// The statement that began it.
+    pub query: Query,
+    /// Whether it may write.
+    pub access: Access,
+    /// The route it takes, whatever the catalogue becomes meanwhile.
+    pub route: Rc<Route>,
+    /// When its first byte was here.
+    pub at: Instant,
+}
+
+/// A transaction on its connection.
+#[derive(Debug)]
+pub struct Pinned {
+    line: Line,
+    group: Rc<Group>,
+    /// The route it takes.
+    pub route: Rc<Route>,
+    wrote: bool,
+}
+
+impl Transaction {
+    /// What the caller is told of where it stands.
+    pub fn state(&self) -> State {
+        match self {
+            Self::None => State::Idle,
+            Self::Begun(_) | Self::Pinned(_) => State::Open,
+            Self::Failed => State::Failed,
+        }
+    }
+}
+
+/// Undoes a transaction behind the caller's back.
+///
+/// The connection is used again once the upstream has confirmed it. Otherwise it
+/// is closed, which undoes the transaction as well.
+pub fn undo<P: Protocol>(pinned: Pinned) {
+    let mut line = pinned.line;
+    spawn_local(async move {
+        match timeout(UNDO, line.ask::<P>(&Command::Rollback)).await {
+            Ok(Ok(reply)) if reply.state == State::Idle => pool::release::<P>(line),
+            _ => pool::discard::<P>(line),
+        }
+    });
+}
+
+/// Gives a begun transaction its connection.
+///
+/// # Errors
+///
+/// Nobody may run it now, or nobody had room: the refusal, nothing was run.
+pub async fn pin<E: Edge>(
+    node: &Rc<Node<E>>,
+    begun: &Begun,
+    ask: &Ask<'_>,
+) -> Result<Pinned, Outcome> {
+    let group = node.group_of(&begun.route.service);
+    let begin = Ask {
+        query: &begun.query,
+        prepared: None,
+        at: begun.at,
+        ..*ask
+    };
+    let started = Boot.now();
+    let limit = node.settings.hold.min(begun.route.timeout);
+    let mut tried: Vec<Rc<str>> = Vec::new();
+    let mut last = Code::Busy;
+    loop {
+        let hold = run::left(limit, started);
+        if hold.is_zero() {
+            return Err(given_up::<E>(last));
+        }
+        let place = match run::needs_primary(&begun.route, begun.access) {
+            true => match node.proved(&group, begun.at, hold).await {
+                Proved::Primary(member) => Some(Place {
+                    member,
+                    floor: None,
+                    leads: true,
+                }),
+                Proved::Nobody => None,
+            },
+            false => run::place(node, &group, &begin, &tried, hold).await,
+        };
+        let Some(place) = place else {
+            return Err(given_up::<E>(last));
+        };
+        let Some(mut line) = run::connect::<E>(node, &place.member, &begin, hold).await else {
+            tried.push(Rc::clone(&place.member.upstream.id));
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        line.align::<E::Protocol>(ask.values);
+        let sent = Boot.now();
+        let reply = run::send::<E::Protocol>(&mut line, &begin, place.floor, hold).await;
+        let Ok(reply) = reply else {
+            pool::discard::<E::Protocol>(line);
+            probe::doubt(node, &group, &place.member);
+            tried.push(Rc::clone(&place.member.upstream.id));
+            continue;
+        };
+        run::note(node, &group, &place, sent, &reply);
+        if reply.verdict.is_ok() && reply.state == State::Open {
+            return Ok(Pinned {
+                line,
+                group,
+                route: Rc::clone(&begun.route),
+                wrote: false,
+            });
+        }
+        if let Err(failure) = &reply.verdict {
+            last = failure.code;
+        }
+        pool::release::<E::Protocol>(line);
+        tried.push(Rc::clone(&place.member.upstream.id));
+        if tried.len() >= group.members().len() {
+            tried.clear();
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// The refusal of a transaction that never had a connection.
+fn given_up<E: Edge>(last: Code) -> Outcome {
+    let code = match run::is_not_run(last) && last != Code::NoStatement {
+        true => last,
+        false => Code::Busy,
+    };
+    Outcome::refusal::<E::Protocol>(code, run::COME_BACK, State::Failed)
+}
+
+/// Runs a read or write of a transaction. The second part is the transaction behind it.
+pub async fn step<E: Edge>(
+    node: &Rc<Node<E>>,
+    mut pinned: Pinned,
+    ask: &Ask<'_>,
+    access: Access,
+) -> (Outcome, Transaction) {
+    loop {
+        let rest = run::left(pinned.route.timeout, ask.at);
+        pinned.line.align::<E::Protocol>(ask.values);
+        let member = Rc::clone(pinned.line.member());
+        let running = run::Running::new(&member);
+        pinned.wrote |= access == Access::Write;
+        let reply = run::send::<E::Protocol>(&mut pinned.line, ask, None, rest).await;
+        drop(running);
+        let Ok(reply) = reply else {
+            probe::doubt(node, &pinned.group, &member);
+            return (aborted::<E>(pinned), Transaction::Failed);
+        };
+        let code = reply.verdict.as_ref().err().map(|failure| failure.code);
+        if code == Some(Code::NoStatement) {
+            pinned.line.unprepare();
+        }
+        let again = matches!(code, Some(Code::Busy | Code::NoStatement));
+        if again && reply.state == State::Open && !run::left(pinned.route.timeout, ask.at).is_zero()
+        {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
+        if code == Some(Code::ReadOnly) {
+            node.prove.notify_one();
+        }
+        let outcome = Outcome::of(reply);
+        return match outcome.state {
+            State::Open => (outcome, Transaction::Pinned(pinned)),
+            State::Failed => {
+                undo::<E::Protocol>(pinned);
+                (outcome, Transaction::Failed)
+            }
+            State::Idle => {
+                pool::release::<E::Protocol>(pinned.line);
+                (outcome, Transaction::None)
+            }
+        };
+    }
+}
+
+/// Closes a transaction's connection: whatever it did is undone with it.
+fn aborted<E: Edge>(pinned: Pinned) -> Outcome {
+    pool::discard::<E::Protocol>(pinned.line);
+    let text = "undone, come back in 100 ms";
+    Outcome::refusal::<E::Protocol>(Code::Aborted, text, State::Failed)
+}
+
+/// Commits.
+pub async fn commit<E: Edge>(
+    node: &Rc<Node<E>>,
+    mut pinned: Pinned,
+    ask: &Ask<'_>,
+) -> (Outcome, Transaction) {
+    let member = Rc::clone(pinned.line.member());
+    if pinned.wrote {
+        // A primary that has been replaced must not be asked for a commit that is
+        // then known to no log.
+        let rest = run::left(pinned.route.timeout, ask.at);
+        let lead = node.proved(&pinned.group, Boot.now(), rest.min(node.settings.hold));
+        match lead.await {
+            Proved::Primary(lead) if Rc::ptr_eq(&lead, &member) => {}
+            _ => {
+                let outcome = aborted::<E>(pinned);
+                return (Outcome::refusal::<E::Protocol>(Code::Aborted, run::COME_BACK, State::Idle), {
+                    drop(outcome);
+                    Transaction::None
+                });
+            }
+        }
+    }
+    loop {
+        let rest = run::left(pinned.route.timeout, ask.at);
+        let running = run::Running::new(&member);
+        let reply = run::send::<E::Protocol>(&mut pinned.line, ask, None, rest).await;
+        drop(running);
+        let Ok(reply) = reply else {
+            probe::doubt(node, &pinned.group, &member);
+            pool::discard::<E::Protocol>(pinned.line);
+            let outcome = match pinned.wrote {
+                true => run::in_doubt::<E>(),
+                false => Outcome::refusal::<E::Protocol>(
+                    Code::Aborted,
+                    run::COME_BACK,
+                    State::Idle,
+                ),
+            };
+            return (outcome, Transaction::None);
+        };
+        let busy = matches!(&reply.verdict, Err(f) if f.code == Code::Busy);
+        if busy && reply.state == State::Open && !run::left(pinned.route.timeout, ask.at).is_zero()
+        {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
+        if reply.state == State::Idle {
+            pool::release::<E::Protocol>(pinned.line);
+        } else {
+            undo::<E::Protocol>(Pinned { wrote: false, ..pinned });
+            let code = match &reply.verdict {
+                Err(failure) if run::is_not_run(failure.code) => Code::Aborted,
+                Err(failure) => failure.code,
+                Ok(()) => Code::InDoubt,
+            };
+            let outcome = Outcome::refusal::<E::Protocol>(code, "not committed", State::Idle);
+            return (outcome, Transaction::None);
+        }
+        let group = Rc::clone(&pinned.group);
+        let outcome = match (&reply.verdict, pinned.wrote) {
+            (Ok(()), true) => run::acknowledged(node, &group, &member, reply, ask).await,
+            _ => Outcome::of(reply),
+        };
+        return (outcome, Transaction::None);
+    }
+}
