--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use clock::{Boot, Instant};
-use lead::{Phase, Record};
+use lead::Record;
 use tokio::{
     task::spawn_local,
     time::{sleep, timeout},
@@ -13,8 +13,9 @@
 use crate::{
     edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped},
     group::Group,
+    era,
     node::Node,
-    peers, probe, takeover,
+    peers, takeover,
 };
 
 /// How long the store may take to answer a read.
@@ -30,15 +31,6 @@
 /// The pause behind a failed call, and how far it grows.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(700));
 
-/// The shortest pause between two proofs.
-const PROVE_GAP: Duration = Duration::from_millis(15);
-
-/// How long a need for proofs lasts.
-const WANTED: Duration = Duration::from_secs(2);
-
-/// How long the list of upstreams is remembered as having been longer.
-const MEMORY: Duration = Duration::from_secs(15);
-
 /// How long an instance stays in the store's list without a sign of life.
 const LISTED: Duration = Duration::from_secs(10);
 
@@ -65,14 +57,14 @@
 /// Starts all tasks that keep the node's knowledge up to date.
 pub fn spawn<E: Edge>(node: &Rc<Node<E>>) {
     spawn_local(follow(Rc::clone(node)));
-    spawn_local(prove(Rc::clone(node)));
+    spawn_local(era::prove(Rc::clone(node)));
     spawn_local(register(Rc::clone(node)));
     spawn_local(tidy(Rc::clone(node)));
     spawn_local(takeover::oversee(Rc::clone(node)));
 }
 
 /// Reads a prefix from the store, or through another instance.
-async fn read<E: Edge>(node: &Node<E>, prefix: &str) -> Result<Items, Fault> {
+pub async fn read<E: Edge>(node: &Node<E>, prefix: &str) -> Result<Items, Fault> {
     match timeout(READ, node.edge.store().read(prefix)).await {
         Ok(Ok(items)) => {
             node.stored.set(Boot.now());
@@ -201,7 +193,7 @@
 }
 
 /// Takes in a group's record.
-fn record<E: Edge>(node: &Node<E>, item: &Item) -> Option<Rc<Group>> {
+pub fn record<E: Edge>(node: &Node<E>, item: &Item) -> Option<Rc<Group>> {
     let service = item.key.strip_prefix(&lead_key::<E>(""))?;
     let record: Record = serde_json::from_slice(&item.value).ok()?;
     let group = node.group_of(&service.into());
@@ -212,114 +204,6 @@
     Some(group)
 }
 
-/// Keeps the proofs of all primaries fresh for as long as somebody needs them.
-async fn prove<E: Edge>(node: Rc<Node<E>>) {
-    loop {
-        let now = Boot.now();
-        let groups = node.groups();
-        let needed = groups.iter().any(|g| g.wanted.get() + WANTED > now || g.known().is_none());
-        if needed && !groups.is_empty() {
-            match round(&node).await {
-                Ok(()) => {}
-                Err(_) => ask_upstreams(&node).await,
-            }
-        }
-        sleep(PROVE_GAP).await;
-        let _ = timeout(node.settings.renew, node.prove.notified()).await;
-    }
-}
-
-/// One reading of all records: it proves those that stand.
-async fn round<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
-    let sent = Boot.now();
-    let items = read(node, &lead_key::<E>("")).await?;
-    for item in &items.items {
-        if let Some(group) = record(node, item) {
-            group.prove(item.revision, sent, node.settings.proof);
-        }
-    }
-    for group in node.groups() {
-        let key = lead_key::<E>(&group.service);
-        if !items.items.iter().any(|item| item.key == key) {
-            found(node, &group).await;
-        }
-    }
-    Ok(())
-}
-
-/// Proves primaries by their groups when the store says nothing.
-///
-/// Whoever replaces a primary first tells one member to hold for the next term,
-/// and waits then as long as any proof lasts. So if every member answers that it
-/// has heard of no newer term, none was told so before the question was sent.
-async fn ask_upstreams<E: Edge>(node: &Rc<Node<E>>) {
-    let mut rounds = Vec::new();
-    for group in node.groups() {
-        let now = Boot.now();
-        if group.wanted.get() + WANTED < now || !group.is_whole(now, MEMORY) {
-            continue;
-        }
-        rounds.push(ask_group(node, group));
-    }
-    futures_util::future::join_all(rounds).await;
-}
-
-async fn ask_group<E: Edge>(node: &Rc<Node<E>>, group: Rc<Group>) {
-    let Some(known) = group.known() else {
-        return;
-    };
-    let Some((leader, term)) = group.primary() else {
-        return;
-    };
-    let sent = Boot.now();
-    if group.proof().covers(sent + node.settings.renew) {
-        return;
-    }
-    let members = group.members();
-    if members.len() < 2 {
-        return;
-    }
-    let said = probe::all::<E::Protocol>(&members).await;
-    if probe::confirms(&members, &said, &leader, term) {
-        group.prove(known.revision, sent, node.settings.proof);
-    }
-}
-
-/// Writes a group's first record, from what its members say.
-async fn found<E: Edge>(node: &Rc<Node<E>>, group: &Group) {
-    let members = group.members();
-    if members.is_empty() {
-        return;
-    }
-    sleep(Duration::from_millis(rand::random_range(0..300))).await;
-    if group.known().is_some() {
-        return;
-    }
-    let said = probe::all::<E::Protocol>(&members).await;
-    let leaders = members.iter().zip(&said).filter_map(|(member, said)| {
-        let status = said.status().filter(|status| status.leads)?;
-        Some((status.term, member))
-    });
-    let Some((term, member)) = leaders.max_by_key(|(term, _)| *term) else {
-        return;
-    };
-    let record = Record {
-        term,
-        upstream: member.upstream.id.to_string(),
-        phase: Phase::Stable,
-        by: node.settings.name.clone(),
-    };
-    let key = lead_key::<E>(&group.service);
-    let swap = Swap {
-        expected: vec![(key.clone(), 0)],
-        puts: vec![(key, encode(&record), 0)],
-        deletes: Vec::new(),
-    };
-    let swapped = timeout(READ, node.edge.store().swap(&swap)).await;
-    log::info!(service = &*group.service, term = term.0, swapped:?; "first record");
-    node.prove.notify_one();
-}
-
 /// A record as the store keeps it.
 pub fn encode<T: serde::Serialize>(record: &T) -> Bytes {
     serde_json::to_vec(record).map(Bytes::from).unwrap_or_default()
--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -187,8 +187,10 @@
     fn swap(&self, swap: &Swap) -> impl Future<Output = Result<Swapped, Fault>>;
     /// Makes a lease.
     fn grant(&self, ttl: Duration) -> impl Future<Output = Result<u64, Fault>>;
-    /// Renews a lease.
+    /// Renews a lease; [`Fault::Missing`] if it has ended.
     fn keep(&self, lease: u64) -> impl Future<Output = Result<(), Fault>>;
+    /// Ends a lease; [`Fault::Missing`] if it has ended before.
+    fn end(&self, lease: u64) -> impl Future<Output = Result<(), Fault>>;
 }
 
 /// The orders that go through the platform.
--- /dev/null
+++ b/crates/proxy/src/era.rs
@@ -0,0 +1,285 @@
+//! Proofs that no primary has been replaced, renewed for a tenth of a read.
+//!
+//! All instances renew one lease of the store, the *era*. Whoever replaces a
+//! primary first writes so into its record, then ends the era, and then waits as
+//! long as a proof lasts. An instance that read the records together with the era
+//! and renewed it at a later moment therefore knows that no replacement which was
+//! announced since was far enough to matter at that moment. The era may also lapse
+//! or vanish by itself; then somebody begins the next one, and everybody reads the
+//! records again. Nothing rests on a key that vanishes with a lease: the era's
+//! number is kept under a plain key.
+//!
+//! When the store says nothing, another instance that still hears it reads for
+//! this one. When nobody does, the members of the group are asked.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use clock::{Boot, Instant};
+use lead::{Phase, Record};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    control::{encode, lead_key, record},
+    edge::{Edge, Fault, Items, Store, Swap, Swapped},
+    group::Group,
+    node::Node,
+    peers, probe,
+};
+
+/// How long the store may take to answer.
+const CALL: Duration = Duration::from_millis(700);
+
+/// How long an era lasts without a renewal.
+const ERA: Duration = Duration::from_secs(60);
+
+/// The shortest pause between two rounds.
+const GAP: Duration = Duration::from_millis(10);
+
+/// How long a need for proofs lasts.
+const WANTED: Duration = Duration::from_secs(2);
+
+/// How long the list of upstreams is remembered as having been longer.
+const MEMORY: Duration = Duration::from_secs(15);
+
+/// The most time before a missing era or record is written by this instance, so
+/// that not all do it at once.
+const JITTER_MS: u64 = 60;
+
+/// How often the records are read while some group has none.
+const UNKNOWN: Duration = Duration::from_secs(1);
+
+/// How many renewals may be on their way at once.
+const FLIGHT: usize = 3;
+
+/// The key of the era, beside the records so that both are read at once.
+pub fn era_key<E: Edge>() -> String {
+    lead_key::<E>("")
+}
+
+/// The era among items that were read: its lease and its key's revision.
+pub fn era_of<E: Edge>(items: &Items) -> Option<(u64, u64)> {
+    let key = era_key::<E>();
+    let item = items.items.iter().find(|item| item.key == key)?;
+    let lease = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+    Some((lease, item.revision))
+}
+
+/// Keeps the proofs of all primaries fresh for as long as somebody needs them.
+pub async fn prove<E: Edge>(node: Rc<Node<E>>) {
+    loop {
+        let now = Boot.now();
+        let groups = node.groups();
+        let needs = |g: &&Rc<Group>| g.wanted.get() + WANTED > now || g.known().is_none();
+        if groups.iter().any(|g| needs(&g)) {
+            ask_store(&node);
+            let span = node.settings.proof;
+            let due = |g: &Rc<Group>| g.proof().until() < now + span / 2;
+            if groups.iter().filter(needs).any(due) {
+                ask_others(&node);
+            }
+        }
+        sleep(GAP).await;
+        let _ = timeout(node.settings.renew, node.prove.notified()).await;
+    }
+}
+
+/// Renews the era, or reads it and the records if any of them is not known.
+fn ask_store<E: Edge>(node: &Rc<Node<E>>) {
+    if node.proving.get() >= FLIGHT {
+        return;
+    }
+    node.proving.set(node.proving.get() + 1);
+    let node = Rc::clone(node);
+    spawn_local(async move {
+        let asked = timeout(CALL, round(&node)).await;
+        if asked == Ok(Ok(())) {
+            node.stored.set(Boot.now());
+        }
+        node.proving.set(node.proving.get() - 1);
+    });
+}
+
+async fn round<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
+    let era = node.era.get();
+    let groups = node.groups();
+    let unread = |group: &Rc<Group>| match group.known() {
+        Some(_) => group.era.get() != era,
+        None => node.read_at.get() + UNKNOWN < Boot.now(),
+    };
+    if era != 0 && !groups.iter().any(unread) {
+        let sent = Boot.now();
+        match node.edge.store().keep(era).await {
+            Ok(()) => {
+                for group in groups {
+                    prove_by_era(node, &group, era, sent);
+                }
+                return Ok(());
+            }
+            Err(Fault::Missing) => {}
+            Err(fault) => return Err(fault),
+        }
+    }
+    let sent = Boot.now();
+    let items = node.edge.store().read(&lead_key::<E>("")).await?;
+    node.read_at.set(sent);
+    learn(node, &items, sent);
+    let Some((lease, revision)) = era_of::<E>(&items) else {
+        return begin(node, 0).await;
+    };
+    if lease == era && node.edge.store().keep(lease).await == Err(Fault::Missing) {
+        return begin(node, revision).await;
+    }
+    for group in groups {
+        let key = lead_key::<E>(&group.service);
+        let item = items.items.iter().find(|item| item.key == key);
+        let known = group.known();
+        if item.map(|item| item.revision) == known.map(|known| known.revision) {
+            group.era.set(lease);
+        }
+    }
+    node.era.set(lease);
+    Ok(())
+}
+
+/// Begins the next era, if nobody else does.
+async fn begin<E: Edge>(node: &Rc<Node<E>>, revision: u64) -> Result<(), Fault> {
+    let jitter = rand::random_range(0..JITTER_MS);
+    sleep(Duration::from_millis(jitter)).await;
+    let store = node.edge.store();
+    let items = store.read(&era_key::<E>()).await?;
+    if era_of::<E>(&items).map_or(0, |(_, revision)| revision) != revision {
+        return Ok(());
+    }
+    let lease = store.grant(ERA).await?;
+    let swap = Swap {
+        expected: vec![(era_key::<E>(), revision)],
+        puts: vec![(era_key::<E>(), Bytes::from(lease.to_string()), 0)],
+        deletes: Vec::new(),
+    };
+    let swapped = store.swap(&swap).await?;
+    log::info!(lease, swapped:?; "next era");
+    if swapped == Swapped::Conflict {
+        let _ = store.end(lease).await;
+    }
+    Ok(())
+}
+
+/// Proves a group whose record was read in the era that was just renewed.
+fn prove_by_era<E: Edge>(node: &Node<E>, group: &Group, era: u64, sent: Instant) {
+    if group.era.get() != era {
+        return;
+    }
+    if let Some(known) = group.known() {
+        group.prove(known.revision, sent, node.settings.proof);
+    }
+}
+
+/// Takes in records that were read for a question sent at `sent`.
+fn learn<E: Edge>(node: &Rc<Node<E>>, items: &Items, sent: Instant) {
+    for item in &items.items {
+        if let Some(group) = record(node, item) {
+            group.prove(item.revision, sent, node.settings.proof);
+        }
+    }
+    for group in node.groups() {
+        let key = lead_key::<E>(&group.service);
+        let missing = !items.items.iter().any(|item| item.key == key);
+        if missing && !group.replacing.replace(true) {
+            let node = Rc::clone(node);
+            spawn_local(async move {
+                found(&node, &group).await;
+                group.replacing.set(false);
+            });
+        }
+    }
+}
+
+/// Proves primaries without the store: by another instance that hears it, and by
+/// the groups themselves.
+fn ask_others<E: Edge>(node: &Rc<Node<E>>) {
+    if !node.relaying.replace(true) {
+        let node = Rc::clone(node);
+        spawn_local(async move {
+            let sent = Boot.now();
+            if let Ok(items) = peers::read(&node, &lead_key::<E>("")).await {
+                learn(&node, &items, sent);
+            }
+            node.relaying.set(false);
+        });
+    }
+    for group in node.groups() {
+        let now = Boot.now();
+        let fresh = group.proof().until() > now + node.settings.proof * 3 / 8;
+        if fresh || group.wanted.get() + WANTED < now || !group.is_whole(now, MEMORY) {
+            continue;
+        }
+        if !group.asking.replace(true) {
+            let node = Rc::clone(node);
+            spawn_local(async move {
+                ask_group(&node, &group).await;
+                group.asking.set(false);
+            });
+        }
+    }
+}
+
+/// Proves a primary by its group.
+///
+/// Whoever replaces a primary tells a member to hold for the next term before
+/// anything else, and waits then as long as any proof lasts. So if every member
+/// answers that it has heard of no newer term, none was told so before the
+/// question was sent.
+async fn ask_group<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>) {
+    let Some(known) = group.known() else {
+        return;
+    };
+    let Some((leader, term)) = group.primary() else {
+        return;
+    };
+    let members = group.members();
+    if members.len() < 2 {
+        return;
+    }
+    let sent = Boot.now();
+    let said = probe::all::<E::Protocol>(&members).await;
+    if probe::confirms(&members, &said, &leader, term) {
+        group.prove(known.revision, sent, node.settings.proof);
+    }
+}
+
+/// Writes a group's first record, from what its members say.
+async fn found<E: Edge>(node: &Rc<Node<E>>, group: &Group) {
+    let jitter = rand::random_range(0..JITTER_MS * 5);
+    sleep(Duration::from_millis(jitter)).await;
+    let members = group.members();
+    if group.known().is_some() || members.is_empty() {
+        return;
+    }
+    let said = probe::all::<E::Protocol>(&members).await;
+    let leaders = members.iter().zip(&said).filter_map(|(member, said)| {
+        let status = said.status().filter(|status| status.leads)?;
+        Some((status.term, member))
+    });
+    let Some((term, member)) = leaders.max_by_key(|(term, _)| *term) else {
+        return;
+    };
+    let record = Record {
+        term,
+        upstream: member.upstream.id.to_string(),
+        phase: Phase::Stable,
+        by: node.settings.name.clone(),
+    };
+    let key = lead_key::<E>(&group.service);
+    let swap = Swap {
+        expected: vec![(key.clone(), 0)],
+        puts: vec![(key, encode(&record), 0)],
+        deletes: Vec::new(),
+    };
+    let swapped = timeout(CALL, node.edge.store().swap(&swap)).await;
+    log::info!(service = &*group.service, term = term.0, swapped:?; "first record");
+    node.prove.notify_one();
+}
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -52,6 +52,7 @@
     pub stay: Cell<Stay>,
     /// Whether it calls itself the primary.
     pub leads: Cell<bool>,
+    leaving: Cell<Option<Instant>>,
     /// The connections to it.
     pub pool: Pool,
     /// How many statements run there for this instance.
@@ -69,6 +70,7 @@
         Self {
             stay: Cell::new(upstream.stay),
             leads: Cell::new(upstream.leads),
+            leaving: Cell::new((upstream.stay == Stay::Draining).then(|| Boot.now())),
             upstream,
             pool: Pool::default(),
             running: Cell::new(0),
@@ -80,6 +82,22 @@
         }
     }
 
+    fn stays(&self, stay: Stay) {
+        let leaves = match stay {
+            Stay::Ready => None,
+            Stay::Draining => self.leaving.get().or(Some(Boot.now())),
+        };
+        self.leaving.set(leaves);
+        self.stay.set(stay);
+    }
+
+    /// How much longer it may take new work if it is about to leave; `drain` is how
+    /// long it may from the announcement on.
+    pub fn leaves_in(&self, now: Instant, drain: Duration) -> Option<Duration> {
+        let since = self.leaving.get()?;
+        Some(drain.saturating_sub(now.since(since)))
+    }
+
     /// Notes that it answered.
     pub fn answered(&self, now: Instant) {
         self.health.set(Health {
@@ -172,10 +190,14 @@
     samples: RefCell<Samples>,
     /// Told when the record, the proof or the members change.
     pub changed: Notify,
+    /// Whether the members are being asked for a proof.
+    pub asking: Cell<bool>,
     /// Whether this instance is replacing the primary.
     pub replacing: Cell<bool>,
     /// When somebody last needed a proof.
     pub wanted: Cell<Instant>,
+    /// The lease under which the record was read, zero for none.
+    pub era: Cell<u64>,
     /// When the record was learnt.
     pub known_at: Cell<Instant>,
     /// Since when the list of upstreams lacks the primary.
@@ -194,8 +216,10 @@
             proof: Cell::default(),
             samples: RefCell::default(),
             changed: Notify::new(),
+            asking: Cell::new(false),
             replacing: Cell::new(false),
             wanted: Cell::default(),
+            era: Cell::default(),
             known_at: Cell::default(),
             unlisted: Cell::default(),
             leaving: Cell::default(),
@@ -223,8 +247,8 @@
         let mut members = self.members.borrow_mut();
         match members.get(&upstream.id) {
             Some(old) if old.upstream.address == upstream.address => {
-                old.stay.set(upstream.stay);
                 old.leads.set(upstream.leads);
+                old.stays(upstream.stay);
             }
             _ => {
                 let id = Rc::clone(&upstream.id);
@@ -281,6 +305,7 @@
         let same = known.as_ref().is_some_and(|k| k.record == record);
         *known = Some(Known { record, revision });
         drop(known);
+        self.era.set(0);
         self.known_at.set(Boot.now());
         self.leaving.set(None);
         self.unlisted.set(None);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod control;
 pub mod edge;
+pub mod era;
 pub mod group;
 pub mod line;
 pub mod message;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -19,6 +19,9 @@
     settings::Settings,
 };
 
+/// How long before its time is over an upstream that leaves is sent its last work.
+const LAST_WORK: Duration = Duration::from_millis(1_500);
+
 /// How far an instance is with its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -47,6 +50,14 @@
     pub staged: Notify,
     /// Told when somebody needs a proof now.
     pub prove: Notify,
+    /// The lease that all instances renew, zero if it is not known.
+    pub era: Cell<u64>,
+    /// When the records were last read.
+    pub read_at: Cell<Instant>,
+    /// How many questions for a proof are on their way to the store.
+    pub proving: Cell<usize>,
+    /// Whether another instance is asked for a proof.
+    pub relaying: Cell<bool>,
     /// Told when the catalogue or the upstreams may have changed.
     pub refresh: Notify,
     /// Whether the list of upstreams was read.
@@ -70,6 +81,10 @@
             stage: Cell::new(Stage::Serve),
             staged: Notify::new(),
             prove: Notify::new(),
+            era: Cell::default(),
+            read_at: Cell::default(),
+            proving: Cell::default(),
+            relaying: Cell::default(),
             refresh: Notify::new(),
             listed: Cell::new(false),
             stored: Cell::default(),
@@ -160,20 +175,27 @@
         !groups.is_empty() && groups.iter().any(|group| group.known().is_some())
     }
 
+    /// The primary, if it is proved that it led at `moment` and it may be sent work.
+    ///
+    /// One that leaves is replaced. If that does not come about in time, nothing is
+    /// sent to it any more all the same: it may end at any moment.
+    fn leader(&self, group: &Group, moment: Instant) -> Option<Rc<Member>> {
+        let (member, _) = group.primary()?;
+        let left = member.leaves_in(Boot.now(), self.settings.drain);
+        let stays = left.is_none_or(|left| left > LAST_WORK);
+        (stays && group.proof().covers(moment)).then_some(member)
+    }
+
     /// Waits until it is proved that the primary led at `moment`, or `wait` is over.
     pub async fn proved(&self, group: &Group, moment: Instant, wait: Duration) -> Proved {
         group.wanted.set(Boot.now());
-        if let Some((member, _)) = group.primary()
-            && group.proof().covers(moment)
-        {
+        if let Some(member) = self.leader(group, moment) {
             return Proved::Primary(member);
         }
         let proved = async {
             loop {
                 let changed = group.changed.notified();
-                if let Some((member, _)) = group.primary()
-                    && group.proof().covers(moment)
-                {
+                if let Some(member) = self.leader(group, moment) {
                     return Proved::Primary(member);
                 }
                 self.prove.notify_one();
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -163,7 +163,7 @@
         let primary = group.primary().map(|(member, _)| Rc::clone(&member.upstream.id));
         let leads = |member: &Member| primary.as_deref() == Some(&*member.upstream.id);
         let usable = |member: &&Rc<Member>| {
-            let fit = member.stay.get() == Stay::Ready || leads(member);
+            let fit = member.stay.get() == Stay::Ready;
             let held = member.is_lagging(now) && !leads(member);
             fit && !held && !member.is_failing() && !tried.contains(&member.upstream.id)
         };
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -17,6 +17,8 @@
     pub seeds: Vec<SocketAddr>,
     /// How long a stop may take until the process is killed.
     pub grace: Duration,
+    /// How long an upstream that is about to leave may be sent new work.
+    pub drain: Duration,
     /// How long one proof of a primary holds; the same for all instances.
     pub proof: Duration,
     /// How often a proof is renewed.
@@ -26,10 +28,10 @@
 }
 
 /// How long one proof of a primary holds, unless set.
-pub const PROOF: Duration = Duration::from_millis(1_500);
+pub const PROOF: Duration = Duration::from_millis(800);
 
 /// How often a proof is renewed, unless set.
-pub const RENEW: Duration = Duration::from_millis(500);
+pub const RENEW: Duration = Duration::from_millis(250);
 
 /// How long a request may wait for somebody to run it, unless set.
 pub const HOLD: Duration = Duration::from_millis(300);
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -1,18 +1,22 @@
 //! Replacing a primary.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
 use lead::{Phase, Record, choose, proof};
 use model::{Position, Term};
 use serde::{Deserialize, Serialize};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     catalog::Stay,
     control::{duty_key, encode, lead_key},
     edge::{Edge, Fault, Orders, Store, Swap, Swapped},
+    era::{era_key, era_of},
     group::{Group, Member},
     message::Command,
     node::Node,
@@ -31,6 +35,9 @@
 /// How long before the right ends no order is given any more.
 const LAST: Duration = Duration::from_millis(1_000);
 
+/// How long an upstream may be missing in the list before it counts as gone.
+const UNLISTED: Duration = Duration::from_millis(400);
+
 /// How long an order may take.
 const ORDER: Duration = Duration::from_millis(700);
 
@@ -54,33 +61,83 @@
     held: bool,
 }
 
-/// A right that this instance holds.
-#[derive(Debug, Clone, Copy)]
+/// The right to give orders, while this instance holds it.
+#[derive(Debug)]
 struct Right {
     fence: u64,
-    until: Instant,
-    duty: u64,
-    record: u64,
+    revision: Cell<u64>,
+    until: Cell<Instant>,
+    active: Cell<usize>,
+}
+
+impl Right {
+    /// Whether an order may still be given: it arrives, or is reset, well before
+    /// the right ends.
+    fn holds(&self) -> bool {
+        Boot.now() + LAST < self.until.get()
+    }
 }
 
 /// Looks after all primaries until the process ends.
+///
+/// One instance at a time gives orders, for all groups, under one fence. So the
+/// fences of calls that arrive never fall, whichever group they are for.
 pub async fn oversee<E: Edge>(node: Rc<Node<E>>) {
     let mut seen = Seen::default();
+    let mut held: Option<Rc<Right>> = None;
     loop {
         sleep(LOOK).await;
-        if node.is_stopping() {
-            continue;
+        if let Some(right) = held.take_if(|right| !right.holds()) {
+            log::warn!(fence = right.fence; "the right to give orders ran out");
         }
-        for group in node.groups() {
-            let Some(reason) = due(&node, &group) else {
+        let due: Vec<_> = node
+            .groups()
+            .into_iter()
+            .filter_map(|group| Some((due(&node, &group, held.is_some())?, group)))
+            .filter(|(_, group)| !group.replacing.get())
+            .collect();
+        if let Some(right) = &held {
+            let idle = due.is_empty() && right.active.get() == 0;
+            let old = Boot.now() + RIGHT / 2 > right.until.get();
+            if idle || node.is_stopping() && right.active.get() == 0 {
+                let _ = write_duty(&node, right.revision.get(), false).await;
+                held = None;
                 continue;
-            };
-            log::info!(service = &*group.service, reason:?; "replacing the primary");
-            let ended = replace(&node, &group, &mut seen).await;
-            log::info!(service = &*group.service, ended:?; "replacement over");
-            if ended.is_err() {
-                sleep(RANK).await;
             }
+            if old {
+                renew(&node, right).await;
+            }
+        }
+        if due.is_empty() || node.is_stopping() {
+            continue;
+        }
+        if held.is_none() {
+            held = match claim(&node, &mut seen).await {
+                Ok(right) => Some(Rc::new(right)),
+                Err(failed) => {
+                    log::debug!(failed:?; "no right to give orders");
+                    sleep(RANK / 2).await;
+                    None
+                }
+            };
+        }
+        let Some(right) = &held else {
+            continue;
+        };
+        for (reason, group) in due {
+            group.replacing.set(true);
+            right.active.set(right.active.get() + 1);
+            let (node, right) = (Rc::clone(&node), Rc::clone(right));
+            spawn_local(async move {
+                log::info!(service = &*group.service, reason:?, fence = right.fence; "replacing the primary");
+                let ended = replace(&node, &group, &right).await;
+                log::info!(service = &*group.service, ended:?; "replacement over");
+                if ended.is_err() {
+                    sleep(RANK).await;
+                }
+                group.replacing.set(false);
+                right.active.set(right.active.get() - 1);
+            });
         }
     }
 }
@@ -97,22 +154,29 @@
 }
 
 /// Why a group's primary is to be replaced by this instance now, if it is.
-fn due<E: Edge>(node: &Node<E>, group: &Group) -> Option<Reason> {
+fn due<E: Edge>(node: &Node<E>, group: &Group, holds: bool) -> Option<Reason> {
     let known = group.known()?;
     let now = Boot.now();
     let service = &*group.service;
+    let delay = |others: &[String]| match holds {
+        true => Duration::ZERO,
+        false => RANK * rank(node, service, others),
+    };
     if known.record.phase == Phase::Changing {
         let since = group.known_at.get();
-        let wait = RIGHT + RANK * rank(node, service, &node.peers.names());
-        return (since + wait < now).then_some(Reason::Stuck);
+        let wait = match holds && known.record.by == node.settings.name {
+            true => Duration::ZERO,
+            false => RIGHT + delay(&node.peers.names()),
+        };
+        return (since + wait <= now).then_some(Reason::Stuck);
     }
     let Some(primary) = group.member(&known.record.upstream) else {
         let gone = group.unlisted.get();
-        let wait = RANK * (2 + rank(node, service, &node.peers.names()));
+        let wait = UNLISTED + delay(&node.peers.names());
         return gone.is_some_and(|at| at + wait < now).then_some(Reason::Gone);
     };
     if primary.stay.get() == Stay::Draining {
-        let wait = RANK * rank(node, service, &node.peers.names());
+        let wait = delay(&node.peers.names());
         let since = group.leaving_since(now);
         return (since + wait < now).then_some(Reason::Leaving);
     }
@@ -125,8 +189,7 @@
     if !tally.gone(node.peers.count(), now.since(since)) {
         return None;
     }
-    let wait = RANK * rank(node, service, &failing);
-    (since + wait <= now).then_some(Reason::Gone)
+    (since + delay(&failing) <= now).then_some(Reason::Gone)
 }
 
 /// How many of `others` come before this instance for `service`.
@@ -157,34 +220,97 @@
     Expired,
 }
 
+/// Takes the right to give orders.
+async fn claim<E: Edge>(node: &Node<E>, seen: &mut Seen) -> Result<Right, Failed> {
+    let store = node.edge.store();
+    let key = duty_key::<E>();
+    let duties = timeout(CALL, store.read(&key)).await;
+    let duties = duties.map_err(|_| Fault::Unknown)??;
+    let item = duties.items.iter().find(|item| item.key == key);
+    let revision = item.map_or(0, |item| item.revision);
+    let duty = item.and_then(|item| serde_json::from_slice::<Duty>(&item.value).ok());
+    if duty.as_ref().is_some_and(|duty| duty.held) {
+        let now = Boot.now();
+        if seen.revision != revision {
+            *seen = Seen {
+                revision,
+                since: now,
+            };
+        }
+        let own = duty.is_some_and(|duty| duty.life == node.life);
+        if !own && seen.since + RIGHT + LAST > now {
+            return Err(Failed::Held);
+        }
+    }
+    let (revision, until) = write_duty(node, revision, true).await?;
+    Ok(Right {
+        fence: revision,
+        revision: Cell::new(revision),
+        until: Cell::new(until),
+        active: Cell::new(0),
+    })
+}
+
+/// Keeps the right; it is lost if somebody else has it.
+async fn renew<E: Edge>(node: &Node<E>, right: &Right) {
+    match write_duty(node, right.revision.get(), true).await {
+        Ok((revision, until)) => {
+            right.revision.set(revision);
+            right.until.set(until);
+        }
+        Err(Failed::Overtaken) => right.until.set(Instant::ZERO),
+        Err(_) => {}
+    }
+}
+
+/// Writes who has the right; its revision, and when it ends.
+async fn write_duty<E: Edge>(
+    node: &Node<E>,
+    revision: u64,
+    held: bool,
+) -> Result<(u64, Instant), Failed> {
+    let duty = Duty {
+        holder: node.settings.name.clone(),
+        life: node.life,
+        held,
+    };
+    let swap = Swap {
+        expected: vec![(duty_key::<E>(), revision)],
+        puts: vec![(duty_key::<E>(), encode(&duty), 0)],
+        deletes: Vec::new(),
+    };
+    let sent = Boot.now();
+    match timeout(CALL, node.edge.store().swap(&swap)).await {
+        Ok(Ok(Swapped::Done(revision))) => Ok((revision, sent + RIGHT)),
+        Ok(Ok(_)) => Err(Failed::Overtaken),
+        Ok(Err(fault)) => Err(fault.into()),
+        Err(_) => Err(Fault::Unknown.into()),
+    }
+}
+
 async fn replace<E: Edge>(
     node: &Rc<Node<E>>,
     group: &Rc<Group>,
-    seen: &mut Seen,
+    right: &Right,
 ) -> Result<(), Failed> {
-    let right = claim(node, group, seen).await?;
-    let Some(known) = group.known() else {
-        return Err(Failed::Overtaken);
-    };
-    let old = known.record;
-    loop {
-        if Boot.now() + LAST > right.until {
-            return Err(Failed::Expired);
-        }
-        let Some(chosen) = fence::<E>(group, &old).await else {
+    let old = group.known().ok_or(Failed::Overtaken)?.record;
+    let revision = announce(node, group, right).await?;
+    let ended = end_era(node, right).await?;
+    while right.holds() {
+        let Some(chosen) = fence(node, group, &old).await else {
             sleep(POLL * 4).await;
             continue;
         };
-        if let Chosen::Leads(member, term) = &chosen {
-            return settle(node, group, right, member, *term).await;
-        }
-        let Chosen::Candidate(member) = chosen else {
-            continue;
+        let member = match chosen {
+            Chosen::Leads(member, term) => {
+                return settle(node, group, right, revision, &member, term).await;
+            }
+            Chosen::Candidate(member) => member,
         };
-        let lapsed = proof::all_lapsed(Boot.now(), node.settings.proof);
+        let lapsed = proof::all_lapsed(Boot.now().max(ended), node.settings.proof);
         sleep(lapsed.since(Boot.now())).await;
-        if Boot.now() + LAST > right.until {
-            return Err(Failed::Expired);
+        if !right.holds() {
+            break;
         }
         let id = &member.upstream.id;
         let name = &node.settings.name;
@@ -195,71 +321,84 @@
             continue;
         }
         if let Some(term) = shown::<E>(&member, old.term).await {
-            return settle(node, group, right, &member, term).await;
+            return settle(node, group, right, revision, &member, term).await;
         }
     }
+    Err(Failed::Expired)
 }
 
-/// Takes the right to give orders, and announces the replacement, in one change.
-async fn claim<E: Edge>(
+/// Writes into the record that the primary is being replaced; the new revision.
+async fn announce<E: Edge>(
     node: &Node<E>,
     group: &Group,
-    seen: &mut Seen,
-) -> Result<Right, Failed> {
-    let store = node.edge.store();
-    let (duty_key, lead_key) = (duty_key::<E>(), lead_key::<E>(&group.service));
-    let duties = timeout(CALL, store.read(&duty_key)).await;
-    let duties = duties.map_err(|_| Fault::Unknown)??;
-    let item = duties.items.iter().find(|item| item.key == duty_key);
-    let revision = item.map_or(0, |item| item.revision);
-    let duty = item.and_then(|item| serde_json::from_slice::<Duty>(&item.value).ok());
-    if duty.as_ref().is_some_and(|duty| duty.held) {
-        let now = Boot.now();
-        if seen.revision != revision {
-            *seen = Seen {
-                revision,
-                since: now,
-            };
-        }
-        let own = duty.is_some_and(|duty| duty.life == node.life);
-        if !own && seen.since + RIGHT + LAST > now {
-            return Err(Failed::Held);
-        }
-    }
+    right: &Right,
+) -> Result<u64, Failed> {
     let known = group.known().ok_or(Failed::Overtaken)?;
     let record = Record {
         phase: Phase::Changing,
         by: node.settings.name.clone(),
         ..known.record
     };
-    let held = Duty {
-        holder: node.settings.name.clone(),
-        life: node.life,
-        held: true,
-    };
-    let swap = Swap {
-        expected: vec![(duty_key.clone(), revision), (lead_key.clone(), known.revision)],
-        puts: vec![
-            (duty_key, encode(&held), 0),
-            (lead_key, encode(&record), 0),
-        ],
+    let key = lead_key::<E>(&group.service);
+    let mut swap = Swap {
+        expected: vec![(key.clone(), known.revision), (duty_key::<E>(), 0)],
+        puts: vec![(key, encode(&record), 0)],
         deletes: Vec::new(),
     };
-    let sent = Boot.now();
-    match timeout(CALL, store.swap(&swap)).await {
-        Ok(Ok(Swapped::Done(revision))) => {
-            group.learn(record, revision);
-            Ok(Right {
-                fence: revision,
-                until: sent + RIGHT,
-                duty: revision,
-                record: revision,
-            })
+    while right.holds() {
+        let duty = right.revision.get();
+        swap.expected[1].1 = duty;
+        match timeout(CALL, node.edge.store().swap(&swap)).await {
+            Ok(Ok(Swapped::Done(revision))) => {
+                group.learn(record, revision);
+                return Ok(revision);
+            }
+            // The right was renewed meanwhile, or an unanswered try was done.
+            Ok(Ok(_)) if duty != right.revision.get() => {}
+            Ok(Ok(_)) => return announced(node, group, &record).await,
+            Ok(Err(_)) | Err(_) => sleep(POLL).await,
+        }
+    }
+    Err(Failed::Expired)
+}
+
+/// Whether the record says just what this instance tried to write.
+async fn announced<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    record: &Record,
+) -> Result<u64, Failed> {
+    let key = lead_key::<E>(&group.service);
+    let items = timeout(CALL, node.edge.store().read(&key)).await;
+    let items = items.map_err(|_| Fault::Unknown)??;
+    let item = items.items.iter().find(|item| item.key == key);
+    let item = item.ok_or(Failed::Overtaken)?;
+    let read: Option<Record> = serde_json::from_slice(&item.value).ok();
+    if read.as_ref() != Some(record) {
+        return Err(Failed::Overtaken);
+    }
+    group.learn(record.clone(), item.revision);
+    Ok(item.revision)
+}
+
+/// Ends the era in which proofs were given before the announcement; when that was.
+async fn end_era<E: Edge>(node: &Node<E>, right: &Right) -> Result<Instant, Failed> {
+    let store = node.edge.store();
+    while right.holds() {
+        let items = timeout(CALL, store.read(&era_key::<E>())).await;
+        let Ok(Ok(items)) = items else {
+            sleep(POLL).await;
+            continue;
+        };
+        let Some((lease, _)) = era_of::<E>(&items) else {
+            return Ok(Boot.now());
+        };
+        match timeout(CALL, store.end(lease)).await {
+            Ok(Ok(()) | Err(Fault::Missing)) => return Ok(Boot.now()),
+            _ => sleep(POLL).await,
         }
-        Ok(Ok(Swapped::Conflict | Swapped::NoLease)) => Err(Failed::Overtaken),
-        Ok(Err(fault)) => Err(fault.into()),
-        Err(_) => Err(Fault::Unknown.into()),
     }
+    Err(Failed::Expired)
 }
 
 /// Who is to lead.
@@ -272,7 +411,11 @@
 }
 
 /// Stops the old primary if it can be reached, and the replicas; chooses one.
-async fn fence<E: Edge>(group: &Rc<Group>, old: &Record) -> Option<Chosen> {
+async fn fence<E: Edge>(
+    node: &Node<E>,
+    group: &Rc<Group>,
+    old: &Record,
+) -> Option<Chosen> {
     let next = old.term.next();
     let members = group.members();
     let primary = members.iter().find(|m| *m.upstream.id == *old.upstream).cloned();
@@ -300,7 +443,7 @@
         candidates.push(choose::Candidate {
             upstream: &member.upstream.id,
             received: status.received,
-            draining: member.stay.get() == Stay::Draining,
+            leaves_in: member.leaves_in(Boot.now(), node.settings.drain),
         });
     }
     let best = choose::best(&candidates)?;
@@ -345,11 +488,12 @@
     None
 }
 
-/// Records the new primary, gives the right back, and tells the others to follow.
+/// Records the new primary, and tells the others to follow.
 async fn settle<E: Edge>(
     node: &Rc<Node<E>>,
     group: &Rc<Group>,
-    right: Right,
+    right: &Right,
+    revision: u64,
     member: &Rc<Member>,
     term: Term,
 ) -> Result<(), Failed> {
@@ -359,20 +503,14 @@
         phase: Phase::Stable,
         by: node.settings.name.clone(),
     };
-    let free = Duty {
-        holder: node.settings.name.clone(),
-        life: node.life,
-        held: false,
-    };
-    let (duty_key, lead_key) = (duty_key::<E>(), lead_key::<E>(&group.service));
+    let key = lead_key::<E>(&group.service);
     let swap = Swap {
-        expected: vec![(duty_key.clone(), right.duty), (lead_key.clone(), right.record)],
-        puts: vec![(duty_key, encode(&free), 0), (lead_key, encode(&record), 0)],
+        expected: vec![(key.clone(), revision)],
+        puts: vec![(key, encode(&record), 0)],
         deletes: Vec::new(),
     };
-    let mut unknown = false;
     loop {
-        if Boot.now() > right.until {
+        if !right.holds() {
             return Err(Failed::Expired);
         }
         match timeout(CALL, node.edge.store().swap(&swap)).await {
@@ -380,12 +518,11 @@
                 group.learn(record, revision);
                 break;
             }
-            Ok(Ok(_)) if unknown => break,
-            Ok(Ok(_)) => return Err(Failed::Overtaken),
-            Ok(Err(_)) | Err(_) => {
-                unknown = true;
-                sleep(POLL * 2).await;
+            Ok(Ok(_)) => {
+                announced(node, group, &record).await?;
+                break;
             }
+            Ok(Err(_)) | Err(_) => sleep(POLL * 2).await,
         }
     }
     node.prove.notify_one();
@@ -394,7 +531,7 @@
         .into_iter()
         .filter(|m| !Rc::ptr_eq(m, member))
         .collect();
-    tokio::task::spawn_local(async move {
+    spawn_local(async move {
         probe::each::<E::Protocol>(&others, &Command::Resume).await;
         probe::each::<E::Protocol>(&others, &Command::Demote(term)).await;
     });
