--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped},
-    group::Group,
     era,
+    group::Group,
     node::Node,
     peers, takeover,
 };
@@ -108,7 +108,11 @@
         take(node, item);
     }
     let upstreams = read(node, E::UPSTREAMS).await?;
-    let ids: Vec<&str> = upstreams.items.iter().map(|item| id_of::<E>(&item.key)).collect();
+    let ids: Vec<&str> = upstreams
+        .items
+        .iter()
+        .map(|item| id_of::<E>(&item.key))
+        .collect();
     node.retain(&|id| ids.contains(&id));
     for item in &upstreams.items {
         take(node, item);
@@ -189,6 +193,8 @@
         }
     } else if item.key.starts_with(&lead_key::<E>("")) {
         record(node, item);
+    } else if item.key == duty_key::<E>() && node.duty.get().0 < item.revision {
+        node.duty.set((item.revision, Boot.now()));
     }
 }
 
@@ -206,7 +212,9 @@
 
 /// A record as the store keeps it.
 pub fn encode<T: serde::Serialize>(record: &T) -> Bytes {
-    serde_json::to_vec(record).map(Bytes::from).unwrap_or_default()
+    serde_json::to_vec(record)
+        .map(Bytes::from)
+        .unwrap_or_default()
 }
 
 /// Keeps this instance in the store's list.
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -37,7 +37,7 @@
 const ERA: Duration = Duration::from_secs(60);
 
 /// The shortest pause between two rounds.
-const GAP: Duration = Duration::from_millis(10);
+const GAP: Duration = Duration::from_millis(20);
 
 /// How long a need for proofs lasts.
 const WANTED: Duration = Duration::from_secs(2);
@@ -73,12 +73,12 @@
     loop {
         let now = Boot.now();
         let groups = node.groups();
-        let needs = |g: &&Rc<Group>| g.wanted.get() + WANTED > now || g.known().is_none();
-        if groups.iter().any(|g| needs(&g)) {
+        if !groups.is_empty() {
             ask_store(&node);
             let span = node.settings.proof;
-            let due = |g: &Rc<Group>| g.proof().until() < now + span / 2;
-            if groups.iter().filter(needs).any(due) {
+            let due =
+                |g: &Rc<Group>| g.proof().until() < now + span / 2 && g.wanted.get() + WANTED > now;
+            if groups.iter().any(due) {
                 ask_others(&node);
             }
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod line;
 pub mod message;
 pub mod node;
+pub mod outcome;
 pub mod peers;
 pub mod pool;
 pub mod probe;
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -99,10 +99,7 @@
     /// # Errors
     ///
     /// Nothing was run; [`Refused`] tells who is to blame.
-    pub async fn open<P: Protocol>(
-        member: &Rc<Member>,
-        counted: Counted,
-    ) -> Result<Self, Refused> {
+    pub async fn open<P: Protocol>(member: &Rc<Member>, counted: Counted) -> Result<Self, Refused> {
         let opened = timeout(OPEN, Self::greet::<P>(member, counted)).await;
         opened.unwrap_or(Err(Refused::Unreachable))
     }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -59,6 +59,24 @@
     Malformed,
 }
 
+impl Statement {
+    /// What kind of statement it is, without its texts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Begin(_) => "begin",
+            Self::Commit => "commit",
+            Self::Rollback => "rollback",
+            Self::Read => "read",
+            Self::Write => "write",
+            Self::Set(..) => "set",
+            Self::Prepare(..) => "prepare",
+            Self::Execute(..) => "execute",
+            Self::Forget(_) => "forget",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
 /// What a prepared statement does.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Shape {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -22,6 +22,9 @@
 /// How long before its time is over an upstream that leaves is sent its last work.
 const LAST_WORK: Duration = Duration::from_millis(1_500);
 
+/// How long nothing may be proved until an instance counts as unable to serve.
+const LAPSED: Duration = Duration::from_millis(400);
+
 /// How far an instance is with its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -62,6 +65,9 @@
     pub refresh: Notify,
     /// Whether the list of upstreams was read.
     pub listed: Cell<bool>,
+    able: Cell<Instant>,
+    /// The right to give orders as it was last seen, and since when.
+    pub duty: Cell<(u64, Instant)>,
     /// When the store last answered.
     pub stored: Cell<Instant>,
     /// How many sessions are open.
@@ -87,6 +93,8 @@
             relaying: Cell::default(),
             refresh: Notify::new(),
             listed: Cell::new(false),
+            able: Cell::new(Boot.now()),
+            duty: Cell::default(),
             stored: Cell::default(),
             sessions: Cell::new(0),
         }
@@ -167,12 +175,39 @@
     }
 
     /// Whether the instance can take callers.
+    ///
+    /// One that can't serve while others may says so: the balancer then sends its
+    /// zone's callers to another zone.
     pub fn is_ready(&self) -> bool {
         if self.stage.get() != Stage::Serve || !self.listed.get() {
             return false;
         }
         let groups = self.groups();
-        !groups.is_empty() && groups.iter().any(|group| group.known().is_some())
+        let begun = groups.iter().any(|group| group.known().is_some());
+        begun && self.unable_since().is_none()
+    }
+
+    /// Whether some primary is proved, or was a moment ago, and can be reached.
+    pub fn is_able(&self) -> bool {
+        let now = Boot.now();
+        self.groups().iter().any(|group| {
+            let proved = group.proof().until() + LAPSED > now;
+            proved
+                && group
+                    .primary()
+                    .is_some_and(|(member, _)| !member.is_failing())
+        })
+    }
+
+    /// Since when this instance can't serve though others may.
+    pub fn unable_since(&self) -> Option<Instant> {
+        let now = Boot.now();
+        if self.is_able() || !self.peers.may_serve(&self.settings.zone) {
+            self.able.set(now);
+            return None;
+        }
+        let since = self.able.get() + LAPSED;
+        (since < now).then_some(since)
     }
 
     /// The primary, if it is proved that it led at `moment` and it may be sent work.
@@ -198,7 +233,10 @@
                 if let Some(member) = self.leader(group, moment) {
                     return Proved::Primary(member);
                 }
-                self.prove.notify_one();
+                // Who replaces the primary tells when it is over.
+                if group.primary().is_some() {
+                    self.prove.notify_one();
+                }
                 changed.await;
             }
         };
--- /dev/null
+++ b/crates/proxy/src/outcome.rs
@@ -0,0 +1,105 @@
+//! What a caller is told, and why.
+
+use bytes::{Bytes, BytesMut};
+use model::Position;
+
+use crate::{
+    edge::Protocol,
+    message::{Code, Reply, State},
+};
+
+/// Why a statement did not succeed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Cause {
+    /// Nobody could be proved to lead in time.
+    NoProof,
+    /// No connection to an upstream was free in time.
+    NoConnection,
+    /// The upstream refused it, or it failed there.
+    Upstream,
+    /// The upstream's connection broke before its answer was whole.
+    Broken,
+    /// The upstream's answer did not come in time.
+    Late,
+    /// The commit was answered, but by then its upstream may have been replaced.
+    Unproved,
+    /// The transaction had failed or had been undone before.
+    Undone,
+    /// The transaction's upstream is no longer the primary.
+    Replaced,
+    /// No route has the database's name.
+    NoRoute,
+    /// There is no such prepared statement.
+    NoStatement,
+    /// The statement is not understood, or not now.
+    Malformed,
+}
+
+impl Cause {
+    /// The cause as callers and logs read it.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::NoProof => "no primary proved, come back in 200 ms",
+            Self::NoConnection => "no connection free, come back in 100 ms",
+            Self::Upstream => "refused by the upstream, come back in 50 ms",
+            Self::Broken => "the upstream's connection broke",
+            Self::Late => "the upstream did not answer in time",
+            Self::Unproved => "it may have been kept",
+            Self::Undone => "the transaction was undone, come back in 50 ms",
+            Self::Replaced => "the primary is being replaced, come back in 200 ms",
+            Self::NoRoute => "no such database",
+            Self::NoStatement => "no such prepared statement",
+            Self::Malformed => "not understood here",
+        }
+    }
+}
+
+/// What a caller is told, and where its session stands then.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The bytes of the answer.
+    pub bytes: Bytes,
+    /// Where the session stands.
+    pub state: State,
+    /// How far the upstream's log went.
+    pub position: Option<Position>,
+    /// Why the statement did not succeed.
+    pub failure: Option<(Code, Cause)>,
+}
+
+impl Outcome {
+    /// An upstream's own answer.
+    pub fn of(reply: Reply) -> Self {
+        let failure = reply.verdict.as_ref().err();
+        Self {
+            failure: failure.map(|failure| (failure.code, Cause::Upstream)),
+            bytes: reply.raw,
+            state: reply.state,
+            position: reply.position,
+        }
+    }
+
+    /// A refusal of this process's own making.
+    pub fn refusal<P: Protocol>(code: Code, cause: Cause, state: State) -> Self {
+        let mut out = BytesMut::new();
+        P::refusal(code, cause.text(), state, &mut out);
+        Self {
+            bytes: out.freeze(),
+            state,
+            position: None,
+            failure: Some((code, cause)),
+        }
+    }
+
+    /// A success of this process's own making.
+    pub fn done<P: Protocol>(state: State) -> Self {
+        let mut out = BytesMut::new();
+        P::done(state, &mut out);
+        Self {
+            bytes: out.freeze(),
+            state,
+            position: None,
+            failure: None,
+        }
+    }
+}
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -4,14 +4,7 @@
 //! something urgent to say. Over TCP an instance that the store turns away asks
 //! another one to read the store for it.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{BufMut, BytesMut};
 use clock::{Boot, Instant};
@@ -74,6 +67,8 @@
     address: SocketAddr,
     version: u64,
     beliefs: Vec<Belief>,
+    zone: String,
+    able: bool,
     leaving: bool,
 }
 
@@ -102,6 +97,22 @@
     listed: bool,
     version: u64,
     beliefs: Vec<Belief>,
+    zone: String,
+    able: bool,
+}
+
+impl Peer {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            heard: None,
+            listed: false,
+            version: 0,
+            beliefs: Vec::new(),
+            zone: String::new(),
+            able: false,
+        }
+    }
 }
 
 /// Other instances.
@@ -132,13 +143,8 @@
     pub fn list(&self, listed: &HashMap<String, SocketAddr>) {
         let mut table = self.table.borrow_mut();
         for (name, address) in listed {
-            let peer = table.entry(name.clone()).or_insert_with(|| Peer {
-                address: *address,
-                heard: None,
-                listed: true,
-                version: 0,
-                beliefs: Vec::new(),
-            });
+            let new = || Peer::new(*address);
+            let peer = table.entry(name.clone()).or_insert_with(new);
             peer.address = *address;
         }
         for (name, peer) in table.iter_mut() {
@@ -193,6 +199,19 @@
         (tally, failing)
     }
 
+    /// Whether others may serve callers while this instance, in `zone`, can't: some
+    /// were heard that can, or nobody in another zone is heard any more.
+    pub fn may_serve(&self, zone: &str) -> bool {
+        let now = Boot.now();
+        let table = self.table.borrow();
+        let heard = |p: &&Peer| p.heard.is_some_and(|at| at + HEARD > now);
+        let far = |p: &Peer| !p.zone.is_empty() && p.zone != zone;
+        let known_far = table.values().any(far);
+        let heard_far = table.values().filter(heard).any(far);
+        let able = table.values().filter(heard).any(|p| p.able);
+        able || (known_far && !heard_far)
+    }
+
     /// Names of the instances that were heard lately.
     pub fn names(&self) -> Vec<String> {
         let now = Boot.now();
@@ -250,6 +269,8 @@
         address: node.settings.peers,
         version: node.catalog().version,
         beliefs,
+        zone: node.settings.zone.clone(),
+        able: node.is_able(),
         leaving: node.is_stopping(),
     }
 }
@@ -265,13 +286,10 @@
         table.remove(&beat.name);
         return;
     }
-    let peer = table.entry(beat.name).or_insert_with(|| Peer {
-        address: beat.address,
-        heard: None,
-        listed: false,
-        version: 0,
-        beliefs: Vec::new(),
-    });
+    let new = || Peer::new(beat.address);
+    let peer = table.entry(beat.name).or_insert_with(new);
+    peer.zone = beat.zone;
+    peer.able = beat.able;
     peer.address = beat.address;
     peer.heard = Some(Boot.now());
     peer.beliefs = beat.beliefs;
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -5,6 +5,7 @@
 use clock::Boot;
 use model::Term;
 use tokio::{
+    net::TcpStream,
     task::spawn_local,
     time::{sleep, timeout},
 };
@@ -21,8 +22,15 @@
 /// How long an upstream may take to say what it is.
 pub const ANSWER: Duration = Duration::from_millis(300);
 
-/// The pause between two questions to an upstream that fails.
-const AGAIN: Duration = Duration::from_millis(100);
+/// How long an upstream may take to accept a connection. It needs no slot for that,
+/// so one that is merely slow accepts in no time.
+const ACCEPT: Duration = Duration::from_millis(150);
+
+/// The pause between two tries to reach an upstream that fails.
+const AGAIN: Duration = Duration::from_millis(50);
+
+/// How many tries in a row must be accepted until an upstream is trusted again.
+const TRUST: u32 = 2;
 
 /// What came of a question or an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,19 +115,36 @@
     check(node, group, member);
 }
 
-/// Asks `member` again and again until it answers or is no member any more.
+/// Whether `member` accepts a connection.
+async fn accepts(member: &Member) -> bool {
+    let connecting = TcpStream::connect(member.upstream.address);
+    matches!(timeout(ACCEPT, connecting).await, Ok(Ok(_)))
+}
+
+/// Tries to reach `member` again and again until it accepts connections, or is no
+/// member any more.
 pub fn check<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, member: &Rc<Member>) {
     if member.probed.replace(true) {
         return;
     }
     let (node, group, member) = (Rc::clone(node), Rc::clone(group), Rc::clone(member));
     spawn_local(async move {
+        let id = &member.upstream.id;
         let mut told = false;
-        while status::<E::Protocol>(&member).await == Said::Silent {
-            let id = &member.upstream.id;
+        let mut accepted = 0;
+        while accepted < TRUST {
             if group.member(id).is_none_or(|m| !Rc::ptr_eq(&m, &member)) {
                 break;
             }
+            if accepts(&member).await {
+                accepted += 1;
+                if !told {
+                    break;
+                }
+            } else {
+                accepted = 0;
+                member.failed(Boot.now());
+            }
             if member.is_failing() && !told {
                 told = true;
                 log::info!(service = &*group.service, upstream = &**id; "upstream fails");
@@ -127,9 +152,11 @@
             }
             sleep(AGAIN).await;
         }
+        if accepted > 0 {
+            member.answered(Boot.now());
+        }
         if told {
-            let id = &*member.upstream.id;
-            log::info!(service = &*group.service, upstream = id; "upstream is back, or gone for good");
+            log::info!(service = &*group.service, upstream = &**id, back = accepted > 0; "upstream fails no more");
             node.peers.urgent.notify_one();
         }
         member.probed.set(false);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -1,8 +1,7 @@
 //! Where a statement runs, and what its caller is told.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
 use clock::{Boot, Instant};
 use model::Position;
 use tokio::time::timeout;
@@ -14,6 +13,7 @@
     line::{Broken, Line, Refused, Values},
     message::{Access, Code, Command, Query, Reply, Shape, State},
     node::{Node, Proved},
+    outcome::{Cause, Outcome},
     pool, probe,
 };
 
@@ -29,6 +29,9 @@
 /// How long the sign of life may take.
 const SIGN: Duration = Duration::from_millis(150);
 
+/// How long an upstream may be silent until it is checked whether it is there.
+const SILENCE: Duration = Duration::from_millis(100);
+
 /// What a way to an upstream in another zone weighs against a wait there.
 const FAR: Duration = Duration::from_millis(6);
 
@@ -38,58 +41,6 @@
 /// The shortest time after which a read is tried elsewhere as well.
 const PATIENCE: Duration = Duration::from_millis(120);
 
-/// What a caller is told, and where its session stands then.
-#[derive(Debug)]
-pub struct Outcome {
-    /// The bytes of the answer.
-    pub bytes: Bytes,
-    /// Where the session stands.
-    pub state: State,
-    /// How far the upstream's log went.
-    pub position: Option<Position>,
-    /// Why the statement did not succeed.
-    pub failure: Option<Code>,
-}
-
-impl Outcome {
-    /// An upstream's own answer.
-    pub fn of(reply: Reply) -> Self {
-        Self {
-            failure: reply.verdict.as_ref().err().map(|failure| failure.code),
-            bytes: reply.raw,
-            state: reply.state,
-            position: reply.position,
-        }
-    }
-
-    /// A refusal of this process's own making.
-    pub fn refusal<P: Protocol>(code: Code, text: &str, state: State) -> Self {
-        let mut out = BytesMut::new();
-        P::refusal(code, text, state, &mut out);
-        Self {
-            bytes: out.freeze(),
-            state,
-            position: None,
-            failure: Some(code),
-        }
-    }
-
-    /// A success of this process's own making.
-    pub fn done<P: Protocol>(state: State) -> Self {
-        let mut out = BytesMut::new();
-        P::done(state, &mut out);
-        Self {
-            bytes: out.freeze(),
-            state,
-            position: None,
-            failure: None,
-        }
-    }
-}
-
-/// The text of a refusal that tells when to come back.
-pub const COME_BACK: &str = "not run, come back in 100 ms";
-
 /// What a session brings to a statement.
 #[derive(Debug)]
 pub struct Ask<'a> {
@@ -160,7 +111,9 @@
 ) -> Option<Place> {
     if let Some(floor) = floor(group, ask.route, ask.own, ask.at) {
         let now = Boot.now();
-        let primary = group.primary().map(|(member, _)| Rc::clone(&member.upstream.id));
+        let primary = group
+            .primary()
+            .map(|(member, _)| Rc::clone(&member.upstream.id));
         let leads = |member: &Member| primary.as_deref() == Some(&*member.upstream.id);
         let usable = |member: &&Rc<Member>| {
             let fit = member.stay.get() == Stay::Ready;
@@ -196,33 +149,42 @@
 /// # Errors
 ///
 /// The connection broke, or `within` is over: the statement may have run.
-pub async fn send<P: Protocol>(
+pub async fn send<E: Edge>(
+    node: &Rc<Node<E>>,
+    group: &Rc<Group>,
     line: &mut Line,
     ask: &Ask<'_>,
     floor: Option<Position>,
     within: Duration,
 ) -> Result<Reply, Lost> {
     let id = &ask.query.id;
-    let asked = match ask.prepared {
+    let member = Rc::clone(line.member());
+    let name;
+    let command = match ask.prepared {
         Some((shape, rest)) => {
-            let name = line.prepare::<P>(shape);
-            let after = floor;
-            let name = &name;
-            let command = Command::Execute {
+            name = line.prepare::<E::Protocol>(shape);
+            Command::Execute {
                 id,
-                after,
-                name,
+                after: floor,
+                name: &name,
                 rest,
-            };
-            timeout(within, line.ask::<P>(&command)).await
+            }
         }
-        None => {
-            let command = Command::Forward {
-                id,
-                after: floor,
-                text: &ask.query.text,
-            };
-            timeout(within, line.ask::<P>(&command)).await
+        None => Command::Forward {
+            id,
+            after: floor,
+            text: &ask.query.text,
+        },
+    };
+    let sent = Boot.now();
+    let mut asked = pin!(timeout(within, line.ask::<E::Protocol>(&command)));
+    let asked = match timeout(SILENCE, &mut asked).await {
+        Ok(asked) => asked,
+        Err(_) => {
+            if member.health().answered < sent {
+                probe::check(node, group, &member);
+            }
+            asked.await
         }
     };
     match asked {
@@ -241,6 +203,15 @@
     Late,
 }
 
+impl From<Lost> for Cause {
+    fn from(lost: Lost) -> Self {
+        match lost {
+            Lost::Broken => Self::Broken,
+            Lost::Late => Self::Late,
+        }
+    }
+}
+
 /// Counts a statement that runs at an upstream.
 #[derive(Debug)]
 pub struct Running(Rc<Member>, Instant);
@@ -310,7 +281,7 @@
     let mut tried: Vec<Rc<str>> = Vec::new();
     let mut last = None;
     let timeout_at = ask.route.timeout;
-    let mut sent_once = false;
+    let mut cause = Cause::NoProof;
     loop {
         let hold = left(node.settings.hold.min(timeout_at), ask.at);
         if hold.is_zero() {
@@ -320,17 +291,17 @@
             break;
         };
         let Some(mut line) = connect::<E>(node, &place.member, ask, hold).await else {
+            cause = Cause::NoConnection;
             tried.push(Rc::clone(&place.member.upstream.id));
             pause(&tried, group).await;
             continue;
         };
         let running = Running::new(&place.member);
         line.align::<E::Protocol>(ask.values);
-        sent_once = true;
         let rest = left(timeout_at, ask.at);
         let patience = ask.route.aim.max(PATIENCE).min(rest);
         let sent = running.since();
-        let reply = send::<E::Protocol>(&mut line, ask, place.floor, patience).await;
+        let reply = send(node, group, &mut line, ask, place.floor, patience).await;
         drop(running);
         match reply {
             Ok(reply) => {
@@ -353,9 +324,9 @@
                 last = Some(reply);
             }
             Err(lost) => {
+                cause = lost.into();
                 pool::discard::<E::Protocol>(line);
                 probe::doubt(node, group, &place.member);
-                log::debug!(upstream = &*place.member.upstream.id, lost:?; "read without an answer");
             }
         }
         tried.push(Rc::clone(&place.member.upstream.id));
@@ -366,15 +337,19 @@
     }
     match last {
         Some(reply) => Outcome::of(reply),
-        None if sent_once => Outcome::refusal::<E::Protocol>(
-            Code::Timeout,
-            "a read had no answer in time",
-            State::Idle,
-        ),
-        None => Outcome::refusal::<E::Protocol>(Code::Busy, COME_BACK, State::Idle),
+        None => not_run::<E>(cause),
     }
 }
 
+/// The answer to a statement that nobody ran, or whose answer does not matter.
+fn not_run<E: Edge>(cause: Cause) -> Outcome {
+    let code = match cause {
+        Cause::Broken | Cause::Late => Code::Timeout,
+        _ => Code::Busy,
+    };
+    Outcome::refusal::<E::Protocol>(code, cause, State::Idle)
+}
+
 /// Waits a little once everybody was tried.
 async fn pause(tried: &[Rc<str>], group: &Group) {
     if tried.len() >= group.members().len() {
@@ -404,6 +379,7 @@
 /// Runs a single write.
 pub async fn write<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, ask: &Ask<'_>) -> Outcome {
     let mut last = None;
+    let mut cause = Cause::NoProof;
     loop {
         let hold = left(node.settings.hold.min(ask.route.timeout), ask.at);
         if hold.is_zero() {
@@ -413,6 +389,7 @@
             break;
         };
         let Some(mut line) = connect::<E>(node, &member, ask, hold).await else {
+            cause = Cause::NoConnection;
             tokio::time::sleep(PAUSE).await;
             continue;
         };
@@ -433,15 +410,14 @@
         line.align::<E::Protocol>(ask.values);
         let rest = left(ask.route.timeout, ask.at);
         let sent = running.since();
-        let reply = send::<E::Protocol>(&mut line, ask, None, rest).await;
+        let reply = send(node, group, &mut line, ask, None, rest).await;
         drop(running);
         let reply = match reply {
             Ok(reply) => reply,
             Err(lost) => {
                 pool::discard::<E::Protocol>(line);
                 probe::doubt(node, group, &member);
-                log::info!(upstream = &*member.upstream.id, lost:?; "write without an answer");
-                return in_doubt::<E>();
+                return in_doubt::<E>(lost.into());
             }
         };
         if matches!(&reply.verdict, Err(f) if f.code == Code::NoStatement) {
@@ -463,7 +439,7 @@
     }
     match last {
         Some(reply) => Outcome::of(reply),
-        None => Outcome::refusal::<E::Protocol>(Code::Busy, COME_BACK, State::Idle),
+        None => not_run::<E>(cause),
     }
 }
 
@@ -479,8 +455,8 @@
 }
 
 /// The answer to a write whose upstream's answer never came.
-pub fn in_doubt<E: Edge>() -> Outcome {
-    Outcome::refusal::<E::Protocol>(Code::InDoubt, "it may have been kept", State::Idle)
+pub fn in_doubt<E: Edge>(cause: Cause) -> Outcome {
+    Outcome::refusal::<E::Protocol>(Code::InDoubt, cause, State::Idle)
 }
 
 /// Passes on a commit's answer once it is proved that its upstream still led then.
@@ -499,7 +475,7 @@
     let wait = left(ask.route.timeout, ask.at);
     match node.proved(group, now, wait).await {
         Proved::Primary(lead) if Rc::ptr_eq(&lead, member) => Outcome::of(reply),
-        _ => in_doubt::<E>(),
+        _ => in_doubt::<E>(Cause::Unproved),
     }
 }
 
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -18,7 +18,8 @@
     line::{self, Values},
     message::{Access, Code, Query, Request, Shape, State, Statement},
     node::{Node, Stage},
-    run::{self, Ask, Outcome},
+    outcome::{Cause, Outcome},
+    run::{self, Ask},
     transaction::{self, Begun, Transaction},
 };
 
@@ -224,13 +225,18 @@
     async fn answer<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query) -> Outcome {
         let at = Boot.now();
         let outcome = self.dispatch(node, query, at).await;
-        if let Some(code) = outcome.failure {
+        if let Some((code, cause)) = outcome.failure {
+            let route = node.route(&self.database);
             log::info!(
                 request = &*String::from_utf8_lossy(&query.id),
                 database = &*String::from_utf8_lossy(&self.database),
-                code:?,
+                route = route.as_ref().map_or("", |route| &*route.name),
+                service = route.as_ref().map_or("", |route| &*route.service),
+                freshness:? = route.as_ref().map(|route| route.freshness),
+                statement:? = query.statement.kind(),
+                code:?, cause:?,
                 ms = Boot.now().since(at).as_millis() as u64;
-                "refused or failed"
+                "not served"
             );
         }
         outcome
@@ -282,8 +288,7 @@
             Statement::Rollback => self.rollback::<E>(),
             Statement::Commit => {
                 self.transaction = Transaction::None;
-                let text = "the transaction was undone";
-                Outcome::refusal::<E::Protocol>(Code::Aborted, text, State::Idle)
+                Outcome::refusal::<E::Protocol>(Code::Aborted, Cause::Undone, State::Idle)
             }
             _ => malformed::<E>(State::Failed),
         }
@@ -319,12 +324,7 @@
         Outcome::done::<E::Protocol>(State::Idle)
     }
 
-    async fn commit<E: Edge>(
-        &mut self,
-        node: &Rc<Node<E>>,
-        query: &Query,
-        at: Instant,
-    ) -> Outcome {
+    async fn commit<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query, at: Instant) -> Outcome {
         if self.transaction.state() == State::Idle {
             return malformed::<E>(State::Idle);
         }
@@ -339,9 +339,9 @@
                 let ask = self.ask(&begun.route, query, None, &values, at);
                 match transaction::pin(node, &begun, &ask).await {
                     Ok(pinned) => (pinned, Rc::clone(&begun.route)),
-                    Err(_) => {
-                        let code = Code::Aborted;
-                        return Outcome::refusal::<E::Protocol>(code, run::COME_BACK, State::Idle);
+                    Err(refusal) => {
+                        let cause = refusal.failure.map_or(Cause::Undone, |(_, cause)| cause);
+                        return Outcome::refusal::<E::Protocol>(Code::Aborted, cause, State::Idle);
                     }
                 }
             }
@@ -449,13 +449,13 @@
 }
 
 fn malformed<E: Edge>(state: State) -> Outcome {
-    Outcome::refusal::<E::Protocol>(Code::Malformed, "not understood here", state)
+    Outcome::refusal::<E::Protocol>(Code::Malformed, Cause::Malformed, state)
 }
 
 fn unknown<E: Edge>(state: State) -> Outcome {
-    Outcome::refusal::<E::Protocol>(Code::NoStatement, "no such statement", state)
+    Outcome::refusal::<E::Protocol>(Code::NoStatement, Cause::NoStatement, state)
 }
 
 fn no_database<E: Edge>() -> Outcome {
-    Outcome::refusal::<E::Protocol>(Code::NoDatabase, "no such database", State::Idle)
+    Outcome::refusal::<E::Protocol>(Code::NoDatabase, Cause::NoRoute, State::Idle)
 }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -30,16 +30,19 @@
 const RANK: Duration = Duration::from_millis(200);
 
 /// How long the right to give orders lasts.
-const RIGHT: Duration = Duration::from_millis(4_000);
+const RIGHT: Duration = Duration::from_millis(2_000);
 
 /// How long before the right ends no order is given any more.
-const LAST: Duration = Duration::from_millis(1_000);
+const LAST: Duration = Duration::from_millis(600);
+
+/// How lately the store must have answered whoever wants to replace a primary.
+const STORED: Duration = Duration::from_millis(700);
 
 /// How long an upstream may be missing in the list before it counts as gone.
 const UNLISTED: Duration = Duration::from_millis(400);
 
 /// How long an order may take.
-const ORDER: Duration = Duration::from_millis(700);
+const ORDER: Duration = Duration::from_millis(450);
 
 /// How long a call to the store may take.
 const CALL: Duration = Duration::from_millis(500);
@@ -83,7 +86,6 @@
 /// One instance at a time gives orders, for all groups, under one fence. So the
 /// fences of calls that arrive never fall, whichever group they are for.
 pub async fn oversee<E: Edge>(node: Rc<Node<E>>) {
-    let mut seen = Seen::default();
     let mut held: Option<Rc<Right>> = None;
     loop {
         sleep(LOOK).await;
@@ -98,7 +100,7 @@
             .collect();
         if let Some(right) = &held {
             let idle = due.is_empty() && right.active.get() == 0;
-            let old = Boot.now() + RIGHT / 2 > right.until.get();
+            let old = Boot.now() + RIGHT * 3 / 4 > right.until.get();
             if idle || node.is_stopping() && right.active.get() == 0 {
                 let _ = write_duty(&node, right.revision.get(), false).await;
                 held = None;
@@ -112,7 +114,7 @@
             continue;
         }
         if held.is_none() {
-            held = match claim(&node, &mut seen).await {
+            held = match claim(&node).await {
                 Ok(right) => Some(Rc::new(right)),
                 Err(failed) => {
                     log::debug!(failed:?; "no right to give orders");
@@ -164,23 +166,26 @@
     };
     if known.record.phase == Phase::Changing {
         let since = group.known_at.get();
-        let wait = match holds && known.record.by == node.settings.name {
+        let wait = match holds {
             true => Duration::ZERO,
-            false => RIGHT + delay(&node.peers.names()),
+            false => RIGHT / 4 + delay(&node.peers.names()) / 2,
         };
         return (since + wait <= now).then_some(Reason::Stuck);
     }
     let Some(primary) = group.member(&known.record.upstream) else {
         let gone = group.unlisted.get();
         let wait = UNLISTED + delay(&node.peers.names());
-        return gone.is_some_and(|at| at + wait < now).then_some(Reason::Gone);
+        return gone
+            .is_some_and(|at| at + wait < now)
+            .then_some(Reason::Gone);
     };
     if primary.stay.get() == Stay::Draining {
         let wait = delay(&node.peers.names());
         let since = group.leaving_since(now);
         return (since + wait < now).then_some(Reason::Leaving);
     }
-    if !primary.is_failing() {
+    // What was seen while this instance itself was cut off says nothing.
+    if !primary.is_failing() || node.stored.get() + STORED < now {
         return None;
     }
     let since = primary.health().failing_since?;
@@ -200,13 +205,6 @@
     u32::try_from(before).unwrap_or(u32::MAX)
 }
 
-/// Which right of another instance was seen, and since when.
-#[derive(Debug, Default)]
-struct Seen {
-    revision: u64,
-    since: Instant,
-}
-
 /// Why a replacement did not come about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 enum Failed {
@@ -221,7 +219,7 @@
 }
 
 /// Takes the right to give orders.
-async fn claim<E: Edge>(node: &Node<E>, seen: &mut Seen) -> Result<Right, Failed> {
+async fn claim<E: Edge>(node: &Node<E>) -> Result<Right, Failed> {
     let store = node.edge.store();
     let key = duty_key::<E>();
     let duties = timeout(CALL, store.read(&key)).await;
@@ -231,14 +229,12 @@
     let duty = item.and_then(|item| serde_json::from_slice::<Duty>(&item.value).ok());
     if duty.as_ref().is_some_and(|duty| duty.held) {
         let now = Boot.now();
-        if seen.revision != revision {
-            *seen = Seen {
-                revision,
-                since: now,
-            };
+        if node.duty.get().0 != revision {
+            node.duty.set((revision, now));
         }
+        let (_, seen) = node.duty.get();
         let own = duty.is_some_and(|duty| duty.life == node.life);
-        if !own && seen.since + RIGHT + LAST > now {
+        if !own && seen + RIGHT + RIGHT / 20 > now {
             return Err(Failed::Held);
         }
     }
@@ -314,7 +310,10 @@
         }
         let id = &member.upstream.id;
         let name = &node.settings.name;
-        let order = node.edge.orders().promote(&group.service, id, name, right.fence);
+        let order = node
+            .edge
+            .orders()
+            .promote(&group.service, id, name, right.fence);
         let ordered = timeout(ORDER, order).await;
         log::info!(service = &*group.service, upstream = &**id, fence = right.fence, ordered:?; "promote");
         if matches!(ordered, Ok(Err(Fault::Missing | Fault::Refused))) {
@@ -328,11 +327,7 @@
 }
 
 /// Writes into the record that the primary is being replaced; the new revision.
-async fn announce<E: Edge>(
-    node: &Node<E>,
-    group: &Group,
-    right: &Right,
-) -> Result<u64, Failed> {
+async fn announce<E: Edge>(node: &Node<E>, group: &Group, right: &Right) -> Result<u64, Failed> {
     let known = group.known().ok_or(Failed::Overtaken)?;
     let record = Record {
         phase: Phase::Changing,
@@ -363,11 +358,7 @@
 }
 
 /// Whether the record says just what this instance tried to write.
-async fn announced<E: Edge>(
-    node: &Node<E>,
-    group: &Group,
-    record: &Record,
-) -> Result<u64, Failed> {
+async fn announced<E: Edge>(node: &Node<E>, group: &Group, record: &Record) -> Result<u64, Failed> {
     let key = lead_key::<E>(&group.service);
     let items = timeout(CALL, node.edge.store().read(&key)).await;
     let items = items.map_err(|_| Fault::Unknown)??;
@@ -411,14 +402,13 @@
 }
 
 /// Stops the old primary if it can be reached, and the replicas; chooses one.
-async fn fence<E: Edge>(
-    node: &Node<E>,
-    group: &Rc<Group>,
-    old: &Record,
-) -> Option<Chosen> {
+async fn fence<E: Edge>(node: &Node<E>, group: &Rc<Group>, old: &Record) -> Option<Chosen> {
     let next = old.term.next();
     let members = group.members();
-    let primary = members.iter().find(|m| *m.upstream.id == *old.upstream).cloned();
+    let primary = members
+        .iter()
+        .find(|m| *m.upstream.id == *old.upstream)
+        .cloned();
     let others: Vec<_> = members
         .into_iter()
         .filter(|m| *m.upstream.id != *old.upstream)
@@ -466,7 +456,10 @@
     while Boot.now() < deadline {
         let said = probe::all::<E::Protocol>(others).await;
         let received = said.iter().filter_map(|said| said.status());
-        if received.map(|status| status.received).any(|position| position >= last) {
+        if received
+            .map(|status| status.received)
+            .any(|position| position >= last)
+        {
             return;
         }
         sleep(POLL).await;
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -12,8 +12,9 @@
     line::Line,
     message::{Access, Code, Command, Query, State},
     node::{Node, Proved},
+    outcome::{Cause, Outcome},
     pool, probe,
-    run::{self, Ask, Outcome, Place},
+    run::{self, Ask, Place},
 };
 
 /// How long undoing a transaction may take until its connection is closed instead.
@@ -103,7 +104,7 @@
     let started = Boot.now();
     let limit = node.settings.hold.min(begun.route.timeout);
     let mut tried: Vec<Rc<str>> = Vec::new();
-    let mut last = Code::Busy;
+    let mut last = (Code::Busy, Cause::NoProof);
     loop {
         let hold = run::left(limit, started);
         if hold.is_zero() {
@@ -124,14 +125,16 @@
             return Err(given_up::<E>(last));
         };
         let Some(mut line) = run::connect::<E>(node, &place.member, &begin, hold).await else {
+            last = (Code::Busy, Cause::NoConnection);
             tried.push(Rc::clone(&place.member.upstream.id));
             tokio::time::sleep(PAUSE).await;
             continue;
         };
         line.align::<E::Protocol>(ask.values);
         let sent = Boot.now();
-        let reply = run::send::<E::Protocol>(&mut line, &begin, place.floor, hold).await;
+        let reply = run::send(node, &group, &mut line, &begin, place.floor, hold).await;
         let Ok(reply) = reply else {
+            last = (Code::Busy, Cause::Broken);
             pool::discard::<E::Protocol>(line);
             probe::doubt(node, &group, &place.member);
             tried.push(Rc::clone(&place.member.upstream.id));
@@ -147,7 +150,7 @@
             });
         }
         if let Err(failure) = &reply.verdict {
-            last = failure.code;
+            last = (failure.code, Cause::Upstream);
         }
         pool::release::<E::Protocol>(line);
         tried.push(Rc::clone(&place.member.upstream.id));
@@ -159,12 +162,12 @@
 }
 
 /// The refusal of a transaction that never had a connection.
-fn given_up<E: Edge>(last: Code) -> Outcome {
-    let code = match run::is_not_run(last) && last != Code::NoStatement {
-        true => last,
+fn given_up<E: Edge>((code, cause): (Code, Cause)) -> Outcome {
+    let code = match run::is_not_run(code) && code != Code::NoStatement {
+        true => code,
         false => Code::Busy,
     };
-    Outcome::refusal::<E::Protocol>(code, run::COME_BACK, State::Failed)
+    Outcome::refusal::<E::Protocol>(code, cause, State::Failed)
 }
 
 /// Runs a read or write of a transaction. The second part is the transaction behind it.
@@ -180,11 +183,15 @@
         let member = Rc::clone(pinned.line.member());
         let running = run::Running::new(&member);
         pinned.wrote |= access == Access::Write;
-        let reply = run::send::<E::Protocol>(&mut pinned.line, ask, None, rest).await;
+        let reply = run::send(node, &pinned.group, &mut pinned.line, ask, None, rest).await;
         drop(running);
-        let Ok(reply) = reply else {
-            probe::doubt(node, &pinned.group, &member);
-            return (aborted::<E>(pinned), Transaction::Failed);
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(lost) => {
+                probe::doubt(node, &pinned.group, &member);
+                let outcome = aborted::<E>(pinned, lost.into(), State::Failed);
+                return (outcome, Transaction::Failed);
+            }
         };
         let code = reply.verdict.as_ref().err().map(|failure| failure.code);
         if code == Some(Code::NoStatement) {
@@ -215,10 +222,9 @@
 }
 
 /// Closes a transaction's connection: whatever it did is undone with it.
-fn aborted<E: Edge>(pinned: Pinned) -> Outcome {
+fn aborted<E: Edge>(pinned: Pinned, cause: Cause, state: State) -> Outcome {
     pool::discard::<E::Protocol>(pinned.line);
-    let text = "undone, come back in 100 ms";
-    Outcome::refusal::<E::Protocol>(Code::Aborted, text, State::Failed)
+    Outcome::refusal::<E::Protocol>(Code::Aborted, cause, state)
 }
 
 /// Commits.
@@ -236,31 +242,28 @@
         match lead.await {
             Proved::Primary(lead) if Rc::ptr_eq(&lead, &member) => {}
             _ => {
-                let outcome = aborted::<E>(pinned);
-                return (Outcome::refusal::<E::Protocol>(Code::Aborted, run::COME_BACK, State::Idle), {
-                    drop(outcome);
-                    Transaction::None
-                });
+                let outcome = aborted::<E>(pinned, Cause::Replaced, State::Idle);
+                return (outcome, Transaction::None);
             }
         }
     }
     loop {
         let rest = run::left(pinned.route.timeout, ask.at);
         let running = run::Running::new(&member);
-        let reply = run::send::<E::Protocol>(&mut pinned.line, ask, None, rest).await;
+        let reply = run::send(node, &pinned.group, &mut pinned.line, ask, None, rest).await;
         drop(running);
-        let Ok(reply) = reply else {
-            probe::doubt(node, &pinned.group, &member);
-            pool::discard::<E::Protocol>(pinned.line);
-            let outcome = match pinned.wrote {
-                true => run::in_doubt::<E>(),
-                false => Outcome::refusal::<E::Protocol>(
-                    Code::Aborted,
-                    run::COME_BACK,
-                    State::Idle,
-                ),
-            };
-            return (outcome, Transaction::None);
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(lost) => {
+                probe::doubt(node, &pinned.group, &member);
+                let wrote = pinned.wrote;
+                let undone = aborted::<E>(pinned, lost.into(), State::Idle);
+                let outcome = match wrote {
+                    true => run::in_doubt::<E>(lost.into()),
+                    false => undone,
+                };
+                return (outcome, Transaction::None);
+            }
         };
         let busy = matches!(&reply.verdict, Err(f) if f.code == Code::Busy);
         if busy && reply.state == State::Open && !run::left(pinned.route.timeout, ask.at).is_zero()
@@ -271,13 +274,16 @@
         if reply.state == State::Idle {
             pool::release::<E::Protocol>(pinned.line);
         } else {
-            undo::<E::Protocol>(Pinned { wrote: false, ..pinned });
+            undo::<E::Protocol>(Pinned {
+                wrote: false,
+                ..pinned
+            });
             let code = match &reply.verdict {
                 Err(failure) if run::is_not_run(failure.code) => Code::Aborted,
                 Err(failure) => failure.code,
                 Ok(()) => Code::InDoubt,
             };
-            let outcome = Outcome::refusal::<E::Protocol>(code, "not committed", State::Idle);
+            let outcome = Outcome::refusal::<E::Protocol>(code, Cause::Upstream, State::Idle);
             return (outcome, Transaction::None);
         }
         let group = Rc::clone(&pinned.group);
