Hand callers of a cut-off zone over, and lose less time to what can't be reached

Cause: a failover took 1.95 s, 0.3 s of it waiting for a dead primary to step down; callers stayed with instances of a zone that was cut off; reads waited for connections to upstreams that could not be reached. Change: proofs of 600 ms renewed each 150 ms; 40 ms for a failing primary to step down; idle sessions are closed 2.1 s after the instance said that it can't serve; reads and transactions leave an upstream that fails; beats each 300 ms.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -255,9 +255,16 @@
 
 /// Closes connections that others may need.
 async fn tidy<E: Edge>(node: Rc<Node<E>>) {
+    let mut unable = None;
     loop {
         sleep(TIDY).await;
         let now: Instant = Boot.now();
+        let since = node.unable_since();
+        if since.is_some() != unable.is_some() {
+            log::info!(able = since.is_none(); "whether callers can be served here");
+            node.staged.notify_waiters();
+        }
+        unable = since;
         let catalog = node.catalog();
         let instances = node.peers.count();
         for group in node.groups() {
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -77,7 +77,7 @@
             ask_store(&node);
             let span = node.settings.proof;
             let due =
-                |g: &Rc<Group>| g.proof().until() < now + span / 2 && g.wanted.get() + WANTED > now;
+                |g: &Rc<Group>| g.proof().until() < now + span / 3 && g.wanted.get() + WANTED > now;
             if groups.iter().any(due) {
                 ask_others(&node);
             }
@@ -213,7 +213,7 @@
     }
     for group in node.groups() {
         let now = Boot.now();
-        let fresh = group.proof().until() > now + node.settings.proof * 3 / 8;
+        let fresh = group.proof().until() > now + node.settings.proof / 3;
         if fresh || group.wanted.get() + WANTED < now || !group.is_whole(now, MEMORY) {
             continue;
         }
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -53,6 +53,8 @@
     /// Whether it calls itself the primary.
     pub leads: Cell<bool>,
     leaving: Cell<Option<Instant>>,
+    /// Told when it fails again and again.
+    pub fell: Notify,
     /// The connections to it.
     pub pool: Pool,
     /// How many statements run there for this instance.
@@ -72,6 +74,7 @@
             leads: Cell::new(upstream.leads),
             leaving: Cell::new((upstream.stay == Stay::Draining).then(|| Boot.now())),
             upstream,
+            fell: Notify::new(),
             pool: Pool::default(),
             running: Cell::new(0),
             health: Cell::default(),
@@ -109,6 +112,9 @@
     /// Notes that it failed: refused, broke off, or did not answer in time.
     pub fn failed(&self, now: Instant) {
         let health = self.health.get();
+        if health.failures + 1 >= FAILURES {
+            self.fell.notify_waiters();
+        }
         self.health.set(Health {
             failing_since: health.failing_since.or(Some(now)),
             failures: health.failures + 1,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -29,10 +29,13 @@
 };
 
 /// How often beats are sent when nothing is urgent.
-const BEAT: Duration = Duration::from_millis(500);
+const BEAT: Duration = Duration::from_millis(300);
 
 /// How long a beat counts.
-const HEARD: Duration = Duration::from_millis(1_200);
+const HEARD: Duration = Duration::from_millis(1_000);
+
+/// How long nobody of another zone may be heard until this zone counts as cut off.
+const ALONE: Duration = Duration::from_millis(750);
 
 /// How long an instance that is not heard stays known if the store does not list it.
 const FORGET: Duration = Duration::from_secs(10);
@@ -207,7 +210,8 @@
         let heard = |p: &&Peer| p.heard.is_some_and(|at| at + HEARD > now);
         let far = |p: &Peer| !p.zone.is_empty() && p.zone != zone;
         let known_far = table.values().any(far);
-        let heard_far = table.values().filter(heard).any(far);
+        let lately = |p: &&Peer| p.heard.is_some_and(|at| at + ALONE > now);
+        let heard_far = table.values().filter(lately).any(far);
         let able = table.values().filter(heard).any(|p| p.able);
         able || (known_far && !heard_far)
     }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -29,6 +29,9 @@
 /// How long the sign of life may take.
 const SIGN: Duration = Duration::from_millis(150);
 
+/// How long a read waits for a connection if it could run elsewhere.
+const ELSEWHERE: Duration = Duration::from_millis(60);
+
 /// How long an upstream may be silent until it is checked whether it is there.
 const SILENCE: Duration = Duration::from_millis(100);
 
@@ -144,6 +147,16 @@
     }
 }
 
+/// How long an upstream's silence is borne.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// For as long as the statement may take: it may have been kept.
+    ToTheEnd,
+    /// Until the upstream can't be reached: the statement is run elsewhere, or what
+    /// it did is undone.
+    UntilFailing,
+}
+
 /// Sends a statement on a connection that is already its own.
 ///
 /// # Errors
@@ -155,7 +168,7 @@
     line: &mut Line,
     ask: &Ask<'_>,
     floor: Option<Position>,
-    within: Duration,
+    (within, patience): (Duration, Patience),
 ) -> Result<Reply, Lost> {
     let id = &ask.query.id;
     let member = Rc::clone(line.member());
@@ -184,7 +197,14 @@
             if member.health().answered < sent {
                 probe::check(node, group, &member);
             }
-            asked.await
+            match patience {
+                Patience::UntilFailing if member.is_failing() => return Err(Lost::Late),
+                Patience::UntilFailing => tokio::select! {
+                    asked = &mut asked => asked,
+                    () = member.fell.notified() => return Err(Lost::Late),
+                },
+                Patience::ToTheEnd => asked.await,
+            }
         }
     };
     match asked {
@@ -290,8 +310,13 @@
         let Some(place) = place(node, group, ask, &tried, hold).await else {
             break;
         };
-        let Some(mut line) = connect::<E>(node, &place.member, ask, hold).await else {
+        let wait = match place.floor {
+            Some(_) if tried.len() + 1 < group.members().len() => hold.min(ELSEWHERE),
+            _ => hold,
+        };
+        let Some(mut line) = connect::<E>(node, &place.member, ask, wait).await else {
             cause = Cause::NoConnection;
+            probe::check(node, group, &place.member);
             tried.push(Rc::clone(&place.member.upstream.id));
             pause(&tried, group).await;
             continue;
@@ -299,7 +324,10 @@
         let running = Running::new(&place.member);
         line.align::<E::Protocol>(ask.values);
         let rest = left(timeout_at, ask.at);
-        let patience = ask.route.aim.max(PATIENCE).min(rest);
+        let patience = (
+            ask.route.aim.max(PATIENCE).min(rest),
+            Patience::UntilFailing,
+        );
         let sent = running.since();
         let reply = send(node, group, &mut line, ask, place.floor, patience).await;
         drop(running);
@@ -410,7 +438,15 @@
         line.align::<E::Protocol>(ask.values);
         let rest = left(ask.route.timeout, ask.at);
         let sent = running.since();
-        let reply = send(node, group, &mut line, ask, None, rest).await;
+        let reply = send(
+            node,
+            group,
+            &mut line,
+            ask,
+            None,
+            (rest, Patience::ToTheEnd),
+        )
+        .await;
         drop(running);
         let reply = match reply {
             Ok(reply) => reply,
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -32,6 +32,10 @@
 /// How long a transaction may rest if the catalogue does not say.
 const REST: Duration = Duration::from_secs(60);
 
+/// How long after an instance said that it can't serve the balancer still sends
+/// callers here: it asks every second, and needs two misses.
+const ELSEWHERE: Duration = Duration::from_millis(2_100);
+
 /// How long after the order to stop idle sessions are kept: the balancer still
 /// sends callers for a while, and a caller's statement may be on its way.
 const LINGER: Duration = Duration::from_millis(1_500);
@@ -193,7 +197,9 @@
     }
 }
 
-/// When a session is closed because the instance stops.
+/// When a session is closed because the instance stops, or can't serve though
+/// others may: its caller comes back through the balancer, which by then sends it
+/// to another zone.
 ///
 /// Between transactions soon; in one, it has the first half of the time until the
 /// process is killed.
@@ -203,7 +209,9 @@
     buf: &BytesMut,
 ) -> Option<tokio::time::Instant> {
     let Stage::Stop(since) = node.stage.get() else {
-        return None;
+        let since = node.unable_since()?;
+        let idle = session.transaction.state() == State::Idle && buf.is_empty();
+        return idle.then(|| tokio::time::Instant::now() + run::left(ELSEWHERE, since));
     };
     let span = match session.transaction.state() {
         State::Idle if buf.is_empty() => LINGER.min(node.settings.grace / 3),
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -28,10 +28,10 @@
 }
 
 /// How long one proof of a primary holds, unless set.
-pub const PROOF: Duration = Duration::from_millis(800);
+pub const PROOF: Duration = Duration::from_millis(600);
 
 /// How often a proof is renewed, unless set.
-pub const RENEW: Duration = Duration::from_millis(250);
+pub const RENEW: Duration = Duration::from_millis(150);
 
 /// How long a request may wait for somebody to run it, unless set.
 pub const HOLD: Duration = Duration::from_millis(300);
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -50,6 +50,9 @@
 /// The pause between two looks at an upstream that is to lead.
 const POLL: Duration = Duration::from_millis(25);
 
+/// How long a primary that seems to be gone may take to step down.
+const HOPELESS: Duration = Duration::from_millis(40);
+
 /// How long replicas may take to receive the last of a demoted primary.
 const CATCH_UP: Duration = Duration::from_millis(400);
 
@@ -419,7 +422,11 @@
     }
     if let Some(primary) = primary {
         let demote = Command::Demote(next);
-        let said = probe::order::<E::Protocol>(&primary, &demote, probe::ANSWER).await;
+        let within = match primary.is_failing() {
+            true => HOPELESS,
+            false => probe::ANSWER,
+        };
+        let said = probe::order::<E::Protocol>(&primary, &demote, within).await;
         if let Said::Status(status) = said {
             catch_up::<E>(&others, status.received).await;
         }
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -14,7 +14,7 @@
     node::{Node, Proved},
     outcome::{Cause, Outcome},
     pool, probe,
-    run::{self, Ask, Place},
+    run::{self, Ask, Patience, Place},
 };
 
 /// How long undoing a transaction may take until its connection is closed instead.
@@ -126,13 +126,22 @@
         };
         let Some(mut line) = run::connect::<E>(node, &place.member, &begin, hold).await else {
             last = (Code::Busy, Cause::NoConnection);
+            probe::check(node, &group, &place.member);
             tried.push(Rc::clone(&place.member.upstream.id));
             tokio::time::sleep(PAUSE).await;
             continue;
         };
         line.align::<E::Protocol>(ask.values);
         let sent = Boot.now();
-        let reply = run::send(node, &group, &mut line, &begin, place.floor, hold).await;
+        let reply = run::send(
+            node,
+            &group,
+            &mut line,
+            &begin,
+            place.floor,
+            (hold, Patience::UntilFailing),
+        )
+        .await;
         let Ok(reply) = reply else {
             last = (Code::Busy, Cause::Broken);
             pool::discard::<E::Protocol>(line);
@@ -183,7 +192,15 @@
         let member = Rc::clone(pinned.line.member());
         let running = run::Running::new(&member);
         pinned.wrote |= access == Access::Write;
-        let reply = run::send(node, &pinned.group, &mut pinned.line, ask, None, rest).await;
+        let reply = run::send(
+            node,
+            &pinned.group,
+            &mut pinned.line,
+            ask,
+            None,
+            (rest, Patience::UntilFailing),
+        )
+        .await;
         drop(running);
         let reply = match reply {
             Ok(reply) => reply,
@@ -250,7 +267,15 @@
     loop {
         let rest = run::left(pinned.route.timeout, ask.at);
         let running = run::Running::new(&member);
-        let reply = run::send(node, &pinned.group, &mut pinned.line, ask, None, rest).await;
+        let reply = run::send(
+            node,
+            &pinned.group,
+            &mut pinned.line,
+            ask,
+            None,
+            (rest, Patience::ToTheEnd),
+        )
+        .await;
         drop(running);
         let reply = match reply {
             Ok(reply) => reply,
