Give connections up after use while an instance has none

Ruled out: the restart itself; instances were up within 0.9 s. Change: an instance that is refused its first connection says so in its beat; all close theirs after use for 600 ms. Refused opens are tried one at a time.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -35,7 +35,7 @@
 const LISTED: Duration = Duration::from_secs(10);
 
 /// How often connections are looked through.
-const TIDY: Duration = Duration::from_millis(250);
+const TIDY: Duration = Duration::from_millis(100);
 
 /// How long a connection beyond an even share may lie idle.
 const IDLE: Duration = Duration::from_millis(400);
@@ -272,6 +272,9 @@
             let connections = entry.map_or(1, |entry| entry.connections);
             let share = (connections / instances).max(1);
             for member in group.members() {
+                if member.pool.is_starved(now) {
+                    node.peers.urgent.notify_one();
+                }
                 member.pool.trim(now, share, IDLE);
             }
         }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -156,6 +156,12 @@
         }
     }
 
+    /// The upstream with this id, whichever group it is in.
+    pub fn member(&self, id: &str) -> Option<Rc<Member>> {
+        let groups = self.groups.borrow();
+        groups.values().find_map(|group| group.member(id))
+    }
+
     /// Drops the upstream with this id, whichever group it is in.
     pub fn remove(&self, id: &str) {
         for group in self.groups.borrow().values() {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -70,6 +70,7 @@
     address: SocketAddr,
     version: u64,
     beliefs: Vec<Belief>,
+    starved: Vec<String>,
     zone: String,
     able: bool,
     leaving: bool,
@@ -258,7 +259,13 @@
 fn beat<E: Edge>(node: &Node<E>) -> Beat {
     let now = Boot.now();
     let mut beliefs = Vec::new();
+    let mut starved = Vec::new();
     for group in node.groups() {
+        for member in group.members() {
+            if member.pool.is_starved(now) {
+                starved.push(member.upstream.id.to_string());
+            }
+        }
         let Some((primary, term)) = group.primary() else {
             continue;
         };
@@ -273,6 +280,7 @@
         address: node.settings.peers,
         version: node.catalog().version,
         beliefs,
+        starved,
         zone: node.settings.zone.clone(),
         able: node.is_able(),
         leaving: node.is_stopping(),
@@ -285,6 +293,12 @@
     }
     let newer = beat.version > node.catalog().version;
     look_too(node, &beat.beliefs);
+    let now = Boot.now();
+    for id in &beat.starved {
+        if let Some(member) = node.member(id) {
+            member.pool.spare(now);
+        }
+    }
     let mut table = node.peers.table.borrow_mut();
     if beat.leaving {
         table.remove(&beat.name);
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -21,7 +21,16 @@
 };
 
 /// How long to wait after an upstream took no more connections.
-const FULL_PAUSE: Duration = Duration::from_millis(30);
+const FULL_PAUSE: Duration = Duration::from_millis(15);
+
+/// The most that is added to that, so that not all try at once.
+const FULL_JITTER_MICROS: u64 = 20_000;
+
+/// How long after an upstream took no more connections they are opened one by one.
+const FULL_MEMORY: Duration = Duration::from_millis(1_000);
+
+/// How long connections are given up after use once somebody has none at all.
+const SCARCE: Duration = Duration::from_millis(600);
 
 /// Somebody who waits for a connection.
 #[derive(Debug)]
@@ -37,6 +46,8 @@
     waiters: RefCell<Vec<Waiter>>,
     opening: Cell<usize>,
     full_until: Cell<Instant>,
+    scarce_until: Cell<Instant>,
+    starved: Cell<Option<Instant>>,
     retrying: Cell<bool>,
     /// How many connections are open or being opened.
     pub open: Cell<usize>,
@@ -75,6 +86,21 @@
         });
     }
 
+    /// Notes that some instance has no connection at all and is refused one.
+    ///
+    /// Behind a loss of power the upstream still counts the connections of before.
+    /// What is left would stay with those who came first, and the others could
+    /// serve nobody. So for a while connections are closed once nobody here waits.
+    pub fn spare(&self, now: Instant) {
+        self.scarce_until.set(now + SCARCE);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Whether this instance was lately refused its first connection.
+    pub fn is_starved(&self, now: Instant) -> bool {
+        self.starved.get().is_some_and(|at| at + SCARCE > now)
+    }
+
     /// Closes all idle connections.
     pub fn close(&self) {
         self.idle.borrow_mut().clear();
@@ -114,7 +140,9 @@
 /// Gives a connection back; one that is not clean is closed.
 pub fn release<P: Protocol>(line: Line) {
     let member = Rc::clone(line.member());
-    if line.is_clean() {
+    let pool = &member.pool;
+    let scarce = pool.scarce_until.get() > Boot.now() || pool.is_starved(Boot.now());
+    if line.is_clean() && (pool.waiting() > 0 || !scarce) {
         member.pool.idle.borrow_mut().push(line);
     } else {
         drop(line);
@@ -141,6 +169,10 @@
     }
     while pool.waiting() > pool.opening.get() && pool.open.get() < pool.limit.get().max(1) {
         let now = Boot.now();
+        let lately = pool.full_until.get() + FULL_MEMORY > now;
+        if lately && pool.opening.get() > 0 {
+            return;
+        }
         if now < pool.full_until.get() {
             retry::<P>(member);
             return;
@@ -175,12 +207,17 @@
     let opened = Line::open::<P>(member, Counted::new(member)).await;
     pool.opening.set(pool.opening.get() - 1);
     match opened {
-        Ok(line) => hand(pool, Ok(line)),
+        Ok(line) => {
+            pool.starved.set(None);
+            hand(pool, Ok(line));
+        }
         Err(Refused::TooMany) => {
             member.answered(Boot.now());
-            pool.full_until.set(Boot.now() + FULL_PAUSE);
+            let now = Boot.now();
+            let jitter = Duration::from_micros(rand::random_range(0..FULL_JITTER_MICROS));
+            pool.full_until.set(now + FULL_PAUSE + jitter);
             if pool.open.get() == 0 {
-                hand(pool, Err(Refused::TooMany));
+                pool.starved.set(Some(now));
             }
         }
         Err(refused) => {
@@ -199,7 +236,8 @@
     }
     let member = Rc::clone(member);
     spawn_local(async move {
-        sleep(FULL_PAUSE).await;
+        let until = member.pool.full_until.get();
+        sleep(until.since(Boot.now()).max(FULL_PAUSE / 4)).await;
         member.pool.retrying.set(false);
         serve::<P>(&member);
     });
