--- a/crates/lead/src/vote.rs
+++ b/crates/lead/src/vote.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How long a primary must fail before those who see it fail may outvote silence.
-const PATIENCE: Duration = Duration::from_secs(6);
+const PATIENCE: Duration = Duration::from_secs(3);
 
 /// What one instance sees of a primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -67,7 +67,7 @@
 pub async fn read<E: Edge>(node: &Node<E>, prefix: &str) -> Result<Items, Fault> {
     match timeout(READ, node.edge.store().read(prefix)).await {
         Ok(Ok(items)) => {
-            node.stored.set(Boot.now());
+            node.store_answered();
             Ok(items)
         }
         _ => peers::read(node, prefix).await,
@@ -150,7 +150,7 @@
         changes = waiting => changes.map_err(|_| Fault::Unknown)??,
         () = node.refresh.notified() => return Err(Fault::Refused),
     };
-    node.stored.set(Boot.now());
+    node.store_answered();
     let mut relist = false;
     for change in &changes.changes {
         match change {
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -97,7 +97,7 @@
     spawn_local(async move {
         let asked = timeout(CALL, round(&node)).await;
         if asked == Ok(Ok(())) {
-            node.stored.set(Boot.now());
+            node.store_answered();
         }
         node.proving.set(node.proving.get() - 1);
     });
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -19,6 +19,9 @@
     settings::Settings,
 };
 
+/// How long the store may be silent until it counts as having been away.
+const AWAY: Duration = Duration::from_millis(1_200);
+
 /// How long before its time is over an upstream that leaves is sent its last work.
 const LAST_WORK: Duration = Duration::from_millis(1_500);
 
@@ -70,6 +73,8 @@
     pub duty: Cell<(u64, Instant)>,
     /// When the store last answered.
     pub stored: Cell<Instant>,
+    /// Since when it has answered again and again.
+    pub stored_since: Cell<Instant>,
     /// How many sessions are open.
     pub sessions: Cell<usize>,
 }
@@ -96,6 +101,7 @@
             able: Cell::new(Boot.now()),
             duty: Cell::default(),
             stored: Cell::default(),
+            stored_since: Cell::default(),
             sessions: Cell::new(0),
         }
     }
@@ -256,6 +262,15 @@
         self.refresh.notify_one();
     }
 
+    /// Notes that the store answered.
+    pub fn store_answered(&self) {
+        let now = Boot.now();
+        if self.stored.get() + AWAY < now {
+            self.stored_since.set(now);
+        }
+        self.stored.set(now);
+    }
+
     /// Whether a stop was asked for.
     pub fn is_stopping(&self) -> bool {
         matches!(self.stage.get(), Stage::Stop(_))
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -194,7 +194,9 @@
     let since = primary.health().failing_since?;
     let own = primary.verdict(now);
     let (tally, failing) = node.peers.tally(service, known.record.term, own);
-    if !tally.gone(node.peers.count(), now.since(since)) {
+    // A zone that was cut off hears its own first when it is back.
+    let failing_for = now.since(since.max(node.stored_since.get()));
+    if !tally.gone(node.peers.count(), failing_for) {
         return None;
     }
     (since + delay(&failing) <= now).then_some(Reason::Gone)
