Promote the furthest log, and let a primary that is back lead on

Change: the furthest log wins; as many replicas must answer as the durability asks for, and none falls behind a position seen of late; a primary that is back before an order was given leads on in its term, later it is a candidate.

--- a/crates/lead/src/choose.rs
+++ b/crates/lead/src/choose.rs
@@ -1,7 +1,5 @@
 //! Which replica is promoted.
 
-use std::time::Duration;
-
 use model::Position;
 
 /// What a replica answered when it was told to stop receiving.
@@ -11,29 +9,37 @@
     pub upstream: &'a str,
     /// How far its log goes, by its own answer, never by the list of upstreams.
     pub received: Position,
-    /// How much longer it may take new work; `None` if it stays.
-    pub leaves_in: Option<Duration>,
+    /// Whether it stays, or is about to leave.
+    pub stays: bool,
 }
 
-/// The least time that a replica must have left to be promoted: it has to be
-/// replaced again before it is over.
-const STAY: Duration = Duration::from_secs(4);
-
 /// The replica with the furthest log; among equals one that stays.
 ///
 /// A replica that hears nothing calls itself fine and may be far behind, so only
-/// positions are compared. One that leaves is chosen only if its log is further
-/// than all others and if there is time to replace it again: no new work may reach
-/// it once its time is over, so promoting it later would leave nobody to write to.
+/// positions are compared. One that leaves may be the only one that holds the last
+/// acknowledged commits: then it leads just for as long as it takes another replica
+/// to receive them, and is sent no work if its time is over.
 pub fn best<'a>(candidates: &[Candidate<'a>]) -> Option<&'a str> {
-    let stays = |c: &&Candidate<'a>| c.leaves_in.is_none_or(|left| left >= STAY);
-    let rank = |c: &&Candidate<'a>| {
-        let stays = c.leaves_in.is_none();
-        (c.received, stays, std::cmp::Reverse(c.upstream))
-    };
-    candidates
-        .iter()
-        .filter(stays)
-        .max_by_key(rank)
-        .map(|c| c.upstream)
+    let rank = |c: &&Candidate<'a>| (c.received, c.stays, std::cmp::Reverse(c.upstream));
+    candidates.iter().max_by_key(rank).map(|c| c.upstream)
+}
+
+/// Whether one of those that answered surely holds every acknowledged commit.
+///
+/// A commit is acknowledged once `sync` of the `replicas` hold it beside the
+/// primary. If fewer than `sync` replicas stay silent, at least one that answered
+/// holds it, and the one with the furthest log does. Where commits are acknowledged
+/// by the primary alone, nobody can be sure, and whoever answers must do.
+///
+/// ```
+/// use lead::choose::enough;
+/// assert!(enough(1, 2, 0));
+/// assert!(!enough(1, 2, 1));
+/// assert!(enough(2, 2, 1));
+/// ```
+pub fn enough(answered: usize, replicas: usize, sync: usize) -> bool {
+    match sync {
+        0 => answered > 0,
+        _ => answered + sync > replicas,
+    }
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped},
-    era,
+    era::{self, MEMORY},
     group::Group,
     node::Node,
     peers, takeover,
@@ -268,6 +268,7 @@
         let catalog = node.catalog();
         let instances = node.peers.count();
         for group in node.groups() {
+            group.is_whole(now, MEMORY);
             let entry = catalog.services.get(&group.service);
             let connections = entry.map_or(1, |entry| entry.connections);
             let share = (connections / instances).max(1);
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -43,7 +43,7 @@
 const WANTED: Duration = Duration::from_secs(2);
 
 /// How long the list of upstreams is remembered as having been longer.
-const MEMORY: Duration = Duration::from_secs(15);
+pub const MEMORY: Duration = Duration::from_secs(15);
 
 /// The most time before a missing era or record is written by this instance, so
 /// that not all do it at once.
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -210,6 +210,7 @@
     pub unlisted: Cell<Option<Instant>>,
     leaving: Cell<Option<Instant>>,
     most: Cell<(usize, Instant)>,
+    furthest: Cell<(Position, Instant)>,
 }
 
 impl Group {
@@ -230,6 +231,7 @@
             unlisted: Cell::default(),
             leaving: Cell::default(),
             most: Cell::default(),
+            furthest: Cell::default(),
         }
     }
 
@@ -352,6 +354,32 @@
         self.samples.borrow().floor(now, age)
     }
 
+    /// Notes how far a replica's log goes.
+    pub fn received(&self, position: Position) {
+        let (furthest, _) = self.furthest.get();
+        if position >= furthest {
+            self.furthest.set((position, Boot.now()));
+        }
+    }
+
+    /// The furthest position that a replica was seen at within `memory`.
+    pub fn furthest(&self, now: Instant, memory: Duration) -> Option<Position> {
+        let (furthest, at) = self.furthest.get();
+        (at + memory > now).then_some(furthest)
+    }
+
+    /// How many replicas the group has: those listed, and those that were listed a
+    /// while ago, since an entry may expire though its upstream lives.
+    pub fn replicas(&self, now: Instant, memory: Duration) -> usize {
+        let count = self.members.borrow().len();
+        let (most, at) = self.most.get();
+        let members = match at + memory < now {
+            true => count,
+            false => count.max(most),
+        };
+        members.saturating_sub(1)
+    }
+
     /// Whether the list of upstreams has as many members as it had a while ago.
     ///
     /// An entry may expire though its upstream lives; whoever asks all members
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -16,7 +16,7 @@
     catalog::Stay,
     control::{duty_key, encode, lead_key},
     edge::{Edge, Fault, Orders, Store, Swap, Swapped},
-    era::{era_key, era_of},
+    era::{MEMORY, era_key, era_of},
     group::{Group, Member},
     message::Command,
     node::Node,
@@ -50,8 +50,8 @@
 /// The pause between two looks at an upstream that is to lead.
 const POLL: Duration = Duration::from_millis(25);
 
-/// How long a primary that seems to be gone may take to step down.
-const HOPELESS: Duration = Duration::from_millis(40);
+/// How long a replica's position is remembered that no other may fall behind.
+const SEEN: Duration = Duration::from_secs(30);
 
 /// How long replicas may take to receive the last of a demoted primary.
 const CATCH_UP: Duration = Duration::from_millis(400);
@@ -135,7 +135,7 @@
             let (node, right) = (Rc::clone(&node), Rc::clone(right));
             spawn_local(async move {
                 log::info!(service = &*group.service, reason:?, fence = right.fence; "replacing the primary");
-                let ended = replace(&node, &group, &right).await;
+                let ended = replace(&node, &group, &right, reason).await;
                 log::info!(service = &*group.service, ended:?; "replacement over");
                 if ended.is_err() {
                     sleep(RANK).await;
@@ -158,6 +158,16 @@
     Stuck,
 }
 
+impl Reason {
+    /// The reason once an order was given: its effect may still come.
+    fn ordered(self) -> Self {
+        match self {
+            Self::Gone | Self::Stuck => Self::Stuck,
+            Self::Leaving => Self::Leaving,
+        }
+    }
+}
+
 /// Why a group's primary is to be replaced by this instance now, if it is.
 fn due<E: Edge>(node: &Node<E>, group: &Group, holds: bool) -> Option<Reason> {
     let known = group.known()?;
@@ -293,12 +303,13 @@
     node: &Rc<Node<E>>,
     group: &Rc<Group>,
     right: &Right,
+    mut reason: Reason,
 ) -> Result<(), Failed> {
     let old = group.known().ok_or(Failed::Overtaken)?.record;
     let revision = announce(node, group, right).await?;
     let ended = end_era(node, right).await?;
     while right.holds() {
-        let Some(chosen) = fence(node, group, &old).await else {
+        let Some(chosen) = fence(node, group, &old, reason).await else {
             sleep(POLL * 4).await;
             continue;
         };
@@ -313,6 +324,7 @@
         if !right.holds() {
             break;
         }
+        reason = reason.ordered();
         let id = &member.upstream.id;
         let name = &node.settings.name;
         let order = node
@@ -400,36 +412,49 @@
 /// Who is to lead.
 #[derive(Debug)]
 enum Chosen {
-    /// This replica.
+    /// This upstream is to be promoted.
     Candidate(Rc<Member>),
-    /// This upstream leads a newer term already.
+    /// This upstream leads this term already.
     Leads(Rc<Member>, Term),
 }
 
 /// Stops the old primary if it can be reached, and the replicas; chooses one.
-async fn fence<E: Edge>(node: &Node<E>, group: &Rc<Group>, old: &Record) -> Option<Chosen> {
+///
+/// A primary that was only out of reach for a while leads on in its term, as long as
+/// no order to promote another may be on its way: nobody else leads, and no log is
+/// further than its own. Whoever takes over a replacement that stands still can't
+/// know that, and promotes in any case.
+async fn fence<E: Edge>(
+    node: &Node<E>,
+    group: &Rc<Group>,
+    old: &Record,
+    reason: Reason,
+) -> Option<Chosen> {
     let next = old.term.next();
     let members = group.members();
-    let primary = members
-        .iter()
-        .find(|m| *m.upstream.id == *old.upstream)
-        .cloned();
-    let others: Vec<_> = members
-        .into_iter()
-        .filter(|m| *m.upstream.id != *old.upstream)
-        .collect();
-    let said = probe::all::<E::Protocol>(&others).await;
-    if let Some(leads) = leader(&others, &said, old.term) {
+    let said = probe::all::<E::Protocol>(&members).await;
+    if let Some(leads) = leader(&members, &said, old.term) {
         return Some(leads);
     }
-    if let Some(primary) = primary {
+    let is_old = |m: &&Rc<Member>| *m.upstream.id == *old.upstream;
+    let (old_said, primary) = match members.iter().position(|m| is_old(&m)) {
+        Some(at) => (said[at], Some(&members[at])),
+        None => (Said::Silent, None),
+    };
+    if let (Some(primary), Said::Status(status)) = (primary, old_said)
+        && reason == Reason::Gone
+        && status.leads
+        && status.term == old.term
+    {
+        return Some(Chosen::Leads(Rc::clone(primary), old.term));
+    }
+    let others: Vec<_> = members.iter().filter(|m| !is_old(m)).cloned().collect();
+    let mut last = None;
+    if let (Some(primary), Said::Status(_)) = (primary, old_said) {
         let demote = Command::Demote(next);
-        let within = match primary.is_failing() {
-            true => HOPELESS,
-            false => probe::ANSWER,
-        };
-        let said = probe::order::<E::Protocol>(&primary, &demote, within).await;
+        let said = probe::order::<E::Protocol>(primary, &demote, probe::ANSWER).await;
         if let Said::Status(status) = said {
+            last = Some(status.received);
             catch_up::<E>(&others, status.received).await;
         }
     }
@@ -439,16 +464,55 @@
         let Some(status) = said.status() else {
             continue;
         };
+        group.received(status.received);
         candidates.push(choose::Candidate {
             upstream: &member.upstream.id,
             received: status.received,
-            leaves_in: member.leaves_in(Boot.now(), node.settings.drain),
+            stays: member.stay.get() == Stay::Ready,
         });
     }
+    let answered = candidates.len();
+    if let (Some(primary), Some(received)) = (primary, last)
+        && reason != Reason::Leaving
+    {
+        candidates.push(choose::Candidate {
+            upstream: &primary.upstream.id,
+            received,
+            stays: primary.stay.get() == Stay::Ready,
+        });
+    }
+    if !is_safe(node, group, &candidates, answered, last) {
+        return None;
+    }
     let best = choose::best(&candidates)?;
+    log::info!(service = &*group.service, upstream = best, candidates:?, last:?; "replica chosen");
     group.member(best).map(Chosen::Candidate)
 }
 
+/// Whether the furthest of the candidates surely holds every acknowledged commit
+/// that the service's durability speaks for.
+fn is_safe<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    candidates: &[choose::Candidate<'_>],
+    answered: usize,
+    last: Option<Position>,
+) -> bool {
+    let catalog = node.catalog();
+    let sync = catalog.services.get(&group.service).map_or(0, |s| s.sync);
+    let furthest = candidates.iter().map(|c| c.received).max();
+    let Some(furthest) = furthest else {
+        return false;
+    };
+    if last.is_some_and(|last| furthest >= last) || sync == 0 {
+        return true;
+    }
+    let now = Boot.now();
+    let replicas = group.replicas(now, MEMORY);
+    let seen = group.furthest(now, SEEN);
+    choose::enough(answered, replicas, sync) && seen.is_none_or(|seen| furthest >= seen)
+}
+
 /// The member that leads a newer term than `term`, if one does.
 fn leader(members: &[Rc<Member>], said: &[Said], term: Term) -> Option<Chosen> {
     let leaders = members.iter().zip(said).filter_map(|(member, said)| {
@@ -499,6 +563,7 @@
     member: &Rc<Member>,
     term: Term,
 ) -> Result<(), Failed> {
+    let old = group.known().map(|known| known.record.upstream);
     let record = Record {
         term,
         upstream: member.upstream.id.to_string(),
@@ -528,6 +593,7 @@
         }
     }
     node.prove.notify_one();
+    let again = old.as_deref() == Some(&*member.upstream.id);
     let others: Vec<_> = group
         .members()
         .into_iter()
@@ -535,6 +601,9 @@
         .collect();
     spawn_local(async move {
         probe::each::<E::Protocol>(&others, &Command::Resume).await;
+        if again {
+            return;
+        }
         probe::each::<E::Protocol>(&others, &Command::Demote(term)).await;
     });
     Ok(())
