--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -109,6 +109,14 @@
         });
     }
 
+    /// Notes that it lives, though it has not answered a statement.
+    pub fn reached(&self) {
+        self.health.set(Health {
+            answered: self.health.get().answered,
+            ..Health::default()
+        });
+    }
+
     /// Notes that it failed: refused, broke off, or did not answer in time.
     pub fn failed(&self, now: Instant) {
         let health = self.health.get();
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -29,6 +29,9 @@
 /// The pause between two tries to reach an upstream that fails.
 const AGAIN: Duration = Duration::from_millis(50);
 
+/// How long an upstream that accepts connections may be without an answer.
+const QUIET: Duration = Duration::from_millis(700);
+
 /// How many tries in a row must be accepted until an upstream is trusted again.
 const TRUST: u32 = 2;
 
@@ -115,14 +118,16 @@
     check(node, group, member);
 }
 
-/// Whether `member` accepts a connection.
-async fn accepts(member: &Member) -> bool {
+/// Whether `member` lives: it accepts connections, and answered a while ago or does
+/// so now. One that hangs accepts connections all the same.
+async fn lives<P: Protocol>(member: &Rc<Member>) -> bool {
     let connecting = TcpStream::connect(member.upstream.address);
-    matches!(timeout(ACCEPT, connecting).await, Ok(Ok(_)))
+    let accepts = matches!(timeout(ACCEPT, connecting).await, Ok(Ok(_)));
+    let quiet = member.health().answered + QUIET < Boot.now();
+    accepts && (!quiet || status::<P>(member).await != Said::Silent)
 }
 
-/// Tries to reach `member` again and again until it accepts connections, or is no
-/// member any more.
+/// Tries to reach `member` again and again until it lives, or is no member any more.
 pub fn check<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, member: &Rc<Member>) {
     if member.probed.replace(true) {
         return;
@@ -136,7 +141,7 @@
             if group.member(id).is_none_or(|m| !Rc::ptr_eq(&m, &member)) {
                 break;
             }
-            if accepts(&member).await {
+            if lives::<E::Protocol>(&member).await {
                 accepted += 1;
                 if !told {
                     break;
@@ -153,7 +158,7 @@
             sleep(AGAIN).await;
         }
         if accepted > 0 {
-            member.answered(Boot.now());
+            member.reached();
         }
         if told {
             log::info!(service = &*group.service, upstream = &**id, back = accepted > 0; "upstream fails no more");
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
+use futures_util::future::join;
 use lead::{Phase, Record, choose, proof};
 use model::{Position, Term};
 use serde::{Deserialize, Serialize};
@@ -320,10 +321,14 @@
             Chosen::Candidate(member) => member,
         };
         let lapsed = proof::all_lapsed(Boot.now().max(ended), node.settings.proof);
-        sleep(lapsed.since(Boot.now())).await;
+        let wait = lapsed.since(Boot.now());
+        let (back, ()) = join(is_back::<E>(group, &old, reason, wait), sleep(wait)).await;
         if !right.holds() {
             break;
         }
+        if let Some(primary) = back {
+            return settle(node, group, right, revision, &primary, old.term).await;
+        }
         reason = reason.ordered();
         let id = &member.upstream.id;
         let name = &node.settings.name;
@@ -343,6 +348,23 @@
     Err(Failed::Expired)
 }
 
+/// The old primary, if it leads its term again before others' proofs have lapsed
+/// and no order may be on its way.
+async fn is_back<E: Edge>(
+    group: &Group,
+    old: &Record,
+    reason: Reason,
+    wait: Duration,
+) -> Option<Rc<Member>> {
+    let primary = group.member(&old.upstream)?;
+    if reason != Reason::Gone {
+        return None;
+    }
+    sleep(wait.saturating_sub(probe::ANSWER)).await;
+    let status = probe::status::<E::Protocol>(&primary).await.status()?;
+    (status.leads && status.term == old.term).then_some(primary)
+}
+
 /// Writes into the record that the primary is being replaced; the new revision.
 async fn announce<E: Edge>(node: &Node<E>, group: &Group, right: &Right) -> Result<u64, Failed> {
     let known = group.known().ok_or(Failed::Overtaken)?;
