Make fewer calls to the store

Change: entries are taken from the watch; watches wait 6 s (keep-alive finds silent ones); proofs are renewed each 200 ms.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -21,9 +21,9 @@
 /// How long the store may take to answer a read.
 const READ: Duration = Duration::from_millis(400);
 
-/// How long a watch waits. A watch whose connection went silent is noticed only
-/// behind its wait.
-const WATCH: Duration = Duration::from_millis(2_500);
+/// How long a watch waits. The kernel's keep-alive finds a connection that went
+/// silent sooner.
+const WATCH: Duration = Duration::from_millis(6_000);
 
 /// How long a watch's answer may come behind its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
@@ -126,20 +126,16 @@
     Ok(catalog.at)
 }
 
-fn list<E: Edge>(node: &Node<E>, own: &Items) {
+/// The name and the address of an instance, if `item` is an instance's entry.
+fn instance<E: Edge>(item: &Item) -> Option<(&str, SocketAddr)> {
     let prefix = instances::<E>();
-    let mut listed = HashMap::new();
-    for item in &own.items {
-        let Some(name) = item.key.strip_prefix(&prefix) else {
-            continue;
-        };
-        let text = std::str::from_utf8(&item.value).unwrap_or_default();
-        if let Ok(address) = text.parse::<SocketAddr>()
-            && name != node.settings.name
-        {
-            listed.insert(name.to_owned(), address);
-        }
-    }
+    let name = item.key.strip_prefix(&prefix)?;
+    let text = std::str::from_utf8(&item.value).ok()?;
+    Some((name, text.parse().ok()?))
+}
+
+fn list<E: Edge>(node: &Node<E>, own: &Items) {
+    let listed: HashMap<_, _> = own.items.iter().filter_map(instance::<E>).collect();
     node.peers.list(&listed);
 }
 
@@ -151,24 +147,24 @@
         () = node.refresh.notified() => return Err(Fault::Refused),
     };
     node.store_answered();
-    let mut relist = false;
     for change in &changes.changes {
         match change {
             Change::Put(item) => {
-                relist |= item.key.starts_with(&instances::<E>());
                 take(node, item);
+                if let Some((name, address)) = instance::<E>(item) {
+                    node.peers.add(name, address);
+                }
             }
             Change::Gone(key) => {
-                relist |= key.starts_with(&instances::<E>());
                 if key.starts_with(E::UPSTREAMS) {
                     node.remove(id_of::<E>(key));
                 }
+                if let Some(name) = key.strip_prefix(&instances::<E>()) {
+                    node.peers.unlist(name);
+                }
             }
         }
     }
-    if relist && let Ok(own) = read(node, &instances::<E>()).await {
-        list::<E>(node, &own);
-    }
     Ok(changes.at)
 }
 
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -144,15 +144,31 @@
     }
 
     /// Takes in the store's list of instances.
-    pub fn list(&self, listed: &HashMap<String, SocketAddr>) {
-        let mut table = self.table.borrow_mut();
+    pub fn list(&self, listed: &HashMap<&str, SocketAddr>) {
         for (name, address) in listed {
-            let new = || Peer::new(*address);
-            let peer = table.entry(name.clone()).or_insert_with(new);
-            peer.address = *address;
+            self.add(name, *address);
+        }
+        for (name, peer) in self.table.borrow_mut().iter_mut() {
+            peer.listed = listed.contains_key(&**name);
+        }
+    }
+
+    /// Takes in one entry of the store's list.
+    pub fn add(&self, name: &str, address: SocketAddr) {
+        if address == self.own {
+            return;
         }
-        for (name, peer) in table.iter_mut() {
-            peer.listed = listed.contains_key(name);
+        let mut table = self.table.borrow_mut();
+        let new = || Peer::new(address);
+        let peer = table.entry(name.to_owned()).or_insert_with(new);
+        peer.address = address;
+        peer.listed = true;
+    }
+
+    /// Takes in that the store does not list an instance any more.
+    pub fn unlist(&self, name: &str) {
+        if let Some(peer) = self.table.borrow_mut().get_mut(name) {
+            peer.listed = false;
         }
     }
 
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -31,7 +31,7 @@
 pub const PROOF: Duration = Duration::from_millis(600);
 
 /// How often a proof is renewed, unless set.
-pub const RENEW: Duration = Duration::from_millis(150);
+pub const RENEW: Duration = Duration::from_millis(200);
 
 /// How long a request may wait for somebody to run it, unless set.
 pub const HOLD: Duration = Duration::from_millis(300);
