Find a transaction's connection while its caller is told that it has begun

Cause: a transaction's first statement waited two round trips and often for a new connection; cut-off zones said a second late that they can't serve. Change: the connection is found from BEGIN on; unable after 150 ms without a proof and 500 ms without a far instance; single statements go first while connections are few; a way to another zone weighs 12 ms, the primary 25 ms.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -26,7 +26,7 @@
 const LAST_WORK: Duration = Duration::from_millis(1_500);
 
 /// How long nothing may be proved until an instance counts as unable to serve.
-const LAPSED: Duration = Duration::from_millis(400);
+const LAPSED: Duration = Duration::from_millis(150);
 
 /// How far an instance is with its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -35,7 +35,7 @@
 const HEARD: Duration = Duration::from_millis(1_000);
 
 /// How long nobody of another zone may be heard until this zone counts as cut off.
-const ALONE: Duration = Duration::from_millis(750);
+const ALONE: Duration = Duration::from_millis(500);
 
 /// How long an instance that is not heard stays known if the store does not list it.
 const FORGET: Duration = Duration::from_secs(10);
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -96,6 +96,11 @@
         self.idle.borrow_mut().clear();
     }
 
+    /// Whether connections are so few that none may be held for long.
+    pub fn is_tight(&self, now: Instant) -> bool {
+        self.scarce_until.get() > now || self.is_starved(now)
+    }
+
     /// Whether this instance was lately refused its first connection.
     pub fn is_starved(&self, now: Instant) -> bool {
         self.starved.get().is_some_and(|at| at + SCARCE > now)
@@ -141,8 +146,8 @@
 pub fn release<P: Protocol>(line: Line) {
     let member = Rc::clone(line.member());
     let pool = &member.pool;
-    let scarce = pool.scarce_until.get() > Boot.now() || pool.is_starved(Boot.now());
-    if line.is_clean() && (pool.waiting() > 0 || !scarce) {
+    let tight = pool.is_tight(Boot.now());
+    if line.is_clean() && (pool.waiting() > 0 || !tight) {
         member.pool.idle.borrow_mut().push(line);
     } else {
         drop(line);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -11,7 +11,7 @@
     edge::{Edge, Protocol},
     group::{Group, Member},
     line::{Broken, Line, Refused, Values},
-    message::{Access, Code, Command, Query, Reply, Shape, State},
+    message::{Access, Code, Command, Query, Reply, Shape, State, Statement},
     node::{Node, Proved},
     outcome::{Cause, Outcome},
     pool, probe,
@@ -29,6 +29,9 @@
 /// How long the sign of life may take.
 const SIGN: Duration = Duration::from_millis(150);
 
+/// What is added to a transaction's priority while connections are few.
+const TRANSACTIONS_LAST: u8 = 128;
+
 /// How long a read waits for a connection if it could run elsewhere.
 const ELSEWHERE: Duration = Duration::from_millis(60);
 
@@ -36,10 +39,10 @@
 const SILENCE: Duration = Duration::from_millis(100);
 
 /// What a way to an upstream in another zone weighs against a wait there.
-const FAR: Duration = Duration::from_millis(6);
+const FAR: Duration = Duration::from_millis(12);
 
 /// What the primary weighs more, since only it can run writes.
-const LEADER: Duration = Duration::from_millis(8);
+const LEADER: Duration = Duration::from_millis(25);
 
 /// The shortest time after which a read is tried elsewhere as well.
 const PATIENCE: Duration = Duration::from_millis(120);
@@ -392,7 +395,12 @@
     ask: &Ask<'_>,
     wait: Duration,
 ) -> Option<Line> {
-    let priority = ask.route.priority;
+    let mut priority = ask.route.priority;
+    if member.pool.is_tight(Boot.now()) && matches!(ask.query.statement, Statement::Begin(_)) {
+        // A transaction holds its connection through its pauses; in that time many
+        // single statements run on it.
+        priority = priority.saturating_add(TRANSACTIONS_LAST);
+    }
     let acquired = pool::acquire::<E::Protocol>(member, priority, ask.values);
     match timeout(wait, acquired).await {
         Ok(Ok(line)) => Some(line),
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -20,7 +20,7 @@
     node::{Node, Stage},
     outcome::{Cause, Outcome},
     run::{self, Ask},
-    transaction::{self, Begun, Transaction},
+    transaction::{self, Begun, Start, Transaction},
 };
 
 /// How long a caller may take to say which database it wants.
@@ -99,9 +99,7 @@
         transaction: Transaction::None,
     };
     let ended = converse(node, &mut session, &mut stream, &mut buf).await;
-    if let Transaction::Pinned(pinned) = session.transaction {
-        transaction::undo::<E::Protocol>(pinned);
-    }
+    session.end::<E>();
     ended
 }
 
@@ -171,7 +169,7 @@
         let staged = node.staged.notified();
         let stop = stop_at(node, session, buf);
         let rest = match &session.transaction {
-            Transaction::Pinned(_) => {
+            Transaction::Pinned(_) | Transaction::Begun(_) => {
                 let limit = match node.catalog().rest {
                     Duration::ZERO => REST,
                     limit => limit,
@@ -221,13 +219,20 @@
 }
 
 impl Session {
+    /// Undoes the open transaction, if there is one.
+    fn end<E: Edge>(&mut self) {
+        match std::mem::replace(&mut self.transaction, Transaction::None) {
+            Transaction::Pinned(pinned) => transaction::undo::<E::Protocol>(pinned),
+            Transaction::Begun(begun) => begun.undo::<E>(),
+            Transaction::None | Transaction::Failed => {}
+        }
+    }
+
     /// Undoes a transaction that rested too long; the caller hears it with its next
     /// statement, because nothing may be said to it unasked.
     fn rested<E: Edge>(&mut self) {
-        let transaction = std::mem::replace(&mut self.transaction, Transaction::Failed);
-        if let Transaction::Pinned(pinned) = transaction {
-            transaction::undo::<E::Protocol>(pinned);
-        }
+        self.end::<E>();
+        self.transaction = Transaction::Failed;
     }
 
     async fn answer<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query) -> Outcome {
@@ -304,7 +309,7 @@
 
     fn begin<E: Edge>(
         &mut self,
-        node: &Node<E>,
+        node: &Rc<Node<E>>,
         query: &Query,
         access: Access,
         at: Instant,
@@ -315,20 +320,21 @@
         let Some(route) = node.route(&self.database) else {
             return no_database::<E>();
         };
-        self.transaction = Transaction::Begun(Begun {
+        let own = self.ask(&route, query, None, &self.values, at).own;
+        let start = Start {
             query: query.clone(),
             access,
             route,
+            values: self.values.clone(),
+            own,
             at,
-        });
+        };
+        self.transaction = Transaction::Begun(Begun::spawn(node, start));
         Outcome::done::<E::Protocol>(State::Open)
     }
 
     fn rollback<E: Edge>(&mut self) -> Outcome {
-        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
-        if let Transaction::Pinned(pinned) = transaction {
-            transaction::undo::<E::Protocol>(pinned);
-        }
+        self.end::<E>();
         Outcome::done::<E::Protocol>(State::Idle)
     }
 
@@ -344,9 +350,9 @@
                 (pinned, route)
             }
             Transaction::Begun(begun) => {
-                let ask = self.ask(&begun.route, query, None, &values, at);
-                match transaction::pin(node, &begun, &ask).await {
-                    Ok(pinned) => (pinned, Rc::clone(&begun.route)),
+                let route = Rc::clone(&begun.route);
+                match begun.pinned::<E>().await {
+                    Ok(pinned) => (pinned, route),
                     Err(refusal) => {
                         let cause = refusal.failure.map_or(Cause::Undone, |(_, cause)| cause);
                         return Outcome::refusal::<E::Protocol>(Code::Aborted, cause, State::Idle);
@@ -376,16 +382,13 @@
             Transaction::None => return self.single(node, query, prepared, access, at).await,
             Transaction::Failed => return malformed::<E>(State::Failed),
             Transaction::Pinned(pinned) => pinned,
-            Transaction::Begun(begun) => {
-                let ask = self.ask(&begun.route, query, None, &values, at);
-                match transaction::pin(node, &begun, &ask).await {
-                    Ok(pinned) => pinned,
-                    Err(refusal) => {
-                        self.transaction = Transaction::Failed;
-                        return refusal;
-                    }
+            Transaction::Begun(begun) => match begun.pinned::<E>().await {
+                Ok(pinned) => pinned,
+                Err(refusal) => {
+                    self.transaction = Transaction::Failed;
+                    return refusal;
                 }
-            }
+            },
         };
         let route = Rc::clone(&pinned.route);
         let ask = self.ask(&route, query, prepared, &values, at);
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -3,13 +3,17 @@
 use std::{rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
-use tokio::{task::spawn_local, time::timeout};
+use model::Position;
+use tokio::{
+    task::{JoinHandle, spawn_local},
+    time::timeout,
+};
 
 use crate::{
     catalog::Route,
     edge::{Edge, Protocol},
     group::Group,
-    line::Line,
+    line::{Line, Values},
     message::{Access, Code, Command, Query, State},
     node::{Node, Proved},
     outcome::{Cause, Outcome},
@@ -36,23 +40,67 @@
     Failed,
 }
 
-/// A transaction without a connection.
+/// A transaction that was begun, as its caller left it.
 #[derive(Debug)]
-pub struct Begun {
+pub struct Start {
     /// The statement that began it.
     pub query: Query,
     /// Whether it may write.
     pub access: Access,
     /// The route it takes, whatever the catalogue becomes meanwhile.
     pub route: Rc<Route>,
+    /// The session's values then.
+    pub values: Values,
+    /// The position of the session's last commit.
+    pub own: Option<Position>,
     /// When its first byte was here.
     pub at: Instant,
 }
 
+/// A transaction whose connection is being found.
+///
+/// The caller was told at once that it has begun, and sends its first statement a
+/// round trip later at the earliest; until then the connection is there.
+#[derive(Debug)]
+pub struct Begun {
+    /// The route it takes.
+    pub route: Rc<Route>,
+    pinned: JoinHandle<Result<Pinned, Outcome>>,
+}
+
+impl Begun {
+    /// Begins to find a connection.
+    pub fn spawn<E: Edge>(node: &Rc<Node<E>>, start: Start) -> Self {
+        let node = Rc::clone(node);
+        let route = Rc::clone(&start.route);
+        let pinned = spawn_local(async move { pin(&node, &start).await });
+        Self { route, pinned }
+    }
+
+    /// The connection, or the refusal if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Nobody may run the transaction now, or nobody had room: nothing was run.
+    pub async fn pinned<E: Edge>(self) -> Result<Pinned, Outcome> {
+        let unknown = || given_up::<E>((Code::Busy, Cause::NoConnection));
+        self.pinned.await.unwrap_or_else(|_| Err(unknown()))
+    }
+
+    /// Undoes it: its caller does not want it any more.
+    pub fn undo<E: Edge>(self) {
+        spawn_local(async move {
+            if let Ok(Ok(pinned)) = self.pinned.await {
+                undo::<E::Protocol>(pinned);
+            }
+        });
+    }
+}
+
 /// A transaction on its connection.
 #[derive(Debug)]
 pub struct Pinned {
-    line: Line,
+    line: Box<Line>,
     group: Rc<Group>,
     /// The route it takes.
     pub route: Rc<Route>,
@@ -78,28 +126,22 @@
     let mut line = pinned.line;
     spawn_local(async move {
         match timeout(UNDO, line.ask::<P>(&Command::Rollback)).await {
-            Ok(Ok(reply)) if reply.state == State::Idle => pool::release::<P>(line),
-            _ => pool::discard::<P>(line),
+            Ok(Ok(reply)) if reply.state == State::Idle => pool::release::<P>(*line),
+            _ => pool::discard::<P>(*line),
         }
     });
 }
 
 /// Gives a begun transaction its connection.
-///
-/// # Errors
-///
-/// Nobody may run it now, or nobody had room: the refusal, nothing was run.
-pub async fn pin<E: Edge>(
-    node: &Rc<Node<E>>,
-    begun: &Begun,
-    ask: &Ask<'_>,
-) -> Result<Pinned, Outcome> {
+async fn pin<E: Edge>(node: &Rc<Node<E>>, begun: &Start) -> Result<Pinned, Outcome> {
     let group = node.group_of(&begun.route.service);
     let begin = Ask {
+        route: &begun.route,
         query: &begun.query,
         prepared: None,
+        values: &begun.values,
+        own: begun.own,
         at: begun.at,
-        ..*ask
     };
     let started = Boot.now();
     let limit = node.settings.hold.min(begun.route.timeout);
@@ -131,7 +173,7 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        line.align::<E::Protocol>(ask.values);
+        line.align::<E::Protocol>(&begun.values);
         let sent = Boot.now();
         let reply = run::send(
             node,
@@ -152,7 +194,7 @@
         run::note(node, &group, &place, sent, &reply);
         if reply.verdict.is_ok() && reply.state == State::Open {
             return Ok(Pinned {
-                line,
+                line: Box::new(line),
                 group,
                 route: Rc::clone(&begun.route),
                 wrote: false,
@@ -231,7 +273,7 @@
                 (outcome, Transaction::Failed)
             }
             State::Idle => {
-                pool::release::<E::Protocol>(pinned.line);
+                pool::release::<E::Protocol>(*pinned.line);
                 (outcome, Transaction::None)
             }
         };
@@ -240,7 +282,7 @@
 
 /// Closes a transaction's connection: whatever it did is undone with it.
 fn aborted<E: Edge>(pinned: Pinned, cause: Cause, state: State) -> Outcome {
-    pool::discard::<E::Protocol>(pinned.line);
+    pool::discard::<E::Protocol>(*pinned.line);
     Outcome::refusal::<E::Protocol>(Code::Aborted, cause, state)
 }
 
@@ -297,7 +339,7 @@
             continue;
         }
         if reply.state == State::Idle {
-            pool::release::<E::Protocol>(pinned.line);
+            pool::release::<E::Protocol>(*pinned.line);
         } else {
             undo::<E::Protocol>(Pinned {
                 wrote: false,
