Let a majority prove a primary for 5 s without the store

Change: the primary and a majority prove it for 5 s behind the last word of the store, then all members must; who replaces fences the primary or all replicas, or waits those 5 s; a third that fails for 1 s decides as well.

--- a/crates/lead/src/vote.rs
+++ b/crates/lead/src/vote.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 /// How long a primary must fail before those who see it fail may outvote silence.
-const PATIENCE: Duration = Duration::from_secs(3);
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// How long a third of the instances must be without the primary.
+const ENDURED: Duration = Duration::from_millis(1_000);
 
 /// What one instance sees of a primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,23 +44,27 @@
 
     /// Whether the primary is to be replaced, after failing here for `failing_for`.
     ///
-    /// One zone's blindness is not a dead primary: more must see it fail than see
-    /// it answer, and those heard must be half of the `known` instances. A list of
-    /// instances lags by seconds after many were killed, so after a while those
-    /// who are heard decide alone.
+    /// One zone's blindness is not a dead primary: as a rule more must see it fail
+    /// than see it answer, and those heard must be half of the `known` instances. A
+    /// list of instances lags by seconds after many were killed, so after a while
+    /// those who are heard decide alone. If several, and a third of those who can
+    /// tell, see it fail for long, a replacement costs all callers less than a
+    /// primary out of reach costs theirs.
     ///
     /// ```
     /// use std::time::Duration;
     /// let tally = lead::Tally { fine: 1, failing: 3, unknown: 1 };
     /// assert!(tally.gone(9, Duration::from_millis(300)));
-    /// let blind = lead::Tally { fine: 5, failing: 4, unknown: 0 };
+    /// let blind = lead::Tally { fine: 7, failing: 2, unknown: 0 };
     /// assert!(!blind.gone(9, Duration::from_secs(10)));
     /// ```
     pub fn gone(&self, known: usize, failing_for: Duration) -> bool {
-        if self.failing <= self.fine {
-            return false;
-        }
         let heard = self.fine + self.failing + self.unknown;
-        heard * 2 >= known || failing_for >= PATIENCE
+        let judges = self.fine + self.failing;
+        if self.failing > self.fine {
+            return heard * 2 >= known || failing_for >= PATIENCE;
+        }
+        let third = self.failing >= 2 && self.failing * 3 >= judges;
+        third && heard * 2 >= known && failing_for >= ENDURED
     }
 }
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -45,6 +45,10 @@
 /// How long the list of upstreams is remembered as having been longer.
 pub const MEMORY: Duration = Duration::from_secs(15);
 
+/// How long after the store was last heard a majority of a group may prove its
+/// primary; then only all of it may.
+pub const LONELY: Duration = Duration::from_secs(5);
+
 /// The most time before a missing era or record is written by this instance, so
 /// that not all do it at once.
 const JITTER_MS: u64 = 60;
@@ -114,6 +118,7 @@
         let sent = Boot.now();
         match node.edge.store().keep(era).await {
             Ok(()) => {
+                node.heard_from_store(sent);
                 for group in groups {
                     prove_by_era(node, &group, era, sent);
                 }
@@ -180,6 +185,7 @@
 
 /// Takes in records that were read for a question sent at `sent`.
 fn learn<E: Edge>(node: &Rc<Node<E>>, items: &Items, sent: Instant) {
+    node.heard_from_store(sent);
     for item in &items.items {
         if let Some(group) = record(node, item) {
             group.prove(item.revision, sent, node.settings.proof);
@@ -214,7 +220,7 @@
     for group in node.groups() {
         let now = Boot.now();
         let fresh = group.proof().until() > now + node.settings.proof / 3;
-        if fresh || group.wanted.get() + WANTED < now || !group.is_whole(now, MEMORY) {
+        if fresh || group.wanted.get() + WANTED < now {
             continue;
         }
         if !group.asking.replace(true) {
@@ -227,12 +233,14 @@
     }
 }
 
-/// Proves a primary by its group.
+/// Proves a primary by its group: by the primary and as many replicas as make a
+/// majority, or by all of them once the store was not heard for [`LONELY`].
 ///
-/// Whoever replaces a primary tells a member to hold for the next term before
-/// anything else, and waits then as long as any proof lasts. So if every member
-/// answers that it has heard of no newer term, none was told so before the
-/// question was sent.
+/// Whoever replaces a primary tells it to step down, or all its replicas to hold for
+/// the next term, before anything else, and waits then as long as any proof lasts.
+/// So if the primary and a majority answer that they have heard of no newer term,
+/// none was told so before the question was sent. Where a replica can't be told,
+/// the replacement waits until nobody counts on a mere majority any more.
 async fn ask_group<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>) {
     let Some(known) = group.known() else {
         return;
@@ -241,12 +249,17 @@
         return;
     };
     let members = group.members();
-    if members.len() < 2 {
+    let sent = Boot.now();
+    let replicas = group.replicas(sent, MEMORY);
+    let lonely = node.contact.get() + LONELY < sent;
+    let others = match lonely {
+        true => replicas,
+        false => replicas.div_ceil(2),
+    };
+    if others == 0 {
         return;
     }
-    let sent = Boot.now();
-    let said = probe::all::<E::Protocol>(&members).await;
-    if probe::confirms(&members, &said, &leader, term) {
+    if probe::confirms::<E::Protocol>(&members, &leader, term, others).await {
         group.prove(known.revision, sent, node.settings.proof);
     }
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -71,6 +71,8 @@
     able: Cell<Instant>,
     /// The right to give orders as it was last seen, and since when.
     pub duty: Cell<(u64, Instant)>,
+    /// When the last question was sent that the store answered.
+    pub contact: Cell<Instant>,
     /// When the store last answered.
     pub stored: Cell<Instant>,
     /// Since when it has answered again and again.
@@ -100,6 +102,7 @@
             listed: Cell::new(false),
             able: Cell::new(Boot.now()),
             duty: Cell::default(),
+            contact: Cell::default(),
             stored: Cell::default(),
             stored_since: Cell::default(),
             sessions: Cell::new(0),
@@ -262,6 +265,12 @@
         self.refresh.notify_one();
     }
 
+    /// Notes that a question which was sent to the store at `sent`, by this instance
+    /// or through another, was answered.
+    pub fn heard_from_store(&self, sent: Instant) {
+        self.contact.set(self.contact.get().max(sent));
+    }
+
     /// Notes that the store answered.
     pub fn store_answered(&self) {
         let now = Boot.now();
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use clock::Boot;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use model::Term;
 use tokio::{
     net::TcpStream,
@@ -182,14 +183,37 @@
     futures_util::future::join_all(tasks).await
 }
 
-/// Whether all members answered that nothing newer than `term` was heard of, and
-/// `leader` that it leads.
-pub fn confirms(members: &[Rc<Member>], said: &[Said], leader: &Rc<Member>, term: Term) -> bool {
-    members.iter().zip(said).all(|(member, said)| {
+/// Whether `leader` answers that it leads `term`, and `others` more members that
+/// they have heard of nothing newer, before anybody says otherwise.
+pub async fn confirms<P: Protocol>(
+    members: &[Rc<Member>],
+    leader: &Rc<Member>,
+    term: Term,
+    others: usize,
+) -> bool {
+    let ask = |member: &Rc<Member>| {
+        let member = Rc::clone(member);
+        async move { (status::<P>(&member).await, member) }
+    };
+    let mut asked: FuturesUnordered<_> = members.iter().map(ask).collect();
+    let (mut leads, mut agree) = (false, 0);
+    while let Some((said, member)) = asked.next().await {
         let Some(status) = said.status() else {
-            return false;
+            continue;
         };
-        let leads = !Rc::ptr_eq(member, leader) || status.leads;
-        status.term <= term && status.held <= term && leads
-    })
+        if status.term > term || status.held > term {
+            return false;
+        }
+        if !Rc::ptr_eq(&member, leader) {
+            agree += 1;
+        } else if status.leads {
+            leads = true;
+        } else {
+            return false;
+        }
+        if leads && agree >= others {
+            return true;
+        }
+    }
+    false
 }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -17,7 +17,7 @@
     catalog::Stay,
     control::{duty_key, encode, lead_key},
     edge::{Edge, Fault, Orders, Store, Swap, Swapped},
-    era::{MEMORY, era_key, era_of},
+    era::{LONELY, MEMORY, era_key, era_of},
     group::{Group, Member},
     message::Command,
     node::Node,
@@ -318,9 +318,14 @@
             Chosen::Leads(member, term) => {
                 return settle(node, group, right, revision, &member, term).await;
             }
-            Chosen::Candidate(member) => member,
+            // Somebody may still prove the old primary by a majority of the group.
+            Chosen::Candidate(_, Fenced::InPart) if Boot.now() < ended + LONELY => {
+                sleep(POLL * 4).await;
+                continue;
+            }
+            Chosen::Candidate(member, _) => member,
         };
-        let lapsed = proof::all_lapsed(Boot.now().max(ended), node.settings.proof);
+        let lapsed = proof::all_lapsed(Boot.now(), node.settings.proof);
         let wait = lapsed.since(Boot.now());
         let (back, ()) = join(is_back::<E>(group, &old, reason, wait), sleep(wait)).await;
         if !right.holds() {
@@ -431,11 +436,20 @@
     Err(Failed::Expired)
 }
 
+/// Who was told of the next term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fenced {
+    /// The old primary, or all replicas: no majority with the old primary is left.
+    Wholly,
+    /// Some replicas.
+    InPart,
+}
+
 /// Who is to lead.
 #[derive(Debug)]
 enum Chosen {
     /// This upstream is to be promoted.
-    Candidate(Rc<Member>),
+    Candidate(Rc<Member>, Fenced),
     /// This upstream leads this term already.
     Leads(Rc<Member>, Term),
 }
@@ -508,7 +522,13 @@
     }
     let best = choose::best(&candidates)?;
     log::info!(service = &*group.service, upstream = best, candidates:?, last:?; "replica chosen");
-    group.member(best).map(Chosen::Candidate)
+    let replicas = group.replicas(Boot.now(), MEMORY);
+    let fenced = match last.is_some() || answered >= replicas {
+        true => Fenced::Wholly,
+        false => Fenced::InPart,
+    };
+    let member = group.member(best)?;
+    Some(Chosen::Candidate(member, fenced))
 }
 
 /// Whether the furthest of the candidates surely holds every acknowledged commit
