Log what decided a statement, and count by class, without holding anything up

Cause: on-call engineers have only logs and metrics; lines came with paths of the build machine, and a full pipe would have blocked the one thread.

--- /dev/null
+++ b/crates/logs/src/lib.rs
@@ -0,0 +1,155 @@
+//! Log lines that never hold anything up.
+//!
+//! A full pipe, or a reader that stops, would block whoever writes a line, and with
+//! it every request of the process. So a line is written only if the output takes it
+//! at once, and only so many lines a second; the next line that is written tells how
+//! many were left out.
+
+use std::{
+    fmt::Debug,
+    io::Write,
+    os::fd::AsFd,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Instant, SystemTime},
+};
+
+use logforth::{
+    Append, Diagnostic, Error,
+    kv::{Key, Value, Visitor},
+    record::{Level, Record},
+};
+use rustix::{
+    event::{PollFd, PollFlags, Timespec, poll},
+    io::Errno,
+};
+use serde_json::{Map, json};
+
+/// How many lines a second are written.
+const RATE: f64 = 150.0;
+
+/// How many lines may come at once after a quiet time.
+const BURST: f64 = 300.0;
+
+/// The longest line: what a pipe that takes anything takes at once.
+const LONGEST: usize = 4_096;
+
+/// Lines left out since the start of the process.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// How many lines were left out since the start of the process.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
+#[derive(Debug)]
+struct State<W> {
+    out: W,
+    tokens: f64,
+    at: Instant,
+    missing: u64,
+}
+
+/// Writes records as JSON lines, as many as the output and the rate take.
+#[derive(Debug)]
+pub struct Lines<W> {
+    own: &'static [&'static str],
+    state: Mutex<State<W>>,
+}
+
+impl<W: Write + AsFd> Lines<W> {
+    /// Writes to `out` what the crates named in `own` say, and warnings of all
+    /// others.
+    pub fn new(out: W, own: &'static [&'static str]) -> Self {
+        let state = State {
+            out,
+            tokens: BURST,
+            at: Instant::now(),
+            missing: 0,
+        };
+        Self {
+            own,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn wants(&self, record: &Record) -> bool {
+        let of = record.target().split("::").next().unwrap_or_default();
+        self.own.contains(&of)
+            || matches!(record.level(), Level::Warn | Level::Error | Level::Fatal)
+    }
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl Visitor for Fields {
+    fn visit(&mut self, key: Key, value: Value) -> Result<(), Error> {
+        let text = || json!(value.to_string());
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| text());
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+fn line(record: &Record, missing: u64) -> Result<Vec<u8>, Error> {
+    let since = record.time().duration_since(SystemTime::UNIX_EPOCH);
+    let mut fields = Fields(Map::new());
+    let at = since.unwrap_or_default().as_secs_f64();
+    fields.0.insert("at".to_owned(), json!(at));
+    fields
+        .0
+        .insert("level".to_owned(), json!(record.level().name()));
+    fields.0.insert("part".to_owned(), json!(record.target()));
+    fields
+        .0
+        .insert("message".to_owned(), json!(record.payload()));
+    if missing > 0 {
+        fields.0.insert("left_out".to_owned(), json!(missing));
+    }
+    record.key_values().visit(&mut fields)?;
+    let mut line = serde_json::to_vec(&fields.0).unwrap_or_default();
+    line.push(b'\n');
+    Ok(line)
+}
+
+fn takes<W: AsFd>(out: &W) -> bool {
+    let mut polled = [PollFd::new(out, PollFlags::OUT)];
+    let at_once = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    match poll(&mut polled, Some(&at_once)) {
+        Ok(ready) => ready > 0 && polled[0].revents().contains(PollFlags::OUT),
+        Err(Errno::INTR) | Err(_) => false,
+    }
+}
+
+impl<W: Write + AsFd + Debug + Send + 'static> Append for Lines<W> {
+    fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        if !self.wants(record) {
+            return Ok(());
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let spent = now.saturating_duration_since(state.at);
+        state.at = now;
+        state.tokens = (state.tokens + spent.as_secs_f64() * RATE).min(BURST);
+        let line = line(record, state.missing)?;
+        if state.tokens < 1.0 || line.len() > LONGEST || !takes(&state.out) {
+            state.missing += 1;
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        state.tokens -= 1.0;
+        if state.out.write_all(&line).is_ok() {
+            state.missing = 0;
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod edge;
 pub mod era;
+pub mod figures;
 pub mod group;
 pub mod line;
 pub mod message;
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -15,6 +15,7 @@
 use crate::{
     catalog::Route,
     edge::{Edge, Protocol},
+    figures,
     line::{self, Values},
     message::{Access, Code, Query, Request, Shape, State, Statement},
     node::{Node, Stage},
@@ -238,23 +239,52 @@
     async fn answer<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query) -> Outcome {
         let at = Boot.now();
         let outcome = self.dispatch(node, query, at).await;
-        if let Some((code, cause)) = outcome.failure {
-            let route = node.route(&self.database);
-            log::info!(
-                request = &*String::from_utf8_lossy(&query.id),
-                database = &*String::from_utf8_lossy(&self.database),
-                route = route.as_ref().map_or("", |route| &*route.name),
-                service = route.as_ref().map_or("", |route| &*route.service),
-                freshness:? = route.as_ref().map(|route| route.freshness),
-                statement:? = query.statement.kind(),
-                code:?, cause:?,
-                ms = Boot.now().since(at).as_millis() as u64;
-                "not served"
-            );
+        let route = node.route(&self.database);
+        let span = Boot.now().since(at);
+        figures::answered(route.as_deref(), &outcome, span);
+        if outcome.failure.is_some() || route.as_ref().is_some_and(|r| span > r.aim) {
+            self.tell(node, query, route.as_deref(), &outcome, span);
         }
         outcome
     }
 
+    /// Logs a statement that was refused, failed or slow, with what decided it.
+    fn tell<E: Edge>(
+        &self,
+        node: &Node<E>,
+        query: &Query,
+        route: Option<&Route>,
+        outcome: &Outcome,
+        span: Duration,
+    ) {
+        let now = Boot.now();
+        let group = route.map(|route| node.group_of(&route.service));
+        let known = group.as_ref().and_then(|group| group.known());
+        let left = group.map_or(Duration::ZERO, |group| group.proof().until().since(now));
+        let (code, cause) = match outcome.failure {
+            Some((code, cause)) => (Some(code), Some(cause)),
+            None => (None, None),
+        };
+        log::info!(
+            request = &*String::from_utf8_lossy(&query.id),
+            database = &*String::from_utf8_lossy(&self.database),
+            route = route.map_or("", |route| &*route.name),
+            service = route.map_or("", |route| &*route.service),
+            freshness:? = route.map(|route| route.freshness),
+            statement = query.statement.kind(),
+            state:? = outcome.state,
+            code:?, cause:?,
+            ms = millis(span),
+            catalogue = node.catalog().version,
+            term = known.as_ref().map_or(0, |known| known.record.term.0),
+            upstream = known.as_ref().map_or("", |known| &*known.record.upstream),
+            phase:? = known.as_ref().map(|known| known.record.phase),
+            proof_left_ms = millis(left),
+            store_silent_ms = millis(now.since(node.contact.get()));
+            "statement"
+        );
+    }
+
     async fn dispatch<E: Edge>(
         &mut self,
         node: &Rc<Node<E>>,
@@ -459,6 +489,10 @@
     }
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn malformed<E: Edge>(state: State) -> Outcome {
     Outcome::refusal::<E::Protocol>(Code::Malformed, Cause::Malformed, state)
 }
