--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -1,9 +1,8 @@
 //! What an instance counts and shows of itself.
 
-use std::{fmt::Write, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write, rc::Rc, time::Duration};
 
 use clock::Boot;
-use metrics::{counter, histogram};
 
 use crate::{
     catalog::{Freshness, Route},
@@ -13,28 +12,76 @@
     outcome::{Cause, Outcome},
 };
 
-/// Counts an answered statement, by service and class, never by a caller's words.
-pub fn answered(route: Option<&Route>, outcome: &Outcome, span: Duration) {
-    let service = route.map_or("none", |route| &route.service).to_owned();
-    let class = match route.map(|route| route.freshness) {
-        Some(Freshness::Current) => "current",
-        Some(Freshness::OwnWrites(_)) => "own_writes",
-        Some(Freshness::Bounded(_)) => "bounded",
-        None => "none",
-    };
-    let (code, cause) = match outcome.failure {
-        None => ("done", "none"),
-        Some((code, cause)) => (word(code), reason(cause)),
-    };
-    let labels = [
-        ("service", service.clone()),
-        ("class", class.to_owned()),
-        ("outcome", code.to_owned()),
-        ("cause", cause.to_owned()),
-    ];
-    counter!("dandelionlink_statements_total", &labels).increment(1);
-    let labels = [("service", service), ("class", class.to_owned())];
-    histogram!("dandelionlink_statement_seconds", &labels).record(span.as_secs_f64());
+/// The upper bounds of the buckets of durations, in seconds.
+const BOUNDS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+/// How a statement ended: its service, its class, the outcome and the cause.
+type End = (Rc<str>, &'static str, &'static str, &'static str);
+
+/// How long statements of a service and a class took.
+#[derive(Debug, Clone, Copy, Default)]
+struct Spans {
+    buckets: [u64; BOUNDS.len()],
+    sum: f64,
+    count: u64,
+}
+
+/// What was counted since the start of the process.
+///
+/// The `metrics` crate's exporter is not used here: its clock spins for 0.2 s at
+/// every start, and that long an instance would serve nobody (docs/MEASUREMENTS.md).
+#[derive(Debug, Default)]
+pub struct Figures {
+    ends: RefCell<BTreeMap<End, u64>>,
+    spans: RefCell<BTreeMap<(Rc<str>, &'static str), Spans>>,
+}
+
+impl Figures {
+    /// Counts an answered statement, by service and class, never by a caller's words.
+    pub fn answered(&self, route: Option<&Route>, outcome: &Outcome, span: Duration) {
+        let service = route.map_or_else(|| "none".into(), |route| Rc::clone(&route.service));
+        let class = match route.map(|route| route.freshness) {
+            Some(Freshness::Current) => "current",
+            Some(Freshness::OwnWrites(_)) => "own_writes",
+            Some(Freshness::Bounded(_)) => "bounded",
+            None => "none",
+        };
+        let (code, cause) = match outcome.failure {
+            None => ("done", "none"),
+            Some((code, cause)) => (word(code), reason(cause)),
+        };
+        let end = (Rc::clone(&service), class, code, cause);
+        *self.ends.borrow_mut().entry(end).or_default() += 1;
+        let mut spans = self.spans.borrow_mut();
+        let spans = spans.entry((service, class)).or_default();
+        let seconds = span.as_secs_f64();
+        spans.sum += seconds;
+        spans.count += 1;
+        for (bucket, bound) in spans.buckets.iter_mut().zip(BOUNDS) {
+            *bucket += u64::from(seconds <= bound);
+        }
+    }
+
+    fn write(&self, page: &mut String) {
+        for ((service, class, outcome, cause), count) in self.ends.borrow().iter() {
+            let _ = writeln!(
+                page,
+                "dandelionlink_statements_total{{service=\"{service}\",class=\"{class}\",\
+                 outcome=\"{outcome}\",cause=\"{cause}\"}} {count}"
+            );
+        }
+        let name = "dandelionlink_statement_seconds";
+        for ((service, class), spans) in self.spans.borrow().iter() {
+            let labels = format!("service=\"{service}\",class=\"{class}\"");
+            for (count, bound) in spans.buckets.iter().zip(BOUNDS) {
+                let _ = writeln!(page, "{name}_bucket{{{labels},le=\"{bound}\"}} {count}");
+            }
+            let (sum, count) = (spans.sum, spans.count);
+            let _ = writeln!(page, "{name}_bucket{{{labels},le=\"+Inf\"}} {count}");
+            let _ = writeln!(page, "{name}_sum{{{labels}}} {sum}");
+            let _ = writeln!(page, "{name}_count{{{labels}}} {count}");
+        }
+    }
 }
 
 fn word(code: Code) -> &'static str {
@@ -71,13 +118,15 @@
     }
 }
 
-/// What the instance believes and holds just now, as Prometheus text.
+/// What was counted, and what the instance believes and holds just now, as
+/// Prometheus text.
 ///
 /// It is written anew for each reader, so an upstream that has left is shown no
 /// more.
 pub fn page<E: Edge>(node: &Node<E>) -> String {
     let now = Boot.now();
     let mut page = String::new();
+    node.figures.write(&mut page);
     let mut put = |name: &str, labels: &str, value: f64| {
         let _ = writeln!(page, "dandelionlink_{name}{labels} {value}");
     };
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -9,11 +9,15 @@
 
 use bytes::Bytes;
 use clock::{Boot, Instant};
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::{
     catalog::{Catalog, Route, Upstream},
     edge::Edge,
+    figures::Figures,
     group::{Group, Member},
     peers::Peers,
     settings::Settings,
@@ -22,6 +26,9 @@
 /// How long the store may be silent until it counts as having been away.
 const AWAY: Duration = Duration::from_millis(1_200);
 
+/// How often it is looked whether a catalogue is in force.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// How long before its time is over an upstream that leaves is sent its last work.
 const LAST_WORK: Duration = Duration::from_millis(1_500);
 
@@ -77,6 +84,8 @@
     pub stored: Cell<Instant>,
     /// Since when it has answered again and again.
     pub stored_since: Cell<Instant>,
+    /// What was counted.
+    pub figures: Figures,
     /// How many sessions are open.
     pub sessions: Cell<usize>,
 }
@@ -105,6 +114,7 @@
             contact: Cell::default(),
             stored: Cell::default(),
             stored_since: Cell::default(),
+            figures: Figures::default(),
             sessions: Cell::new(0),
         }
     }
@@ -189,6 +199,20 @@
         }
     }
 
+    /// Waits until some catalogue is in force, or `wait` is over; whether one is.
+    ///
+    /// A caller that comes before would be told that its database does not exist.
+    pub async fn informed(&self, wait: Duration) -> bool {
+        let since = Boot.now();
+        while self.catalog().version == 0 {
+            if Boot.now().since(since) > wait {
+                return false;
+            }
+            sleep(LOOK).await;
+        }
+        true
+    }
+
     /// Whether the instance can take callers.
     ///
     /// One that can't serve while others may says so: the balancer then sends its
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -15,7 +15,6 @@
 use crate::{
     catalog::Route,
     edge::{Edge, Protocol},
-    figures,
     line::{self, Values},
     message::{Access, Code, Query, Request, Shape, State, Statement},
     node::{Node, Stage},
@@ -27,6 +26,9 @@
 /// How long a caller may take to say which database it wants.
 const HELLO: Duration = Duration::from_secs(10);
 
+/// How long a caller waits for an instance's first catalogue.
+const INFORMED: Duration = Duration::from_millis(1_500);
+
 /// How much is read at once.
 const CHUNK: usize = 4 * 1024;
 
@@ -86,6 +88,14 @@
         return Ok(());
     };
     let mut out = BytesMut::new();
+    if !node.informed(INFORMED).await {
+        E::Protocol::rejection(
+            Code::Busy,
+            "no catalogue yet, come back in 500 ms",
+            &mut out,
+        );
+        return stream.write_all(&out).await;
+    }
     if node.route(&database).is_none() {
         E::Protocol::rejection(Code::NoDatabase, "no such database", &mut out);
         return stream.write_all(&out).await;
@@ -241,7 +251,7 @@
         let outcome = self.dispatch(node, query, at).await;
         let route = node.route(&self.database);
         let span = Boot.now().since(at);
-        figures::answered(route.as_deref(), &outcome, span);
+        node.figures.answered(route.as_deref(), &outcome, span);
         if outcome.failure.is_some() || route.as_ref().is_some_and(|r| span > r.aim) {
             self.tell(node, query, route.as_deref(), &outcome, span);
         }
