--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -23,6 +23,9 @@
 /// How long an upstream may take to say what it is.
 pub const ANSWER: Duration = Duration::from_millis(300);
 
+/// How long one that fails may take to say what it is.
+const HOPELESS: Duration = Duration::from_millis(120);
+
 /// How long an upstream may take to accept a connection. It needs no slot for that,
 /// so one that is merely slow accepts in no time.
 const ACCEPT: Duration = Duration::from_millis(150);
@@ -61,7 +64,15 @@
 
 /// Asks `member` what it is.
 pub async fn status<P: Protocol>(member: &Rc<Member>) -> Said {
-    order::<P>(member, &Command::Status, ANSWER).await
+    order::<P>(member, &Command::Status, patience(member)).await
+}
+
+/// How long `member` may take to answer: one that fails holds nobody up for long.
+fn patience(member: &Member) -> Duration {
+    match member.is_failing() {
+        true => HOPELESS,
+        false => ANSWER,
+    }
 }
 
 /// Gives `member` an order, or asks it, and reads what it says of itself.
@@ -178,7 +189,7 @@
 pub async fn each<P: Protocol>(members: &[Rc<Member>], command: &Command<'_>) -> Vec<Said> {
     let mut tasks = Vec::with_capacity(members.len());
     for member in members {
-        tasks.push(order::<P>(member, command, ANSWER));
+        tasks.push(order::<P>(member, command, patience(member)));
     }
     futures_util::future::join_all(tasks).await
 }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -468,15 +468,26 @@
 ) -> Option<Chosen> {
     let next = old.term.next();
     let members = group.members();
-    let said = probe::all::<E::Protocol>(&members).await;
-    if let Some(leads) = leader(&members, &said, old.term) {
-        return Some(leads);
-    }
     let is_old = |m: &&Rc<Member>| *m.upstream.id == *old.upstream;
-    let (old_said, primary) = match members.iter().position(|m| is_old(&m)) {
-        Some(at) => (said[at], Some(&members[at])),
-        None => (Said::Silent, None),
+    let others: Vec<_> = members.iter().filter(|m| !is_old(m)).cloned().collect();
+    let primary = members.iter().find(is_old);
+    // One that fails is asked again before the order; nobody waits for it here.
+    let old_said = async {
+        match primary {
+            Some(primary) if !primary.is_failing() => probe::status::<E::Protocol>(primary).await,
+            _ => Said::Silent,
+        }
     };
+    let (said, old_said) = join(probe::all::<E::Protocol>(&others), old_said).await;
+    if let Some(leads) = leader(&others, &said, old.term) {
+        return Some(leads);
+    }
+    if let (Some(primary), Said::Status(status)) = (primary, old_said)
+        && status.leads
+        && status.term > old.term
+    {
+        return Some(Chosen::Leads(Rc::clone(primary), status.term));
+    }
     if let (Some(primary), Said::Status(status)) = (primary, old_said)
         && reason == Reason::Gone
         && status.leads
@@ -484,7 +495,6 @@
     {
         return Some(Chosen::Leads(Rc::clone(primary), old.term));
     }
-    let others: Vec<_> = members.iter().filter(|m| !is_old(m)).cloned().collect();
     let mut last = None;
     if let (Some(primary), Said::Status(_)) = (primary, old_said) {
         let demote = Command::Demote(next);
