Run a write where its driver prepared it ahead of a Flush: on the primary

Cause: a driver that parses, describes and flushes, and executes in a later batch (asyncpg with its defaults), had its insert refused with 25006: the first part runs nothing, so it went to a replica, and what follows a Flush goes where that went. Ruled out: trying again on the primary behind the refusal (part of the answer has gone out by then). Change: ahead of a Flush the prepared statements' need counts. Measured: a test byte by byte fails before (25006) and passes now; tests of wire and callers pass.

--- a/crates/daemon/src/callers/batch.rs
+++ b/crates/daemon/src/callers/batch.rs
@@ -334,6 +334,22 @@
         Ok(found.unwrap_or(default))
     }
 
+    /// What the statements need that are only prepared here, ahead of a Flush.
+    ///
+    /// What follows a Flush has to run where this part runs. A driver that prepares a
+    /// write, flushes, and executes it afterwards would have it refused by a replica
+    /// with an error that its caller takes for the database's own.
+    fn ahead(&self) -> Need {
+        let writes = |step: &Step| match step {
+            Step::Parse(it) | Step::DescribeStatement(it) => need(&it.sql) == Ok(Need::Write),
+            _ => false,
+        };
+        match self.flushes && self.steps.iter().any(writes) {
+            true => Need::Write,
+            false => Need::Read,
+        }
+    }
+
     /// The batch, and who answers it.
     pub(super) fn finish(self, session: &Session) -> Result<Whole, Fault> {
         if let Some(fault) = self.fault {
@@ -343,9 +359,10 @@
         if self.answerer(session)? == Answerer::Proxy && !session.is_open() {
             return Ok(Whole::Local(self.steps));
         }
+        let need = self.need.unwrap_or(Need::Read).max(self.ahead());
         Ok(Whole::Batch(Batch {
             steps: self.steps,
-            need: self.need.unwrap_or(Need::Read),
+            need,
             closes: self.closes.unwrap_or(Closes::Nothing),
             fingerprint: self.fingerprint,
             changes: self.changes,
--- a/crates/daemon/tests/wire.rs
+++ b/crates/daemon/tests/wire.rs
@@ -383,3 +383,31 @@
         }
     });
 }
+
+/// Symptom: a driver that prepares, describes and flushes, and runs the statement in
+/// a later batch (asyncpg with its defaults), is told that its insert is read only.
+/// Events: the statement is parsed and described ahead of a Flush, then bound and
+/// executed. Cause: the first part runs nothing, so it went to a replica, and what
+/// follows a Flush has to go where the first part went.
+#[test]
+fn a_write_that_is_prepared_ahead_of_a_flush_runs_on_the_primary() {
+    let rig = Rig::open(1);
+    run(async {
+        ready(&rig).await;
+        for round in 0..6 {
+            let mut raw = Raw::session(&rig).await;
+            let sql = format!("INSERT INTO kv (key, value) VALUES ('prepared-{round}', 'x')");
+            let parse = message(b'P', format!("s1\0{sql}\0\0\0").as_bytes());
+            let describe = message(b'D', b"Ss1\0");
+            raw.send(&[parse, describe, flush()].concat()).await;
+            assert!(tags(&raw.until(b'n').await).starts_with("1t"));
+            let bind = message(b'B', b"\0s1\0\0\0\0\0\0\0");
+            let execute = message(b'E', &[0; 5]);
+            raw.send(&[bind, execute, sync()].concat()).await;
+            let frames = raw.until(b'Z').await;
+            assert_eq!(state(&frames), None, "round {round}");
+            // Bound, run, the session's token, ready.
+            assert_eq!(tags(&frames), "2CSZ");
+        }
+    });
+}
