--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,6 +1,6 @@
 //! One instance's whole path on one thread.
 //!
-//! A statement goes one way: [`session`] reads it from its caller, [`run`] decides
+//! A statement goes one way: [`session`] reads it from its caller, [`place`] and [`run`] decide
 //! where it may run and [`line`] carries it there and back. [`control`] keeps what
 //! these decide with (catalogue, upstreams, proofs) in [`node::Node`], and
 //! [`takeover`] replaces primaries. What is outside of the process is met at the
@@ -17,6 +17,7 @@
 pub mod node;
 pub mod outcome;
 pub mod peers;
+pub mod place;
 pub mod pool;
 pub mod probe;
 pub mod run;
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -7,13 +7,14 @@
 use tokio::time::timeout;
 
 use crate::{
-    catalog::{Freshness, Route, Stay},
+    catalog::Route,
     edge::{Edge, Protocol},
     group::{Group, Member},
     line::{Broken, Line, Refused, Values},
-    message::{Access, Code, Command, Query, Reply, Shape, State, Statement},
+    message::{Code, Command, Query, Reply, Shape, State, Statement},
     node::{Node, Proved},
     outcome::{Cause, Outcome},
+    place::{Place, place},
     pool, probe,
 };
 
@@ -38,12 +39,6 @@
 /// How long an upstream may be silent until it is checked whether it is there.
 const SILENCE: Duration = Duration::from_millis(100);
 
-/// What a way to an upstream in another zone weighs against a wait there.
-const FAR: Duration = Duration::from_millis(12);
-
-/// What the primary weighs more, since only it can run writes.
-const LEADER: Duration = Duration::from_millis(25);
-
 /// The shortest time after which a read is tried elsewhere as well.
 const PATIENCE: Duration = Duration::from_millis(120);
 
@@ -64,92 +59,6 @@
     pub at: Instant,
 }
 
-/// Where a read may run.
-#[derive(Debug)]
-pub struct Place {
-    /// The upstream.
-    pub member: Rc<Member>,
-    /// The position that its log must have reached.
-    pub floor: Option<Position>,
-    /// Whether it runs there as on the primary.
-    pub leads: bool,
-}
-
-/// The lowest position that a read on `route` may show, if it can be told.
-fn floor(group: &Group, route: &Route, own: Option<Position>, at: Instant) -> Option<Position> {
-    match route.freshness {
-        Freshness::Current => None,
-        Freshness::Bounded(age) => group.floor(at, age),
-        Freshness::OwnWrites(age) => {
-            let floor = group.floor(at, age)?;
-            let current = group.primary().map(|(_, term)| term);
-            match own {
-                // A commit of an earlier term may be on no log any more.
-                Some(own) if current.is_some_and(|term| own.term < term) => None,
-                Some(own) => Some(floor.max(own)),
-                None => Some(floor),
-            }
-        }
-    }
-}
-
-/// How soon a statement is likely to be answered by `member`.
-fn cost(member: &Member, zone: &str, leads: bool) -> Duration {
-    let queued = member.running.get() + member.pool.waiting();
-    let queued = u32::try_from(queued).unwrap_or(u32::MAX);
-    let mut cost = member.latency().saturating_mul(queued.saturating_add(1));
-    if member.upstream.zone != zone {
-        cost += FAR;
-    }
-    if leads {
-        cost += LEADER;
-    }
-    cost
-}
-
-/// Where a read runs next; `None` if nobody may run it now.
-pub async fn place<E: Edge>(
-    node: &Node<E>,
-    group: &Group,
-    ask: &Ask<'_>,
-    tried: &[Rc<str>],
-    wait: Duration,
-) -> Option<Place> {
-    if let Some(floor) = floor(group, ask.route, ask.own, ask.at) {
-        let now = Boot.now();
-        let primary = group
-            .primary()
-            .map(|(member, _)| Rc::clone(&member.upstream.id));
-        let leads = |member: &Member| primary.as_deref() == Some(&*member.upstream.id);
-        let usable = |member: &&Rc<Member>| {
-            let fit = member.stay.get() == Stay::Ready;
-            let held = member.is_lagging(now) && !leads(member);
-            fit && !held && !member.is_failing() && !tried.contains(&member.upstream.id)
-        };
-        let members = group.members();
-        let best = members
-            .iter()
-            .filter(usable)
-            .min_by_key(|member| cost(member, &node.settings.zone, leads(member)));
-        if let Some(member) = best {
-            let leads = leads(member);
-            return Some(Place {
-                member: Rc::clone(member),
-                floor: Some(floor),
-                leads,
-            });
-        }
-    }
-    match node.proved(group, ask.at, wait).await {
-        Proved::Primary(member) => Some(Place {
-            member,
-            floor: None,
-            leads: true,
-        }),
-        Proved::Nobody => None,
-    }
-}
-
 /// How long an upstream's silence is borne.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Patience {
@@ -522,8 +431,3 @@
         _ => in_doubt::<E>(Cause::Unproved),
     }
 }
-
-/// Whether a session on this route may read what is not current.
-pub fn needs_primary(route: &Route, access: Access) -> bool {
-    access == Access::Write || route.freshness == Freshness::Current
-}
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,10 +1,11 @@
 //! A caller's session: one connection, its values, prepared statements and position.
 
+mod statement;
+
 use std::{collections::HashMap, io, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use clock::{Boot, Instant};
-use model::Position;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -13,15 +14,14 @@
 };
 
 use crate::{
-    catalog::Route,
     edge::{Edge, Protocol},
     line::{self, Values},
-    message::{Access, Code, Query, Request, Shape, State, Statement},
+    message::{Code, Request, State},
     node::{Node, Stage},
-    outcome::{Cause, Outcome},
-    run::{self, Ask},
-    transaction::{self, Begun, Start, Transaction},
+    run,
+    transaction::Transaction,
 };
+use statement::Session;
 
 /// How long a caller may take to say which database it wants.
 const HELLO: Duration = Duration::from_secs(10);
@@ -63,16 +63,6 @@
     }
 }
 
-/// A caller's session.
-#[derive(Debug)]
-struct Session {
-    database: Bytes,
-    values: Values,
-    prepared: HashMap<Bytes, Shape>,
-    own: Option<(Rc<str>, Position)>,
-    transaction: Transaction,
-}
-
 /// What a session waits for.
 enum Wake {
     Read(usize),
@@ -228,289 +218,3 @@
     };
     Some(tokio::time::Instant::now() + run::left(span, since))
 }
-
-impl Session {
-    /// Undoes the open transaction, if there is one.
-    fn end<E: Edge>(&mut self) {
-        match std::mem::replace(&mut self.transaction, Transaction::None) {
-            Transaction::Pinned(pinned) => transaction::undo::<E::Protocol>(pinned),
-            Transaction::Begun(begun) => begun.undo::<E>(),
-            Transaction::None | Transaction::Failed => {}
-        }
-    }
-
-    /// Undoes a transaction that rested too long; the caller hears it with its next
-    /// statement, because nothing may be said to it unasked.
-    fn rested<E: Edge>(&mut self) {
-        self.end::<E>();
-        self.transaction = Transaction::Failed;
-    }
-
-    async fn answer<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query) -> Outcome {
-        let at = Boot.now();
-        let outcome = self.dispatch(node, query, at).await;
-        let route = node.route(&self.database);
-        let span = Boot.now().since(at);
-        node.figures.answered(route.as_deref(), &outcome, span);
-        if outcome.failure.is_some() || route.as_ref().is_some_and(|r| span > r.aim) {
-            self.tell(node, query, route.as_deref(), &outcome, span);
-        }
-        outcome
-    }
-
-    /// Logs a statement that was refused, failed or slow, with what decided it.
-    fn tell<E: Edge>(
-        &self,
-        node: &Node<E>,
-        query: &Query,
-        route: Option<&Route>,
-        outcome: &Outcome,
-        span: Duration,
-    ) {
-        let now = Boot.now();
-        let group = route.map(|route| node.group_of(&route.service));
-        let known = group.as_ref().and_then(|group| group.known());
-        let left = group.map_or(Duration::ZERO, |group| group.proof().until().since(now));
-        let (code, cause) = match outcome.failure {
-            Some((code, cause)) => (Some(code), Some(cause)),
-            None => (None, None),
-        };
-        log::info!(
-            request = &*String::from_utf8_lossy(&query.id),
-            database = &*String::from_utf8_lossy(&self.database),
-            route = route.map_or("", |route| &*route.name),
-            service = route.map_or("", |route| &*route.service),
-            freshness:? = route.map(|route| route.freshness),
-            statement = query.statement.kind(),
-            state:? = outcome.state,
-            code:?, cause:?,
-            ms = millis(span),
-            catalogue = node.catalog().version,
-            term = known.as_ref().map_or(0, |known| known.record.term.0),
-            upstream = known.as_ref().map_or("", |known| &*known.record.upstream),
-            phase:? = known.as_ref().map(|known| known.record.phase),
-            proof_left_ms = millis(left),
-            store_silent_ms = millis(now.since(node.contact.get()));
-            "statement"
-        );
-    }
-
-    async fn dispatch<E: Edge>(
-        &mut self,
-        node: &Rc<Node<E>>,
-        query: &Query,
-        at: Instant,
-    ) -> Outcome {
-        let state = self.transaction.state();
-        if state == State::Failed {
-            return self.failed::<E>(query);
-        }
-        match &query.statement {
-            Statement::Begin(access) => self.begin(node, query, *access, at),
-            Statement::Commit => self.commit(node, query, at).await,
-            Statement::Rollback => self.rollback::<E>(),
-            Statement::Read => self.run(node, query, None, Access::Read, at).await,
-            Statement::Write => self.run(node, query, None, Access::Write, at).await,
-            Statement::Set(name, value) => {
-                self.values.insert(name.clone(), value.clone());
-                Outcome::done::<E::Protocol>(state)
-            }
-            Statement::Prepare(name, shape) => {
-                self.prepared.insert(name.clone(), shape.clone());
-                Outcome::done::<E::Protocol>(state)
-            }
-            Statement::Forget(name) => match self.prepared.remove(name) {
-                Some(_) => Outcome::done::<E::Protocol>(state),
-                None => unknown::<E>(state),
-            },
-            Statement::Execute(name, rest) => match self.prepared.get(name).cloned() {
-                Some(shape) => {
-                    let access = shape.access;
-                    let prepared = Some((&shape, &**rest));
-                    self.run(node, query, prepared, access, at).await
-                }
-                None => unknown::<E>(state),
-            },
-            Statement::Malformed => malformed::<E>(state),
-        }
-    }
-
-    /// A statement in a transaction that failed: only its end is taken.
-    fn failed<E: Edge>(&mut self, query: &Query) -> Outcome {
-        match query.statement {
-            Statement::Rollback => self.rollback::<E>(),
-            Statement::Commit => {
-                self.transaction = Transaction::None;
-                Outcome::refusal::<E::Protocol>(Code::Aborted, Cause::Undone, State::Idle)
-            }
-            _ => malformed::<E>(State::Failed),
-        }
-    }
-
-    fn begin<E: Edge>(
-        &mut self,
-        node: &Rc<Node<E>>,
-        query: &Query,
-        access: Access,
-        at: Instant,
-    ) -> Outcome {
-        if self.transaction.state() != State::Idle {
-            return malformed::<E>(self.transaction.state());
-        }
-        let Some(route) = node.route(&self.database) else {
-            return no_database::<E>();
-        };
-        let own = self.ask(&route, query, None, &self.values, at).own;
-        let start = Start {
-            query: query.clone(),
-            access,
-            route,
-            values: self.values.clone(),
-            own,
-            at,
-        };
-        self.transaction = Transaction::Begun(Begun::spawn(node, start));
-        Outcome::done::<E::Protocol>(State::Open)
-    }
-
-    fn rollback<E: Edge>(&mut self) -> Outcome {
-        self.end::<E>();
-        Outcome::done::<E::Protocol>(State::Idle)
-    }
-
-    async fn commit<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query, at: Instant) -> Outcome {
-        if self.transaction.state() == State::Idle {
-            return malformed::<E>(State::Idle);
-        }
-        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
-        let values = self.values.clone();
-        let (pinned, route) = match transaction {
-            Transaction::Pinned(pinned) => {
-                let route = Rc::clone(&pinned.route);
-                (pinned, route)
-            }
-            Transaction::Begun(begun) => {
-                let route = Rc::clone(&begun.route);
-                match begun.pinned::<E>().await {
-                    Ok(pinned) => (pinned, route),
-                    Err(refusal) => {
-                        let cause = refusal.failure.map_or(Cause::Undone, |(_, cause)| cause);
-                        return Outcome::refusal::<E::Protocol>(Code::Aborted, cause, State::Idle);
-                    }
-                }
-            }
-            Transaction::None | Transaction::Failed => return malformed::<E>(State::Idle),
-        };
-        let ask = self.ask(&route, query, None, &values, at);
-        let (outcome, transaction) = transaction::commit(node, pinned, &ask).await;
-        self.transaction = transaction;
-        self.learn(&route, &outcome, Access::Write);
-        outcome
-    }
-
-    async fn run<E: Edge>(
-        &mut self,
-        node: &Rc<Node<E>>,
-        query: &Query,
-        prepared: Option<(&Shape, &[u8])>,
-        access: Access,
-        at: Instant,
-    ) -> Outcome {
-        let values = self.values.clone();
-        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
-        let pinned = match transaction {
-            Transaction::None => return self.single(node, query, prepared, access, at).await,
-            Transaction::Failed => return malformed::<E>(State::Failed),
-            Transaction::Pinned(pinned) => pinned,
-            Transaction::Begun(begun) => match begun.pinned::<E>().await {
-                Ok(pinned) => pinned,
-                Err(refusal) => {
-                    self.transaction = Transaction::Failed;
-                    return refusal;
-                }
-            },
-        };
-        let route = Rc::clone(&pinned.route);
-        let ask = self.ask(&route, query, prepared, &values, at);
-        let (outcome, transaction) = transaction::step(node, pinned, &ask, access).await;
-        self.transaction = transaction;
-        outcome
-    }
-
-    async fn single<E: Edge>(
-        &mut self,
-        node: &Rc<Node<E>>,
-        query: &Query,
-        prepared: Option<(&Shape, &[u8])>,
-        access: Access,
-        at: Instant,
-    ) -> Outcome {
-        let Some(route) = node.route(&self.database) else {
-            return no_database::<E>();
-        };
-        let group = node.group_of(&route.service);
-        let values = self.values.clone();
-        let ask = self.ask(&route, query, prepared, &values, at);
-        let outcome = match access {
-            Access::Read => run::read(node, &group, &ask).await,
-            Access::Write => run::write(node, &group, &ask).await,
-        };
-        self.learn(&route, &outcome, access);
-        outcome
-    }
-
-    fn ask<'a>(
-        &self,
-        route: &'a Route,
-        query: &'a Query,
-        prepared: Option<(&'a Shape, &'a [u8])>,
-        values: &'a Values,
-        at: Instant,
-    ) -> Ask<'a> {
-        let own = self.own.as_ref().filter(|(of, _)| *of == route.service);
-        Ask {
-            route,
-            query,
-            prepared,
-            values,
-            own: own.map(|(_, position)| *position),
-            at,
-        }
-    }
-
-    /// Remembers how far the session must see from now on.
-    ///
-    /// After a commit that is the commit's position. A read that was proved to run
-    /// on the primary of a later term shows all that is left of earlier commits, so
-    /// its position takes the place of one that no log may have any more.
-    fn learn(&mut self, route: &Route, outcome: &Outcome, access: Access) {
-        let Some(position) = outcome.position else {
-            return;
-        };
-        if outcome.failure.is_some() {
-            return;
-        }
-        let own = self.own.as_ref().filter(|(of, _)| *of == route.service);
-        let later = own.is_some_and(|(_, own)| own.term < position.term);
-        let further = own.is_none_or(|(_, own)| *own < position);
-        if (access == Access::Write && further) || later {
-            self.own = Some((Rc::clone(&route.service), position));
-        }
-    }
-}
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn malformed<E: Edge>(state: State) -> Outcome {
-    Outcome::refusal::<E::Protocol>(Code::Malformed, Cause::Malformed, state)
-}
-
-fn unknown<E: Edge>(state: State) -> Outcome {
-    Outcome::refusal::<E::Protocol>(Code::NoStatement, Cause::NoStatement, state)
-}
-
-fn no_database<E: Edge>() -> Outcome {
-    Outcome::refusal::<E::Protocol>(Code::NoDatabase, Cause::NoRoute, State::Idle)
-}
--- /dev/null
+++ b/crates/proxy/src/takeover/due.rs
@@ -0,0 +1,92 @@
+//! Whether a primary is to be replaced, and whether it is this instance's turn.
+
+use std::time::Duration;
+
+use clock::Boot;
+use lead::Phase;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::right::RIGHT;
+use crate::{catalog::Stay, edge::Edge, group::Group, node::Node};
+
+/// How much later each further instance tries.
+pub(super) const RANK: Duration = Duration::from_millis(200);
+
+/// How lately the store must have answered whoever wants to replace a primary.
+pub(super) const STORED: Duration = Duration::from_millis(700);
+
+/// How long an upstream may be missing in the list before it counts as gone.
+pub(super) const UNLISTED: Duration = Duration::from_millis(400);
+
+/// Why a primary is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reason {
+    /// Most see it fail.
+    Gone,
+    /// It is about to leave.
+    Leaving,
+    /// A replacement stands still.
+    Stuck,
+}
+
+impl Reason {
+    /// The reason once an order was given: its effect may still come.
+    pub(super) fn ordered(self) -> Self {
+        match self {
+            Self::Gone | Self::Stuck => Self::Stuck,
+            Self::Leaving => Self::Leaving,
+        }
+    }
+}
+
+/// Why a group's primary is to be replaced by this instance now, if it is.
+pub(super) fn due<E: Edge>(node: &Node<E>, group: &Group, holds: bool) -> Option<Reason> {
+    let known = group.known()?;
+    let now = Boot.now();
+    let service = &*group.service;
+    let delay = |others: &[String]| match holds {
+        true => Duration::ZERO,
+        false => RANK * rank(node, service, others),
+    };
+    if known.record.phase == Phase::Changing {
+        let since = group.known_at.get();
+        let wait = match holds {
+            true => Duration::ZERO,
+            false => RIGHT / 4 + delay(&node.peers.names()) / 2,
+        };
+        return (since + wait <= now).then_some(Reason::Stuck);
+    }
+    let Some(primary) = group.member(&known.record.upstream) else {
+        let gone = group.unlisted.get();
+        let wait = UNLISTED + delay(&node.peers.names());
+        return gone
+            .is_some_and(|at| at + wait < now)
+            .then_some(Reason::Gone);
+    };
+    if primary.stay.get() == Stay::Draining {
+        let wait = delay(&node.peers.names());
+        let since = group.leaving_since(now);
+        return (since + wait < now).then_some(Reason::Leaving);
+    }
+    // What was seen while this instance itself was cut off says nothing.
+    if !primary.is_failing() || node.stored.get() + STORED < now {
+        return None;
+    }
+    let since = primary.health().failing_since?;
+    let own = primary.verdict(now);
+    let (tally, failing) = node.peers.tally(service, known.record.term, own);
+    // A zone that was cut off hears its own first when it is back.
+    let failing_for = now.since(since.max(node.stored_since.get()));
+    if !tally.gone(node.peers.count(), failing_for) {
+        return None;
+    }
+    (since + delay(&failing) <= now).then_some(Reason::Gone)
+}
+
+/// How many of `others` come before this instance for `service`.
+pub(super) fn rank<E: Edge>(node: &Node<E>, service: &str, others: &[String]) -> u32 {
+    let weight = |name: &str| xxh3_64(format!("{name} {service}").as_bytes());
+    let own = weight(&node.settings.name);
+    let before = others.iter().filter(|name| weight(name) > own).count();
+    u32::try_from(before).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/proxy/src/takeover/fence.rs
@@ -0,0 +1,181 @@
+//! Stopping a group, and choosing who leads it next.
+
+use std::{rc::Rc, time::Duration};
+
+use clock::Boot;
+use futures_util::future::join;
+use lead::{Record, choose};
+use model::{Position, Term};
+use tokio::time::sleep;
+
+use super::{POLL, due::Reason};
+use crate::{
+    catalog::Stay,
+    edge::Edge,
+    era::MEMORY,
+    group::{Group, Member},
+    message::Command,
+    node::Node,
+    probe::{self, Said},
+};
+
+/// How long a replica's position is remembered that no other may fall behind.
+pub(super) const SEEN: Duration = Duration::from_secs(30);
+
+/// How long replicas may take to receive the last of a demoted primary.
+pub(super) const CATCH_UP: Duration = Duration::from_millis(400);
+
+/// Who was told of the next term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Fenced {
+    /// The old primary, or all replicas: no majority with the old primary is left.
+    Wholly,
+    /// Some replicas.
+    InPart,
+}
+
+/// Who is to lead.
+#[derive(Debug)]
+pub(super) enum Chosen {
+    /// This upstream is to be promoted.
+    Candidate(Rc<Member>, Fenced),
+    /// This upstream leads this term already.
+    Leads(Rc<Member>, Term),
+}
+
+/// Stops the old primary if it can be reached, and the replicas; chooses one.
+///
+/// A primary that was only out of reach for a while leads on in its term, as long as
+/// no order to promote another may be on its way: nobody else leads, and no log is
+/// further than its own. Whoever takes over a replacement that stands still can't
+/// know that, and promotes in any case.
+pub(super) async fn fence<E: Edge>(
+    node: &Node<E>,
+    group: &Rc<Group>,
+    old: &Record,
+    reason: Reason,
+) -> Option<Chosen> {
+    let next = old.term.next();
+    let members = group.members();
+    let is_old = |m: &&Rc<Member>| *m.upstream.id == *old.upstream;
+    let others: Vec<_> = members.iter().filter(|m| !is_old(m)).cloned().collect();
+    let primary = members.iter().find(is_old);
+    // One that fails is asked again before the order; nobody waits for it here.
+    let old_said = async {
+        match primary {
+            Some(primary) if !primary.is_failing() => probe::status::<E::Protocol>(primary).await,
+            _ => Said::Silent,
+        }
+    };
+    let (said, old_said) = join(probe::all::<E::Protocol>(&others), old_said).await;
+    if let Some(leads) = leader(&others, &said, old.term) {
+        return Some(leads);
+    }
+    if let (Some(primary), Said::Status(status)) = (primary, old_said)
+        && status.leads
+        && status.term > old.term
+    {
+        return Some(Chosen::Leads(Rc::clone(primary), status.term));
+    }
+    if let (Some(primary), Said::Status(status)) = (primary, old_said)
+        && reason == Reason::Gone
+        && status.leads
+        && status.term == old.term
+    {
+        return Some(Chosen::Leads(Rc::clone(primary), old.term));
+    }
+    let mut last = None;
+    if let (Some(primary), Said::Status(_)) = (primary, old_said) {
+        let demote = Command::Demote(next);
+        let said = probe::order::<E::Protocol>(primary, &demote, probe::ANSWER).await;
+        if let Said::Status(status) = said {
+            last = Some(status.received);
+            catch_up::<E>(&others, status.received).await;
+        }
+    }
+    let said = probe::each::<E::Protocol>(&others, &Command::Pause(next)).await;
+    let mut candidates = Vec::new();
+    for (member, said) in others.iter().zip(&said) {
+        let Some(status) = said.status() else {
+            continue;
+        };
+        group.received(status.received);
+        candidates.push(choose::Candidate {
+            upstream: &member.upstream.id,
+            received: status.received,
+            stays: member.stay.get() == Stay::Ready,
+        });
+    }
+    let answered = candidates.len();
+    if let (Some(primary), Some(received)) = (primary, last)
+        && reason != Reason::Leaving
+    {
+        candidates.push(choose::Candidate {
+            upstream: &primary.upstream.id,
+            received,
+            stays: primary.stay.get() == Stay::Ready,
+        });
+    }
+    if !is_safe(node, group, &candidates, answered, last) {
+        return None;
+    }
+    let best = choose::best(&candidates)?;
+    log::info!(service = &*group.service, upstream = best, candidates:?, last:?; "replica chosen");
+    let replicas = group.replicas(Boot.now(), MEMORY);
+    let fenced = match last.is_some() || answered >= replicas {
+        true => Fenced::Wholly,
+        false => Fenced::InPart,
+    };
+    let member = group.member(best)?;
+    Some(Chosen::Candidate(member, fenced))
+}
+
+/// Whether the furthest of the candidates surely holds every acknowledged commit
+/// that the service's durability speaks for.
+pub(super) fn is_safe<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    candidates: &[choose::Candidate<'_>],
+    answered: usize,
+    last: Option<Position>,
+) -> bool {
+    let catalog = node.catalog();
+    let sync = catalog.services.get(&group.service).map_or(0, |s| s.sync);
+    let furthest = candidates.iter().map(|c| c.received).max();
+    let Some(furthest) = furthest else {
+        return false;
+    };
+    if last.is_some_and(|last| furthest >= last) || sync == 0 {
+        return true;
+    }
+    let now = Boot.now();
+    let replicas = group.replicas(now, MEMORY);
+    let seen = group.furthest(now, SEEN);
+    choose::enough(answered, replicas, sync) && seen.is_none_or(|seen| furthest >= seen)
+}
+
+/// The member that leads a newer term than `term`, if one does.
+pub(super) fn leader(members: &[Rc<Member>], said: &[Said], term: Term) -> Option<Chosen> {
+    let leaders = members.iter().zip(said).filter_map(|(member, said)| {
+        let status = said.status()?;
+        (status.leads && status.term > term).then_some((status.term, member))
+    });
+    let (term, member) = leaders.max_by_key(|(term, _)| *term)?;
+    Some(Chosen::Leads(Rc::clone(member), term))
+}
+
+/// Waits a little until a replica has received all of a demoted primary's log.
+pub(super) async fn catch_up<E: Edge>(others: &[Rc<Member>], last: Position) {
+    let deadline = Boot.now() + CATCH_UP;
+    while Boot.now() < deadline {
+        let said = probe::all::<E::Protocol>(others).await;
+        let received = said.iter().filter_map(|said| said.status());
+        if received
+            .map(|status| status.received)
+            .any(|position| position >= last)
+        {
+            return;
+        }
+        sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/takeover/record.rs
@@ -0,0 +1,155 @@
+//! What the store is told of a replacement: its beginning, the end of the era, its
+//! end.
+
+use std::rc::Rc;
+
+use clock::{Boot, Instant};
+use lead::{Phase, Record};
+use model::Term;
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use super::{
+    Failed, POLL,
+    right::{CALL, Right},
+};
+use crate::{
+    control::{duty_key, encode, lead_key},
+    edge::{Edge, Fault, Store, Swap, Swapped},
+    era::{era_key, era_of},
+    group::{Group, Member},
+    message::Command,
+    node::Node,
+    probe,
+};
+
+/// Writes into the record that the primary is being replaced; the new revision.
+pub(super) async fn announce<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    right: &Right,
+) -> Result<u64, Failed> {
+    let known = group.known().ok_or(Failed::Overtaken)?;
+    let record = Record {
+        phase: Phase::Changing,
+        by: node.settings.name.clone(),
+        ..known.record
+    };
+    let key = lead_key::<E>(&group.service);
+    let mut swap = Swap {
+        expected: vec![(key.clone(), known.revision), (duty_key::<E>(), 0)],
+        puts: vec![(key, encode(&record), 0)],
+        deletes: Vec::new(),
+    };
+    while right.holds() {
+        let duty = right.revision.get();
+        swap.expected[1].1 = duty;
+        match timeout(CALL, node.edge.store().swap(&swap)).await {
+            Ok(Ok(Swapped::Done(revision))) => {
+                group.learn(record, revision);
+                return Ok(revision);
+            }
+            // The right was renewed meanwhile, or an unanswered try was done.
+            Ok(Ok(_)) if duty != right.revision.get() => {}
+            Ok(Ok(_)) => return announced(node, group, &record).await,
+            Ok(Err(_)) | Err(_) => sleep(POLL).await,
+        }
+    }
+    Err(Failed::Expired)
+}
+
+/// Whether the record says just what this instance tried to write.
+pub(super) async fn announced<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    record: &Record,
+) -> Result<u64, Failed> {
+    let key = lead_key::<E>(&group.service);
+    let items = timeout(CALL, node.edge.store().read(&key)).await;
+    let items = items.map_err(|_| Fault::Unknown)??;
+    let item = items.items.iter().find(|item| item.key == key);
+    let item = item.ok_or(Failed::Overtaken)?;
+    let read: Option<Record> = serde_json::from_slice(&item.value).ok();
+    if read.as_ref() != Some(record) {
+        return Err(Failed::Overtaken);
+    }
+    group.learn(record.clone(), item.revision);
+    Ok(item.revision)
+}
+
+/// Ends the era in which proofs were given before the announcement; when that was.
+pub(super) async fn end_era<E: Edge>(node: &Node<E>, right: &Right) -> Result<Instant, Failed> {
+    let store = node.edge.store();
+    while right.holds() {
+        let items = timeout(CALL, store.read(&era_key::<E>())).await;
+        let Ok(Ok(items)) = items else {
+            sleep(POLL).await;
+            continue;
+        };
+        let Some((lease, _)) = era_of::<E>(&items) else {
+            return Ok(Boot.now());
+        };
+        match timeout(CALL, store.end(lease)).await {
+            Ok(Ok(()) | Err(Fault::Missing)) => return Ok(Boot.now()),
+            _ => sleep(POLL).await,
+        }
+    }
+    Err(Failed::Expired)
+}
+
+/// Records the new primary, and tells the others to follow.
+pub(super) async fn settle<E: Edge>(
+    node: &Rc<Node<E>>,
+    group: &Rc<Group>,
+    right: &Right,
+    revision: u64,
+    member: &Rc<Member>,
+    term: Term,
+) -> Result<(), Failed> {
+    let old = group.known().map(|known| known.record.upstream);
+    let record = Record {
+        term,
+        upstream: member.upstream.id.to_string(),
+        phase: Phase::Stable,
+        by: node.settings.name.clone(),
+    };
+    let key = lead_key::<E>(&group.service);
+    let swap = Swap {
+        expected: vec![(key.clone(), revision)],
+        puts: vec![(key, encode(&record), 0)],
+        deletes: Vec::new(),
+    };
+    loop {
+        if !right.holds() {
+            return Err(Failed::Expired);
+        }
+        match timeout(CALL, node.edge.store().swap(&swap)).await {
+            Ok(Ok(Swapped::Done(revision))) => {
+                group.learn(record, revision);
+                break;
+            }
+            Ok(Ok(_)) => {
+                announced(node, group, &record).await?;
+                break;
+            }
+            Ok(Err(_)) | Err(_) => sleep(POLL * 2).await,
+        }
+    }
+    node.prove.notify_one();
+    let again = old.as_deref() == Some(&*member.upstream.id);
+    let others: Vec<_> = group
+        .members()
+        .into_iter()
+        .filter(|m| !Rc::ptr_eq(m, member))
+        .collect();
+    spawn_local(async move {
+        probe::each::<E::Protocol>(&others, &Command::Resume).await;
+        if again {
+            return;
+        }
+        probe::each::<E::Protocol>(&others, &Command::Demote(term)).await;
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/proxy/src/takeover/right.rs
@@ -0,0 +1,114 @@
+//! The right to give orders: one instance at a time has it.
+
+use std::{cell::Cell, time::Duration};
+
+use clock::{Boot, Instant};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use super::Failed;
+use crate::{
+    control::{duty_key, encode},
+    edge::{Edge, Fault, Store, Swap, Swapped},
+    node::Node,
+};
+
+/// How long the right to give orders lasts.
+pub(super) const RIGHT: Duration = Duration::from_millis(2_000);
+
+/// How long before the right ends no order is given any more.
+pub(super) const LAST: Duration = Duration::from_millis(600);
+
+/// How long a call to the store may take.
+pub(super) const CALL: Duration = Duration::from_millis(500);
+
+/// The right to give orders, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Duty {
+    holder: String,
+    life: u64,
+    held: bool,
+}
+
+/// The right to give orders, while this instance holds it.
+#[derive(Debug)]
+pub(super) struct Right {
+    pub(super) fence: u64,
+    pub(super) revision: Cell<u64>,
+    pub(super) until: Cell<Instant>,
+    pub(super) active: Cell<usize>,
+}
+
+impl Right {
+    /// Whether an order may still be given: it arrives, or is reset, well before
+    /// the right ends.
+    pub(super) fn holds(&self) -> bool {
+        Boot.now() + LAST < self.until.get()
+    }
+}
+
+/// Takes the right to give orders.
+pub(super) async fn claim<E: Edge>(node: &Node<E>) -> Result<Right, Failed> {
+    let store = node.edge.store();
+    let key = duty_key::<E>();
+    let duties = timeout(CALL, store.read(&key)).await;
+    let duties = duties.map_err(|_| Fault::Unknown)??;
+    let item = duties.items.iter().find(|item| item.key == key);
+    let revision = item.map_or(0, |item| item.revision);
+    let duty = item.and_then(|item| serde_json::from_slice::<Duty>(&item.value).ok());
+    if duty.as_ref().is_some_and(|duty| duty.held) {
+        let now = Boot.now();
+        if node.duty.get().0 != revision {
+            node.duty.set((revision, now));
+        }
+        let (_, seen) = node.duty.get();
+        let own = duty.is_some_and(|duty| duty.life == node.life);
+        if !own && seen + RIGHT + RIGHT / 20 > now {
+            return Err(Failed::Held);
+        }
+    }
+    let (revision, until) = write_duty(node, revision, true).await?;
+    Ok(Right {
+        fence: revision,
+        revision: Cell::new(revision),
+        until: Cell::new(until),
+        active: Cell::new(0),
+    })
+}
+
+/// Keeps the right; it is lost if somebody else has it.
+pub(super) async fn renew<E: Edge>(node: &Node<E>, right: &Right) {
+    match write_duty(node, right.revision.get(), true).await {
+        Ok((revision, until)) => {
+            right.revision.set(revision);
+            right.until.set(until);
+        }
+        Err(Failed::Overtaken) => right.until.set(Instant::ZERO),
+        Err(_) => {}
+    }
+}
+
+/// Writes who has the right; its revision, and when it ends.
+pub(super) async fn write_duty<E: Edge>(
+    node: &Node<E>,
+    revision: u64,
+    held: bool,
+) -> Result<(u64, Instant), Failed> {
+    let duty = Duty {
+        holder: node.settings.name.clone(),
+        life: node.life,
+        held,
+    };
+    let swap = Swap {
+        expected: vec![(duty_key::<E>(), revision)],
+        puts: vec![(duty_key::<E>(), encode(&duty), 0)],
+        deletes: Vec::new(),
+    };
+    let sent = Boot.now();
+    match timeout(CALL, node.edge.store().swap(&swap)).await {
+        Ok(Ok(Swapped::Done(revision))) => Ok((revision, sent + RIGHT)),
+        Ok(Ok(_)) => Err(Failed::Overtaken),
+        Ok(Err(fault)) => Err(fault.into()),
+        Err(_) => Err(Fault::Unknown.into()),
+    }
+}
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -17,8 +17,9 @@
     message::{Access, Code, Command, Query, State},
     node::{Node, Proved},
     outcome::{Cause, Outcome},
+    place::{self, Place},
     pool, probe,
-    run::{self, Ask, Patience, Place},
+    run::{self, Ask, Patience},
 };
 
 /// How long undoing a transaction may take until its connection is closed instead.
@@ -152,7 +153,7 @@
         if hold.is_zero() {
             return Err(given_up::<E>(last));
         }
-        let place = match run::needs_primary(&begun.route, begun.access) {
+        let place = match place::needs_primary(&begun.route, begun.access) {
             true => match node.proved(&group, begun.at, hold).await {
                 Proved::Primary(member) => Some(Place {
                     member,
@@ -161,7 +162,7 @@
                 }),
                 Proved::Nobody => None,
             },
-            false => run::place(node, &group, &begin, &tried, hold).await,
+            false => place::place(node, &group, &begin, &tried, hold).await,
         };
         let Some(place) = place else {
             return Err(given_up::<E>(last));
