--- a/crates/lead/src/floor.rs
+++ b/crates/lead/src/floor.rs
@@ -51,14 +51,4 @@
         let fresh = self.sent.iter().find(|(at, _)| *at >= oldest);
         fresh.map(|(_, position)| *position)
     }
-
-    /// The moment of the newest sample, if there is one.
-    pub fn newest(&self) -> Option<Instant> {
-        self.sent.back().map(|(at, _)| *at)
-    }
-
-    /// Forgets everything.
-    pub fn void(&mut self) {
-        self.sent.clear();
-    }
 }
--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -80,6 +80,4 @@
     pub zone: String,
     /// Whether it takes new work.
     pub stay: Stay,
-    /// Whether it calls itself the primary.
-    pub leads: bool,
 }
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -50,8 +50,6 @@
     pub upstream: Upstream,
     /// Whether it takes new work.
     pub stay: Cell<Stay>,
-    /// Whether it calls itself the primary.
-    pub leads: Cell<bool>,
     leaving: Cell<Option<Instant>>,
     /// Told when it fails again and again.
     pub fell: Notify,
@@ -71,7 +69,6 @@
     fn new(upstream: Upstream) -> Self {
         Self {
             stay: Cell::new(upstream.stay),
-            leads: Cell::new(upstream.leads),
             leaving: Cell::new((upstream.stay == Stay::Draining).then(|| Boot.now())),
             upstream,
             fell: Notify::new(),
@@ -263,7 +260,6 @@
         let mut members = self.members.borrow_mut();
         match members.get(&upstream.id) {
             Some(old) if old.upstream.address == upstream.address => {
-                old.leads.set(upstream.leads);
                 old.stays(upstream.stay);
             }
             _ => {
@@ -326,7 +322,9 @@
         self.leaving.set(None);
         self.unlisted.set(None);
         if !same {
-            self.proof.set(Proof::default());
+            let mut proof = self.proof.get();
+            proof.void();
+            self.proof.set(proof);
         }
         self.changed.notify_waiters();
         true
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -71,7 +71,7 @@
     state: State,
     answered: Instant,
     member: Rc<Member>,
-    counted: Counted,
+    _counted: Counted,
 }
 
 /// Counts a connection for as long as it is open.
@@ -119,7 +119,7 @@
             state: State::Idle,
             answered: Boot.now(),
             member: Rc::clone(member),
-            counted,
+            _counted: counted,
         };
         let hello = Command::Start(&upstream.service, &upstream.id);
         if line.ask::<P>(&hello).await.is_ok() {
@@ -142,11 +142,6 @@
         self.answered
     }
 
-    /// Where the connection stands.
-    pub fn state(&self) -> State {
-        self.state
-    }
-
     /// Whether nothing is open or awaited, so that another session may have it.
     pub fn is_clean(&self) -> bool {
         self.awaited == 0 && self.state == State::Idle && self.buf.is_empty()
@@ -266,11 +261,6 @@
             }
         }
     }
-
-    /// The count that this connection takes, to open another one in its place.
-    pub fn into_counted(self) -> Counted {
-        self.counted
-    }
 }
 
 /// Sets a socket up so that a peer which went silent is noticed.
--- a/crates/proxy/src/place.rs
+++ b/crates/proxy/src/place.rs
@@ -50,16 +50,13 @@
 }
 
 /// How soon a statement is likely to be answered by `member`.
-fn cost(member: &Member, zone: &str, leads: bool) -> Duration {
+fn cost(member: &Member, zone: &str) -> Duration {
     let queued = member.running.get() + member.pool.waiting();
     let queued = u32::try_from(queued).unwrap_or(u32::MAX);
     let mut cost = member.latency().saturating_mul(queued.saturating_add(1));
     if member.upstream.zone != zone {
         cost += FAR;
     }
-    if leads {
-        cost += LEADER;
-    }
     cost
 }
 
@@ -83,10 +80,13 @@
             fit && !held && !member.is_failing() && !tried.contains(&member.upstream.id)
         };
         let members = group.members();
-        let best = members
-            .iter()
-            .filter(usable)
-            .min_by_key(|member| cost(member, &node.settings.zone, leads(member)));
+        let best = members.iter().filter(usable).min_by_key(|member| {
+            let cost = cost(member, &node.settings.zone);
+            match leads(member) {
+                true => cost + LEADER,
+                false => cost,
+            }
+        });
         if let Some(member) = best {
             let leads = leads(member);
             return Some(Place {
@@ -106,7 +106,7 @@
     }
 }
 
-/// Whether a session on this route may read what is not current.
+/// Whether a transaction on this route has to run on a proved primary.
 pub fn needs_primary(route: &Route, access: Access) -> bool {
     access == Access::Write || route.freshness == Freshness::Current
 }
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -14,12 +14,12 @@
     edge::{Edge, Protocol},
     group::Group,
     line::{Line, Values},
-    message::{Access, Code, Command, Query, State},
+    message::{Access, Code, Command, Query, Reply, State},
     node::{Node, Proved},
     outcome::{Cause, Outcome},
     place::{self, Place},
     pool, probe,
-    run::{self, Ask, Patience},
+    run::{self, Ask, Lost, Patience},
 };
 
 /// How long undoing a transaction may take until its connection is closed instead.
@@ -108,6 +108,30 @@
     wrote: bool,
 }
 
+impl Pinned {
+    /// Sends a statement on the transaction's connection.
+    ///
+    /// # Errors
+    ///
+    /// No answer came; the connection is of no more use.
+    async fn send<E: Edge>(
+        &mut self,
+        node: &Rc<Node<E>>,
+        ask: &Ask<'_>,
+        patience: Patience,
+    ) -> Result<Reply, Lost> {
+        let rest = run::left(self.route.timeout, ask.at);
+        let member = Rc::clone(self.line.member());
+        let _running = run::Running::new(&member);
+        let within = (rest, patience);
+        let reply = run::send(node, &self.group, &mut self.line, ask, None, within).await;
+        if reply.is_err() {
+            probe::doubt(node, &self.group, &member);
+        }
+        reply
+    }
+}
+
 impl Transaction {
     /// What the caller is told of where it stands.
     pub fn state(&self) -> State {
@@ -230,25 +254,11 @@
     access: Access,
 ) -> (Outcome, Transaction) {
     loop {
-        let rest = run::left(pinned.route.timeout, ask.at);
         pinned.line.align::<E::Protocol>(ask.values);
-        let member = Rc::clone(pinned.line.member());
-        let running = run::Running::new(&member);
         pinned.wrote |= access == Access::Write;
-        let reply = run::send(
-            node,
-            &pinned.group,
-            &mut pinned.line,
-            ask,
-            None,
-            (rest, Patience::UntilFailing),
-        )
-        .await;
-        drop(running);
-        let reply = match reply {
+        let reply = match pinned.send(node, ask, Patience::UntilFailing).await {
             Ok(reply) => reply,
             Err(lost) => {
-                probe::doubt(node, &pinned.group, &member);
                 let outcome = aborted::<E>(pinned, lost.into(), State::Failed);
                 return (outcome, Transaction::Failed);
             }
@@ -308,22 +318,9 @@
         }
     }
     loop {
-        let rest = run::left(pinned.route.timeout, ask.at);
-        let running = run::Running::new(&member);
-        let reply = run::send(
-            node,
-            &pinned.group,
-            &mut pinned.line,
-            ask,
-            None,
-            (rest, Patience::ToTheEnd),
-        )
-        .await;
-        drop(running);
-        let reply = match reply {
+        let reply = match pinned.send(node, ask, Patience::ToTheEnd).await {
             Ok(reply) => reply,
             Err(lost) => {
-                probe::doubt(node, &pinned.group, &member);
                 let wrote = pinned.wrote;
                 let undone = aborted::<E>(pinned, lost.into(), State::Idle);
                 let outcome = match wrote {
