Keep upstreams whose entries expire, ask whole groups, replace the born again

An entry that is gone is now borne for 2.5 s while its upstream answers. - Idle connections hold the member that holds them: those of a dropped member stayed open for good, counted by the upstream. They are closed with their member. - A replacement waited 5 s where a replica was lost too, since a majority without the store might still prove the old primary. Now only whole groups prove, and the order is given only if the chosen replica still holds: this closes the gap of a replica that restarts and forgets, and narrows that of groups of unlike size. - A primary that starts again under its id: the list tells (born), the greeting of a new connection tells of a shorter log, READONLY tells of a lost role. It is replaced. - An entry that can't be read names nobody.

Ruled out: the majority proof for a shorter time (1.2 s instead of 0.6 s to wait).

--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -80,4 +80,15 @@
     pub zone: String,
     /// Whether it takes new work.
     pub stay: Stay,
+    /// When it started, in milliseconds since the Unix epoch, if it says so. After
+    /// another start under the same id it knows nothing of before.
+    pub born: Option<u64>,
+}
+
+impl Upstream {
+    /// Whether `other` is the same upstream in the same life.
+    pub fn is_same(&self, other: &Self) -> bool {
+        let reborn = matches!((self.born, other.born), (Some(a), Some(b)) if a != b);
+        self.id == other.id && self.address == other.address && !reborn
+    }
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -158,7 +158,7 @@
             }
             Change::Gone(key) => {
                 if key.starts_with(E::UPSTREAMS) {
-                    node.remove(id_of::<E>(key));
+                    node.unlist(id_of::<E>(key));
                 }
                 if let Some(name) = key.strip_prefix(&instances::<E>()) {
                     node.peers.unlist(name);
@@ -186,7 +186,10 @@
     } else if item.key.starts_with(E::UPSTREAMS) {
         match E::upstream(&item.key, &item.value) {
             Ok(upstream) => node.put(upstream),
-            Err(error) => log::error!(error:%, key = &*item.key; "an upstream can't be read"),
+            Err(error) => {
+                log::error!(error:%, key = &*item.key; "an upstream can't be read");
+                node.unlist(id_of::<E>(&item.key));
+            }
         }
     } else if item.key.starts_with(&lead_key::<E>("")) {
         record(node, item);
@@ -265,6 +268,7 @@
         let catalog = node.catalog();
         let instances = node.peers.count();
         for group in node.groups() {
+            group.expire(now);
             group.is_whole(now, MEMORY);
             let entry = catalog.services.get(&group.service);
             let connections = entry.map_or(1, |entry| entry.connections);
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -45,10 +45,6 @@
 /// How long the list of upstreams is remembered as having been longer.
 pub const MEMORY: Duration = Duration::from_secs(15);
 
-/// How long after the store was last heard a majority of a group may prove its
-/// primary; then only all of it may.
-pub const LONELY: Duration = Duration::from_secs(5);
-
 /// The most time before a missing era or record is written by this instance, so
 /// that not all do it at once.
 const JITTER_MS: u64 = 60;
@@ -233,14 +229,17 @@
     }
 }
 
-/// Proves a primary by its group: by the primary and as many replicas as make a
-/// majority, or by all of them once the store was not heard for [`LONELY`].
+/// Proves a primary by its whole group.
+///
+/// Whoever replaces a primary tells it to step down, or one replica at least to hold
+/// for the next term, before anything else; waits then as long as any proof lasts; and
+/// gives the order only if that replica still holds. So if the primary and all replicas
+/// answer that they have heard of no newer term, none was told so before the question
+/// was sent.
 ///
-/// Whoever replaces a primary tells it to step down, or all its replicas to hold for
-/// the next term, before anything else, and waits then as long as any proof lasts.
-/// So if the primary and a majority answer that they have heard of no newer term,
-/// none was told so before the question was sent. Where a replica can't be told,
-/// the replacement waits until nobody counts on a mere majority any more.
+/// A mere majority won't do: the replica that was told may be just the one that is not
+/// asked, and the replacement had to wait until nobody counted on a majority any more.
+/// A primary lost together with a replica was then replaced 5 s later.
 async fn ask_group<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>) {
     let Some(known) = group.known() else {
         return;
@@ -250,12 +249,7 @@
     };
     let members = group.members();
     let sent = Boot.now();
-    let replicas = group.replicas(sent, MEMORY);
-    let lonely = node.contact.get() + LONELY < sent;
-    let others = match lonely {
-        true => replicas,
-        false => replicas.div_ceil(2),
-    };
+    let others = group.replicas(sent, MEMORY);
     if others == 0 {
         return;
     }
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -29,6 +29,13 @@
 /// How long a replica that lags is left alone, first and at most.
 const LAG_PAUSE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(640));
 
+/// How long an upstream whose entry is gone is still used if it answers.
+///
+/// Entries expire while the store is away, though their upstreams live. Whoever drops
+/// an upstream at once then serves nobody until the entries are written again, which
+/// takes up to two seconds behind the store's return (the platform's pages).
+pub const RELISTED: Duration = Duration::from_millis(2_500);
+
 /// The duration that is assumed of an upstream that has not been used yet.
 const UNKNOWN_LATENCY: Duration = Duration::from_millis(5);
 
@@ -51,6 +58,9 @@
     /// Whether it takes new work.
     pub stay: Cell<Stay>,
     leaving: Cell<Option<Instant>>,
+    unlisted: Cell<Option<Instant>>,
+    deposed: Cell<Option<(Term, Instant)>>,
+    shown: Cell<Position>,
     /// Told when it fails again and again.
     pub fell: Notify,
     /// The connections to it.
@@ -71,6 +81,9 @@
             stay: Cell::new(upstream.stay),
             leaving: Cell::new((upstream.stay == Stay::Draining).then(|| Boot.now())),
             upstream,
+            unlisted: Cell::default(),
+            deposed: Cell::default(),
+            shown: Cell::default(),
             fell: Notify::new(),
             pool: Pool::default(),
             running: Cell::new(0),
@@ -98,6 +111,45 @@
         Some(drain.saturating_sub(now.since(since)))
     }
 
+    /// Notes that it leads `position.term`, and that its log goes as far as that.
+    pub fn leads(&self, position: Position) {
+        self.shown.set(self.shown.get().max(position));
+    }
+
+    /// Whether its log, which goes as far as `position`, is shorter than when it led.
+    ///
+    /// A primary that crashed and started again within a heartbeat may have lost its
+    /// log; the list tells that a second later, and reads there would miss commits.
+    /// But a log that only grows is never shorter than it was.
+    pub fn forgot(&self, position: Position, now: Instant) -> bool {
+        let shown = self.shown.get();
+        let forgot = position < shown;
+        if forgot {
+            self.depose(shown.term, now);
+        }
+        forgot
+    }
+
+    /// Notes that it does not lead `term` any more, by its own word.
+    pub fn depose(&self, term: Term, now: Instant) {
+        let since = match self.deposed.get() {
+            Some((old, since)) if old >= term => (old, since),
+            _ => (term, now),
+        };
+        self.deposed.set(Some(since));
+    }
+
+    /// Since when it is known not to lead `term` any more.
+    pub fn deposed_since(&self, term: Term) -> Option<Instant> {
+        let (deposed, since) = self.deposed.get()?;
+        (deposed >= term).then_some(since)
+    }
+
+    /// Whether its entry has been gone from the list for too long.
+    fn is_gone(&self, now: Instant) -> bool {
+        self.unlisted.get().is_some_and(|at| at + RELISTED < now)
+    }
+
     /// Notes that it answered.
     pub fn answered(&self, now: Instant) {
         self.health.set(Health {
@@ -255,34 +307,64 @@
     /// Takes in an entry of the list of upstreams.
     ///
     /// An entry that only changed its state keeps the member's connections; one
-    /// with another address is another member.
+    /// with another address or another start is another member.
     pub fn put(&self, upstream: Upstream) {
         let mut members = self.members.borrow_mut();
-        match members.get(&upstream.id) {
-            Some(old) if old.upstream.address == upstream.address => {
+        let old = members.get(&upstream.id).cloned();
+        match old {
+            Some(old) if old.upstream.is_same(&upstream) => {
+                old.unlisted.set(None);
                 old.stays(upstream.stay);
             }
-            _ => {
+            old => {
                 let id = Rc::clone(&upstream.id);
-                members.insert(id, Rc::new(Member::new(upstream)));
+                let member = Rc::new(Member::new(upstream));
+                if let Some(old) = old {
+                    member.shown.set(old.shown.get());
+                    old.pool.retire();
+                }
+                members.insert(id, member);
             }
         }
         drop(members);
         self.changed.notify_waiters();
     }
 
-    /// Drops a member that has left.
-    pub fn remove(&self, id: &str) {
-        if self.members.borrow_mut().remove(id).is_some() {
-            let known = self.known.borrow();
-            if known.as_ref().is_some_and(|k| k.record.upstream == id) {
-                self.unlisted.set(Some(Boot.now()));
+    /// Takes in that the list lacks a member: one that was about to leave has left,
+    /// another is dropped by [`Group::expire`] unless its entry comes back.
+    pub fn unlist(&self, id: &str, now: Instant) {
+        let Some(member) = self.member(id) else {
+            return;
+        };
+        if member.stay.get() == Stay::Draining {
+            self.remove(id);
+        } else if member.unlisted.get().is_none() {
+            member.unlisted.set(Some(now));
+        }
+    }
+
+    /// Drops the members whose entries have been gone for too long.
+    pub fn expire(&self, now: Instant) {
+        for member in self.members() {
+            if member.is_gone(now) {
+                self.remove(&member.upstream.id);
             }
-            drop(known);
-            self.changed.notify_waiters();
         }
     }
 
+    fn remove(&self, id: &str) {
+        let Some(member) = self.members.borrow_mut().remove(id) else {
+            return;
+        };
+        member.pool.retire();
+        let known = self.known.borrow();
+        if known.as_ref().is_some_and(|k| k.record.upstream == id) {
+            self.unlisted.set(Some(Boot.now()));
+        }
+        drop(known);
+        self.changed.notify_waiters();
+    }
+
     /// Since when the primary is known to leave, first asked at `now`.
     pub fn leaving_since(&self, now: Instant) -> Instant {
         let since = self.leaving.get().unwrap_or(now);
@@ -303,7 +385,8 @@
             return None;
         }
         let member = self.member(&record.upstream)?;
-        Some((member, record.term))
+        let deposed = member.deposed_since(record.term).is_some();
+        (!deposed).then_some((member, record.term))
     }
 
     /// Takes in the record as it stood at `revision`; `true` if it is news.
@@ -315,12 +398,21 @@
             return false;
         }
         let same = known.as_ref().is_some_and(|k| k.record == record);
+        let leads_on =
+            |k: &Known| k.record.term == record.term && k.record.upstream == record.upstream;
+        let replaced = !known.as_ref().is_some_and(leads_on);
         *known = Some(Known { record, revision });
         drop(known);
         self.era.set(0);
         self.known_at.set(Boot.now());
         self.leaving.set(None);
         self.unlisted.set(None);
+        if replaced {
+            // The log of one that led may be cut back now: that is no new start.
+            for member in self.members.borrow().values() {
+                member.shown.set(Position::default());
+            }
+        }
         if !same {
             let mut proof = self.proof.get();
             proof.void();
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -37,6 +37,9 @@
     /// Another upstream has the address now.
     #[error("another upstream has this address")]
     Misrouted,
+    /// Its log is shorter than it was when it led.
+    #[error("the upstream has lost a part of its log")]
+    Forgot,
     /// Nobody answers there.
     #[error("the upstream can't be reached")]
     Unreachable,
@@ -122,8 +125,14 @@
             _counted: counted,
         };
         let hello = Command::Start(&upstream.service, &upstream.id);
-        if line.ask::<P>(&hello).await.is_ok() {
-            return Ok(line);
+        if let Ok(reply) = line.ask::<P>(&hello).await {
+            let forgot = reply
+                .position
+                .is_some_and(|position| member.forgot(position, Boot.now()));
+            return match forgot {
+                true => Err(Refused::Forgot),
+                false => Ok(line),
+            };
         }
         match P::rejected(&line.buf) {
             Some(Code::TooMany) => Err(Refused::TooMany),
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -193,19 +193,21 @@
         groups.values().find_map(|group| group.member(id))
     }
 
-    /// Drops the upstream with this id, whichever group it is in.
-    pub fn remove(&self, id: &str) {
+    /// Takes in that the list lacks the upstream with this id.
+    pub fn unlist(&self, id: &str) {
+        let now = Boot.now();
         for group in self.groups.borrow().values() {
-            group.remove(id);
+            group.unlist(id, now);
         }
     }
 
-    /// Keeps only the upstreams whose ids `stays` names.
+    /// Takes in that the list has only the upstreams whose ids `stays` names.
     pub fn retain(&self, stays: &dyn Fn(&str) -> bool) {
+        let now = Boot.now();
         for group in self.groups.borrow().values() {
             for member in group.members() {
                 if !stays(&member.upstream.id) {
-                    group.remove(&member.upstream.id);
+                    group.unlist(&member.upstream.id, now);
                 }
             }
         }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -49,6 +49,7 @@
     scarce_until: Cell<Instant>,
     starved: Cell<Option<Instant>>,
     retrying: Cell<bool>,
+    retired: Cell<bool>,
     /// How many connections are open or being opened.
     pub open: Cell<usize>,
     /// How many connections may be open.
@@ -110,6 +111,16 @@
     pub fn close(&self) {
         self.idle.borrow_mut().clear();
     }
+
+    /// Closes all connections, those in use once they are given back.
+    ///
+    /// Idle connections hold the member that holds them. Those of a member that was
+    /// dropped would stay open for good, and where the list lost an upstream for a
+    /// moment it would then refuse everybody: full, though nobody has a connection.
+    pub fn retire(&self) {
+        self.retired.set(true);
+        self.close();
+    }
 }
 
 /// A connection to `member`: an idle one, a new one, or the next that is free.
@@ -147,7 +158,8 @@
     let member = Rc::clone(line.member());
     let pool = &member.pool;
     let tight = pool.is_tight(Boot.now());
-    if line.is_clean() && (pool.waiting() > 0 || !tight) {
+    let keep = !pool.retired.get() && (pool.waiting() > 0 || !tight);
+    if line.is_clean() && keep {
         member.pool.idle.borrow_mut().push(line);
     } else {
         drop(line);
@@ -202,7 +214,9 @@
             Err(back) => result = back,
         }
     }
-    if let Ok(line) = result {
+    if let Ok(line) = result
+        && !pool.retired.get()
+    {
         pool.idle.borrow_mut().push(line);
     }
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -105,7 +105,9 @@
         let mut line = match line {
             Ok(line) => line,
             Err(Refused::TooMany) => return Said::Full,
-            Err(Refused::Misrouted | Refused::Unreachable) => return Said::Silent,
+            Err(Refused::Misrouted | Refused::Forgot | Refused::Unreachable) => {
+                return Said::Silent;
+            }
         };
         let Ok(reply) = line.ask::<P>(command).await else {
             pool::discard::<P>(line);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -191,17 +191,32 @@
                 && Rc::ptr_eq(&lead, member)
                 && position.term == term
             {
+                member.leads(position);
                 group.sample(term, sent, position, KEEP);
             }
         }
         Err(failure) if failure.code == Code::Lagging && !place.leads => {
             member.lagged(Boot.now());
         }
-        Err(failure) if failure.code == Code::ReadOnly => node.prove.notify_one(),
+        Err(failure) if failure.code == Code::ReadOnly => read_only(node, group, member),
         Err(_) => {}
     }
 }
 
+/// Takes in that `member` runs no writes.
+///
+/// One that is recorded as the primary started again as a replica, or was told to
+/// step down by somebody whose word has not come yet. Unless it is replaced, every
+/// write of its group is refused from then on.
+pub fn read_only<E: Edge>(node: &Node<E>, group: &Group, member: &Rc<Member>) {
+    node.prove.notify_one();
+    if let Some((lead, term)) = group.primary()
+        && Rc::ptr_eq(&lead, member)
+    {
+        member.depose(term, Boot.now());
+    }
+}
+
 /// What is left of a span that began at `since`.
 pub fn left(span: Duration, since: Instant) -> Duration {
     span.saturating_sub(Boot.now().since(since))
@@ -328,7 +343,7 @@
     match timeout(wait, acquired).await {
         Ok(Ok(line)) => Some(line),
         Ok(Err(Refused::TooMany)) | Err(_) => None,
-        Ok(Err(Refused::Unreachable | Refused::Misrouted)) => {
+        Ok(Err(Refused::Unreachable | Refused::Misrouted | Refused::Forgot)) => {
             node.refresh.notify_one();
             None
         }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -22,13 +22,12 @@
 use crate::{
     counted,
     edge::{Edge, Fault, Orders},
-    era::LONELY,
     group::{Group, Member},
     node::Node,
     probe,
 };
 use due::{RANK, Reason, due};
-use fence::{Chosen, Fenced, fence};
+use fence::{Chosen, fence, still_holds};
 use record::{announce, end_era, settle};
 use right::{RIGHT, Right, claim, renew, write_duty};
 
@@ -128,7 +127,7 @@
 ) -> Result<(), Failed> {
     let old = group.known().ok_or(Failed::Overtaken)?.record;
     let revision = announce(node, group, right).await?;
-    let ended = end_era(node, right).await?;
+    end_era(node, right).await?;
     while right.holds() {
         let Some(chosen) = fence(node, group, &old, reason).await else {
             sleep(POLL * 4).await;
@@ -138,12 +137,7 @@
             Chosen::Leads(member, term) => {
                 return settle(node, group, right, revision, &member, term).await;
             }
-            // Somebody may still prove the old primary by a majority of the group.
-            Chosen::Candidate(_, Fenced::InPart) if Boot.now() < ended + LONELY => {
-                sleep(POLL * 4).await;
-                continue;
-            }
-            Chosen::Candidate(member, _) => member,
+            Chosen::Candidate(member) => member,
         };
         let lapsed = proof::all_lapsed(Boot.now(), node.settings.proof);
         let wait = lapsed.since(Boot.now());
@@ -154,6 +148,10 @@
         if let Some(primary) = back {
             return settle(node, group, right, revision, &primary, old.term).await;
         }
+        if !still_holds::<E>(&member, &old).await {
+            log::warn!(service = &*group.service, upstream = &*member.upstream.id; "replica holds no more");
+            continue;
+        }
         reason = reason.ordered();
         let id = &member.upstream.id;
         let name = &node.settings.name;
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -23,6 +23,8 @@
 pub(super) enum Reason {
     /// Most see it fail.
     Gone,
+    /// By its own word it does not lead any more, or has lost a part of its log.
+    Deposed,
     /// It is about to leave.
     Leaving,
     /// A replacement stands still.
@@ -33,7 +35,7 @@
     /// The reason once an order was given: its effect may still come.
     pub(super) fn ordered(self) -> Self {
         match self {
-            Self::Gone | Self::Stuck => Self::Stuck,
+            Self::Gone | Self::Deposed | Self::Stuck => Self::Stuck,
             Self::Leaving => Self::Leaving,
         }
     }
@@ -63,6 +65,10 @@
             .is_some_and(|at| at + wait < now)
             .then_some(Reason::Gone);
     };
+    if let Some(since) = primary.deposed_since(known.record.term) {
+        let wait = delay(&node.peers.names());
+        return (since + wait <= now).then_some(Reason::Deposed);
+    }
     if primary.stay.get() == Stay::Draining {
         let wait = delay(&node.peers.names());
         let since = group.leaving_since(now);
--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -22,23 +22,17 @@
 /// How long a replica's position is remembered that no other may fall behind.
 pub(super) const SEEN: Duration = Duration::from_secs(30);
 
+/// How often a replica that has no room to answer is asked whether it still holds.
+const HOLD_ASKED: u32 = 4;
+
 /// How long replicas may take to receive the last of a demoted primary.
 pub(super) const CATCH_UP: Duration = Duration::from_millis(400);
 
-/// Who was told of the next term.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Fenced {
-    /// The old primary, or all replicas: no majority with the old primary is left.
-    Wholly,
-    /// Some replicas.
-    InPart,
-}
-
 /// Who is to lead.
 #[derive(Debug)]
 pub(super) enum Chosen {
     /// This upstream is to be promoted.
-    Candidate(Rc<Member>, Fenced),
+    Candidate(Rc<Member>),
     /// This upstream leads this term already.
     Leads(Rc<Member>, Term),
 }
@@ -88,7 +82,9 @@
     if let (Some(primary), Said::Status(_)) = (primary, old_said) {
         let demote = Command::Demote(next);
         let said = probe::order::<E::Protocol>(primary, &demote, probe::ANSWER).await;
-        if let Said::Status(status) = said {
+        if let Said::Status(status) = said
+            && reason != Reason::Deposed
+        {
             last = Some(status.received);
             catch_up::<E>(&others, status.received).await;
         }
@@ -121,13 +117,27 @@
     }
     let best = choose::best(&candidates)?;
     log::info!(service = &*group.service, upstream = best, candidates:?, last:?; "replica chosen");
-    let replicas = group.replicas(Boot.now(), MEMORY);
-    let fenced = match last.is_some() || answered >= replicas {
-        true => Fenced::Wholly,
-        false => Fenced::InPart,
-    };
     let member = group.member(best)?;
-    Some(Chosen::Candidate(member, fenced))
+    Some(Chosen::Candidate(member))
+}
+
+/// Whether `member`, which was told to hold for the term behind `old`, still does.
+///
+/// A replica that starts again forgets what it was told. An instance without the store
+/// could then have proved the old primary by its whole group, after the fence and
+/// before the order. One that holds at the end has held all the time.
+pub(super) async fn still_holds<E: Edge>(member: &Rc<Member>, old: &Record) -> bool {
+    if *member.upstream.id == *old.upstream {
+        return true;
+    }
+    for _ in 0..HOLD_ASKED {
+        match probe::status::<E::Protocol>(member).await {
+            Said::Status(status) => return status.held > old.term || status.leads,
+            Said::Full => sleep(POLL).await,
+            Said::Refused(_) | Said::Silent => return false,
+        }
+    }
+    false
 }
 
 /// Whether the furthest of the candidates surely holds every acknowledged commit
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -274,7 +274,7 @@
             continue;
         }
         if code == Some(Code::ReadOnly) {
-            node.prove.notify_one();
+            run::read_only(node, &pinned.group, pinned.line.member());
         }
         let outcome = Outcome::of(reply);
         return match outcome.state {
