Serve the newest of a standing queue, count connections before they open, replace full primaries

Changes, in a crate of pure steps (admit) that crates/proxy carries out: - the queue of waiters: who can't be in time goes behind all who can; the newest first while the queue stands (30 ms); - the budget of connections: those being opened count; the pause behind a refusal grows from 15 to 60 ms and a chance; - a primary that refuses everybody for 2.2 s, with nobody answered, is replaced; the log tells of full upstreams (`upstream full`).

--- /dev/null
+++ b/crates/admit/src/budget.rs
@@ -0,0 +1,85 @@
+//! When one more connection to an upstream may be opened.
+//!
+//! The load pattern: an upstream takes few connections from all instances together, and
+//! for a while it takes none: it still counts those of instances that lost power, or all
+//! are in use. Every instance wants one and tries again.
+
+use std::time::Duration;
+
+use clock::Instant;
+
+/// The pause behind the first refusal, and how far it grows.
+///
+/// The first is about as long as an upstream needs to greet a connection (12 ms), so
+/// that a place which gets free is found soon; the last bounds the refusals of one
+/// instance at one upstream to 17 a second where a fixed pause of 15 to 35 ms came to 40.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(15), Duration::from_millis(60));
+
+/// How long behind a refusal connections are opened one by one.
+const MEMORY: Duration = Duration::from_millis(1_000);
+
+/// How long an instance that was refused its first connection counts as starved.
+const STARVED: Duration = Duration::from_millis(600);
+
+/// Whether a connection may be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// Now.
+    Now,
+    /// Not before this moment.
+    Wait(Instant),
+    /// Not before one that is being opened is there, or one is closed.
+    Enough,
+}
+
+/// The connections of one instance to one upstream, as far as opening them goes.
+#[derive(Debug, Default)]
+pub struct Budget {
+    refused: u32,
+    last: Option<Instant>,
+    until: Instant,
+    starved: Option<(Instant, Instant)>,
+}
+
+impl Budget {
+    /// Whether one more connection may be opened, when `open` are open or being opened,
+    /// `opening` of them being opened, and the instance may have `limit`.
+    pub fn ask(&self, now: Instant, open: usize, opening: usize, limit: usize) -> Answer {
+        if open >= limit.max(1) {
+            return Answer::Enough;
+        }
+        let lately = self.last.is_some_and(|at| at + MEMORY > now);
+        if lately && opening > 0 {
+            return Answer::Enough;
+        }
+        match now < self.until {
+            true => Answer::Wait(self.until),
+            false => Answer::Now,
+        }
+    }
+
+    /// Takes in that the upstream takes no more, when `open` are open here. `chance`,
+    /// between zero and one, spreads the next tries of many instances.
+    pub fn refused(&mut self, now: Instant, open: usize, chance: f64) {
+        let pause = (PAUSE.0 * 2_u32.saturating_pow(self.refused)).min(PAUSE.1);
+        self.refused = (self.refused + 1).min(8);
+        self.last = Some(now);
+        self.until = now + pause.mul_f64(1.0 + chance);
+        if open == 0 {
+            let since = self.starved_since(now).unwrap_or(now);
+            self.starved = Some((since, now));
+        }
+    }
+
+    /// Takes in that a connection was opened.
+    pub fn opened(&mut self) {
+        self.refused = 0;
+        self.starved = None;
+    }
+
+    /// Since when the instance has been refused its first connection, again and again.
+    pub fn starved_since(&self, now: Instant) -> Option<Instant> {
+        let (since, last) = self.starved?;
+        (last + STARVED > now).then_some(since)
+    }
+}
--- /dev/null
+++ b/crates/admit/tests/budget.rs
@@ -0,0 +1,77 @@
+//! Opening connections to an upstream that takes few.
+
+use std::time::Duration;
+
+use admit::{Budget, budget::Answer};
+use clock::Instant;
+
+/// Tries for `span` to open a first connection at an upstream that refuses; how often.
+fn refusals(span: Duration) -> usize {
+    let mut budget = Budget::default();
+    let mut now = Instant::from_millis(1_000);
+    let end = now + span;
+    let mut refused = 0;
+    while now < end {
+        match budget.ask(now, 0, 0, 11) {
+            Answer::Now => {
+                refused += 1;
+                budget.refused(now, 0, 0.0);
+            }
+            Answer::Wait(until) => now = until,
+            Answer::Enough => panic!("there is none"),
+        }
+    }
+    refused
+}
+
+/// Symptom: 240 refusals a second at one full upstream. Cause: every instance tries
+/// again every 25 ms, for as long as it is full.
+#[test]
+fn a_full_upstream_is_asked_seldom() {
+    assert!(refusals(Duration::from_secs(2)) <= 2 * 17 + 3);
+}
+
+/// Symptom: an instance waits though a place got free. Cause: it waits longer and longer.
+#[test]
+fn the_pause_stays_short() {
+    let mut budget = Budget::default();
+    let now = Instant::from_millis(1_000);
+    for _ in 0..100 {
+        budget.refused(now, 0, 1.0);
+    }
+    let most = now + Duration::from_millis(120);
+    assert_eq!(budget.ask(now, 0, 0, 11), Answer::Wait(most));
+    budget.opened();
+    budget.refused(now, 1, 0.0);
+    let first = now + Duration::from_millis(15);
+    assert_eq!(budget.ask(now, 1, 0, 11), Answer::Wait(first));
+}
+
+/// Symptom: 68 connections of one instance meet an upstream that takes 22 from all.
+/// Cause: what is being opened is not counted.
+#[test]
+fn no_more_are_opened_than_the_limit() {
+    let budget = Budget::default();
+    let now = Instant::from_millis(1_000);
+    let mut open = 0;
+    while budget.ask(now, open, open, 11) == Answer::Now {
+        open += 1;
+    }
+    assert_eq!(open, 11);
+}
+
+#[test]
+fn an_instance_is_starved_only_while_it_is_refused_its_first_connection() {
+    let mut budget = Budget::default();
+    let at = Instant::from_millis;
+    budget.refused(at(1_000), 1, 0.0);
+    assert_eq!(budget.starved_since(at(1_000)), None);
+    budget.refused(at(1_100), 0, 0.0);
+    budget.refused(at(1_500), 0, 0.0);
+    assert_eq!(budget.starved_since(at(1_600)), Some(at(1_100)));
+    assert_eq!(budget.starved_since(at(2_200)), None);
+    budget.refused(at(2_300), 0, 0.0);
+    assert_eq!(budget.starved_since(at(2_300)), Some(at(2_300)));
+    budget.opened();
+    assert_eq!(budget.starved_since(at(2_300)), None);
+}
--- a/crates/lead/src/vote.rs
+++ b/crates/lead/src/vote.rs
@@ -10,6 +10,9 @@
 /// How long a third of the instances must be without the primary.
 const ENDURED: Duration = Duration::from_millis(1_000);
 
+/// How long a primary must refuse everybody until it is replaced.
+const SHUT: Duration = Duration::from_millis(2_200);
+
 /// What one instance sees of a primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
@@ -19,6 +22,8 @@
     Failing,
     /// There was no reason to ask it.
     Unknown,
+    /// It lives, but has refused this instance its first connection for a while.
+    Full,
 }
 
 /// The verdicts of the instances that were heard lately, the own one included.
@@ -30,6 +35,8 @@
     pub failing: usize,
     /// Who can't tell.
     pub unknown: usize,
+    /// Who is refused a first connection.
+    pub full: usize,
 }
 
 impl Tally {
@@ -39,9 +46,36 @@
             Verdict::Fine => self.fine += 1,
             Verdict::Failing => self.failing += 1,
             Verdict::Unknown => self.unknown += 1,
+            Verdict::Full => self.full += 1,
         }
     }
 
+    fn heard(&self) -> usize {
+        self.fine + self.failing + self.unknown + self.full
+    }
+
+    /// Whether the primary is to be replaced because it has refused everybody for
+    /// `full_for`.
+    ///
+    /// A full upstream lives, and as a rule others use its connections. But it may
+    /// count connections that nobody has any more, until they have lain idle for a
+    /// minute; nobody is served meanwhile. Behind a loss of power all are refused as
+    /// well: the upstream still counts for 3 s what they had, and instances are back
+    /// after one. So it is replaced only if nobody at all was answered for longer.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let tally = lead::Tally { full: 2, unknown: 3, ..lead::Tally::default() };
+    /// assert!(tally.shut(6, Duration::from_millis(2_300)));
+    /// assert!(!tally.shut(6, Duration::from_millis(1_900)));
+    /// let used = lead::Tally { fine: 1, ..tally };
+    /// assert!(!used.shut(6, Duration::from_secs(10)));
+    /// ```
+    pub fn shut(&self, known: usize, full_for: Duration) -> bool {
+        let whole = self.heard() * 2 >= known;
+        self.full > 0 && self.fine == 0 && whole && full_for >= SHUT
+    }
+
     /// Whether the primary is to be replaced, after failing here for `failing_for`.
     ///
     /// One zone's blindness is not a dead primary: as a rule more must see it fail
@@ -53,13 +87,13 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// let tally = lead::Tally { fine: 1, failing: 3, unknown: 1 };
+    /// let tally = lead::Tally { fine: 1, failing: 3, unknown: 1, full: 0 };
     /// assert!(tally.gone(9, Duration::from_millis(300)));
-    /// let blind = lead::Tally { fine: 7, failing: 2, unknown: 0 };
+    /// let blind = lead::Tally { fine: 7, failing: 2, ..lead::Tally::default() };
     /// assert!(!blind.gone(9, Duration::from_secs(10)));
     /// ```
     pub fn gone(&self, known: usize, failing_for: Duration) -> bool {
-        let heard = self.fine + self.failing + self.unknown;
+        let heard = self.heard();
         let judges = self.fine + self.failing;
         if self.failing > self.fine {
             return heard * 2 >= known || failing_for >= PATIENCE;
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -195,6 +195,9 @@
         if self.is_failing() {
             return Verdict::Failing;
         }
+        if self.pool.starved_since(now).is_some() {
+            return Verdict::Full;
+        }
         let answered = self.health.get().answered;
         match answered + FRESH > now {
             true => Verdict::Fine,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use admit::{Budget, Queue, Waiter, budget::Answer};
 use clock::{Boot, Instant};
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
@@ -20,36 +21,38 @@
     line::{Counted, Line, Refused, Values},
 };
 
-/// How long to wait after an upstream took no more connections.
-const FULL_PAUSE: Duration = Duration::from_millis(15);
-
-/// The most that is added to that, so that not all try at once.
-const FULL_JITTER_MICROS: u64 = 20_000;
-
-/// How long after an upstream took no more connections they are opened one by one.
-const FULL_MEMORY: Duration = Duration::from_millis(1_000);
-
 /// How long connections are given up after use once somebody has none at all.
 const SCARCE: Duration = Duration::from_millis(600);
 
-/// Somebody who waits for a connection.
-#[derive(Debug)]
-struct Waiter {
-    priority: u8,
-    line: oneshot::Sender<Result<Line, Refused>>,
+/// How often it is told that an upstream is full.
+const TOLD: Duration = Duration::from_millis(1_000);
+
+/// How to reach somebody who waits for a connection.
+type Sender = oneshot::Sender<Result<Line, Refused>>;
+
+/// What somebody wants a connection for.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Who goes first; zero is the highest.
+    pub priority: u8,
+    /// When an answer is late.
+    pub aim: Instant,
+    /// The session's values.
+    pub values: &'a Values,
 }
 
 /// The connections of this instance to one upstream.
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<Vec<Line>>,
-    waiters: RefCell<Vec<Waiter>>,
+    waiters: RefCell<Queue<Sender>>,
+    budget: RefCell<Budget>,
     opening: Cell<usize>,
-    full_until: Cell<Instant>,
     scarce_until: Cell<Instant>,
-    starved: Cell<Option<Instant>>,
     retrying: Cell<bool>,
     retired: Cell<bool>,
+    refused: Cell<usize>,
+    told: Cell<Instant>,
     /// How many connections are open or being opened.
     pub open: Cell<usize>,
     /// How many connections may be open.
@@ -104,7 +107,28 @@
 
     /// Whether this instance was lately refused its first connection.
     pub fn is_starved(&self, now: Instant) -> bool {
-        self.starved.get().is_some_and(|at| at + SCARCE > now)
+        self.starved_since(now).is_some()
+    }
+
+    /// Since when this instance has been refused its first connection.
+    pub fn starved_since(&self, now: Instant) -> Option<Instant> {
+        self.budget.borrow().starved_since(now)
+    }
+
+    /// Tells of refusals by a full upstream, and how this pool stands.
+    fn tell(&self, member: &Member, now: Instant) {
+        self.refused.set(self.refused.get() + 1);
+        if self.told.get() + TOLD > now {
+            return;
+        }
+        self.told.set(now);
+        log::info!(
+            service = &*member.upstream.service, upstream = &*member.upstream.id,
+            refused = self.refused.take(), open = self.open.get(),
+            idle = self.idle.borrow().len(), waiting = self.waiting(),
+            running = member.running.get(), starved = self.is_starved(now);
+            "upstream full"
+        );
     }
 
     /// Closes all idle connections.
@@ -128,27 +152,20 @@
 /// # Errors
 ///
 /// A new connection was refused. The future may be dropped at any time.
-pub async fn acquire<P: Protocol>(
-    member: &Rc<Member>,
-    priority: u8,
-    values: &Values,
-) -> Result<Line, Refused> {
+pub async fn acquire<P: Protocol>(member: &Rc<Member>, wish: Wish<'_>) -> Result<Line, Refused> {
     let pool = &member.pool;
     if pool.waiting() == 0
-        && let Some(line) = pool.idle(values)
+        && let Some(line) = pool.idle(wish.values)
     {
         return Ok(line);
     }
     let (sender, receiver) = oneshot::channel();
-    let waiter = Waiter {
-        priority,
-        line: sender,
-    };
-    {
-        let mut waiters = pool.waiters.borrow_mut();
-        let place = waiters.partition_point(|w| w.priority <= priority);
-        waiters.insert(place, waiter);
-    }
+    pool.waiters.borrow_mut().push(Waiter {
+        priority: wish.priority,
+        since: Boot.now(),
+        aim: wish.aim,
+        reply: sender,
+    });
     serve::<P>(member);
     receiver.await.unwrap_or(Err(Refused::Unreachable))
 }
@@ -177,39 +194,45 @@
 /// Hands idle connections to those who wait, and opens as many as are missing.
 fn serve<P: Protocol>(member: &Rc<Member>) {
     let pool = &member.pool;
-    pool.waiters.borrow_mut().retain(|w| !w.line.is_closed());
+    pool.waiters
+        .borrow_mut()
+        .retain(|sender| !sender.is_closed());
     while pool.waiting() > 0 {
         let Some(line) = pool.idle(&Values::new()) else {
             break;
         };
-        hand(pool, Ok(line));
+        hand(member, Ok(line));
     }
-    while pool.waiting() > pool.opening.get() && pool.open.get() < pool.limit.get().max(1) {
-        let now = Boot.now();
-        let lately = pool.full_until.get() + FULL_MEMORY > now;
-        if lately && pool.opening.get() > 0 {
-            return;
-        }
-        if now < pool.full_until.get() {
-            retry::<P>(member);
-            return;
+    while pool.waiting() > pool.opening.get() {
+        let asked = pool.budget.borrow().ask(
+            Boot.now(),
+            pool.open.get(),
+            pool.opening.get(),
+            pool.limit.get(),
+        );
+        match asked {
+            Answer::Now => {}
+            Answer::Wait(until) => return retry::<P>(member, until),
+            Answer::Enough => return,
         }
         pool.opening.set(pool.opening.get() + 1);
         let member = Rc::clone(member);
-        spawn_local(async move { open::<P>(&member).await });
+        // Counted before the task runs, or one loop opens as many as wait here: 68
+        // connections of one instance met an upstream that takes 22 from all.
+        let counted = Counted::new(&member);
+        spawn_local(async move { open::<P>(&member, counted).await });
     }
 }
 
-/// Gives a connection, or why there is none, to the first who still waits.
-fn hand(pool: &Pool, mut result: Result<Line, Refused>) {
+/// Gives a connection, or why there is none, to the next who still waits.
+fn hand(member: &Member, mut result: Result<Line, Refused>) {
+    let pool = &member.pool;
     loop {
-        let mut waiters = pool.waiters.borrow_mut();
-        if waiters.is_empty() {
+        let next = pool.waiters.borrow_mut().next(Boot.now(), member.latency());
+        let Some(waiter) = next else {
             break;
-        }
-        let waiter = waiters.remove(0);
-        drop(waiters);
-        match waiter.line.send(result) {
+        };
+        match waiter.reply.send(result) {
             Ok(()) => return,
             Err(back) => result = back,
         }
@@ -221,42 +244,41 @@
     }
 }
 
-async fn open<P: Protocol>(member: &Rc<Member>) {
+async fn open<P: Protocol>(member: &Rc<Member>, counted: Counted) {
     let pool = &member.pool;
-    let opened = Line::open::<P>(member, Counted::new(member)).await;
+    let opened = Line::open::<P>(member, counted).await;
     pool.opening.set(pool.opening.get() - 1);
     match opened {
         Ok(line) => {
-            pool.starved.set(None);
-            hand(pool, Ok(line));
+            pool.budget.borrow_mut().opened();
+            hand(member, Ok(line));
         }
         Err(Refused::TooMany) => {
-            member.answered(Boot.now());
+            // It lives; but it serves nobody here, which is for others to know.
+            member.reached();
             let now = Boot.now();
-            let jitter = Duration::from_micros(rand::random_range(0..FULL_JITTER_MICROS));
-            pool.full_until.set(now + FULL_PAUSE + jitter);
-            if pool.open.get() == 0 {
-                pool.starved.set(Some(now));
-            }
+            let chance = rand::random();
+            pool.budget
+                .borrow_mut()
+                .refused(now, pool.open.get(), chance);
+            pool.tell(member, now);
         }
         Err(refused) => {
             member.failed(Boot.now());
-            hand(pool, Err(refused));
+            hand(member, Err(refused));
         }
     }
     serve::<P>(member);
 }
 
 /// Tries again when the upstream may have room.
-fn retry<P: Protocol>(member: &Rc<Member>) {
-    let pool = &member.pool;
-    if pool.retrying.replace(true) {
+fn retry<P: Protocol>(member: &Rc<Member>, until: Instant) {
+    if member.pool.retrying.replace(true) {
         return;
     }
     let member = Rc::clone(member);
     spawn_local(async move {
-        let until = member.pool.full_until.get();
-        sleep(until.since(Boot.now()).max(FULL_PAUSE / 4)).await;
+        sleep(until.since(Boot.now())).await;
         member.pool.retrying.set(false);
         serve::<P>(&member);
     });
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -339,7 +339,12 @@
         priority = priority.saturating_add(TRANSACTIONS_LAST);
     }
     let _waited = node.figures.wait(Wait::Connection);
-    let acquired = pool::acquire::<E::Protocol>(member, priority, ask.values);
+    let wish = pool::Wish {
+        priority,
+        aim: ask.at + ask.route.aim,
+        values: ask.values,
+    };
+    let acquired = pool::acquire::<E::Protocol>(member, wish);
     match timeout(wait, acquired).await {
         Ok(Ok(line)) => Some(line),
         Ok(Err(Refused::TooMany)) | Err(_) => None,
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -185,7 +185,7 @@
     wait: Duration,
 ) -> Option<Rc<Member>> {
     let primary = group.member(&old.upstream)?;
-    if reason != Reason::Gone {
+    if !reason.is_doubt() {
         return None;
     }
     sleep(wait.saturating_sub(probe::ANSWER)).await;
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use clock::Boot;
-use lead::Phase;
+use lead::{Phase, Verdict};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::right::RIGHT;
@@ -23,6 +23,8 @@
 pub(super) enum Reason {
     /// Most see it fail.
     Gone,
+    /// It refuses everybody, though nobody has a connection.
+    Full,
     /// By its own word it does not lead any more, or has lost a part of its log.
     Deposed,
     /// It is about to leave.
@@ -35,10 +37,15 @@
     /// The reason once an order was given: its effect may still come.
     pub(super) fn ordered(self) -> Self {
         match self {
-            Self::Gone | Self::Deposed | Self::Stuck => Self::Stuck,
+            Self::Gone | Self::Full | Self::Deposed | Self::Stuck => Self::Stuck,
             Self::Leaving => Self::Leaving,
         }
     }
+
+    /// Whether the old primary leads on if it answers after all.
+    pub(super) fn is_doubt(self) -> bool {
+        matches!(self, Self::Gone | Self::Full)
+    }
 }
 
 /// Why a group's primary is to be replaced by this instance now, if it is.
@@ -74,6 +81,13 @@
         let since = group.leaving_since(now);
         return (since + wait < now).then_some(Reason::Leaving);
     }
+    if let Some(since) = primary.pool.starved_since(now) {
+        let (tally, _) = node.peers.tally(service, known.record.term, Verdict::Full);
+        let wait = delay(&node.peers.names());
+        if tally.shut(node.peers.count(), now.since(since).saturating_sub(wait)) {
+            return Some(Reason::Full);
+        }
+    }
     // What was seen while this instance itself was cut off says nothing.
     if !primary.is_failing() || node.stored.get() + STORED < now {
         return None;
--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -72,7 +72,7 @@
         return Some(Chosen::Leads(Rc::clone(primary), status.term));
     }
     if let (Some(primary), Said::Status(status)) = (primary, old_said)
-        && reason == Reason::Gone
+        && reason.is_doubt()
         && status.leads
         && status.term == old.term
     {
