Hand sessions to the few instances that hold a group's connections

Where an upstream takes fewer than one and a half connections an instance, two to four holders a group are chosen by weighted rendezvous hashing among the instances heard; the others hand their callers' sessions over, one hop, and know from the answers where a session stands, so that a lost holder leaves no statement without a true answer. Proofs are renewed only where somebody asked lately.

Ruled out for now: handing over single statements (values, prepared names, positions and promises would live in two places), seats by the store (calls grow with instances).

Small deployments choose no holders.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -4,6 +4,7 @@
 //! are passed in. `proxy` carries out what is decided here.
 
 pub mod budget;
+pub mod holders;
 pub mod queue;
 
 pub use budget::Budget;
--- /dev/null
+++ b/crates/admit/tests/holders.rs
@@ -0,0 +1,92 @@
+//! Who holds the connections to a group of upstreams.
+
+use std::collections::{HashMap, HashSet};
+
+use admit::holders::{Candidate, choose};
+
+fn fleet(count: usize) -> Vec<(String, String, u32)> {
+    let zone = |at: usize| format!("zone-{}", at % 4);
+    let weight = |at: usize| if at < 8 { 50 } else { 12 };
+    let one = |at: usize| (format!("instance-{at}"), zone(at), weight(at));
+    (0..count).map(one).collect()
+}
+
+fn candidates(fleet: &[(String, String, u32)]) -> Vec<Candidate<'_>> {
+    let one = |(name, zone, weight): &'_ (String, String, u32)| (name.len(), zone.len(), *weight);
+    assert!(fleet.iter().map(one).all(|(a, b, c)| a * b > 0 && c > 0));
+    fleet
+        .iter()
+        .map(|(name, zone, weight)| Candidate {
+            name,
+            zone,
+            weight: *weight,
+        })
+        .collect()
+}
+
+/// Symptom: all sessions of a database break at once when a zone is cut off. Cause: its
+/// holders are all in that zone.
+#[test]
+fn holders_are_never_all_in_one_zone() {
+    let fleet = fleet(58);
+    for service in 0..200 {
+        let holders = choose(&format!("s{service}"), &candidates(&fleet), 2);
+        let zones: HashSet<_> = fleet
+            .iter()
+            .filter(|(name, ..)| holders.contains(&&**name))
+            .map(|(_, zone, _)| zone)
+            .collect();
+        assert_eq!(zones.len(), 2, "{holders:?}");
+    }
+}
+
+/// Symptom: sessions break all over the fleet when one instance dies. Cause: the holders
+/// of all databases are dealt anew.
+#[test]
+fn an_instance_that_goes_changes_only_its_own_place() {
+    let fleet = fleet(58);
+    let all = candidates(&fleet);
+    for service in 0..50 {
+        let service = format!("s{service}");
+        let before = choose(&service, &all, 4);
+        for gone in 0..58 {
+            let rest: Vec<_> = all
+                .iter()
+                .filter(|c| c.name != all[gone].name)
+                .copied()
+                .collect();
+            let after = choose(&service, &rest, 4);
+            let kept = before.iter().filter(|name| after.contains(name)).count();
+            let held = usize::from(before.contains(&all[gone].name));
+            // One more may change so that two zones are there.
+            assert!(kept + held + 1 >= 4, "{before:?} {after:?}");
+        }
+    }
+}
+
+#[test]
+fn strong_instances_hold_most() {
+    let fleet = fleet(58);
+    let mut held: HashMap<&str, usize> = HashMap::new();
+    for service in 0..400 {
+        for name in choose(&format!("s{service}"), &candidates(&fleet), 4) {
+            *held.entry(name).or_default() += 1;
+        }
+    }
+    let strong: usize = fleet[..8]
+        .iter()
+        .map(|(n, ..)| held.get(&**n).copied().unwrap_or(0))
+        .sum();
+    assert!(strong > 400 * 4 / 2, "{strong}");
+}
+
+#[test]
+fn nobody_is_chosen_of_nobody() {
+    assert!(choose("s", &[], 3).is_empty());
+    let alone = [Candidate {
+        name: "a",
+        zone: "z",
+        weight: 0,
+    }];
+    assert_eq!(choose("s", &alone, 3), ["a"]);
+}
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -39,9 +39,6 @@
 /// The shortest pause between two rounds.
 const GAP: Duration = Duration::from_millis(20);
 
-/// How long a need for proofs lasts.
-const WANTED: Duration = Duration::from_secs(2);
-
 /// How long the list of upstreams is remembered as having been longer.
 pub const MEMORY: Duration = Duration::from_secs(15);
 
@@ -74,10 +71,12 @@
         let now = Boot.now();
         let groups = node.groups();
         if !groups.is_empty() {
-            ask_store(&node);
+            let needed = |g: &Rc<Group>| g.is_wanted(now) || g.known().is_none();
+            if groups.iter().any(needed) {
+                ask_store(&node);
+            }
             let span = node.settings.proof;
-            let due =
-                |g: &Rc<Group>| g.proof().until() < now + span / 3 && g.wanted.get() + WANTED > now;
+            let due = |g: &Rc<Group>| g.proof().until() < now + span / 3 && g.is_wanted(now);
             if groups.iter().any(due) {
                 ask_others(&node);
             }
@@ -216,7 +215,7 @@
     for group in node.groups() {
         let now = Boot.now();
         let fresh = group.proof().until() > now + node.settings.proof / 3;
-        if fresh || group.wanted.get() + WANTED < now {
+        if fresh || !group.is_wanted(now) {
             continue;
         }
         if !group.asking.replace(true) {
--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -176,6 +176,7 @@
         Cause::NoRoute => "no_route",
         Cause::NoStatement => "no_statement",
         Cause::Malformed => "malformed",
+        Cause::Holder => "holder",
     }
 }
 
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -29,6 +29,9 @@
 /// How long a replica that lags is left alone, first and at most.
 const LAG_PAUSE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(640));
 
+/// How long a need for proofs lasts.
+const WANTED: Duration = Duration::from_secs(2);
+
 /// How long an upstream whose entry is gone is still used if it answers.
 ///
 /// Entries expire while the store is away, though their upstreams live. Whoever drops
@@ -375,6 +378,11 @@
         since
     }
 
+    /// Whether somebody needed a proof lately.
+    pub fn is_wanted(&self, now: Instant) -> bool {
+        self.wanted.get() + WANTED > now
+    }
+
     /// What is known of the primary.
     pub fn known(&self) -> Option<Known> {
         self.known.borrow().clone()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod place;
 pub mod pool;
 pub mod probe;
+pub mod remote;
 mod roll;
 pub mod run;
 pub mod serve;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -3,10 +3,12 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
+use admit::holders::Candidate;
 use bytes::Bytes;
 use clock::{Boot, Instant};
 use tokio::{
@@ -160,6 +162,21 @@
         self.catalog.borrow().routes.get(database).cloned()
     }
 
+    /// Where to reach the instances that serve sessions on `service`, if this one is to
+    /// hand them over.
+    pub fn holders(&self, service: &str) -> Vec<SocketAddr> {
+        let catalog = self.catalog();
+        let Some(entry) = catalog.services.get(service) else {
+            return Vec::new();
+        };
+        let own = Candidate {
+            name: &self.settings.name,
+            zone: &self.settings.zone,
+            weight: self.settings.weight,
+        };
+        self.peers.holders(service, entry.connections, own)
+    }
+
     /// The group of a service; made if it is new.
     pub fn group_of(&self, service: &Rc<str>) -> Rc<Group> {
         let mut groups = self.groups.borrow_mut();
@@ -241,9 +258,16 @@
     }
 
     /// Whether some primary is proved, or was a moment ago, and can be reached.
+    ///
+    /// One that nobody asked for a while, because its sessions are served by others, has
+    /// no proof and no reason to doubt.
     pub fn is_able(&self) -> bool {
         let now = Boot.now();
-        self.groups().iter().any(|group| {
+        let groups = self.groups();
+        if !groups.iter().any(|group| group.is_wanted(now)) {
+            return true;
+        }
+        groups.iter().any(|group| {
             let proved = group.proof().until() + LAPSED > now;
             proved
                 && group
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -33,6 +33,8 @@
     NoStatement,
     /// The statement is not understood, or not now.
     Malformed,
+    /// The instance that served the session was lost.
+    Holder,
 }
 
 impl Cause {
@@ -50,6 +52,7 @@
             Self::NoRoute => "no such database",
             Self::NoStatement => "no such prepared statement",
             Self::Malformed => "not understood here",
+            Self::Holder => "the session's instance was lost, come back in 50 ms",
         }
     }
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -6,11 +6,12 @@
 
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{BufMut, BytesMut};
+use admit::holders::{self, Candidate};
+use bytes::{BufMut, Bytes, BytesMut};
 use clock::{Boot, Instant};
 use lead::{Tally, Verdict};
 use model::Term;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -26,6 +27,7 @@
     node::Node,
     probe,
     roll::{self, Roll},
+    session,
     settings::Settings,
 };
 
@@ -73,6 +75,7 @@
     beliefs: Vec<Belief>,
     starved: Vec<String>,
     zone: String,
+    weight: u32,
     able: bool,
     leaving: bool,
 }
@@ -84,6 +87,8 @@
     Read(String),
     /// The catalogue you have.
     Catalog,
+    /// Serve a session on this database: its statements follow.
+    Session(Bytes),
 }
 
 /// What it is told.
@@ -103,6 +108,7 @@
     version: u64,
     beliefs: Vec<Belief>,
     zone: String,
+    weight: u32,
     able: bool,
 }
 
@@ -115,6 +121,7 @@
             version: 0,
             beliefs: Vec::new(),
             zone: String::new(),
+            weight: 0,
             able: false,
         }
     }
@@ -234,6 +241,42 @@
         able || (known_far && !heard_far)
     }
 
+    /// Who holds the connections to `service`, whose upstreams take `connections` each:
+    /// where to reach them, in a random order. Nobody, if each instance has its own, or
+    /// if `own` is one of them.
+    pub fn holders(
+        &self,
+        service: &str,
+        connections: usize,
+        own: Candidate<'_>,
+    ) -> Vec<SocketAddr> {
+        let Some(count) = holders::count(connections, self.count()) else {
+            return Vec::new();
+        };
+        let now = Boot.now();
+        let table = self.table.borrow();
+        let heard = |p: &Peer| p.heard.is_some_and(|at| at + HEARD > now);
+        let alive = table.iter().filter(|(_, p)| heard(p) && p.able);
+        let mut candidates: Vec<_> = alive
+            .map(|(name, peer)| Candidate {
+                name,
+                zone: &peer.zone,
+                weight: peer.weight,
+            })
+            .collect();
+        candidates.push(own);
+        let chosen = holders::choose(service, &candidates, count);
+        if chosen.contains(&own.name) {
+            return Vec::new();
+        }
+        let mut addresses: Vec<_> = chosen
+            .iter()
+            .filter_map(|name| Some(table.get(*name)?.address))
+            .collect();
+        addresses.shuffle(&mut rand::rng());
+        addresses
+    }
+
     /// Names of the instances that were heard lately.
     pub fn names(&self) -> Vec<String> {
         let now = Boot.now();
@@ -302,6 +345,7 @@
         beliefs,
         starved,
         zone: node.settings.zone.clone(),
+        weight: node.settings.weight,
         able: node.is_able(),
         leaving: node.is_stopping(),
     }
@@ -327,6 +371,7 @@
     let new = || Peer::new(beat.address);
     let peer = table.entry(beat.name).or_insert_with(new);
     peer.zone = beat.zone;
+    peer.weight = beat.weight;
     peer.able = beat.able;
     peer.address = beat.address;
     peer.heard = Some(Boot.now());
@@ -389,6 +434,18 @@
     Err(Fault::Unknown)
 }
 
+/// Hands a session on `database` to the instance at `address`.
+///
+/// # Errors
+///
+/// It can't be reached.
+pub async fn hand(address: SocketAddr, database: &Bytes) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address).await?;
+    let _ = line::tune(&stream);
+    send(&mut stream, &Ask::Session(database.clone())).await?;
+    Ok(stream)
+}
+
 async fn call(address: SocketAddr, ask: &Ask) -> io::Result<Told> {
     let mut stream = TcpStream::connect(address).await?;
     let _ = line::tune(&stream);
@@ -399,26 +456,28 @@
 /// Answers other instances until the process ends.
 pub async fn serve<E: Edge>(node: Rc<Node<E>>, listener: TcpListener) {
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.accept().await else {
             sleep(CALM).await;
             continue;
         };
         let node = Rc::clone(&node);
         spawn_local(async move {
-            let _ = timeout(PASS * 2, answer(&node, &mut stream)).await;
+            let _ = answer(&node, stream).await;
         });
     }
 }
 
-async fn answer<E: Edge>(node: &Node<E>, stream: &mut TcpStream) -> io::Result<()> {
-    let told = match receive::<Ask>(stream).await? {
+async fn answer<E: Edge>(node: &Rc<Node<E>>, mut stream: TcpStream) -> io::Result<()> {
+    let asked = timeout(PASS, receive::<Ask>(&mut stream)).await??;
+    let told = match asked {
+        Ask::Session(database) => return session::host(node, stream, database).await,
         Ask::Read(prefix) => match timeout(READ, node.edge.store().read(&prefix)).await {
             Ok(Ok(items)) => Told::Items(items),
             _ => Told::Nothing,
         },
         Ask::Catalog => Told::Catalog(node.peers.catalog.borrow().clone()),
     };
-    send(stream, &told).await
+    timeout(PASS, send(&mut stream, &told)).await?
 }
 
 async fn send<T: Serialize>(stream: &mut TcpStream, frame: &T) -> io::Result<()> {
--- /dev/null
+++ b/crates/proxy/src/remote.rs
@@ -0,0 +1,168 @@
+//! A session that another instance serves.
+//!
+//! Where a few instances hold the connections to a group ([`admit::holders`]), the
+//! others hand their callers' sessions to them, one hop and never two. Everything that a
+//! session is made of (values, prepared statements, position, transaction, proofs) is at
+//! the holder; here statements and answers pass through, and it is known where the
+//! session stands, so that a lost holder leaves no statement without a true answer.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::{
+    catalog::Route,
+    edge::{Edge, Protocol},
+    line::Broken,
+    message::{Access, Code, Command, Query, Reply, Shape, State, Statement},
+    node::Node,
+    outcome::{Cause, Outcome},
+    peers,
+};
+
+/// How long a holder may take to take over a session: a hop there and back, and a turn
+/// of a busy processor. Behind that the next one is asked; nothing was run.
+const HELLO: Duration = Duration::from_millis(200);
+
+/// How much longer than a statement may take its answer is waited for: the holder gives
+/// up in time and says so, unless it is gone.
+const SLACK: Duration = Duration::from_millis(250);
+
+/// How much is read at once.
+const CHUNK: usize = 4 * 1024;
+
+/// A session that another instance serves.
+#[derive(Debug)]
+pub struct Remote {
+    stream: TcpStream,
+    buf: BytesMut,
+    out: BytesMut,
+    state: State,
+    gone: bool,
+}
+
+impl Remote {
+    /// Hands a session on `database` to one of the holders of its route's service;
+    /// `None` if this instance is to serve it.
+    pub async fn open<E: Edge>(
+        node: &Rc<Node<E>>,
+        route: &Route,
+        database: &Bytes,
+    ) -> Option<Self> {
+        for address in node.holders(&route.service) {
+            let passed = timeout(HELLO, peers::hand(address, database)).await;
+            let Ok(Ok(stream)) = passed else {
+                continue;
+            };
+            let mut remote = Self {
+                stream,
+                buf: BytesMut::new(),
+                out: BytesMut::new(),
+                state: State::Idle,
+                gone: false,
+            };
+            if let Ok(Ok(_)) = timeout(HELLO, remote.next::<E::Protocol>()).await {
+                return Some(remote);
+            }
+        }
+        None
+    }
+
+    /// Where the session stands.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether the holder is lost. Its caller's session ends once it stands outside of a
+    /// transaction: values and prepared statements are lost with the holder.
+    pub fn is_over(&self) -> bool {
+        self.gone && self.state == State::Idle
+    }
+
+    /// Runs a statement at the holder. `prepared` is the statement behind the name that
+    /// it executes.
+    pub async fn answer<E: Edge>(
+        &mut self,
+        query: &Query,
+        prepared: Option<&Shape>,
+        within: Duration,
+    ) -> Outcome {
+        if !self.gone {
+            let asked = self.ask::<E::Protocol>(query);
+            if let Ok(Ok(reply)) = timeout(within + SLACK, asked).await {
+                self.state = reply.state;
+                return Outcome::of(reply);
+            }
+            self.gone = true;
+        }
+        let outcome = lost::<E>(self.state, &query.statement, prepared);
+        self.state = outcome.state;
+        outcome
+    }
+
+    /// Waits until the holder ends the session.
+    pub async fn ended(&self) {
+        if self.gone {
+            return std::future::pending().await;
+        }
+        let _ = self.stream.readable().await;
+    }
+
+    /// Notes that the holder ended the session while nothing was asked.
+    pub fn lose(&mut self) {
+        self.gone = true;
+    }
+
+    async fn ask<P: Protocol>(&mut self, query: &Query) -> Result<Reply, Broken> {
+        let command = Command::Forward {
+            id: &query.id,
+            after: None,
+            text: &query.text,
+        };
+        P::command(&command, &mut self.out);
+        let out = self.out.split();
+        self.stream.write_all(&out).await?;
+        self.next::<P>().await
+    }
+
+    async fn next<P: Protocol>(&mut self) -> Result<Reply, Broken> {
+        loop {
+            match P::reply(&mut self.buf) {
+                Ok(Some(reply)) => return Ok(reply),
+                Ok(None) => {}
+                Err(_) => return Err(Broken),
+            }
+            self.buf.reserve(CHUNK);
+            if self.stream.read_buf(&mut self.buf).await? == 0 {
+                return Err(Broken);
+            }
+        }
+    }
+}
+
+/// What a caller is told whose session's holder was lost, at `state`, with `statement`
+/// asked and not answered.
+///
+/// Without a `COMMIT` nothing of a transaction is kept, wherever its connection is. A
+/// single write or a `COMMIT` may have been kept, and is never sent again.
+fn lost<E: Edge>(state: State, statement: &Statement, prepared: Option<&Shape>) -> Outcome {
+    let reads = prepared.is_some_and(|shape| shape.access == Access::Read);
+    let refuse = |code, state| Outcome::refusal::<E::Protocol>(code, Cause::Holder, state);
+    match (state, statement) {
+        (State::Open, Statement::Commit) => refuse(Code::InDoubt, State::Idle),
+        (State::Failed, Statement::Commit) => refuse(Code::Aborted, State::Idle),
+        (State::Open | State::Failed, Statement::Rollback) => {
+            Outcome::done::<E::Protocol>(State::Idle)
+        }
+        (State::Open, _) => refuse(Code::Aborted, State::Failed),
+        (State::Failed, _) => refuse(Code::Malformed, State::Failed),
+        (State::Idle, Statement::Write) => refuse(Code::InDoubt, State::Idle),
+        (State::Idle, Statement::Execute(..)) if !reads => refuse(Code::InDoubt, State::Idle),
+        (State::Idle, _) => refuse(Code::Busy, State::Idle),
+    }
+}
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -2,7 +2,7 @@
 
 mod statement;
 
-use std::{collections::HashMap, io, rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use clock::{Boot, Instant};
@@ -15,9 +15,10 @@
 
 use crate::{
     edge::{Edge, Protocol},
-    line::{self, Values},
+    line,
     message::{Code, Request, State},
     node::{Node, Stage},
+    remote::Remote,
     run,
     transaction::Transaction,
 };
@@ -69,6 +70,7 @@
 enum Wake {
     Read(usize),
     Rested,
+    Lost,
     Stopped,
 }
 
@@ -92,21 +94,42 @@
         E::Protocol::rejection(Code::NoDatabase, "no such database", &mut out);
         return stream.write_all(&out).await;
     }
+    let remote = match node.route(&database) {
+        Some(route) => Remote::open(node, &route, &database).await,
+        None => None,
+    };
     E::Protocol::welcome(&mut out);
     stream.write_all(&out).await?;
-    let mut session = Session {
-        database,
-        values: Values::new(),
-        prepared: HashMap::new(),
-        own: None,
-        transaction: Transaction::None,
-        ids: Vec::new(),
-    };
+    let mut session = Session::new(database, remote);
     let ended = converse(node, &mut session, &mut stream, &mut buf).await;
     session.end::<E>();
     ended
 }
 
+/// Serves a session that another instance handed over.
+///
+/// # Errors
+///
+/// The connection broke.
+pub async fn host<E: Edge>(
+    node: &Rc<Node<E>>,
+    mut stream: TcpStream,
+    database: Bytes,
+) -> io::Result<()> {
+    let _ = line::tune(&stream);
+    let mut out = BytesMut::new();
+    if node.route(&database).is_none() {
+        E::Protocol::rejection(Code::NoDatabase, "no such database", &mut out);
+        return stream.write_all(&out).await;
+    }
+    E::Protocol::welcome(&mut out);
+    stream.write_all(&out).await?;
+    let mut session = Session::new(database, None);
+    let ended = converse(node, &mut session, &mut stream, &mut BytesMut::new()).await;
+    session.end::<E>();
+    ended
+}
+
 /// Reads which database the caller wants.
 async fn hello<E: Edge>(stream: &mut TcpStream, buf: &mut BytesMut) -> io::Result<Option<Bytes>> {
     loop {
@@ -135,6 +158,9 @@
 ) -> io::Result<()> {
     let mut rest_from = Boot.now();
     loop {
+        if session.is_over() {
+            return Ok(());
+        }
         match E::Protocol::request(buf) {
             Ok(Some(Request::Query(query))) => {
                 let outcome = session.answer(node, &query).await;
@@ -148,7 +174,7 @@
             Ok(Some(Request::Bye)) => return Ok(()),
             Ok(Some(Request::Start(_))) | Err(_) => {
                 let mut out = BytesMut::new();
-                let state = session.transaction.state();
+                let state = session.state();
                 E::Protocol::refusal(Code::Malformed, "not understood", state, &mut out);
                 return stream.write_all(&out).await;
             }
@@ -159,6 +185,7 @@
             Wake::Read(0) => return Ok(()),
             Wake::Read(_) => {}
             Wake::Rested => session.rested::<E>(),
+            Wake::Lost => session.lose(),
             Wake::Stopped => return Ok(()),
         }
     }
@@ -189,6 +216,7 @@
             biased;
             read = stream.read_buf(buf) => return Ok(Wake::Read(read?)),
             () = staged => {}
+            () = session.lost() => return Ok(Wake::Lost),
             () = maybe(rest) => return Ok(Wake::Rested),
             () = maybe(stop) => return Ok(Wake::Stopped),
         }
@@ -215,10 +243,10 @@
 ) -> Option<tokio::time::Instant> {
     let Stage::Stop(since) = node.stage.get() else {
         let since = node.unable_since()?;
-        let idle = session.transaction.state() == State::Idle && buf.is_empty();
+        let idle = session.state() == State::Idle && buf.is_empty();
         return idle.then(|| tokio::time::Instant::now() + run::left(ELSEWHERE, since));
     };
-    let span = match session.transaction.state() {
+    let span = match session.state() {
         State::Idle if buf.is_empty() => LINGER.min(node.settings.grace / 3),
         _ => node.settings.grace / 2,
     };
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -14,6 +14,7 @@
     message::{Access, Code, Query, Shape, State, Statement},
     node::Node,
     outcome::{Cause, Outcome},
+    remote::Remote,
     run::{self, Ask},
     transaction::{self, Begun, Start, Transaction},
 };
@@ -28,12 +29,84 @@
     pub(super) transaction: Transaction,
     /// The ids of the transaction's statements so far, for the log.
     pub(super) ids: Vec<Bytes>,
+    /// The session at the instance that serves it, if this one does not.
+    remote: Option<Remote>,
 }
 
+/// How long a statement may take on a route that is gone.
+const LONGEST: Duration = Duration::from_secs(2);
+
 /// How many ids of a transaction are kept for the log.
 const IDS: usize = 16;
 
 impl Session {
+    /// A session on `database`, served at the `remote` instance if there is one.
+    pub(super) fn new(database: Bytes, remote: Option<Remote>) -> Self {
+        Self {
+            database,
+            values: Values::new(),
+            prepared: HashMap::new(),
+            own: None,
+            transaction: Transaction::None,
+            ids: Vec::new(),
+            remote,
+        }
+    }
+
+    /// What the caller is told of where it stands.
+    pub(super) fn state(&self) -> State {
+        match &self.remote {
+            Some(remote) => remote.state(),
+            None => self.transaction.state(),
+        }
+    }
+
+    /// Whether it can't go on, because the instance that served it is lost.
+    pub(super) fn is_over(&self) -> bool {
+        self.remote.as_ref().is_some_and(Remote::is_over)
+    }
+
+    /// Waits until the instance that serves it ends it.
+    pub(super) async fn lost(&self) {
+        match &self.remote {
+            Some(remote) => remote.ended().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Notes that the instance that served it ended it.
+    pub(super) fn lose(&mut self) {
+        if let Some(remote) = &mut self.remote {
+            remote.lose();
+        }
+    }
+
+    /// Has another instance answer.
+    ///
+    /// What that one refuses it also logs and counts.
+    async fn hand<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query, at: Instant) -> Outcome {
+        let prepared = match &query.statement {
+            Statement::Prepare(name, shape) => {
+                self.prepared.insert(name.clone(), shape.clone());
+                None
+            }
+            Statement::Execute(name, _) => self.prepared.get(name),
+            _ => None,
+        };
+        let route = node.route(&self.database);
+        let within = route.as_ref().map_or(LONGEST, |route| route.timeout);
+        let Some(remote) = &mut self.remote else {
+            return malformed::<E>(State::Idle);
+        };
+        let outcome = remote.answer::<E>(query, prepared, within).await;
+        if matches!(outcome.failure, Some((_, Cause::Holder))) {
+            let span = Boot.now().since(at);
+            node.figures.answered(route.as_deref(), &outcome, span);
+            self.tell(node, query, route.as_deref(), &outcome, span);
+        }
+        outcome
+    }
+
     /// Undoes the open transaction, if there is one.
     pub(super) fn end<E: Edge>(&mut self) {
         match std::mem::replace(&mut self.transaction, Transaction::None) {
@@ -52,12 +125,15 @@
 
     pub(super) async fn answer<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query) -> Outcome {
         let at = Boot.now();
-        if self.transaction.state() == State::Idle {
+        if self.state() == State::Idle {
             self.ids.clear();
         }
         if self.ids.len() < IDS {
             self.ids.push(query.id.clone());
         }
+        if self.remote.is_some() {
+            return self.hand(node, query, at).await;
+        }
         let outcome = self.dispatch(node, query, at).await;
         let route = node.route(&self.database);
         let span = Boot.now().since(at);
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -15,6 +15,8 @@
     pub peers: SocketAddr,
     /// Some other instances, to be asked first; they may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// How much processor it has, in hundredths of a core.
+    pub weight: u32,
     /// How long a stop may take until the process is killed.
     pub grace: Duration,
     /// How long an upstream that is about to leave may be sent new work.
@@ -36,6 +38,7 @@
             ("callers", self.callers == other.callers),
             ("peers", self.peers == other.peers),
             ("seeds", self.seeds == other.seeds),
+            ("weight", self.weight == other.weight),
             ("grace", self.grace == other.grace),
             ("drain", self.drain == other.drain),
             ("proof", self.proof == other.proof),
