Send an upstream no more than it runs at once, from each instance

What one instance has running there is bounded by the upstream's slots; the rest waits here, in the order of the queue. Transactions keep their connections and do not count.

--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -80,6 +80,8 @@
     pub zone: String,
     /// Whether it takes new work.
     pub stay: Stay,
+    /// How many statements it runs at once; zero if it does not say.
+    pub slots: usize,
     /// When it started, in milliseconds since the Unix epoch, if it says so. After
     /// another start under the same id it knows nothing of before.
     pub born: Option<u64>,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use admit::{Budget, Queue, Waiter, budget::Answer};
+use admit::{
+    Budget, Queue, Waiter,
+    budget::{self, Answer},
+};
 use clock::{Boot, Instant};
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
@@ -51,6 +54,8 @@
     scarce_until: Cell<Instant>,
     retrying: Cell<bool>,
     retired: Cell<bool>,
+    /// How many transactions have a connection of their own.
+    pinned: Cell<usize>,
     refused: Cell<usize>,
     told: Cell<Instant>,
     /// How many connections are open or being opened.
@@ -65,6 +70,12 @@
         self.waiters.borrow().len()
     }
 
+    /// How many connections are in use, other than by transactions.
+    fn active(&self) -> usize {
+        let unused = self.idle.borrow().len() + self.opening.get() + self.pinned.get();
+        self.open.get().saturating_sub(unused)
+    }
+
     /// An idle connection, the one with just these values if there is one.
     pub fn idle(&self, values: &Values) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
@@ -154,7 +165,9 @@
 /// A new connection was refused. The future may be dropped at any time.
 pub async fn acquire<P: Protocol>(member: &Rc<Member>, wish: Wish<'_>) -> Result<Line, Refused> {
     let pool = &member.pool;
+    let window = budget::window(member.upstream.slots);
     if pool.waiting() == 0
+        && pool.active() < window
         && let Some(line) = pool.idle(wish.values)
     {
         return Ok(line);
@@ -170,6 +183,27 @@
     receiver.await.unwrap_or(Err(Refused::Unreachable))
 }
 
+/// Counts a transaction that has a connection of its own.
+#[derive(Debug)]
+pub struct Pin(Rc<Member>);
+
+impl Pin {
+    /// Counts one more at `member`, and lets others have its place.
+    pub fn new<P: Protocol>(member: &Rc<Member>) -> Self {
+        let pinned = &member.pool.pinned;
+        pinned.set(pinned.get() + 1);
+        serve::<P>(member);
+        Self(Rc::clone(member))
+    }
+}
+
+impl Drop for Pin {
+    fn drop(&mut self) {
+        let pinned = &self.0.pool.pinned;
+        pinned.set(pinned.get() - 1);
+    }
+}
+
 /// Gives a connection back; one that is not clean is closed.
 pub fn release<P: Protocol>(line: Line) {
     let member = Rc::clone(line.member());
@@ -197,13 +231,14 @@
     pool.waiters
         .borrow_mut()
         .retain(|sender| !sender.is_closed());
-    while pool.waiting() > 0 {
+    let window = budget::window(member.upstream.slots);
+    while pool.waiting() > 0 && pool.active() < window {
         let Some(line) = pool.idle(&Values::new()) else {
             break;
         };
         hand(member, Ok(line));
     }
-    while pool.waiting() > pool.opening.get() {
+    while pool.waiting() > pool.opening.get() && pool.active() + pool.opening.get() < window {
         let asked = pool.budget.borrow().ask(
             Boot.now(),
             pool.open.get(),
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -102,6 +102,7 @@
 #[derive(Debug)]
 pub struct Pinned {
     line: Box<Line>,
+    pin: pool::Pin,
     group: Rc<Group>,
     /// The route it takes.
     pub route: Rc<Route>,
@@ -148,8 +149,9 @@
 /// The connection is used again once the upstream has confirmed it. Otherwise it
 /// is closed, which undoes the transaction as well.
 pub fn undo<P: Protocol>(pinned: Pinned) {
-    let mut line = pinned.line;
+    let Pinned { mut line, pin, .. } = pinned;
     spawn_local(async move {
+        let _pin = pin;
         match timeout(UNDO, line.ask::<P>(&Command::Rollback)).await {
             Ok(Ok(reply)) if reply.state == State::Idle => pool::release::<P>(*line),
             _ => pool::discard::<P>(*line),
@@ -220,6 +222,7 @@
         if reply.verdict.is_ok() && reply.state == State::Open {
             return Ok(Pinned {
                 line: Box::new(line),
+                pin: pool::Pin::new::<E::Protocol>(&place.member),
                 group,
                 route: Rc::clone(&begun.route),
                 wrote: false,
