Notice lost holders by their silence, keep sessions that only read, tell of it

An instance that hands everything over says so when its zone is cut off and nobody in it serves. Instances that nobody asks close their connections. explain names full upstreams and lost holders.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -69,6 +69,10 @@
         Some("Undone") => "its transaction had been undone before".to_owned(),
         Some("NoRoute") => format!("no route has the database {}", own.text("database")),
         Some("NoStatement") => "the session has no such prepared statement".to_owned(),
+        Some("Holder") => format!(
+            "the instance that served the session for {} was lost",
+            own.instance
+        ),
         Some("Malformed") => "it was not understood".to_owned(),
         Some(other) => format!("{other}, of which this version knows nothing more"),
         None => format!("it was done, later than its aim{}", held_up(own, all)),
@@ -134,10 +138,32 @@
     format!(
         "no connection to {service} became free in time{}{}",
         tries(own),
-        failing(own, all)
+        full(own, all).unwrap_or_else(|| failing(own, all))
     )
 }
 
+/// That an upstream of the service took no more connections around then, and how many
+/// this instance had there.
+fn full(own: &Line, all: &[Line]) -> Option<String> {
+    let near = |it: &&Line| {
+        let told = it.message == "upstream full" && it.instance == own.instance;
+        told && same(it, own) && (it.at - own.at).abs() <= NEAR_S
+    };
+    let line = all
+        .iter()
+        .filter(near)
+        .min_by(|a, b| (a.at - own.at).abs().total_cmp(&(b.at - own.at).abs()))?;
+    let number = |key| line.number(key).unwrap_or_default();
+    Some(format!(
+        ": {} took no more at {:.3}, with {} of this instance's connections open and {} \
+         statements waiting",
+        line.text("upstream"),
+        line.at,
+        number("open"),
+        number("waiting")
+    ))
+}
+
 fn no_proof(own: &Line, all: &[Line]) -> String {
     let service = own.text("service");
     let silent = own.number("store_silent_ms").unwrap_or_default();
--- a/crates/explain/tests/story.rs
+++ b/crates/explain/tests/story.rs
@@ -138,3 +138,29 @@
     assert_eq!(mixed.unread, 3 + 1);
     assert!(tell(&mixed, "w1", None).found);
 }
+
+/// Lines of an instance whose upstream is full, and whose session's holder is lost.
+const FULL: &str = r#"
+{"at":10.0,"instance":"a","level":"INFO","message":"upstream full","part":"proxy::pool","service":"db","upstream":"u1","refused":7,"open":0,"idle":0,"waiting":12,"running":0,"starved":true}
+{"at":10.2,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"f1","transaction":"f1","service":"db","cause":"Some(NoConnection)","code":"Some(Busy)","ms":300,"unconnected":2,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
+{"at":20.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"h1","transaction":"h1","service":"db","cause":"Some(Holder)","code":"Some(InDoubt)","ms":700,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
+"#;
+
+#[test]
+fn a_full_upstream_is_named_with_what_this_instance_had_there() {
+    let cause = tell(&read([FULL]), "f1", None).cause;
+    assert!(
+        cause.contains("u1 took no more at 10.000, with 0 of this instance's connections open"),
+        "{cause}"
+    );
+    assert!(cause.contains("12 statements waiting"), "{cause}");
+}
+
+#[test]
+fn a_lost_holder_is_named() {
+    let cause = tell(&read([FULL]), "h1", None).cause;
+    assert!(
+        cause.contains("the instance that served the session for a was lost"),
+        "{cause}"
+    );
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -312,7 +312,12 @@
             group.is_whole(now, MEMORY);
             let entry = catalog.services.get(&group.service);
             let connections = entry.map_or(1, |entry| entry.connections);
-            let share = (connections / instances).max(1);
+            // Who is not asked needs none, and the first of each instance are more than
+            // an upstream takes where instances are many.
+            let share = match group.is_wanted(now) {
+                true => (connections / instances).max(1),
+                false => 0,
+            };
             for member in group.members() {
                 if member.pool.is_starved(now) {
                     node.peers.urgent.notify_one();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod figures;
 pub mod group;
 pub mod line;
+pub mod member;
 pub mod message;
 pub mod node;
 pub mod outcome;
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     edge::Protocol,
-    group::Member,
+    member::Member,
     message::{Code, Command, Reply, Shape, State},
 };
 
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -22,7 +22,8 @@
     counted::Counted,
     edge::Edge,
     figures::{Figures, Wait},
-    group::{Group, Member},
+    group::Group,
+    member::Member,
     peers::Peers,
     settings::Settings,
 };
@@ -280,7 +281,10 @@
     /// Whether it serves, or would.
     pub fn service(&self) -> Service {
         if self.is_idle() {
-            return Service::Idle;
+            return match self.peers.is_lost(&self.settings.zone) {
+                true => Service::Unable,
+                false => Service::Idle,
+            };
         }
         match self.is_able() {
             true => Service::Able,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -4,19 +4,18 @@
 //! something urgent to say. Over TCP an instance that the store turns away asks
 //! another one to read the store for it.
 
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
+mod table;
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use admit::holders::{self, Candidate};
 use bytes::{BufMut, Bytes, BytesMut};
-use clock::{Boot, Instant};
-use lead::{Tally, Verdict};
-use model::Term;
-use rand::seq::{IndexedRandom, SliceRandom};
+use clock::Boot;
+use lead::Verdict;
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, UdpSocket},
-    sync::Notify,
     task::spawn_local,
     time::{sleep, timeout},
 };
@@ -28,21 +27,14 @@
     probe,
     roll::{self, Roll},
     session,
-    settings::Settings,
 };
 
+use table::{Belief, Peer};
+pub use table::{LOST, Peers};
+
 /// How often beats are sent when nothing is urgent.
 const BEAT: Duration = Duration::from_millis(300);
 
-/// How long a beat counts.
-const HEARD: Duration = Duration::from_millis(1_000);
-
-/// How long nobody of another zone may be heard until this zone counts as cut off.
-const ALONE: Duration = Duration::from_millis(500);
-
-/// How long an instance that is not heard stays known if the store does not list it.
-const FORGET: Duration = Duration::from_secs(10);
-
 /// The shortest pause between two beats.
 const CALM: Duration = Duration::from_millis(20);
 
@@ -58,14 +50,6 @@
 /// The longest beat.
 const DATAGRAM: usize = 8 << 10;
 
-/// What an instance says of a primary.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Belief {
-    service: String,
-    term: Term,
-    verdict: Verdict,
-}
-
 /// What an instance says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Beat {
@@ -99,199 +83,6 @@
     Nothing,
 }
 
-/// Another instance.
-#[derive(Debug)]
-struct Peer {
-    address: SocketAddr,
-    heard: Option<Instant>,
-    listed: bool,
-    version: u64,
-    beliefs: Vec<Belief>,
-    zone: String,
-    weight: u32,
-    service: Service,
-}
-
-impl Peer {
-    fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            heard: None,
-            listed: false,
-            version: 0,
-            beliefs: Vec::new(),
-            zone: String::new(),
-            weight: 0,
-            service: Service::Idle,
-        }
-    }
-}
-
-/// Other instances.
-#[derive(Debug)]
-pub struct Peers {
-    own: SocketAddr,
-    seeds: Vec<SocketAddr>,
-    table: RefCell<HashMap<String, Peer>>,
-    /// Told when a beat should be sent at once.
-    pub urgent: Notify,
-    /// The catalogue as the store holds it, to be passed on.
-    pub catalog: RefCell<Option<Item>>,
-}
-
-impl Peers {
-    /// Nobody is known but the seeds.
-    pub fn new(settings: &Settings) -> Self {
-        Self {
-            own: settings.peers,
-            seeds: settings.seeds.clone(),
-            table: RefCell::default(),
-            urgent: Notify::new(),
-            catalog: RefCell::default(),
-        }
-    }
-
-    /// Takes in the store's list of instances.
-    pub fn list(&self, listed: &HashMap<&str, SocketAddr>) {
-        for (name, address) in listed {
-            self.add(name, *address);
-        }
-        for (name, peer) in self.table.borrow_mut().iter_mut() {
-            peer.listed = listed.contains_key(&**name);
-        }
-    }
-
-    /// Takes in one entry of the store's list.
-    pub fn add(&self, name: &str, address: SocketAddr) {
-        if address == self.own {
-            return;
-        }
-        let mut table = self.table.borrow_mut();
-        let new = || Peer::new(address);
-        let peer = table.entry(name.to_owned()).or_insert_with(new);
-        peer.address = address;
-        peer.listed = true;
-    }
-
-    /// Takes in that the store does not list an instance any more.
-    pub fn unlist(&self, name: &str) {
-        if let Some(peer) = self.table.borrow_mut().get_mut(name) {
-            peer.listed = false;
-        }
-    }
-
-    /// How many instances there are as far as is known, this one included.
-    pub fn count(&self) -> usize {
-        let now = Boot.now();
-        let mut table = self.table.borrow_mut();
-        table.retain(|_, p| p.listed || p.heard.is_some_and(|at| at + FORGET > now));
-        table.len() + 1
-    }
-
-    /// Other instances that were heard lately.
-    fn heard(&self) -> Vec<SocketAddr> {
-        let now = Boot.now();
-        let table = self.table.borrow();
-        let heard = |p: &&Peer| p.heard.is_some_and(|at| at + HEARD > now);
-        table.values().filter(heard).map(|p| p.address).collect()
-    }
-
-    fn addresses(&self) -> Vec<SocketAddr> {
-        let mut all: Vec<_> = self.table.borrow().values().map(|p| p.address).collect();
-        if all.is_empty() {
-            all.clone_from(&self.seeds);
-        }
-        all.retain(|address| *address != self.own);
-        all
-    }
-
-    /// What those who were heard lately say of the primary of `service` in `term`,
-    /// the `own` verdict included, and the names of those who see it fail.
-    pub fn tally(&self, service: &str, term: Term, own: Verdict) -> (Tally, Vec<String>) {
-        let now = Boot.now();
-        let mut tally = Tally::default();
-        tally.add(own);
-        let mut failing = Vec::new();
-        for (name, peer) in self.table.borrow().iter() {
-            if peer.heard.is_none_or(|at| at + HEARD <= now) {
-                continue;
-            }
-            let same = |b: &&Belief| b.service == service && b.term == term;
-            let belief = peer.beliefs.iter().find(same);
-            let verdict = belief.map_or(Verdict::Unknown, |b| b.verdict);
-            if verdict == Verdict::Failing {
-                failing.push(name.clone());
-            }
-            tally.add(verdict);
-        }
-        (tally, failing)
-    }
-
-    /// Whether others may serve callers while this instance, in `zone`, can't: some
-    /// were heard that can, or nobody in another zone is heard any more.
-    pub fn may_serve(&self, zone: &str) -> bool {
-        let now = Boot.now();
-        let table = self.table.borrow();
-        let heard = |p: &&Peer| p.heard.is_some_and(|at| at + HEARD > now);
-        let far = |p: &Peer| !p.zone.is_empty() && p.zone != zone;
-        let known_far = table.values().any(far);
-        let lately = |p: &&Peer| p.heard.is_some_and(|at| at + ALONE > now);
-        let heard_far = table.values().filter(lately).any(far);
-        let able = table
-            .values()
-            .filter(heard)
-            .any(|p| p.service == Service::Able);
-        able || (known_far && !heard_far)
-    }
-
-    /// Who holds the connections to `service`, whose upstreams take `connections` each:
-    /// where to reach them, in a random order. Nobody, if each instance has its own, or
-    /// if `own` is one of them.
-    pub fn holders(
-        &self,
-        service: &str,
-        connections: usize,
-        own: Candidate<'_>,
-    ) -> Vec<SocketAddr> {
-        let Some(count) = holders::count(connections, self.count()) else {
-            return Vec::new();
-        };
-        let now = Boot.now();
-        let table = self.table.borrow();
-        let heard = |p: &Peer| p.heard.is_some_and(|at| at + HEARD > now);
-        let alive = table
-            .iter()
-            .filter(|(_, p)| heard(p) && p.service != Service::Unable);
-        let mut candidates: Vec<_> = alive
-            .map(|(name, peer)| Candidate {
-                name,
-                zone: &peer.zone,
-                weight: peer.weight,
-            })
-            .collect();
-        candidates.push(own);
-        let chosen = holders::choose(service, &candidates, count);
-        if chosen.contains(&own.name) {
-            return Vec::new();
-        }
-        let mut addresses: Vec<_> = chosen
-            .iter()
-            .filter_map(|name| Some(table.get(*name)?.address))
-            .collect();
-        addresses.shuffle(&mut rand::rng());
-        addresses
-    }
-
-    /// Names of the instances that were heard lately.
-    pub fn names(&self) -> Vec<String> {
-        let now = Boot.now();
-        let table = self.table.borrow();
-        let heard = |p: &Peer| p.heard.is_some_and(|at| at + HEARD > now);
-        let names = table.iter().filter(|(_, p)| heard(p));
-        names.map(|(name, _)| name.clone()).collect()
-    }
-}
-
 /// Sends and takes beats until the process ends.
 pub async fn beats<E: Edge>(node: Rc<Node<E>>, socket: UdpSocket) {
     let socket = Rc::new(socket);
--- a/crates/proxy/src/place.rs
+++ b/crates/proxy/src/place.rs
@@ -8,7 +8,8 @@
 use crate::{
     catalog::{Freshness, Route, Stay},
     edge::Edge,
-    group::{Group, Member},
+    group::Group,
+    member::Member,
     message::Access,
     node::{Node, Proved},
     run::Ask,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     edge::Protocol,
-    group::Member,
     line::{Counted, Line, Refused, Values},
+    member::Member,
 };
 
 /// How long connections are given up after use once somebody has none at all.
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     edge::{Edge, Protocol},
-    group::{Group, Member},
+    group::Group,
     line::{Counted, Line, Refused, Values},
+    member::Member,
     message::{Code, Command, Status},
     node::Node,
     pool,
--- a/crates/proxy/src/remote.rs
+++ b/crates/proxy/src/remote.rs
@@ -6,13 +6,13 @@
 //! the holder; here statements and answers pass through, and it is known where the
 //! session stands, so that a lost holder leaves no statement without a true answer.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::timeout,
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -22,7 +22,7 @@
     message::{Access, Code, Command, Query, Reply, Shape, State, Statement},
     node::Node,
     outcome::{Cause, Outcome},
-    peers,
+    peers::{self, LOST},
 };
 
 /// How long a holder may take to take over a session: a hop there and back, and a turn
@@ -33,12 +33,16 @@
 /// up in time and says so, unless it is gone.
 const SLACK: Duration = Duration::from_millis(250);
 
+/// How often it is looked whether a holder that has not answered is still heard.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// How much is read at once.
 const CHUNK: usize = 4 * 1024;
 
 /// A session that another instance serves.
 #[derive(Debug)]
 pub struct Remote {
+    address: SocketAddr,
     stream: TcpStream,
     buf: BytesMut,
     out: BytesMut,
@@ -54,12 +58,17 @@
         route: &Route,
         database: &Bytes,
     ) -> Option<Self> {
-        for address in node.holders(&route.service) {
-            let passed = timeout(HELLO, peers::hand(address, database)).await;
+        let holders = node.holders(&route.service);
+        if holders.is_empty() {
+            return None;
+        }
+        for address in &holders {
+            let passed = timeout(HELLO, peers::hand(*address, database)).await;
             let Ok(Ok(stream)) = passed else {
                 continue;
             };
             let mut remote = Self {
+                address: *address,
                 stream,
                 buf: BytesMut::new(),
                 out: BytesMut::new(),
@@ -70,6 +79,7 @@
                 return Some(remote);
             }
         }
+        log::info!(service = &*route.service, asked = holders.len(); "no holder took the session");
         None
     }
 
@@ -88,13 +98,18 @@
     /// it executes.
     pub async fn answer<E: Edge>(
         &mut self,
+        node: &Node<E>,
         query: &Query,
         prepared: Option<&Shape>,
         within: Duration,
     ) -> Outcome {
         if !self.gone {
-            let asked = self.ask::<E::Protocol>(query);
-            if let Ok(Ok(reply)) = timeout(within + SLACK, asked).await {
+            let silent = silence(node, self.address, within + SLACK);
+            let reply = tokio::select! {
+                reply = self.ask::<E::Protocol>(query) => reply.ok(),
+                () = silent => None,
+            };
+            if let Some(reply) = reply {
                 self.state = reply.state;
                 return Outcome::of(reply);
             }
@@ -145,6 +160,17 @@
     }
 }
 
+/// Waits until the instance at `address` is heard no more, or `within` is over.
+///
+/// Callers of a holder behind a cut were told nothing until their own time was over:
+/// 2,700 of worth on one day of 58 instances.
+async fn silence<E: Edge>(node: &Node<E>, address: SocketAddr, within: Duration) {
+    let until = Instant::now() + within;
+    while Instant::now() < until && node.peers.was_heard(address, LOST) {
+        sleep(LOOK).await;
+    }
+}
+
 /// What a caller is told whose session's holder was lost, at `state`, with `statement`
 /// asked and not answered.
 ///
--- a/crates/proxy/src/run/write.rs
+++ b/crates/proxy/src/run/write.rs
@@ -8,8 +8,9 @@
 use super::{Ask, PAUSE, Patience, Running, connect, is_not_run, left, not_run, note, send};
 use crate::{
     edge::{Edge, Protocol},
-    group::{Group, Member},
+    group::Group,
     line::Line,
+    member::Member,
     message::{Code, Reply, State},
     node::{Node, Proved},
     outcome::{Cause, Outcome, Tries},
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -31,6 +31,8 @@
     pub(super) ids: Vec<Bytes>,
     /// The session at the instance that serves it, if this one does not.
     remote: Option<Remote>,
+    /// Whether it has only read so far.
+    is_bare: bool,
 }
 
 /// How long a statement may take on a route that is gone.
@@ -50,6 +52,7 @@
             transaction: Transaction::None,
             ids: Vec::new(),
             remote,
+            is_bare: true,
         }
     }
 
@@ -63,7 +66,7 @@
 
     /// Whether it can't go on, because the instance that served it is lost.
     pub(super) fn is_over(&self) -> bool {
-        self.remote.as_ref().is_some_and(Remote::is_over)
+        !self.is_bare && self.remote.as_ref().is_some_and(Remote::is_over)
     }
 
     /// Waits until the instance that serves it ends it.
@@ -98,7 +101,20 @@
         let Some(remote) = &mut self.remote else {
             return malformed::<E>(State::Idle);
         };
-        let outcome = remote.answer::<E>(query, prepared, within).await;
+        let mut outcome = remote.answer(node, query, prepared, within).await;
+        let not_run = matches!(outcome.failure, Some((Code::Busy, Cause::Holder)));
+        if not_run && self.is_bare {
+            // It has nothing that was lost with its holder, and the statement only reads.
+            self.remote = match &route {
+                Some(route) => Remote::open(node, route, &self.database).await,
+                None => None,
+            };
+            outcome = match &mut self.remote {
+                Some(remote) => remote.answer(node, query, None, within).await,
+                None => self.dispatch(node, query, at).await,
+            };
+        }
+        self.is_bare &= query.statement == Statement::Read;
         if matches!(outcome.failure, Some((_, Cause::Holder))) {
             let span = Boot.now().since(at);
             node.figures.answered(route.as_deref(), &outcome, span);
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -23,7 +23,8 @@
     counted,
     edge::{Edge, Fault, Orders},
     era::LONELY,
-    group::{Group, Member},
+    group::Group,
+    member::Member,
     node::Node,
     probe,
 };
