Tell who holds, what upstreams shed, and how many connections are opened

Cause: the logs could not tell apart whether too many instances send to an upstream, or connections opened in circles take its slots: nothing said whether an instance hands its sessions over, nor how many statements an upstream refused for want of room.

Change: the line 'holders' when an instance's standing changes, 'upstream busy' beside 'upstream full', both with what was refused, shed and opened since; two counters by upstream. No change of logic.

--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -218,6 +218,17 @@
             put("running", &labels, count(member.running.get()));
             put("failing", &labels, f64::from(u8::from(member.is_failing())));
             put("latency_seconds", &labels, member.latency().as_secs_f64());
+            let strain = &member.strain;
+            put(
+                "connections_opened_total",
+                &labels,
+                strain.opened_total() as f64,
+            );
+            put(
+                "statements_shed_total",
+                &labels,
+                strain.refused_total() as f64,
+            );
         }
     }
     page
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -29,6 +29,25 @@
     pub revision: u64,
 }
 
+/// Counts a session that is served here.
+#[derive(Debug)]
+pub struct Served(Rc<Group>);
+
+impl Served {
+    /// Counts one more session on `group`.
+    pub fn new(group: Rc<Group>) -> Self {
+        group.sessions.set(group.sessions.get() + 1);
+        Self(group)
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        let sessions = &self.0.sessions;
+        sessions.set(sessions.get() - 1);
+    }
+}
+
 /// A database's upstreams, who of them leads, and what is proved about it.
 #[derive(Debug)]
 pub struct Group {
@@ -50,6 +69,8 @@
     pub era: Cell<u64>,
     /// When the record was learnt.
     pub known_at: Cell<Instant>,
+    /// How many sessions on it are served here.
+    pub sessions: Cell<usize>,
     /// Since when the list of upstreams lacks the primary.
     pub unlisted: Cell<Option<Instant>>,
     leaving: Cell<Option<Instant>>,
@@ -72,6 +93,7 @@
             wanted: Cell::default(),
             era: Cell::default(),
             known_at: Cell::default(),
+            sessions: Cell::default(),
             unlisted: Cell::default(),
             leaving: Cell::default(),
             most: Cell::default(),
--- /dev/null
+++ b/crates/proxy/src/holding.rs
@@ -0,0 +1,48 @@
+//! Whose sessions this instance serves and hands over, told in the log when it changes.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use tokio::time::sleep;
+
+use crate::{edge::Edge, group::Group, node::Node};
+
+/// How often it is looked.
+const LOOK: Duration = Duration::from_millis(1_000);
+
+/// How this instance stands to a group.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Stand {
+    /// How many other instances its callers' new sessions are handed to; none if it
+    /// serves them itself.
+    holders: usize,
+    /// Whether it serves sessions though others hold.
+    stays: bool,
+}
+
+/// Tells it until the process ends.
+pub(crate) async fn watch<E: Edge>(node: Rc<Node<E>>) {
+    let mut told: HashMap<Rc<str>, Stand> = HashMap::new();
+    loop {
+        sleep(LOOK).await;
+        for group in node.groups() {
+            let holders = node.holders(&group.service).len();
+            let stays = holders > 0 && group.sessions.get() > 0;
+            let stand = Stand { holders, stays };
+            let old = told.insert(Rc::clone(&group.service), stand);
+            if old.unwrap_or_default() != stand {
+                tell(&node, &group, stand);
+            }
+        }
+    }
+}
+
+fn tell<E: Edge>(node: &Node<E>, group: &Group, stand: Stand) {
+    let catalog = node.catalog();
+    let entry = catalog.services.get(&group.service);
+    log::info!(
+        service = &*group.service, holders = stand.holders,
+        sessions = group.sessions.get(), instances = node.peers.count(),
+        connections = entry.map_or(0, |entry| entry.connections);
+        "holders"
+    );
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod era;
 pub mod figures;
 pub mod group;
+mod holding;
 pub mod line;
 pub mod member;
 pub mod message;
@@ -29,6 +30,7 @@
 pub mod session;
 pub mod settings;
 mod still;
+pub mod strain;
 pub mod takeover;
 pub mod transaction;
 
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -10,6 +10,7 @@
 use crate::{
     catalog::{Stay, Upstream},
     pool::Pool,
+    strain::Strain,
 };
 
 /// An upstream that answered within this span is fine.
@@ -62,6 +63,8 @@
     pub fell: Notify,
     /// The connections to it.
     pub pool: Pool,
+    /// What it refuses.
+    pub strain: Strain,
     /// How many statements run there for this instance.
     pub running: Cell<usize>,
     health: Cell<Health>,
@@ -83,6 +86,7 @@
             shown: Cell::default(),
             fell: Notify::new(),
             pool: Pool::default(),
+            strain: Strain::default(),
             running: Cell::new(0),
             health: Cell::default(),
             probed: Cell::new(false),
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -22,14 +22,12 @@
     edge::Protocol,
     line::{Counted, Line, Refused, Values},
     member::Member,
+    strain::{self, Refusal},
 };
 
 /// How long connections are given up after use once somebody has none at all.
 const SCARCE: Duration = Duration::from_millis(600);
 
-/// How often it is told that an upstream is full.
-const TOLD: Duration = Duration::from_millis(1_000);
-
 /// How to reach somebody who waits for a connection.
 type Sender = oneshot::Sender<Result<Line, Refused>>;
 
@@ -56,8 +54,6 @@
     retired: Cell<bool>,
     /// How many transactions have a connection of their own.
     pinned: Cell<usize>,
-    refused: Cell<usize>,
-    told: Cell<Instant>,
     /// How many connections are open or being opened.
     pub open: Cell<usize>,
     /// How many connections may be open.
@@ -70,6 +66,11 @@
         self.waiters.borrow().len()
     }
 
+    /// How many connections lie idle.
+    pub fn resting(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
     /// How many connections are in use, other than by transactions.
     fn active(&self) -> usize {
         let unused = self.idle.borrow().len() + self.opening.get() + self.pinned.get();
@@ -126,22 +127,6 @@
         self.budget.borrow().starved_since(now)
     }
 
-    /// Tells of refusals by a full upstream, and how this pool stands.
-    fn tell(&self, member: &Member, now: Instant) {
-        self.refused.set(self.refused.get() + 1);
-        if self.told.get() + TOLD > now {
-            return;
-        }
-        self.told.set(now);
-        log::info!(
-            service = &*member.upstream.service, upstream = &*member.upstream.id,
-            refused = self.refused.take(), open = self.open.get(),
-            idle = self.idle.borrow().len(), waiting = self.waiting(),
-            running = member.running.get(), starved = self.is_starved(now);
-            "upstream full"
-        );
-    }
-
     /// Closes all idle connections.
     pub fn close(&self) {
         self.idle.borrow_mut().clear();
@@ -286,6 +271,7 @@
     match opened {
         Ok(line) => {
             pool.budget.borrow_mut().opened();
+            member.strain.opened();
             hand(member, Ok(line));
         }
         Err(Refused::TooMany) => {
@@ -296,7 +282,7 @@
             pool.budget
                 .borrow_mut()
                 .refused(now, pool.open.get(), chance);
-            pool.tell(member, now);
+            strain::refused(member, Refusal::Connection, now);
         }
         Err(refused) => {
             member.failed(Boot.now());
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -20,6 +20,7 @@
     outcome::{Cause, Outcome, Tries},
     place::{Place, place},
     pool, probe,
+    strain::{self, Refusal},
 };
 
 pub use write::{acknowledged, in_doubt, write};
@@ -200,6 +201,9 @@
             member.lagged(Boot.now());
         }
         Err(failure) if failure.code == Code::ReadOnly => read_only(node, group, member),
+        Err(failure) if failure.code == Code::Busy => {
+            strain::refused(member, Refusal::Statement, Boot.now());
+        }
         Err(_) => {}
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::{
     control,
     edge::Edge,
+    holding,
     node::{Node, Stage},
     peers, session,
     settings::Settings,
@@ -75,6 +76,7 @@
     );
     control::spawn(node);
     spawn_local(still::watch());
+    spawn_local(holding::watch(Rc::clone(node)));
     spawn_local(peers::beats(Rc::clone(node), sockets.beats));
     spawn_local(peers::serve(Rc::clone(node), sockets.passing));
     spawn_local(session::listen(Rc::clone(node), sockets.callers));
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -100,7 +100,7 @@
     };
     E::Protocol::welcome(&mut out);
     stream.write_all(&out).await?;
-    let mut session = Session::new(database, remote);
+    let mut session = Session::new(node, database, remote);
     let ended = converse(node, &mut session, &mut stream, &mut buf).await;
     session.end::<E>();
     ended
@@ -124,7 +124,7 @@
     }
     E::Protocol::welcome(&mut out);
     stream.write_all(&out).await?;
-    let mut session = Session::new(database, None);
+    let mut session = Session::new(node, database, None);
     // A stop waits for these as for its own callers' sessions.
     node.sessions.set(node.sessions.get() + 1);
     let ended = converse(node, &mut session, &mut stream, &mut BytesMut::new()).await;
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -10,6 +10,7 @@
 use crate::{
     catalog::Route,
     edge::Edge,
+    group::Served,
     line::Values,
     message::{Access, Code, Query, Shape, State, Statement},
     node::Node,
@@ -31,6 +32,7 @@
     pub(super) ids: Vec<Bytes>,
     /// The session at the instance that serves it, if this one does not.
     remote: Option<Remote>,
+    _served: Option<Served>,
     /// Whether it has only read so far.
     is_bare: bool,
 }
@@ -43,8 +45,10 @@
 
 impl Session {
     /// A session on `database`, served at the `remote` instance if there is one.
-    pub(super) fn new(database: Bytes, remote: Option<Remote>) -> Self {
+    pub(super) fn new<E: Edge>(node: &Node<E>, database: Bytes, remote: Option<Remote>) -> Self {
+        let route = node.route(&database).filter(|_| remote.is_none());
         Self {
+            _served: route.map(|route| Served::new(node.group_of(&route.service))),
             database,
             values: Values::new(),
             prepared: HashMap::new(),
--- /dev/null
+++ b/crates/proxy/src/strain.rs
@@ -0,0 +1,92 @@
+//! What an upstream refuses this instance, told in the log once in a while.
+
+use std::{cell::Cell, time::Duration};
+
+use clock::Instant;
+
+use crate::member::Member;
+
+/// How often it is told.
+const TOLD: Duration = Duration::from_millis(1_000);
+
+/// What an upstream refuses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// A connection: it has as many as it takes.
+    Connection,
+    /// A statement: as many wait there as may.
+    Statement,
+}
+
+/// A count since the start, and how far it was when it was told.
+#[derive(Debug, Default)]
+struct Count {
+    total: Cell<u64>,
+    told: Cell<u64>,
+}
+
+impl Count {
+    fn add(&self) {
+        self.total.set(self.total.get() + 1);
+    }
+
+    /// How many there were since the last time.
+    fn take(&self) -> u64 {
+        let total = self.total.get();
+        total - self.told.replace(total)
+    }
+}
+
+/// What was opened at an upstream, and what it refused.
+#[derive(Debug, Default)]
+pub struct Strain {
+    opened: Count,
+    connections: Count,
+    statements: Count,
+    told: Cell<Instant>,
+}
+
+impl Strain {
+    /// Counts a connection that was opened.
+    pub fn opened(&self) {
+        self.opened.add();
+    }
+
+    /// How many connections were opened since the start.
+    pub fn opened_total(&self) -> u64 {
+        self.opened.total.get()
+    }
+
+    /// How many statements the upstream refused for want of room since the start.
+    pub fn refused_total(&self) -> u64 {
+        self.statements.total.get()
+    }
+}
+
+/// Counts what `member` refused, and tells how this instance stands there.
+pub fn refused(member: &Member, refusal: Refusal, now: Instant) {
+    let strain = &member.strain;
+    let message = match refusal {
+        Refusal::Connection => {
+            strain.connections.add();
+            "upstream full"
+        }
+        Refusal::Statement => {
+            strain.statements.add();
+            "upstream busy"
+        }
+    };
+    if strain.told.get() + TOLD > now {
+        return;
+    }
+    strain.told.set(now);
+    let pool = &member.pool;
+    log::info!(
+        service = &*member.upstream.service, upstream = &*member.upstream.id,
+        refused = strain.connections.take(), shed = strain.statements.take(),
+        opened = strain.opened.take(),
+        open = pool.open.get(), idle = pool.resting(), waiting = pool.waiting(),
+        running = member.running.get(), starved = pool.is_starved(now);
+        "{message}"
+    );
+}
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -20,6 +20,7 @@
     place::{self, Place},
     pool, probe,
     run::{self, Ask, Lost, Patience},
+    strain::{self, Refusal},
 };
 
 /// How long undoing a transaction may take until its connection is closed instead.
@@ -270,6 +271,9 @@
         if code == Some(Code::NoStatement) {
             pinned.line.unprepare();
         }
+        if code == Some(Code::Busy) {
+            strain::refused(pinned.line.member(), Refusal::Statement, Boot.now());
+        }
         let again = matches!(code, Some(Code::Busy | Code::NoStatement));
         if again && reply.state == State::Open && !run::left(pinned.route.timeout, ask.at).is_zero()
         {
