--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -298,19 +298,18 @@
         }
         unable = since;
         let catalog = node.catalog();
-        let instances = node.peers.count();
         for group in node.groups() {
             group.expire(now);
             group.is_whole(now, MEMORY);
             let entry = catalog.services.get(&group.service);
             let connections = entry.map_or(1, |entry| entry.connections);
+            let holders = node.holder_count(&group.service);
             // Who is not asked needs none, and the first of each instance are more than
             // an upstream takes where instances are many.
             let share = match group.is_wanted(now) {
-                true => (connections / instances).max(1),
+                true => (connections / holders.max(1)).max(1),
                 false => 0,
             };
-            let holders = node.holder_count(&group.service);
             for member in group.members() {
                 member.holders.set(holders);
                 if member.pool.is_starved(now) {
