Move sessions to those who hold by now, and let starts get to know each other

Cause: who holds is told from whom an instance hears. Behind a loss of power it hears nobody for up to a heartbeat (0.3 s), takes itself for a holder of everything, and what it served then it served for as long as the callers stayed. In a zone that was cut off all said that they can't serve, none was left to choose, and each served itself.

Change: an instance that starts waits 0.2 s behind its reading of the list before it serves a first caller, and whoever hears it for the first time answers at once. A session that is served here though others have held for a second is handed to them with values, prepared names and position, outside of transactions. Where nobody is able the same few are chosen as else. The idle share leaves one part for probes and newcomers: with none few_instances_hold_the_connections_and_all_serve failed, a probe was refused.

--- a/crates/admit/src/holders.rs
+++ b/crates/admit/src/holders.rs
@@ -38,6 +38,9 @@
     pub zone: &'a str,
     /// How much processor it has, in hundredths of a core.
     pub weight: u32,
+    /// Whether it can serve, as far as it says. Who can't is chosen only if nobody can: in
+    /// a zone that was cut off all of them said so, and each served its callers itself.
+    pub able: bool,
 }
 
 /// How many instances hold the connections to upstreams that run `slots` statements at
@@ -72,7 +75,9 @@
 /// hold is the heavier duty; and the first two are never of one availability zone, if
 /// there are several.
 pub fn choose<'a>(service: &str, candidates: &[Candidate<'a>], count: usize) -> Vec<&'a str> {
-    let mut ranked: Vec<_> = candidates.iter().collect();
+    let is_any_able = candidates.iter().any(|c| c.able);
+    let fit = candidates.iter().filter(|c| c.able || !is_any_able);
+    let mut ranked: Vec<_> = fit.collect();
     ranked.sort_by(|a, b| {
         let by_score = score(service, a).total_cmp(&score(service, b));
         by_score.then_with(|| a.name.cmp(b.name))
--- a/crates/admit/tests/holders.rs
+++ b/crates/admit/tests/holders.rs
@@ -24,6 +24,7 @@
             name,
             zone,
             weight: *weight,
+            able: true,
         })
         .collect()
 }
@@ -91,6 +92,7 @@
         name: "a",
         zone: "z",
         weight: 0,
+        able: true,
     }];
     assert_eq!(choose("s", &alone, 3), ["a"]);
 }
@@ -135,3 +137,16 @@
         prop_assert!(sent >= slots.min(connections / 4 * 2), "{sent}");
     }
 }
+
+/// A zone of 22 instances was cut off, and all of them said that they can't serve: 104
+/// times one served sessions on a database itself (`holders: 0`), where four would hold.
+#[test]
+fn where_nobody_is_able_the_same_few_hold() {
+    let fleet = fleet(22);
+    let mut all = candidates(&fleet);
+    let before = choose("s", &all, 4);
+    all.iter_mut().for_each(|one| one.able = false);
+    assert_eq!(choose("s", &all, 4), before);
+    all[3].able = true;
+    assert_eq!(choose("s", &all, 4), [all[3].name]);
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -134,6 +134,10 @@
     node.listed.set(true);
     let own = read(node, E::OWN).await?;
     list::<E>(node, &own);
+    if node.met.get().is_none() {
+        node.met.set(Some(Boot.now()));
+        node.peers.urgent.notify_one();
+    }
     for item in &own.items {
         take(node, item);
     }
@@ -304,10 +308,10 @@
             let entry = catalog.services.get(&group.service);
             let connections = entry.map_or(1, |entry| entry.connections);
             let holders = node.holder_count(&group.service);
-            // Who is not asked needs none, and the first of each instance are more than
-            // an upstream takes where instances are many.
+            // One part more than there are holders: probes, orders and an instance that
+            // has just become one find a free connection.
             let share = match group.is_wanted(now) {
-                true => (connections / holders.max(1)).max(1),
+                true => (connections / (holders + 1)).max(1),
                 false => 0,
             };
             for member in group.members() {
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -20,6 +20,10 @@
 /// How long a need for proofs lasts.
 const WANTED: Duration = Duration::from_secs(2);
 
+/// How long others must have held a group's connections until sessions move to them: a
+/// holder that was not heard for a moment is back by then.
+const SETTLED: Duration = Duration::from_secs(1);
+
 /// The record of a primary and the revision that it has in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Known {
@@ -71,6 +75,9 @@
     pub known_at: Cell<Instant>,
     /// How many sessions on it are served here.
     pub sessions: Cell<usize>,
+    /// Since when others hold its connections, or it was tried in vain to hand a session
+    /// to them.
+    pub handed: Cell<Option<Instant>>,
     /// Since when the list of upstreams lacks the primary.
     pub unlisted: Cell<Option<Instant>>,
     leaving: Cell<Option<Instant>>,
@@ -94,6 +101,7 @@
             era: Cell::default(),
             known_at: Cell::default(),
             sessions: Cell::default(),
+            handed: Cell::default(),
             unlisted: Cell::default(),
             leaving: Cell::default(),
             most: Cell::default(),
@@ -189,6 +197,11 @@
         since
     }
 
+    /// Whether others have held its connections for so long that sessions move to them.
+    pub fn is_handed(&self, now: Instant) -> bool {
+        self.handed.get().is_some_and(|since| since + SETTLED < now)
+    }
+
     /// Whether somebody needed a proof lately.
     pub fn is_wanted(&self, now: Instant) -> bool {
         self.wanted.get() + WANTED > now
--- a/crates/proxy/src/holding.rs
+++ b/crates/proxy/src/holding.rs
@@ -1,13 +1,15 @@
-//! Whose sessions this instance serves and hands over, told in the log when it changes.
+//! Whose sessions this instance serves and hands over: looked at again and again, and
+//! told in the log when it changes.
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
+use clock::Boot;
 use tokio::time::sleep;
 
 use crate::{edge::Edge, group::Group, node::Node};
 
 /// How often it is looked.
-const LOOK: Duration = Duration::from_millis(1_000);
+const LOOK: Duration = Duration::from_millis(500);
 
 /// How this instance stands to a group.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -19,13 +21,15 @@
     stays: bool,
 }
 
-/// Tells it until the process ends.
+/// Looks and tells until the process ends.
 pub(crate) async fn watch<E: Edge>(node: Rc<Node<E>>) {
     let mut told: HashMap<Rc<str>, Stand> = HashMap::new();
     loop {
         sleep(LOOK).await;
         for group in node.groups() {
             let holders = node.holders(&group.service).len();
+            let since = group.handed.get().unwrap_or(Boot.now());
+            group.handed.set((holders > 0).then_some(since));
             let stays = holders > 0 && group.sessions.get() > 0;
             let stand = Stand { holders, stays };
             let old = told.insert(Rc::clone(&group.service), stand);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod figures;
 pub mod group;
 mod holding;
+pub mod kept;
 pub mod line;
 pub mod member;
 pub mod message;
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -2,9 +2,10 @@
 
 use bytes::Bytes;
 use model::{Position, Term};
+use serde::{Deserialize, Serialize};
 
 /// Whether a statement or a transaction may write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Access {
     /// It only reads.
     Read,
@@ -78,7 +79,7 @@
 }
 
 /// What a prepared statement does.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Shape {
     /// Whether it writes.
     pub access: Access,
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -37,6 +37,10 @@
 /// How long before its time is over an upstream that leaves is sent its last work.
 const LAST_WORK: Duration = Duration::from_millis(1_500);
 
+/// How long behind its first reading of the list an instance may not have heard the
+/// others: they answer its first beat at once, and their processors may be busy.
+const MEET: Duration = Duration::from_millis(200);
+
 /// How long nothing may be proved until an instance counts as unable to serve.
 const LAPSED: Duration = Duration::from_millis(150);
 
@@ -92,6 +96,9 @@
     pub refresh: Notify,
     /// Whether the list of upstreams was read.
     pub listed: Cell<bool>,
+    began: Instant,
+    /// When the list of instances was read first.
+    pub met: Cell<Option<Instant>>,
     able: Cell<Instant>,
     /// The right to give orders as it was last seen, and since when.
     pub duty: Cell<(u64, Instant)>,
@@ -130,6 +137,8 @@
             relaying: Cell::default(),
             refresh: Notify::new(),
             listed: Cell::new(false),
+            began: Boot.now(),
+            met: Cell::default(),
             able: Cell::new(Boot.now()),
             duty: Cell::default(),
             contact: Cell::default(),
@@ -186,6 +195,7 @@
             name: &self.settings.name,
             zone: &self.settings.zone,
             weight: self.settings.weight,
+            able: true,
         };
         self.peers.holders(service, count, own)
     }
@@ -271,6 +281,22 @@
         true
     }
 
+    /// Waits until the other instances could be heard.
+    ///
+    /// Who has heard nobody takes itself for a holder of everything. Behind a loss of
+    /// power each of 91 instances served its first callers itself for as long as they
+    /// stayed, and upstreams shed 35,925 statements in two seconds.
+    pub async fn acquainted(&self) {
+        loop {
+            let since = self.met.get().unwrap_or(self.began);
+            let left = (since + MEET).since(Boot.now());
+            if left.is_zero() {
+                return;
+            }
+            sleep(left).await;
+        }
+    }
+
     /// Whether nobody asked this instance for a primary lately: its sessions are served
     /// by others, or it has none.
     pub fn is_idle(&self) -> bool {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -8,7 +8,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use clock::Boot;
 use lead::Verdict;
 use rand::seq::IndexedRandom;
@@ -22,6 +22,7 @@
 
 use crate::{
     edge::{Edge, Fault, Item, Items, Store},
+    kept::Kept,
     line,
     node::{Node, Service},
     probe,
@@ -71,8 +72,8 @@
     Read(String),
     /// The catalogue you have.
     Catalog,
-    /// Serve a session on this database: its statements follow.
-    Session(Bytes),
+    /// Serve this session: its statements follow.
+    Session(Kept),
 }
 
 /// What it is told.
@@ -95,8 +96,16 @@
                 sleep(CALM).await;
                 continue;
             };
-            if let Ok(beat) = postcard::from_bytes::<Beat>(&buf[..size]) {
-                take(&receiving, beat);
+            let Ok(heard) = postcard::from_bytes::<Beat>(&buf[..size]) else {
+                continue;
+            };
+            let address = heard.address;
+            if take(&receiving, heard) == Heard::New {
+                // It has just started and must not take itself for alone until the
+                // next beat: for 0.3 s each of 91 instances served for itself.
+                if let Ok(bytes) = postcard::to_stdvec(&beat(&receiving)) {
+                    let _ = receiver.try_send_to(&bytes, address);
+                }
             }
         }
     });
@@ -151,9 +160,18 @@
     }
 }
 
-fn take<E: Edge>(node: &Rc<Node<E>>, beat: Beat) {
+/// Whose beat was heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    /// An instance's that was not heard lately.
+    New,
+    /// Any other.
+    Again,
+}
+
+fn take<E: Edge>(node: &Rc<Node<E>>, beat: Beat) -> Heard {
     if beat.name == node.settings.name {
-        return;
+        return Heard::Again;
     }
     let newer = beat.version > node.catalog().version;
     look_too(node, &beat.beliefs);
@@ -167,15 +185,19 @@
     if beat.leaving {
         table.remove(&beat.name);
         node.peers.leaves(beat.address, now);
-        return;
+        return Heard::Again;
     }
     let new = || Peer::new(beat.address);
     let peer = table.entry(beat.name).or_insert_with(new);
     peer.zone = beat.zone;
     peer.weight = beat.weight;
     peer.service = beat.service;
+    let heard = match peer.was_heard(now, LOST) && peer.address == beat.address {
+        true => Heard::Again,
+        false => Heard::New,
+    };
     peer.address = beat.address;
-    peer.heard = Some(Boot.now());
+    peer.heard = Some(now);
     peer.beliefs = beat.beliefs;
     let again = peer.version == beat.version;
     peer.version = beat.version;
@@ -186,6 +208,7 @@
         let address = beat.address;
         spawn_local(async move { fetch(&node, address).await });
     }
+    heard
 }
 
 /// Asks a primary that another instance sees fail, so that one's word is checked.
@@ -235,15 +258,15 @@
     Err(Fault::Unknown)
 }
 
-/// Hands a session on `database` to the instance at `address`.
+/// Hands a session to the instance at `address`.
 ///
 /// # Errors
 ///
 /// It can't be reached.
-pub async fn hand(address: SocketAddr, database: &Bytes) -> io::Result<TcpStream> {
+pub async fn hand(address: SocketAddr, kept: &Kept) -> io::Result<TcpStream> {
     let mut stream = TcpStream::connect(address).await?;
     let _ = line::tune(&stream);
-    send(&mut stream, &Ask::Session(database.clone())).await?;
+    send(&mut stream, &Ask::Session(kept.clone())).await?;
     Ok(stream)
 }
 
@@ -271,7 +294,7 @@
 async fn answer<E: Edge>(node: &Rc<Node<E>>, mut stream: TcpStream) -> io::Result<()> {
     let asked = timeout(PASS, receive::<Ask>(&mut stream)).await??;
     let told = match asked {
-        Ask::Session(database) => return session::host(node, stream, database).await,
+        Ask::Session(kept) => return session::host(node, stream, kept).await,
         Ask::Read(prefix) => match timeout(READ, node.edge.store().read(&prefix)).await {
             Ok(Ok(items)) => Told::Items(items),
             _ => Told::Nothing,
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -63,7 +63,7 @@
 
 impl Peer {
     /// Whether it was heard within `span`.
-    fn was_heard(&self, now: Instant, span: Duration) -> bool {
+    pub(super) fn was_heard(&self, now: Instant, span: Duration) -> bool {
         self.heard.is_some_and(|at| at + span > now)
     }
 }
@@ -229,17 +229,19 @@
     pub fn holders(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<SocketAddr> {
         let now = Boot.now();
         let table = self.table.borrow();
-        let alive = table
-            .iter()
-            .filter(|(_, p)| p.was_heard(now, LOST) && p.service != Service::Unable);
+        let alive = table.iter().filter(|(_, p)| p.was_heard(now, LOST));
         let mut candidates: Vec<_> = alive
             .map(|(name, peer)| Candidate {
                 name,
                 zone: &peer.zone,
                 weight: peer.weight,
+                able: peer.service != Service::Unable,
             })
             .collect();
-        candidates.push(own);
+        // Where others can serve, this instance goes on trying; only where nobody can, it
+        // does not serve for itself what others hold.
+        let able = candidates.iter().any(|c| c.able);
+        candidates.push(Candidate { able, ..own });
         let chosen = holders::choose(service, &candidates, count);
         if chosen.contains(&own.name) {
             return Vec::new();
--- a/crates/proxy/src/remote.rs
+++ b/crates/proxy/src/remote.rs
@@ -8,7 +8,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -18,6 +18,7 @@
 use crate::{
     catalog::Route,
     edge::{Edge, Protocol},
+    kept::Kept,
     line::Broken,
     message::{Access, Code, Command, Query, Reply, Shape, State, Statement},
     node::Node,
@@ -51,19 +52,15 @@
 }
 
 impl Remote {
-    /// Hands a session on `database` to one of the holders of its route's service;
-    /// `None` if this instance is to serve it.
-    pub async fn open<E: Edge>(
-        node: &Rc<Node<E>>,
-        route: &Route,
-        database: &Bytes,
-    ) -> Option<Self> {
+    /// Hands a session to one of the holders of its route's service; `None` if this
+    /// instance is to serve it.
+    pub async fn open<E: Edge>(node: &Rc<Node<E>>, route: &Route, kept: &Kept) -> Option<Self> {
         let holders = node.holders(&route.service);
         if holders.is_empty() {
             return None;
         }
         for address in &holders {
-            let passed = timeout(HELLO, peers::hand(*address, database)).await;
+            let passed = timeout(HELLO, peers::hand(*address, kept)).await;
             let Ok(Ok(stream)) = passed else {
                 continue;
             };
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -15,10 +15,10 @@
 
 use crate::{
     edge::{Edge, Protocol},
+    kept::Kept,
     line,
     message::{Code, Request, State},
     node::{Node, Stage},
-    remote::Remote,
     run,
     transaction::Transaction,
 };
@@ -94,13 +94,10 @@
         E::Protocol::rejection(Code::NoDatabase, "no such database", &mut out);
         return stream.write_all(&out).await;
     }
-    let remote = match node.route(&database) {
-        Some(route) => Remote::open(node, &route, &database).await,
-        None => None,
-    };
+    node.acquainted().await;
+    let mut session = Session::open(node, database).await;
     E::Protocol::welcome(&mut out);
     stream.write_all(&out).await?;
-    let mut session = Session::new(node, database, remote);
     let ended = converse(node, &mut session, &mut stream, &mut buf).await;
     session.end::<E>();
     ended
@@ -114,17 +111,17 @@
 pub async fn host<E: Edge>(
     node: &Rc<Node<E>>,
     mut stream: TcpStream,
-    database: Bytes,
+    kept: Kept,
 ) -> io::Result<()> {
     let _ = line::tune(&stream);
     let mut out = BytesMut::new();
-    if node.route(&database).is_none() {
+    if node.route(&kept.database).is_none() {
         E::Protocol::rejection(Code::NoDatabase, "no such database", &mut out);
         return stream.write_all(&out).await;
     }
     E::Protocol::welcome(&mut out);
     stream.write_all(&out).await?;
-    let mut session = Session::new(node, database, None);
+    let mut session = Session::host(node, kept);
     // A stop waits for these as for its own callers' sessions.
     node.sessions.set(node.sessions.get() + 1);
     let ended = converse(node, &mut session, &mut stream, &mut BytesMut::new()).await;
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -11,6 +11,7 @@
     catalog::Route,
     edge::Edge,
     group::Served,
+    kept::Kept,
     line::Values,
     message::{Access, Code, Query, Shape, State, Statement},
     node::Node,
@@ -30,13 +31,23 @@
     pub(super) transaction: Transaction,
     /// The ids of the transaction's statements so far, for the log.
     pub(super) ids: Vec<Bytes>,
-    /// The session at the instance that serves it, if this one does not.
-    remote: Option<Remote>,
-    _served: Option<Served>,
+    /// Where it is served.
+    at: At,
     /// Whether it has only read so far.
     is_bare: bool,
 }
 
+/// Where a session is served.
+#[derive(Debug)]
+enum At {
+    /// Here; it may move to another instance.
+    Here { _served: Option<Served> },
+    /// Here, for another instance's caller: it was handed over once and stays.
+    Hosted { _served: Option<Served> },
+    /// At another instance.
+    There(Remote),
+}
+
 /// How long a statement may take on a route that is gone.
 const LONGEST: Duration = Duration::from_secs(2);
 
@@ -44,46 +55,104 @@
 const IDS: usize = 16;
 
 impl Session {
-    /// A session on `database`, served at the `remote` instance if there is one.
-    pub(super) fn new<E: Edge>(node: &Node<E>, database: Bytes, remote: Option<Remote>) -> Self {
-        let route = node.route(&database).filter(|_| remote.is_none());
+    /// A caller's session on `database`, handed over if others hold its connections.
+    pub(super) async fn open<E: Edge>(node: &Rc<Node<E>>, database: Bytes) -> Self {
+        let mut session = Self::new(Kept::new(database), At::Here { _served: None });
+        session.settle(node).await;
+        session
+    }
+
+    /// A session that another instance handed over.
+    pub(super) fn host<E: Edge>(node: &Node<E>, kept: Kept) -> Self {
+        let served = served(node, &kept.database);
+        Self::new(kept, At::Hosted { _served: served })
+    }
+
+    fn new(kept: Kept, at: At) -> Self {
         Self {
-            _served: route.map(|route| Served::new(node.group_of(&route.service))),
-            database,
-            values: Values::new(),
-            prepared: HashMap::new(),
-            own: None,
+            database: kept.database,
+            values: kept.values,
+            prepared: kept.prepared,
+            own: kept.own.map(|(service, own)| (service.into(), own)),
             transaction: Transaction::None,
             ids: Vec::new(),
-            remote,
+            at,
             is_bare: true,
         }
     }
 
+    /// What another instance needs to go on with it.
+    fn kept(&self) -> Kept {
+        let own = self.own.as_ref();
+        Kept {
+            database: self.database.clone(),
+            values: self.values.clone(),
+            prepared: self.prepared.clone(),
+            own: own.map(|(service, own)| (service.to_string(), *own)),
+        }
+    }
+
+    /// Hands the session to those who hold its connections, or serves it here.
+    async fn settle<E: Edge>(&mut self, node: &Rc<Node<E>>) {
+        let remote = match node.route(&self.database) {
+            Some(route) => Remote::open(node, &route, &self.kept()).await,
+            None => None,
+        };
+        self.at = match remote {
+            Some(remote) => At::There(remote),
+            None => At::Here {
+                _served: served(node, &self.database),
+            },
+        };
+    }
+
+    /// Moves the session if others have held its connections for a while.
+    ///
+    /// Whoever serves a caller that came while it knew nobody is one more that sends to
+    /// the upstreams, for as long as the caller stays: behind a loss of power 290 of them
+    /// stayed.
+    async fn follow<E: Edge>(&mut self, node: &Rc<Node<E>>) {
+        let stays = !matches!(self.at, At::Here { .. });
+        if stays || !matches!(self.transaction, Transaction::None) {
+            return;
+        }
+        let Some(route) = node.route(&self.database) else {
+            return;
+        };
+        let group = node.group_of(&route.service);
+        if !group.is_handed(Boot.now()) {
+            return;
+        }
+        self.settle(node).await;
+        if !matches!(self.at, At::There(_)) {
+            group.handed.set(Some(Boot.now()));
+        }
+    }
+
     /// What the caller is told of where it stands.
     pub(super) fn state(&self) -> State {
-        match &self.remote {
-            Some(remote) => remote.state(),
-            None => self.transaction.state(),
+        match &self.at {
+            At::There(remote) => remote.state(),
+            At::Here { .. } | At::Hosted { .. } => self.transaction.state(),
         }
     }
 
     /// Whether it can't go on, because the instance that served it is lost.
     pub(super) fn is_over(&self) -> bool {
-        !self.is_bare && self.remote.as_ref().is_some_and(Remote::is_over)
+        !self.is_bare && matches!(&self.at, At::There(remote) if remote.is_over())
     }
 
     /// Waits until the instance that serves it ends it.
     pub(super) async fn lost(&self) {
-        match &self.remote {
-            Some(remote) => remote.ended().await,
-            None => std::future::pending().await,
+        match &self.at {
+            At::There(remote) => remote.ended().await,
+            At::Here { .. } | At::Hosted { .. } => std::future::pending().await,
         }
     }
 
     /// Notes that the instance that served it ended it.
     pub(super) fn lose(&mut self) {
-        if let Some(remote) = &mut self.remote {
+        if let At::There(remote) = &mut self.at {
             remote.lose();
         }
     }
@@ -102,23 +171,19 @@
         };
         let route = node.route(&self.database);
         let within = route.as_ref().map_or(LONGEST, |route| route.timeout);
-        let Some(remote) = &mut self.remote else {
+        let At::There(remote) = &mut self.at else {
             return malformed::<E>(State::Idle);
         };
         let mut outcome = remote.answer(node, query, prepared, within).await;
         let not_run = matches!(outcome.failure, Some((Code::Busy, Cause::Holder)));
         if not_run && self.is_bare {
             // It has nothing that was lost with its holder, and the statement only reads.
-            self.remote = match &route {
-                Some(route) => Remote::open(node, route, &self.database).await,
-                None => None,
-            };
-            outcome = match &mut self.remote {
-                Some(remote) => remote.answer(node, query, None, within).await,
-                None => self.dispatch(node, query, at).await,
+            self.settle(node).await;
+            outcome = match &mut self.at {
+                At::There(remote) => remote.answer(node, query, None, within).await,
+                At::Here { .. } | At::Hosted { .. } => self.dispatch(node, query, at).await,
             };
         }
-        self.is_bare &= query.statement == Statement::Read;
         if matches!(outcome.failure, Some((_, Cause::Holder))) {
             let span = Boot.now().since(at);
             node.figures.answered(route.as_deref(), &outcome, span);
@@ -151,9 +216,14 @@
         if self.ids.len() < IDS {
             self.ids.push(query.id.clone());
         }
-        if self.remote.is_some() {
-            return self.hand(node, query, at).await;
+        self.follow(node).await;
+        let bare = query.statement == Statement::Read;
+        if matches!(self.at, At::There(_)) {
+            let outcome = self.hand(node, query, at).await;
+            self.is_bare &= bare;
+            return outcome;
         }
+        self.is_bare &= bare;
         let outcome = self.dispatch(node, query, at).await;
         let route = node.route(&self.database);
         let span = Boot.now().since(at);
@@ -431,6 +501,12 @@
     }
 }
 
+/// Counts a session on `database` that is served here.
+fn served<E: Edge>(node: &Node<E>, database: &Bytes) -> Option<Served> {
+    let route = node.route(database)?;
+    Some(Served::new(node.group_of(&route.service)))
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
