Close the first record's connections before the holders open theirs

Cause: instances know each other sooner, so callers come while the connections of the questions for a group's first record still lie idle for 0.4 s; an upstream of four connections then refuses a holder.

--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -277,6 +277,11 @@
         return;
     }
     let said = probe::all::<E::Protocol>(&members).await;
+    if !group.is_wanted(Boot.now()) {
+        // Who holds is not told yet; the holders' first connections were refused by an
+        // upstream of four, while those of these questions lay idle.
+        members.iter().for_each(|member| member.pool.close());
+    }
     let leaders = members.iter().zip(&said).filter_map(|(member, said)| {
         let status = said.status().filter(|status| status.leads)?;
         Some((status.term, member))
