--- a/crates/admit/src/budget.rs
+++ b/crates/admit/src/budget.rs
@@ -27,9 +27,9 @@
 /// and once it is full everything is refused: with 16 from each of four holders before
 /// three slots and a queue of 24, statements were refused 260 times in the two seconds
 /// behind a cut. Here they wait in an order of their own ([`crate::queue`]). All holders
-/// together send [`AHEAD`] times as many as run: where five sent three each to three slots,
-/// 0.002 to 0.009 less of the worth was earned than with two each. Who does not say how many it runs is sent
-/// any number.
+/// together send [`AHEAD`] times as many as run: where five sent three each to three
+/// slots, 0.764 of the worth was earned, with two each 0.773 and 0.776. Who does not say
+/// how many it runs is sent any number.
 ///
 /// ```
 /// use admit::budget::window;
--- a/crates/admit/src/holders.rs
+++ b/crates/admit/src/holders.rs
@@ -72,8 +72,10 @@
 /// changes only its own place.
 ///
 /// Strong instances come before weak ones more often than their weight says, since to
-/// hold is the heavier duty; and availability zones take turns, the best of each first, so that
-/// a zone that is cut off takes few of a group's holders with it.
+/// hold is the heavier duty. Availability zones take turns, the best of each first, so
+/// that a zone that is cut off takes few of a group's holders with it, and most callers
+/// have one in their own: 0.821 to 0.865, 0.868 to 0.893 and 0.692 to 0.732 of the worth
+/// on days of 76, 91 and 58 instances.
 pub fn choose<'a>(service: &str, candidates: &[Candidate<'a>], count: usize) -> Vec<&'a str> {
     let is_any_able = candidates.iter().any(|c| c.able);
     let fit = candidates.iter().filter(|c| c.able || !is_any_able);
--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -224,11 +224,7 @@
                 &labels,
                 strain.opened_total() as f64,
             );
-            put(
-                "statements_shed_total",
-                &labels,
-                strain.refused_total() as f64,
-            );
+            put("statements_shed_total", &labels, strain.shed_total() as f64);
         }
     }
     page
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -224,9 +224,9 @@
         self.is_alone(zone) && !self.is_served()
     }
 
-    /// Which `count` instances hold the connections to `service`: where to reach them, those
-    /// of the own availability zone first, else in a random order. Nobody, if `own` is one
-    /// of them.
+    /// Which `count` instances hold the connections to `service`: where to reach them,
+    /// those of the own availability zone first, else in a random order. Nobody, if `own`
+    /// is one of them; whether it is able is told from the others.
     pub fn holders(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<SocketAddr> {
         let now = Boot.now();
         let table = self.table.borrow();
--- a/crates/proxy/src/strain.rs
+++ b/crates/proxy/src/strain.rs
@@ -58,7 +58,7 @@
     }
 
     /// How many statements the upstream refused for want of room since the start.
-    pub fn refused_total(&self) -> u64 {
+    pub fn shed_total(&self) -> u64 {
         self.statements.total.get()
     }
 }
