--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -195,6 +195,11 @@
     put("ready", "", f64::from(u8::from(node.is_ready())));
     put("sessions", "", count(node.sessions.get()));
     put("instances", "", count(node.peers.count()));
+    put(
+        "catalogue_fetches_total",
+        "",
+        node.peers.fetches.get() as f64,
+    );
     put("catalogue_version", "", node.catalog().version as f64);
     put(
         "store_silent_seconds",
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -228,6 +228,8 @@
 
 /// Takes the catalogue of another instance.
 async fn fetch<E: Edge>(node: &Node<E>, address: SocketAddr) {
+    let fetches = &node.peers.fetches;
+    fetches.set(fetches.get() + 1);
     let Ok(Ok(Told::Catalog(Some(item)))) = timeout(PASS, call(address, &Ask::Catalog)).await
     else {
         return;
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -1,6 +1,11 @@
 //! Which other instances there are, and what they said of themselves last.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    time::Duration,
+};
 
 use admit::holders::{self, Candidate};
 use clock::{Boot, Instant};
@@ -81,6 +86,8 @@
     pub urgent: Notify,
     /// The catalogue as the store holds it, to be passed on.
     pub catalog: RefCell<Option<Item>>,
+    /// How often another instance was asked for its catalogue.
+    pub fetches: Cell<u64>,
 }
 
 impl Peers {
@@ -93,6 +100,7 @@
             leaving: RefCell::default(),
             urgent: Notify::new(),
             catalog: RefCell::default(),
+            fetches: Cell::default(),
         }
     }
 
