Ask one other instance for a catalogue, and only where the store has not told it in time

Cause: an instance that heard of a newer catalogue on some other's second beat asked that one for all of it, and so each of the others, while the store's answer was being gathered.

Change: one question for each 1.2 s that this instance is behind.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod line;
 pub mod member;
 pub mod message;
+pub mod news;
 pub mod node;
 pub mod outcome;
 pub mod peers;
--- /dev/null
+++ b/crates/proxy/src/news.rs
@@ -0,0 +1,48 @@
+//! When a catalogue that others have is asked of one of them.
+
+use std::time::Duration;
+
+use clock::Instant;
+
+/// How long the store's own word is waited for: longer than changes are gathered (0.8 s)
+/// and a busy processor takes, and short beside the seconds in which a catalogue has to be
+/// in force (3 s, the platform's pages).
+const PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// How long an instance has been behind others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct News {
+    behind: Option<(u64, Instant)>,
+}
+
+impl News {
+    /// Takes in that another instance has `version` while this one has `own`; whether it
+    /// is to be asked for it.
+    ///
+    /// One question for each span of patience: a catalogue of many routes takes a weak
+    /// link for a second, and 57 instances asked at once took it for four.
+    ///
+    /// ```
+    /// use clock::Instant;
+    /// use proxy::news::News;
+    ///
+    /// let at = Instant::from_millis;
+    /// let mut news = News::default();
+    /// assert!(!news.heard(5, 4, at(1_000)));
+    /// assert!(!news.heard(5, 4, at(2_100)));
+    /// assert!(news.heard(5, 4, at(2_200)));
+    /// assert!(!news.heard(5, 4, at(2_201)));
+    /// ```
+    pub fn heard(&mut self, version: u64, own: u64, now: Instant) -> bool {
+        if version <= own {
+            return false;
+        }
+        let since = match self.behind {
+            Some((then, since)) if then == own => since,
+            _ => now,
+        };
+        let due = since + PATIENCE <= now;
+        self.behind = Some((own, if due { now } else { since }));
+        due
+    }
+}
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -173,7 +173,6 @@
     if beat.name == node.settings.name {
         return Heard::Again;
     }
-    let newer = beat.version > node.catalog().version;
     look_too(node, &beat.beliefs);
     let now = Boot.now();
     for id in &beat.starved {
@@ -199,11 +198,11 @@
     peer.address = beat.address;
     peer.heard = Some(now);
     peer.beliefs = beat.beliefs;
-    let again = peer.version == beat.version;
-    peer.version = beat.version;
     drop(table);
-    // The same news a second time: the store's own word should have come by now.
-    if newer && again {
+    let mut news = node.peers.news.get();
+    let due = news.heard(beat.version, node.catalog().version, now);
+    node.peers.news.set(news);
+    if due {
         let node = Rc::clone(node);
         let address = beat.address;
         spawn_local(async move { fetch(&node, address).await });
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-use crate::{edge::Item, node::Service, settings::Settings};
+use crate::{edge::Item, news::News, node::Service, settings::Settings};
 
 /// How long a beat counts.
 const HEARD: Duration = Duration::from_millis(1_000);
@@ -44,7 +44,6 @@
     pub(super) address: SocketAddr,
     pub(super) heard: Option<Instant>,
     pub(super) listed: bool,
-    pub(super) version: u64,
     pub(super) beliefs: Vec<Belief>,
     pub(super) zone: String,
     pub(super) weight: u32,
@@ -57,7 +56,6 @@
             address,
             heard: None,
             listed: false,
-            version: 0,
             beliefs: Vec::new(),
             zone: String::new(),
             weight: 0,
@@ -86,6 +84,8 @@
     pub urgent: Notify,
     /// The catalogue as the store holds it, to be passed on.
     pub catalog: RefCell<Option<Item>>,
+    /// How long this instance has been behind others.
+    pub(super) news: Cell<News>,
     /// How often another instance was asked for its catalogue.
     pub fetches: Cell<u64>,
 }
@@ -100,6 +100,7 @@
             leaving: RefCell::default(),
             urgent: Notify::new(),
             catalog: RefCell::default(),
+            news: Cell::default(),
             fetches: Cell::default(),
         }
     }
