Tell a zone's instances which zones its relays hear no more

Log: sessions were tried at holders elsewhere again and again (863 times `no holder took the session` in a second on eleven instances). Who gets beats of the other zones only every five seconds takes their instances for alive for ten, and takes itself for ready; the balancer uses all of a zone's instances while any of them is.

A relay says in its beats which zones it hears nobody of. Where an instance hears nobody of a zone promptly itself, that decides whether it is cut off and whether somebody there may hold its sessions.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -387,7 +387,7 @@
     /// Whether it serves, or would.
     pub fn service(&self) -> Service {
         if self.is_idle() {
-            return match self.peers.is_lost(&self.settings.zone) {
+            return match self.peers.is_lost() {
                 true => Service::Unable,
                 false => Service::Idle,
             };
@@ -413,7 +413,7 @@
     /// Since when this instance can't serve though others may.
     pub fn unable_since(&self) -> Option<Instant> {
         let now = Boot.now();
-        if self.service() != Service::Unable || !self.peers.may_serve(&self.settings.zone) {
+        if self.service() != Service::Unable || !self.peers.may_serve() {
             self.able.set(now);
             return None;
         }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -119,6 +119,7 @@
             hearing: node.hearing(),
             relays: node.peers.standing.get().relays,
             greets: false,
+            silent: node.peers.silent(),
             near: Vec::new(),
         };
         Self {
@@ -216,6 +217,7 @@
     peer.beliefs = beat.beliefs;
     peer.version = beat.version;
     let mut near = Vec::new();
+    peer.silent = Vec::new();
     (peer.next, peer.format) = (PROMPT, 0);
     if let Some(more) = more {
         (peer.next, peer.format) = (more.next, more.format);
@@ -224,7 +226,7 @@
             node.prove.notify_one();
         }
         (peer.hearing, peer.relays) = (more.hearing, more.relays);
-        near = more.near;
+        (peer.silent, near) = (more.silent, more.near);
     }
     drop(table);
     let mut news = node.peers.news.get();
--- a/crates/proxy/src/peers/beat.rs
+++ b/crates/proxy/src/peers/beat.rs
@@ -76,6 +76,8 @@
     pub relays: bool,
     /// Whether it has not heard whom it tells this, and asks for an answer.
     pub greets: bool,
+    /// The other zones of which it hears nobody any more.
+    pub silent: Vec<String>,
     /// To one that greets: where some instances of its zone, and all relays, are reached.
     pub near: Vec<SocketAddr>,
 }
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -64,6 +64,8 @@
     pub(super) hearing: Hearing,
     /// Whether it asks the store for its zone.
     pub(super) relays: bool,
+    /// The other zones of which it hears nobody.
+    pub(super) silent: Vec<String>,
     /// When it was told last that this instance lives.
     told: Instant,
     /// When it waits for the next beat behind that.
@@ -87,6 +89,7 @@
             format: 0,
             hearing: Hearing::Unknown,
             relays: false,
+            silent: Vec::new(),
             told: Instant::ZERO,
             promised: PROMPT,
             eased: false,
@@ -502,10 +505,10 @@
         (tally, failing)
     }
 
-    /// Whether others may serve callers while this instance, in `zone`, can't: some
-    /// were heard that can, or nobody in another zone is heard any more.
-    pub fn may_serve(&self, zone: &str) -> bool {
-        self.is_served() || self.is_alone(zone)
+    /// Whether others may serve callers while this instance can't: some were heard that
+    /// can, or no other zone can be reached any more.
+    pub fn may_serve(&self) -> bool {
+        self.is_served() || self.is_alone()
     }
 
     /// Takes in that the instance at `address` says that it stops.
@@ -527,14 +530,54 @@
         table.values().filter(same).any(|p| p.was_heard(now, beats))
     }
 
-    /// Whether other instances are known in other zones than `zone`, and none of them
-    /// is heard any more.
-    fn is_alone(&self, zone: &str) -> bool {
+    /// The other zones of which this instance hears nobody any more, of those whose
+    /// instances it would hear promptly.
+    pub(super) fn silent(&self) -> Vec<String> {
+        let table = self.table.borrow();
+        let heard = self.zones(&table);
+        let silent = heard.into_iter().filter(|(_, heard)| !heard);
+        silent.map(|(zone, _)| zone.to_owned()).collect()
+    }
+
+    /// The other zones whose instances this one would hear promptly, and whether it hears
+    /// any of them.
+    fn zones<'a>(&self, table: &'a HashMap<String, Peer>) -> HashMap<&'a str, bool> {
         let now = Boot.now();
+        let mut zones = HashMap::new();
+        for peer in table.values() {
+            if peer.zone.is_empty() || peer.zone == self.zone || !peer.is_prompt() {
+                continue;
+            }
+            let heard = peer.heard.is_some_and(|at| at + ALONE > now);
+            *zones.entry(&*peer.zone).or_default() |= heard;
+        }
+        zones
+    }
+
+    /// The other zones that can't be reached: by own hearing or, where nobody there tells
+    /// this instance promptly, by that of the own zone's relays.
+    ///
+    /// Whoever waits instead for the rare beats of those behind a cut goes on handing
+    /// sessions to them for ten seconds: of a zone's requests seven tenths were lost for
+    /// as long as it was cut off.
+    fn unreached_zones<'a>(&self, table: &'a HashMap<String, Peer>) -> HashSet<&'a str> {
+        let now = Boot.now();
+        let own = self.zones(table);
+        let relays = table.values().filter(|p| p.zone == self.zone && p.relays);
+        let told = relays.filter(|p| p.is_prompt() && p.was_heard(now, LOST));
+        let told = told.flat_map(|p| p.silent.iter().map(String::as_str));
+        let told = told.filter(|zone| !own.contains_key(zone));
+        let silent = own.iter().filter(|(_, heard)| !**heard);
+        silent.map(|(zone, _)| *zone).chain(told).collect()
+    }
+
+    /// Whether other zones are known, and none of them can be reached any more.
+    fn is_alone(&self) -> bool {
         let table = self.table.borrow();
-        let far = |p: &&Peer| !p.zone.is_empty() && p.zone != zone && p.is_prompt();
-        let lately = |p: &Peer| p.heard.is_some_and(|at| at + ALONE > now);
-        table.values().any(|p| far(&p)) && !table.values().filter(far).any(lately)
+        let unreached = self.unreached_zones(&table);
+        let mut far = table.values().filter(|p| p.zone != self.zone);
+        let mut far = far.by_ref().filter(|p| !p.zone.is_empty()).peekable();
+        far.peek().is_some() && far.all(|p| unreached.contains(&*p.zone))
     }
 
     /// Whether somebody is heard who serves.
@@ -550,11 +593,10 @@
         heard.any(|p| p.is_prompt() && p.service == service)
     }
 
-    /// Whether an instance in `zone` that hands its sessions over has nobody left who
-    /// serves them: its zone is cut off, and nobody in it can serve.
-    pub fn is_lost(&self, zone: &str) -> bool {
-        let cut_off = self.is_alone(zone) || self.is_said(Service::Unable);
-        cut_off && !self.is_served()
+    /// Whether an instance that hands its sessions over has nobody left who serves them:
+    /// its zone is cut off, and nobody in it can serve.
+    pub fn is_lost(&self) -> bool {
+        self.is_alone() && !self.is_served()
     }
 
     /// Which `count` instances hold the connections to `service`: where to reach them,
@@ -577,7 +619,9 @@
     pub fn holder_names(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<String> {
         let now = Boot.now();
         let table = self.table.borrow();
+        let unreached = self.unreached_zones(&table);
         let alive = table.iter().filter(|(_, p)| p.was_heard(now, LOST));
+        let alive = alive.filter(|(_, p)| p.is_prompt() || !unreached.contains(&*p.zone));
         let mut candidates: Vec<_> = alive
             .map(|(name, peer)| Candidate {
                 name,
--- a/crates/proxy/tests/beat.rs
+++ b/crates/proxy/tests/beat.rs
@@ -37,6 +37,7 @@
         hearing: Hearing::Hears,
         relays: true,
         greets: false,
+        silent: vec!["zone-2".to_owned()],
         near: vec![address()],
     };
     (beat, more)
