Watch records alone, glance at the list of instances, and take two witnesses for a silent zone

Relays watch the records and glance at the list every ten seconds, for a tenth of a call; holders look who has the right when a replacement is announced. Any two instances of a zone that hear nobody of another one are believed, not its relays alone.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -14,7 +14,7 @@
     edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped},
     era::{self, MEMORY},
     group::Group,
-    mirror::Section,
+    mirror::{SECTIONS, Section},
     node::Node,
     peers, relay, takeover,
 };
@@ -38,6 +38,9 @@
 /// How long an instance goes on watching though others are its zone's relays by now.
 const KEPT: Duration = Duration::from_secs(3);
 
+/// How often the list of instances is read by one that knows no other, and by a relay.
+const LIST: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(10));
+
 /// How often it is looked who the relays are.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -72,7 +75,7 @@
     format!("{}duty", E::OWN)
 }
 
-fn instances<E: Edge>() -> String {
+pub(crate) fn instances<E: Edge>() -> String {
     format!("{}instance/", E::OWN)
 }
 
@@ -100,30 +103,57 @@
 /// The others are met before anything else is read: whoever knows them can follow one of
 /// them, and a fleet that starts at once asks the store for little more than its list.
 async fn begin<E: Edge>(node: Rc<Node<E>>) {
-    if let Ok(listed) = node.store().glance(&instances::<E>(), READ).await {
-        let others = listed.items.iter().filter_map(instance::<E>);
-        others.for_each(|(name, address)| node.peers.add(name, address));
-        if node.peers.count() > 1 {
-            node.meet();
-        }
+    if list(&node).await.is_ok() && node.peers.count() > 1 {
+        node.meet();
     }
     let since = Boot.now();
     while since + GREETED > Boot.now() && relay::is_own(&node) {
         sleep(LOOK / 10).await;
     }
     let mut pause = AGAIN.0;
-    while relay::is_own(&node) && read_section(&node, Section::Own).await.is_err() {
+    while relay::is_own(&node) && read_section(&node, Section::Records).await.is_err() {
         sleep(pause).await;
         pause = (pause * 2).min(AGAIN.1);
     }
     node.meet();
     node.acquainted().await;
     spawn_local(relay::follow(Rc::clone(&node)));
-    for section in [Section::Upstreams, Section::Catalog, Section::Own] {
+    spawn_local(introduce(Rc::clone(&node)));
+    for section in SECTIONS {
         spawn_local(follow(Rc::clone(&node), section));
     }
 }
 
+/// Reads the list of instances, which may be seconds old.
+async fn list<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
+    let prefix = instances::<E>();
+    let listed = node.store().glance(&prefix, READ).await?;
+    let missing = node
+        .mirror
+        .borrow()
+        .missing(&prefix, &listed.items, listed.at);
+    let present = listed.items.into_iter().map(Change::Put);
+    for change in present.chain(missing) {
+        learn(node, change);
+    }
+    Ok(())
+}
+
+/// Reads the list again and again while this instance is a relay, so that instances which
+/// don't know each other greet each other: who starts greets all that it lists.
+async fn introduce<E: Edge>(node: Rc<Node<E>>) {
+    loop {
+        let pause = match node.peers.count() {
+            1 => LIST.0,
+            _ => LIST.1,
+        };
+        sleep(pause).await;
+        if relay::is_own(&node) {
+            let _ = list(&node).await;
+        }
+    }
+}
+
 /// Whether this instance is to follow `section` in the store.
 fn is_due<E: Edge>(node: &Node<E>, section: Section) -> bool {
     match section {
@@ -132,15 +162,16 @@
             let none = node.catalog().version == 0 && !node.peers.is_catalog_known();
             none && relay::is_own(node) || relay::reads_catalog(node)
         }
-        Section::Upstreams | Section::Own => relay::is_own(node),
+        Section::Upstreams | Section::Records => relay::is_own(node),
     }
 }
 
-fn prefix<E: Edge>(section: Section) -> &'static str {
+/// The keys of a section.
+pub(crate) fn prefix<E: Edge>(section: Section) -> String {
     match section {
-        Section::Catalog => E::CATALOG,
-        Section::Upstreams => E::UPSTREAMS,
-        Section::Own => E::OWN,
+        Section::Catalog => E::CATALOG.to_owned(),
+        Section::Upstreams => E::UPSTREAMS.to_owned(),
+        Section::Records => lead_key::<E>(""),
     }
 }
 
@@ -164,7 +195,7 @@
             Ok(news) => news,
             Err(Fault::Compacted) => continue,
             Err(_) => {
-                if !lost && section == Section::Own {
+                if !lost && section == Section::Records {
                     log::warn!(dependency = "store"; "lost");
                 }
                 lost = true;
@@ -174,7 +205,7 @@
                 continue;
             }
         };
-        if lost && section == Section::Own {
+        if lost && section == Section::Records {
             log::info!(dependency = "store"; "regained");
         }
         lost = false;
@@ -188,8 +219,8 @@
 /// Reads a section anew.
 async fn read_section<E: Edge>(node: &Rc<Node<E>>, section: Section) -> Result<(), Fault> {
     let prefix = prefix::<E>(section);
-    let read = read(node, prefix).await?;
-    let missing = node.mirror.borrow().missing(prefix, &read.items, read.at);
+    let read = read(node, &prefix).await?;
+    let missing = node.mirror.borrow().missing(&prefix, &read.items, read.at);
     let present = read.items.into_iter().map(Change::Put);
     present
         .chain(missing)
@@ -253,7 +284,8 @@
 /// Waits for changes of a section behind revision `after`, and takes them in.
 async fn watch<E: Edge>(node: &Rc<Node<E>>, section: Section, after: u64) -> Result<News, Fault> {
     let store = node.store();
-    let watching = store.watch(prefix::<E>(section), after, WATCH, WATCH_SLACK);
+    let prefix = prefix::<E>(section);
+    let watching = store.watch(&prefix, after, WATCH, WATCH_SLACK);
     let told = tokio::select! {
         told = watching => told,
         () = node.refresh.notified() => return Err(Fault::Compacted),
@@ -325,10 +357,8 @@
                 node.unlist(id_of::<E>(&item.key));
             }
         }
-    } else if item.key.starts_with(&lead_key::<E>("")) {
-        record(node, item);
-    } else if item.key == duty_key::<E>() && node.duty.get().0 < item.revision {
-        node.duty.set((item.revision, Boot.now()));
+    } else if let Some(group) = record(node, item) {
+        takeover::notice(node, &group);
     }
 }
 
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -21,11 +21,12 @@
     Catalog,
     /// The list of upstreams.
     Upstreams,
-    /// What instances keep: records, the list of themselves, the right to give orders.
-    Own,
+    /// Who leads each group, and the era.
+    Records,
 }
 
-const SECTIONS: usize = 3;
+/// All of them.
+pub const SECTIONS: [Section; 3] = [Section::Upstreams, Section::Catalog, Section::Records];
 
 /// The newest that is known of a key.
 #[derive(Debug, Clone)]
@@ -57,7 +58,7 @@
     floor: u64,
     gone: usize,
     /// Up to which revision of the store each section is known.
-    known: [u64; SECTIONS],
+    known: [u64; SECTIONS.len()],
 }
 
 impl Mirror {
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -35,6 +35,10 @@
 /// store for the whole list only if it is to ask the store at all.
 const INTRODUCED: usize = 8;
 
+/// How many others of the own zone must hear nobody of another one: who alone hears nobody
+/// is cut off itself.
+const WITNESSES: usize = 2;
+
 /// How late a beat may be.
 const LATE: Duration = Duration::from_millis(100);
 
@@ -555,7 +559,7 @@
     }
 
     /// The other zones that can't be reached: by own hearing or, where nobody there tells
-    /// this instance promptly, by that of the own zone's relays.
+    /// this instance promptly, by that of others in its own zone.
     ///
     /// Whoever waits instead for the rare beats of those behind a cut goes on handing
     /// sessions to them for ten seconds: of a zone's requests seven tenths were lost for
@@ -563,10 +567,20 @@
     fn unreached_zones<'a>(&self, table: &'a HashMap<String, Peer>) -> HashSet<&'a str> {
         let now = Boot.now();
         let own = self.zones(table);
-        let relays = table.values().filter(|p| p.zone == self.zone && p.relays);
-        let told = relays.filter(|p| p.is_prompt() && p.was_heard(now, LOST));
-        let told = told.flat_map(|p| p.silent.iter().map(String::as_str));
-        let told = told.filter(|zone| !own.contains_key(zone));
+        let near = table.values().filter(|p| p.zone == self.zone);
+        let near = near.filter(|p| p.is_prompt() && p.was_heard(now, LOST));
+        let (mut tellers, mut told) = (0, HashMap::new());
+        for peer in near {
+            tellers += 1;
+            for zone in &peer.silent {
+                *told.entry(zone.as_str()).or_insert(0) += 1;
+            }
+        }
+        let enough = WITNESSES.min(tellers);
+        let told = told.into_iter().filter(|(_, count)| *count >= enough);
+        let told = told
+            .map(|(zone, _)| zone)
+            .filter(|zone| !own.contains_key(zone));
         let silent = own.iter().filter(|(_, heard)| !**heard);
         silent.map(|(zone, _)| *zone).chain(told).collect()
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::{
     control,
     edge::{Change, Edge, Item},
-    mirror::Section,
+    mirror::{SECTIONS, Section},
     node::Node,
     peers::{
         LOST,
@@ -90,9 +90,7 @@
             sleep(LOOK).await;
             continue;
         };
-        log::info!(address:%; "follows a relay");
-        if let Err(error) = track(&node, address).await {
-            log::info!(address:%, error:%; "the relay does not answer");
+        if track(&node, address).await.is_err() {
             node.unanswered.set(Some((address, Boot.now())));
             sleep(LOOK).await;
         }
@@ -108,6 +106,7 @@
         version: 0,
     };
     while source(node) == Source::Relay(address) {
+        let is_first = followed.life == 0;
         followed.version = node.catalog().version;
         send(&mut stream, &Ask::Follow(followed)).await?;
         let told = tokio::select! {
@@ -117,6 +116,9 @@
         let Told::Feed(feed) = told else {
             return Err(io::Error::other("it asks the store no more"));
         };
+        if is_first {
+            log::info!(address:%; "follows a relay");
+        }
         (followed.life, followed.seq) = (feed.life, feed.seq);
         take(node, feed);
     }
@@ -138,7 +140,9 @@
     if feed.is_whole {
         let present: Vec<Item> = changes.iter().filter_map(put).cloned().collect();
         let mirror = node.mirror.borrow();
-        for prefix in [E::UPSTREAMS, E::OWN] {
+        let sections = [Section::Upstreams, Section::Records];
+        let prefixes = sections.map(control::prefix::<E>);
+        for prefix in prefixes.iter().chain([&control::instances::<E>()]) {
             changes.extend(mirror.missing(prefix, &present, feed.at));
         }
     }
@@ -146,7 +150,7 @@
         control::learn(node, change);
     }
     let mut mirror = node.mirror.borrow_mut();
-    for section in [Section::Catalog, Section::Upstreams, Section::Own] {
+    for section in SECTIONS {
         mirror.knows(section, feed.at);
     }
     drop(mirror);
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -12,7 +12,7 @@
 
 use clock::Boot;
 use futures_util::future::join;
-use lead::{Record, proof};
+use lead::{Phase, Record, proof};
 use model::Term;
 use tokio::{
     task::spawn_local,
@@ -23,7 +23,7 @@
     counted,
     edge::{Edge, Fault, Orders},
     era::LONELY,
-    group::Group,
+    group::{Group, Known},
     member::Member,
     node::Node,
     probe,
@@ -108,6 +108,19 @@
     }
 }
 
+/// Notes who has the right to give orders as soon as a group's primary is being replaced:
+/// if that instance is lost, the right has run out so long after it was seen first.
+pub(crate) fn notice<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>) {
+    let changes = |known: &Known| known.record.phase == Phase::Changing;
+    let is_replaced = group.known().as_ref().is_some_and(changes);
+    let holders = node.holder_names(&group.service);
+    if !is_replaced || !holders.contains(&node.settings.name) {
+        return;
+    }
+    let node = Rc::clone(node);
+    spawn_local(async move { right::look(&node).await });
+}
+
 /// Why a replacement did not come about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 enum Failed {
--- a/crates/proxy/src/takeover/right.rs
+++ b/crates/proxy/src/takeover/right.rs
@@ -76,6 +76,18 @@
     })
 }
 
+/// Looks who has the right.
+pub(super) async fn look<E: Edge>(node: &Node<E>) {
+    let key = duty_key::<E>();
+    let Ok(Ok(read)) = timeout(CALL, node.store().read(&key, CALL)).await else {
+        return;
+    };
+    let item = read.items.iter().find(|item| item.key == key);
+    if let Some(item) = item.filter(|item| node.duty.get().0 < item.revision) {
+        node.duty.set((item.revision, Boot.now()));
+    }
+}
+
 /// Keeps the right; it is lost if somebody else has it.
 pub(super) async fn renew<E: Edge>(node: &Node<E>, right: &Right) {
     match write_duty(node, right.revision.get(), true).await {
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -69,10 +69,10 @@
 fn what_is_known_is_known_of_the_section_that_lags() {
     let mut mirror = Mirror::default();
     mirror.knows(Section::Catalog, 9);
-    mirror.knows(Section::Own, 7);
+    mirror.knows(Section::Records, 7);
     assert_eq!(mirror.at(), 0);
     mirror.knows(Section::Upstreams, 8);
-    mirror.knows(Section::Own, 3);
+    mirror.knows(Section::Records, 3);
     assert_eq!(mirror.at(), 7);
 }
 
