--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -57,7 +57,7 @@
 const GATHER: Duration = Duration::from_millis(400);
 
 /// How long an instance that starts waits until others of its zone answer.
-const GREETED: Duration = Duration::from_millis(100);
+const GREETED: Duration = Duration::from_millis(60);
 
 /// How often connections are looked through.
 const TIDY: Duration = Duration::from_millis(100);
@@ -116,7 +116,8 @@
         pause = (pause * 2).min(AGAIN.1);
     }
     node.meet();
-    node.acquainted().await;
+    // What is learnt does no harm if more than the relays ask for it.
+    sleep(GREETED).await;
     spawn_local(relay::follow(Rc::clone(&node)));
     spawn_local(introduce(Rc::clone(&node)));
     for section in SECTIONS {
