--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -383,9 +383,8 @@
 
     /// Whom of those at `addresses` to greet: who is not known yet.
     ///
-    /// Each of them once in a second, whoever introduces it: before the first of them could
-    /// answer it was greeted again for each one more that named it, and answered each time.
-    /// 300 instances that started at once spent 73 % of their processors on that.
+    /// Each of them once in a second, whoever introduces it: it would else be greeted again
+    /// for each one more that names it until it answers, and answer each time.
     pub fn greet(&self, addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
         let now = Boot.now();
         let table = self.table.borrow();
--- a/crates/proxy/tests/greet.rs
+++ b/crates/proxy/tests/greet.rs
@@ -24,11 +24,10 @@
     }
 }
 
-/// Symptom: 300 instances that start at once spend 73 % of their processors and 197 KB a
-/// second each on telling each other that they live, and serve nobody. Events: each greets
-/// its seed, and is told of others by all who answer. Cause: it greeted one of those anew
-/// whenever somebody named it, until it answered; who is busy answers late, and was greeted
-/// the more for it.
+/// Symptom: instances that start at once send each other many times the greetings that they
+/// need. Events: each greets its seed, and is told of others by all who answer. Cause: it
+/// greets one of those anew whenever somebody names it, until it answers; who is busy
+/// answers late, and is greeted the more for it.
 #[test]
 fn who_is_named_by_many_is_greeted_once() {
     let peers = Peers::new(&settings());
