--- /dev/null
+++ b/crates/proxy/src/account.rs
@@ -0,0 +1,98 @@
+//! Client accounts: who may ask, by which key, and how often.
+//!
+//! A key is kept as its digest only, from the moment it is read. Logs, metrics, upstreams
+//! and other instances are told the account's name.
+
+use std::{collections::HashMap, rc::Rc};
+
+use bytes::Bytes;
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+/// The digest of a key.
+///
+/// Two are compared in constant time: an early end would tell whoever guesses keys how
+/// much of a digest is right.
+#[derive(Debug, Clone, Copy, Hash)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// The digest of `key`.
+    ///
+    /// ```
+    /// use proxy::account::Digest;
+    /// assert_eq!(Digest::of(b"a"), Digest::of(b"a"));
+    /// assert_ne!(Digest::of(b"a"), Digest::of(b"b"));
+    /// ```
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+}
+
+impl PartialEq for Digest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for Digest {}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Account {
+    /// Its name.
+    pub name: Rc<str>,
+    /// How many operations it may ask for, all instances together.
+    pub quota: Option<Quota>,
+}
+
+/// How many operations an account may ask for, all instances together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Quota {
+    /// In a second.
+    pub rate: f64,
+    /// At once, beyond the rate.
+    pub burst: f64,
+}
+
+/// The accounts of a catalogue, by the digests of their keys.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Accounts(HashMap<Digest, Rc<Account>>);
+
+impl Accounts {
+    /// Adds an account with its keys.
+    pub fn add(&mut self, account: Account, keys: impl IntoIterator<Item = Digest>) {
+        let account = Rc::new(account);
+        for key in keys {
+            self.0.insert(key, Rc::clone(&account));
+        }
+    }
+
+    /// The account that holds the key with this digest.
+    pub fn holder(&self, key: &Digest) -> Option<&Rc<Account>> {
+        self.0.get(key)
+    }
+
+    /// All accounts, each once for each of its keys.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Account>> {
+        self.0.values()
+    }
+}
+
+/// Who a session belongs to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Caller {
+    /// The key that it came with.
+    pub key: Digest,
+    /// The name of the account that held the key then.
+    pub account: Rc<str>,
+}
+
+/// How a session begins: which database is wanted, and by whom.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hello {
+    /// The name of the database.
+    pub database: Bytes,
+    /// The digest of the key that the caller gave.
+    pub key: Option<Digest>,
+}
