Check callers' keys, and open each connection for the account whose sessions use it

Cause: nothing of client accounts was built. Change: START carries a key; it is kept as a digest, compared in constant time, and looked up in the catalogue. Unknown ones get NOAUTH at once, anonymous routes ask for none. A connection is opened for one account and serves its sessions alone; who waits is served by connections of its account, and beyond an instance's share the one that has lain idle longest makes room. A session that is handed over takes the account's name along, never the key; whoever took it from its caller goes on checking. A key that is taken away ends sessions and undoes transactions.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -87,16 +87,48 @@
     /// assert_eq!(queue.next(at(98), service).unwrap().reply, "second");
     /// ```
     pub fn next(&mut self, now: Instant, service: Duration) -> Option<Waiter<T>> {
+        let at = self.first(now, service, |_| true)?;
+        Some(self.waiters.remove(at))
+    }
+
+    /// Takes out who is served next of those whom `fits` names.
+    pub fn next_of(
+        &mut self,
+        now: Instant,
+        service: Duration,
+        fits: impl Fn(&T) -> bool,
+    ) -> Option<Waiter<T>> {
+        let at = self.first(now, service, fits)?;
+        Some(self.waiters.remove(at))
+    }
+
+    /// Who is served next of those whom `fits` names; it goes on waiting.
+    pub fn peek_of(
+        &self,
+        now: Instant,
+        service: Duration,
+        fits: impl Fn(&T) -> bool,
+    ) -> Option<&T> {
+        let at = self.first(now, service, fits)?;
+        Some(&self.waiters[at].reply)
+    }
+
+    /// Those who wait, in the order in which they came.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.waiters.iter().map(|waiter| &waiter.reply)
+    }
+
+    fn first(&self, now: Instant, service: Duration, fits: impl Fn(&T) -> bool) -> Option<usize> {
         let is_late = |waiter: &Waiter<T>| waiter.aim < now + service;
         let stands = |waiter: &Waiter<T>| waiter.since + STANDING < now;
         let rank = |waiter: &Waiter<T>| (is_late(waiter), waiter.priority);
-        let best = self.waiters.iter().map(rank).min()?;
-        let fits = |waiter: &Waiter<T>| rank(waiter) == best;
-        let first = self.waiters.iter().position(fits)?;
-        let at = match stands(&self.waiters[first]) {
-            true => self.waiters.iter().rposition(fits)?,
-            false => first,
-        };
-        Some(self.waiters.remove(at))
+        let fitting = self.waiters.iter().filter(|waiter| fits(&waiter.reply));
+        let best = fitting.map(rank).min()?;
+        let is_best = |waiter: &Waiter<T>| fits(&waiter.reply) && rank(waiter) == best;
+        let first = self.waiters.iter().position(is_best)?;
+        match stands(&self.waiters[first]) {
+            true => self.waiters.iter().rposition(is_best),
+            false => Some(first),
+        }
     }
 }
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -67,6 +67,16 @@
             own.some("code").unwrap_or("nothing known")
         ),
         Some("Undone") => "its transaction had been undone before".to_owned(),
+        Some("NoKey") => format!(
+            "no account of catalogue {} holds the caller's key",
+            own.text("catalogue")
+        ),
+        Some("Stale") => format!(
+            "the instance could not prove that the key was not taken away; the store was \
+             silent for {} ms",
+            own.text("store_silent_ms")
+        ),
+        Some("OverQuota") => format!("account {} has used up its quota", own.text("account")),
         Some("NoRoute") => format!("no route has the database {}", own.text("database")),
         Some("NoStatement") => "the session has no such prepared statement".to_owned(),
         Some("Holder") => format!(
--- a/crates/proxy/src/access.rs
+++ b/crates/proxy/src/access.rs
@@ -77,10 +77,6 @@
 /// # Errors
 ///
 /// The account has asked for as much as it may.
-pub async fn count<E: Edge>(
-    _node: &Node<E>,
-    _account: &str,
-    _at: Instant,
-) -> Result<(), Cause> {
+pub async fn count<E: Edge>(_node: &Node<E>, _account: &str, _at: Instant) -> Result<(), Cause> {
     Ok(())
 }
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -3,7 +3,11 @@
 //! A key is kept as its digest only, from the moment it is read. Logs, metrics, upstreams
 //! and other instances are told the account's name.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{
+    collections::HashMap,
+    hash::{Hash, Hasher},
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use sha2::{Digest as _, Sha256};
@@ -13,7 +17,7 @@
 ///
 /// Two are compared in constant time: an early end would tell whoever guesses keys how
 /// much of a digest is right.
-#[derive(Debug, Clone, Copy, Hash)]
+#[derive(Debug, Clone, Copy)]
 pub struct Digest([u8; 32]);
 
 impl Digest {
@@ -37,6 +41,12 @@
 
 impl Eq for Digest {}
 
+impl Hash for Digest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 /// A client account.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Account {
--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 
+use crate::account::Accounts;
+
 /// How fresh a route's reads must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -32,6 +34,17 @@
     pub aim: Duration,
     /// Who goes first; zero is the highest.
     pub priority: u8,
+    /// Who may take it.
+    pub access: Access,
+}
+
+/// Who may take a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Access {
+    /// Whoever holds an account's key.
+    Keyed,
+    /// Everybody.
+    Anyone,
 }
 
 /// What the catalogue says of a group of upstreams.
@@ -44,7 +57,7 @@
 }
 
 /// The operators' catalogue.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Catalog {
     /// Its version; a lower one never comes into force again.
     pub version: u64,
@@ -52,6 +65,8 @@
     pub routes: HashMap<Bytes, Rc<Route>>,
     /// Services by name.
     pub services: HashMap<Rc<str>, Service>,
+    /// The accounts with their keys.
+    pub accounts: Accounts,
     /// How long a transaction may rest before it is undone.
     pub rest: Duration,
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -445,6 +445,7 @@
             };
             for member in group.members() {
                 member.holders.set(holders);
+                member.pool.share.set(share);
                 if member.pool.is_starved(now) {
                     node.peers.call();
                 }
--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -158,6 +158,7 @@
         Code::Failed => "failed",
         Code::NoStatement => "no_statement",
         Code::NoDatabase => "no_database",
+        Code::NoAccount => "no_account",
         Code::Malformed => "malformed",
         Code::Other => "other",
     }
@@ -174,6 +175,9 @@
         Cause::Undone => "undone",
         Cause::Replaced => "replaced",
         Cause::NoRoute => "no_route",
+        Cause::NoKey => "no_key",
+        Cause::Stale => "stale_catalogue",
+        Cause::OverQuota => "over_quota",
         Cause::NoStatement => "no_statement",
         Cause::Malformed => "malformed",
         Cause::Holder => "holder",
--- a/crates/proxy/src/kept.rs
+++ b/crates/proxy/src/kept.rs
@@ -1,7 +1,7 @@
 //! What makes a session outside of a transaction, so that another instance can go on
 //! with it.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, rc::Rc};
 
 use bytes::Bytes;
 use model::Position;
@@ -14,6 +14,11 @@
 pub struct Kept {
     /// The database that the caller named.
     pub database: Bytes,
+    /// The account whose session it is. Whoever hands it over has checked its caller's key,
+    /// and goes on checking it; the frame beside it carries the name
+    /// ([`crate::peers`]).
+    #[serde(skip)]
+    pub account: Option<Rc<str>>,
     /// The session's values.
     pub values: Values,
     /// Its prepared statements.
@@ -23,10 +28,11 @@
 }
 
 impl Kept {
-    /// A session on `database` that has nothing yet.
-    pub fn new(database: Bytes) -> Self {
+    /// A session of `account` on `database` that has nothing yet.
+    pub fn new(database: Bytes, account: Option<Rc<str>>) -> Self {
         Self {
             database,
+            account,
             ..Self::default()
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`takeover`] replaces primaries. What is outside of the process is met at the
 //! edges in [`edge`]; another protocol, store or platform is put there.
 
+pub mod access;
+pub mod account;
 pub mod catalog;
 pub mod control;
 pub mod counted;
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -61,7 +61,8 @@
 
 /// One connection to an upstream.
 ///
-/// It is used by one session at a time. It knows which values and prepared
+/// It is opened for one client account, is used by one session at a time, and by sessions of
+/// that account only. It knows which values and prepared
 /// statements the upstream has for it, so that a session finds just its own.
 #[derive(Debug)]
 pub struct Line {
@@ -73,6 +74,7 @@
     awaited: usize,
     state: State,
     answered: Instant,
+    account: Option<Rc<str>>,
     member: Rc<Member>,
     _counted: Counted,
 }
@@ -97,17 +99,25 @@
 }
 
 impl Line {
-    /// Opens a connection.
+    /// Opens a connection for `account`, or for this process itself.
     ///
     /// # Errors
     ///
     /// Nothing was run; [`Refused`] tells who is to blame.
-    pub async fn open<P: Protocol>(member: &Rc<Member>, counted: Counted) -> Result<Self, Refused> {
-        let opened = timeout(OPEN, Self::greet::<P>(member, counted)).await;
+    pub async fn open<P: Protocol>(
+        member: &Rc<Member>,
+        account: Option<Rc<str>>,
+        counted: Counted,
+    ) -> Result<Self, Refused> {
+        let opened = timeout(OPEN, Self::greet::<P>(member, account, counted)).await;
         opened.unwrap_or(Err(Refused::Unreachable))
     }
 
-    async fn greet<P: Protocol>(member: &Rc<Member>, counted: Counted) -> Result<Self, Refused> {
+    async fn greet<P: Protocol>(
+        member: &Rc<Member>,
+        account: Option<Rc<str>>,
+        counted: Counted,
+    ) -> Result<Self, Refused> {
         let upstream = &member.upstream;
         let stream = TcpStream::connect(upstream.address).await;
         let stream = stream.map_err(|_| Refused::Unreachable)?;
@@ -121,10 +131,16 @@
             awaited: 0,
             state: State::Idle,
             answered: Boot.now(),
+            account,
             member: Rc::clone(member),
             _counted: counted,
         };
-        let hello = Command::Start(&upstream.service, &upstream.id);
+        let account = line.account.clone();
+        let hello = Command::Start {
+            service: &upstream.service,
+            account: account.as_deref(),
+            id: &upstream.id,
+        };
         if let Ok(reply) = line.ask::<P>(&hello).await {
             let forgot = reply
                 .position
@@ -146,6 +162,11 @@
         &self.member
     }
 
+    /// Whether it was opened for `account`, whose sessions alone may use it.
+    pub fn is_of(&self, account: Option<&Rc<str>>) -> bool {
+        self.account.as_ref() == account
+    }
+
     /// When the upstream last answered here.
     pub fn answered(&self) -> Instant {
         self.answered
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -4,6 +4,8 @@
 use model::{Position, Term};
 use serde::{Deserialize, Serialize};
 
+use crate::account::Hello;
+
 /// Whether a statement or a transaction may write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Access {
@@ -16,8 +18,8 @@
 /// One line of a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Request {
-    /// The session begins: the name of the database.
-    Start(Bytes),
+    /// The session begins.
+    Start(Hello),
     /// A statement.
     Query(Query),
     /// The session ends.
@@ -61,6 +63,15 @@
 }
 
 impl Statement {
+    /// Whether it begins an operation, outside of a transaction: what needs no upstream is
+    /// none.
+    pub fn is_operation(&self) -> bool {
+        matches!(
+            self,
+            Self::Begin(_) | Self::Read | Self::Write | Self::Execute(..)
+        )
+    }
+
     /// What kind of statement it is, without its texts.
     pub fn kind(&self) -> &'static str {
         match self {
@@ -90,8 +101,15 @@
 /// What an upstream is told.
 #[derive(Debug, Clone, Copy)]
 pub enum Command<'a> {
-    /// A connection begins: the service that is meant, and the upstream's id.
-    Start(&'a str, &'a str),
+    /// A connection begins.
+    Start {
+        /// The service that is meant.
+        service: &'a str,
+        /// Whose statements it is for; `None` for this process's own.
+        account: Option<&'a str>,
+        /// The upstream that is meant.
+        id: &'a str,
+    },
     /// A caller's statement; it may only run on a log that has reached `after`.
     Forward {
         /// The caller's id.
@@ -166,6 +184,8 @@
     NoStatement,
     /// No route has this name.
     NoDatabase,
+    /// No account holds the caller's key.
+    NoAccount,
     /// The statement is not understood, or not now.
     Malformed,
     /// A code that is not known here.
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -29,6 +29,12 @@
     Replaced,
     /// No route has the database's name.
     NoRoute,
+    /// No account holds the caller's key any more.
+    NoKey,
+    /// It can't be proved that the caller's key was not taken away.
+    Stale,
+    /// The account has asked for as much as it may.
+    OverQuota,
     /// There is no such prepared statement.
     NoStatement,
     /// The statement is not understood, or not now.
@@ -50,6 +56,9 @@
             Self::Undone => "the transaction was undone, come back in 50 ms",
             Self::Replaced => "the primary is being replaced, come back in 200 ms",
             Self::NoRoute => "no such database",
+            Self::NoKey => "no account holds this key",
+            Self::Stale => "whether the key is valid can't be told, come back in 500 ms",
+            Self::OverQuota => "the account's quota is used up, come back in 500 ms",
             Self::NoStatement => "no such prepared statement",
             Self::Malformed => "not understood here",
             Self::Holder => "the session's instance was lost, come back in 50 ms",
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -330,7 +330,11 @@
 /// It can't be reached.
 pub async fn hand(address: SocketAddr, kept: &Kept) -> io::Result<TcpStream> {
     let mut stream = connect(address).await?;
-    send(&mut stream, &Ask::Session(kept.clone())).await?;
+    let ask = match &kept.account {
+        Some(account) => Ask::Keyed(account.to_string(), kept.clone()),
+        None => Ask::Session(kept.clone()),
+    };
+    send(&mut stream, &ask).await?;
     Ok(stream)
 }
 
@@ -358,6 +362,11 @@
             let _guest = node.peers.host(from.ip());
             return session::host(node, stream, kept).await;
         }
+        Ask::Keyed(account, kept) => {
+            let _guest = node.peers.host(from.ip());
+            let account = Some(account.into());
+            return session::host(node, stream, Kept { account, ..kept }).await;
+        }
         Ask::Follow(followed) => return relay::lead(node, stream, followed).await,
         Ask::Read(prefix) => match node.store().read(&prefix, READ).await {
             Ok(items) => Told::Items(items),
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -50,6 +50,8 @@
     Follow(Followed),
     /// The records and the era, read for me from now on.
     Records,
+    /// Serve this session of the account with this name: its statements follow.
+    Keyed(String, Kept),
 }
 
 /// How far an instance follows another one.
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -7,6 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::Duration,
 };
@@ -25,8 +26,12 @@
 /// How long connections are given up after use once somebody has none at all.
 const SCARCE: Duration = Duration::from_millis(600);
 
-/// How to reach somebody who waits for a connection.
-type Sender = oneshot::Sender<Result<Line, Refused>>;
+/// Somebody who waits for a connection.
+#[derive(Debug)]
+struct Waiting {
+    sender: oneshot::Sender<Result<Line, Refused>>,
+    account: Option<Rc<str>>,
+}
 
 /// What somebody wants a connection for.
 #[derive(Debug, Clone, Copy)]
@@ -35,6 +40,8 @@
     pub priority: u8,
     /// When an answer is late.
     pub aim: Instant,
+    /// Whose session it is.
+    pub account: Option<&'a Rc<str>>,
     /// The session's values.
     pub values: &'a Values,
 }
@@ -43,9 +50,10 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<Vec<Line>>,
-    waiters: RefCell<Queue<Sender>>,
+    waiters: RefCell<Queue<Waiting>>,
     budget: RefCell<Budget>,
-    opening: Cell<usize>,
+    /// For whose sessions connections are being opened.
+    opening: RefCell<Vec<Option<Rc<str>>>>,
     scarce_until: Cell<Instant>,
     retrying: Cell<bool>,
     retired: Cell<bool>,
@@ -55,6 +63,9 @@
     pub open: Cell<usize>,
     /// How many connections may be open.
     pub limit: Cell<usize>,
+    /// This instance's even share of them; beyond it a connection of another account is
+    /// closed for each that is opened. Zero while it is not known.
+    pub share: Cell<usize>,
 }
 
 impl Pool {
@@ -70,17 +81,28 @@
 
     /// How many connections are in use, other than by transactions.
     fn active(&self) -> usize {
-        let unused = self.idle.borrow().len() + self.opening.get() + self.pinned.get();
+        let unused = self.idle.borrow().len() + self.opening.borrow().len() + self.pinned.get();
         self.open.get().saturating_sub(unused)
     }
 
-    /// An idle connection, the one with just these values if there is one.
-    pub fn idle(&self, values: &Values) -> Option<Line> {
+    /// An idle connection of `account`, the one with just these values if there is one.
+    pub fn idle(&self, account: Option<&Rc<str>>, values: &Values) -> Option<Line> {
+        let mut idle = self.idle.borrow_mut();
+        loop {
+            let same = |line: &Line| line.is_of(account) && line.has(values);
+            let same = idle.iter().rposition(same);
+            let at = same.or_else(|| idle.iter().rposition(|line| line.is_of(account)))?;
+            let line = idle.remove(at);
+            if line.is_open() {
+                return Some(line);
+            }
+        }
+    }
+
+    /// An idle connection, whosever it is, for a question of this process itself.
+    pub fn idle_any(&self) -> Option<Line> {
         let mut idle = self.idle.borrow_mut();
-        while !idle.is_empty() {
-            let same = idle.iter().rposition(|line| line.has(values));
-            let last = idle.len() - 1;
-            let line = idle.swap_remove(same.unwrap_or(last));
+        while let Some(line) = idle.pop() {
             if line.is_open() {
                 return Some(line);
             }
@@ -88,6 +110,42 @@
         None
     }
 
+    /// Whether an idle connection is one of `account`.
+    fn rests(&self, account: Option<&Rc<str>>) -> bool {
+        self.idle.borrow().iter().any(|line| line.is_of(account))
+    }
+
+    /// Closes the connection that has lain idle for longest, if this instance has its share.
+    ///
+    /// Those who wait are not served by it: they are of other accounts. Were it kept, each
+    /// instance would open more until the upstream refuses all of them.
+    fn make_room(&self) {
+        let share = self.share.get();
+        if share > 0 && self.open.get() >= share {
+            let mut idle = self.idle.borrow_mut();
+            if !idle.is_empty() {
+                idle.remove(0);
+            }
+        }
+    }
+
+    /// For whom a connection is opened next: for who goes first of those for whom none is
+    /// being opened yet.
+    fn wanted(&self, now: Instant, service: Duration) -> Option<Option<Rc<str>>> {
+        let waiters = self.waiters.borrow();
+        let mut missing: HashMap<Option<Rc<str>>, usize> = HashMap::new();
+        for waiting in waiters.iter() {
+            *missing.entry(waiting.account.clone()).or_default() += 1;
+        }
+        for account in self.opening.borrow().iter() {
+            let count = missing.entry(account.clone()).or_default();
+            *count = count.saturating_sub(1);
+        }
+        let is_missing = |waiting: &Waiting| missing[&waiting.account] > 0;
+        let first = waiters.peek_of(now, service, is_missing)?;
+        Some(first.account.clone())
+    }
+
     /// Closes idle connections beyond `share` that were not used for `rest`.
     pub fn trim(&self, now: Instant, share: usize, rest: Duration) {
         let mut idle = self.idle.borrow_mut();
@@ -150,7 +208,7 @@
     let window = member.window();
     if pool.waiting() == 0
         && pool.active() < window
-        && let Some(line) = pool.idle(wish.values)
+        && let Some(line) = pool.idle(wish.account, wish.values)
     {
         return Ok(line);
     }
@@ -159,7 +217,10 @@
         priority: wish.priority,
         since: Boot.now(),
         aim: wish.aim,
-        reply: sender,
+        reply: Waiting {
+            sender,
+            account: wish.account.cloned(),
+        },
     });
     serve::<P>(member);
     receiver.await.unwrap_or(Err(Refused::Unreachable))
@@ -212,44 +273,68 @@
     let pool = &member.pool;
     pool.waiters
         .borrow_mut()
-        .retain(|sender| !sender.is_closed());
+        .retain(|waiting| !waiting.sender.is_closed());
     let window = member.window();
-    while pool.waiting() > 0 && pool.active() < window {
-        let Some(line) = pool.idle(&Values::new()) else {
+    while pool.active() < window {
+        let next = pool
+            .waiters
+            .borrow_mut()
+            .next_of(Boot.now(), member.latency(), |waiting| {
+                pool.rests(waiting.account.as_ref())
+            });
+        let Some(next) = next else {
             break;
         };
-        hand(member, Ok(line));
+        let Some(line) = pool.idle(next.reply.account.as_ref(), &Values::new()) else {
+            // It had been closed; who waits for it goes first again.
+            pool.waiters.borrow_mut().push(next);
+            continue;
+        };
+        if let Err(Ok(line)) = next.reply.sender.send(Ok(line))
+            && !pool.retired.get()
+        {
+            pool.idle.borrow_mut().push(line);
+        }
     }
-    while pool.waiting() > pool.opening.get() && pool.active() + pool.opening.get() < window {
-        let asked = pool.budget.borrow().ask(
-            Boot.now(),
-            pool.open.get(),
-            pool.opening.get(),
-            pool.limit.get(),
-        );
+    loop {
+        let opening = pool.opening.borrow().len();
+        if pool.active() + opening >= window {
+            return;
+        }
+        let Some(account) = pool.wanted(Boot.now(), member.latency()) else {
+            return;
+        };
+        pool.make_room();
+        let asked =
+            pool.budget
+                .borrow()
+                .ask(Boot.now(), pool.open.get(), opening, pool.limit.get());
         match asked {
             Answer::Now => {}
             Answer::Wait(until) => return retry::<P>(member, until),
             Answer::Enough => return,
         }
-        pool.opening.set(pool.opening.get() + 1);
+        pool.opening.borrow_mut().push(account.clone());
         let member = Rc::clone(member);
         // Counted before the task runs, or one loop opens as many as wait here: 68
         // connections of one instance met an upstream that takes 22 from all.
         let counted = Counted::new(&member);
-        spawn_local(async move { open::<P>(&member, counted).await });
+        spawn_local(async move { open::<P>(&member, account, counted).await });
     }
 }
 
-/// Gives a connection, or why there is none, to the next who still waits.
-fn hand(member: &Member, mut result: Result<Line, Refused>) {
+/// Gives a connection of `account`, or why there is none, to the next who still waits.
+fn hand(member: &Member, account: Option<&Rc<str>>, mut result: Result<Line, Refused>) {
     let pool = &member.pool;
     loop {
-        let next = pool.waiters.borrow_mut().next(Boot.now(), member.latency());
+        let same = |waiting: &Waiting| waiting.account.as_ref() == account;
+        let mut waiters = pool.waiters.borrow_mut();
+        let next = waiters.next_of(Boot.now(), member.latency(), same);
+        drop(waiters);
         let Some(waiter) = next else {
             break;
         };
-        match waiter.reply.send(result) {
+        match waiter.reply.sender.send(result) {
             Ok(()) => return,
             Err(back) => result = back,
         }
@@ -261,15 +346,19 @@
     }
 }
 
-async fn open<P: Protocol>(member: &Rc<Member>, counted: Counted) {
+async fn open<P: Protocol>(member: &Rc<Member>, account: Option<Rc<str>>, counted: Counted) {
     let pool = &member.pool;
-    let opened = Line::open::<P>(member, counted).await;
-    pool.opening.set(pool.opening.get() - 1);
+    let opened = Line::open::<P>(member, account.clone(), counted).await;
+    let mut opening = pool.opening.borrow_mut();
+    if let Some(at) = opening.iter().position(|other| *other == account) {
+        opening.swap_remove(at);
+    }
+    drop(opening);
     match opened {
         Ok(line) => {
             pool.budget.borrow_mut().opened();
             member.strain.opened();
-            hand(member, Ok(line));
+            hand(member, account.as_ref(), Ok(line));
         }
         Err(Refused::TooMany) => {
             // It lives; but it serves nobody here, which is for others to know.
@@ -283,7 +372,7 @@
         }
         Err(refused) => {
             member.failed(Boot.now());
-            hand(member, Err(refused));
+            hand(member, account.as_ref(), Err(refused));
         }
     }
     serve::<P>(member);
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -14,7 +14,7 @@
 use crate::{
     edge::{Edge, Protocol},
     group::Group,
-    line::{Counted, Line, Refused, Values},
+    line::{Counted, Line, Refused},
     member::Member,
     message::{Code, Command, Status},
     node::Node,
@@ -96,12 +96,12 @@
     loop {
         let idle = match fresh {
             true => None,
-            false => member.pool.idle(&Values::new()),
+            false => member.pool.idle_any(),
         };
         fresh |= idle.is_none();
         let line = match idle {
             Some(line) => Ok(line),
-            None => Line::open::<P>(member, Counted::new(member)).await,
+            None => Line::open::<P>(member, None, Counted::new(member)).await,
         };
         let mut line = match line {
             Ok(line) => line,
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -52,6 +52,8 @@
     pub query: &'a Query,
     /// The prepared statement that is run, with what stands behind its name.
     pub prepared: Option<(&'a Shape, &'a [u8])>,
+    /// The account whose session it is.
+    pub account: Option<&'a Rc<str>>,
     /// The session's values.
     pub values: &'a Values,
     /// The position of the session's last commit.
@@ -347,6 +349,7 @@
     let wish = pool::Wish {
         priority,
         aim: ask.at + ask.route.aim,
+        account: ask.account,
         values: ask.values,
     };
     let acquired = pool::acquire::<E::Protocol>(member, wish);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -4,7 +4,7 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use clock::{Boot, Instant};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -14,6 +14,8 @@
 };
 
 use crate::{
+    access,
+    account::Hello,
     edge::{Edge, Protocol},
     kept::Kept,
     line,
@@ -78,7 +80,7 @@
     let _ = line::tune(&stream);
     let mut buf = BytesMut::new();
     let hello = timeout(HELLO, hello::<E>(&mut stream, &mut buf)).await;
-    let Ok(Ok(Some(database))) = hello else {
+    let Ok(Ok(Some(hello))) = hello else {
         return Ok(());
     };
     let mut out = BytesMut::new();
@@ -90,12 +92,15 @@
         );
         return stream.write_all(&out).await;
     }
-    if node.route(&database).is_none() {
-        E::Protocol::rejection(Code::NoDatabase, "no such database", &mut out);
-        return stream.write_all(&out).await;
-    }
     node.acquainted().await;
-    let mut session = Session::open(node, database).await;
+    let caller = match access::enter(node, &hello, Boot.now()).await {
+        Ok(caller) => caller,
+        Err((code, cause)) => {
+            E::Protocol::rejection(code, cause.text(), &mut out);
+            return stream.write_all(&out).await;
+        }
+    };
+    let mut session = Session::open(node, hello.database, caller).await;
     E::Protocol::welcome(&mut out);
     stream.write_all(&out).await?;
     let ended = converse(node, &mut session, &mut stream, &mut buf).await;
@@ -130,11 +135,11 @@
     ended
 }
 
-/// Reads which database the caller wants.
-async fn hello<E: Edge>(stream: &mut TcpStream, buf: &mut BytesMut) -> io::Result<Option<Bytes>> {
+/// Reads which database the caller wants, and who it is.
+async fn hello<E: Edge>(stream: &mut TcpStream, buf: &mut BytesMut) -> io::Result<Option<Hello>> {
     loop {
         match E::Protocol::request(buf) {
-            Ok(Some(Request::Start(database))) => return Ok(Some(database)),
+            Ok(Some(Request::Start(hello))) => return Ok(Some(hello)),
             Ok(None) => {}
             Ok(Some(_)) | Err(_) => {
                 let mut out = BytesMut::new();
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -8,6 +8,8 @@
 use model::Position;
 
 use crate::{
+    access,
+    account::Caller,
     catalog::Route,
     edge::Edge,
     group::Served,
@@ -33,8 +35,15 @@
     pub(super) ids: Vec<Bytes>,
     /// Where it is served.
     at: At,
+    /// The account whose session it is.
+    account: Option<Rc<str>>,
+    /// Whose key is checked before each statement; `None` where none is asked for, and for
+    /// a session that another instance handed over, which goes on checking.
+    caller: Option<Caller>,
     /// Whether it has only read so far.
     is_bare: bool,
+    /// Whether it ends once it stands outside of a transaction.
+    is_ended: bool,
 }
 
 /// Where a session is served.
@@ -55,9 +64,16 @@
 const IDS: usize = 16;
 
 impl Session {
-    /// A caller's session on `database`, handed over if others hold its connections.
-    pub(super) async fn open<E: Edge>(node: &Rc<Node<E>>, database: Bytes) -> Self {
-        let mut session = Self::new(Kept::new(database), At::Here { _served: None });
+    /// A session of `caller` on `database`, handed over if others hold its connections.
+    pub(super) async fn open<E: Edge>(
+        node: &Rc<Node<E>>,
+        database: Bytes,
+        caller: Option<Caller>,
+    ) -> Self {
+        let account = caller.as_ref().map(|caller| Rc::clone(&caller.account));
+        let kept = Kept::new(database, account);
+        let mut session = Self::new(kept, At::Here { _served: None });
+        session.caller = caller;
         session.settle(node).await;
         session
     }
@@ -77,7 +93,10 @@
             transaction: Transaction::None,
             ids: Vec::new(),
             at,
+            account: kept.account,
+            caller: None,
             is_bare: true,
+            is_ended: false,
         }
     }
 
@@ -86,6 +105,7 @@
         let own = self.own.as_ref();
         Kept {
             database: self.database.clone(),
+            account: self.account.clone(),
             values: self.values.clone(),
             prepared: self.prepared.clone(),
             own: own.map(|(service, own)| (service.to_string(), *own)),
@@ -139,6 +159,9 @@
 
     /// Whether it can't go on, because the instance that served it is lost.
     pub(super) fn is_over(&self) -> bool {
+        if self.is_ended && self.state() == State::Idle {
+            return true;
+        }
         !self.is_bare && matches!(&self.at, At::There(remote) if remote.is_over())
     }
 
@@ -216,6 +239,20 @@
         if self.ids.len() < IDS {
             self.ids.push(query.id.clone());
         }
+        // Whoever handed a session over goes on checking its caller's key.
+        let is_own = !matches!(self.at, At::Hosted { .. });
+        if is_own
+            && let Err(refused) = access::admit(node, &self.database, self.caller.as_ref(), at)
+        {
+            return self.refuse(node, query, refused, at);
+        }
+        if self.state() == State::Idle
+            && query.statement.is_operation()
+            && let Some(caller) = &self.caller
+            && let Err(cause) = access::count(node, &caller.account, at).await
+        {
+            return self.refuse(node, query, (Code::Busy, cause), at);
+        }
         self.follow(node).await;
         let bare = query.statement == Statement::Read;
         if matches!(self.at, At::There(_)) {
@@ -234,6 +271,44 @@
         outcome
     }
 
+    /// Refuses a statement that its caller may not ask for. Nothing of an open transaction is
+    /// kept, wherever it runs.
+    fn refuse<E: Edge>(
+        &mut self,
+        node: &Node<E>,
+        query: &Query,
+        (code, cause): (Code, Cause),
+        at: Instant,
+    ) -> Outcome {
+        let outcome = match self.state() {
+            State::Idle => {
+                self.is_ended |= code == Code::NoAccount;
+                Outcome::refusal::<E::Protocol>(code, cause, State::Idle)
+            }
+            State::Open | State::Failed => {
+                self.end::<E>();
+                // What the session had at another instance is lost with this connection.
+                self.is_ended |= code == Code::NoAccount || matches!(self.at, At::There(_));
+                self.at = At::Here { _served: None };
+                match query.statement {
+                    Statement::Rollback => Outcome::done::<E::Protocol>(State::Idle),
+                    Statement::Commit => {
+                        Outcome::refusal::<E::Protocol>(Code::Aborted, cause, State::Idle)
+                    }
+                    _ => {
+                        self.transaction = Transaction::Failed;
+                        Outcome::refusal::<E::Protocol>(Code::Aborted, cause, State::Failed)
+                    }
+                }
+            }
+        };
+        let route = node.route(&self.database);
+        let span = Boot.now().since(at);
+        node.figures.answered(route.as_deref(), &outcome, span);
+        self.tell(node, query, route.as_deref(), &outcome, span);
+        outcome
+    }
+
     /// Logs a statement that was refused, failed or slow, with what decided it.
     fn tell<E: Edge>(
         &self,
@@ -255,6 +330,7 @@
             request = &*String::from_utf8_lossy(&query.id),
             transaction = &*self.transaction_ids(),
             database = &*String::from_utf8_lossy(&self.database),
+            account = self.account.as_deref().unwrap_or(""),
             route = route.map_or("", |route| &*route.name),
             service = route.map_or("", |route| &*route.service),
             freshness:? = route.map(|route| route.freshness),
@@ -362,11 +438,12 @@
         let Some(route) = node.route(&self.database) else {
             return no_database::<E>();
         };
-        let own = self.ask(&route, query, None, &self.values, at).own;
+        let own = self.own_on(&route);
         let start = Start {
             query: query.clone(),
             access,
             route,
+            account: self.account.clone(),
             values: self.values.clone(),
             own,
             at,
@@ -403,7 +480,8 @@
             }
             Transaction::None | Transaction::Failed => return malformed::<E>(State::Idle),
         };
-        let ask = self.ask(&route, query, None, &values, at);
+        let account = self.account.clone();
+        let ask = self.ask(&route, query, None, (&values, account.as_ref()), at);
         let (outcome, transaction) = transaction::commit(node, pinned, &ask).await;
         self.transaction = transaction;
         self.learn(&route, &outcome, Access::Write);
@@ -433,7 +511,8 @@
             },
         };
         let route = Rc::clone(&pinned.route);
-        let ask = self.ask(&route, query, prepared, &values, at);
+        let account = self.account.clone();
+        let ask = self.ask(&route, query, prepared, (&values, account.as_ref()), at);
         let (outcome, transaction) = transaction::step(node, pinned, &ask, access).await;
         self.transaction = transaction;
         outcome
@@ -452,7 +531,8 @@
         };
         let group = node.group_of(&route.service);
         let values = self.values.clone();
-        let ask = self.ask(&route, query, prepared, &values, at);
+        let account = self.account.clone();
+        let ask = self.ask(&route, query, prepared, (&values, account.as_ref()), at);
         let outcome = match access {
             Access::Read => run::read(node, &group, &ask).await,
             Access::Write => run::write(node, &group, &ask).await,
@@ -466,20 +546,26 @@
         route: &'a Route,
         query: &'a Query,
         prepared: Option<(&'a Shape, &'a [u8])>,
-        values: &'a Values,
+        (values, account): (&'a Values, Option<&'a Rc<str>>),
         at: Instant,
     ) -> Ask<'a> {
-        let own = self.own.as_ref().filter(|(of, _)| *of == route.service);
         Ask {
             route,
             query,
             prepared,
+            account,
             values,
-            own: own.map(|(_, position)| *position),
+            own: self.own_on(route),
             at,
         }
     }
 
+    /// The position of the session's last commit on the service of `route`.
+    fn own_on(&self, route: &Route) -> Option<Position> {
+        let own = self.own.as_ref().filter(|(of, _)| *of == route.service);
+        own.map(|(_, position)| *position)
+    }
+
     /// Remembers how far the session must see from now on.
     ///
     /// After a commit that is the commit's position. A read that was proved to run
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -51,6 +51,8 @@
     pub access: Access,
     /// The route it takes, whatever the catalogue becomes meanwhile.
     pub route: Rc<Route>,
+    /// The account whose session it is.
+    pub account: Option<Rc<str>>,
     /// The session's values then.
     pub values: Values,
     /// The position of the session's last commit.
@@ -167,6 +169,7 @@
         route: &begun.route,
         query: &begun.query,
         prepared: None,
+        account: begun.account.as_ref(),
         values: &begun.values,
         own: begun.own,
         at: begun.at,
