Serve keys only under a proof that nothing newer was in the store

Change: lead::freshness, a proof of the catalogue that counts from before its question left. The relays that read the catalogue ask the store in a quarter of the span; other relays ask them, everybody else a relay, by datagram, and count back from their own question by the age that they are told. A request is served if it came within the span; otherwise it is refused at once with BUSY, a transaction is undone, and the instance is not ready. A catalogue that can't be read or is older than the one in force is not passed on.

--- /dev/null
+++ b/crates/lead/src/freshness.rs
@@ -0,0 +1,107 @@
+//! How surely an instance knows what may be asked for.
+//!
+//! A key that was taken away must not be served for long, by no instance: neither by one that
+//! is cut off, nor by one that stood still and wakes. So a key is served only under a proof:
+//! at a moment that was noted *before* the question left, the store held nothing newer than
+//! what is in force here. A request may be served for a span behind that moment, and what
+//! counts is when the request came; what happens to it later does not matter.
+//!
+//! A proof is passed on with its age. Whoever asks counts back from its own question: between
+//! the question and the moment for which the age was told only time can have passed, so a
+//! relay that is late, stands still or was replaced makes the proof older and never younger.
+
+use std::time::Duration;
+
+use clock::Instant;
+use serde::{Deserialize, Serialize};
+
+/// The part of a span by which clocks of two machines may drift apart.
+const DRIFT: u32 = 50;
+
+/// How far the store, or an instance, is with what the operators and all instances agreed on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The catalogue's version.
+    pub catalog: u64,
+    /// The revision of the accounts' shares.
+    pub shares: u64,
+}
+
+impl Mark {
+    /// Whether it is as far as `other` in everything.
+    pub fn reaches(self, other: Self) -> bool {
+        self.catalog >= other.catalog && self.shares >= other.shares
+    }
+}
+
+/// The proof that nothing newer than what is in force was in the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Freshness {
+    since: Option<Instant>,
+    ahead: Option<(Mark, Instant)>,
+}
+
+impl Freshness {
+    /// Takes in that nothing newer than `newest` was in the store at `since`, while this
+    /// instance has `have`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use clock::Instant;
+    /// use lead::freshness::{Freshness, Mark};
+    ///
+    /// let at = Instant::from_millis;
+    /// let mark = |catalog| Mark { catalog, shares: 0 };
+    /// let span = Duration::from_millis(5_000);
+    /// let mut freshness = Freshness::default();
+    /// freshness.learn(mark(7), at(100), mark(7));
+    /// assert!(freshness.covers(at(4_900), span));
+    /// assert!(!freshness.covers(at(5_100), span));
+    ///
+    /// // What is not in force here proves nothing until it is.
+    /// freshness.learn(mark(8), at(2_000), mark(7));
+    /// assert!(!freshness.covers(at(5_100), span));
+    /// freshness.reach(mark(8));
+    /// assert!(freshness.covers(at(5_100), span));
+    /// ```
+    pub fn learn(&mut self, newest: Mark, since: Instant, have: Mark) {
+        if have.reaches(newest) {
+            self.since = self.since.max(Some(since));
+        } else if self.ahead.is_none_or(|(_, then)| then < since) {
+            self.ahead = Some((newest, since));
+        }
+    }
+
+    /// Takes in that this instance has `have` from now on.
+    pub fn reach(&mut self, have: Mark) {
+        if let Some((newest, since)) = self.ahead
+            && have.reaches(newest)
+        {
+            self.since = self.since.max(Some(since));
+            self.ahead = None;
+        }
+    }
+
+    /// What it waits for: something that the store has and this instance has not.
+    pub fn ahead(&self) -> Option<Mark> {
+        self.ahead.map(|(newest, _)| newest)
+    }
+
+    /// How old the proof is at `now`.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.since.map(|since| now.since(since))
+    }
+
+    /// Whether a request that came at `moment` may be served, if a key may be served for
+    /// `span` after it was taken away.
+    pub fn covers(&self, moment: Instant, span: Duration) -> bool {
+        let span = span - span / DRIFT;
+        self.since.is_some_and(|since| moment < since + span)
+    }
+}
+
+/// From when on a proof counts that was told for a question sent at `asked`, and was `age`
+/// old when it was told.
+pub fn counted(asked: Instant, age: Duration) -> Instant {
+    asked - age
+}
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -5,12 +5,14 @@
 
 pub mod choose;
 pub mod floor;
+pub mod freshness;
 pub mod proof;
 pub mod quorum;
 pub mod record;
 pub mod vote;
 
 pub use floor::Samples;
+pub use freshness::Freshness;
 pub use proof::Proof;
 pub use record::{Phase, Record};
 pub use vote::{Tally, Verdict};
--- a/crates/proxy/src/access.rs
+++ b/crates/proxy/src/access.rs
@@ -1,7 +1,10 @@
 //! Whether a caller may ask: its key, how surely that is known, and its account's quota.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use clock::Instant;
+use clock::{Boot, Instant};
+use tokio::time::timeout;
 
 use crate::{
     account::{Caller, Hello},
@@ -12,6 +15,9 @@
     outcome::Cause,
 };
 
+/// How long a caller waits for the first proof of an instance that has just started.
+const FIRST: Duration = Duration::from_millis(500);
+
 /// Why a caller is refused.
 pub type Refused = (Code, Cause);
 
@@ -19,11 +25,12 @@
 ///
 /// # Errors
 ///
-/// There is no such database, or no account holds the caller's key.
+/// There is no such database, no account holds the caller's key, or it can't be proved that
+/// one still does.
 pub async fn enter<E: Edge>(
     node: &Node<E>,
     hello: &Hello,
-    _at: Instant,
+    at: Instant,
 ) -> Result<Option<Caller>, Refused> {
     let route = node.route(&hello.database);
     let Some(route) = route else {
@@ -35,6 +42,7 @@
     let Some(key) = hello.key else {
         return Err((Code::NoAccount, Cause::NoKey));
     };
+    proved(node, at).await?;
     let catalog = node.catalog();
     let Some(account) = catalog.accounts.holder(&key) else {
         return Err((Code::NoAccount, Cause::NoKey));
@@ -43,16 +51,39 @@
     Ok(Some(Caller { key, account }))
 }
 
+/// Waits until it is proved for the first time that the keys in force were not taken away.
+///
+/// An instance that has lost its proof refuses at once: it asks again and again, and its
+/// callers are served sooner elsewhere.
+async fn proved<E: Edge>(node: &Node<E>, at: Instant) -> Result<(), Refused> {
+    let fresh = &node.freshness;
+    let waiting = async {
+        loop {
+            let learnt = fresh.learnt.notified();
+            if node.is_fresh(at) || fresh.age(Boot.now()).is_some() {
+                return;
+            }
+            fresh.wanted.notify_one();
+            learnt.await;
+        }
+    };
+    let _ = timeout(FIRST, waiting).await;
+    match node.is_fresh(at) {
+        true => Ok(()),
+        false => Err((Code::Busy, Cause::Stale)),
+    }
+}
+
 /// Whether `caller` may go on with a session on `database` at `at`.
 ///
 /// # Errors
 ///
-/// Its key was taken away or went to another account.
+/// Its key was taken away or went to another account, or it can't be proved that it was not.
 pub fn admit<E: Edge>(
     node: &Node<E>,
     database: &Bytes,
     caller: Option<&Caller>,
-    _at: Instant,
+    at: Instant,
 ) -> Result<(), Refused> {
     let Some(route) = node.route(database) else {
         // It is refused where its route is looked for.
@@ -69,6 +100,10 @@
     if holder.is_none_or(|account| account.name != caller.account) {
         return Err((Code::NoAccount, Cause::NoKey));
     }
+    if !node.is_fresh(at) {
+        node.freshness.wanted.notify_one();
+        return Err((Code::Busy, Cause::Stale));
+    }
     Ok(())
 }
 
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -83,6 +83,11 @@
         self.0.get(key)
     }
 
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// All accounts, each once for each of its keys.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Account>> {
         self.0.values()
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -13,6 +13,7 @@
 use crate::{
     edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped},
     era::{self, MEMORY},
+    freshness,
     group::Group,
     mirror::{SECTIONS, Section},
     node::Node,
@@ -84,6 +85,7 @@
     spawn_local(begin(Rc::clone(node)));
     spawn_local(era::prove(Rc::clone(node)));
     spawn_local(register(Rc::clone(node)));
+    spawn_local(freshness::keep(Rc::clone(node)));
     spawn_local(tidy(Rc::clone(node)));
     spawn_local(takeover::oversee(Rc::clone(node)));
 }
@@ -235,6 +237,12 @@
 
 /// Takes in a change of the store, unless something newer is known.
 pub(crate) fn learn<E: Edge>(node: &Rc<Node<E>>, change: Change) {
+    if let Change::Put(item) = &change
+        && item.key == E::CATALOG
+        && !put_in_force(node, item)
+    {
+        return;
+    }
     if !node.mirror.borrow_mut().take(&change) {
         return;
     }
@@ -317,8 +325,9 @@
 async fn overtake<E: Edge>(node: &Rc<Node<E>>) -> Result<u64, Fault> {
     loop {
         let revision = node.catalog_item().map_or(0, |item| item.revision);
-        let newer = node.store().newer(E::CATALOG, revision, READ).await?;
-        let Some(item) = newer else {
+        let known = [(E::CATALOG, revision)];
+        let newer = node.store().newer(&known, READ).await?;
+        let Some(item) = newer.into_iter().next() else {
             return Ok(revision);
         };
         learn(node, Change::Put(item));
@@ -336,6 +345,28 @@
     }
 }
 
+/// Puts a catalogue in force, unless a newer one is; whether it is in force now.
+///
+/// One that is not must not be passed on either: whoever starts would take it from here, and
+/// its keys that were taken away since.
+fn put_in_force<E: Edge>(node: &Rc<Node<E>>, item: &Item) -> bool {
+    let known = node.mirror.borrow().item(E::CATALOG);
+    if known.is_some_and(|known| known.revision >= item.revision) {
+        return true;
+    }
+    match E::catalog(&item.value) {
+        Ok(catalog) => {
+            let version = catalog.version;
+            node.apply(catalog);
+            node.catalog().version == version
+        }
+        Err(error) => {
+            log::error!(error:%; "the catalogue can't be read");
+            false
+        }
+    }
+}
+
 fn id_of<E: Edge>(key: &str) -> &str {
     key.strip_prefix(E::UPSTREAMS).unwrap_or(key)
 }
@@ -343,13 +374,7 @@
 /// Takes in one item of the store.
 fn take<E: Edge>(node: &Rc<Node<E>>, item: &Item) {
     if item.key == E::CATALOG {
-        match E::catalog(&item.value) {
-            Ok(catalog) => {
-                node.apply(catalog);
-                node.peers.call();
-            }
-            Err(error) => log::error!(error:%; "the catalogue can't be read"),
-        }
+        node.peers.call();
     } else if item.key.starts_with(E::UPSTREAMS) {
         match E::upstream(&item.key, &item.value) {
             Ok(upstream) => node.put(upstream),
--- a/crates/proxy/src/counted.rs
+++ b/crates/proxy/src/counted.rs
@@ -76,14 +76,8 @@
         self.call("glance", self.store.glance(prefix, quiet)).await
     }
 
-    async fn newer(
-        &self,
-        key: &str,
-        revision: u64,
-        quiet: Duration,
-    ) -> Result<Option<Item>, Fault> {
-        let reading = self.store.newer(key, revision, quiet);
-        self.call("newer", reading).await
+    async fn newer(&self, known: &[(&str, u64)], quiet: Duration) -> Result<Vec<Item>, Fault> {
+        self.call("newer", self.store.newer(known, quiet)).await
     }
 
     async fn watch(
--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -249,14 +249,13 @@
     fn read(&self, prefix: &str, quiet: Duration) -> impl Future<Output = Result<Items, Fault>>;
     /// Reads the first page of a prefix, for a tenth of the price; it may be seconds old.
     fn glance(&self, prefix: &str, quiet: Duration) -> impl Future<Output = Result<Items, Fault>>;
-    /// Reads an item unless `revision` is its newest one; `None` if it is, or if there is
-    /// no such item.
+    /// Reads those of the items whose newest revision is not the one beside its key, zero
+    /// for none. Those that don't exist are left out.
     fn newer(
         &self,
-        key: &str,
-        revision: u64,
+        known: &[(&str, u64)],
         quiet: Duration,
-    ) -> impl Future<Output = Result<Option<Item>, Fault>>;
+    ) -> impl Future<Output = Result<Vec<Item>, Fault>>;
     /// Waits up to `wait` for changes behind revision `after`: each of them as it was,
     /// also where a later one overtook it. Gives up once nothing of the answer came for
     /// `quiet`.
--- /dev/null
+++ b/crates/proxy/src/freshness.rs
@@ -0,0 +1,226 @@
+//! Keeping the proof that keys in force here were not taken away ([`lead::freshness`]).
+//!
+//! The relays that read the catalogue ask the store whether it has changed. The others ask
+//! somebody who knows how old that answer is: relays one of those readers, everybody else a
+//! relay of its zone. Whoever gets no answer asks others that hear the store, and the store
+//! itself once its own proof is half over.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::{Boot, Instant};
+use lead::{
+    Freshness,
+    freshness::{self, Mark},
+};
+use rand::seq::IndexedRandom;
+use tokio::{
+    sync::{Notify, oneshot},
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    control,
+    edge::{Change, Edge, Fault, Store},
+    node::Node,
+    peers::beat::Proof,
+    relay::{self, Source},
+};
+
+/// How often it is looked whether the proof is old.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long another instance may take to answer: a hop there and back, and a turn of a busy
+/// processor.
+const ANSWER: Duration = Duration::from_millis(250);
+
+/// How long the store may be silent.
+const READ: Duration = Duration::from_millis(400);
+
+/// Into how many parts the time that a key may be served divides: a reader asks the store in
+/// each of them.
+const PARTS: u32 = 4;
+
+/// The pause between two tries.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What an instance knows of how sure it is, and who waits for an answer.
+#[derive(Debug, Default)]
+pub struct Fresh {
+    proof: Cell<Freshness>,
+    stamp: Cell<u64>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<(Mark, Duration)>>>,
+    asking: Cell<bool>,
+    asked: Cell<Instant>,
+    /// Told when somebody needs a proof now.
+    pub wanted: Notify,
+    /// Told when there is a newer proof.
+    pub learnt: Notify,
+}
+
+impl Fresh {
+    /// Whether a request that came at `moment` may be served, if a key may be served for
+    /// `span` after it was taken away.
+    pub fn covers(&self, moment: Instant, span: Duration) -> bool {
+        self.proof.get().covers(moment, span)
+    }
+
+    /// How old the proof is; `None` if there was none yet.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.proof.get().age(now)
+    }
+
+    /// Takes in that this instance has `have` from now on.
+    pub fn reach(&self, have: Mark) {
+        let mut proof = self.proof.get();
+        proof.reach(have);
+        self.proof.set(proof);
+        self.learnt.notify_waiters();
+    }
+
+    fn learn(&self, newest: Mark, since: Instant, have: Mark) {
+        let mut proof = self.proof.get();
+        proof.learn(newest, since, have);
+        self.proof.set(proof);
+        self.learnt.notify_waiters();
+    }
+
+    /// Takes in an answer.
+    pub(crate) fn told(&self, stamp: u64, newest: Mark, age: Duration) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&stamp) {
+            let _ = waiting.send((newest, age));
+        }
+    }
+}
+
+/// Answers an instance that asks how sure this one is.
+pub(crate) fn tell<E: Edge>(node: &Node<E>, stamp: u64, to: SocketAddr) {
+    let Some(age) = node.freshness.age(Boot.now()) else {
+        return;
+    };
+    let newest = node.mark();
+    let told = Proof::Fresh { stamp, newest, age };
+    node.proofs.send(&told, to);
+}
+
+/// Keeps the proof fresh as long as the catalogue has accounts, until the process ends.
+pub(crate) async fn keep<E: Edge>(node: Rc<Node<E>>) {
+    let Some(span) = node.settings.revocation else {
+        return;
+    };
+    loop {
+        let _ = timeout(LOOK, node.freshness.wanted.notified()).await;
+        if node.catalog().accounts.is_empty() {
+            sleep(LOOK).await;
+            continue;
+        }
+        let now = Boot.now();
+        let age = node.freshness.age(now);
+        let rests = node.freshness.asked.get() + AGAIN > now;
+        if rests || age.is_some_and(|age| age < due(&node, span)) {
+            continue;
+        }
+        if !node.freshness.asking.replace(true) {
+            node.freshness.asked.set(now);
+            let node = Rc::clone(&node);
+            spawn_local(async move {
+                renew(&node, age, span).await;
+                node.freshness.asking.set(false);
+            });
+        }
+    }
+}
+
+/// How old the proof may get until it is renewed.
+fn due<E: Edge>(node: &Node<E>, span: Duration) -> Duration {
+    match source(node) {
+        Source::Store => span / PARTS,
+        Source::Relay(_) => span / (2 * PARTS),
+    }
+}
+
+/// Where this instance learns how sure it may be.
+fn source<E: Edge>(node: &Node<E>) -> Source {
+    match relay::source(node) {
+        Source::Relay(relay) => Source::Relay(relay),
+        Source::Store => {
+            let readers = relay::readers(node);
+            match readers.iter().flatten().next() {
+                Some(reader) if !readers.contains(&None) => Source::Relay(*reader),
+                _ => Source::Store,
+            }
+        }
+    }
+}
+
+async fn renew<E: Edge>(node: &Rc<Node<E>>, age: Option<Duration>, span: Duration) {
+    let asked = match source(node) {
+        Source::Relay(address) => ask(node, address).await,
+        Source::Store => check(node).await,
+    };
+    if asked.is_ok() {
+        return;
+    }
+    let hearing = node.peers.hearing();
+    let other = hearing.choose(&mut rand::rng()).copied();
+    if let Some(address) = other
+        && ask(node, address).await.is_ok()
+    {
+        return;
+    }
+    if age.is_none_or(|age| age > span / 2) {
+        let _ = check(node).await;
+    }
+}
+
+/// Asks the instance at `address`.
+async fn ask<E: Edge>(node: &Node<E>, address: SocketAddr) -> Result<(), Fault> {
+    let fresh = &node.freshness;
+    fresh.stamp.set(fresh.stamp.get() + 1);
+    // A number of this life: an answer to a question of the life before is none to this.
+    let stamp = node.life.wrapping_add(fresh.stamp.get());
+    let (sender, answer) = oneshot::channel();
+    fresh.waiting.borrow_mut().insert(stamp, sender);
+    let asked = Boot.now();
+    let question = Proof::AskFresh {
+        stamp,
+        answer: node.settings.peers,
+    };
+    node.proofs.send(&question, address);
+    let answer = timeout(ANSWER, answer).await;
+    fresh.waiting.borrow_mut().remove(&stamp);
+    let Ok(Ok((newest, age))) = answer else {
+        return Err(Fault::Unknown);
+    };
+    let since = freshness::counted(asked, age);
+    let is_newer = fresh.age(asked).is_none_or(|own| own > age);
+    fresh.learn(newest, since, node.mark());
+    match is_newer {
+        true => Ok(()),
+        false => Err(Fault::Unknown),
+    }
+}
+
+/// Asks the store whether there is anything newer, and takes it in.
+async fn check<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
+    let revision = node.catalog_item().map_or(0, |item| item.revision);
+    let asked = Boot.now();
+    let known = [(E::CATALOG, revision)];
+    let newer = node.store().newer(&known, READ).await;
+    let newer = newer.inspect_err(|_| node.store_failed())?;
+    node.store_answered();
+    for item in newer {
+        // One that can't be read is not in force here, and proves nothing.
+        E::catalog(&item.value).map_err(|_| Fault::Malformed)?;
+        control::learn(node, Change::Put(item));
+    }
+    let have = node.mark();
+    node.freshness.learn(have, asked, have);
+    Ok(())
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod edge;
 pub mod era;
 pub mod figures;
+pub mod freshness;
 pub mod group;
 mod holding;
 pub mod kept;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,6 +11,7 @@
 use admit::holders::{self, Candidate};
 use bytes::Bytes;
 use clock::{Boot, Instant};
+use lead::freshness::Mark;
 use serde::{Deserialize, Serialize};
 use tokio::{
     sync::Notify,
@@ -22,6 +23,7 @@
     counted::Counted,
     edge::{Edge, Item},
     figures::{Figures, Wait},
+    freshness::Fresh,
     group::Group,
     member::Member,
     mirror::Mirror,
@@ -137,6 +139,8 @@
     packed: RefCell<Option<Packed>>,
     /// Questions for proofs.
     pub proofs: Proofs,
+    /// How surely it is known what may be asked for.
+    pub freshness: Fresh,
     /// When the store's watch was answered last.
     pub watched: Cell<Instant>,
     /// Told when it answers again.
@@ -187,6 +191,7 @@
             learnt: Notify::new(),
             packed: RefCell::default(),
             proofs: Proofs::default(),
+            freshness: Fresh::default(),
             watched: Cell::default(),
             answered: Notify::new(),
             stored_since: Cell::default(),
@@ -223,6 +228,25 @@
             }
         }
         *self.catalog.borrow_mut() = Rc::new(catalog);
+        self.freshness.reach(self.mark());
+    }
+
+    /// How far this instance is with what is agreed on.
+    pub fn mark(&self) -> Mark {
+        Mark {
+            catalog: self.catalog().version,
+            shares: 0,
+        }
+    }
+
+    /// Whether keys may be served that are in force here, for requests that came at
+    /// `moment`.
+    ///
+    /// Without the proof a customer whose key was taken away would be served on by an
+    /// instance that is cut off, for as long as that lasts.
+    pub fn is_fresh(&self, moment: Instant) -> bool {
+        let span = self.settings.revocation;
+        span.is_none_or(|span| self.freshness.covers(moment, span))
     }
 
     /// The route that callers of `database` take.
@@ -385,6 +409,9 @@
         if self.stage.get() != Stage::Serve || !self.listed.get() {
             return false;
         }
+        if !self.catalog().accounts.is_empty() && !self.is_fresh(Boot.now()) {
+            return false;
+        }
         let groups = self.groups();
         let begun = groups.iter().any(|group| group.known().is_some());
         begun && self.unable_since().is_none()
--- a/crates/proxy/src/peers/beat.rs
+++ b/crates/proxy/src/peers/beat.rs
@@ -5,7 +5,7 @@
 use model::Term;
 use serde::{Deserialize, Serialize};
 
-use lead::Verdict;
+use lead::{Verdict, freshness::Mark};
 
 use crate::node::Service;
 
@@ -113,6 +113,22 @@
         /// The lease of the era.
         era: u64,
     },
+    /// How surely do you know what may be asked for? Answer here.
+    AskFresh {
+        /// What the answer is to name.
+        stamp: u64,
+        /// Where it is to go.
+        answer: SocketAddr,
+    },
+    /// For so long nothing newer than this was in the store, at least.
+    Fresh {
+        /// What the question named.
+        stamp: u64,
+        /// The newest that was there.
+        newest: Mark,
+        /// How old that proof is.
+        age: Duration,
+    },
 }
 
 /// A datagram that came.
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -454,8 +454,8 @@
             .collect()
     }
 
-    /// Whether `own` is one of the relays that read the catalogue for all others.
-    pub(crate) fn reads_catalog(&self, own: Candidate<'_>) -> bool {
+    /// Which relays read the catalogue for all others: their addresses, `None` for `own`.
+    pub(crate) fn readers(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
         let now = Boot.now();
         let table = self.table.borrow();
         let relays = |p: &Peer| p.relays && p.is_prompt() && p.was_heard(now, LOST);
@@ -469,7 +469,10 @@
             })
             .collect();
         candidates.push(own);
-        relays::readers(&candidates).contains(&own.name)
+        let readers = relays::readers(&candidates).into_iter();
+        readers
+            .map(|name| table.get(name).map(|peer| peer.address))
+            .collect()
     }
 
     /// Whether somebody who is heard has a catalogue.
--- a/crates/proxy/src/proofs.rs
+++ b/crates/proxy/src/proofs.rs
@@ -18,6 +18,7 @@
 use crate::{
     control::lead_key,
     edge::{Edge, Fault, Items, Store},
+    freshness,
     node::Node,
     peers::beat::{self, Proof},
 };
@@ -71,7 +72,7 @@
         readers.len()
     }
 
-    fn send(&self, proof: &Proof, to: SocketAddr) {
+    pub(crate) fn send(&self, proof: &Proof, to: SocketAddr) {
         let socket = self.socket.borrow();
         if let (Some(socket), Some(bytes)) = (&*socket, beat::encode_proof(proof)) {
             let _ = socket.try_send_to(&bytes, to);
@@ -92,6 +93,8 @@
                 let _ = waiting.send(era);
             }
         }
+        Proof::AskFresh { stamp, answer } => freshness::tell(node, stamp, answer),
+        Proof::Fresh { stamp, newest, age } => node.freshness.told(stamp, newest, age),
     }
 }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -56,7 +56,12 @@
 
 /// Whether this instance reads the catalogue in the store, for all others.
 pub(crate) fn reads_catalog<E: Edge>(node: &Node<E>) -> bool {
-    is_own(node) && node.peers.reads_catalog(candidate(node))
+    is_own(node) && readers(node).contains(&None)
+}
+
+/// Which relays read the catalogue in the store: their addresses, `None` for this instance.
+pub(crate) fn readers<E: Edge>(node: &Node<E>) -> Vec<Option<SocketAddr>> {
+    node.peers.readers(candidate(node))
 }
 
 /// Where this instance learns of the store.
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -27,6 +27,9 @@
     pub renew: Duration,
     /// How long a request may wait for somebody to run it.
     pub hold: Duration,
+    /// How long a key may be served after it was taken away, by any instance; `None` if
+    /// it is enough that those do in time whom the change reaches.
+    pub revocation: Option<Duration>,
 }
 
 impl Settings {
@@ -44,6 +47,7 @@
             ("proof", self.proof == other.proof),
             ("renew", self.renew == other.renew),
             ("hold", self.hold == other.hold),
+            ("revocation", self.revocation == other.revocation),
         ];
         let changed = same.iter().filter(|(_, same)| !same);
         changed.map(|(name, _)| *name).collect()
--- a/crates/proxy/tests/greet.rs
+++ b/crates/proxy/tests/greet.rs
@@ -21,6 +21,7 @@
         proof: settings::PROOF,
         renew: settings::RENEW,
         hold: settings::HOLD,
+        revocation: None,
     }
 }
 
