Count accounts' operations against their quotas, all instances together

Change: each account has four keepers in different zones, with a share of its quota each (admit::shares); whoever takes a caller asks one of them for each operation, and the next one if that has none. The table of shares is one value of the store, changed by compare-and-swap; a keeper uses its share under the proof of freshness that keys need too, and a share that is taken back stays reserved until no such proof can be left. A burst waits for half of its aim at most, the rest is refused at once, before it costs a hop or an upstream. What nobody ran is given back.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -3,10 +3,12 @@
 //! Nothing here reads a clock, a socket or a source of randomness: moments and chances
 //! are passed in. `proxy` carries out what is decided here.
 
+pub mod bucket;
 pub mod budget;
 pub mod holders;
 pub mod queue;
 pub mod relays;
+pub mod shares;
 
 pub use budget::Budget;
 pub use queue::{Queue, Waiter};
--- a/crates/proxy/src/access.rs
+++ b/crates/proxy/src/access.rs
@@ -106,12 +106,3 @@
     }
     Ok(())
 }
-
-/// Counts an operation of `account`.
-///
-/// # Errors
-///
-/// The account has asked for as much as it may.
-pub async fn count<E: Edge>(_node: &Node<E>, _account: &str, _at: Instant) -> Result<(), Cause> {
-    Ok(())
-}
--- a/crates/proxy/src/account.rs
+++ b/crates/proxy/src/account.rs
@@ -67,30 +67,41 @@
 
 /// The accounts of a catalogue, by the digests of their keys.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Accounts(HashMap<Digest, Rc<Account>>);
+pub struct Accounts {
+    keys: HashMap<Digest, Rc<Account>>,
+    quotas: HashMap<Rc<str>, Quota>,
+}
 
 impl Accounts {
     /// Adds an account with its keys.
     pub fn add(&mut self, account: Account, keys: impl IntoIterator<Item = Digest>) {
+        if let Some(quota) = account.quota {
+            self.quotas.insert(Rc::clone(&account.name), quota);
+        }
         let account = Rc::new(account);
         for key in keys {
-            self.0.insert(key, Rc::clone(&account));
+            self.keys.insert(key, Rc::clone(&account));
         }
     }
 
     /// The account that holds the key with this digest.
     pub fn holder(&self, key: &Digest) -> Option<&Rc<Account>> {
-        self.0.get(key)
+        self.keys.get(key)
     }
 
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.keys.is_empty()
+    }
+
+    /// The names of the accounts that have a quota.
+    pub fn limited(&self) -> impl Iterator<Item = &str> {
+        self.quotas.keys().map(|name| &**name)
     }
 
-    /// All accounts, each once for each of its keys.
-    pub fn iter(&self) -> impl Iterator<Item = &Rc<Account>> {
-        self.0.values()
+    /// The quota of the account with this name, if it has one.
+    pub fn quota(&self, account: &str) -> Option<Quota> {
+        self.quotas.get(account).copied()
     }
 }
 
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -17,7 +17,7 @@
     group::Group,
     mirror::{SECTIONS, Section},
     node::Node,
-    peers, relay, takeover,
+    peers, relay, shares, takeover,
 };
 
 /// How long an answer of the store may be silent. How long it takes in all says nothing:
@@ -86,6 +86,7 @@
     spawn_local(era::prove(Rc::clone(node)));
     spawn_local(register(Rc::clone(node)));
     spawn_local(freshness::keep(Rc::clone(node)));
+    spawn_local(shares::keep(Rc::clone(node)));
     spawn_local(tidy(Rc::clone(node)));
     spawn_local(takeover::oversee(Rc::clone(node)));
 }
@@ -375,6 +376,10 @@
 fn take<E: Edge>(node: &Rc<Node<E>>, item: &Item) {
     if item.key == E::CATALOG {
         node.peers.call();
+    } else if item.key == shares::key::<E>() {
+        node.shares
+            .learn(&item.value, &node.settings.name, node.began);
+        node.freshness.reach(node.mark());
     } else if item.key.starts_with(E::UPSTREAMS) {
         match E::upstream(&item.key, &item.value) {
             Ok(upstream) => node.put(upstream),
--- a/crates/proxy/src/freshness.rs
+++ b/crates/proxy/src/freshness.rs
@@ -31,6 +31,7 @@
     node::Node,
     peers::beat::Proof,
     relay::{self, Source},
+    shares,
 };
 
 /// How often it is looked whether the proof is old.
@@ -84,6 +85,11 @@
         self.learnt.notify_waiters();
     }
 
+    /// What the store has and this instance has not.
+    pub fn ahead(&self) -> Option<Mark> {
+        self.proof.get().ahead()
+    }
+
     fn learn(&self, newest: Mark, since: Instant, have: Mark) {
         let mut proof = self.proof.get();
         proof.learn(newest, since, have);
@@ -111,9 +117,7 @@
 
 /// Keeps the proof fresh as long as the catalogue has accounts, until the process ends.
 pub(crate) async fn keep<E: Edge>(node: Rc<Node<E>>) {
-    let Some(span) = node.settings.revocation else {
-        return;
-    };
+    let span = node.settings.agreed();
     loop {
         let _ = timeout(LOOK, node.freshness.wanted.notified()).await;
         if node.catalog().accounts.is_empty() {
@@ -146,7 +150,7 @@
 }
 
 /// Where this instance learns how sure it may be.
-fn source<E: Edge>(node: &Node<E>) -> Source {
+pub(crate) fn source<E: Edge>(node: &Node<E>) -> Source {
     match relay::source(node) {
         Source::Relay(relay) => Source::Relay(relay),
         Source::Store => {
@@ -201,6 +205,9 @@
     let since = freshness::counted(asked, age);
     let is_newer = fresh.age(asked).is_none_or(|own| own > age);
     fresh.learn(newest, since, node.mark());
+    if fresh.ahead().is_some() {
+        node.shares.behind.notify_one();
+    }
     match is_newer {
         true => Ok(()),
         false => Err(Fault::Unknown),
@@ -211,13 +218,16 @@
 async fn check<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
     let revision = node.catalog_item().map_or(0, |item| item.revision);
     let asked = Boot.now();
-    let known = [(E::CATALOG, revision)];
+    let shares = shares::key::<E>();
+    let known = [(E::CATALOG, revision), (&*shares, node.mark().shares)];
     let newer = node.store().newer(&known, READ).await;
     let newer = newer.inspect_err(|_| node.store_failed())?;
     node.store_answered();
     for item in newer {
         // One that can't be read is not in force here, and proves nothing.
-        E::catalog(&item.value).map_err(|_| Fault::Malformed)?;
+        if item.key == E::CATALOG {
+            E::catalog(&item.value).map_err(|_| Fault::Malformed)?;
+        }
         control::learn(node, Change::Put(item));
     }
     let have = node.mark();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod serve;
 pub mod session;
 pub mod settings;
+pub mod shares;
 mod still;
 pub mod strain;
 pub mod takeover;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    account::Quota,
     catalog::{Catalog, Route, Upstream},
     counted::Counted,
     edge::{Edge, Item},
@@ -31,6 +32,7 @@
     proofs::Proofs,
     relay,
     settings::Settings,
+    shares::{self, Shares},
 };
 
 /// How long the store may be silent until it counts as having been away.
@@ -110,7 +112,7 @@
     pub refresh: Notify,
     /// Whether the list of upstreams was read.
     pub listed: Cell<bool>,
-    began: Instant,
+    pub(crate) began: Instant,
     /// When the list of instances was read first.
     pub met: Cell<Option<Instant>>,
     able: Cell<Instant>,
@@ -141,6 +143,8 @@
     pub proofs: Proofs,
     /// How surely it is known what may be asked for.
     pub freshness: Fresh,
+    /// What each account may ask for here.
+    pub shares: Shares,
     /// When the store's watch was answered last.
     pub watched: Cell<Instant>,
     /// Told when it answers again.
@@ -192,6 +196,7 @@
             packed: RefCell::default(),
             proofs: Proofs::default(),
             freshness: Fresh::default(),
+            shares: Shares::default(),
             watched: Cell::default(),
             answered: Notify::new(),
             stored_since: Cell::default(),
@@ -235,10 +240,19 @@
     pub fn mark(&self) -> Mark {
         Mark {
             catalog: self.catalog().version,
-            shares: 0,
+            shares: self
+                .mirror
+                .borrow()
+                .item(&shares::key::<E>())
+                .map_or(0, |item| item.revision),
         }
     }
 
+    /// The quota of an account, if there is such an account and it has one.
+    pub fn quota(&self, account: &str) -> Option<Quota> {
+        self.catalog.borrow().accounts.quota(account)
+    }
+
     /// Whether keys may be served that are in force here, for requests that came at
     /// `moment`.
     ///
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -22,18 +22,18 @@
 
 use crate::{
     control,
-    edge::{Change, Edge, Fault, Items, Store},
+    edge::{Change, Edge, Fault, Item, Items, Store},
     kept::Kept,
     node::Node,
     probe, proofs, relay,
     roll::{self, Roll},
-    session,
+    session, shares,
 };
 
 use beat::{Beat, Belief, Datagram, FORMAT, Greeting, Hearing, More};
 use frame::{Ask, QUIET, Told, call, connect, receive, send};
 use table::{Due, Peer, Standing, Urgent};
-pub use table::{LOST, Peers};
+pub use table::{LOST, Peers, Relay};
 
 /// The shortest pause between two beats.
 const CALM: Duration = Duration::from_millis(20);
@@ -323,6 +323,18 @@
     }
 }
 
+/// The accounts' shares that the instance at `address` has.
+///
+/// # Errors
+///
+/// It can't be reached, or is of the version before.
+pub(crate) async fn shares(address: SocketAddr) -> Result<Option<Item>, Fault> {
+    match call(address, &Ask::Shares).await {
+        Ok(Told::Shares(item)) => Ok(item),
+        _ => Err(Fault::Unknown),
+    }
+}
+
 /// Hands a session to the instance at `address`.
 ///
 /// # Errors
@@ -376,6 +388,7 @@
             Ok(items) => Told::Items(items),
             Err(_) => Told::Nothing,
         },
+        Ask::Shares => Told::Shares(node.mirror.borrow().item(&shares::key::<E>())),
         Ask::Catalog => Told::Catalog(node.catalog_item()),
         Ask::Packed => Told::Packed(node.packed()),
     };
--- a/crates/proxy/src/peers/beat.rs
+++ b/crates/proxy/src/peers/beat.rs
@@ -96,8 +96,8 @@
     pub near: Vec<SocketAddr>,
 }
 
-/// A question for a proof, or its answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// A question for a proof or a right, or its answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Proof {
     /// Renew the era, not before this came, and answer here.
     Ask {
@@ -129,6 +129,26 @@
         /// How old that proof is.
         age: Duration,
     },
+    /// May so many operations of this account run? Answer here.
+    Take {
+        /// What the answer is to name.
+        stamp: u64,
+        /// Where it is to go.
+        answer: SocketAddr,
+        /// The account.
+        account: String,
+        /// How many.
+        count: u32,
+    },
+    /// So many may run.
+    Given {
+        /// What the question named.
+        stamp: u64,
+        /// How many.
+        count: u32,
+        /// If none: how long it takes until one may.
+        wait: Duration,
+    },
 }
 
 /// A datagram that came.
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -52,6 +52,8 @@
     Records,
     /// Serve this session of the account with this name: its statements follow.
     Keyed(String, Kept),
+    /// The accounts' shares you have.
+    Shares,
 }
 
 /// How far an instance follows another one.
@@ -73,6 +75,7 @@
     Nothing,
     Packed(Option<Packed>),
     Feed(Feed),
+    Shares(Option<Item>),
 }
 
 /// A catalogue as it is passed on.
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -126,6 +126,27 @@
     }
 }
 
+/// An instance that asks the store for its zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    name: String,
+    zone: String,
+    weight: u32,
+    able: bool,
+}
+
+impl Relay {
+    /// It as one of several that may have a duty.
+    pub fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            name: &self.name,
+            zone: &self.zone,
+            weight: self.weight,
+            able: self.able,
+        }
+    }
+}
+
 /// A beat that is to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Due {
@@ -454,25 +475,45 @@
             .collect()
     }
 
-    /// Which relays read the catalogue for all others: their addresses, `None` for `own`.
-    pub(crate) fn readers(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
+    /// All instances that ask the store for their zones, as far as they are heard, `own`
+    /// among them.
+    pub(crate) fn all_relays(&self, own: Candidate<'_>) -> Vec<Relay> {
         let now = Boot.now();
         let table = self.table.borrow();
         let relays = |p: &Peer| p.relays && p.is_prompt() && p.was_heard(now, LOST);
         let relays = table.iter().filter(|(_, p)| relays(p));
-        let mut candidates: Vec<_> = relays
-            .map(|(name, peer)| Candidate {
-                name,
-                zone: &peer.zone,
-                weight: peer.weight,
-                able: peer.hearing != Hearing::Deaf,
-            })
-            .collect();
-        candidates.push(own);
+        let relays = relays.map(|(name, peer)| Relay {
+            name: name.clone(),
+            zone: peer.zone.clone(),
+            weight: peer.weight,
+            able: peer.hearing != Hearing::Deaf,
+        });
+        let own = Relay {
+            name: own.name.to_owned(),
+            zone: own.zone.to_owned(),
+            weight: own.weight,
+            able: own.able,
+        };
+        relays.chain([own]).collect()
+    }
+
+    /// Which relays read the catalogue for all others: their addresses, `None` for `own`.
+    pub(crate) fn readers(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
+        let relays = self.all_relays(own);
+        let candidates: Vec<_> = relays.iter().map(Relay::candidate).collect();
         let readers = relays::readers(&candidates).into_iter();
-        readers
-            .map(|name| table.get(name).map(|peer| peer.address))
-            .collect()
+        readers.map(|name| self.address(name)).collect()
+    }
+
+    /// Where the instance with this name is reached.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        Some(self.table.borrow().get(name)?.address)
+    }
+
+    /// Whether the instance with this name is in the own zone.
+    pub(crate) fn is_near(&self, name: &str) -> bool {
+        let table = self.table.borrow();
+        table.get(name).is_some_and(|peer| peer.zone == self.zone)
     }
 
     /// Whether somebody who is heard has a catalogue.
--- a/crates/proxy/src/proofs.rs
+++ b/crates/proxy/src/proofs.rs
@@ -21,6 +21,7 @@
     freshness,
     node::Node,
     peers::beat::{self, Proof},
+    shares,
 };
 
 /// How long a relay may take to answer: the pause between its renewals and a call of the
@@ -95,6 +96,13 @@
         }
         Proof::AskFresh { stamp, answer } => freshness::tell(node, stamp, answer),
         Proof::Fresh { stamp, newest, age } => node.freshness.told(stamp, newest, age),
+        Proof::Take {
+            stamp,
+            answer,
+            account,
+            count,
+        } => shares::tell(node, stamp, answer, &account, count),
+        Proof::Given { stamp, count, wait } => node.shares.told(stamp, count, wait),
     }
 }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -45,7 +45,7 @@
     Relay(SocketAddr),
 }
 
-fn candidate<E: Edge>(node: &Node<E>) -> Candidate<'_> {
+pub(crate) fn candidate<E: Edge>(node: &Node<E>) -> Candidate<'_> {
     Candidate {
         name: &node.settings.name,
         zone: &node.settings.zone,
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -20,6 +20,7 @@
     outcome::{Cause, Outcome},
     remote::Remote,
     run::{self, Ask},
+    shares,
     transaction::{self, Begun, Start, Transaction},
 };
 
@@ -246,13 +247,28 @@
         {
             return self.refuse(node, query, refused, at);
         }
-        if self.state() == State::Idle
-            && query.statement.is_operation()
-            && let Some(caller) = &self.caller
-            && let Err(cause) = access::count(node, &caller.account, at).await
+        let counted = match &self.caller {
+            Some(caller) if self.state() == State::Idle && query.statement.is_operation() => {
+                Some(Rc::clone(&caller.account))
+            }
+            _ => None,
+        };
+        if let Some(account) = &counted
+            && let Err(cause) = shares::count(node, account, self.patience(node)).await
         {
             return self.refuse(node, query, (Code::Busy, cause), at);
         }
+        let outcome = self.serve(node, query, at).await;
+        if let (Some(account), Some((code, _))) = (&counted, outcome.failure)
+            && run::is_not_run(code)
+        {
+            node.shares.refund(account);
+        }
+        outcome
+    }
+
+    /// Has a statement that its caller may ask for answered, here or elsewhere.
+    async fn serve<E: Edge>(&mut self, node: &Rc<Node<E>>, query: &Query, at: Instant) -> Outcome {
         self.follow(node).await;
         let bare = query.statement == Statement::Read;
         if matches!(self.at, At::There(_)) {
@@ -271,6 +287,13 @@
         outcome
     }
 
+    /// How long an operation waits for its account's quota: half of what an answer may take,
+    /// so that the other half is left for it.
+    fn patience<E: Edge>(&self, node: &Node<E>) -> Duration {
+        let route = node.route(&self.database);
+        route.map_or(Duration::ZERO, |route| route.aim / 2)
+    }
+
     /// Refuses a statement that its caller may not ask for. Nothing of an open transaction is
     /// kept, wherever it runs.
     fn refuse<E: Edge>(
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -2,8 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use crate::shares::Slack;
+
 /// What an instance is told at its start.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// This instance's name, unlike any other's.
     pub name: String,
@@ -30,9 +32,17 @@
     /// How long a key may be served after it was taken away, by any instance; `None` if
     /// it is enough that those do in time whom the change reaches.
     pub revocation: Option<Duration>,
+    /// What may be asked for beyond a quota; nothing if it is not said.
+    pub slack: Option<Slack>,
 }
 
 impl Settings {
+    /// How long what the operators and all instances agreed on may be used by an instance
+    /// that has not heard that it changed.
+    pub fn agreed(&self) -> Duration {
+        self.revocation.unwrap_or(AGREED)
+    }
+
     /// The names of the settings that `other` has otherwise.
     pub fn changed(&self, other: &Self) -> Vec<&'static str> {
         let same = [
@@ -48,12 +58,16 @@
             ("renew", self.renew == other.renew),
             ("hold", self.hold == other.hold),
             ("revocation", self.revocation == other.revocation),
+            ("slack", self.slack == other.slack),
         ];
         let changed = same.iter().filter(|(_, same)| !same);
         changed.map(|(name, _)| *name).collect()
     }
 }
 
+/// How long what was agreed on may be used unseen, where no time is set for keys.
+const AGREED: Duration = Duration::from_secs(5);
+
 /// How long one proof of a primary holds, unless set.
 pub const PROOF: Duration = Duration::from_millis(600);
 
--- /dev/null
+++ b/crates/proxy/src/shares.rs
@@ -0,0 +1,561 @@
+//! Counting accounts' operations against their quotas, all instances together
+//! ([`admit::shares`]).
+//!
+//! Whoever takes a caller asks one of its account's keepers for each operation, by datagram,
+//! and the next one if that has none to give or does not answer. Who keeps, and how much of a
+//! quota, stands in a table in the store; the relays that read the catalogue look after it.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use admit::{
+    bucket::{Bucket, Demand, Limit},
+    shares::{Ledger, Table, WHOLE},
+};
+use bytes::Bytes;
+use clock::{Boot, Instant};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    account::Quota,
+    control,
+    edge::{Change, Edge, Fault, Item, Store, Swap, Swapped},
+    freshness,
+    node::Node,
+    outcome::Cause,
+    peers::{self, beat::Proof},
+    relay::{self, Source},
+};
+
+/// The first byte of the table as it is stored: its format.
+const FORMAT: u8 = 1;
+
+/// How often the table is looked after.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How long an instance that starts waits until it writes the first table: its keepers are
+/// those that are heard by then.
+const SETTLED: Duration = Duration::from_secs(1);
+
+/// How long a keeper may take to answer: a hop there and back, and a turn of a busy processor.
+const ANSWER: Duration = Duration::from_millis(40);
+
+/// How long a keeper that did not answer is asked last.
+const LEFT: Duration = Duration::from_secs(1);
+
+/// How long a caller waits where no table is known yet.
+const FIRST: Duration = Duration::from_millis(400);
+
+/// How long the store may take to answer.
+const CALL: Duration = Duration::from_millis(400);
+
+/// How long an account that nobody asks for is remembered.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// For how long ahead operations are asked for: a customer of many a second costs a question
+/// for several of them, one of few an exact count.
+const AHEAD: Duration = Duration::from_millis(40);
+
+/// How long operations that were given count.
+const GIVEN: Duration = Duration::from_millis(500);
+
+/// The part of what a quota may be exceeded by that all keepers together have at once beside
+/// it: what one refuses that another could give is refused below the limit.
+const AT_ONCE: f64 = 0.3;
+
+/// The part of it that they have when they start: they don't know what they gave before, and
+/// may start twice within a window.
+const AT_START: f64 = 0.3;
+
+/// How often it is told what was refused.
+const TOLD: Duration = Duration::from_secs(1);
+
+/// What may be asked for beyond a quota before it counts as exceeded.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Slack {
+    /// Over which time operations are counted.
+    pub window: Duration,
+    /// A part of the quota.
+    pub part: f64,
+    /// A number of operations.
+    pub count: f64,
+}
+
+impl Slack {
+    /// How many operations beyond `quota` one window may have.
+    fn spare(&self, quota: Quota) -> f64 {
+        self.part * (quota.rate * self.window.as_secs_f64() + quota.burst) + self.count
+    }
+}
+
+/// What a keeper answers: how many operations it gives, or how long it takes until it has one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Answer {
+    count: u32,
+    wait: Duration,
+}
+
+/// An account whose callers this instance takes.
+#[derive(Debug)]
+struct Use {
+    /// Operations that were given and not used yet, and when.
+    given: (u32, Instant),
+    /// Until when no keeper has any.
+    spent: Instant,
+    demand: Demand,
+    used: Instant,
+}
+
+/// What a keeper gave of an account's quota, and what it refused.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    given: u32,
+    refused: u32,
+}
+
+/// The counting of accounts' operations.
+#[derive(Debug, Default)]
+pub struct Shares {
+    table: RefCell<Table>,
+    /// Of the accounts that this instance keeps.
+    buckets: RefCell<HashMap<String, Bucket>>,
+    /// Since when this instance has kept them.
+    since: RefCell<HashMap<String, Instant>>,
+    /// When the first table was known: what is kept by then was kept before this life.
+    first: Cell<Option<Instant>>,
+    uses: RefCell<HashMap<Rc<str>, Use>>,
+    stamp: Cell<u64>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
+    /// Which keepers did not answer, and when.
+    silent: RefCell<HashMap<String, Instant>>,
+    ledger: RefCell<Option<Ledger>>,
+    /// What was given and refused since it was told last.
+    tallies: RefCell<HashMap<String, Tally>>,
+    told_at: Cell<Instant>,
+    /// Told when the table has changed.
+    learnt: Notify,
+    /// Told when the store may have a newer table.
+    pub(crate) behind: Notify,
+}
+
+/// The key of the table.
+pub fn key<E: Edge>() -> String {
+    format!("{}shares", E::OWN)
+}
+
+impl Shares {
+    /// Takes in the table as the store holds it, for the instance with this `name`.
+    pub(crate) fn learn(&self, value: &[u8], name: &str, began: Instant) {
+        let read = value
+            .strip_prefix(&[FORMAT])
+            .and_then(|body| postcard::from_bytes(body).ok());
+        match read {
+            Some(table) => *self.table.borrow_mut() = table,
+            None => log::error!("the accounts' shares can't be read"),
+        }
+        // What it kept already when it started it has not given since then.
+        let now = match self.first.get() {
+            None => began,
+            Some(_) => Boot.now(),
+        };
+        self.first.set(self.first.get().or(Some(now)));
+        let kept = self.kept(name);
+        let mut since = self.since.borrow_mut();
+        let is_kept = |account: &String| kept.iter().any(|(kept, _)| kept == account);
+        since.retain(|account, _| is_kept(account));
+        self.buckets
+            .borrow_mut()
+            .retain(|account, _| is_kept(account));
+        for (account, _) in kept {
+            since.entry(account).or_insert(now);
+        }
+        drop(since);
+        self.learnt.notify_waiters();
+    }
+
+    /// Takes in a keeper's answer.
+    pub(crate) fn told(&self, stamp: u64, count: u32, wait: Duration) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&stamp) {
+            let _ = waiting.send(Answer { count, wait });
+        }
+    }
+
+    /// The accounts whose callers this instance takes, and how many operations a second they
+    /// ask for here.
+    pub fn demand(&self, now: Instant) -> Vec<(Rc<str>, f64)> {
+        let uses = self.uses.borrow();
+        let demand = uses.iter();
+        demand
+            .map(|(account, used)| (Rc::clone(account), used.demand.rate(now)))
+            .collect()
+    }
+
+    /// The shares that `instance` has, in thousandths of the accounts' quotas.
+    pub fn kept(&self, instance: &str) -> Vec<(String, u16)> {
+        let table = self.table.borrow();
+        let rows = table.rows.keys();
+        let kept = rows.map(|account| (account.clone(), table.parts(account, instance)));
+        kept.filter(|(_, parts)| *parts > 0).collect()
+    }
+
+    /// Counts an operation that is asked for; whether one is at hand that was given before.
+    /// `None` if no keeper has one for a while.
+    fn ask(&self, account: &Rc<str>, now: Instant) -> Option<bool> {
+        let mut uses = self.uses.borrow_mut();
+        uses.retain(|_, used| used.used + IDLE > now);
+        let used = uses.entry(Rc::clone(account)).or_insert_with(|| Use {
+            given: (0, now),
+            spent: Instant::ZERO,
+            demand: Demand::open(now),
+            used: now,
+        });
+        used.used = now;
+        used.demand.count(now);
+        let (count, at) = used.given;
+        if count > 0 && at + GIVEN > now {
+            used.given.0 -= 1;
+            return Some(true);
+        }
+        (used.spent <= now).then_some(false)
+    }
+
+    /// How many operations to ask for at once.
+    fn ahead(&self, account: &Rc<str>, now: Instant) -> u32 {
+        let uses = self.uses.borrow();
+        let rate = uses.get(account).map_or(0.0, |used| used.demand.rate(now));
+        1 + (rate * AHEAD.as_secs_f64()) as u32
+    }
+
+    /// Keeps operations that were given beyond the one that is used at once.
+    fn keep(&self, account: &Rc<str>, count: u32, now: Instant) {
+        if let Some(used) = self.uses.borrow_mut().get_mut(account) {
+            used.given = (count, now);
+        }
+    }
+
+    /// Takes back an operation that nobody ran: it counts for nothing.
+    pub(crate) fn refund(&self, account: &Rc<str>) {
+        let now = Boot.now();
+        if let Some(used) = self.uses.borrow_mut().get_mut(account) {
+            let (count, at) = used.given;
+            used.given = match at + GIVEN > now {
+                true => (count + 1, at),
+                false => (1, now),
+            };
+        }
+    }
+
+    fn spend(&self, account: &Rc<str>, until: Instant) {
+        if let Some(used) = self.uses.borrow_mut().get_mut(account) {
+            used.spent = until;
+        }
+    }
+
+    /// Whether a keeper did not answer a moment ago.
+    fn is_silent(&self, keeper: &str, now: Instant) -> bool {
+        let silent = self.silent.borrow();
+        silent.get(keeper).is_some_and(|at| *at + LEFT > now)
+    }
+}
+
+/// What a keeper may give of a quota, if its share is `parts` and `spare` operations of a
+/// window may be beyond the quota.
+fn limit(quota: Quota, spare: f64, parts: u16) -> Limit {
+    let part = f64::from(parts) / f64::from(WHOLE);
+    Limit {
+        rate: quota.rate * part,
+        burst: ((quota.burst + spare * AT_ONCE) * part).max(1.0),
+    }
+}
+
+/// Counts an operation of `account`, which may wait for as long as `patience`.
+///
+/// # Errors
+///
+/// The account's quota is used up.
+pub(crate) async fn count<E: Edge>(
+    node: &Node<E>,
+    account: &Rc<str>,
+    patience: Duration,
+) -> Result<(), Cause> {
+    if node.quota(account).is_none() {
+        return Ok(());
+    }
+    let now = Boot.now();
+    match node.shares.ask(account, now) {
+        Some(true) => return Ok(()),
+        Some(false) => {}
+        None => return Err(Cause::OverQuota),
+    }
+    let shares = &node.shares;
+    let known = async {
+        loop {
+            let learnt = shares.learnt.notified();
+            if shares.table.borrow().keepers(account).next().is_some() {
+                return;
+            }
+            learnt.await;
+        }
+    };
+    let _ = timeout(FIRST, known).await;
+    let Err(wait) = collect(node, account).await else {
+        return Ok(());
+    };
+    if wait > patience {
+        shares.spend(account, Boot.now() + wait - patience);
+        return Err(Cause::OverQuota);
+    }
+    sleep(wait).await;
+    collect(node, account).await.map_err(|_| Cause::OverQuota)
+}
+
+/// Asks the account's keepers one after the other.
+///
+/// # Errors
+///
+/// None of them has an operation to give, and for how long.
+async fn collect<E: Edge>(node: &Node<E>, account: &Rc<str>) -> Result<(), Duration> {
+    let shares = &node.shares;
+    let now = Boot.now();
+    let count = shares.ahead(account, now);
+    let mut shortest = GIVEN;
+    for keeper in keepers(node, account, now) {
+        let answer = match keeper == node.settings.name {
+            true => give(node, account, count),
+            false => ask(node, &keeper, account, count).await,
+        };
+        let Some(answer) = answer.filter(|answer| answer.wait < Duration::MAX) else {
+            shares.silent.borrow_mut().insert(keeper, Boot.now());
+            continue;
+        };
+        if answer.count > 0 {
+            shares.keep(account, answer.count - 1, Boot.now());
+            return Ok(());
+        }
+        shortest = shortest.min(answer.wait);
+    }
+    Err(shortest)
+}
+
+/// The account's keepers in the order in which this instance asks them: itself, those of its
+/// zone, the others in any order, and last who did not answer a moment ago.
+fn keepers<E: Edge>(node: &Node<E>, account: &str, now: Instant) -> Vec<String> {
+    let shares = &node.shares;
+    let table = shares.table.borrow();
+    let mut keepers: Vec<_> = table.keepers(account).map(str::to_owned).collect();
+    let rank = |keeper: &String| {
+        let distance = match *keeper == node.settings.name {
+            true => 0,
+            false if node.peers.is_near(keeper) => 1,
+            false => 2,
+        };
+        (
+            shares.is_silent(keeper, now),
+            distance,
+            rand::random::<u32>(),
+        )
+    };
+    keepers.sort_by_cached_key(rank);
+    keepers
+}
+
+/// Asks another keeper; `None` if it does not answer.
+async fn ask<E: Edge>(
+    node: &Node<E>,
+    keeper: &str,
+    account: &Rc<str>,
+    count: u32,
+) -> Option<Answer> {
+    let shares = &node.shares;
+    let address = node.peers.address(keeper)?;
+    shares.stamp.set(shares.stamp.get() + 1);
+    // A number of this life: an answer to a question of the life before is none to this.
+    let stamp = node.life.wrapping_add(shares.stamp.get());
+    let (sender, answer) = oneshot::channel();
+    shares.waiting.borrow_mut().insert(stamp, sender);
+    let question = Proof::Take {
+        stamp,
+        answer: node.settings.peers,
+        account: account.to_string(),
+        count,
+    };
+    node.proofs.send(&question, address);
+    let answer = timeout(ANSWER, answer).await;
+    shares.waiting.borrow_mut().remove(&stamp);
+    answer.ok()?.ok()
+}
+
+/// Answers an instance that asks for operations of an account.
+pub(crate) fn tell<E: Edge>(node: &Node<E>, stamp: u64, to: SocketAddr, account: &str, count: u32) {
+    // Whoever hears at once that this instance keeps it no more asks the next one.
+    let unable = Answer {
+        count: 0,
+        wait: Duration::MAX,
+    };
+    let answer = give(node, account, count).unwrap_or(unable);
+    let given = Proof::Given {
+        stamp,
+        count: answer.count,
+        wait: answer.wait,
+    };
+    node.proofs.send(&given, to);
+}
+
+/// Gives up to `count` operations of an account that this instance keeps; `None` if it can't
+/// prove that it does.
+fn give<E: Edge>(node: &Node<E>, account: &str, count: u32) -> Option<Answer> {
+    let quota = node.quota(account)?;
+    let now = Boot.now();
+    let shares = &node.shares;
+    let parts = shares.table.borrow().parts(account, &node.settings.name);
+    if parts == 0 || !node.freshness.covers(now, node.settings.agreed()) {
+        return None;
+    }
+    let spare = node.settings.slack.map_or(0.0, |slack| slack.spare(quota));
+    let limit = limit(quota, spare, parts);
+    let since = shares.since.borrow().get(account).copied().unwrap_or(now);
+    let mut buckets = shares.buckets.borrow_mut();
+    let bucket = buckets.entry(account.to_owned()).or_insert_with(|| {
+        let level = spare * AT_START * f64::from(parts) / f64::from(WHOLE);
+        Bucket::open(level.min(limit.burst), since)
+    });
+    let mut answer = Answer {
+        count: 0,
+        wait: Duration::ZERO,
+    };
+    while answer.count < count {
+        match bucket.take(limit, now, Duration::ZERO) {
+            Ok(_) => answer.count += 1,
+            Err(wait) => {
+                answer.wait = wait;
+                break;
+            }
+        }
+    }
+    let mut tallies = shares.tallies.borrow_mut();
+    let tally = tallies.entry(account.to_owned()).or_default();
+    tally.given += answer.count;
+    tally.refused += u32::from(answer.count == 0);
+    Some(answer)
+}
+
+/// Tells once in a while of which accounts this instance had to refuse something.
+fn tell_tallies<E: Edge>(node: &Node<E>) {
+    let shares = &node.shares;
+    let now = Boot.now();
+    if shares.told_at.get() + TOLD > now {
+        return;
+    }
+    shares.told_at.set(now);
+    for (account, tally) in shares.tallies.take() {
+        if tally.refused > 0 {
+            let parts = shares.table.borrow().parts(&account, &node.settings.name);
+            let (given, refused) = (tally.given, tally.refused);
+            log::info!(account, parts, given, refused; "quota used up");
+        }
+    }
+}
+
+/// Looks after the table while this instance reads the catalogue for all others, and fetches
+/// it while it does not, until the process ends.
+pub(crate) async fn keep<E: Edge>(node: Rc<Node<E>>) {
+    let began = Boot.now();
+    loop {
+        let _ = timeout(LOOK, node.shares.behind.notified()).await;
+        if node.catalog().accounts.is_empty() {
+            continue;
+        }
+        tell_tallies(&node);
+        let kept = match freshness::source(&node) {
+            Source::Relay(address) if is_behind(&node) => fetch(&node, address).await,
+            Source::Relay(_) => Ok(()),
+            Source::Store if began + SETTLED > Boot.now() => Ok(()),
+            Source::Store => divide(&node).await,
+        };
+        if let Err(fault) = kept {
+            log::info!(error:% = fault; "shares not kept");
+            sleep(LOOK).await;
+        }
+    }
+}
+
+/// Whether the store has a newer table than this instance.
+fn is_behind<E: Edge>(node: &Node<E>) -> bool {
+    let ahead = node.freshness.ahead();
+    ahead.is_some_and(|mark| mark.shares > node.mark().shares)
+}
+
+async fn fetch<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> Result<(), Fault> {
+    if let Some(item) = peers::shares(address).await? {
+        control::learn(node, Change::Put(item));
+    }
+    Ok(())
+}
+
+/// Changes the table, if keepers are lost or missing.
+async fn divide<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
+    // Without a proof the table may be one that was changed since; a write would be in vain.
+    if !node.freshness.covers(Boot.now(), node.settings.agreed()) {
+        return Ok(());
+    }
+    let shares = &node.shares;
+    let now = Boot.now();
+    let open = || Ledger::open(node.settings.agreed(), now);
+    let mut ledger = shares.ledger.take().unwrap_or_else(open);
+    let catalog = node.catalog();
+    let mut accounts: Vec<_> = catalog.accounts.limited().collect();
+    accounts.sort_unstable();
+    let relays = node.peers.all_relays(relay::candidate(node));
+    let candidates: Vec<_> = relays.iter().map(peers::Relay::candidate).collect();
+    let mut heard = node.peers.names();
+    heard.push(node.settings.name.clone());
+    let heard: Vec<_> = heard.iter().map(String::as_str).collect();
+    let table = shares.table.borrow().clone();
+    let next = ledger.plan(&table, &accounts, &heard, &candidates, now);
+    *shares.ledger.borrow_mut() = Some(ledger);
+    match next {
+        Some(next) => change(node, &next).await,
+        None => Ok(()),
+    }
+}
+
+/// Writes the next table, unless the store has another one by now: then that is taken in.
+async fn change<E: Edge>(node: &Rc<Node<E>>, next: &Table) -> Result<(), Fault> {
+    let key = key::<E>();
+    let known = node.mark().shares;
+    let mut value = vec![FORMAT];
+    value.extend(postcard::to_stdvec(next).map_err(|_| Fault::Malformed)?);
+    let value = Bytes::from(value);
+    let swap = Swap {
+        expected: vec![(key.clone(), known)],
+        puts: vec![(key.clone(), value.clone(), 0)],
+        deletes: Vec::new(),
+    };
+    let swapped = timeout(CALL, node.store().swap(&swap)).await;
+    match swapped.map_err(|_| Fault::Unknown)?? {
+        Swapped::Done(revision) => {
+            let item = Item {
+                key,
+                value,
+                revision,
+            };
+            log::info!(revision, size = item.value.len(); "shares changed");
+            control::learn(node, Change::Put(item));
+        }
+        Swapped::Conflict | Swapped::NoLease => {
+            let newer = node.store().newer(&[(&key, known)], CALL).await?;
+            for item in newer {
+                control::learn(node, Change::Put(item));
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/proxy/tests/greet.rs
+++ b/crates/proxy/tests/greet.rs
@@ -22,6 +22,7 @@
         renew: settings::RENEW,
         hold: settings::HOLD,
         revocation: None,
+        slack: None,
     }
 }
 
