Serve an account's sessions on a database at its home among the holders

Hypothesis: a connection serves one account, so with 84 accounts at each of six holders hardly a statement finds one that is open; each miss costs 12 ms of a slot. Change: of the holders of a service, an account's sessions go to one (rendezvous by service and account), and to the next one if that does not answer.

--- a/crates/admit/src/holders.rs
+++ b/crates/admit/src/holders.rs
@@ -99,6 +99,30 @@
         .collect()
 }
 
+/// The order in which the holders of `service` are asked to serve sessions of `account`: its
+/// home first.
+///
+/// A connection serves one account. Where an account's sessions come to all holders, each of
+/// them needs connections of its own for it, and of 84 accounts few find one that is open.
+///
+/// ```
+/// use admit::holders::homes;
+/// let order = homes("bookings", "north", &["a-1", "b-1", "c-1"]);
+/// assert_eq!(order, homes("bookings", "north", &["c-1", "b-1", "a-1"]));
+/// ```
+pub fn homes<'a>(service: &str, account: &str, holders: &[&'a str]) -> Vec<&'a str> {
+    let mut order = holders.to_vec();
+    order.sort_by_cached_key(|name| {
+        let mut hash = Xxh3::new();
+        for part in [service, account, name] {
+            hash.write(part.as_bytes());
+            hash.write_u8(0);
+        }
+        (hash.finish(), *name)
+    });
+    order
+}
+
 /// The lower, the sooner: drawn like the first arrival of a stream whose rate is the
 /// square of the weight.
 fn score(service: &str, candidate: &Candidate<'_>) -> f64 {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -282,6 +282,14 @@
         self.peers.holders(service, count, self.candidate())
     }
 
+    /// Where to reach the instances that serve sessions of `account` on `service`, its home
+    /// first, if this one is to hand them over.
+    pub fn homes(&self, service: &Rc<str>, account: &str) -> Vec<SocketAddr> {
+        let holders = self.holder_names(service);
+        let own = &self.settings.name;
+        self.peers.homes(service, account, &holders, own)
+    }
+
     /// The names of the instances that hold its connections, the first one first.
     pub fn holder_names(&self, service: &Rc<str>) -> Vec<String> {
         let count = self.most_holders(service).unwrap_or(0);
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -693,6 +693,24 @@
         peers.into_iter().map(|peer| peer.address).collect()
     }
 
+    /// Where to reach those of `holders`, which hold the connections to `service`, that serve
+    /// sessions of `account`, its home first; those behind `own` are left out.
+    pub(crate) fn homes(
+        &self,
+        service: &str,
+        account: &str,
+        holders: &[String],
+        own: &str,
+    ) -> Vec<SocketAddr> {
+        let holders: Vec<_> = holders.iter().map(String::as_str).collect();
+        let order = holders::homes(service, account, &holders).into_iter();
+        let table = self.table.borrow();
+        order
+            .take_while(|name| *name != own)
+            .filter_map(|name| Some(table.get(name)?.address))
+            .collect()
+    }
+
     /// Which `count` instances hold the connections to `service`, the first one first.
     pub fn holder_names(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<String> {
         let now = Boot.now();
--- a/crates/proxy/src/remote.rs
+++ b/crates/proxy/src/remote.rs
@@ -55,7 +55,10 @@
     /// Hands a session to one of the holders of its route's service; `None` if this
     /// instance is to serve it.
     pub async fn open<E: Edge>(node: &Rc<Node<E>>, route: &Route, kept: &Kept) -> Option<Self> {
-        let holders = node.holders(&route.service);
+        let holders = match &kept.account {
+            Some(account) => node.homes(&route.service, account),
+            None => node.holders(&route.service),
+        };
         if holders.is_empty() {
             return None;
         }
