Renew the era at one relay of the fleet, and pass proofs on with their age

Change: the first reader of the catalogue that answers asks the store, other relays ask it, everybody else a relay as before. Whoever has a proof younger than 100 ms passes it on with its age, and whoever is told counts back from its own question. A relay asks the store itself every 0.9 s, to know whether it hears it.

--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -26,6 +26,7 @@
 use crate::{
     control::{encode, lead_key, record},
     edge::{Edge, Fault, Items, Store, Swap, Swapped},
+    freshness,
     group::Group,
     node::Node,
     peers::{self, beat::Hearing},
@@ -41,13 +42,17 @@
 
 /// How long the store may be silent to a relay until it is asked: whether it is heard
 /// decides who the relays are.
-const QUIET: Duration = Duration::from_millis(500);
+const QUIET: Duration = Duration::from_millis(900);
 
 /// The shortest pause between two renewals. It makes a proof that much older, of the
 /// 600 ms that it lasts; without it a relay renewed once for each who asks, 250 times a
 /// second in a fleet of 195 instances.
 const PACE: Duration = Duration::from_millis(120);
 
+/// How old a proof may be that is passed on. Two hops of it, and the pause until the next one
+/// is asked for, leave a third of the 600 ms that a proof lasts.
+const YOUNG: Duration = Duration::from_millis(100);
+
 /// The shortest pause between two rounds.
 const GAP: Duration = Duration::from_millis(20);
 
@@ -96,20 +101,24 @@
         let now = Boot.now();
         let groups = node.groups();
         if !groups.is_empty() {
-            let source = relay::source(&node);
             let wanted = groups.iter().any(|g| g.is_wanted(now));
-            match source {
-                Source::Relay(address) if wanted => ask_relay(&node, address),
+            answer_asked(&node);
+            let asked = node.proofs.is_asked();
+            let is_young = is_young(&node, now) && !is_unread(&node);
+            match freshness::source(&node) {
+                Source::Relay(address) if (wanted || asked) && !is_young => {
+                    ask_relay(&node, address);
+                }
                 Source::Relay(_) => {}
                 Source::Store => {
                     let unknown = groups.iter().any(|g| g.known().is_none());
-                    let quiet = node.direct.get() + QUIET < now;
-                    if wanted || unknown || quiet {
+                    if wanted && !is_young || asked || unknown {
                         ask_store(&node);
                     }
                 }
             }
-            if node.proofs.is_asked() {
+            // Whether the store hears it decides who the relays are.
+            if relay::is_own(&node) && node.direct.get() + QUIET < now {
                 ask_store(&node);
             }
             let span = node.settings.proof;
@@ -126,6 +135,22 @@
     }
 }
 
+/// Whether the era was proved a moment ago.
+fn is_young<E: Edge>(node: &Node<E>, now: Instant) -> bool {
+    let (era, since) = node.proved.get();
+    era != 0 && era == node.era.get() && since + YOUNG > now
+}
+
+/// Answers those who asked for a proof, if this instance has one that is young.
+fn answer_asked<E: Edge>(node: &Node<E>) {
+    let now = Boot.now();
+    if is_young(node, now) && node.proofs.is_asked() {
+        let (era, since) = node.proved.get();
+        let questions = node.proofs.questions();
+        node.proofs.tell_aged(&questions, era, now.since(since));
+    }
+}
+
 /// Has the relay at `address` renew the era, or asks the store if it does not answer.
 fn ask_relay<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) {
     if node.proving.get() >= FLIGHT {
@@ -134,7 +159,9 @@
     node.proving.set(node.proving.get() + 1);
     let node = Rc::clone(node);
     spawn_local(async move {
-        if relayed(&node, address).await.is_err() {
+        let relayed = relayed(&node, address).await;
+        answer_asked(&node);
+        if relayed.is_err() {
             node.unanswered.set(Some((address, Boot.now())));
             if !is_resting(&node) {
                 let _ = asked(&node).await;
@@ -147,8 +174,9 @@
 /// Proves by a relay's answer, and reads the records through it if any of them is not
 /// known.
 async fn relayed<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> Result<(), Fault> {
-    let sent = Boot.now();
-    let era = proofs::ask(node, address).await.ok_or(Fault::Unknown)?;
+    let asked = Boot.now();
+    let (era, age) = proofs::ask(node, address).await.ok_or(Fault::Unknown)?;
+    let sent = asked - age;
     node.heard_from_store(sent);
     node.store_heard();
     if era == node.era.get() && !is_unread(node) {
@@ -186,28 +214,34 @@
     let asked = timeout(CALL, round(node)).await;
     let asked = asked.unwrap_or(Err(Fault::Unknown));
     match asked {
-        Ok(_) => {
-            node.failures.set(0);
-            if node.hearing() != Hearing::Hears {
-                // Others that ask in vain try again at once.
-                node.store_answered();
-                node.peers.call();
-            }
-            node.store_answered();
-        }
-        Err(_) => {
-            node.failures.set(node.failures.get() + 1);
-            node.store_failed();
-        }
+        Ok(_) => answered(node),
+        Err(_) => unanswered(node),
     }
     asked
 }
 
+/// Notes that the store answered this instance.
+pub(crate) fn answered<E: Edge>(node: &Node<E>) {
+    node.failures.set(0);
+    if node.hearing() != Hearing::Hears {
+        // Others that ask in vain try again at once.
+        node.store_answered();
+        node.peers.call();
+    }
+    node.store_answered();
+}
+
+/// Notes that it did not.
+pub(crate) fn unanswered<E: Edge>(node: &Node<E>) {
+    node.failures.set(node.failures.get() + 1);
+    node.store_failed();
+}
+
 /// Whether the store is left alone for now because it did not answer.
 ///
 /// While it was away for 4.4 s, 18 instances asked it 493 times. One that hears it again
 /// tells the others.
-fn is_resting<E: Edge>(node: &Node<E>) -> bool {
+pub(crate) fn is_resting<E: Edge>(node: &Node<E>) -> bool {
     let failures = node.failures.get();
     if failures == 0 {
         return false;
@@ -295,6 +329,9 @@
 /// Proves all groups whose records were read in the era, which was renewed for a question
 /// sent at `sent`.
 fn prove_all<E: Edge>(node: &Node<E>, era: u64, sent: Instant) {
+    if node.proved.get().0 != era || node.proved.get().1 < sent {
+        node.proved.set((era, sent));
+    }
     for group in node.groups().iter().filter(|g| g.era.get() == era) {
         if let Some(known) = group.known() {
             group.prove(known.revision, sent, node.settings.proof);
--- a/crates/proxy/src/freshness.rs
+++ b/crates/proxy/src/freshness.rs
@@ -28,6 +28,7 @@
 use crate::{
     control,
     edge::{Change, Edge, Fault, Store},
+    era,
     node::Node,
     peers::beat::Proof,
     relay::{self, Source},
@@ -149,23 +150,24 @@
     }
 }
 
-/// Where this instance learns how sure it may be.
+/// Where this instance learns how sure it may be: from a relay of its zone, relays from the
+/// first of those that read the catalogue that answers, and that one from the store.
 pub(crate) fn source<E: Edge>(node: &Node<E>) -> Source {
-    match relay::source(node) {
-        Source::Relay(relay) => Source::Relay(relay),
-        Source::Store => {
-            let readers = relay::readers(node);
-            match readers.iter().flatten().next() {
-                Some(reader) if !readers.contains(&None) => Source::Relay(*reader),
-                _ => Source::Store,
-            }
-        }
+    if let Source::Relay(relay) = relay::source(node) {
+        return Source::Relay(relay);
+    }
+    let readers = relay::readers(node).into_iter();
+    let mut fit = readers.filter(|reader| reader.is_none_or(|at| !relay::is_left(node, at)));
+    match fit.next() {
+        Some(Some(reader)) => Source::Relay(reader),
+        Some(None) | None => Source::Store,
     }
 }
 
 async fn renew<E: Edge>(node: &Rc<Node<E>>, age: Option<Duration>, span: Duration) {
     let asked = match source(node) {
         Source::Relay(address) => ask(node, address).await,
+        Source::Store if era::is_resting(node) => Err(Fault::Refused),
         Source::Store => check(node).await,
     };
     if asked.is_ok() {
@@ -178,7 +180,7 @@
     {
         return;
     }
-    if age.is_none_or(|age| age > span / 2) {
+    if age.is_none_or(|age| age > span / 2) && !era::is_resting(node) {
         let _ = check(node).await;
     }
 }
@@ -221,8 +223,8 @@
     let shares = shares::key::<E>();
     let known = [(E::CATALOG, revision), (&*shares, node.mark().shares)];
     let newer = node.store().newer(&known, READ).await;
-    let newer = newer.inspect_err(|_| node.store_failed())?;
-    node.store_answered();
+    let newer = newer.inspect_err(|_| era::unanswered(node))?;
+    era::answered(node);
     for item in newer {
         // One that can't be read is not in force here, and proves nothing.
         if item.key == E::CATALOG {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -104,6 +104,8 @@
     pub read_at: Cell<Instant>,
     /// How many questions for a proof are on their way to the store.
     pub proving: Cell<usize>,
+    /// Which era was proved last, and from when on that proof counts.
+    pub(crate) proved: Cell<(u64, Instant)>,
     /// When the era was last renewed by this instance.
     pub renewed: Cell<Instant>,
     /// Whether another instance is asked for a proof.
@@ -175,6 +177,7 @@
             era: Cell::default(),
             read_at: Cell::default(),
             proving: Cell::default(),
+            proved: Cell::default(),
             renewed: Cell::default(),
             relaying: Cell::default(),
             refresh: Notify::new(),
--- a/crates/proxy/src/peers/beat.rs
+++ b/crates/proxy/src/peers/beat.rs
@@ -113,6 +113,15 @@
         /// The lease of the era.
         era: u64,
     },
+    /// The era was renewed so long before this is told, or later.
+    Aged {
+        /// What the question named.
+        stamp: u64,
+        /// The lease of the era.
+        era: u64,
+        /// How old that proof is.
+        age: Duration,
+    },
     /// How surely do you know what may be asked for? Answer here.
     AskFresh {
         /// What the answer is to name.
--- a/crates/proxy/src/proofs.rs
+++ b/crates/proxy/src/proofs.rs
@@ -42,7 +42,7 @@
 pub struct Proofs {
     pub(crate) socket: RefCell<Option<Rc<UdpSocket>>>,
     stamp: Cell<u64>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<u64>>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<(u64, Duration)>>>,
     asked: RefCell<Vec<Asked>>,
     readers: RefCell<Vec<Reader>>,
 }
@@ -58,6 +58,17 @@
         self.asked.take()
     }
 
+    /// Tells those who asked that the era was renewed `age` ago.
+    ///
+    /// Each of them counts back from its own question, so that all of the time until the
+    /// answer is there makes the proof older.
+    pub(crate) fn tell_aged(&self, asked: &[Asked], era: u64, age: Duration) {
+        for (stamp, answer) in asked {
+            let stamp = *stamp;
+            self.send(&Proof::Aged { stamp, era, age }, *answer);
+        }
+    }
+
     /// Tells those who asked that the era was renewed since.
     pub(crate) fn tell(&self, asked: &[Asked], era: u64) {
         for (stamp, answer) in asked {
@@ -91,7 +102,13 @@
         Proof::Told { stamp, era } => {
             let waiting = node.proofs.waiting.borrow_mut().remove(&stamp);
             if let Some(waiting) = waiting {
-                let _ = waiting.send(era);
+                let _ = waiting.send((era, Duration::ZERO));
+            }
+        }
+        Proof::Aged { stamp, era, age } => {
+            let waiting = node.proofs.waiting.borrow_mut().remove(&stamp);
+            if let Some(waiting) = waiting {
+                let _ = waiting.send((era, age));
             }
         }
         Proof::AskFresh { stamp, answer } => freshness::tell(node, stamp, answer),
@@ -106,8 +123,9 @@
     }
 }
 
-/// Asks the instance at `address` to renew the era; which one it renewed.
-pub(crate) async fn ask<E: Edge>(node: &Node<E>, address: SocketAddr) -> Option<u64> {
+/// Asks the instance at `address` whether the era lasts; which one does, and how long before
+/// the answer that was so.
+pub(crate) async fn ask<E: Edge>(node: &Node<E>, address: SocketAddr) -> Option<(u64, Duration)> {
     let proofs = &node.proofs;
     let stamp = proofs.stamp.get() + 1;
     proofs.stamp.set(stamp);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -64,16 +64,19 @@
     node.peers.readers(candidate(node))
 }
 
+/// Whether the instance at `address` did not answer a moment ago.
+pub(crate) fn is_left<E: Edge>(node: &Node<E>, address: SocketAddr) -> bool {
+    let left = node.unanswered.get();
+    left.is_some_and(|(a, at)| a == address && at + LEFT > Boot.now())
+}
+
 /// Where this instance learns of the store.
 pub(crate) fn source<E: Edge>(node: &Node<E>) -> Source {
-    let now = Boot.now();
     let relays = node.peers.relays(candidate(node));
     if relays.contains(&None) {
         return Source::Store;
     }
-    let left = node.unanswered.get();
-    let is_left = |address: SocketAddr| left.is_some_and(|(a, at)| a == address && at + LEFT > now);
-    let fit = relays.into_iter().flatten().filter(|a| !is_left(*a));
+    let fit = relays.into_iter().flatten().filter(|a| !is_left(node, *a));
     let fit: Vec<_> = fit.collect();
     if fit.is_empty() {
         return Source::Store;
