Order what is known by the store's era, and claim anew what a copy may have lost

Change: a revision carries the store's era above its own bits (edge::joined), in frames and fences too; a condition or a watch of another era does not hold. Records and the right name the era in which they were written: in a later one they stand in a copy, and nobody believes them. Whoever knew them writes them again, 2.1 s behind the step, when nobody can go on with a right of before; until then the members prove their primary. A lease counts in the era in which its key was read, since one that had ended may be back. A keeper has the smaller share of the tables on both sides for the span. No older catalogue is put in force or passed on, and an instance that starts is sure of its keys only once nobody whom it hears has a newer catalogue.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped},
+    edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped, era_of},
     era::{self, MEMORY},
     freshness,
     group::Group,
@@ -377,8 +377,8 @@
     if item.key == E::CATALOG {
         node.peers.call();
     } else if item.key == shares::key::<E>() {
-        node.shares
-            .learn(&item.value, &node.settings.name, node.began);
+        let spans = (node.began, node.settings.agreed());
+        node.shares.learn(item, &node.settings.name, spans);
         node.freshness.reach(node.mark());
     } else if item.key.starts_with(E::UPSTREAMS) {
         match E::upstream(&item.key, &item.value) {
@@ -393,12 +393,19 @@
     }
 }
 
-/// Takes in a group's record.
-pub fn record<E: Edge>(node: &Node<E>, item: &Item) -> Option<Rc<Group>> {
+/// Takes in a group's record; one that stands in a copy of the store is written anew.
+pub fn record<E: Edge>(node: &Rc<Node<E>>, item: &Item) -> Option<Rc<Group>> {
     let service = item.key.strip_prefix(&lead_key::<E>(""))?;
     let record: Record = serde_json::from_slice(&item.value).ok()?;
     let group = node.group_of(&service.into());
     let text = format!("{record:?}");
+    if record.written < era_of(item.revision) {
+        node.era_since();
+        if relay::is_own(node) {
+            era::reclaim(node, &group, record, item.revision);
+        }
+        return None;
+    }
     if group.learn(record, item.revision) {
         log::info!(service, revision = item.revision; "record: {text}");
     }
@@ -454,6 +461,7 @@
     loop {
         sleep(TIDY).await;
         let now: Instant = Boot.now();
+        node.peers.awake();
         let since = node.unable_since();
         if since.is_some() != unable.is_some() {
             log::info!(able = since.is_none(); "whether callers can be served here");
@@ -461,7 +469,6 @@
         }
         unable = since;
         let catalog = node.catalog();
-        node.peers.awake();
         for group in node.groups() {
             group.expire(now);
             group.is_whole(now, MEMORY);
--- a/crates/proxy/src/counted.rs
+++ b/crates/proxy/src/counted.rs
@@ -76,6 +76,10 @@
         self.call("glance", self.store.glance(prefix, quiet)).await
     }
 
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
+
     async fn newer(&self, known: &[(&str, u64)], quiet: Duration) -> Result<Vec<Item>, Fault> {
         self.call("newer", self.store.newer(known, quiet)).await
     }
@@ -99,7 +103,7 @@
         self.call("grant", self.store.grant(ttl)).await
     }
 
-    async fn keep(&self, lease: u64) -> Result<(), Fault> {
+    async fn keep(&self, lease: u64) -> Result<u64, Fault> {
         self.call("keep", self.store.keep(lease)).await
     }
 
--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -87,6 +87,35 @@
     pub what: &'static str,
 }
 
+/// How many bits of a revision count the store's own revisions; above them stands its era.
+const OWN_BITS: u32 = 40;
+
+/// A revision in the order that counts: a store that comes back from a copy begins the next
+/// era, and gives revisions out again there.
+///
+/// ```
+/// use proxy::edge::{era_of, joined, own_revision};
+/// assert!(joined(3, 900) < joined(4, 7));
+/// assert_eq!((era_of(joined(4, 7)), own_revision(joined(4, 7))), (4, 7));
+/// assert_eq!(joined(4, 0), 0, "there is no such item");
+/// ```
+pub fn joined(era: u64, revision: u64) -> u64 {
+    match revision {
+        0 => 0,
+        revision => era << OWN_BITS | revision,
+    }
+}
+
+/// The era of the store that a revision is of.
+pub fn era_of(revision: u64) -> u64 {
+    revision >> OWN_BITS
+}
+
+/// What the store itself calls a revision.
+pub fn own_revision(revision: u64) -> u64 {
+    revision & ((1 << OWN_BITS) - 1)
+}
+
 /// An item of the store.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Item {
@@ -243,7 +272,13 @@
 /// A call may be answered late or never; one that is not answered may have been
 /// done, or may be done seconds later if its condition still holds. Dropping a
 /// call's future ends its connection. Keys under a lease may vanish unseen.
+///
+/// It may come back from a copy that is some seconds old: then it is in its next era, and
+/// what was written since is gone, leases too, and what had ended since may be back.
+/// Revisions carry their era ([`joined`]), and none of an earlier era holds any more.
 pub trait Store {
+    /// The newest era that an answer named; zero if none did.
+    fn era(&self) -> u64;
     /// Reads all items of a prefix; current, not cached. Gives up once nothing of the
     /// answer came for `quiet`, however long all of it takes.
     fn read(&self, prefix: &str, quiet: Duration) -> impl Future<Output = Result<Items, Fault>>;
@@ -272,8 +307,8 @@
     fn swap(&self, swap: &Swap) -> impl Future<Output = Result<Swapped, Fault>>;
     /// Makes a lease.
     fn grant(&self, ttl: Duration) -> impl Future<Output = Result<u64, Fault>>;
-    /// Renews a lease; [`Fault::Missing`] if it has ended.
-    fn keep(&self, lease: u64) -> impl Future<Output = Result<(), Fault>>;
+    /// Renews a lease; the era in which the store did. [`Fault::Missing`] if it has ended.
+    fn keep(&self, lease: u64) -> impl Future<Output = Result<u64, Fault>>;
     /// Ends a lease; [`Fault::Missing`] if it has ended before.
     fn end(&self, lease: u64) -> impl Future<Output = Result<(), Fault>>;
 }
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -25,13 +25,14 @@
 
 use crate::{
     control::{encode, lead_key, record},
-    edge::{Edge, Fault, Items, Store, Swap, Swapped},
+    edge::{self, Edge, Fault, Items, Store, Swap, Swapped},
     freshness,
     group::Group,
     node::Node,
     peers::{self, beat::Hearing},
     probe, proofs,
     relay::{self, Source},
+    takeover::OUTLASTED,
 };
 
 /// How long the store may take to answer.
@@ -86,12 +87,45 @@
     lead_key::<E>("")
 }
 
-/// The era among items that were read: its lease and its key's revision.
-pub fn era_of<E: Edge>(items: &Items) -> Option<(u64, u64)> {
+/// The lease that makes an era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Lease {
+    /// What the store calls it.
+    pub(crate) id: u64,
+    /// The revision of the key that names it.
+    pub(crate) revision: u64,
+}
+
+/// Spreads the store's eras over all numbers of the proofs' eras; odd, so that none is lost.
+const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
+
+impl Lease {
+    /// What an era is called among instances.
+    ///
+    /// A store that comes back from a copy may have the lease again that a replacement had
+    /// ended. Whoever knows nothing of that replacement would take it for the one that it
+    /// knows, and prove a primary that leads no more.
+    fn era(self) -> u64 {
+        self.id ^ edge::era_of(self.revision).wrapping_mul(SPREAD)
+    }
+
+    /// Renews it, if the store is still in the era in which it was read.
+    async fn renew<E: Edge>(self, node: &Node<E>) -> Result<(), Fault> {
+        let era = node.store().keep(self.id).await?;
+        match era == edge::era_of(self.revision) {
+            true => Ok(()),
+            false => Err(Fault::Missing),
+        }
+    }
+}
+
+/// The era's lease among items that were read.
+pub fn era_of<E: Edge>(items: &Items) -> Option<Lease> {
     let key = era_key::<E>();
     let item = items.items.iter().find(|item| item.key == key)?;
-    let lease = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-    Some((lease, item.revision))
+    let id = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+    let revision = item.revision;
+    Some(Lease { id, revision })
 }
 
 /// Keeps the proofs of all primaries fresh for as long as somebody needs them.
@@ -187,7 +221,7 @@
     let items = peers::records(address).await?;
     node.read_at.set(sent);
     learn(node, &items, sent);
-    if let Some((lease, _)) = era_of::<E>(&items) {
+    if let Some(lease) = era_of::<E>(&items) {
         enter(node, &items, lease);
     }
     Ok(())
@@ -262,11 +296,11 @@
 
 /// Renews the era, or reads what is to be known for that; the era if it was renewed.
 async fn round<E: Edge>(node: &Rc<Node<E>>) -> Result<Option<u64>, Fault> {
-    let era = node.era.get();
+    let (era, lease) = (node.era.get(), node.lease.get());
     if era != 0 && !is_unread(node) {
         let sent = Boot.now();
         node.renewed.set(sent);
-        match node.store().keep(era).await {
+        match lease.renew(node).await {
             Ok(()) => {
                 node.heard_from_store(sent);
                 prove_all(node, era, sent);
@@ -283,30 +317,32 @@
     let items = node.store().read(&lead_key::<E>(""), CALL).await?;
     node.read_at.set(sent);
     learn(node, &items, sent);
-    let Some((lease, revision)) = era_of::<E>(&items) else {
+    let Some(read) = era_of::<E>(&items) else {
         begin(node, 0).await?;
         return Ok(None);
     };
-    if lease == era && node.store().keep(lease).await == Err(Fault::Missing) {
-        begin(node, revision).await?;
+    if read == lease && read.renew(node).await == Err(Fault::Missing) {
+        begin(node, read.revision).await?;
         return Ok(None);
     }
-    enter(node, &items, lease);
+    enter(node, &items, read);
     node.prove.notify_one();
     Ok(None)
 }
 
 /// Goes on in the era of `lease`, which was read together with the records in `items`.
-fn enter<E: Edge>(node: &Node<E>, items: &Items, lease: u64) {
+fn enter<E: Edge>(node: &Node<E>, items: &Items, lease: Lease) {
+    let era = lease.era();
     for group in node.groups() {
         let key = lead_key::<E>(&group.service);
         let item = items.items.iter().find(|item| item.key == key);
         let known = group.known();
         if item.map(|item| item.revision) == known.map(|known| known.revision) {
-            group.era.set(lease);
+            group.era.set(era);
         }
     }
-    node.era.set(lease);
+    node.era.set(era);
+    node.lease.set(lease);
 }
 
 /// Begins the next era, unless somebody else did since its key was read at `revision`.
@@ -430,7 +466,20 @@
     let jitter = rand::random_range(0..JITTER_MS * 5);
     sleep(Duration::from_millis(jitter)).await;
     let members = group.members();
-    if group.known().is_some() || members.is_empty() {
+    if let Some(known) = group.known() {
+        let written = node.store().era();
+        if known.record.written < written {
+            // The copy does not know it at all.
+            sleep((node.era_since() + OUTLASTED).since(Boot.now())).await;
+            let record = Record {
+                written,
+                ..known.record
+            };
+            write(node, group, record, 0).await;
+        }
+        return;
+    }
+    if members.is_empty() {
         return;
     }
     let said = probe::all::<E::Protocol>(&members).await;
@@ -451,14 +500,78 @@
         upstream: member.upstream.id.to_string(),
         phase: Phase::Stable,
         by: node.settings.name.clone(),
+        written: node.store().era(),
     };
+    write(node, group, record, 0).await;
+}
+
+/// Writes a record in the place of the one at `revision`, zero for none.
+async fn write<E: Edge>(node: &Rc<Node<E>>, group: &Group, record: Record, revision: u64) {
     let key = lead_key::<E>(&group.service);
     let swap = Swap {
-        expected: vec![(key.clone(), 0)],
+        expected: vec![(key.clone(), revision)],
         puts: vec![(key, encode(&record), 0)],
         deletes: Vec::new(),
     };
     let swapped = timeout(CALL, node.store().swap(&swap)).await;
-    log::info!(service = &*group.service, term = term.0, swapped:?; "first record");
+    let term = record.term.0;
+    log::info!(service = &*group.service, term, revision, swapped:?; "record written");
+    if let Ok(Ok(Swapped::Done(revision))) = swapped {
+        group.learn(record, revision);
+    }
     node.prove.notify_one();
 }
+
+/// Writes a group's record anew that stands in a copy of the store, at `revision`.
+///
+/// The copy may have lost a replacement: whoever believed it would read from a primary that
+/// leads no more. So nobody does. Who knows what the record said writes it again; where
+/// nobody does, the members are asked who leads. Before that, whoever was replacing the
+/// primary has to be done: its right, and what it announced, may be gone from the copy. Until
+/// then the members prove their primary, as they do while the store is away.
+pub(crate) fn reclaim<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, copy: Record, revision: u64) {
+    if group.replacing.replace(true) {
+        return;
+    }
+    let (node, group) = (Rc::clone(node), Rc::clone(group));
+    spawn_local(async move {
+        let jitter = Duration::from_millis(rand::random_range(0..JITTER_MS * 3));
+        let rest = (node.era_since() + OUTLASTED).since(Boot.now());
+        sleep(rest + jitter).await;
+        let written = node.store().era();
+        let known = group.known().map(|known| known.record);
+        match known.filter(|known| copy.is_behind(known)) {
+            Some(known) if known.written < written => {
+                let record = Record { written, ..known };
+                write(&node, &group, record, revision).await;
+            }
+            Some(_) => {}
+            None => confirm(&node, &group, copy, revision).await,
+        }
+        group.replacing.set(false);
+    });
+}
+
+/// Writes a copied record anew by what the members say.
+async fn confirm<E: Edge>(node: &Rc<Node<E>>, group: &Group, copy: Record, revision: u64) {
+    let members = group.members();
+    let said = probe::all::<E::Protocol>(&members).await;
+    let leaders = members.iter().zip(&said).filter_map(|(member, said)| {
+        let status = said.status().filter(|status| status.leads)?;
+        Some((status.term, member.upstream.id.to_string()))
+    });
+    let written = node.store().era();
+    let leads = leaders.max_by_key(|(term, _)| *term);
+    let record = match leads.filter(|(term, _)| *term > copy.term) {
+        Some((term, upstream)) => Record {
+            term,
+            upstream,
+            phase: Phase::Stable,
+            by: node.settings.name.clone(),
+            written,
+        },
+        // A replacement that had begun is taken up where the copy left it.
+        None => Record { written, ..copy },
+    };
+    write(node, group, record, revision).await;
+}
--- a/crates/proxy/src/freshness.rs
+++ b/crates/proxy/src/freshness.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     control,
-    edge::{Change, Edge, Fault, Store},
+    edge::{Change, Edge, Fault, Item, Store},
     era,
     node::Node,
     peers::beat::Proof,
@@ -216,13 +216,25 @@
     }
 }
 
+/// Reads the catalogue and the shares anew, since the store is in another era than what is
+/// known of them.
+async fn reread<E: Edge>(node: &Node<E>) -> Result<Vec<Item>, Fault> {
+    let catalog = node.store().read(E::CATALOG, READ).await?;
+    let shares = node.store().read(&shares::key::<E>(), READ).await?;
+    let items = catalog.items.into_iter().chain(shares.items);
+    Ok(items.collect())
+}
+
 /// Asks the store whether there is anything newer, and takes it in.
 async fn check<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
     let revision = node.catalog_item().map_or(0, |item| item.revision);
     let asked = Boot.now();
     let shares = shares::key::<E>();
     let known = [(E::CATALOG, revision), (&*shares, node.mark().shares)];
-    let newer = node.store().newer(&known, READ).await;
+    let newer = match node.store().newer(&known, READ).await {
+        Err(Fault::Compacted) => reread(node).await,
+        newer => newer,
+    };
     let newer = newer.inspect_err(|_| era::unanswered(node))?;
     era::answered(node);
     for item in newer {
@@ -233,6 +245,12 @@
         control::learn(node, Change::Put(item));
     }
     let have = node.mark();
-    node.freshness.learn(have, asked, have);
+    // A store that came back from a copy may have lost the newest: an instance that starts
+    // then would serve keys that were taken away in it, unless it believes those who know.
+    let newest = Mark {
+        catalog: have.catalog.max(node.peers.newest()),
+        ..have
+    };
+    node.freshness.learn(newest, asked, have);
     Ok(())
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -22,7 +22,8 @@
     account::Quota,
     catalog::{Catalog, Route, Upstream},
     counted::Counted,
-    edge::{Edge, Item},
+    edge::{Edge, Item, Store},
+    era::Lease,
     figures::{Figures, Wait},
     freshness::Fresh,
     group::Group,
@@ -98,8 +99,10 @@
     pub staged: Notify,
     /// Told when somebody needs a proof now.
     pub prove: Notify,
-    /// The lease that all instances renew, zero if it is not known.
+    /// The era that all instances prove, zero if it is not known.
     pub era: Cell<u64>,
+    /// Its lease.
+    pub(crate) lease: Cell<Lease>,
     /// When the records were last read.
     pub read_at: Cell<Instant>,
     /// How many questions for a proof are on their way to the store.
@@ -120,6 +123,8 @@
     able: Cell<Instant>,
     /// The right to give orders as it was last seen, and since when.
     pub duty: Cell<(u64, Instant)>,
+    /// The era of the store, and when this instance met it.
+    met_era: Cell<(u64, Instant)>,
     /// Who had that right before this instance took it last.
     pub(crate) before: RefCell<Vec<String>>,
     /// When this instance gave its last order.
@@ -175,6 +180,7 @@
             staged: Notify::new(),
             prove: Notify::new(),
             era: Cell::default(),
+            lease: Cell::default(),
             read_at: Cell::default(),
             proving: Cell::default(),
             proved: Cell::default(),
@@ -186,6 +192,7 @@
             met: Cell::default(),
             able: Cell::new(Boot.now()),
             duty: Cell::default(),
+            met_era: Cell::default(),
             before: RefCell::default(),
             ordered: Cell::default(),
             contact: Cell::default(),
@@ -209,6 +216,15 @@
         }
     }
 
+    /// Since when the store has been in the era that it is in, as far as is known here.
+    pub(crate) fn era_since(&self) -> Instant {
+        let era = self.edge.store().era();
+        if self.met_era.get().0 != era {
+            self.met_era.set((era, Boot.now()));
+        }
+        self.met_era.get().1
+    }
+
     /// The platform's store, its calls counted.
     pub fn store(&self) -> Counted<'_, E::Store> {
         Counted::new(self.edge.store(), &self.figures)
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -231,12 +231,13 @@
 /// Other instances.
 #[derive(Debug)]
 pub struct Peers {
+    name: String,
     own: SocketAddr,
     began: Instant,
     zone: String,
-    /// What this instance is to others, as it was looked at last.
     /// When time was looked at last, and for how long this process stood still in all.
     looked: Cell<(Instant, Duration)>,
+    /// What this instance is to others, as it was looked at last.
     pub(super) standing: Cell<Standing>,
     seeds: Vec<SocketAddr>,
     pub(super) table: RefCell<HashMap<String, Peer>>,
@@ -263,12 +264,13 @@
     /// Nobody is known but the seeds.
     pub fn new(settings: &Settings) -> Self {
         Self {
+            name: settings.name.clone(),
             own: settings.peers,
             began: Boot.now(),
             zone: settings.zone.clone(),
+            looked: Cell::new((Boot.now(), Duration::ZERO)),
             standing: Cell::default(),
             seeds: settings.seeds.clone(),
-            looked: Cell::new((Boot.now(), Duration::ZERO)),
             table: RefCell::default(),
             leaving: RefCell::default(),
             greeted: RefCell::default(),
@@ -281,8 +283,6 @@
         }
     }
 
-    /// Has a beat sent at once to those who wait for this instance's beats.
-    pub fn call(&self) {
     /// The moment it is, the time left out for which this process stood still.
     ///
     /// Who stood still has heard nobody meanwhile. If that counted, it would take itself for a
@@ -300,6 +300,8 @@
         now - still
     }
 
+    /// Has a beat sent at once to those who wait for this instance's beats.
+    pub fn call(&self) {
         self.tell(Urgent::Prompt);
     }
 
@@ -324,8 +326,11 @@
     }
 
     /// Takes in one entry of the store's list.
+    ///
+    /// The entry of a life before, at another address, is none: an instance that took it for
+    /// another one would follow itself, and learn nothing.
     pub fn add(&self, name: &str, address: SocketAddr) {
-        if address == self.own {
+        if address == self.own || name == self.name {
             return;
         }
         let mut table = self.table.borrow_mut();
@@ -344,7 +349,7 @@
 
     /// How many instances there are as far as is known, this one included.
     pub fn count(&self) -> usize {
-        let now = Boot.now();
+        let now = self.awake();
         let mut table = self.table.borrow_mut();
         table.retain(|_, p| p.listed || p.heard.is_some_and(|at| at + FORGET > now));
         table.len() + 1
@@ -370,7 +375,7 @@
     /// Where to send a beat now, and when the one behind it is due there: to those whose
     /// time has come, and to all whom `urgent` concerns.
     pub(super) fn due(&self, urgent: Urgent) -> Vec<Due> {
-        let now = self.awake();
+        let now = Boot.now();
         let mut due = Vec::new();
         if self.is_new() {
             let seeds = self.seeds.iter().filter(|seed| **seed != self.own);
@@ -540,9 +545,17 @@
         table.get(name).is_some_and(|peer| peer.zone == self.zone)
     }
 
+    /// The newest version of the catalogue that somebody who is heard has.
+    pub(crate) fn newest(&self) -> u64 {
+        let now = self.awake();
+        let table = self.table.borrow();
+        let heard = table.values().filter(|p| p.was_heard(now, HEARD));
+        heard.map(|p| p.version).max().unwrap_or(0)
+    }
+
     /// Whether somebody who is heard has a catalogue.
     pub(crate) fn is_catalog_known(&self) -> bool {
-        let now = Boot.now();
+        let now = self.awake();
         let table = self.table.borrow();
         let mut heard = table.values().filter(|p| p.was_heard(now, LOST));
         heard.any(|p| p.version > 0)
@@ -612,11 +625,12 @@
 
     /// Whether fewer than `beats` of the instance at `address` are missing.
     pub fn was_heard(&self, address: SocketAddr, beats: u32) -> bool {
-        let now = self.awake();
+        let now = Boot.now();
         let leaving = self.leaving.borrow().get(&address).copied();
         if leaving.is_some_and(|at| at + PROMPT * beats + LATE > now) {
             return true;
         }
+        let now = self.awake();
         let table = self.table.borrow();
         let same = |p: &&Peer| p.address == address;
         table.values().filter(same).any(|p| p.was_heard(now, beats))
@@ -630,7 +644,6 @@
         let silent = heard.into_iter().filter(|(_, heard)| !heard);
         silent.map(|(zone, _)| zone.to_owned()).collect()
     }
-        let now = self.awake();
 
     /// The other zones whose instances this one would hear promptly, and whether it hears
     /// any of them.
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -27,7 +27,7 @@
 use crate::{
     account::Quota,
     control,
-    edge::{Change, Edge, Fault, Item, Store, Swap, Swapped},
+    edge::{Change, Edge, Fault, Item, Store, Swap, Swapped, era_of},
     freshness,
     node::Node,
     outcome::Cause,
@@ -125,6 +125,9 @@
 #[derive(Debug, Default)]
 pub struct Shares {
     table: RefCell<Table>,
+    /// Its revision, the table of the era before, and until when that one may still be in use.
+    revision: Cell<u64>,
+    before: RefCell<Option<(Table, Instant)>>,
     /// Of the accounts that this instance keeps.
     buckets: RefCell<HashMap<String, Bucket>>,
     /// Since when this instance has kept them.
@@ -153,7 +156,17 @@
 
 impl Shares {
     /// Takes in the table as the store holds it, for the instance with this `name`.
-    pub(crate) fn learn(&self, value: &[u8], name: &str, began: Instant) {
+    ///
+    /// One that stands in a copy of the store may be older than the one before, and some go on
+    /// by that one for `span`: until it is over a keeper has the smaller share of both.
+    pub(crate) fn learn(&self, item: &Item, name: &str, (began, span): (Instant, Duration)) {
+        let value = &item.value;
+        let known = self.revision.replace(item.revision);
+        if known != 0 && era_of(known) < era_of(item.revision) {
+            let before = self.table.borrow().clone();
+            let until = Boot.now() + span + span / 50;
+            *self.before.borrow_mut() = Some((before, until));
+        }
         let read = value
             .strip_prefix(&[FORMAT])
             .and_then(|body| postcard::from_bytes(body).ok());
@@ -206,6 +219,21 @@
         kept.filter(|(_, parts)| *parts > 0).collect()
     }
 
+    /// The share of `account` that `name` may use, in thousandths.
+    fn parts(&self, account: &str, name: &str, now: Instant) -> u16 {
+        let parts = self.table.borrow().parts(account, name);
+        match &*self.before.borrow() {
+            Some((before, until)) if *until > now => parts.min(before.parts(account, name)),
+            _ => parts,
+        }
+    }
+
+    /// Whether a table of the era before may still be in use.
+    fn is_unsettled(&self, now: Instant) -> bool {
+        let before = self.before.borrow();
+        before.as_ref().is_some_and(|(_, until)| *until > now)
+    }
+
     /// Counts an operation that is asked for; whether one is at hand that was given before.
     /// `None` if no keeper has one for a while.
     fn ask(&self, account: &Rc<str>, now: Instant) -> Option<bool> {
@@ -415,7 +443,7 @@
     let quota = node.quota(account)?;
     let now = Boot.now();
     let shares = &node.shares;
-    let parts = shares.table.borrow().parts(account, &node.settings.name);
+    let parts = shares.parts(account, &node.settings.name, now);
     if parts == 0 || !node.freshness.covers(now, node.settings.agreed()) {
         return None;
     }
@@ -508,6 +536,9 @@
     }
     let shares = &node.shares;
     let now = Boot.now();
+    if shares.is_unsettled(now) {
+        return Ok(());
+    }
     let open = || Ledger::open(node.settings.agreed(), now);
     let mut ledger = shares.ledger.take().unwrap_or_else(open);
     let catalog = node.catalog();
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -31,6 +31,7 @@
 use due::{RANK, Reason, due};
 use fence::{Chosen, Fenced, fence, still_holds};
 use record::{announce, end_era, settle};
+pub(crate) use right::OUTLASTED;
 use right::{RIGHT, Right, claim, renew, write_duty};
 
 /// How often primaries are looked at.
--- a/crates/proxy/src/takeover/record.rs
+++ b/crates/proxy/src/takeover/record.rs
@@ -36,6 +36,7 @@
     let record = Record {
         phase: Phase::Changing,
         by: node.settings.name.clone(),
+        written: node.edge.store().era(),
         ..known.record
     };
     let key = lead_key::<E>(&group.service);
@@ -89,10 +90,10 @@
             sleep(POLL).await;
             continue;
         };
-        let Some((lease, _)) = era_of::<E>(&items) else {
+        let Some(lease) = era_of::<E>(&items) else {
             return Ok(Boot.now());
         };
-        match timeout(CALL, store.end(lease)).await {
+        match timeout(CALL, store.end(lease.id)).await {
             Ok(Ok(()) | Err(Fault::Missing)) => return Ok(Boot.now()),
             _ => sleep(POLL).await,
         }
@@ -115,6 +116,7 @@
         upstream: member.upstream.id.to_string(),
         phase: Phase::Stable,
         by: node.settings.name.clone(),
+        written: node.edge.store().era(),
     };
     let key = lead_key::<E>(&group.service);
     let swap = Swap {
--- a/crates/proxy/src/takeover/right.rs
+++ b/crates/proxy/src/takeover/right.rs
@@ -16,6 +16,10 @@
 /// How long the right to give orders lasts.
 pub(super) const RIGHT: Duration = Duration::from_millis(2_000);
 
+/// How long behind a step of the store's era somebody may go on with a right that the copy
+/// does not know of: nobody renews one that was taken before.
+pub(crate) const OUTLASTED: Duration = Duration::from_millis(2_100);
+
 /// How long before the right ends no order is given any more.
 pub(super) const LAST: Duration = Duration::from_millis(600);
 
@@ -40,6 +44,9 @@
     /// Who had it before, the last one first.
     #[serde(default)]
     before: Vec<String>,
+    /// The era of the store in which it was written.
+    #[serde(default)]
+    written: u64,
 }
 
 impl Duty {
@@ -84,6 +91,14 @@
         node.duty.set((revision, now));
     }
     let (_, seen) = node.duty.get();
+    let era = store.era();
+    // A copy of the store may have lost who has the right, and that one goes on to give orders
+    // until it has run out. Whoever took it at once would send its first order behind or
+    // between those.
+    let is_lost = duty.as_ref().is_none_or(|duty| duty.written < era);
+    if era > 0 && is_lost && node.era_since() + OUTLASTED > now {
+        return Err(Failed::Held);
+    }
     let name = &node.settings.name;
     if let Some(duty) = &duty {
         let own = duty.life == node.life;
@@ -141,6 +156,7 @@
         life: node.life,
         held,
         before: node.before.borrow().clone(),
+        written: node.edge.store().era(),
     };
     let swap = Swap {
         expected: vec![(duty_key::<E>(), revision)],
