--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -213,6 +213,22 @@
     let watched = now.since(node.watched.get()).as_secs_f64();
     put("watch_silent_seconds", "", watched);
     put("log_lines_left_out_total", "", logs::left_out() as f64);
+    if let Some(age) = node.freshness.age(now) {
+        put("keys_proved_seconds_ago", "", age.as_secs_f64());
+    }
+    for (account, rate) in node.shares.demand(now) {
+        put(
+            "account_demand",
+            &format!("{{account=\"{account}\"}}"),
+            rate,
+        );
+    }
+    for (account, parts) in node.shares.kept(&node.settings.name) {
+        let labels = format!("{{account=\"{account}\"}}");
+        put("account_share", &labels, f64::from(parts) / 1_000.0);
+        let rate = node.quota(&account).map_or(0.0, |quota| quota.rate);
+        put("account_quota_rate", &labels, rate);
+    }
     for group in node.groups() {
         let labels = format!("{{service=\"{}\"}}", group.service);
         let term = group.known().map_or(0, |known| known.record.term.0);
