Split the counting of accounts and the era's renewal by their jobs

shares: counting, what a keeper gives, the table. era: renewal, its lease, records written by what is known. Moved, not changed; but a share that is taken back stays reserved for a window of the quota at least, also where keys may be served for less than that.

--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -12,11 +12,14 @@
 //! When the store says nothing, another instance that still hears it reads for
 //! this one. When nobody does, the members of the group are asked.
 
+mod claim;
+mod lease;
+
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use clock::{Boot, Instant};
-use lead::{Phase, Record, quorum};
+use lead::quorum;
 use rand::seq::IndexedRandom;
 use tokio::{
     task::spawn_local,
@@ -24,16 +27,18 @@
 };
 
 use crate::{
-    control::{encode, lead_key, record},
-    edge::{self, Edge, Fault, Items, Store, Swap, Swapped},
+    control::{lead_key, record},
+    edge::{Edge, Fault, Items, Store, Swap, Swapped},
     freshness,
     group::Group,
     node::Node,
     peers::{self, beat::Hearing},
     probe, proofs,
     relay::{self, Source},
-    takeover::OUTLASTED,
 };
+use claim::found;
+pub(crate) use claim::reclaim;
+pub use lease::{Lease, era_of};
 
 /// How long the store may take to answer.
 const CALL: Duration = Duration::from_millis(700);
@@ -87,47 +92,6 @@
     lead_key::<E>("")
 }
 
-/// The lease that makes an era.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Lease {
-    /// What the store calls it.
-    pub(crate) id: u64,
-    /// The revision of the key that names it.
-    pub(crate) revision: u64,
-}
-
-/// Spreads the store's eras over all numbers of the proofs' eras; odd, so that none is lost.
-const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
-
-impl Lease {
-    /// What an era is called among instances.
-    ///
-    /// A store that comes back from a copy may have the lease again that a replacement had
-    /// ended. Whoever knows nothing of that replacement would take it for the one that it
-    /// knows, and prove a primary that leads no more.
-    fn era(self) -> u64 {
-        self.id ^ edge::era_of(self.revision).wrapping_mul(SPREAD)
-    }
-
-    /// Renews it, if the store is still in the era in which it was read.
-    async fn renew<E: Edge>(self, node: &Node<E>) -> Result<(), Fault> {
-        let era = node.store().keep(self.id).await?;
-        match era == edge::era_of(self.revision) {
-            true => Ok(()),
-            false => Err(Fault::Missing),
-        }
-    }
-}
-
-/// The era's lease among items that were read.
-pub fn era_of<E: Edge>(items: &Items) -> Option<Lease> {
-    let key = era_key::<E>();
-    let item = items.items.iter().find(|item| item.key == key)?;
-    let id = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-    let revision = item.revision;
-    Some(Lease { id, revision })
-}
-
 /// Keeps the proofs of all primaries fresh for as long as somebody needs them.
 pub async fn prove<E: Edge>(node: Rc<Node<E>>) {
     node.acquainted().await;
@@ -460,118 +424,3 @@
         group.prove(known.revision, sent, node.settings.proof);
     }
 }
-
-/// Writes a group's first record, from what its members say.
-async fn found<E: Edge>(node: &Rc<Node<E>>, group: &Group) {
-    let jitter = rand::random_range(0..JITTER_MS * 5);
-    sleep(Duration::from_millis(jitter)).await;
-    let members = group.members();
-    if let Some(known) = group.known() {
-        let written = node.store().era();
-        if known.record.written < written {
-            // The copy does not know it at all.
-            sleep((node.era_since() + OUTLASTED).since(Boot.now())).await;
-            let record = Record {
-                written,
-                ..known.record
-            };
-            write(node, group, record, 0).await;
-        }
-        return;
-    }
-    if members.is_empty() {
-        return;
-    }
-    let said = probe::all::<E::Protocol>(&members).await;
-    if !group.is_wanted(Boot.now()) {
-        // Who holds is not told yet; the holders' first connections were refused by an
-        // upstream of four, while those of these questions lay idle.
-        members.iter().for_each(|member| member.pool.close());
-    }
-    let leaders = members.iter().zip(&said).filter_map(|(member, said)| {
-        let status = said.status().filter(|status| status.leads)?;
-        Some((status.term, member))
-    });
-    let Some((term, member)) = leaders.max_by_key(|(term, _)| *term) else {
-        return;
-    };
-    let record = Record {
-        term,
-        upstream: member.upstream.id.to_string(),
-        phase: Phase::Stable,
-        by: node.settings.name.clone(),
-        written: node.store().era(),
-    };
-    write(node, group, record, 0).await;
-}
-
-/// Writes a record in the place of the one at `revision`, zero for none.
-async fn write<E: Edge>(node: &Rc<Node<E>>, group: &Group, record: Record, revision: u64) {
-    let key = lead_key::<E>(&group.service);
-    let swap = Swap {
-        expected: vec![(key.clone(), revision)],
-        puts: vec![(key, encode(&record), 0)],
-        deletes: Vec::new(),
-    };
-    let swapped = timeout(CALL, node.store().swap(&swap)).await;
-    let term = record.term.0;
-    log::info!(service = &*group.service, term, revision, swapped:?; "record written");
-    if let Ok(Ok(Swapped::Done(revision))) = swapped {
-        group.learn(record, revision);
-    }
-    node.prove.notify_one();
-}
-
-/// Writes a group's record anew that stands in a copy of the store, at `revision`.
-///
-/// The copy may have lost a replacement: whoever believed it would read from a primary that
-/// leads no more. So nobody does. Who knows what the record said writes it again; where
-/// nobody does, the members are asked who leads. Before that, whoever was replacing the
-/// primary has to be done: its right, and what it announced, may be gone from the copy. Until
-/// then the members prove their primary, as they do while the store is away.
-pub(crate) fn reclaim<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, copy: Record, revision: u64) {
-    if group.replacing.replace(true) {
-        return;
-    }
-    let (node, group) = (Rc::clone(node), Rc::clone(group));
-    spawn_local(async move {
-        let jitter = Duration::from_millis(rand::random_range(0..JITTER_MS * 3));
-        let rest = (node.era_since() + OUTLASTED).since(Boot.now());
-        sleep(rest + jitter).await;
-        let written = node.store().era();
-        let known = group.known().map(|known| known.record);
-        match known.filter(|known| copy.is_behind(known)) {
-            Some(known) if known.written < written => {
-                let record = Record { written, ..known };
-                write(&node, &group, record, revision).await;
-            }
-            Some(_) => {}
-            None => confirm(&node, &group, copy, revision).await,
-        }
-        group.replacing.set(false);
-    });
-}
-
-/// Writes a copied record anew by what the members say.
-async fn confirm<E: Edge>(node: &Rc<Node<E>>, group: &Group, copy: Record, revision: u64) {
-    let members = group.members();
-    let said = probe::all::<E::Protocol>(&members).await;
-    let leaders = members.iter().zip(&said).filter_map(|(member, said)| {
-        let status = said.status().filter(|status| status.leads)?;
-        Some((status.term, member.upstream.id.to_string()))
-    });
-    let written = node.store().era();
-    let leads = leaders.max_by_key(|(term, _)| *term);
-    let record = match leads.filter(|(term, _)| *term > copy.term) {
-        Some((term, upstream)) => Record {
-            term,
-            upstream,
-            phase: Phase::Stable,
-            by: node.settings.name.clone(),
-            written,
-        },
-        // A replacement that had begun is taken up where the copy left it.
-        None => Record { written, ..copy },
-    };
-    write(node, group, record, revision).await;
-}
--- /dev/null
+++ b/crates/proxy/src/era/lease.rs
@@ -0,0 +1,48 @@
+//! The lease that makes an era of proofs.
+
+use super::era_key;
+use crate::{
+    edge::{self, Edge, Fault, Items, Store},
+    node::Node,
+};
+
+/// The lease that makes an era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Lease {
+    /// What the store calls it.
+    pub(crate) id: u64,
+    /// The revision of the key that names it.
+    pub(crate) revision: u64,
+}
+
+/// Spreads the store's eras over all numbers of the proofs' eras; odd, so that none is lost.
+const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
+
+impl Lease {
+    /// What an era is called among instances.
+    ///
+    /// A store that comes back from a copy may have the lease again that a replacement had
+    /// ended. Whoever knows nothing of that replacement would take it for the one that it
+    /// knows, and prove a primary that leads no more.
+    pub(super) fn era(self) -> u64 {
+        self.id ^ edge::era_of(self.revision).wrapping_mul(SPREAD)
+    }
+
+    /// Renews it, if the store is still in the era in which it was read.
+    pub(super) async fn renew<E: Edge>(self, node: &Node<E>) -> Result<(), Fault> {
+        let era = node.store().keep(self.id).await?;
+        match era == edge::era_of(self.revision) {
+            true => Ok(()),
+            false => Err(Fault::Missing),
+        }
+    }
+}
+
+/// The era's lease among items that were read.
+pub fn era_of<E: Edge>(items: &Items) -> Option<Lease> {
+    let key = era_key::<E>();
+    let item = items.items.iter().find(|item| item.key == key)?;
+    let id = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+    let revision = item.revision;
+    Some(Lease { id, revision })
+}
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -5,19 +5,20 @@
 //! and the next one if that has none to give or does not answer. Who keeps, and how much of a
 //! quota, stands in a table in the store; the relays that read the catalogue look after it.
 
+mod keeper;
+mod table;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use admit::{
-    bucket::{Bucket, Demand, Limit},
-    shares::{Ledger, Table, WHOLE},
+    bucket::{Bucket, Demand},
+    shares::{Ledger, Table},
 };
-use bytes::Bytes;
 use clock::{Boot, Instant};
 use tokio::{
     sync::{Notify, oneshot},
@@ -26,25 +27,18 @@
 
 use crate::{
     account::Quota,
-    control,
-    edge::{Change, Edge, Fault, Item, Store, Swap, Swapped, era_of},
-    freshness,
+    edge::{Edge, Item, era_of},
     node::Node,
     outcome::Cause,
-    peers::{self, beat::Proof},
-    relay::{self, Source},
+    peers::beat::Proof,
 };
+pub(crate) use keeper::tell;
+use keeper::{Tally, give};
+pub(crate) use table::keep;
 
 /// The first byte of the table as it is stored: its format.
 const FORMAT: u8 = 1;
 
-/// How often the table is looked after.
-const LOOK: Duration = Duration::from_millis(100);
-
-/// How long an instance that starts waits until it writes the first table: its keepers are
-/// those that are heard by then.
-const SETTLED: Duration = Duration::from_secs(1);
-
 /// How long a keeper may take to answer: a hop there and back, and a turn of a busy processor.
 const ANSWER: Duration = Duration::from_millis(40);
 
@@ -54,9 +48,6 @@
 /// How long a caller waits where no table is known yet.
 const FIRST: Duration = Duration::from_millis(400);
 
-/// How long the store may take to answer.
-const CALL: Duration = Duration::from_millis(400);
-
 /// How long an account that nobody asks for is remembered.
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -67,17 +58,6 @@
 /// How long operations that were given count.
 const GIVEN: Duration = Duration::from_millis(500);
 
-/// The part of what a quota may be exceeded by that all keepers together have at once beside
-/// it: what one refuses that another could give is refused below the limit.
-const AT_ONCE: f64 = 0.3;
-
-/// The part of it that they have when they start: they don't know what they gave before, and
-/// may start twice within a window.
-const AT_START: f64 = 0.3;
-
-/// How often it is told what was refused.
-const TOLD: Duration = Duration::from_secs(1);
-
 /// What may be asked for beyond a quota before it counts as exceeded.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Slack {
@@ -114,13 +94,6 @@
     used: Instant,
 }
 
-/// What a keeper gave of an account's quota, and what it refused.
-#[derive(Debug, Clone, Copy, Default)]
-struct Tally {
-    given: u32,
-    refused: u32,
-}
-
 /// The counting of accounts' operations.
 #[derive(Debug, Default)]
 pub struct Shares {
@@ -294,16 +267,6 @@
     }
 }
 
-/// What a keeper may give of a quota, if its share is `parts` and `spare` operations of a
-/// window may be beyond the quota.
-fn limit(quota: Quota, spare: f64, parts: u16) -> Limit {
-    let part = f64::from(parts) / f64::from(WHOLE);
-    Limit {
-        rate: quota.rate * part,
-        burst: ((quota.burst + spare * AT_ONCE) * part).max(1.0),
-    }
-}
-
 /// Counts an operation of `account`, which may wait for as long as `patience`.
 ///
 /// # Errors
@@ -420,173 +383,3 @@
     shares.waiting.borrow_mut().remove(&stamp);
     answer.ok()?.ok()
 }
-
-/// Answers an instance that asks for operations of an account.
-pub(crate) fn tell<E: Edge>(node: &Node<E>, stamp: u64, to: SocketAddr, account: &str, count: u32) {
-    // Whoever hears at once that this instance keeps it no more asks the next one.
-    let unable = Answer {
-        count: 0,
-        wait: Duration::MAX,
-    };
-    let answer = give(node, account, count).unwrap_or(unable);
-    let given = Proof::Given {
-        stamp,
-        count: answer.count,
-        wait: answer.wait,
-    };
-    node.proofs.send(&given, to);
-}
-
-/// Gives up to `count` operations of an account that this instance keeps; `None` if it can't
-/// prove that it does.
-fn give<E: Edge>(node: &Node<E>, account: &str, count: u32) -> Option<Answer> {
-    let quota = node.quota(account)?;
-    let now = Boot.now();
-    let shares = &node.shares;
-    let parts = shares.parts(account, &node.settings.name, now);
-    if parts == 0 || !node.freshness.covers(now, node.settings.agreed()) {
-        return None;
-    }
-    let spare = node.settings.slack.map_or(0.0, |slack| slack.spare(quota));
-    let limit = limit(quota, spare, parts);
-    let since = shares.since.borrow().get(account).copied().unwrap_or(now);
-    let mut buckets = shares.buckets.borrow_mut();
-    let bucket = buckets.entry(account.to_owned()).or_insert_with(|| {
-        let level = spare * AT_START * f64::from(parts) / f64::from(WHOLE);
-        Bucket::open(level.min(limit.burst), since)
-    });
-    let mut answer = Answer {
-        count: 0,
-        wait: Duration::ZERO,
-    };
-    while answer.count < count {
-        match bucket.take(limit, now, Duration::ZERO) {
-            Ok(_) => answer.count += 1,
-            Err(wait) => {
-                answer.wait = wait;
-                break;
-            }
-        }
-    }
-    let mut tallies = shares.tallies.borrow_mut();
-    let tally = tallies.entry(account.to_owned()).or_default();
-    tally.given += answer.count;
-    tally.refused += u32::from(answer.count == 0);
-    Some(answer)
-}
-
-/// Tells once in a while of which accounts this instance had to refuse something.
-fn tell_tallies<E: Edge>(node: &Node<E>) {
-    let shares = &node.shares;
-    let now = Boot.now();
-    if shares.told_at.get() + TOLD > now {
-        return;
-    }
-    shares.told_at.set(now);
-    for (account, tally) in shares.tallies.take() {
-        if tally.refused > 0 {
-            let parts = shares.table.borrow().parts(&account, &node.settings.name);
-            let (given, refused) = (tally.given, tally.refused);
-            log::info!(account, parts, given, refused; "quota used up");
-        }
-    }
-}
-
-/// Looks after the table while this instance reads the catalogue for all others, and fetches
-/// it while it does not, until the process ends.
-pub(crate) async fn keep<E: Edge>(node: Rc<Node<E>>) {
-    let began = Boot.now();
-    loop {
-        let _ = timeout(LOOK, node.shares.behind.notified()).await;
-        if node.catalog().accounts.is_empty() {
-            continue;
-        }
-        tell_tallies(&node);
-        let kept = match freshness::source(&node) {
-            Source::Relay(address) if is_behind(&node) => fetch(&node, address).await,
-            Source::Relay(_) => Ok(()),
-            Source::Store if began + SETTLED > Boot.now() => Ok(()),
-            Source::Store => divide(&node).await,
-        };
-        if let Err(fault) = kept {
-            log::info!(error:% = fault; "shares not kept");
-            sleep(LOOK).await;
-        }
-    }
-}
-
-/// Whether the store has a newer table than this instance.
-fn is_behind<E: Edge>(node: &Node<E>) -> bool {
-    let ahead = node.freshness.ahead();
-    ahead.is_some_and(|mark| mark.shares > node.mark().shares)
-}
-
-async fn fetch<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> Result<(), Fault> {
-    if let Some(item) = peers::shares(address).await? {
-        control::learn(node, Change::Put(item));
-    }
-    Ok(())
-}
-
-/// Changes the table, if keepers are lost or missing.
-async fn divide<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
-    // Without a proof the table may be one that was changed since; a write would be in vain.
-    if !node.freshness.covers(Boot.now(), node.settings.agreed()) {
-        return Ok(());
-    }
-    let shares = &node.shares;
-    let now = Boot.now();
-    if shares.is_unsettled(now) {
-        return Ok(());
-    }
-    let open = || Ledger::open(node.settings.agreed(), now);
-    let mut ledger = shares.ledger.take().unwrap_or_else(open);
-    let catalog = node.catalog();
-    let mut accounts: Vec<_> = catalog.accounts.limited().collect();
-    accounts.sort_unstable();
-    let relays = node.peers.all_relays(relay::candidate(node));
-    let candidates: Vec<_> = relays.iter().map(peers::Relay::candidate).collect();
-    let mut heard = node.peers.names();
-    heard.push(node.settings.name.clone());
-    let heard: Vec<_> = heard.iter().map(String::as_str).collect();
-    let table = shares.table.borrow().clone();
-    let next = ledger.plan(&table, &accounts, &heard, &candidates, now);
-    *shares.ledger.borrow_mut() = Some(ledger);
-    match next {
-        Some(next) => change(node, &next).await,
-        None => Ok(()),
-    }
-}
-
-/// Writes the next table, unless the store has another one by now: then that is taken in.
-async fn change<E: Edge>(node: &Rc<Node<E>>, next: &Table) -> Result<(), Fault> {
-    let key = key::<E>();
-    let known = node.mark().shares;
-    let mut value = vec![FORMAT];
-    value.extend(postcard::to_stdvec(next).map_err(|_| Fault::Malformed)?);
-    let value = Bytes::from(value);
-    let swap = Swap {
-        expected: vec![(key.clone(), known)],
-        puts: vec![(key.clone(), value.clone(), 0)],
-        deletes: Vec::new(),
-    };
-    let swapped = timeout(CALL, node.store().swap(&swap)).await;
-    match swapped.map_err(|_| Fault::Unknown)?? {
-        Swapped::Done(revision) => {
-            let item = Item {
-                key,
-                value,
-                revision,
-            };
-            log::info!(revision, size = item.value.len(); "shares changed");
-            control::learn(node, Change::Put(item));
-        }
-        Swapped::Conflict | Swapped::NoLease => {
-            let newer = node.store().newer(&[(&key, known)], CALL).await?;
-            for item in newer {
-                control::learn(node, Change::Put(item));
-            }
-        }
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/proxy/src/shares/table.rs
@@ -0,0 +1,134 @@
+//! The table of who keeps which part of the quotas: looked after by the relay that reads the
+//! catalogue for all others, fetched by everybody else.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use admit::shares::{Ledger, Table};
+use bytes::Bytes;
+use clock::Boot;
+use tokio::time::{sleep, timeout};
+
+use super::{FORMAT, keeper, key};
+use crate::{
+    control,
+    edge::{Change, Edge, Fault, Item, Store, Swap, Swapped},
+    freshness,
+    node::Node,
+    peers,
+    relay::{self, Source},
+};
+
+/// How often the table is looked after.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How long an instance that starts waits until it writes the first table: its keepers are
+/// those that are heard by then.
+const SETTLED: Duration = Duration::from_secs(1);
+
+/// How long the store may take to answer.
+const CALL: Duration = Duration::from_millis(400);
+
+/// Looks after the table while this instance reads the catalogue for all others, and fetches
+/// it while it does not, until the process ends.
+pub(crate) async fn keep<E: Edge>(node: Rc<Node<E>>) {
+    let began = Boot.now();
+    loop {
+        let _ = timeout(LOOK, node.shares.behind.notified()).await;
+        if node.catalog().accounts.is_empty() {
+            continue;
+        }
+        keeper::tell_tallies(&node);
+        let kept = match freshness::source(&node) {
+            Source::Relay(address) if is_behind(&node) => fetch(&node, address).await,
+            Source::Relay(_) => Ok(()),
+            Source::Store if began + SETTLED > Boot.now() => Ok(()),
+            Source::Store => divide(&node).await,
+        };
+        if let Err(fault) = kept {
+            log::info!(error:% = fault; "shares not kept");
+            sleep(LOOK).await;
+        }
+    }
+}
+
+/// Whether the store has a newer table than this instance.
+fn is_behind<E: Edge>(node: &Node<E>) -> bool {
+    let ahead = node.freshness.ahead();
+    ahead.is_some_and(|mark| mark.shares > node.mark().shares)
+}
+
+async fn fetch<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> Result<(), Fault> {
+    if let Some(item) = peers::shares(address).await? {
+        control::learn(node, Change::Put(item));
+    }
+    Ok(())
+}
+
+/// Changes the table, if keepers are lost or missing.
+async fn divide<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
+    // Without a proof the table may be one that was changed since; a write would be in vain.
+    if !node.freshness.covers(Boot.now(), node.settings.agreed()) {
+        return Ok(());
+    }
+    let shares = &node.shares;
+    let now = Boot.now();
+    if shares.is_unsettled(now) {
+        return Ok(());
+    }
+    // A share is not given again before the window is over in which it was used last.
+    let window = node
+        .settings
+        .slack
+        .map_or(Duration::ZERO, |slack| slack.window);
+    let span = node.settings.agreed().max(window);
+    let open = || Ledger::open(span, now);
+    let mut ledger = shares.ledger.take().unwrap_or_else(open);
+    let catalog = node.catalog();
+    let mut accounts: Vec<_> = catalog.accounts.limited().collect();
+    accounts.sort_unstable();
+    let relays = node.peers.all_relays(relay::candidate(node));
+    let candidates: Vec<_> = relays.iter().map(peers::Relay::candidate).collect();
+    let mut heard = node.peers.names();
+    heard.push(node.settings.name.clone());
+    let heard: Vec<_> = heard.iter().map(String::as_str).collect();
+    let table = shares.table.borrow().clone();
+    let next = ledger.plan(&table, &accounts, &heard, &candidates, now);
+    *shares.ledger.borrow_mut() = Some(ledger);
+    match next {
+        Some(next) => change(node, &next).await,
+        None => Ok(()),
+    }
+}
+
+/// Writes the next table, unless the store has another one by now: then that is taken in.
+async fn change<E: Edge>(node: &Rc<Node<E>>, next: &Table) -> Result<(), Fault> {
+    let key = key::<E>();
+    let known = node.mark().shares;
+    let mut value = vec![FORMAT];
+    value.extend(postcard::to_stdvec(next).map_err(|_| Fault::Malformed)?);
+    let value = Bytes::from(value);
+    let swap = Swap {
+        expected: vec![(key.clone(), known)],
+        puts: vec![(key.clone(), value.clone(), 0)],
+        deletes: Vec::new(),
+    };
+    let swapped = timeout(CALL, node.store().swap(&swap)).await;
+    match swapped.map_err(|_| Fault::Unknown)?? {
+        Swapped::Done(revision) => {
+            let item = Item {
+                key,
+                value,
+                revision,
+            };
+            log::info!(revision, size = item.value.len(); "shares changed");
+            control::learn(node, Change::Put(item));
+        }
+        Swapped::Conflict | Swapped::NoLease => {
+            let newer = node.store().newer(&[(&key, known)], CALL).await?;
+            for item in newer {
+                control::learn(node, Change::Put(item));
+            }
+        }
+    }
+    Ok(())
+}
