--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -1,12 +1,11 @@
 //! Which instances count an account's operations, and how its quota is divided among them.
 //!
-//! The load pattern: 84 accounts of a few operations a second each, whose callers come to any
-//! instance, and again to another one whenever they were refused. A quota must never be
+//! The load pattern: many accounts of a few operations a second each, whose callers come to
+//! any instance, and again to another one whenever they were refused. A quota must never be
 //! exceeded by all instances together, also not by those that are cut off, and what one
-//! refuses while another has some to spare is lost. Where each instance that took a caller
-//! had a share of its own, shares were so small that most was refused, and what was refused
-//! came to yet another instance: 0.18 of what was owed was served on a day on which no account
-//! asked for more than it may.
+//! refuses while another has some to spare is lost. If each instance that takes a caller had
+//! a share of its own, shares would be so small that most is refused, and what is refused
+//! comes to yet another instance, which has no share yet.
 //!
 //! So an account has a few keepers in different availability zones, with a share of its quota
 //! each, and whoever takes a caller asks one of them for each operation, and the next one if
