Keep the holders of services up to date by each instance that comes or goes

Cause: each question for a service's holders hashed, weighed and sorted all instances, and looked at all of them for silent zones first; holding::watch asks for every service twice a second, so that an instance's cost was the fleet times the databases. Change: admit::board keeps the candidates ranked by zone for the services that are asked for; one that comes or goes is drawn once for each of them. peers::census looks through the table once in 25 ms at most and tells the boards what changed; the relays of a zone and the log of who is heard come from the same look. The table's file is split by its jobs (peer, zones, census). Ruled out: a cache of the whole answer, dropped at each change, costs the fleet for each change and service all the same.

--- a/crates/admit/src/holders.rs
+++ b/crates/admit/src/holders.rs
@@ -79,7 +79,7 @@
 pub fn choose<'a>(service: &str, candidates: &[Candidate<'a>], count: usize) -> Vec<&'a str> {
     let is_any_able = candidates.iter().any(|c| c.able);
     let fit = candidates.iter().filter(|c| c.able || !is_any_able);
-    let mut ranked: Vec<_> = fit.map(|c| (score(service, c), c)).collect();
+    let mut ranked: Vec<_> = fit.map(|c| (score(service, c.name, c.weight), c)).collect();
     ranked.sort_by(|(a, one), (b, other)| a.total_cmp(b).then_with(|| one.name.cmp(other.name)));
     let mut turns: HashMap<&str, usize> = HashMap::new();
     let mut placed: Vec<_> = ranked
@@ -125,13 +125,13 @@
 
 /// The lower, the sooner: drawn like the first arrival of a stream whose rate is the
 /// square of the weight.
-fn score(service: &str, candidate: &Candidate<'_>) -> f64 {
+pub(crate) fn score(service: &str, name: &str, weight: u32) -> f64 {
     let mut hash = Xxh3::new();
     hash.write(service.as_bytes());
     hash.write_u8(0);
-    hash.write(candidate.name.as_bytes());
+    hash.write(name.as_bytes());
     // 53 bits make a fraction of exactly representable steps; never zero.
     let drawn = ((hash.finish() >> 11) + 1) as f64 / (1_u64 << 53) as f64;
-    let weight = f64::from(candidate.weight.max(1));
+    let weight = f64::from(weight.max(1));
     -drawn.ln() / (weight * weight)
 }
--- a/crates/admit/src/relays.rs
+++ b/crates/admit/src/relays.rs
@@ -26,7 +26,7 @@
 const LONGEST: Duration = Duration::from_secs(5);
 
 /// What names the duty of a relay, beside the names of services.
-const DUTY: &str = "relay";
+pub const DUTY: &str = "relay";
 
 /// The relays among `candidates`, which are all of one zone, the first one first: those
 /// who don't hear the store only if nobody does.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -5,8 +5,11 @@
 //! read the store for it, and one that is no relay follows one that is.
 
 pub mod beat;
+mod census;
 pub(crate) mod frame;
+mod peer;
 mod table;
+mod zones;
 
 use std::{collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -25,15 +28,16 @@
     edge::{Change, Edge, Fault, Item, Items, Store},
     kept::Kept,
     node::Node,
-    probe, proofs, relay,
-    roll::{self, Roll},
-    session, shares,
+    probe, proofs, relay, roll, session, shares,
 };
 
 use beat::{Beat, Belief, Datagram, FORMAT, Greeting, Hearing, More};
+pub(crate) use census::Roll;
+use census::Seen;
 use frame::{Ask, QUIET, Told, call, connect, receive, send};
-use table::{Due, Peer, Standing, Urgent};
-pub use table::{LOST, Peers, Relay};
+pub use peer::Relay;
+use peer::{Due, Peer, Standing, Urgent};
+pub use table::{LOST, Peers};
 
 /// The shortest pause between two beats.
 const CALM: Duration = Duration::from_millis(20);
@@ -77,10 +81,9 @@
         }
     });
     *node.proofs.socket.borrow_mut() = Some(Rc::clone(&socket));
-    let mut roll = Roll::default();
     let mut served = Instant::ZERO;
     loop {
-        roll.call(node.peers.names());
+        roll::call(node.peers.roll());
         roll::lost(&node.lost);
         let now = Boot.now();
         if !node.is_idle() {
@@ -199,12 +202,12 @@
             member.pool.spare(now);
         }
     }
-    let mut table = node.peers.table.borrow_mut();
     if beat.leaving {
-        table.remove(&beat.name);
+        node.peers.remove(&beat.name);
         node.peers.leaves(beat.address, now);
         return Vec::new();
     }
+    let mut table = node.peers.table.borrow_mut();
     let new = || Peer::new(beat.address);
     let peer = table.entry(beat.name.clone()).or_insert_with(new);
     let awake = node.peers.awake();
@@ -214,6 +217,19 @@
         true => asked,
         false => asked.max(Greeting::Answer),
     };
+    let hearing = more.as_ref().map_or(peer.hearing, |more| more.hearing);
+    let is_same = known
+        && peer.zone == beat.zone
+        && peer.weight == beat.weight
+        && peer.service == beat.service
+        && peer.hearing == hearing;
+    if !is_same {
+        node.peers.census.touch();
+    }
+    if peer.zone != beat.zone {
+        node.peers.census.remove(&beat.name, peer);
+        peer.seen = Seen::default();
+    }
     peer.zone = beat.zone;
     peer.weight = beat.weight;
     peer.service = beat.service;
--- /dev/null
+++ b/crates/proxy/src/peers/census.rs
@@ -0,0 +1,269 @@
+//! Who there is, who holds what, and who asks the store: looked at anew only as far as
+//! instances came, went or changed.
+
+use std::{
+    cell::{Cell, RefCell},
+    mem,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use admit::{
+    board::Board,
+    holders::{self, Candidate},
+    relays,
+};
+use clock::{Boot, Instant};
+use rand::seq::SliceRandom;
+
+use super::{
+    beat::{FORMAT, Hearing},
+    peer::{Peer, Relay},
+    table::{HEARD, LOST, Peers},
+};
+use crate::node::Service;
+
+/// How long an instance that is not heard stays known if the store does not list it: three
+/// of the longest pauses between two beats.
+pub(super) const FORGET: Duration = Duration::from_secs(16);
+
+/// The pause between two looks at who is heard, unless something is known to have changed.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// What the last look took a peer for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Seen {
+    /// Its weight and whether it can serve, if it may hold connections.
+    holder: Option<(u32, bool)>,
+    /// Its weight and whether it hears the store, if it may be this zone's relay.
+    relay: Option<(u32, bool)>,
+    heard: bool,
+}
+
+/// Which peers are heard now that were not before, and the other way round.
+#[derive(Debug, Default)]
+pub(crate) struct Roll {
+    pub(crate) came: Vec<String>,
+    pub(crate) went: Vec<String>,
+}
+
+/// What is known of the fleet as a whole.
+#[derive(Debug, Default)]
+pub(super) struct Census {
+    looked: Cell<Instant>,
+    is_stale: Cell<bool>,
+    count: Cell<usize>,
+    holders: RefCell<Board>,
+    relays: RefCell<Board>,
+    roll: RefCell<Roll>,
+    looks: Cell<u64>,
+}
+
+impl Census {
+    /// Has the next look taken at once.
+    pub(super) fn touch(&self) {
+        self.is_stale.set(true);
+    }
+
+    /// Whether it is time for a look.
+    fn is_due(&self, now: Instant) -> bool {
+        self.is_stale.replace(false) || self.looked.get() + LOOK <= now
+    }
+
+    /// Takes in that a peer is not known any more.
+    pub(super) fn remove(&self, name: &str, peer: &Peer) {
+        self.holders.borrow_mut().remove(name);
+        self.relays.borrow_mut().remove(name);
+        if peer.seen.heard {
+            self.roll.borrow_mut().went.push(name.to_owned());
+        }
+        self.touch();
+    }
+
+    /// Takes in what a look shows of a peer.
+    fn note(&self, name: &str, peer: &mut Peer, seen: Seen) {
+        let old = mem::replace(&mut peer.seen, seen);
+        if old == seen {
+            return;
+        }
+        if old.holder != seen.holder {
+            place(&self.holders, name, &peer.zone, seen.holder);
+        }
+        if old.relay != seen.relay {
+            place(&self.relays, name, &peer.zone, seen.relay);
+        }
+        if old.heard != seen.heard {
+            let mut roll = self.roll.borrow_mut();
+            match seen.heard {
+                true => roll.came.push(name.to_owned()),
+                false => roll.went.push(name.to_owned()),
+            }
+        }
+    }
+}
+
+fn place(board: &RefCell<Board>, name: &str, zone: &str, standing: Option<(u32, bool)>) {
+    let mut board = board.borrow_mut();
+    match standing {
+        Some((weight, able)) => board.put(&Candidate {
+            name,
+            zone,
+            weight,
+            able,
+        }),
+        None => board.remove(name),
+    }
+}
+
+impl Peers {
+    /// Looks who is heard, if it is time to.
+    fn look(&self) {
+        if !self.census.is_due(Boot.now()) {
+            return;
+        }
+        self.census.looked.set(Boot.now());
+        self.census.looks.set(self.census.looks.get() + 1);
+        let now = self.awake();
+        let mut table = self.table.borrow_mut();
+        table.retain(|name, peer| {
+            let stays = peer.listed || peer.heard.is_some_and(|at| at + FORGET > now);
+            if !stays {
+                self.census.remove(name, peer);
+            }
+            stays
+        });
+        let unreached = self.unreached_zones(&table);
+        let unreached: Vec<String> = unreached.into_iter().map(str::to_owned).collect();
+        for (name, peer) in table.iter_mut() {
+            let lives = peer.was_heard(now, LOST);
+            let reached = peer.is_prompt() || !unreached.contains(&peer.zone);
+            let holds = lives && reached;
+            let relays = lives && peer.format >= FORMAT && peer.zone == self.zone;
+            let seen = Seen {
+                holder: holds.then_some((peer.weight, peer.service != Service::Unable)),
+                relay: relays.then_some((peer.weight, peer.hearing != Hearing::Deaf)),
+                heard: peer.was_heard(now, HEARD),
+            };
+            self.census.note(name, peer, seen);
+        }
+        self.census.is_stale.set(false);
+        self.census.count.set(table.len() + 1);
+    }
+
+    /// How many instances there are as far as is known, this one included.
+    pub fn count(&self) -> usize {
+        self.look();
+        self.census.count.get()
+    }
+
+    /// How often the whole table was looked through, and how often an instance's place
+    /// among a service's holders was drawn.
+    pub fn work(&self) -> (u64, u64) {
+        let draws = self.census.holders.borrow().draws() + self.census.relays.borrow().draws();
+        (self.census.looks.get(), draws)
+    }
+
+    /// Who is heard now and was not the last time this was asked, and the other way round.
+    pub(crate) fn roll(&self) -> Roll {
+        self.look();
+        self.census.roll.take()
+    }
+
+    /// Which instances of the own zone ask the store, the first one first: their
+    /// addresses, `None` for the instance itself.
+    pub fn relays(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
+        self.look();
+        let mut board = self.census.relays.borrow_mut();
+        board.put(&own);
+        let table = self.table.borrow();
+        let chosen = board.holders(relays::DUTY, relays::EACH).iter();
+        chosen
+            .map(|name| table.get(&**name).map(|peer| peer.address))
+            .collect()
+    }
+
+    /// All instances that ask the store for their zones, as far as they are heard, `own`
+    /// among them.
+    pub(crate) fn all_relays(&self, own: Candidate<'_>) -> Vec<Relay> {
+        let now = self.awake();
+        let table = self.table.borrow();
+        let relays = |p: &Peer| p.relays && p.is_prompt() && p.was_heard(now, LOST);
+        let relays = table.iter().filter(|(_, p)| relays(p));
+        let relays = relays.map(|(name, peer)| Relay {
+            name: name.clone(),
+            zone: peer.zone.clone(),
+            weight: peer.weight,
+            able: peer.hearing != Hearing::Deaf,
+        });
+        let own = Relay {
+            name: own.name.to_owned(),
+            zone: own.zone.to_owned(),
+            weight: own.weight,
+            able: own.able,
+        };
+        relays.chain([own]).collect()
+    }
+
+    /// Which relays read the catalogue for all others: their addresses, `None` for `own`.
+    pub(crate) fn readers(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
+        let relays = self.all_relays(own);
+        let candidates: Vec<_> = relays.iter().map(Relay::candidate).collect();
+        let readers = relays::readers(&candidates).into_iter();
+        readers.map(|name| self.address(name)).collect()
+    }
+
+    /// Which `count` instances hold the connections to `service`: where to reach them,
+    /// those of the own availability zone first, else in a random order. Nobody, if `own`
+    /// is one of them; whether it is able is told from the others.
+    pub fn holders(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<SocketAddr> {
+        let chosen = self.holder_names(service, count, own);
+        if chosen.iter().any(|name| name == own.name) {
+            return Vec::new();
+        }
+        let table = self.table.borrow();
+        let mut peers: Vec<_> = chosen.iter().filter_map(|name| table.get(name)).collect();
+        peers.shuffle(&mut rand::rng());
+        // A hop inside the zone is shorter, and a cut of another zone breaks no session.
+        peers.sort_by_key(|peer| peer.zone != own.zone);
+        peers.into_iter().map(|peer| peer.address).collect()
+    }
+
+    /// Where to reach those of `holders`, which hold the connections to `service`, that serve
+    /// sessions of `account`, its home first; those behind `own` are left out.
+    pub(crate) fn homes(
+        &self,
+        service: &str,
+        account: &str,
+        holders: &[String],
+        own: &str,
+    ) -> Vec<SocketAddr> {
+        let holders: Vec<_> = holders.iter().map(String::as_str).collect();
+        let order = holders::homes(service, account, &holders).into_iter();
+        let table = self.table.borrow();
+        order
+            .take_while(|name| *name != own)
+            .filter_map(|name| Some(table.get(name)?.address))
+            .collect()
+    }
+
+    /// Which `count` instances hold the connections to `service`, the first one first.
+    pub fn holder_names(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<String> {
+        self.look();
+        let mut board = self.census.holders.borrow_mut();
+        // Where others can serve, this instance goes on trying; only where nobody can, it
+        // does not serve for itself what others hold.
+        let able = board.is_any_able_but(own.name);
+        board.put(&Candidate { able, ..own });
+        let chosen = board.holders(service, count).iter();
+        chosen.map(|name| name.to_string()).collect()
+    }
+
+    /// Names of the instances that were heard lately.
+    pub fn names(&self) -> Vec<String> {
+        let now = self.awake();
+        let table = self.table.borrow();
+        let heard = |p: &Peer| p.was_heard(now, HEARD);
+        let names = table.iter().filter(|(_, p)| heard(p));
+        names.map(|(name, _)| name.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/peers/peer.rs
@@ -0,0 +1,176 @@
+//! Another instance, and what this one is to it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use admit::{
+    holders::Candidate,
+    relays::{Need, PROMPT},
+};
+use clock::Instant;
+
+use super::{
+    beat::{Belief, Greeting, Hearing},
+    census::Seen,
+};
+use crate::node::Service;
+
+/// How late a beat may be.
+pub(super) const LATE: Duration = Duration::from_millis(100);
+
+/// Another instance.
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) address: SocketAddr,
+    pub(super) heard: Option<Instant>,
+    /// When its next beat is due behind the last one.
+    pub(super) next: Duration,
+    pub(super) listed: bool,
+    pub(super) beliefs: Vec<Belief>,
+    /// The version of its catalogue.
+    pub(super) version: u64,
+    pub(super) zone: String,
+    pub(super) weight: u32,
+    pub(super) service: Service,
+    /// The newest format that it reads.
+    pub(super) format: u8,
+    pub(super) hearing: Hearing,
+    /// Whether it asks the store for its zone.
+    pub(super) relays: bool,
+    /// The other zones of which it hears nobody.
+    pub(super) silent: Vec<String>,
+    /// What the last look took it for.
+    pub(super) seen: Seen,
+    /// When it was told last that this instance lives.
+    pub(super) told: Instant,
+    /// When it waits for the next beat behind that.
+    pub(super) promised: Duration,
+    /// Whether it was told once of a longer pause; that datagram may be lost.
+    eased: bool,
+}
+
+impl Peer {
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            heard: None,
+            next: PROMPT,
+            listed: false,
+            beliefs: Vec::new(),
+            version: 0,
+            zone: String::new(),
+            weight: 0,
+            service: Service::Idle,
+            format: 0,
+            hearing: Hearing::Unknown,
+            relays: false,
+            silent: Vec::new(),
+            seen: Seen::default(),
+            told: Instant::ZERO,
+            promised: PROMPT,
+            eased: false,
+        }
+    }
+
+    /// Notes that it is told at `now` that the next beat comes behind `pause`.
+    pub(super) fn tells(&mut self, now: Instant, pause: Duration) {
+        self.told = now;
+        self.eased = pause > self.promised && !self.eased;
+        if !self.eased {
+            self.promised = pause;
+        }
+    }
+
+    /// Whether fewer than `beats` of it are missing.
+    pub(super) fn was_heard(&self, now: Instant, beats: u32) -> bool {
+        let span = self.next * beats + LATE;
+        self.heard.is_some_and(|at| at + span > now)
+    }
+
+    /// Whether it is heard so often that its silence tells something at once.
+    pub(super) fn is_prompt(&self) -> bool {
+        self.next <= PROMPT
+    }
+
+    /// Whether it is asked for primaries, so that it can judge them.
+    pub(super) fn serves(&self) -> bool {
+        self.is_prompt() && self.service != Service::Idle
+    }
+}
+
+/// An instance that asks the store for its zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    pub(super) name: String,
+    pub(super) zone: String,
+    pub(super) weight: u32,
+    pub(super) able: bool,
+}
+
+impl Relay {
+    /// It as one of several that may have a duty.
+    pub fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            name: &self.name,
+            zone: &self.zone,
+            weight: self.weight,
+            able: self.able,
+        }
+    }
+}
+
+/// A beat that is to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Due {
+    pub(super) address: SocketAddr,
+    /// When the one behind it is due.
+    pub(super) next: Duration,
+    /// Whether it asks for an answer.
+    pub(super) greeting: Greeting,
+    /// Whom it introduces.
+    pub(super) near: Vec<SocketAddr>,
+}
+
+impl Due {
+    /// A beat to somebody who is not known yet.
+    pub(super) fn greeting(address: SocketAddr, greeting: Greeting) -> Self {
+        Self {
+            address,
+            next: PROMPT,
+            greeting,
+            near: Vec::new(),
+        }
+    }
+}
+
+/// Whom a beat that is sent at once concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Urgent {
+    /// Nobody: it is sent because its time has come.
+    Nobody,
+    /// Those who wait for this instance's beats.
+    Prompt,
+    /// Everybody: the instance comes or goes.
+    All,
+}
+
+/// What this instance is to others.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Standing {
+    /// Whether it serves sessions, or did a moment ago.
+    pub(super) serves: bool,
+    /// Whether it asks the store for its zone.
+    pub(super) relays: bool,
+}
+
+impl Standing {
+    /// Whether `peer`, which handed sessions over or did not, waits for this instance's
+    /// beats.
+    pub(super) fn need(self, zone: &str, peer: &Peer, is_guest: bool) -> Need {
+        let is_near = peer.zone.is_empty() || peer.zone == zone;
+        let judges = self.serves && (is_near || is_guest || peer.serves());
+        match judges || self.relays && (is_near || peer.relays) {
+            true => Need::Prompt,
+            false => Need::Rare,
+        }
+    }
+}
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -2,26 +2,26 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
 
-use admit::{
-    holders::{self, Candidate},
-    relays::{self, Need, PROMPT},
-};
+use admit::relays::{self, Need, PROMPT};
 use clock::{Boot, Instant};
 use lead::{Tally, Verdict};
 use model::Term;
-use rand::seq::SliceRandom;
 use tokio::sync::Notify;
 
-use super::beat::{Belief, FORMAT, Greeting, Hearing};
+use super::{
+    beat::{Belief, FORMAT, Greeting, Hearing},
+    census::{Census, FORGET},
+    peer::{Due, LATE, Peer, Standing, Urgent},
+};
 use crate::{news::News, node::Service, settings::Settings};
 
 /// How many beats of an instance may be missing until what it said counts no more.
-const HEARD: u32 = 3;
+pub(super) const HEARD: u32 = 3;
 
 /// How many beats of an instance may be missing until it is taken for lost by those who
 /// hand their sessions to it: datagrams are lost now and then.
@@ -35,179 +35,10 @@
 /// store for the whole list only if it is to ask the store at all.
 const INTRODUCED: usize = 8;
 
-/// How many others of the own zone must hear nobody of another one: who alone hears nobody
-/// is cut off itself.
-const WITNESSES: usize = 2;
-
-/// How late a beat may be.
-const LATE: Duration = Duration::from_millis(100);
-
-/// How long nobody of another zone may be heard until this zone counts as cut off.
-const ALONE: Duration = Duration::from_millis(500);
-
 /// From which gap on between two looks at the time, which are a tenth of a second apart, a
 /// process stood still.
 const STILL: Duration = Duration::from_millis(300);
 
-/// How long an instance that is not heard stays known if the store does not list it: three
-/// of the longest pauses between two beats.
-const FORGET: Duration = Duration::from_secs(16);
-
-/// Another instance.
-#[derive(Debug)]
-pub(super) struct Peer {
-    pub(super) address: SocketAddr,
-    pub(super) heard: Option<Instant>,
-    /// When its next beat is due behind the last one.
-    pub(super) next: Duration,
-    pub(super) listed: bool,
-    pub(super) beliefs: Vec<Belief>,
-    /// The version of its catalogue.
-    pub(super) version: u64,
-    pub(super) zone: String,
-    pub(super) weight: u32,
-    pub(super) service: Service,
-    /// The newest format that it reads.
-    pub(super) format: u8,
-    pub(super) hearing: Hearing,
-    /// Whether it asks the store for its zone.
-    pub(super) relays: bool,
-    /// The other zones of which it hears nobody.
-    pub(super) silent: Vec<String>,
-    /// When it was told last that this instance lives.
-    told: Instant,
-    /// When it waits for the next beat behind that.
-    promised: Duration,
-    /// Whether it was told once of a longer pause; that datagram may be lost.
-    eased: bool,
-}
-
-impl Peer {
-    pub(super) fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            heard: None,
-            next: PROMPT,
-            listed: false,
-            beliefs: Vec::new(),
-            version: 0,
-            zone: String::new(),
-            weight: 0,
-            service: Service::Idle,
-            format: 0,
-            hearing: Hearing::Unknown,
-            relays: false,
-            silent: Vec::new(),
-            told: Instant::ZERO,
-            promised: PROMPT,
-            eased: false,
-        }
-    }
-
-    /// Notes that it is told at `now` that the next beat comes behind `pause`.
-    fn tells(&mut self, now: Instant, pause: Duration) {
-        self.told = now;
-        self.eased = pause > self.promised && !self.eased;
-        if !self.eased {
-            self.promised = pause;
-        }
-    }
-
-    /// Whether fewer than `beats` of it are missing.
-    pub(super) fn was_heard(&self, now: Instant, beats: u32) -> bool {
-        let span = self.next * beats + LATE;
-        self.heard.is_some_and(|at| at + span > now)
-    }
-
-    /// Whether it is heard so often that its silence tells something at once.
-    fn is_prompt(&self) -> bool {
-        self.next <= PROMPT
-    }
-
-    /// Whether it is asked for primaries, so that it can judge them.
-    fn serves(&self) -> bool {
-        self.is_prompt() && self.service != Service::Idle
-    }
-}
-
-/// An instance that asks the store for its zone.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Relay {
-    name: String,
-    zone: String,
-    weight: u32,
-    able: bool,
-}
-
-impl Relay {
-    /// It as one of several that may have a duty.
-    pub fn candidate(&self) -> Candidate<'_> {
-        Candidate {
-            name: &self.name,
-            zone: &self.zone,
-            weight: self.weight,
-            able: self.able,
-        }
-    }
-}
-
-/// A beat that is to be sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Due {
-    pub(super) address: SocketAddr,
-    /// When the one behind it is due.
-    pub(super) next: Duration,
-    /// Whether it asks for an answer.
-    pub(super) greeting: Greeting,
-    /// Whom it introduces.
-    pub(super) near: Vec<SocketAddr>,
-}
-
-impl Due {
-    /// A beat to somebody who is not known yet.
-    pub(super) fn greeting(address: SocketAddr, greeting: Greeting) -> Self {
-        Self {
-            address,
-            next: PROMPT,
-            greeting,
-            near: Vec::new(),
-        }
-    }
-}
-
-/// Whom a beat that is sent at once concerns.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Urgent {
-    /// Nobody: it is sent because its time has come.
-    Nobody,
-    /// Those who wait for this instance's beats.
-    Prompt,
-    /// Everybody: the instance comes or goes.
-    All,
-}
-
-/// What this instance is to others.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Standing {
-    /// Whether it serves sessions, or did a moment ago.
-    pub(super) serves: bool,
-    /// Whether it asks the store for its zone.
-    pub(super) relays: bool,
-}
-
-impl Standing {
-    /// Whether `peer`, which handed sessions over or did not, waits for this instance's
-    /// beats.
-    fn need(self, zone: &str, peer: &Peer, is_guest: bool) -> Need {
-        let is_near = peer.zone.is_empty() || peer.zone == zone;
-        let judges = self.serves && (is_near || is_guest || peer.serves());
-        match judges || self.relays && (is_near || peer.relays) {
-            true => Need::Prompt,
-            false => Need::Rare,
-        }
-    }
-}
-
 /// A session that was handed over; it counts until it is dropped.
 #[derive(Debug)]
 pub(super) struct Guest<'a> {
@@ -234,16 +65,17 @@
     name: String,
     own: SocketAddr,
     began: Instant,
-    zone: String,
+    pub(super) zone: String,
     /// When time was looked at last, and for how long this process stood still in all.
     looked: Cell<(Instant, Duration)>,
     /// What this instance is to others, as it was looked at last.
     pub(super) standing: Cell<Standing>,
     seeds: Vec<SocketAddr>,
     pub(super) table: RefCell<HashMap<String, Peer>>,
+    pub(super) census: Census,
     /// Instances that stop, and when they were heard last: no session is handed to them,
     /// but they finish those that they have.
-    leaving: RefCell<HashMap<SocketAddr, Instant>>,
+    pub(super) leaving: RefCell<HashMap<SocketAddr, Instant>>,
     /// Whom this instance greeted, and when.
     greeted: RefCell<HashMap<SocketAddr, Instant>>,
     /// From where sessions are handed to this instance, and how many.
@@ -272,6 +104,7 @@
             standing: Cell::default(),
             seeds: settings.seeds.clone(),
             table: RefCell::default(),
+            census: Census::default(),
             leaving: RefCell::default(),
             greeted: RefCell::default(),
             guests: RefCell::default(),
@@ -338,6 +171,7 @@
         let peer = table.entry(name.to_owned()).or_insert_with(new);
         peer.address = address;
         peer.listed = true;
+        self.census.touch();
     }
 
     /// Takes in that the store does not list an instance any more.
@@ -347,14 +181,6 @@
         }
     }
 
-    /// How many instances there are as far as is known, this one included.
-    pub fn count(&self) -> usize {
-        let now = self.awake();
-        let mut table = self.table.borrow_mut();
-        table.retain(|_, p| p.listed || p.heard.is_some_and(|at| at + FORGET > now));
-        table.len() + 1
-    }
-
     /// Other instances that were heard lately.
     pub(super) fn heard(&self) -> Vec<SocketAddr> {
         let now = self.awake();
@@ -482,58 +308,6 @@
         Guest { peers: self, guest }
     }
 
-    /// Which instances of the own zone ask the store, the first one first: their
-    /// addresses, `None` for the instance itself.
-    pub fn relays(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
-        let now = self.awake();
-        let table = self.table.borrow();
-        let near = |p: &&Peer| p.zone == own.zone && p.format >= FORMAT && p.was_heard(now, LOST);
-        let near = table.iter().filter(|(_, p)| near(p));
-        let mut candidates: Vec<_> = near
-            .map(|(name, peer)| Candidate {
-                name,
-                zone: own.zone,
-                weight: peer.weight,
-                able: peer.hearing != Hearing::Deaf,
-            })
-            .collect();
-        candidates.push(own);
-        let chosen = relays::choose(&candidates).into_iter();
-        chosen
-            .map(|name| table.get(name).map(|peer| peer.address))
-            .collect()
-    }
-
-    /// All instances that ask the store for their zones, as far as they are heard, `own`
-    /// among them.
-    pub(crate) fn all_relays(&self, own: Candidate<'_>) -> Vec<Relay> {
-        let now = self.awake();
-        let table = self.table.borrow();
-        let relays = |p: &Peer| p.relays && p.is_prompt() && p.was_heard(now, LOST);
-        let relays = table.iter().filter(|(_, p)| relays(p));
-        let relays = relays.map(|(name, peer)| Relay {
-            name: name.clone(),
-            zone: peer.zone.clone(),
-            weight: peer.weight,
-            able: peer.hearing != Hearing::Deaf,
-        });
-        let own = Relay {
-            name: own.name.to_owned(),
-            zone: own.zone.to_owned(),
-            weight: own.weight,
-            able: own.able,
-        };
-        relays.chain([own]).collect()
-    }
-
-    /// Which relays read the catalogue for all others: their addresses, `None` for `own`.
-    pub(crate) fn readers(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
-        let relays = self.all_relays(own);
-        let candidates: Vec<_> = relays.iter().map(Relay::candidate).collect();
-        let readers = relays::readers(&candidates).into_iter();
-        readers.map(|name| self.address(name)).collect()
-    }
-
     /// Where the instance with this name is reached.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         Some(self.table.borrow().get(name)?.address)
@@ -577,6 +351,14 @@
                 peer.heard = None;
             }
         }
+        self.census.touch();
+    }
+
+    /// Takes in that the instance `name` is gone.
+    pub(super) fn remove(&self, name: &str) {
+        if let Some(peer) = self.table.borrow_mut().remove(name) {
+            self.census.remove(name, &peer);
+        }
     }
 
     /// How many instances judge primaries, this one included, as far as is known.
@@ -636,68 +418,8 @@
         table.values().filter(same).any(|p| p.was_heard(now, beats))
     }
 
-    /// The other zones of which this instance hears nobody any more, of those whose
-    /// instances it would hear promptly.
-    pub(super) fn silent(&self) -> Vec<String> {
-        let table = self.table.borrow();
-        let heard = self.zones(&table);
-        let silent = heard.into_iter().filter(|(_, heard)| !heard);
-        silent.map(|(zone, _)| zone.to_owned()).collect()
-    }
-
-    /// The other zones whose instances this one would hear promptly, and whether it hears
-    /// any of them.
-    fn zones<'a>(&self, table: &'a HashMap<String, Peer>) -> HashMap<&'a str, bool> {
-        let now = self.awake();
-        let mut zones = HashMap::new();
-        for peer in table.values() {
-            if peer.zone.is_empty() || peer.zone == self.zone || !peer.is_prompt() {
-                continue;
-            }
-            let heard = peer.heard.is_some_and(|at| at + ALONE > now);
-            *zones.entry(&*peer.zone).or_default() |= heard;
-        }
-        zones
-    }
-
-    /// The other zones that can't be reached: by own hearing or, where nobody there tells
-    /// this instance promptly, by that of others in its own zone.
-    ///
-    /// Whoever waits instead for the rare beats of those behind a cut goes on handing
-    /// sessions to them for ten seconds: of a zone's requests seven tenths were lost for
-    /// as long as it was cut off.
-    fn unreached_zones<'a>(&self, table: &'a HashMap<String, Peer>) -> HashSet<&'a str> {
-        let now = self.awake();
-        let own = self.zones(table);
-        let near = table.values().filter(|p| p.zone == self.zone);
-        let near = near.filter(|p| p.is_prompt() && p.was_heard(now, LOST));
-        let (mut tellers, mut told) = (0, HashMap::new());
-        for peer in near {
-            tellers += 1;
-            for zone in &peer.silent {
-                *told.entry(zone.as_str()).or_insert(0) += 1;
-            }
-        }
-        let enough = WITNESSES.min(tellers);
-        let told = told.into_iter().filter(|(_, count)| *count >= enough);
-        let told = told
-            .map(|(zone, _)| zone)
-            .filter(|zone| !own.contains_key(zone));
-        let silent = own.iter().filter(|(_, heard)| !**heard);
-        silent.map(|(zone, _)| *zone).chain(told).collect()
-    }
-
-    /// Whether other zones are known, and none of them can be reached any more.
-    fn is_alone(&self) -> bool {
-        let table = self.table.borrow();
-        let unreached = self.unreached_zones(&table);
-        let mut far = table.values().filter(|p| p.zone != self.zone);
-        let mut far = far.by_ref().filter(|p| !p.zone.is_empty()).peekable();
-        far.peek().is_some() && far.all(|p| unreached.contains(&*p.zone))
-    }
-
     /// Whether somebody is heard who serves.
-    fn is_served(&self) -> bool {
+    pub(super) fn is_served(&self) -> bool {
         self.is_said(Service::Able)
     }
 
@@ -714,70 +436,4 @@
     pub fn is_lost(&self) -> bool {
         self.is_alone() && !self.is_served()
     }
-
-    /// Which `count` instances hold the connections to `service`: where to reach them,
-    /// those of the own availability zone first, else in a random order. Nobody, if `own`
-    /// is one of them; whether it is able is told from the others.
-    pub fn holders(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<SocketAddr> {
-        let chosen = self.holder_names(service, count, own);
-        if chosen.iter().any(|name| name == own.name) {
-            return Vec::new();
-        }
-        let table = self.table.borrow();
-        let mut peers: Vec<_> = chosen.iter().filter_map(|name| table.get(name)).collect();
-        peers.shuffle(&mut rand::rng());
-        // A hop inside the zone is shorter, and a cut of another zone breaks no session.
-        peers.sort_by_key(|peer| peer.zone != own.zone);
-        peers.into_iter().map(|peer| peer.address).collect()
-    }
-
-    /// Where to reach those of `holders`, which hold the connections to `service`, that serve
-    /// sessions of `account`, its home first; those behind `own` are left out.
-    pub(crate) fn homes(
-        &self,
-        service: &str,
-        account: &str,
-        holders: &[String],
-        own: &str,
-    ) -> Vec<SocketAddr> {
-        let holders: Vec<_> = holders.iter().map(String::as_str).collect();
-        let order = holders::homes(service, account, &holders).into_iter();
-        let table = self.table.borrow();
-        order
-            .take_while(|name| *name != own)
-            .filter_map(|name| Some(table.get(name)?.address))
-            .collect()
-    }
-
-    /// Which `count` instances hold the connections to `service`, the first one first.
-    pub fn holder_names(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<String> {
-        let now = self.awake();
-        let table = self.table.borrow();
-        let unreached = self.unreached_zones(&table);
-        let alive = table.iter().filter(|(_, p)| p.was_heard(now, LOST));
-        let alive = alive.filter(|(_, p)| p.is_prompt() || !unreached.contains(&*p.zone));
-        let mut candidates: Vec<_> = alive
-            .map(|(name, peer)| Candidate {
-                name,
-                zone: &peer.zone,
-                weight: peer.weight,
-                able: peer.service != Service::Unable,
-            })
-            .collect();
-        // Where others can serve, this instance goes on trying; only where nobody can, it
-        // does not serve for itself what others hold.
-        let able = candidates.iter().any(|c| c.able);
-        candidates.push(Candidate { able, ..own });
-        let chosen = holders::choose(service, &candidates, count);
-        chosen.into_iter().map(str::to_owned).collect()
-    }
-
-    /// Names of the instances that were heard lately.
-    pub fn names(&self) -> Vec<String> {
-        let now = self.awake();
-        let table = self.table.borrow();
-        let heard = |p: &Peer| p.was_heard(now, HEARD);
-        let names = table.iter().filter(|(_, p)| heard(p));
-        names.map(|(name, _)| name.clone()).collect()
-    }
 }
