Look after the groups that something happens to, and take records as read once the mirror has the era

Cause: every look of tidy, oversee, holding, beats and proofs went over all groups of the catalogue and cloned their records; each change of one primary made each instance read all records again; each follower's answer and each whole feed looked through the whole mirror, the latter for each key. A group that rested adopts the last proof of the era when it is asked for. era::adopt: the era's key comes with the records, so a mirror that has it has all records as read in that era; a record that was written behind the era's key was read in it. The first record of a group is written by one relay after the other. The mirror is ordered by what was learnt. Figures are shown for the groups in use. Ruled out: a list kept by each caller of the loops (five lists that can differ).

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -12,8 +12,7 @@
 
 use crate::{
     edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped, era_of},
-    era::{self, MEMORY},
-    freshness,
+    era, freshness,
     group::Group,
     mirror::{SECTIONS, Section},
     node::Node,
@@ -469,9 +468,8 @@
         }
         unable = since;
         let catalog = node.catalog();
-        for group in node.groups() {
+        for group in node.active() {
             group.expire(now);
-            group.is_whole(now, MEMORY);
             let entry = catalog.services.get(&group.service);
             let connections = entry.map_or(1, |entry| entry.connections);
             let holders = node.holder_count(&group.service);
@@ -490,5 +488,6 @@
                 member.pool.trim(now, share, IDLE);
             }
         }
+        node.sweep(now);
     }
 }
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -12,10 +12,16 @@
 //! When the store says nothing, another instance that still hears it reads for
 //! this one. When nobody does, the members of the group are asked.
 
+mod adopt;
 mod claim;
 mod lease;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use clock::{Boot, Instant};
@@ -27,15 +33,16 @@
 };
 
 use crate::{
-    control::{lead_key, record},
-    edge::{Edge, Fault, Items, Store, Swap, Swapped},
+    control::{self, lead_key, record},
+    edge::{Change, Edge, Fault, Items, Store, Swap, Swapped},
     freshness,
-    group::Group,
+    group::{Group, MEMORY},
     node::Node,
     peers::{self, beat::Hearing},
     probe, proofs,
     relay::{self, Source},
 };
+pub(crate) use adopt::adopt;
 use claim::found;
 pub(crate) use claim::reclaim;
 pub use lease::{Lease, era_of};
@@ -62,9 +69,6 @@
 /// The shortest pause between two rounds.
 const GAP: Duration = Duration::from_millis(20);
 
-/// How long the list of upstreams is remembered as having been longer.
-pub const MEMORY: Duration = Duration::from_secs(15);
-
 /// How long after the store was last heard a majority of a group may prove its
 /// primary; then only all of it may.
 ///
@@ -97,8 +101,8 @@
     node.acquainted().await;
     loop {
         let now = Boot.now();
-        let groups = node.groups();
-        if !groups.is_empty() {
+        if !node.groups().is_empty() {
+            let groups = node.active();
             let wanted = groups.iter().any(|g| g.is_wanted(now));
             answer_asked(&node);
             let asked = node.proofs.is_asked();
@@ -177,10 +181,16 @@
     let sent = asked - age;
     node.heard_from_store(sent);
     node.store_heard();
-    if era == node.era.get() && !is_unread(node) {
+    let before = node.lease.get();
+    if adopt::enter(node, era).await && !is_unread(node) {
         prove_all(node, era, sent);
         return Ok(());
     }
+    if node.lease.get() != before && !is_unread(node) {
+        // The answer is of an era before.
+        node.prove.notify_one();
+        return Ok(());
+    }
     let sent = Boot.now();
     let items = peers::records(address).await?;
     node.read_at.set(sent);
@@ -251,16 +261,17 @@
 /// Whether some record was not read in the era that is known.
 fn is_unread<E: Edge>(node: &Node<E>) -> bool {
     let era = node.era.get();
-    let unread = |group: &Rc<Group>| match group.known() {
-        Some(_) => group.era.get() != era,
-        None => node.read_at.get() + UNKNOWN < Boot.now(),
+    let unread = |group: &Rc<Group>| match group.is_known() {
+        true => group.era.get() != era && !adopt::is_read(node, group),
+        false => node.read_at.get() + UNKNOWN < Boot.now(),
     };
-    node.groups().iter().any(unread)
+    node.active().iter().any(unread)
 }
 
 /// Renews the era, or reads what is to be known for that; the era if it was renewed.
 async fn round<E: Edge>(node: &Rc<Node<E>>) -> Result<Option<u64>, Fault> {
     let (era, lease) = (node.era.get(), node.lease.get());
+    let mut is_over = era == 0;
     if era != 0 && !is_unread(node) {
         let sent = Boot.now();
         node.renewed.set(sent);
@@ -270,13 +281,18 @@
                 prove_all(node, era, sent);
                 return Ok(Some(era));
             }
-            Err(Fault::Missing) => {}
+            Err(Fault::Missing) => is_over = true,
             Err(fault) => return Err(fault),
         }
     }
-    // Most read what the first of them began.
+    // Most learn what the first of them began, without another question.
     let jitter = rand::random_range(0..JITTER_MS);
     sleep(Duration::from_millis(jitter)).await;
+    let is_newer = adopt::enter_newer(node, lease);
+    if (is_newer || !is_over) && !is_unread(node) {
+        node.prove.notify_one();
+        return Ok(None);
+    }
     let sent = Boot.now();
     let items = node.store().read(&lead_key::<E>(""), CALL).await?;
     node.read_at.set(sent);
@@ -297,11 +313,10 @@
 /// Goes on in the era of `lease`, which was read together with the records in `items`.
 fn enter<E: Edge>(node: &Node<E>, items: &Items, lease: Lease) {
     let era = lease.era();
-    for group in node.groups() {
+    let revisions: HashMap<_, _> = items.items.iter().map(|i| (&*i.key, i.revision)).collect();
+    for group in node.active() {
         let key = lead_key::<E>(&group.service);
-        let item = items.items.iter().find(|item| item.key == key);
-        let known = group.known();
-        if item.map(|item| item.revision) == known.map(|known| known.revision) {
+        if revisions.get(&*key).copied() == group.revision() {
             group.era.set(era);
         }
     }
@@ -326,15 +341,15 @@
     Ok(())
 }
 
-/// Proves all groups whose records were read in the era, which was renewed for a question
-/// sent at `sent`.
+/// Proves the active groups whose records were read in the era, which was renewed for a
+/// question sent at `sent`; the others adopt it once they are asked for.
 fn prove_all<E: Edge>(node: &Node<E>, era: u64, sent: Instant) {
     if node.proved.get().0 != era || node.proved.get().1 < sent {
         node.proved.set((era, sent));
     }
-    for group in node.groups().iter().filter(|g| g.era.get() == era) {
-        if let Some(known) = group.known() {
-            group.prove(known.revision, sent, node.settings.proof);
+    for group in node.active().iter().filter(|g| g.era.get() == era) {
+        if let Some(revision) = group.revision() {
+            group.prove(revision, sent, node.settings.proof);
         }
     }
 }
@@ -343,6 +358,7 @@
 fn learn<E: Edge>(node: &Rc<Node<E>>, items: &Items, sent: Instant) {
     node.heard_from_store(sent);
     for item in &items.items {
+        control::learn(node, Change::Put(item.clone()));
         if let Some(group) = record(node, item) {
             group.prove(item.revision, sent, node.settings.proof);
         }
@@ -350,10 +366,10 @@
     if !relay::is_own(node) {
         return;
     }
-    for group in node.groups() {
+    let present: HashSet<_> = items.items.iter().map(|item| &*item.key).collect();
+    for group in node.active() {
         let key = lead_key::<E>(&group.service);
-        let missing = !items.items.iter().any(|item| item.key == key);
-        if missing && !group.replacing.replace(true) {
+        if !present.contains(&*key) && !group.replacing.replace(true) {
             let node = Rc::clone(node);
             spawn_local(async move {
                 found(&node, &group).await;
@@ -377,7 +393,7 @@
             node.relaying.set(false);
         });
     }
-    for group in node.groups() {
+    for group in node.active() {
         let now = Boot.now();
         let fresh = group.proof().until() > now + node.settings.proof / 3;
         if fresh || !group.is_wanted(now) {
--- /dev/null
+++ b/crates/proxy/src/era/adopt.rs
@@ -0,0 +1,85 @@
+//! Records that are known to be as new as the era without being read again.
+//!
+//! The era's key stands among the records, and whoever learns it has learnt, from the same
+//! reading or the same watch, each record as it stood then or later. So a mirror that has
+//! the key of an era has all records as they were read in that era: a change of one
+//! primary costs an instance what it is told of that one, not a reading of all.
+
+use std::time::Duration;
+
+use clock::Boot;
+use tokio::time::{sleep, timeout};
+
+use super::{Lease, era_key, lease};
+use crate::{control::lead_key, edge::Edge, group::Group, node::Node};
+
+/// How long the key of an era that somebody proved may take to come by the watch, or from
+/// the relay that is followed, before the records are read instead.
+const COMES: Duration = Duration::from_millis(60);
+
+/// The pause between two looks at the mirror while its news are gathered.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// The era's lease as the mirror has it.
+fn mirrored<E: Edge>(node: &Node<E>) -> Option<Lease> {
+    let item = node.mirror.borrow().item(&era_key::<E>())?;
+    lease::of(&item)
+}
+
+/// Whether a group's record was read in the era that is known; noted if it is news.
+pub(super) fn is_read<E: Edge>(node: &Node<E>, group: &Group) -> bool {
+    if mirrored(node) != Some(node.lease.get()) {
+        return false;
+    }
+    let revision = node
+        .mirror
+        .borrow()
+        .revision(&lead_key::<E>(&group.service));
+    if revision.is_none() || revision != group.revision() {
+        return false;
+    }
+    group.era.set(node.era.get());
+    true
+}
+
+/// Goes on in the era that the mirror names, if it is another one than that of `lease`.
+pub(super) fn enter_newer<E: Edge>(node: &Node<E>, lease: Lease) -> bool {
+    let Some(newer) = mirrored(node).filter(|newer| newer.revision > lease.revision) else {
+        return false;
+    };
+    node.era.set(newer.era());
+    node.lease.set(newer);
+    true
+}
+
+/// Goes on in `era`, which somebody has just proved, if the mirror comes to name it.
+pub(super) async fn enter<E: Edge>(node: &Node<E>, era: u64) -> bool {
+    if node.era.get() == era {
+        return true;
+    }
+    let comes = async {
+        while mirrored(node).is_none_or(|lease| lease.era() != era) {
+            sleep(LOOK).await;
+        }
+    };
+    if timeout(COMES, comes).await.is_err() {
+        return false;
+    }
+    enter_newer(node, node.lease.get());
+    node.era.get() == era
+}
+
+/// Proves a group that rested by the last proof of the era.
+pub(crate) fn adopt<E: Edge>(node: &Node<E>, group: &Group) {
+    let (era, since) = node.proved.get();
+    let is_proved = era != 0 && era == node.era.get();
+    if !is_proved || since + node.settings.proof < Boot.now() {
+        return;
+    }
+    if group.era.get() != era && !is_read(node, group) {
+        return;
+    }
+    if let Some(revision) = group.revision() {
+        group.prove(revision, since, node.settings.proof);
+    }
+}
--- a/crates/proxy/src/era/claim.rs
+++ b/crates/proxy/src/era/claim.rs
@@ -16,14 +16,22 @@
     edge::{Edge, Store, Swap, Swapped},
     group::Group,
     node::Node,
-    probe,
-    takeover::OUTLASTED,
+    peers::Relay,
+    probe, relay,
+    takeover::{self, OUTLASTED},
 };
 
+/// How much later each further relay writes a group's first record. Were all of them to ask
+/// the members of each group that is new, those of a fleet of new groups would be busy with
+/// nothing else.
+const TURN: Duration = Duration::from_millis(300);
+
 /// Writes a group's first record, from what its members say.
 pub(super) async fn found<E: Edge>(node: &Rc<Node<E>>, group: &Group) {
-    let jitter = rand::random_range(0..JITTER_MS * 5);
-    sleep(Duration::from_millis(jitter)).await;
+    let relays = node.peers.all_relays(relay::candidate(node));
+    let relays: Vec<_> = relays.iter().map(Relay::name).map(str::to_owned).collect();
+    let jitter = Duration::from_millis(rand::random_range(0..JITTER_MS * 5));
+    sleep(TURN * takeover::rank(node, &group.service, &relays) + jitter).await;
     let members = group.members();
     if let Some(known) = group.known() {
         let written = node.store().era();
--- a/crates/proxy/src/era/lease.rs
+++ b/crates/proxy/src/era/lease.rs
@@ -2,7 +2,7 @@
 
 use super::era_key;
 use crate::{
-    edge::{self, Edge, Fault, Items, Store},
+    edge::{self, Edge, Fault, Item, Items, Store},
     node::Node,
 };
 
@@ -41,7 +41,11 @@
 /// The era's lease among items that were read.
 pub fn era_of<E: Edge>(items: &Items) -> Option<Lease> {
     let key = era_key::<E>();
-    let item = items.items.iter().find(|item| item.key == key)?;
+    of(items.items.iter().find(|item| item.key == key)?)
+}
+
+/// The lease that the era's key names.
+pub(super) fn of(item: &Item) -> Option<Lease> {
     let id = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
     let revision = item.revision;
     Some(Lease { id, revision })
--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -229,7 +229,7 @@
         let rate = node.quota(&account).map_or(0.0, |quota| quota.rate);
         put("account_quota_rate", &labels, rate);
     }
-    for group in node.groups() {
+    for group in node.active() {
         let labels = format!("{{service=\"{}\"}}", group.service);
         let term = group.known().map_or(0, |known| known.record.term.0);
         put("term", &labels, term as f64);
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -15,8 +15,12 @@
 use crate::{
     catalog::{Stay, Upstream},
     member::Member,
+    roster::Stirred,
 };
 
+/// How long the list of upstreams is remembered as having been longer.
+pub const MEMORY: Duration = Duration::from_secs(15);
+
 /// How long a need for proofs lasts.
 const WANTED: Duration = Duration::from_secs(2);
 
@@ -41,6 +45,7 @@
     /// Counts one more session on `group`.
     pub fn new(group: Rc<Group>) -> Self {
         group.sessions.set(group.sessions.get() + 1);
+        group.stir();
         Self(group)
     }
 }
@@ -68,7 +73,7 @@
     /// Whether this instance is replacing the primary.
     pub replacing: Cell<bool>,
     /// When somebody last needed a proof.
-    pub wanted: Cell<Instant>,
+    wanted: Cell<Instant>,
     /// The lease under which the record was read, zero for none.
     pub era: Cell<u64>,
     /// When the record was learnt.
@@ -83,13 +88,18 @@
     leaving: Cell<Option<Instant>>,
     most: Cell<(usize, Instant)>,
     furthest: Cell<(Position, Instant)>,
+    stirred: Rc<Stirred>,
+    is_active: Cell<bool>,
 }
 
 impl Group {
-    /// A group of which nothing is known.
-    pub fn new(service: &Rc<str>) -> Self {
+    /// A group of which nothing is known; it tells `stirred` when something happens to it.
+    pub fn new(service: &Rc<str>, stirred: &Rc<Stirred>) -> Self {
+        stirred.push(service);
         Self {
             service: Rc::clone(service),
+            stirred: Rc::clone(stirred),
+            is_active: Cell::new(true),
             members: RefCell::default(),
             known: RefCell::default(),
             proof: Cell::default(),
@@ -109,6 +119,41 @@
         }
     }
 
+    /// Has the group looked after until nothing is left to do.
+    pub(crate) fn stir(&self) {
+        if !self.is_active.replace(true) {
+            self.stirred.push(&self.service);
+        }
+    }
+
+    /// Lets the group rest if nothing is left to do; whether it rests.
+    pub(crate) fn rest(&self, now: Instant) -> bool {
+        let rests = self.is_quiet(now);
+        if rests {
+            self.is_active.set(false);
+            self.handed.set(None);
+        }
+        rests
+    }
+
+    /// Has the group looked after if something is to be done.
+    pub(crate) fn rouse(&self, now: Instant) {
+        if !self.is_active.get() && !self.is_quiet(now) {
+            self.stir();
+        }
+    }
+
+    /// Whether nobody uses the group, its primary leads, and no member comes or goes.
+    fn is_quiet(&self, now: Instant) -> bool {
+        let is_used = self.is_wanted(now) || self.sessions.get() > 0;
+        let is_changed = self.replacing.get() || self.asking.get();
+        if is_used || is_changed || self.primary().is_none() {
+            return false;
+        }
+        let members = self.members.borrow();
+        members.values().all(|member| member.is_quiet())
+    }
+
     /// All members, in order of their ids.
     pub fn members(&self) -> Vec<Rc<Member>> {
         let mut members: Vec<_> = self.members.borrow().values().cloned().collect();
@@ -152,6 +197,8 @@
             }
         }
         drop(members);
+        self.is_whole(Boot.now(), MEMORY);
+        self.stir();
         self.changed.notify_waiters();
     }
 
@@ -161,6 +208,7 @@
         let Some(member) = self.member(id) else {
             return;
         };
+        self.stir();
         if member.stay.get() == Stay::Draining {
             self.remove(id);
         } else if member.unlisted.get().is_none() {
@@ -178,6 +226,9 @@
     }
 
     fn remove(&self, id: &str) {
+        // Until now it was as whole as it is known to have been.
+        self.is_whole(Boot.now(), MEMORY);
+        self.stir();
         let Some(member) = self.members.borrow_mut().remove(id) else {
             return;
         };
@@ -202,6 +253,12 @@
         self.handed.get().is_some_and(|since| since + SETTLED < now)
     }
 
+    /// Notes that somebody needs a proof.
+    pub(crate) fn want(&self, now: Instant) {
+        self.wanted.set(now);
+        self.stir();
+    }
+
     /// Whether somebody needed a proof lately.
     pub fn is_wanted(&self, now: Instant) -> bool {
         self.wanted.get() + WANTED > now
@@ -212,6 +269,16 @@
         self.known.borrow().clone()
     }
 
+    /// Whether it has a record.
+    pub fn is_known(&self) -> bool {
+        self.known.borrow().is_some()
+    }
+
+    /// The revision of its record.
+    pub fn revision(&self) -> Option<u64> {
+        self.known.borrow().as_ref().map(|known| known.revision)
+    }
+
     /// The primary and its term, if it may be used as far as is known here.
     pub fn primary(&self) -> Option<(Rc<Member>, Term)> {
         let known = self.known.borrow();
@@ -253,6 +320,7 @@
             proof.void();
             self.proof.set(proof);
         }
+        self.stir();
         self.changed.notify_waiters();
         true
     }
--- a/crates/proxy/src/holding.rs
+++ b/crates/proxy/src/holding.rs
@@ -26,7 +26,9 @@
     let mut told: HashMap<Rc<str>, Stand> = HashMap::new();
     loop {
         sleep(LOOK).await;
-        for group in node.groups() {
+        let active = node.active();
+        told.retain(|service, _| active.iter().any(|group| group.service == *service));
+        for group in active {
             let holders = node.holders(&group.service).len();
             let since = group.handed.get().unwrap_or(Boot.now());
             group.handed.set((holders > 0).then_some(since));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -33,6 +33,7 @@
 mod relay;
 pub mod remote;
 mod roll;
+pub mod roster;
 pub mod run;
 pub mod serve;
 pub mod session;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -155,6 +155,13 @@
         self.unlisted.get().is_some_and(|at| at + RELISTED < now)
     }
 
+    /// Whether nothing is to be done about it: it stays, does not fail, and no connection
+    /// to it is open.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let stays = self.stay.get() == Stay::Ready && self.unlisted.get().is_none();
+        stays && !self.is_failing() && !self.probed.get() && self.pool.open.get() == 0
+    }
+
     /// Notes that it answered.
     pub fn answered(&self, now: Instant) {
         self.health.set(Health {
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -4,7 +4,10 @@
 //! it was told, newest values only. Each item keeps the store's revision, so that an
 //! instance which is behind never takes another one back.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, HashSet},
+    ops::Bound,
+};
 
 use bytes::Bytes;
 
@@ -53,6 +56,8 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     entries: BTreeMap<String, Entry>,
+    /// The keys in the order in which their newest values were learnt.
+    order: BTreeMap<u64, String>,
     seq: u64,
     /// Deletions up to this number may be forgotten.
     floor: u64,
@@ -91,7 +96,11 @@
         let was_gone = known.is_some_and(|entry| entry.value.is_none());
         self.gone += usize::from(value.is_none());
         self.gone -= usize::from(was_gone);
+        if let Some(known) = known {
+            self.order.remove(&known.seq);
+        }
         self.seq += 1;
+        self.order.insert(self.seq, key.clone());
         let entry = Entry {
             value,
             revision,
@@ -107,6 +116,8 @@
     /// Forgets what was deleted.
     fn forget(&mut self) {
         self.entries.retain(|_, entry| entry.value.is_some());
+        let entries = &self.entries;
+        self.order.retain(|_, key| entries.contains_key(key));
         self.gone = 0;
         self.floor = self.seq;
     }
@@ -121,6 +132,12 @@
         })
     }
 
+    /// The revision of a key's item, if there is one.
+    pub fn revision(&self, key: &str) -> Option<u64> {
+        let entry = self.entries.get(key)?;
+        entry.value.as_ref().map(|_| entry.revision)
+    }
+
     /// Up to which revision of the store a section is known, zero if it was never read.
     pub fn known(&self, section: Section) -> u64 {
         self.known[section as usize]
@@ -129,12 +146,13 @@
     /// The keys under `prefix` that are missing among `present`, which was read when the
     /// store stood at `at`, as deletions.
     pub fn missing(&self, prefix: &str, present: &[Item], at: u64) -> Vec<Change> {
+        let present: HashSet<_> = present.iter().map(|item| &*item.key).collect();
         let under = self
             .entries
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix));
+            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
+        let under = under.take_while(|(key, _)| key.starts_with(prefix));
         let stood = under.filter(|(_, entry)| entry.value.is_some() && entry.revision <= at);
-        let missing = stood.filter(|(key, _)| !present.iter().any(|item| item.key == **key));
+        let missing = stood.filter(|(key, _)| !present.contains(&***key));
         missing
             .map(|(key, _)| Change::Gone(key.clone(), at))
             .collect()
@@ -146,9 +164,9 @@
         if seq < self.floor && seq != 0 || seq > self.seq {
             return None;
         }
-        let mut newer: Vec<_> = self.entries.iter().filter(|(_, e)| e.seq > seq).collect();
-        newer.sort_by_key(|(_, entry)| entry.seq);
-        Some(newer.into_iter().map(change).collect())
+        let newer = self.order.range(seq + 1..);
+        let newer = newer.filter_map(|(_, key)| self.entries.get_key_value(key));
+        Some(newer.map(change).collect())
     }
 }
 
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -23,7 +22,7 @@
     catalog::{Catalog, Route, Upstream},
     counted::Counted,
     edge::{Edge, Item, Store},
-    era::Lease,
+    era::{self, Lease},
     figures::{Figures, Wait},
     freshness::Fresh,
     group::Group,
@@ -32,6 +31,7 @@
     peers::{Peers, beat::Hearing, frame::Packed},
     proofs::Proofs,
     relay,
+    roster::Roster,
     settings::Settings,
     shares::{self, Shares},
 };
@@ -90,7 +90,7 @@
     /// A number of this life of the process.
     pub life: u64,
     catalog: RefCell<Rc<Catalog>>,
-    groups: RefCell<HashMap<Rc<str>, Rc<Group>>>,
+    roster: Roster,
     /// Other instances.
     pub peers: Peers,
     /// How far it is with its life.
@@ -175,7 +175,7 @@
             settings,
             life: rand::random(),
             catalog: RefCell::default(),
-            groups: RefCell::default(),
+            roster: Roster::default(),
             stage: Cell::new(Stage::Serve),
             staged: Notify::new(),
             prove: Notify::new(),
@@ -246,11 +246,15 @@
             "catalogue in force"
         );
         for (service, entry) in &catalog.services {
-            let group = self.group_of(service);
-            for member in group.members() {
+            let was = old.services.get(service).map(|entry| entry.connections);
+            if was == Some(entry.connections) {
+                continue;
+            }
+            for member in self.group_of(service).members() {
                 member.pool.limit.set(limit(entry.connections));
             }
         }
+        self.roster.name(&catalog);
         *self.catalog.borrow_mut() = Rc::new(catalog);
         self.freshness.reach(self.mark());
     }
@@ -340,29 +344,41 @@
 
     /// The group of a service; made if it is new.
     pub fn group_of(&self, service: &Rc<str>) -> Rc<Group> {
-        let mut groups = self.groups.borrow_mut();
-        let new = || Rc::new(Group::new(service));
-        Rc::clone(groups.entry(Rc::clone(service)).or_insert_with(new))
+        self.roster.group(service)
     }
 
     /// Whether a primary of `service` is known.
     pub(crate) fn is_led(&self, service: &str) -> bool {
-        let groups = self.groups.borrow();
-        groups.get(service).is_some_and(|g| g.known().is_some())
+        let group = self.roster.find(service);
+        group.is_some_and(|group| group.known().is_some())
     }
 
     /// All groups that the catalogue names, in order of their names.
-    pub fn groups(&self) -> Vec<Rc<Group>> {
+    pub fn groups(&self) -> Rc<[Rc<Group>]> {
+        self.roster.named()
+    }
+
+    /// The groups of the catalogue that something is to be done for, in order of their
+    /// names.
+    pub fn active(&self) -> Vec<Rc<Group>> {
         let catalog = self.catalog();
-        let mut names: Vec<_> = catalog.services.keys().collect();
-        names.sort();
-        names.into_iter().map(|name| self.group_of(name)).collect()
+        let mut active = self.roster.active();
+        active.retain(|group| catalog.services.contains_key(&group.service));
+        active
+    }
+
+    /// Lets groups rest for which nothing is to be done.
+    pub(crate) fn sweep(&self, now: Instant) {
+        self.roster.sweep(now);
     }
 
     /// Takes in an entry of the list of upstreams.
     pub fn put(&self, upstream: Upstream) {
         let group = self.group_of(&upstream.service);
         let id = Rc::clone(&upstream.id);
+        if let Some(old) = self.roster.list(&id, &upstream.service) {
+            old.unlist(&id, Boot.now());
+        }
         let catalog = self.catalog();
         let connections = catalog.services.get(&upstream.service);
         group.put(upstream);
@@ -373,27 +389,13 @@
 
     /// The upstream with this id, whichever group it is in.
     pub fn member(&self, id: &str) -> Option<Rc<Member>> {
-        let groups = self.groups.borrow();
-        groups.values().find_map(|group| group.member(id))
+        self.roster.group_with(id)?.member(id)
     }
 
     /// Takes in that the list lacks the upstream with this id.
     pub fn unlist(&self, id: &str) {
-        let now = Boot.now();
-        for group in self.groups.borrow().values() {
-            group.unlist(id, now);
-        }
-    }
-
-    /// Takes in that the list has only the upstreams whose ids `stays` names.
-    pub fn retain(&self, stays: &dyn Fn(&str) -> bool) {
-        let now = Boot.now();
-        for group in self.groups.borrow().values() {
-            for member in group.members() {
-                if !stays(&member.upstream.id) {
-                    group.unlist(&member.upstream.id, now);
-                }
-            }
+        if let Some(group) = self.roster.group_with(id) {
+            group.unlist(id, Boot.now());
         }
     }
 
@@ -439,7 +441,7 @@
     /// by others, or it has none.
     pub fn is_idle(&self) -> bool {
         let now = Boot.now();
-        !self.groups().iter().any(|group| group.is_wanted(now))
+        !self.active().iter().any(|group| group.is_wanted(now))
     }
 
     /// Whether the instance can take callers.
@@ -475,7 +477,7 @@
     /// Whether some primary is proved, or was a moment ago, and can be reached.
     fn is_able(&self) -> bool {
         let now = Boot.now();
-        self.groups().iter().any(|group| {
+        self.active().iter().any(|group| {
             let proved = group.proof().until() + LAPSED > now;
             proved
                 && group
@@ -508,7 +510,12 @@
 
     /// Waits until it is proved that the primary led at `moment`, or `wait` is over.
     pub async fn proved(&self, group: &Group, moment: Instant, wait: Duration) -> Proved {
-        group.wanted.set(Boot.now());
+        group.want(Boot.now());
+        if let Some(member) = self.leader(group, moment) {
+            return Proved::Primary(member);
+        }
+        // A group that rested was not proved with the others.
+        era::adopt(self, group);
         if let Some(member) = self.leader(group, moment) {
             return Proved::Primary(member);
         }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -154,7 +154,7 @@
     let now = Boot.now();
     let mut beliefs = Vec::new();
     let mut starved = Vec::new();
-    for group in node.groups() {
+    for group in node.active() {
         for member in group.members() {
             if member.pool.is_starved(now) {
                 starved.push(member.upstream.id.to_string());
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -144,6 +144,7 @@
 
 /// Tries to reach `member` again and again until it lives, or is no member any more.
 pub fn check<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, member: &Rc<Member>) {
+    group.stir();
     if member.probed.replace(true) {
         return;
     }
--- /dev/null
+++ b/crates/proxy/src/roster.rs
@@ -0,0 +1,136 @@
+//! The groups of an instance, and which of them need looking after.
+//!
+//! An instance knows all groups of the catalogue and serves a few of them. What is done
+//! again and again is done for the active ones only; a group becomes active when something
+//! happens to it, and stops being so once nothing is left to do.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+
+use clock::Instant;
+
+use crate::{catalog::Catalog, group::Group};
+
+/// How many groups are looked at in one sweep.
+const SWEPT: usize = 16;
+
+/// The names of groups that something happened to.
+#[derive(Debug, Default)]
+pub struct Stirred {
+    names: RefCell<Vec<Rc<str>>>,
+}
+
+impl Stirred {
+    /// Takes in that something happened to the group of `service`.
+    pub(crate) fn push(&self, service: &Rc<str>) {
+        self.names.borrow_mut().push(Rc::clone(service));
+    }
+}
+
+/// The groups of an instance.
+#[derive(Debug, Default)]
+pub struct Roster {
+    groups: RefCell<HashMap<Rc<str>, Rc<Group>>>,
+    /// Those that the catalogue names, in order.
+    named: RefCell<Rc<[Rc<Group>]>>,
+    /// The service that each upstream was listed under last.
+    services: RefCell<HashMap<Rc<str>, Rc<str>>>,
+    stirred: Rc<Stirred>,
+    active: RefCell<BTreeMap<Rc<str>, Rc<Group>>>,
+    /// Where the next sweep begins.
+    swept: Cell<usize>,
+}
+
+impl Roster {
+    /// The group of a service; made if it is new.
+    pub(crate) fn group(&self, service: &Rc<str>) -> Rc<Group> {
+        let mut groups = self.groups.borrow_mut();
+        if let Some(group) = groups.get(service) {
+            return Rc::clone(group);
+        }
+        let group = Rc::new(Group::new(service, &self.stirred));
+        groups.insert(Rc::clone(service), Rc::clone(&group));
+        group
+    }
+
+    /// The group of a service, if there is one.
+    pub(crate) fn find(&self, service: &str) -> Option<Rc<Group>> {
+        self.groups.borrow().get(service).cloned()
+    }
+
+    /// Takes in which services a catalogue names.
+    pub(crate) fn name(&self, catalog: &Catalog) {
+        let mut services: Vec<_> = catalog.services.keys().collect();
+        services.sort();
+        let groups = services.into_iter().map(|service| self.group(service));
+        *self.named.borrow_mut() = groups.collect();
+    }
+
+    /// All groups that the catalogue names, in order of their names.
+    pub(crate) fn named(&self) -> Rc<[Rc<Group>]> {
+        Rc::clone(&self.named.borrow())
+    }
+
+    /// The active groups, in order of their names.
+    pub(crate) fn active(&self) -> Vec<Rc<Group>> {
+        let mut active = self.active.borrow_mut();
+        for service in self.stirred.names.take() {
+            if let Some(group) = self.find(&service) {
+                active.insert(service, group);
+            }
+        }
+        active.values().cloned().collect()
+    }
+
+    /// Lets the groups rest that need nothing, and looks at some of those that rest.
+    ///
+    /// A group that was wrongly let rest would have its primary replaced by nobody: each is
+    /// looked at again and again, a few at a time.
+    pub(crate) fn sweep(&self, now: Instant) {
+        self.active();
+        let mut active = self.active.borrow_mut();
+        active.retain(|_, group| !group.rest(now));
+        drop(active);
+        let named = self.named();
+        let next = self.swept.get();
+        if next >= named.len() {
+            self.swept.set(0);
+            self.forget();
+            return;
+        }
+        named
+            .iter()
+            .skip(next)
+            .take(SWEPT)
+            .for_each(|group| group.rouse(now));
+        self.swept.set(next + SWEPT);
+    }
+
+    /// Forgets the upstreams that are in no group any more.
+    fn forget(&self) {
+        let is_member = |id: &Rc<str>, service: &Rc<str>| {
+            let group = self.find(service);
+            group.is_some_and(|group| group.member(id).is_some())
+        };
+        let mut services = self.services.borrow_mut();
+        services.retain(|id, service| is_member(id, service));
+    }
+
+    /// Takes in that the upstream `id` is listed under `service`; the group that it was in
+    /// before, if that is another one.
+    pub(crate) fn list(&self, id: &Rc<str>, service: &Rc<str>) -> Option<Rc<Group>> {
+        let mut services = self.services.borrow_mut();
+        let old = services.insert(Rc::clone(id), Rc::clone(service));
+        old.filter(|old| old != service)
+            .and_then(|old| self.find(&old))
+    }
+
+    /// The group that the upstream `id` was listed in last.
+    pub(crate) fn group_with(&self, id: &str) -> Option<Rc<Group>> {
+        let service = self.services.borrow().get(id).cloned()?;
+        self.find(&service)
+    }
+}
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -28,6 +28,7 @@
     node::Node,
     probe,
 };
+pub(crate) use due::rank;
 use due::{RANK, Reason, due};
 use fence::{Chosen, Fenced, fence, still_holds};
 use record::{announce, end_era, settle};
@@ -58,7 +59,7 @@
             log::warn!(fence = right.fence; "the right to give orders ran out");
         }
         let due: Vec<_> = node
-            .groups()
+            .active()
             .into_iter()
             .filter_map(|group| Some((due(&node, &group, held.is_some())?, group)))
             .filter(|(_, group)| !group.replacing.get())
@@ -113,9 +114,11 @@
 /// if that instance is lost, the right has run out so long after it was seen first.
 pub(crate) fn notice<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>) {
     let changes = |known: &Known| known.record.phase == Phase::Changing;
-    let is_replaced = group.known().as_ref().is_some_and(changes);
+    if !group.known().as_ref().is_some_and(changes) {
+        return;
+    }
     let holders = node.holder_names(&group.service);
-    if !is_replaced || !holders.contains(&node.settings.name) {
+    if !holders.contains(&node.settings.name) {
         return;
     }
     let node = Rc::clone(node);
--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -12,8 +12,7 @@
 use crate::{
     catalog::Stay,
     edge::Edge,
-    era::MEMORY,
-    group::Group,
+    group::{Group, MEMORY},
     member::Member,
     message::Command,
     node::Node,
