--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -10,6 +10,7 @@
     message::Code,
     node::Node,
     outcome::{Cause, Outcome},
+    work,
 };
 
 /// The upper bounds of the buckets of durations, in seconds.
@@ -118,6 +119,15 @@
         Waiting { spans, since }
     }
 
+    /// The calls of the platform so far, by kind and answer.
+    pub(crate) fn calls(&self) -> String {
+        let mut text = String::new();
+        for ((kind, answer), count) in self.calls.borrow().iter() {
+            let _ = write!(text, "{kind}.{answer}={count} ");
+        }
+        text.trim_end().to_owned()
+    }
+
     fn write(&self, page: &mut String) {
         for ((service, class, outcome, cause), count) in self.ends.borrow().iter() {
             let _ = writeln!(
@@ -210,6 +220,9 @@
         "",
         now.since(node.contact.get()).as_secs_f64(),
     );
+    for (name, done) in work::counts(node) {
+        put("work_total", &format!("{{kind=\"{name}\"}}"), done as f64);
+    }
     let watched = now.since(node.watched.get()).as_secs_f64();
     put("watch_silent_seconds", "", watched);
     put("log_lines_left_out_total", "", logs::left_out() as f64);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod strain;
 pub mod takeover;
 pub mod transaction;
+pub mod work;
 
 pub use edge::Edge;
 pub use node::Node;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -34,6 +34,7 @@
     roster::Roster,
     settings::Settings,
     shares::{self, Shares},
+    work::{Kind, Work},
 };
 
 /// How long the store may be silent until it counts as having been away.
@@ -160,6 +161,8 @@
     pub stored_since: Cell<Instant>,
     /// What was counted.
     pub figures: Figures,
+    /// What its duties cost.
+    pub work: Work,
     /// How many sessions are open.
     pub sessions: Cell<usize>,
     /// How many callers' connections broke since it was told.
@@ -211,6 +214,7 @@
             answered: Notify::new(),
             stored_since: Cell::default(),
             figures: Figures::default(),
+            work: Work::default(),
             sessions: Cell::new(0),
             lost: Cell::new(0),
         }
@@ -254,6 +258,7 @@
                 member.pool.limit.set(limit(entry.connections));
             }
         }
+        self.work.add(Kind::Catalogue, 1);
         self.roster.name(&catalog);
         *self.catalog.borrow_mut() = Rc::new(catalog);
         self.freshness.reach(self.mark());
@@ -364,6 +369,7 @@
         let catalog = self.catalog();
         let mut active = self.roster.active();
         active.retain(|group| catalog.services.contains_key(&group.service));
+        self.work.add(Kind::Group, active.len());
         active
     }
 
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -29,6 +29,7 @@
     kept::Kept,
     node::Node,
     probe, proofs, relay, roll, session, shares,
+    work::Kind,
 };
 
 use beat::{Beat, Belief, Datagram, FORMAT, Greeting, Hearing, More};
@@ -72,7 +73,9 @@
                     let dues = take(&receiving, heard, more);
                     if !dues.is_empty() {
                         let mut beats = Beats::new(&receiving);
-                        dues.into_iter().for_each(|due| beats.send(&receiver, due));
+                        for due in dues {
+                            beats.send(&receiving, &receiver, due);
+                        }
                     }
                 }
                 Some(Datagram::Proof(proof)) => proofs::take(&receiving, proof),
@@ -83,7 +86,10 @@
     *node.proofs.socket.borrow_mut() = Some(Rc::clone(&socket));
     let mut served = Instant::ZERO;
     loop {
-        roll::call(node.peers.roll());
+        let news = node.peers.roll();
+        node.work
+            .add(Kind::ChangedInstance, news.came.len() + news.went.len());
+        roll::call(news);
         roll::lost(&node.lost);
         let now = Boot.now();
         if !node.is_idle() {
@@ -96,7 +102,7 @@
         let urgent = node.peers.urgent.replace(Urgent::Nobody);
         let mut beats = Beats::new(&node);
         for due in node.peers.due(urgent) {
-            beats.send(&socket, due);
+            beats.send(&node, &socket, due);
         }
         sleep(CALM).await;
         let pause = match node.peers.is_new() {
@@ -132,7 +138,12 @@
         }
     }
 
-    fn send(&mut self, socket: &UdpSocket, due: Due) {
+    fn send<E: Edge>(&mut self, node: &Node<E>, socket: &UdpSocket, due: Due) {
+        let kind = match due.next <= PROMPT {
+            true => Kind::PromptHeartbeat,
+            false => Kind::RareHeartbeat,
+        };
+        node.work.add(kind, 1);
         let more = More {
             next: due.next,
             greeting: due.greeting,
@@ -142,11 +153,15 @@
         let beat = &self.beat;
         let encode = || beat::encode(beat, &more).unwrap_or_default();
         if !more.near.is_empty() {
-            let _ = socket.try_send_to(&encode(), due.address);
+            let bytes = encode();
+            node.work.add(Kind::HeartbeatByte, bytes.len());
+            let _ = socket.try_send_to(&bytes, due.address);
             return;
         }
         let bytes = self.encoded.entry((due.next, due.greeting));
-        let _ = socket.try_send_to(bytes.or_insert_with(encode), due.address);
+        let bytes = bytes.or_insert_with(encode);
+        node.work.add(Kind::HeartbeatByte, bytes.len());
+        let _ = socket.try_send_to(bytes, due.address);
     }
 }
 
@@ -195,6 +210,7 @@
     if beat.name == node.settings.name {
         return Vec::new();
     }
+    node.work.add(Kind::HeardHeartbeat, 1);
     look_too(node, &beat.beliefs);
     let now = Boot.now();
     for id in &beat.starved {
@@ -409,5 +425,6 @@
         Ask::Catalog => Told::Catalog(node.catalog_item()),
         Ask::Packed => Told::Packed(node.packed()),
     };
-    send(&mut stream, &told).await
+    send(&mut stream, &told).await?;
+    Ok(())
 }
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -121,8 +121,8 @@
     Ok(stream)
 }
 
-/// Sends a frame for as long as the peer takes parts of it.
-pub(crate) async fn send<T: Serialize>(stream: &mut TcpStream, frame: &T) -> io::Result<()> {
+/// Sends a frame for as long as the peer takes parts of it; how many bytes it has.
+pub(crate) async fn send<T: Serialize>(stream: &mut TcpStream, frame: &T) -> io::Result<usize> {
     let body = postcard::to_stdvec(frame).map_err(io::Error::other)?;
     let size = u32::try_from(body.len()).map_err(io::Error::other)?;
     let mut out = BytesMut::with_capacity(body.len() + 4);
@@ -131,7 +131,7 @@
     for part in out.chunks(PART) {
         timeout(QUIET, stream.write_all(part)).await??;
     }
-    Ok(())
+    Ok(out.len())
 }
 
 /// Receives a frame that begins within `first`, for as long as parts of it come.
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -16,7 +16,7 @@
     node::{Node, Stage},
     peers, session,
     settings::Settings,
-    still,
+    still, work,
 };
 
 /// How often a stopping instance looks whether anybody is left.
@@ -76,6 +76,7 @@
     );
     control::spawn(node);
     spawn_local(still::watch());
+    spawn_local(work::watch(Rc::clone(node)));
     spawn_local(holding::watch(Rc::clone(node)));
     spawn_local(peers::beats(Rc::clone(node), sockets.beats));
     spawn_local(peers::serve(Rc::clone(node), sockets.passing));
