--- a/crates/admit/src/relays.rs
+++ b/crates/admit/src/relays.rs
@@ -41,19 +41,35 @@
 /// assert_eq!(chosen, ["a-1", "a-3"]);
 /// ```
 pub fn choose<'a>(candidates: &[Candidate<'a>]) -> Vec<&'a str> {
-    holders::choose(DUTY, candidates, EACH)
+    holders::choose(DUTY, &weighed(candidates), EACH)
 }
 
-/// What names the duty of reading the catalogue.
-const CATALOG: &str = "catalogue";
+/// The weight of a candidate for a relay's duty, which grows with the whole zone: a relay
+/// with an eighth of a core and a thin link keeps all that follow it waiting when they
+/// start at once.
+pub fn weight(weight: u32) -> u32 {
+    weight.saturating_mul(weight)
+}
+
+fn weighed<'a>(candidates: &[Candidate<'a>]) -> Vec<Candidate<'a>> {
+    let weigh = |candidate: &Candidate<'a>| Candidate {
+        weight: weight(candidate.weight),
+        ..*candidate
+    };
+    candidates.iter().map(weigh).collect()
+}
+
+/// What names the duty of reading the store.
+const READER: &str = "reader";
 
-/// Which of all zones' relays read the catalogue; the others have it from them, packed.
+/// Which of all zones' relays read and watch the store; the others have its contents from
+/// them, the catalogue packed.
 ///
 /// A catalogue of 1,524 routes takes a link of 2 Mbit/s 1.4 s, and nothing else passes
 /// meanwhile. Where a third of all instances read it at once, callers lost their answers,
 /// upstreams and holders seemed dead: of 370 requests 80 were answered in time.
 pub fn readers<'a>(relays: &[Candidate<'a>]) -> Vec<&'a str> {
-    holders::choose(CATALOG, relays, EACH)
+    holders::choose(READER, &weighed(relays), EACH)
 }
 
 /// Whether an instance waits for another's beats.
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -59,6 +59,9 @@
 /// How long an instance that starts waits until others of its zone answer.
 const GREETED: Duration = Duration::from_millis(60);
 
+/// How long it waits while most others, which may start with it, are not heard.
+const CROWDED: Duration = Duration::from_millis(600);
+
 /// How often connections are looked through.
 const TIDY: Duration = Duration::from_millis(100);
 
@@ -109,11 +112,11 @@
         node.meet();
     }
     let since = Boot.now();
-    while since + GREETED > Boot.now() && relay::is_own(&node) {
+    while relay::is_own(&node) && since + patience(&node) > Boot.now() {
         sleep(LOOK / 10).await;
     }
     let mut pause = AGAIN.0;
-    while relay::is_own(&node) && read_section(&node, Section::Records).await.is_err() {
+    while relay::reads(&node) && read_section(&node, Section::Records).await.is_err() {
         sleep(pause).await;
         pause = (pause * 2).min(AGAIN.1);
     }
@@ -127,6 +130,17 @@
     }
 }
 
+/// How long an instance that starts waits for others to answer before it takes itself for a
+/// relay of its zone: longer while most that are listed were not heard.
+///
+/// Where all start at once, each one that did not wait would read the whole store.
+fn patience<E: Edge>(node: &Node<E>) -> Duration {
+    match node.peers.is_silent() {
+        true => CROWDED,
+        false => GREETED,
+    }
+}
+
 /// Reads the list of instances, which may be seconds old.
 async fn list<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
     let prefix = instances::<E>();
@@ -163,9 +177,9 @@
         // Where nobody has one yet, those who could pass it on would be waited for.
         Section::Catalog => {
             let none = node.catalog().version == 0 && !node.peers.is_catalog_known();
-            none && relay::is_own(node) || relay::reads_catalog(node)
+            none && relay::is_own(node) || relay::reads(node)
         }
-        Section::Upstreams | Section::Records => relay::is_own(node),
+        Section::Upstreams | Section::Records => relay::reads(node),
     }
 }
 
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -105,7 +105,7 @@
             let groups = node.active();
             let wanted = groups.iter().any(|g| g.is_wanted(now));
             answer_asked(&node);
-            let asked = node.proofs.is_asked();
+            let asked = node.proofs.is_asked() || node.proofs.is_relied_on(now);
             let is_young = is_young(&node, now) && !is_unread(&node);
             match freshness::source(&node) {
                 Source::Relay(address) if (wanted || asked) && !is_young => {
@@ -113,8 +113,8 @@
                 }
                 Source::Relay(_) => {}
                 Source::Store => {
-                    let unknown = groups.iter().any(|g| g.known().is_none());
-                    if wanted && !is_young || asked || unknown {
+                    let unknown = groups.iter().any(|g| !g.is_known()) && relay::reads(&node);
+                    if (wanted || asked) && !is_young || unknown {
                         ask_store(&node);
                     }
                 }
@@ -130,7 +130,7 @@
             }
         }
         sleep(GAP).await;
-        let _ = timeout(node.settings.renew, node.prove.notified()).await;
+        let _ = timeout(pause(&node), node.prove.notified()).await;
         // Questions of others that come in a row are answered by one renewal.
         let rest = (node.renewed.get() + PACE).since(Boot.now());
         sleep(rest).await;
@@ -143,14 +143,31 @@
     era != 0 && era == node.era.get() && since + YOUNG > now
 }
 
-/// Answers those who asked for a proof, if this instance has one that is young.
-fn answer_asked<E: Edge>(node: &Node<E>) {
+/// How long the next renewal may wait: others find a young proof at a relay whenever they
+/// ask, and their callers wait for a hop and not for a renewal.
+fn pause<E: Edge>(node: &Node<E>) -> Duration {
     let now = Boot.now();
-    if is_young(node, now) && node.proofs.is_asked() {
+    let (_, since) = node.proved.get();
+    let renew = node.settings.renew;
+    match node.proofs.is_relied_on(now) {
+        true => renew.min((since + YOUNG).since(now)),
+        false => renew,
+    }
+}
+
+/// Answers those who asked for a proof, if this instance has one that is young; whether it
+/// has.
+pub(crate) fn answer_asked<E: Edge>(node: &Node<E>) -> bool {
+    let now = Boot.now();
+    if !is_young(node, now) {
+        return false;
+    }
+    if node.proofs.is_asked() {
         let (era, since) = node.proved.get();
         let questions = node.proofs.questions();
         node.proofs.tell_aged(&questions, era, now.since(since));
     }
+    true
 }
 
 /// Has the relay at `address` renew the era, or asks the store if it does not answer.
@@ -261,9 +278,10 @@
 /// Whether some record was not read in the era that is known.
 fn is_unread<E: Edge>(node: &Node<E>) -> bool {
     let era = node.era.get();
+    let is_due = node.read_at.get() + UNKNOWN < Boot.now();
     let unread = |group: &Rc<Group>| match group.is_known() {
         true => group.era.get() != era && !adopt::is_read(node, group),
-        false => node.read_at.get() + UNKNOWN < Boot.now(),
+        false => is_due && relay::reads(node),
     };
     node.active().iter().any(unread)
 }
@@ -363,20 +381,23 @@
             group.prove(item.revision, sent, node.settings.proof);
         }
     }
-    if !relay::is_own(node) {
+    if !relay::reads(node) {
         return;
     }
     let present: HashSet<_> = items.items.iter().map(|item| &*item.key).collect();
-    for group in node.active() {
+    let is_missing = |group: &Rc<Group>| {
         let key = lead_key::<E>(&group.service);
-        if !present.contains(&*key) && !group.replacing.replace(true) {
-            let node = Rc::clone(node);
-            spawn_local(async move {
-                found(&node, &group).await;
-                group.replacing.set(false);
-            });
-        }
+        !present.contains(&*key) && !group.replacing.replace(true)
+    };
+    let missing: Vec<_> = node.active().into_iter().filter(is_missing).collect();
+    if missing.is_empty() {
+        return;
     }
+    let node = Rc::clone(node);
+    spawn_local(async move {
+        found(&node, &missing).await;
+        missing.iter().for_each(|group| group.replacing.set(false));
+    });
 }
 
 /// Proves primaries without the store: by another instance that hears it, and by
--- a/crates/proxy/src/era/claim.rs
+++ b/crates/proxy/src/era/claim.rs
@@ -4,6 +4,11 @@
 use std::{rc::Rc, time::Duration};
 
 use clock::Boot;
+use futures_util::{
+    StreamExt,
+    future::{join, join_all},
+    stream,
+};
 use lead::{Phase, Record};
 use tokio::{
     task::spawn_local,
@@ -16,38 +21,62 @@
     edge::{Edge, Store, Swap, Swapped},
     group::Group,
     node::Node,
-    peers::Relay,
     probe, relay,
-    takeover::{self, OUTLASTED},
+    takeover::OUTLASTED,
 };
 
-/// How much later each further relay writes a group's first record. Were all of them to ask
-/// the members of each group that is new, those of a fleet of new groups would be busy with
-/// nothing else.
+/// How much later the second reader of the store writes groups' first records than the
+/// first one: it is to find them written.
 const TURN: Duration = Duration::from_millis(300);
 
-/// Writes a group's first record, from what its members say.
-pub(super) async fn found<E: Edge>(node: &Rc<Node<E>>, group: &Group) {
-    let relays = node.peers.all_relays(relay::candidate(node));
-    let relays: Vec<_> = relays.iter().map(Relay::name).map(str::to_owned).collect();
-    let jitter = Duration::from_millis(rand::random_range(0..JITTER_MS * 5));
-    sleep(TURN * takeover::rank(node, &group.service, &relays) + jitter).await;
-    let members = group.members();
-    if let Some(known) = group.known() {
-        let written = node.store().era();
-        if known.record.written < written {
-            // The copy does not know it at all.
-            sleep((node.era_since() + OUTLASTED).since(Boot.now())).await;
-            let record = Record {
-                written,
-                ..known.record
-            };
-            write(node, group, record, 0).await;
-        }
+/// How many groups' members are asked at once who leads. A fleet of new groups would else
+/// take all descriptors of the instance that asks.
+const ASKED: usize = 64;
+
+/// How many records are written by one call: the store takes 32 entries in one.
+const TOGETHER: usize = 16;
+
+/// Writes the records of groups that the store has none of.
+pub(super) async fn found<E: Edge>(node: &Rc<Node<E>>, groups: &[Rc<Group>]) {
+    let jitter = Duration::from_millis(rand::random_range(0..JITTER_MS * 2));
+    let readers = relay::readers(node);
+    let turn = readers
+        .iter()
+        .position(Option::is_none)
+        .unwrap_or(readers.len());
+    sleep(TURN * u32::try_from(turn).unwrap_or(u32::MAX) + jitter).await;
+    let (lost, new): (Vec<_>, Vec<_>) = groups.iter().partition(|group| group.is_known());
+    let restored = join_all(lost.into_iter().map(|group| restore(node, group)));
+    let records = stream::iter(new)
+        .map(async |group| (group, first(node, group).await))
+        .buffer_unordered(ASKED)
+        .filter_map(async |(group, record)| Some((Rc::clone(group), record?)))
+        .chunks(TOGETHER)
+        .for_each(async |records| write_first(node, &records).await);
+    join(restored, records).await;
+}
+
+/// Writes a known record anew that a copy of the store does not have at all.
+async fn restore<E: Edge>(node: &Rc<Node<E>>, group: &Group) {
+    let Some(known) = group.known() else {
         return;
+    };
+    let written = node.store().era();
+    if known.record.written < written {
+        sleep((node.era_since() + OUTLASTED).since(Boot.now())).await;
+        let record = Record {
+            written,
+            ..known.record
+        };
+        write(node, group, record, 0).await;
     }
-    if members.is_empty() {
-        return;
+}
+
+/// A group's first record, from what its members say.
+async fn first<E: Edge>(node: &Rc<Node<E>>, group: &Group) -> Option<Record> {
+    let members = group.members();
+    if members.is_empty() || group.is_known() {
+        return None;
     }
     let said = probe::all::<E::Protocol>(&members).await;
     if !group.is_wanted(Boot.now()) {
@@ -59,17 +88,43 @@
         let status = said.status().filter(|status| status.leads)?;
         Some((status.term, member))
     });
-    let Some((term, member)) = leaders.max_by_key(|(term, _)| *term) else {
-        return;
-    };
-    let record = Record {
+    let (term, member) = leaders.max_by_key(|(term, _)| *term)?;
+    Some(Record {
         term,
         upstream: member.upstream.id.to_string(),
         phase: Phase::Stable,
         by: node.settings.name.clone(),
         written: node.store().era(),
+    })
+}
+
+/// Writes first records by one call; one by one if the store has one of them already.
+async fn write_first<E: Edge>(node: &Rc<Node<E>>, records: &[(Rc<Group>, Record)]) {
+    let key = |group: &Group| lead_key::<E>(&group.service);
+    let swap = Swap {
+        expected: records.iter().map(|(group, _)| (key(group), 0)).collect(),
+        puts: records
+            .iter()
+            .map(|(group, record)| (key(group), encode(record), 0))
+            .collect(),
+        deletes: Vec::new(),
     };
-    write(node, group, record, 0).await;
+    let swapped = timeout(CALL, node.store().swap(&swap)).await;
+    log::info!(records = records.len(), swapped:?; "first records written");
+    match swapped {
+        Ok(Ok(Swapped::Done(revision))) => {
+            for (group, record) in records {
+                group.learn(record.clone(), revision);
+            }
+            node.prove.notify_one();
+        }
+        Ok(Ok(_)) if records.len() > 1 => {
+            for (group, record) in records.iter().filter(|(group, _)| !group.is_known()) {
+                write(node, group, record.clone(), 0).await;
+            }
+        }
+        _ => {}
+    }
 }
 
 /// Writes a record in the place of the one at `revision`, zero for none.
--- a/crates/proxy/src/peers/census.rs
+++ b/crates/proxy/src/peers/census.rs
@@ -138,10 +138,11 @@
             let lives = peer.was_heard(now, LOST);
             let reached = peer.is_prompt() || !unreached.contains(&peer.zone);
             let holds = lives && reached;
-            let relays = lives && peer.format >= FORMAT && peer.zone == self.zone;
+            let is_near = lives && peer.format >= FORMAT && peer.zone == self.zone;
             let seen = Seen {
                 holder: holds.then_some((peer.weight, peer.service != Service::Unable)),
-                relay: relays.then_some((peer.weight, peer.hearing != Hearing::Deaf)),
+                relay: is_near
+                    .then_some((relays::weight(peer.weight), peer.hearing != Hearing::Deaf)),
                 heard: peer.was_heard(now, HEARD),
             };
             self.census.note(name, peer, seen);
@@ -174,7 +175,10 @@
     pub fn relays(&self, own: Candidate<'_>) -> Vec<Option<SocketAddr>> {
         self.look();
         let mut board = self.census.relays.borrow_mut();
-        board.put(&own);
+        board.put(&Candidate {
+            weight: relays::weight(own.weight),
+            ..own
+        });
         let table = self.table.borrow();
         let chosen = board.holders(relays::DUTY, relays::EACH).iter();
         chosen
@@ -258,6 +262,14 @@
         chosen.map(|name| name.to_string()).collect()
     }
 
+    /// Whether most instances that are listed were never heard.
+    pub(crate) fn is_silent(&self) -> bool {
+        let table = self.table.borrow();
+        let listed = table.values().filter(|p| p.listed);
+        let (silent, heard): (Vec<_>, Vec<_>) = listed.partition(|p| p.heard.is_none());
+        silent.len() > heard.len()
+    }
+
     /// Names of the instances that were heard lately.
     pub fn names(&self) -> Vec<String> {
         let now = self.awake();
--- a/crates/proxy/src/peers/peer.rs
+++ b/crates/proxy/src/peers/peer.rs
@@ -107,11 +107,6 @@
 }
 
 impl Relay {
-    /// Its name.
-    pub(crate) fn name(&self) -> &str {
-        &self.name
-    }
-
     /// It as one of several that may have a duty.
     pub fn candidate(&self) -> Candidate<'_> {
         Candidate {
--- a/crates/proxy/src/proofs.rs
+++ b/crates/proxy/src/proofs.rs
@@ -13,21 +13,26 @@
     time::Duration,
 };
 
+use clock::{Boot, Instant};
 use tokio::{net::UdpSocket, sync::oneshot, task::spawn_local, time::timeout};
 
 use crate::{
     control::lead_key,
     edge::{Edge, Fault, Items, Store},
-    freshness,
+    era, freshness,
     node::Node,
     peers::beat::{self, Proof},
     shares,
+    work::Kind,
 };
 
 /// How long a relay may take to answer: the pause between its renewals and a call of the
 /// store, and short enough that the store itself is asked before a proof has lapsed.
 const ANSWER: Duration = Duration::from_millis(300);
 
+/// How long behind a question of another instance the proof is kept young for the next one.
+const RELIED: Duration = Duration::from_secs(2);
+
 /// How long the store may be silent while the records are read.
 const READ: Duration = Duration::from_millis(350);
 
@@ -44,6 +49,8 @@
     stamp: Cell<u64>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<(u64, Duration)>>>,
     asked: RefCell<Vec<Asked>>,
+    /// When the last question of another instance came.
+    relied: Cell<Instant>,
     readers: RefCell<Vec<Reader>>,
 }
 
@@ -53,6 +60,11 @@
         !self.asked.borrow().is_empty()
     }
 
+    /// Whether others asked lately, so that they will again.
+    pub(crate) fn is_relied_on(&self, now: Instant) -> bool {
+        self.relied.get() + RELIED > now
+    }
+
     /// The questions that came so far; whoever takes them asks the store and answers.
     pub(crate) fn questions(&self) -> Vec<Asked> {
         self.asked.take()
@@ -96,8 +108,12 @@
 pub(crate) fn take<E: Edge>(node: &Node<E>, proof: Proof) {
     match proof {
         Proof::Ask { stamp, answer } => {
+            node.work.add(Kind::ProofQuestion, 1);
             node.proofs.asked.borrow_mut().push((stamp, answer));
-            node.prove.notify_one();
+            node.proofs.relied.set(Boot.now());
+            if !era::answer_asked(node) {
+                node.prove.notify_one();
+            }
         }
         Proof::Told { stamp, era } => {
             let waiting = node.proofs.waiting.borrow_mut().remove(&stamp);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,7 +1,8 @@
 //! Who asks the store for an availability zone, and how the others follow.
 //!
-//! Two instances of each zone watch the store ([`admit::relays`]); the others ask one of
-//! them what it learnt, on one connection, again and again. Nobody is elected: whoever
+//! Two instances of each zone are its relays ([`admit::relays`]), and two of all relays
+//! watch the store. The other relays ask one of these what it learnt, on one connection,
+//! again and again, and all other instances ask a relay of their zone. Nobody is elected: whoever
 //! sees itself among the first two of its zone asks the store, and one more who does so
 //! costs a few calls. An instance that hears nobody is its zone's first.
 
@@ -25,6 +26,7 @@
         beat::Hearing,
         frame::{Ask, Feed, Followed, QUIET, Told, connect, receive, send},
     },
+    work::Kind,
 };
 
 /// How long a question for news waits.
@@ -54,12 +56,36 @@
     }
 }
 
-/// Whether this instance reads the catalogue in the store, for all others.
-pub(crate) fn reads_catalog<E: Edge>(node: &Node<E>) -> bool {
-    is_own(node) && readers(node).contains(&None)
+/// Whether this instance reads and watches the store, for all others.
+pub(crate) fn reads<E: Edge>(node: &Node<E>) -> bool {
+    feeder(node) == Source::Store
 }
 
-/// Which relays read the catalogue in the store: their addresses, `None` for this instance.
+/// Where this instance learns what is in the store: from a relay of its zone, and a relay
+/// from one of the readers.
+fn feeder<E: Edge>(node: &Node<E>) -> Source {
+    if let Source::Relay(address) = source(node) {
+        return Source::Relay(address);
+    }
+    let readers = readers(node);
+    if readers.contains(&None) {
+        return Source::Store;
+    }
+    draw(node, readers)
+}
+
+/// One of those at `addresses` that answer; each has its share of those who follow.
+fn draw<E: Edge>(node: &Node<E>, addresses: Vec<Option<SocketAddr>>) -> Source {
+    let fit = addresses.into_iter().flatten();
+    let fit: Vec<_> = fit.filter(|address| !is_left(node, *address)).collect();
+    if fit.is_empty() {
+        return Source::Store;
+    }
+    let drawn = xxh3_64(node.settings.name.as_bytes()) % fit.len() as u64;
+    Source::Relay(fit[drawn as usize])
+}
+
+/// Which relays read the store: their addresses, `None` for this instance.
 pub(crate) fn readers<E: Edge>(node: &Node<E>) -> Vec<Option<SocketAddr>> {
     node.peers.readers(candidate(node))
 }
@@ -76,14 +102,7 @@
     if relays.contains(&None) {
         return Source::Store;
     }
-    let fit = relays.into_iter().flatten().filter(|a| !is_left(node, *a));
-    let fit: Vec<_> = fit.collect();
-    if fit.is_empty() {
-        return Source::Store;
-    }
-    // Each relay has its share of those who follow.
-    let drawn = xxh3_64(node.settings.name.as_bytes()) % fit.len() as u64;
-    Source::Relay(fit[drawn as usize])
+    draw(node, relays)
 }
 
 /// Whether this instance asks the store itself.
@@ -94,7 +113,7 @@
 /// Follows a relay whenever there is one, until the process ends.
 pub(crate) async fn follow<E: Edge>(node: Rc<Node<E>>) {
     loop {
-        let Source::Relay(address) = source(&node) else {
+        let Source::Relay(address) = feeder(&node) else {
             sleep(LOOK).await;
             continue;
         };
@@ -113,7 +132,7 @@
         seq: 0,
         version: 0,
     };
-    while source(node) == Source::Relay(address) {
+    while feeder(node) == Source::Relay(address) {
         let is_first = followed.life == 0;
         followed.version = node.catalog().version;
         send(&mut stream, &Ask::Follow(followed)).await?;
@@ -154,6 +173,7 @@
             changes.extend(mirror.missing(prefix, &present, feed.at));
         }
     }
+    node.work.add(Kind::Change, changes.len());
     for change in changes {
         control::learn(node, change);
     }
@@ -188,7 +208,9 @@
             true => Told::Feed(feed(node, &followed)),
             false => Told::Nothing,
         };
-        send(&mut stream, &told).await?;
+        let bytes = send(&mut stream, &told).await?;
+        node.work.add(Kind::Feed, 1);
+        node.work.add(Kind::FeedByte, bytes);
         let Ask::Follow(next) = receive(&mut stream, WAIT).await? else {
             return Err(io::Error::other("another question"));
         };
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -28,7 +28,6 @@
     node::Node,
     probe,
 };
-pub(crate) use due::rank;
 use due::{RANK, Reason, due};
 use fence::{Chosen, Fenced, fence, still_holds};
 use record::{announce, end_era, settle};
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -118,7 +118,7 @@
 }
 
 /// How many of `others` come before this instance for `service`.
-pub(crate) fn rank<E: Edge>(node: &Node<E>, service: &str, others: &[String]) -> u32 {
+pub(super) fn rank<E: Edge>(node: &Node<E>, service: &str, others: &[String]) -> u32 {
     let weight = |name: &str| xxh3_64(format!("{name} {service}").as_bytes());
     let own = weight(&node.settings.name);
     let before = others.iter().filter(|name| weight(name) > own).count();
