Replace the primaries behind a cut by one strong instance that the others tell, and without a rush of connections

(1) Each heartbeat that called a primary failing had all who heard it connect to it: 54,333 connections were opened, 5,340 reset by upstreams over their cap, 8,417 upstreams counted as failing, and what was only busy failed too. (2) 0.1 s behind the cut's end an instance of that zone replaced 77 primaries that lived. (3) Who waits for the right to give orders asked the store ten times a second. (4) Relays that the store turned away were replaced, and each follower was told everything anew by its next one (75 MB in 10 s). (5) Relays waited as long for a reader as their followers for them. Change: look_too for those who use the group, hold it, give the orders, or are one of nine drawn (Node::is_judge); due waits 0.7 s behind the store's return; who meets the right held tells its holder, which looks itself, and rests 0.4 s; the right is kept for 1 s without work; ranks are drawn by weight; a follower goes on from the store's revision that it knows (Mirror::behind); a relay asks the store too behind 60 ms (era::hedged); members are asked for a proof only when a sixth of its span is left.

--- a/crates/admit/src/holders.rs
+++ b/crates/admit/src/holders.rs
@@ -123,9 +123,9 @@
     order
 }
 
-/// The lower, the sooner: drawn like the first arrival of a stream whose rate is the
+/// The place of the candidate `name` for `service`. The lower, the sooner: drawn like the first arrival of a stream whose rate is the
 /// square of the weight.
-pub(crate) fn score(service: &str, name: &str, weight: u32) -> f64 {
+pub fn score(service: &str, name: &str, weight: u32) -> f64 {
     let mut hash = Xxh3::new();
     hash.write(service.as_bytes());
     hash.write_u8(0);
--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -19,12 +19,14 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
 use clock::{Boot, Instant};
+use futures_util::future::{Either, select};
 use lead::quorum;
 use rand::seq::IndexedRandom;
 use tokio::{
@@ -66,6 +68,10 @@
 /// is asked for, leave a third of the 600 ms that a proof lasts.
 const YOUNG: Duration = Duration::from_millis(100);
 
+/// How long a relay waits for a reader's answer before it asks the store as well: some hops
+/// between zones, and a turn of a busy processor.
+const HEDGE: Duration = Duration::from_millis(60);
+
 /// The shortest pause between two rounds.
 const GAP: Duration = Duration::from_millis(20);
 
@@ -77,6 +83,9 @@
 /// primary that is lost together with a replica is replaced that much later.
 pub const LONELY: Duration = Duration::from_secs(5);
 
+/// The part of a proof's span, as a divisor, that is left when a group's members are asked.
+const LAPSES: u32 = 6;
+
 /// The most time before a missing era or record is written by this instance, so
 /// that not all do it at once.
 const JITTER_MS: u64 = 60;
@@ -128,6 +137,7 @@
             if groups.iter().any(due) {
                 ask_others(&node);
             }
+            ask_members(&node, &groups);
         }
         sleep(GAP).await;
         let _ = timeout(pause(&node), node.prove.notified()).await;
@@ -178,7 +188,10 @@
     node.proving.set(node.proving.get() + 1);
     let node = Rc::clone(node);
     spawn_local(async move {
-        let relayed = relayed(&node, address).await;
+        let relayed = match relay::is_own(&node) {
+            true => hedged(&node, address).await,
+            false => relayed(&node, address).await,
+        };
         answer_asked(&node);
         if relayed.is_err() {
             node.unanswered.set(Some((address, Boot.now())));
@@ -190,6 +203,24 @@
     });
 }
 
+/// Proves by a reader's answer, or by the store's if that comes first: a relay whose
+/// followers wait must not wait as long for a reader that is gone as they do for it.
+async fn hedged<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> Result<(), Fault> {
+    let relayed = pin!(relayed(node, address));
+    let hedge = pin!(async {
+        sleep(HEDGE).await;
+        match is_resting(node) {
+            true => Err(Fault::Unknown),
+            false => asked(node).await.map(|_| ()),
+        }
+    });
+    match select(relayed, hedge).await {
+        Either::Left((Ok(()), _)) | Either::Right((Ok(()), _)) => Ok(()),
+        Either::Left((Err(_), hedge)) => hedge.await,
+        Either::Right((Err(_), relayed)) => relayed.await,
+    }
+}
+
 /// Proves by a relay's answer, and reads the records through it if any of them is not
 /// known.
 async fn relayed<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> Result<(), Fault> {
@@ -400,8 +431,7 @@
     });
 }
 
-/// Proves primaries without the store: by another instance that hears it, and by
-/// the groups themselves.
+/// Proves primaries without asking the store: by another instance that hears it.
 fn ask_others<E: Edge>(node: &Rc<Node<E>>) {
     if !node.relaying.replace(true) {
         let node = Rc::clone(node);
@@ -414,19 +444,24 @@
             node.relaying.set(false);
         });
     }
-    for group in node.active() {
-        let now = Boot.now();
-        let fresh = group.proof().until() > now + node.settings.proof / 3;
-        if fresh || !group.is_wanted(now) {
+}
+
+/// Proves by themselves the groups in use whose proofs are about to lapse.
+///
+/// Only then: where a proof is late for all, questions of all members open connections to
+/// all upstreams at once, which have no slots left for statements.
+fn ask_members<E: Edge>(node: &Rc<Node<E>>, groups: &[Rc<Group>]) {
+    let now = Boot.now();
+    for group in groups {
+        let lapses = group.proof().until() < now + node.settings.proof / LAPSES;
+        if !lapses || !group.is_wanted(now) || group.asking.replace(true) {
             continue;
         }
-        if !group.asking.replace(true) {
-            let node = Rc::clone(node);
-            spawn_local(async move {
-                ask_group(&node, &group).await;
-                group.asking.set(false);
-            });
-        }
+        let (node, group) = (Rc::clone(node), Rc::clone(group));
+        spawn_local(async move {
+            ask_group(&node, &group).await;
+            group.asking.set(false);
+        });
     }
 }
 
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -62,6 +62,8 @@
     /// Deletions up to this number may be forgotten.
     floor: u64,
     gone: usize,
+    /// The newest revision of the store at which a key was deleted that is forgotten.
+    forgotten: u64,
     /// Up to which revision of the store each section is known.
     known: [u64; SECTIONS.len()],
 }
@@ -115,6 +117,9 @@
 
     /// Forgets what was deleted.
     fn forget(&mut self) {
+        let gone = self.entries.values().filter(|entry| entry.value.is_none());
+        let newest = gone.map(|entry| entry.revision).max();
+        self.forgotten = self.forgotten.max(newest.unwrap_or(0));
         self.entries.retain(|_, entry| entry.value.is_some());
         let entries = &self.entries;
         self.order.retain(|_, key| entries.contains_key(key));
@@ -158,6 +163,20 @@
             .collect()
     }
 
+    /// What changed in the store behind its revision `at`; `None` if a deletion since may be
+    /// forgotten, so that all has to be told.
+    pub fn behind(&self, at: u64) -> Option<Vec<Change>> {
+        if at < self.forgotten {
+            return None;
+        }
+        let newer = self
+            .order
+            .values()
+            .filter_map(|key| self.entries.get_key_value(key));
+        let newer = newer.filter(|(_, entry)| entry.revision > at);
+        Some(newer.map(change).collect())
+    }
+
     /// What was learnt behind number `seq`, oldest first; `None` if some of it is
     /// forgotten, so that all has to be told.
     pub fn since(&self, seq: u64) -> Option<Vec<Change>> {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -47,6 +47,9 @@
 /// How long an instance that asked the store in vain is passed over as a relay.
 const DEAF: Duration = Duration::from_secs(10);
 
+/// How many instances look at a primary that one sees fail, beside those that use it.
+const JUDGES: usize = 9;
+
 /// How often it is looked whether a catalogue is in force.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -126,6 +129,8 @@
     pub duty: Cell<(u64, Instant)>,
     /// The era of the store, and when this instance met it.
     met_era: Cell<(u64, Instant)>,
+    /// Whether this instance has that right.
+    pub(crate) has_right: Cell<bool>,
     /// Who had that right before this instance took it last.
     pub(crate) before: RefCell<Vec<String>>,
     /// When this instance gave its last order.
@@ -196,6 +201,7 @@
             able: Cell::new(Boot.now()),
             duty: Cell::default(),
             met_era: Cell::default(),
+            has_right: Cell::new(false),
             before: RefCell::default(),
             ordered: Cell::default(),
             contact: Cell::default(),
@@ -324,6 +330,19 @@
         self.peers.holder_names(service, count, self.candidate())
     }
 
+    /// Whether this instance is to look at the group's primary when another one sees it
+    /// fail: it uses the group, holds its connections, gives the orders, or is one of a
+    /// few more.
+    pub(crate) fn is_judge(&self, group: &Group) -> bool {
+        let own = &self.settings.name;
+        let is_named = || {
+            let duty = format!("judge {}", group.service);
+            let judges = self.peers.holder_names(&duty, JUDGES, self.candidate());
+            judges.contains(own) || self.holder_names(&group.service).contains(own)
+        };
+        self.has_right.get() || group.is_wanted(Boot.now()) || is_named()
+    }
+
     fn candidate(&self) -> Candidate<'_> {
         Candidate {
             name: &self.settings.name,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -289,6 +289,9 @@
 }
 
 /// Asks a primary that another instance sees fail, so that one's word is checked.
+///
+/// A few instances do. Were all that hear of it to connect at once, a primary that was
+/// only busy would have no slot left for statements, and fail for everybody.
 fn look_too<E: Edge>(node: &Rc<Node<E>>, beliefs: &[Belief]) {
     for belief in beliefs.iter().filter(|b| b.verdict == Verdict::Failing) {
         let service: Rc<str> = belief.service.as_str().into();
@@ -297,7 +300,7 @@
             continue;
         };
         let quiet = primary.health().answered + PROMPT / 2 < Boot.now();
-        if term == belief.term && quiet {
+        if term == belief.term && quiet && node.is_judge(&group) {
             probe::check(node, &group, &primary);
         }
     }
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -61,7 +61,8 @@
 pub(crate) struct Followed {
     /// The life of the one that is followed, zero if it was not asked before.
     pub(crate) life: u64,
-    /// The last number that it told.
+    /// The last number that it told; if it was not asked before, the store's revision up to
+    /// which everything is known.
     pub(crate) seq: u64,
     /// The version of the catalogue that is had.
     pub(crate) version: u64,
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -82,6 +82,8 @@
     guests: RefCell<HashMap<IpAddr, usize>>,
     /// Told when beats should be sent at once.
     pub(super) called: Notify,
+    /// To whom besides those that wait.
+    told: RefCell<Vec<SocketAddr>>,
     /// To whom.
     pub(super) urgent: Cell<Urgent>,
     /// How long this instance has been behind others.
@@ -109,6 +111,7 @@
             greeted: RefCell::default(),
             guests: RefCell::default(),
             called: Notify::new(),
+            told: RefCell::default(),
             urgent: Cell::new(Urgent::Nobody),
             news: Cell::default(),
             fetching: Cell::default(),
@@ -143,6 +146,12 @@
         self.tell(Urgent::All);
     }
 
+    /// Has a beat sent at once to the instance at `address`.
+    pub(crate) fn call_one(&self, address: SocketAddr) {
+        self.told.borrow_mut().push(address);
+        self.called.notify_one();
+    }
+
     fn tell(&self, urgent: Urgent) {
         self.urgent.set(self.urgent.get().max(urgent));
         self.called.notify_one();
@@ -207,6 +216,8 @@
             let seeds = self.seeds.iter().filter(|seed| **seed != self.own);
             due.extend(seeds.map(|seed| Due::greeting(*seed, Greeting::Introduce)));
         }
+        let told = self.told.take().into_iter();
+        due.extend(told.map(|address| Due::greeting(address, Greeting::None)));
         let mut table = self.table.borrow_mut();
         let others = table.len();
         let guests = self.guests.borrow();
@@ -308,6 +319,11 @@
         Guest { peers: self, guest }
     }
 
+    /// The weight of the instance with this name, zero if it is not known.
+    pub(crate) fn weight(&self, name: &str) -> u32 {
+        self.table.borrow().get(name).map_or(0, |peer| peer.weight)
+    }
+
     /// Where the instance with this name is reached.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         Some(self.table.borrow().get(name)?.address)
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -127,9 +127,10 @@
 /// Asks the relay at `address` for news as long as it is one.
 async fn track<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> io::Result<()> {
     let mut stream = connect(address).await?;
+    // Another relay than before goes on from what is known of the store.
     let mut followed = Followed {
         life: 0,
-        seq: 0,
+        seq: node.mirror.borrow().at(),
         version: 0,
     };
     while feeder(node) == Source::Relay(address) {
@@ -233,9 +234,10 @@
 
 fn feed<E: Edge>(node: &Node<E>, followed: &Followed) -> Feed {
     let mirror = node.mirror.borrow();
-    let known = match followed.life == node.life {
-        true => mirror.since(followed.seq),
-        false => None,
+    let known = match followed.life {
+        0 if followed.seq <= mirror.at() => mirror.behind(followed.seq),
+        life if life == node.life => mirror.since(followed.seq),
+        _ => None,
     };
     let is_whole = known.is_none() || followed.seq == 0;
     let mut changes = known.or_else(|| mirror.since(0)).unwrap_or_default();
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -37,6 +37,14 @@
 /// How often primaries are looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// How long whoever has the right keeps it without anything to do: where a zone is cut off,
+/// others tell it one by one of primaries that fail.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// How long an instance leaves the store alone that asked for the right while another one
+/// has it. That one is told what this one sees, and acts for it.
+const HELD: Duration = Duration::from_millis(400);
+
 /// How long an order may take.
 const ORDER: Duration = Duration::from_millis(450);
 
@@ -52,11 +60,13 @@
 /// fences of calls that arrive never fall, whichever group they are for.
 pub async fn oversee<E: Edge>(node: Rc<Node<E>>) {
     let mut held: Option<Rc<Right>> = None;
+    let mut used = Boot.now();
     loop {
         sleep(LOOK).await;
         if let Some(right) = held.take_if(|right| !right.holds()) {
             log::warn!(fence = right.fence; "the right to give orders ran out");
         }
+        node.has_right.set(held.is_some());
         let due: Vec<_> = node
             .active()
             .into_iter()
@@ -64,7 +74,10 @@
             .filter(|(_, group)| !group.replacing.get())
             .collect();
         if let Some(right) = &held {
-            let idle = due.is_empty() && right.active.get() == 0;
+            if !due.is_empty() || right.active.get() > 0 {
+                used = Boot.now();
+            }
+            let idle = used + LINGER < Boot.now();
             let old = Boot.now() + RIGHT * 3 / 4 > right.until.get();
             if idle || node.is_stopping() && right.active.get() == 0 {
                 let _ = write_duty(&node, right.revision.get(), false).await;
@@ -83,7 +96,11 @@
                 Ok(right) => Some(Rc::new(right)),
                 Err(failed) => {
                     log::debug!(failed:?; "no right to give orders");
-                    sleep(RANK / 2).await;
+                    let rest = match failed {
+                        Failed::Held => HELD,
+                        _ => RANK / 2,
+                    };
+                    sleep(rest).await;
                     None
                 }
             };
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -2,9 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
+use admit::{holders, relays};
 use clock::Boot;
 use lead::{Phase, Verdict};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::right::RIGHT;
 use crate::{catalog::Stay, edge::Edge, group::Group, node::Node};
@@ -15,6 +15,12 @@
 /// How lately the store must have answered whoever wants to replace a primary.
 pub(super) const STORED: Duration = Duration::from_millis(700);
 
+/// How long an instance that the store answers again looks before it judges a primary: it
+/// and the others of its zone may have been cut off, and reach the upstreams again no
+/// sooner than the store. A zone that is back would else replace the primaries of all
+/// groups that it holds.
+pub(super) const BACK: Duration = Duration::from_millis(700);
+
 /// How long an upstream may be missing in the list before it counts as gone.
 pub(super) const UNLISTED: Duration = Duration::from_millis(400);
 
@@ -90,7 +96,8 @@
         }
     }
     // What was seen while this instance itself was cut off says nothing.
-    if !primary.is_failing() || node.stored.get() + STORED < now {
+    let is_back = node.stored_since.get() + BACK > now;
+    if !primary.is_failing() || is_back || node.stored.get() + STORED < now {
         return None;
     }
     let since = primary.health().failing_since?;
@@ -117,10 +124,12 @@
     }
 }
 
-/// How many of `others` come before this instance for `service`.
+/// How many of `others` come before this instance for `service`. Strong ones come first:
+/// behind a zone's cut whoever replaces one primary replaces those of many groups.
 pub(super) fn rank<E: Edge>(node: &Node<E>, service: &str, others: &[String]) -> u32 {
-    let weight = |name: &str| xxh3_64(format!("{name} {service}").as_bytes());
-    let own = weight(&node.settings.name);
-    let before = others.iter().filter(|name| weight(name) > own).count();
+    let score = |name: &str, weight| holders::score(service, name, relays::weight(weight));
+    let own = score(&node.settings.name, node.settings.weight);
+    let is_before = |name: &&String| score(name, node.peers.weight(name)) < own;
+    let before = others.iter().filter(is_before).count();
     u32::try_from(before).unwrap_or(u32::MAX)
 }
--- a/crates/proxy/src/takeover/right.rs
+++ b/crates/proxy/src/takeover/right.rs
@@ -103,6 +103,9 @@
     if let Some(duty) = &duty {
         let own = duty.life == node.life;
         if duty.held && !own && seen + RIGHT + RIGHT / 20 > now {
+            if let Some(address) = node.peers.address(&duty.holder) {
+                node.peers.call_one(address);
+            }
             return Err(Failed::Held);
         }
         // A life before this one may have given the order.
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -118,3 +118,32 @@
         prop_assert_eq!(newest(&other), newest(&relay));
     }
 }
+
+/// An instance that changes to another relay and is told everything anew costs that relay's
+/// link as much as one that starts.
+#[test]
+fn another_relay_tells_only_what_changed_behind_the_revision_that_is_known() {
+    let mut mirror = Mirror::default();
+    for revision in 1..=1_000 {
+        mirror.take(&put((revision % 200) as u8, revision));
+    }
+    mirror.take(&gone(1, 1_001));
+    assert_eq!(
+        mirror.behind(999),
+        Some(vec![put(0, 1_000), gone(1, 1_001)])
+    );
+    assert_eq!(mirror.behind(1_001), Some(vec![]));
+}
+
+/// A deletion that is forgotten would leave an upstream that has left in use.
+#[test]
+fn who_is_behind_a_forgotten_deletion_is_told_everything() {
+    let mut mirror = Mirror::default();
+    mirror.take(&put(1, 1));
+    mirror.take(&gone(1, 2));
+    for revision in 3..2_000 {
+        mirror.take(&Change::Gone(format!("k/{revision}"), revision));
+    }
+    assert_eq!(mirror.behind(1), None);
+    assert!(mirror.behind(2_000).is_some());
+}
