--- a/crates/lead/src/vote.rs
+++ b/crates/lead/src/vote.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use clock::Instant;
 use serde::{Deserialize, Serialize};
 
 /// How long a primary must fail before those who see it fail may outvote silence.
@@ -13,6 +14,30 @@
 /// How long a primary must refuse everybody until it is replaced.
 const SHUT: Duration = Duration::from_millis(2_200);
 
+/// How lately the store must have answered whoever judges a primary.
+const STORED: Duration = Duration::from_millis(700);
+
+/// How long the store must have answered it again. An instance that was cut off reaches the
+/// upstreams no sooner than the store: a zone that is back would else replace the primaries
+/// of all groups that it holds.
+const BACK: Duration = Duration::from_millis(700);
+
+/// Whether an instance may judge primaries at `now`: the store, which answered it last at
+/// `stored`, has done so without a gap since `since`.
+///
+/// ```
+/// use clock::Instant;
+/// use lead::vote::is_sighted;
+///
+/// let at = Instant::from_millis;
+/// assert!(is_sighted(at(9_000), at(8_900), at(1_000)));
+/// assert!(!is_sighted(at(9_000), at(8_200), at(1_000)), "cut off");
+/// assert!(!is_sighted(at(9_000), at(8_900), at(8_800)), "back a moment ago");
+/// ```
+pub fn is_sighted(now: Instant, stored: Instant, since: Instant) -> bool {
+    stored + STORED >= now && since + BACK <= now
+}
+
 /// What one instance sees of a primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -333,7 +333,7 @@
     /// Whether this instance is to look at the group's primary when another one sees it
     /// fail: it uses the group, holds its connections, gives the orders, or is one of a
     /// few more.
-    pub(crate) fn is_judge(&self, group: &Group) -> bool {
+    pub fn is_judge(&self, group: &Group) -> bool {
         let own = &self.settings.name;
         let is_named = || {
             let duty = format!("judge {}", group.service);
@@ -393,7 +393,7 @@
     }
 
     /// Lets groups rest for which nothing is to be done.
-    pub(crate) fn sweep(&self, now: Instant) {
+    pub fn sweep(&self, now: Instant) {
         self.roster.sweep(now);
     }
 
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -4,7 +4,7 @@
 
 use admit::{holders, relays};
 use clock::Boot;
-use lead::{Phase, Verdict};
+use lead::{Phase, Verdict, vote};
 
 use super::right::RIGHT;
 use crate::{catalog::Stay, edge::Edge, group::Group, node::Node};
@@ -12,15 +12,6 @@
 /// How much later each further instance tries.
 pub(super) const RANK: Duration = Duration::from_millis(200);
 
-/// How lately the store must have answered whoever wants to replace a primary.
-pub(super) const STORED: Duration = Duration::from_millis(700);
-
-/// How long an instance that the store answers again looks before it judges a primary: it
-/// and the others of its zone may have been cut off, and reach the upstreams again no
-/// sooner than the store. A zone that is back would else replace the primaries of all
-/// groups that it holds.
-pub(super) const BACK: Duration = Duration::from_millis(700);
-
 /// How long an upstream may be missing in the list before it counts as gone.
 pub(super) const UNLISTED: Duration = Duration::from_millis(400);
 
@@ -96,8 +87,8 @@
         }
     }
     // What was seen while this instance itself was cut off says nothing.
-    let is_back = node.stored_since.get() + BACK > now;
-    if !primary.is_failing() || is_back || node.stored.get() + STORED < now {
+    let is_sighted = vote::is_sighted(now, node.stored.get(), node.stored_since.get());
+    if !primary.is_failing() || !is_sighted {
         return None;
     }
     let since = primary.health().failing_since?;
