Choose holders anew only where a change concerns those chosen, for groups in use

Cause: at a start all groups are active until their records are known, and the log of who holds what asked for the holders of each; each instance that came then cost a draw and a choice for every group of the catalogue. Change: holding::watch looks at groups with sessions or a need; a board chooses anew only if a place among the first changed.

--- a/crates/admit/src/board.rs
+++ b/crates/admit/src/board.rs
@@ -70,20 +70,21 @@
         }
     }
 
-    /// Takes in a candidate.
-    fn insert(&mut self, zone: &Rc<str>, place: Place) {
+    /// Takes in a candidate; whether others may have to be chosen.
+    fn insert(&mut self, zone: &Rc<str>, place: Place) -> bool {
         let most = self.count + SPARE;
         let zone = self.zones.entry(Rc::clone(zone)).or_default();
         let at = zone.places.partition_point(|other| other.is_before(&place));
         if at >= most || zone.is_cut && at == zone.places.len() {
             zone.is_cut = true;
-            return;
+            return false;
         }
         zone.places.insert(at, place);
         if zone.places.len() > most {
             zone.places.truncate(most);
             zone.is_cut = true;
         }
+        at < self.count
     }
 
     /// Takes out a candidate; whether the rest is still enough to choose among.
@@ -163,8 +164,9 @@
                 self.draws += 1;
                 let score = holders::score(service, &name, member.weight);
                 let name = Rc::clone(&name);
-                ranking.insert(&member.zone, Place { score, name });
-                ranking.choose();
+                if ranking.insert(&member.zone, Place { score, name }) {
+                    ranking.choose();
+                }
             }
         }
         self.members.insert(name, member);
@@ -178,7 +180,9 @@
         self.count(&member, -1);
         self.rankings.retain(|_, ranking| {
             let is_enough = ranking.remove(&member.zone, name);
-            ranking.choose();
+            if ranking.chosen.iter().any(|chosen| **chosen == *name) {
+                ranking.choose();
+            }
             is_enough
         });
     }
--- a/crates/proxy/src/holding.rs
+++ b/crates/proxy/src/holding.rs
@@ -26,9 +26,11 @@
     let mut told: HashMap<Rc<str>, Stand> = HashMap::new();
     loop {
         sleep(LOOK).await;
-        let active = node.active();
-        told.retain(|service, _| active.iter().any(|group| group.service == *service));
-        for group in active {
+        let now = Boot.now();
+        let mut used = node.active();
+        used.retain(|group| group.sessions.get() > 0 || group.is_wanted(now));
+        told.retain(|service, _| used.iter().any(|group| group.service == *service));
+        for group in used {
             let holders = node.holders(&group.service).len();
             let since = group.handed.get().unwrap_or(Boot.now());
             group.handed.set((holders > 0).then_some(since));
