Ask a group's members only where the era's proof does not cover it, and count the calls of replacements

Cause: a group that nobody used for two seconds has no proof of its own; when it was asked for, its members were asked at once, over new connections, though the era was proved a moment ago.

--- a/crates/proxy/src/era.rs
+++ b/crates/proxy/src/era.rs
@@ -133,8 +133,9 @@
                 ask_store(&node);
             }
             let span = node.settings.proof;
+            let is_late = node.proved.get().1 + span * 2 / 3 < now;
             let due = |g: &Rc<Group>| g.proof().until() < now + span / 3 && g.is_wanted(now);
-            if groups.iter().any(due) {
+            if is_late && groups.iter().any(due) {
                 ask_others(&node);
             }
             ask_members(&node, &groups);
@@ -446,15 +447,20 @@
     }
 }
 
-/// Proves by themselves the groups in use whose proofs are about to lapse.
+/// Proves by themselves the groups in use whose proofs are about to lapse and that the
+/// era's proof does not cover.
 ///
-/// Only then: where a proof is late for all, questions of all members open connections to
-/// all upstreams at once, which have no slots left for statements.
+/// Only these: questions of all members open connections to all upstreams at once, which
+/// have no slots left for statements.
 fn ask_members<E: Edge>(node: &Rc<Node<E>>, groups: &[Rc<Group>]) {
     let now = Boot.now();
     for group in groups {
-        let lapses = group.proof().until() < now + node.settings.proof / LAPSES;
-        if !lapses || !group.is_wanted(now) || group.asking.replace(true) {
+        let lapses = || group.proof().until() < now + node.settings.proof / LAPSES;
+        if !group.is_wanted(now) || !lapses() {
+            continue;
+        }
+        adopt(node, group);
+        if !lapses() || group.asking.replace(true) {
             continue;
         }
         let (node, group) = (Rc::clone(node), Rc::clone(group));
--- a/crates/proxy/src/takeover/record.rs
+++ b/crates/proxy/src/takeover/record.rs
@@ -36,7 +36,7 @@
     let record = Record {
         phase: Phase::Changing,
         by: node.settings.name.clone(),
-        written: node.edge.store().era(),
+        written: node.store().era(),
         ..known.record
     };
     let key = lead_key::<E>(&group.service);
@@ -48,7 +48,7 @@
     while right.holds() {
         let duty = right.revision.get();
         swap.expected[1].1 = duty;
-        match timeout(CALL, node.edge.store().swap(&swap)).await {
+        match timeout(CALL, node.store().swap(&swap)).await {
             Ok(Ok(Swapped::Done(revision))) => {
                 group.learn(record, revision);
                 return Ok(revision);
@@ -69,7 +69,7 @@
     record: &Record,
 ) -> Result<u64, Failed> {
     let key = lead_key::<E>(&group.service);
-    let items = timeout(CALL, node.edge.store().read(&key, CALL)).await;
+    let items = timeout(CALL, node.store().read(&key, CALL)).await;
     let items = items.map_err(|_| Fault::Unknown)??;
     let item = items.items.iter().find(|item| item.key == key);
     let item = item.ok_or(Failed::Overtaken)?;
@@ -83,7 +83,7 @@
 
 /// Ends the era in which proofs were given before the announcement; when that was.
 pub(super) async fn end_era<E: Edge>(node: &Node<E>, right: &Right) -> Result<Instant, Failed> {
-    let store = node.edge.store();
+    let store = node.store();
     while right.holds() {
         let items = timeout(CALL, store.read(&era_key::<E>(), CALL)).await;
         let Ok(Ok(items)) = items else {
@@ -116,7 +116,7 @@
         upstream: member.upstream.id.to_string(),
         phase: Phase::Stable,
         by: node.settings.name.clone(),
-        written: node.edge.store().era(),
+        written: node.store().era(),
     };
     let key = lead_key::<E>(&group.service);
     let swap = Swap {
@@ -128,7 +128,7 @@
         if !right.holds() {
             return Err(Failed::Expired);
         }
-        match timeout(CALL, node.edge.store().swap(&swap)).await {
+        match timeout(CALL, node.store().swap(&swap)).await {
             Ok(Ok(Swapped::Done(revision))) => {
                 group.learn(record, revision);
                 break;
--- a/crates/proxy/src/takeover/right.rs
+++ b/crates/proxy/src/takeover/right.rs
@@ -79,7 +79,7 @@
 
 /// Takes the right to give orders.
 pub(super) async fn claim<E: Edge>(node: &Node<E>) -> Result<Right, Failed> {
-    let store = node.edge.store();
+    let store = node.store();
     let key = duty_key::<E>();
     let duties = timeout(CALL, store.read(&key, CALL)).await;
     let duties = duties.map_err(|_| Fault::Unknown)??;
@@ -159,7 +159,7 @@
         life: node.life,
         held,
         before: node.before.borrow().clone(),
-        written: node.edge.store().era(),
+        written: node.store().era(),
     };
     let swap = Swap {
         expected: vec![(duty_key::<E>(), revision)],
@@ -167,7 +167,7 @@
         deletes: Vec::new(),
     };
     let sent = Boot.now();
-    match timeout(CALL, node.edge.store().swap(&swap)).await {
+    match timeout(CALL, node.store().swap(&swap)).await {
         Ok(Ok(Swapped::Done(revision))) => Ok((revision, sent + RIGHT)),
         Ok(Ok(_)) => Err(Failed::Overtaken),
         Ok(Err(fault)) => Err(fault.into()),
