--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -41,6 +41,9 @@
     seq: u64,
 }
 
+/// What a mirror's contents are told apart by.
+pub(crate) type State = (u64, [u64; SECTIONS.len()]);
+
 /// What an instance knows of the store.
 ///
 /// ```
@@ -74,6 +77,11 @@
         self.seq
     }
 
+    /// How much was learnt, and up to which revision of each section it is all there is.
+    pub(crate) fn state(&self) -> State {
+        (self.seq, self.known)
+    }
+
     /// Notes that all changes of `section` up to the store's revision `at` were taken in.
     pub fn knows(&mut self, section: Section, at: u64) {
         let known = &mut self.known[section as usize];
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -27,7 +27,7 @@
     freshness::Fresh,
     group::Group,
     member::Member,
-    mirror::Mirror,
+    mirror::{self, Mirror},
     peers::{Peers, beat::Hearing, frame::Packed},
     proofs::Proofs,
     relay,
@@ -152,6 +152,9 @@
     /// Told when something was learnt of the store.
     pub learnt: Notify,
     packed: RefCell<Option<Packed>>,
+    /// What those are told who know nothing, and of which state of the mirror and the
+    /// catalogue.
+    pub(crate) whole: RefCell<Option<((mirror::State, u64), Bytes)>>,
     /// Questions for proofs.
     pub proofs: Proofs,
     /// How surely it is known what may be asked for.
@@ -213,6 +216,7 @@
             mirror: RefCell::default(),
             learnt: Notify::new(),
             packed: RefCell::default(),
+            whole: RefCell::default(),
             proofs: Proofs::default(),
             freshness: Fresh::default(),
             shares: Shares::default(),
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -428,6 +428,5 @@
         Ask::Catalog => Told::Catalog(node.catalog_item()),
         Ask::Packed => Told::Packed(node.packed()),
     };
-    send(&mut stream, &told).await?;
-    Ok(())
+    send(&mut stream, &told).await
 }
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -122,17 +122,27 @@
     Ok(stream)
 }
 
-/// Sends a frame for as long as the peer takes parts of it; how many bytes it has.
-pub(crate) async fn send<T: Serialize>(stream: &mut TcpStream, frame: &T) -> io::Result<usize> {
+/// A frame as it is sent.
+pub(crate) fn pack<T: Serialize>(frame: &T) -> io::Result<Bytes> {
     let body = postcard::to_stdvec(frame).map_err(io::Error::other)?;
     let size = u32::try_from(body.len()).map_err(io::Error::other)?;
     let mut out = BytesMut::with_capacity(body.len() + 4);
     out.put_u32(size);
     out.extend_from_slice(&body);
-    for part in out.chunks(PART) {
+    Ok(out.freeze())
+}
+
+/// Sends a frame for as long as the peer takes parts of it.
+pub(crate) async fn send_frame(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+    for part in frame.chunks(PART) {
         timeout(QUIET, stream.write_all(part)).await??;
     }
-    Ok(out.len())
+    Ok(())
+}
+
+/// Packs a frame and sends it.
+pub(crate) async fn send<T: Serialize>(stream: &mut TcpStream, frame: &T) -> io::Result<()> {
+    send_frame(stream, &pack(frame)?).await
 }
 
 /// Receives a frame that begins within `first`, for as long as parts of it come.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -9,6 +9,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use admit::holders::Candidate;
+use bytes::Bytes;
 use clock::Boot;
 use tokio::{
     net::TcpStream,
@@ -24,7 +25,7 @@
     peers::{
         LOST,
         beat::Hearing,
-        frame::{Ask, Feed, Followed, QUIET, Told, connect, receive, send},
+        frame::{Ask, Feed, Followed, QUIET, Told, connect, pack, receive, send, send_frame},
     },
     work::Kind,
 };
@@ -205,13 +206,14 @@
     loop {
         let _ = timeout(WAIT, news(node, &followed)).await;
         let fit = node.listed.get() && node.hearing() != Hearing::Deaf && is_own(node);
-        let told = match fit {
-            true => Told::Feed(feed(node, &followed)),
-            false => Told::Nothing,
+        let frame = match fit {
+            true => packed(node, &followed)?,
+            false => pack(&Told::Nothing)?,
         };
-        let bytes = send(&mut stream, &told).await?;
+        send_frame(&mut stream, &frame).await?;
         node.work.add(Kind::Feed, 1);
-        node.work.add(Kind::FeedByte, bytes);
+        node.work.add(Kind::FeedByte, frame.len());
+        drop(frame);
         let Ask::Follow(next) = receive(&mut stream, WAIT).await? else {
             return Err(io::Error::other("another question"));
         };
@@ -232,6 +234,23 @@
     }
 }
 
+/// What `followed` is told, as it is sent. What those are told who know nothing is kept for
+/// the next of them: a zone that starts at once asks its relay a hundred times for the same.
+fn packed<E: Edge>(node: &Node<E>, followed: &Followed) -> io::Result<Bytes> {
+    let knows_nothing = followed.life == 0 && followed.seq == 0 && followed.version == 0;
+    if !knows_nothing {
+        return pack(&Told::Feed(feed(node, followed)));
+    }
+    let state = (node.mirror.borrow().state(), node.catalog().version);
+    let mut kept = node.whole.borrow_mut();
+    if let Some((_, frame)) = kept.as_ref().filter(|(of, _)| *of == state) {
+        return Ok(frame.clone());
+    }
+    let frame = pack(&Told::Feed(feed(node, followed)))?;
+    *kept = Some((state, frame.clone()));
+    Ok(frame)
+}
+
 fn feed<E: Edge>(node: &Node<E>, followed: &Followed) -> Feed {
     let mirror = node.mirror.borrow();
     let known = match followed.life {
