--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -159,12 +159,14 @@
 /// Reads the list again and again while this instance is a relay, so that instances which
 /// don't know each other greet each other: who starts greets all that it lists.
 async fn introduce<E: Edge>(node: Rc<Node<E>>) {
+    let mut pause = LIST.0;
     loop {
-        let pause = match node.peers.count() {
+        sleep(pause).await;
+        // Those that start at once may not be listed yet when it is read first.
+        pause = match node.peers.count() {
             1 => LIST.0,
-            _ => LIST.1,
+            _ => (pause * 2).min(LIST.1),
         };
-        sleep(pause).await;
         if relay::is_own(&node) {
             let _ = list(&node).await;
         }
