Tell a follower that changes its relay all instances that are listed

Traced by the zone's log until 4 s before traffic (stopped there): front-nlw-e-3, -7 and -8 knew 253, 252 and 251 instances, most weak ones 430 to 490, others 986. Cause: who changes its relay goes on from the store's revision that it knows. The list of instances is read now and then and not watched, so entries below that revision which only the new relay had read were never told. Change: Mirror::behind takes the prefix that is listed and tells all under it; its test fails without that. Ruled out: the revisions of records that are written together.

--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -171,9 +171,10 @@
             .collect()
     }
 
-    /// What changed in the store behind its revision `at`; `None` if a deletion since may be
-    /// forgotten, so that all has to be told.
-    pub fn behind(&self, at: u64) -> Option<Vec<Change>> {
+    /// What changed in the store behind its revision `at`, and all under `listed`, which is read
+    /// now and then and not watched, so that no revision tells up to where it is known; `None`
+    /// if a deletion since may be forgotten, so that all has to be told.
+    pub fn behind(&self, at: u64, listed: &str) -> Option<Vec<Change>> {
         if at < self.forgotten {
             return None;
         }
@@ -181,7 +182,7 @@
             .order
             .values()
             .filter_map(|key| self.entries.get_key_value(key));
-        let newer = newer.filter(|(_, entry)| entry.revision > at);
+        let newer = newer.filter(|(key, entry)| entry.revision > at || key.starts_with(listed));
         Some(newer.map(change).collect())
     }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -254,7 +254,7 @@
 fn feed<E: Edge>(node: &Node<E>, followed: &Followed) -> Feed {
     let mirror = node.mirror.borrow();
     let known = match followed.life {
-        0 if followed.seq <= mirror.at() => mirror.behind(followed.seq),
+        0 if followed.seq <= mirror.at() => mirror.behind(followed.seq, &control::instances::<E>()),
         life if life == node.life => mirror.since(followed.seq),
         _ => None,
     };
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -129,10 +129,10 @@
     }
     mirror.take(&gone(1, 1_001));
     assert_eq!(
-        mirror.behind(999),
+        mirror.behind(999, "list/"),
         Some(vec![put(0, 1_000), gone(1, 1_001)])
     );
-    assert_eq!(mirror.behind(1_001), Some(vec![]));
+    assert_eq!(mirror.behind(1_001, "list/"), Some(vec![]));
 }
 
 /// A deletion that is forgotten would leave an upstream that has left in use.
@@ -144,6 +144,23 @@
     for revision in 3..2_000 {
         mirror.take(&Change::Gone(format!("k/{revision}"), revision));
     }
-    assert_eq!(mirror.behind(1), None);
-    assert!(mirror.behind(2_000).is_some());
+    assert_eq!(mirror.behind(1, "list/"), None);
+    assert!(mirror.behind(2_000, "list/").is_some());
+}
+
+/// An instance that changes its relay and does not learn of those that only the new one has
+/// listed chooses other holders than they do, and refuses its callers.
+#[test]
+fn another_relay_tells_all_that_is_listed_whatever_its_revision() {
+    let listed = |revision| {
+        Change::Put(Item {
+            key: "list/one".into(),
+            value: "here".into(),
+            revision,
+        })
+    };
+    let mut mirror = Mirror::default();
+    mirror.take(&put(1, 900));
+    mirror.take(&listed(7));
+    assert_eq!(mirror.behind(900, "list/"), Some(vec![listed(7)]));
 }
