Read a section again after an empty answer to its watch

Callers saw a change that never came into force, and upstreams that had left kept getting work, until the next change of the same section.

Cause: an empty answer names a revision, and the section was marked complete up to it. The store does not promise that: watches may hear nothing while changes are made. Class: a hint is taken for a proof.

The section is now read, the catalogue by a conditional read that returns nothing if it is unchanged. Cost: one call for each section and reader in 25 quiet seconds.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -334,13 +334,17 @@
     };
     let is_large =
         |change: &Change| matches!(change, Change::Put(i) if i.value.len() >= LARGE_CATALOG);
-    let is_large = section == Section::Catalog && answer.changes.iter().any(is_large);
+    let is_large = answer.changes.iter().any(is_large);
+    let is_empty = answer.changes.is_empty();
     let mut at = answer.at;
     for change in answer.changes {
         apply_change(node, change);
     }
-    if is_large {
-        at = at.max(read_newest_catalog(node).await?);
+    // An empty answer does not prove that nothing changed.
+    match section {
+        Section::Catalog if is_large || is_empty => at = at.max(read_newest_catalog(node).await?),
+        Section::Upstreams | Section::Records if is_empty => read_section(node, section).await?,
+        _ => {}
     }
     node.mirror.borrow_mut().advance(section, at);
     Ok(urgency)
