Look for a newer catalogue beside the watch

Callers of all instances were told for up to 25.7 s that a new route does not exist, while the store answered every other call.

Cause: the readers learn of a catalogue by a watch alone. If its answer is lost and the connection stays open, TCP's keep-alive finds nothing wrong, the readers wait until the watch's own time is over, and no other instance knows a newer version to ask for.

The first reader now asks by a conditional read every 2 s; others hear of a newer version by its heartbeats. Where accounts exist, the proof that no key was revoked reads the catalogue already. Cost: one call in 2 s, of the whole fleet.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -16,7 +16,9 @@
     group::Group,
     mirror::{SECTIONS, Section},
     node::Node,
-    peers, proof_lease, relay, shares, takeover,
+    peers, proof_lease,
+    relay::{self, Source},
+    shares, takeover,
 };
 
 /// Longest silence within an answer of the store. The total time is not limited: a catalogue of
@@ -34,6 +36,10 @@
 /// version written during its transfer would otherwise take just as long.
 const LARGE_CATALOG: usize = 64 << 10;
 
+/// Interval at which the first reader asks whether there is a newer catalogue than the watch told:
+/// an answer to a watch may be lost while its connection stays open.
+const CATALOG_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Time for which an instance goes on watching after it has ceased to be a relay of its zone.
 const WATCH_LINGER: Duration = Duration::from_secs(3);
 
@@ -323,6 +329,7 @@
         answer = watching => answer,
         () = node.refresh.notified() => return Err(Fault::Compacted),
         () = wait_until_relieved(node, section) => return Ok(Urgency::Immediate),
+        () = find_newer_catalog(node, section) => return Ok(Urgency::Immediate),
     };
     let answer = answer.inspect_err(|_| node.store_failed())?;
     node.store_answered();
@@ -350,6 +357,24 @@
     Ok(urgency)
 }
 
+/// Waits until this instance has found a newer catalogue in the store, for which the first reader
+/// asks from time to time.
+async fn find_newer_catalog<E: Edge>(node: &Rc<Node<E>>, section: Section) {
+    loop {
+        sleep(CATALOG_CHECK_INTERVAL).await;
+        // With accounts, the proof that no key was revoked reads the catalogue more often.
+        let is_checked = !node.catalog().accounts.is_empty();
+        let is_first_reader = freshness::source(node) == Source::Store;
+        if section != Section::Catalog || is_checked || !is_first_reader {
+            continue;
+        }
+        let known = node.catalog_item().map_or(0, |item| item.revision);
+        if read_newest_catalog(node).await.is_ok_and(|at| at > known) {
+            return;
+        }
+    }
+}
+
 /// Reads the catalogue until there is no newer one, and returns its revision.
 async fn read_newest_catalog<E: Edge>(node: &Rc<Node<E>>) -> Result<u64, Fault> {
     loop {
