Log which source of proofs a commit was acknowledged under

Each group keeps the source of its last proof and the time from which it counts. A line is written when proofs begin or cease to rest on the members, and the line of a statement has both as fields.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -37,6 +37,19 @@
     pub revision: u64,
 }
 
+/// Source of a proof that a primary has not been replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProofSource {
+    /// The proof lease was renewed.
+    Lease,
+    /// The record was read.
+    Record,
+    /// The primary and a majority of the group answered.
+    Majority,
+    /// All members of the group answered.
+    Unanimity,
+}
+
 /// Counts a session that is served here, until it is dropped.
 #[derive(Debug)]
 pub struct SessionGuard(Rc<Group>);
@@ -65,6 +78,8 @@
     members: RefCell<HashMap<Rc<str>, Rc<Member>>>,
     stored: RefCell<Option<StoredRecord>>,
     proof: Cell<Proof>,
+    /// Source of the last proof, and the time from which that proof counts.
+    proved_by: Cell<Option<(ProofSource, Instant)>>,
     samples: RefCell<Samples>,
     /// Notified when the record, the proof or the members change.
     pub changed: Notify,
@@ -103,6 +118,7 @@
             members: RefCell::default(),
             stored: RefCell::default(),
             proof: Cell::default(),
+            proved_by: Cell::default(),
             samples: RefCell::default(),
             changed: Notify::new(),
             asking: Cell::new(false),
@@ -338,7 +354,13 @@
     }
 
     /// Records that the record still had `revision` when a question sent at `sent` was answered.
-    pub fn extend_proof(&self, revision: u64, sent: Instant, validity: Duration) {
+    pub fn extend_proof(
+        &self,
+        revision: u64,
+        source: ProofSource,
+        sent: Instant,
+        validity: Duration,
+    ) {
         let is_current = |stored: &StoredRecord| {
             stored.revision == revision && stored.record.phase == Phase::Stable
         };
@@ -348,9 +370,30 @@
         let mut proof = self.proof.get();
         proof.extend(sent, validity);
         self.proof.set(proof);
+        self.note_proof(revision, source, sent);
         self.changed.notify_waiters();
     }
 
+    fn note_proof(&self, revision: u64, source: ProofSource, sent: Instant) {
+        let was = self.proved_by.get();
+        if was.is_some_and(|(_, since)| since > sent) {
+            return;
+        }
+        self.proved_by.set(Some((source, sent)));
+        let was = was.map(|(source, _)| source);
+        let is_of_members =
+            |source| matches!(source, ProofSource::Majority | ProofSource::Unanimity);
+        if was != Some(source) && (is_of_members(source) || was.is_some_and(is_of_members)) {
+            let age_ms = Boot.now().since(sent).as_millis();
+            log::info!(service = &*self.service, revision, source:?, was:?, age_ms = age_ms; "source of proofs changed");
+        }
+    }
+
+    /// Returns the source of the last proof, and the time from which that proof counts.
+    pub fn proved_by(&self) -> Option<(ProofSource, Instant)> {
+        self.proved_by.get()
+    }
+
     /// Returns the proof that the primary has not been replaced.
     pub fn proof(&self) -> Proof {
         self.proof.get()
--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -38,7 +38,7 @@
     control::{self, apply_record, record_key},
     edge::{Change, Edge, Fault, Items, Store, Swap, Swapped},
     freshness,
-    group::{Group, LIST_MEMORY},
+    group::{Group, LIST_MEMORY, ProofSource},
     node::Node,
     peers::{self, heartbeat::StoreContact},
     probe, proofs,
@@ -413,7 +413,7 @@
     }
     for group in node.active().iter().filter(|g| g.proof_lease.get() == tag) {
         if let Some(revision) = group.revision() {
-            group.extend_proof(revision, sent, node.settings.proof);
+            group.extend_proof(revision, ProofSource::Lease, sent, node.settings.proof);
         }
     }
 }
@@ -424,7 +424,12 @@
     for item in &items.items {
         control::apply_change(node, Change::Put(item.clone()));
         if let Some(group) = apply_record(node, item) {
-            group.extend_proof(item.revision, sent, node.settings.proof);
+            group.extend_proof(
+                item.revision,
+                ProofSource::Record,
+                sent,
+                node.settings.proof,
+            );
         }
     }
     if !relay::is_reader(node) {
@@ -506,14 +511,14 @@
     let sent = Boot.now();
     let replicas = group.replica_count(sent, LIST_MEMORY);
     let needs_all = node.store_contact_at.get() + UNANIMITY_AFTER < sent;
-    let others = match needs_all {
-        true => replicas,
-        false => quorum::needed(replicas),
+    let (others, source) = match needs_all {
+        true => (replicas, ProofSource::Unanimity),
+        false => (quorum::needed(replicas), ProofSource::Majority),
     };
     if others == 0 {
         return;
     }
     if probe::confirm_primary::<E::Protocol>(&members, &leader, term, others).await {
-        group.extend_proof(known.revision, sent, node.settings.proof);
+        group.extend_proof(known.revision, source, sent, node.settings.proof);
     }
 }
--- a/crates/proxy/src/proof_lease/adopt.rs
+++ b/crates/proxy/src/proof_lease/adopt.rs
@@ -11,7 +11,12 @@
 use tokio::time::{sleep, timeout};
 
 use super::{Lease, lease, lease_key};
-use crate::{control::record_key, edge::Edge, group::Group, node::Node};
+use crate::{
+    control::record_key,
+    edge::Edge,
+    group::{Group, ProofSource},
+    node::Node,
+};
 
 /// Time that the key of a lease proved by a peer may take to reach the mirror, by the watch or
 /// from the relay, before the records are read instead.
@@ -82,6 +87,6 @@
         return;
     }
     if let Some(revision) = group.revision() {
-        group.extend_proof(revision, since, node.settings.proof);
+        group.extend_proof(revision, ProofSource::Lease, since, node.settings.proof);
     }
 }
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -363,6 +363,7 @@
         let now = Boot.now();
         let group = route.map(|route| node.group_of(&route.service));
         let known = group.as_ref().and_then(|group| group.stored_record());
+        let proof = group.as_ref().and_then(|group| group.proved_by());
         let left = group.map_or(Duration::ZERO, |group| group.proof().until().since(now));
         let (code, cause) = match outcome.failure {
             Some((code, cause)) => (Some(code), Some(cause)),
@@ -388,6 +389,8 @@
             upstream = known.as_ref().map_or("", |known| &*known.record.upstream),
             phase:? = known.as_ref().map(|known| known.record.phase),
             proof_left_ms = millis(left),
+            proof:? = proof.map(|(source, _)| source),
+            proof_age_ms = proof.map(|(_, since)| millis(now.since(since))),
             store_silent_ms = millis(now.since(node.store_contact_at.get()));
             "statement"
         );
