--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -29,7 +29,8 @@
 #[derive(Debug)]
 pub struct Sockets {
     callers: TcpListener,
-    peers: TcpListener,
+    /// Listener for the peers' connections.
+    pub peers: TcpListener,
     heartbeats: UdpSocket,
 }
 
