Look at the takeover lock again right before an order

Cause: the lock was looked at before the replicas are asked whether they still hold. A replica without a free slot is asked four times, of up to 300 ms each, so an order could be given up to 1.3 s later, where the lock leaves 0.6 s. Another instance may hold the lock by then and have promoted another upstream; the late order takes the lead from that one, whose commits are acknowledged for as long as its proofs are valid, and it carries a lower token. Evidence: no_order_is_given_after_the_lock_has_expired, which saw the order and passes now. Why it works: between the look and the order lies no wait any more, and the order itself ends within 450 ms. Cost: none, but that such a replacement is left to the next holder.

--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -203,6 +203,10 @@
             log::warn!(service = &*group.service, upstream = &*member.upstream.id; "replica no longer holds for the next term");
             continue;
         }
+        // The queries above may have taken longer than the lock's remaining time.
+        if !lock.holds() {
+            break;
+        }
         reason = reason.ordered();
         let id = &member.upstream.id;
         let name = &node.settings.name;
