--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -38,7 +38,7 @@
     control::{self, apply_record, record_key},
     edge::{Change, Edge, Fault, Items, Store, Swap, Swapped},
     freshness,
-    group::{Group, LIST_MEMORY},
+    group::{Group, LIST_MEMORY, ProofSource},
     node::Node,
     peers::{self, heartbeat::StoreContact},
     probe, proofs,
@@ -75,8 +75,8 @@
 /// Minimum pause between two rounds of the proof loop.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time since the last contact with the store for which a majority of a group can prove its
-/// primary. After that, all members have to answer.
+/// Time since the store last confirmed a group's record for which a majority of the group can
+/// prove its primary. After that, all members have to answer.
 ///
 /// If the store is down for all instances and a zone is cut off, only a majority is reachable:
 /// if unanimity were always needed, every database with an upstream in that zone would refuse
@@ -413,7 +413,7 @@
     }
     for group in node.active().iter().filter(|g| g.proof_lease.get() == tag) {
         if let Some(revision) = group.revision() {
-            group.extend_proof(revision, sent, node.settings.proof);
+            group.extend_proof(revision, ProofSource::Lease, sent, node.settings.proof);
         }
     }
 }
@@ -424,7 +424,12 @@
     for item in &items.items {
         control::apply_change(node, Change::Put(item.clone()));
         if let Some(group) = apply_record(node, item) {
-            group.extend_proof(item.revision, sent, node.settings.proof);
+            group.extend_proof(
+                item.revision,
+                ProofSource::Record,
+                sent,
+                node.settings.proof,
+            );
         }
     }
     if !relay::is_reader(node) {
@@ -487,7 +492,7 @@
 }
 
 /// Proves a primary by its group: by the primary and enough replicas for a majority, or by all
-/// members if the store hasn't been reached for [`UNANIMITY_AFTER`].
+/// members if the store hasn't confirmed the group's record for [`UNANIMITY_AFTER`].
 ///
 /// An instance that replaces a primary first demotes the primary, or makes enough replicas hold
 /// for the next term that no majority with the old primary is left. It then waits for as long
@@ -505,15 +510,15 @@
     let members = group.members();
     let sent = Boot.now();
     let replicas = group.replica_count(sent, LIST_MEMORY);
-    let needs_all = node.store_contact_at.get() + UNANIMITY_AFTER < sent;
-    let others = match needs_all {
-        true => replicas,
-        false => quorum::needed(replicas),
+    let needs_all = adopt::confirmed_at(node, group) + UNANIMITY_AFTER < sent;
+    let (others, source) = match needs_all {
+        true => (replicas, ProofSource::Unanimity),
+        false => (quorum::needed(replicas), ProofSource::Majority),
     };
     if others == 0 {
         return;
     }
     if probe::confirm_primary::<E::Protocol>(&members, &leader, term, others).await {
-        group.extend_proof(known.revision, sent, node.settings.proof);
+        group.extend_proof(known.revision, source, sent, node.settings.proof);
     }
 }
