--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -84,8 +84,14 @@
 /// later.
 pub const UNANIMITY_AFTER: Duration = Duration::from_secs(5);
 
-/// A group's members are asked when less than the validity of a proof divided by this is left.
-const MEMBER_QUERY_DIVISOR: u32 = 6;
+/// A group's members are asked when less than the validity of a proof divided by this is left:
+/// while the lease is proved in time, and while it is not. In the second case the answers have to
+/// arrive before the proof expires.
+const MEMBER_QUERY_DIVISORS: (u32, u32) = (6, 3);
+
+/// Interval at which proofs that are about to expire are looked for while the lease isn't proved
+/// in time.
+const MEMBER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Maximum random delay, in milliseconds, before this instance writes a missing lease or
 /// record, so that not all instances write it at once.
@@ -108,6 +114,7 @@
 /// Keeps the proofs of all primaries in use valid until the process ends.
 pub async fn run<E: Edge>(node: Rc<Node<E>>) {
     node.wait_for_peers().await;
+    spawn_local(prove_without_lease(Rc::clone(&node)));
     loop {
         let now = Boot.now();
         if !node.groups().is_empty() {
@@ -134,9 +141,8 @@
                 renew_via_store(&node);
             }
             let span = node.settings.proof;
-            let is_late = node.proved_lease.get().1 + span * 2 / 3 < now;
             let due = |g: &Rc<Group>| g.proof().until() < now + span / 3 && g.is_proof_wanted(now);
-            if is_late && groups.iter().any(due) {
+            if is_lease_late(&node, now) && groups.iter().any(due) {
                 query_peer(&node);
             }
             query_members(&node, &groups);
@@ -155,6 +161,11 @@
     tag != 0 && tag == node.proof_lease.get() && since + MAX_SHARED_AGE > now
 }
 
+/// Returns true if the proof lease has not been proved for two thirds of a proof's validity.
+fn is_lease_late<E: Edge>(node: &Node<E>, now: Instant) -> bool {
+    node.proved_lease.get().1 + node.settings.proof * 2 / 3 < now
+}
+
 /// Maximum wait until the next renewal. While peers rely on this instance, a proof that can be
 /// passed on is always kept ready, so that their sessions wait for one hop instead of a
 /// renewal.
@@ -466,6 +477,17 @@
     }
 }
 
+/// Asks the members of groups in time while the lease isn't proved: a majority can't prove a
+/// primary whose proof has expired.
+async fn prove_without_lease<E: Edge>(node: Rc<Node<E>>) {
+    loop {
+        sleep(MEMBER_CHECK_INTERVAL).await;
+        if is_lease_late(&node, Boot.now()) {
+            query_members(&node, &node.active());
+        }
+    }
+}
+
 /// Asks the members of the groups in use whose proofs are about to expire and aren't covered by
 /// the proof lease.
 ///
@@ -473,9 +495,12 @@
 /// which then have no slots left for statements.
 fn query_members<E: Edge>(node: &Rc<Node<E>>, groups: &[Rc<Group>]) {
     let now = Boot.now();
+    let divisor = match is_lease_late(node, now) {
+        true => MEMBER_QUERY_DIVISORS.1,
+        false => MEMBER_QUERY_DIVISORS.0,
+    };
     for group in groups {
-        let expires_soon =
-            || group.proof().until() < now + node.settings.proof / MEMBER_QUERY_DIVISOR;
+        let expires_soon = || group.proof().until() < now + node.settings.proof / divisor;
         if !group.is_proof_wanted(now) || !expires_soon() {
             continue;
         }
@@ -491,8 +516,7 @@
     }
 }
 
-/// Proves a primary by its group: by the primary and enough replicas for a majority, or by all
-/// members if the store hasn't confirmed the group's record for [`UNANIMITY_AFTER`].
+/// Proves a primary by its group.
 ///
 /// An instance that replaces a primary first demotes the primary, or makes enough replicas hold
 /// for the next term that no majority with the old primary is left. It then waits for as long
@@ -500,6 +524,10 @@
 /// the primary and a majority answer that they know of no newer term, none of them had been
 /// fenced when the request was sent. If too few replicas can be reached to exclude a majority,
 /// the replacement waits until no instance accepts a mere majority any more.
+///
+/// The promotion ends the hold of the other replicas. A majority therefore only extends a proof
+/// that is still valid when the answers are in: such a proof counts from before the fence, and
+/// the promotion is not ordered before it expires.
 async fn query_group<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>) {
     let Some(known) = group.stored_record() else {
         return;
@@ -510,15 +538,27 @@
     let members = group.members();
     let sent = Boot.now();
     let replicas = group.replica_count(sent, LIST_MEMORY);
-    let needs_all = adopt::confirmed_at(node, group) + UNANIMITY_AFTER < sent;
-    let (others, source) = match needs_all {
-        true => (replicas, ProofSource::Unanimity),
-        false => (quorum::needed(replicas), ProofSource::Majority),
+    let source = match is_majority_enough(node, group, sent) {
+        true => ProofSource::Majority,
+        false => ProofSource::Unanimity,
+    };
+    let others = match source {
+        ProofSource::Majority => quorum::needed(replicas),
+        _ => replicas,
     };
     if others == 0 {
         return;
     }
-    if probe::confirm_primary::<E::Protocol>(&members, &leader, term, others).await {
+    let is_confirmed = probe::confirm_primary::<E::Protocol>(&members, &leader, term, others).await;
+    let is_extended = source == ProofSource::Unanimity || group.proof().covers(Boot.now());
+    if is_confirmed && is_extended {
         group.extend_proof(known.revision, source, sent, node.settings.proof);
     }
 }
+
+/// Returns true if a majority may prove the group's primary at `now`: the proof has not expired,
+/// and the store confirmed the record within [`UNANIMITY_AFTER`].
+fn is_majority_enough<E: Edge>(node: &Node<E>, group: &Group, now: Instant) -> bool {
+    let is_confirmed = adopt::confirmed_at(node, group) + UNANIMITY_AFTER >= now;
+    is_confirmed && group.proof().covers(now)
+}
