Take no instance for deleted because a relay has not read its entry yet

The list belongs to no section: relays read it stale and from time to time. At the start of a fleet, a follower that had read more entries than its relay wrote deletions at that revision for the rest, refused the entries as older once the relay sent them, and dropped the instances that it had not heard by then.

Absence from a relay's list is no deletion any more. A follower forgets an instance that a relay's whole list lacks if it has been silent for FORGET_AFTER, without a deletion in the mirror, so that the same entry is accepted again.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -157,6 +157,24 @@
     Ok(())
 }
 
+/// Forgets the instances that are missing from the list of a relay and have been silent for long.
+///
+/// The list is read from time to time and belongs to no section, so the relay may not have read a
+/// new instance's entry yet: a missing entry is no deletion.
+pub(crate) fn forget_silent_instances<E: Edge>(node: &Node<E>, present: &[Item]) {
+    let prefix = instances_prefix::<E>();
+    let absent = node.mirror.borrow().absent_keys(&prefix, present);
+    for key in absent {
+        let Some(name) = key.strip_prefix(&prefix) else {
+            continue;
+        };
+        if node.peers.is_long_silent(name) {
+            node.mirror.borrow_mut().forget(&key);
+            node.peers.unlist(name);
+        }
+    }
+}
+
 /// Reads the list periodically while this instance is a relay, so that instances which do not know
 /// each other get in contact: a starting instance greets all that it finds listed.
 async fn refresh_instances<E: Edge>(node: Rc<Node<E>>) {
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -158,18 +158,41 @@
     }
 
     /// Returns the known keys under `prefix` that are missing from `present` as deletions.
-    /// `present` was read at the store's revision `at`.
+    /// `present` was read at the store's revision `at`, and is complete.
     pub fn missing(&self, prefix: &str, present: &[Item], at: u64) -> Vec<Change> {
+        self.absent(prefix, present)
+            .filter(|(_, entry)| entry.revision <= at)
+            .map(|(key, _)| Change::Gone(key.clone(), at))
+            .collect()
+    }
+
+    /// Returns the known keys under `prefix` that are missing from `present`.
+    pub fn absent_keys(&self, prefix: &str, present: &[Item]) -> Vec<String> {
+        let absent = self.absent(prefix, present);
+        absent.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// The existing entries under `prefix` that are missing from `present`.
+    fn absent(&self, prefix: &str, present: &[Item]) -> impl Iterator<Item = (&String, &Entry)> {
         let present: HashSet<_> = present.iter().map(|item| &*item.key).collect();
         let under = self
             .entries
             .range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
-        let under = under.take_while(|(key, _)| key.starts_with(prefix));
-        let current = under.filter(|(_, entry)| entry.value.is_some() && entry.revision <= at);
-        let missing = current.filter(|(key, _)| !present.contains(&***key));
-        missing
-            .map(|(key, _)| Change::Gone(key.clone(), at))
-            .collect()
+        let under = under.take_while(move |(key, _)| key.starts_with(prefix));
+        let existing = under.filter(|(_, entry)| entry.value.is_some());
+        existing.filter(move |(key, _)| !present.contains(&***key))
+    }
+
+    /// Forgets an existing key without remembering a deletion, so that an item of any revision is
+    /// accepted again.
+    pub fn forget(&mut self, key: &str) {
+        if self.revision(key).is_none() {
+            return;
+        }
+        if let Some(entry) = self.entries.remove(key) {
+            self.order.remove(&entry.seq);
+            self.seq += 1;
+        }
     }
 
     /// Returns the changes after the store's revision `at`, and all items under `listed`: that
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -231,9 +231,9 @@
         return Vec::new();
     }
     let mut table = node.peers.table.borrow_mut();
-    let new = || Peer::new(heartbeat.address);
-    let peer = table.entry(heartbeat.name.clone()).or_insert_with(new);
     let now_unstalled = node.peers.unstalled_now();
+    let new = || Peer::new(heartbeat.address, now_unstalled);
+    let peer = table.entry(heartbeat.name.clone()).or_insert_with(new);
     let is_known =
         peer.was_heard(now_unstalled, LOST_HEARTBEATS) && peer.address == heartbeat.address;
     let asked = extension
--- a/crates/proxy/src/peers/peer.rs
+++ b/crates/proxy/src/peers/peer.rs
@@ -22,6 +22,8 @@
 pub(super) struct Peer {
     pub(super) address: SocketAddr,
     pub(super) heard: Option<Instant>,
+    /// When this instance got to know the peer.
+    pub(super) known_since: Instant,
     /// Time until the peer's next heartbeat, counted from the last one.
     pub(super) next: Duration,
     pub(super) listed: bool,
@@ -50,10 +52,11 @@
 }
 
 impl Peer {
-    pub(super) fn new(address: SocketAddr) -> Self {
+    pub(super) fn new(address: SocketAddr, now: Instant) -> Self {
         Self {
             address,
             heard: None,
+            known_since: now,
             next: FREQUENT_INTERVAL,
             listed: false,
             observations: Vec::new(),
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -175,8 +175,9 @@
         if address == self.own || name == self.name {
             return;
         }
+        let now = self.unstalled_now();
         let mut table = self.table.borrow_mut();
-        let new = || Peer::new(address);
+        let new = || Peer::new(address, now);
         let peer = table.entry(name.to_owned()).or_insert_with(new);
         peer.address = address;
         peer.listed = true;
@@ -190,6 +191,16 @@
         }
     }
 
+    /// Returns true if the instance with this name has been silent for long, or isn't known.
+    pub(crate) fn is_long_silent(&self, name: &str) -> bool {
+        let now = self.unstalled_now();
+        let table = self.table.borrow();
+        let sign = |p: &Peer| p.heard.unwrap_or(p.known_since);
+        table
+            .get(name)
+            .is_none_or(|peer| sign(peer) + FORGET_AFTER <= now)
+    }
+
     /// Addresses of the instances that were recently heard.
     pub(super) fn heard(&self) -> Vec<SocketAddr> {
         let now = self.unstalled_now();
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -155,7 +155,7 @@
             log::info!(address:%; "following a relay");
         }
         (cursor.incarnation, cursor.seq) = (batch.incarnation, batch.seq);
-        apply_batch(node, batch);
+        apply_batch(node, batch, is_first);
     }
     Ok(())
 }
@@ -167,7 +167,8 @@
     }
 }
 
-fn apply_batch<E: Edge>(node: &Rc<Node<E>>, batch: ChangeBatch) {
+/// Applies a batch. `is_first` tells whether it is the first one from this relay.
+fn apply_batch<E: Edge>(node: &Rc<Node<E>>, batch: ChangeBatch, is_first: bool) {
     let mut changes = batch.changes;
     if let Some(item) = batch
         .catalog
@@ -175,19 +176,22 @@
     {
         changes.push(Change::Put(item));
     }
+    let present: Vec<Item> = changes.iter().filter_map(item_of).cloned().collect();
     if batch.is_snapshot {
-        let present: Vec<Item> = changes.iter().filter_map(item_of).cloned().collect();
         let mirror = node.mirror.borrow();
-        let sections = [Section::Upstreams, Section::Records];
-        let prefixes = sections.map(control::section_prefix::<E>);
-        for prefix in prefixes.iter().chain([&control::instances_prefix::<E>()]) {
-            changes.extend(mirror.missing(prefix, &present, batch.known));
+        for section in [Section::Upstreams, Section::Records] {
+            let prefix = control::section_prefix::<E>(section);
+            changes.extend(mirror.missing(&prefix, &present, batch.known));
         }
     }
     node.work.add(Kind::Change, changes.len());
     for change in changes {
         control::apply_change(node, change);
     }
+    // A relay reads the list of instances itself.
+    if (is_first || batch.is_snapshot) && !is_relay(node) {
+        control::forget_silent_instances(node, &present);
+    }
     let mut mirror = node.mirror.borrow_mut();
     for section in SECTIONS {
         mirror.advance(section, batch.known);
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -171,3 +171,20 @@
     mirror.apply(&listed(7));
     assert_eq!(mirror.changes_after(900, "list/"), Some(vec![listed(7)]));
 }
+
+/// Guards against the loss of a live instance for good: a follower forgets an instance that its new
+/// relay does not list, and refuses the entry as older once the relay has read it.
+#[test]
+fn forgotten_item_is_accepted_again_at_the_same_revision() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put(1, 5));
+    mirror.apply(&put(2, 6));
+    let version = mirror.seq();
+    assert_eq!(mirror.absent_keys("k/", &[]), ["k/1", "k/2"]);
+    mirror.forget("k/1");
+    assert_eq!(mirror.absent_keys("k/", &[]), ["k/2"]);
+    assert_ne!(mirror.seq(), version);
+    assert_eq!(mirror.changes_since(0), Some(vec![put(2, 6)]));
+    assert!(mirror.apply(&put(1, 5)));
+    assert_eq!(mirror.changes_since(0), Some(vec![put(2, 6), put(1, 5)]));
+}
