Take no instance for deleted because an old copy of the list lacks it

A relay reads the list of instances from the store's cache, and took what the copy lacked for deleted at the copy's revision. The platform states that the revision is the store's and that the items may be seconds old, so the deletion can be newer than the entry of a live instance. The relay and its followers then refused the entry in all later copies.

A relay that misses an instance in the copy, and does not hear it, reads the list currently and takes missing entries for deleted at that read's revision.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -143,13 +143,23 @@
 }
 
 /// Reads the list of instances, which may be some seconds old.
+///
+/// The revision of such a copy is the store's, so an entry that the copy lacks may be newer than the
+/// copy. A current read tells whether the entry was deleted; it is made only if an instance is
+/// missing that isn't heard.
 async fn read_instances<E: Edge>(node: &Rc<Node<E>>) -> Result<(), Fault> {
     let prefix = instances_prefix::<E>();
-    let listed = node.store().read_stale(&prefix, READ_TIMEOUT).await?;
-    let missing = node
-        .mirror
-        .borrow()
-        .missing(&prefix, &listed.items, listed.at);
+    let mut listed = node.store().read_stale(&prefix, READ_TIMEOUT).await?;
+    let absent = node.mirror.borrow().absent_keys(&prefix, &listed.items);
+    let mut names = absent.iter().filter_map(|key| key.strip_prefix(&prefix));
+    let mut missing = Vec::new();
+    if names.any(|name| !node.peers.is_heard(name))
+        && let Ok(current) = node.store().read(&prefix, READ_TIMEOUT).await
+    {
+        let mirror = node.mirror.borrow();
+        missing = mirror.missing(&prefix, &current.items, current.at);
+        listed = current;
+    }
     let present = listed.items.into_iter().map(Change::Put);
     for change in present.chain(missing) {
         apply_change(node, change);
--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -287,7 +287,7 @@
         prefix: &str,
         idle_timeout: Duration,
     ) -> impl Future<Output = Result<Items, Fault>>;
-    /// Reads the first page of a prefix, for a tenth of the price; it may be some seconds old.
+    /// Reads a prefix for a tenth of the price. The items may be some seconds older than `at`.
     fn read_stale(
         &self,
         prefix: &str,
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -191,6 +191,14 @@
         }
     }
 
+    /// Returns true if the instance with this name was recently heard, or is this one.
+    pub(crate) fn is_heard(&self, name: &str) -> bool {
+        let now = self.unstalled_now();
+        let table = self.table.borrow();
+        let peer = table.get(name);
+        name == self.name || peer.is_some_and(|peer| peer.was_heard(now, STALE_HEARTBEATS))
+    }
+
     /// Returns true if the instance with this name has been silent for long, or isn't known.
     pub(crate) fn is_long_silent(&self, name: &str) -> bool {
         let now = self.unstalled_now();
