Read whether there is a newer catalogue before watching it

Cause: a watch returns every write after its revision, each with the whole catalogue. A conditional read for the newest one followed only a large answer. Watches began from an old revision after a full read (400 ms pause and the time of the transfer), after a failed call, after an empty answer, and when an instance became a reader with the revision of the relay that it had followed. If the conditional read after a large answer failed, the watch's revision was not kept, and all versions were sent again.

Change: the catalogue is watched only after a conditional read that found nothing newer, made right before. There is no pause except after an empty answer, which keeps a store that answers at once from being asked in a loop, and no size from which this applies. The reached revision is kept before the conditional read. A catalogue that can't be put in force, or is of another era than the one in force, ends the reads too. What is left is a write between the conditional read's answer and the watch: one round trip.

Calls of the store per reader: one more at a start or when it becomes a reader, one more for a change of a catalogue below 64 KiB, none for a larger one, one more after an empty watch (each 25 s) and after an outage.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -30,10 +30,6 @@
 /// Time that a watch's answer may take beyond its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
-/// Size from which a catalogue is read again before it is watched further. On a slow link, each
-/// version written during its transfer would otherwise take just as long.
-const LARGE_CATALOG: usize = 64 << 10;
-
 /// Time for which an instance goes on watching after it has ceased to be a relay of its zone.
 const WATCH_LINGER: Duration = Duration::from_secs(3);
 
@@ -197,25 +193,34 @@
 }
 
 /// Follows one section in the store while this instance is one of its zone's relays.
+///
+/// A watch returns every version since its revision, each with the whole catalogue, of which only
+/// the newest matters. So the catalogue is brought up to date by conditional reads before a watch:
+/// versions may be written during the transfer of an answer, an outage of the store, or while this
+/// instance follows a relay.
 async fn follow_section<E: Edge>(node: Rc<Node<E>>, section: Section) {
     let mut pause = RETRY_PAUSES.0;
     let mut is_store_lost = false;
     let mut needs_full_read = false;
+    let mut is_current = false;
     loop {
         if !is_followed(&node, section) {
+            is_current = false;
             sleep(RELAY_CHECK_INTERVAL).await;
             continue;
         }
         let known = node.mirror.borrow().known(section);
-        let result = match known == 0 || needs_full_read {
-            true => read_section(&node, section)
-                .await
-                .map(|()| Urgency::Deferrable),
-            false => watch(&node, section, known).await,
+        let result = if known == 0 || needs_full_read {
+            read_section(&node, section).await
+        } else if section == Section::Catalog && !is_current {
+            read_newer_catalog(&node).await
+        } else {
+            watch(&node, section, known).await
         };
         needs_full_read = matches!(result, Err(Fault::Compacted));
-        let urgency = match result {
-            Ok(urgency) => urgency,
+        is_current = matches!(result, Ok(Next::Watch));
+        let next = match result {
+            Ok(next) => next,
             Err(Fault::Compacted) => continue,
             Err(_) => {
                 if !is_store_lost && section == Section::Records {
@@ -233,16 +238,20 @@
         }
         is_store_lost = false;
         pause = RETRY_PAUSES.0;
-        if urgency == Urgency::Deferrable {
+        if next == Next::Pause {
             sleep(BATCH_DELAY).await;
         }
     }
 }
 
 /// Reads a whole section.
-async fn read_section<E: Edge>(node: &Rc<Node<E>>, section: Section) -> Result<(), Fault> {
+async fn read_section<E: Edge>(node: &Rc<Node<E>>, section: Section) -> Result<Next, Fault> {
     let prefix = section_prefix::<E>(section);
     let read = read(node, &prefix).await?;
+    let next = match section {
+        Section::Catalog => Next::ReadNewer,
+        Section::Upstreams | Section::Records => Next::Pause,
+    };
     let missing = node.mirror.borrow().missing(&prefix, &read.items, read.at);
     let present = read.items.into_iter().map(Change::Put);
     present
@@ -252,7 +261,7 @@
     if section == Section::Upstreams {
         node.is_upstream_list_read.set(true);
     }
-    Ok(())
+    Ok(next)
 }
 
 /// Applies a change of the store, unless a newer one is known.
@@ -293,13 +302,15 @@
     Some((name, text.parse().ok()?))
 }
 
-/// Urgency of the changes in a watch's answer.
+/// The next step of following a section after an answer of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Urgency {
-    /// No changes, or only changes that come one by one and are not urgent.
-    Deferrable,
-    /// Any other changes.
-    Immediate,
+enum Next {
+    /// To watch the section at once.
+    Watch,
+    /// To collect further changes, which come one by one and are not urgent.
+    Pause,
+    /// To read the catalogue if there is a newer one.
+    ReadNewer,
 }
 
 /// Returns true if a change is not urgent: all changes but a new catalogue and the record of a
@@ -311,52 +322,56 @@
 }
 
 /// Waits for changes of a section after revision `after`, and applies them.
-async fn watch<E: Edge>(
-    node: &Rc<Node<E>>,
-    section: Section,
-    after: u64,
-) -> Result<Urgency, Fault> {
+async fn watch<E: Edge>(node: &Rc<Node<E>>, section: Section, after: u64) -> Result<Next, Fault> {
     let store = node.store();
     let prefix = section_prefix::<E>(section);
     let watching = store.watch(&prefix, after, WATCH_WAIT, WATCH_SLACK);
     let answer = tokio::select! {
         answer = watching => answer,
         () = node.refresh.notified() => return Err(Fault::Compacted),
-        () = wait_until_relieved(node, section) => return Ok(Urgency::Immediate),
+        () = wait_until_relieved(node, section) => return Ok(Next::Watch),
     };
     let answer = answer.inspect_err(|_| node.store_failed())?;
     node.store_answered();
     node.watch_answered_at.set(Boot.now());
     let mut changes = answer.changes.iter();
-    let urgency = match changes.all(|change| is_deferrable(node, change)) {
-        true => Urgency::Deferrable,
-        false => Urgency::Immediate,
+    let next = match changes.all(|change| is_deferrable(node, change)) {
+        true => Next::Pause,
+        false if section == Section::Catalog => Next::ReadNewer,
+        false => Next::Watch,
     };
-    let is_large =
-        |change: &Change| matches!(change, Change::Put(i) if i.value.len() >= LARGE_CATALOG);
-    let is_large = section == Section::Catalog && answer.changes.iter().any(is_large);
-    let mut at = answer.at;
     for change in answer.changes {
         apply_change(node, change);
     }
-    if is_large {
-        at = at.max(read_newest_catalog(node).await?);
-    }
-    node.mirror.borrow_mut().advance(section, at);
-    Ok(urgency)
+    node.mirror.borrow_mut().advance(section, answer.at);
+    Ok(next)
 }
 
-/// Reads the catalogue until there is no newer one, and returns its revision.
-async fn read_newest_catalog<E: Edge>(node: &Rc<Node<E>>) -> Result<u64, Fault> {
-    loop {
-        let revision = node.catalog_item().map_or(0, |item| item.revision);
-        let known = [(E::CATALOG_KEY, revision)];
-        let newer = node.store().read_newer(&known, READ_TIMEOUT).await?;
-        let Some(item) = newer.into_iter().next() else {
-            return Ok(revision);
-        };
+/// Reads the catalogue if the store has another one than this instance.
+async fn read_newer_catalog<E: Edge>(node: &Rc<Node<E>>) -> Result<Next, Fault> {
+    let reached = node.mirror.borrow().known(Section::Catalog);
+    let held = node.catalog_item().map_or(0, |item| item.revision);
+    // A store restored from an older copy doesn't know the revision of the catalogue in force.
+    let revision = match era_of(held) == era_of(reached) {
+        true => held,
+        false => 0,
+    };
+    let known = [(E::CATALOG_KEY, revision)];
+    let newer = node.store().read_newer(&known, READ_TIMEOUT).await;
+    let newer = newer.inspect_err(|_| node.store_failed())?;
+    node.store_answered();
+    // A catalogue that can't be put in force is returned by each conditional read.
+    let next = match newer.iter().any(|item| item.revision > reached) {
+        true => Next::ReadNewer,
+        false => Next::Watch,
+    };
+    let newest = newer.iter().map(|item| item.revision);
+    let newest = newest.fold(revision, u64::max);
+    for item in newer {
         apply_change(node, Change::Put(item));
     }
+    node.mirror.borrow_mut().advance(Section::Catalog, newest);
+    Ok(next)
 }
 
 /// Waits until this instance has not been a relay of its zone for a while.
