Count parts of an answer as contact with the store (CONFIG)

Callers found most statements late or failed for seconds behind a large catalogue, and the newest routes missing: while a reader of the store received the catalogue over its thin link, its other calls waited behind it and were given up, so it was passed over as a relay; the next one read the same catalogue over its own link, and failed the same way.

Cause: a busy link is taken for a lost store, and the answer to it is the same load elsewhere. The arrival of any part of an answer, refusals excepted, now counts as contact.

--- a/crates/proxy/src/counted.rs
+++ b/crates/proxy/src/counted.rs
@@ -2,6 +2,8 @@
 
 use std::{cell::Cell, time::Duration};
 
+use clock::Instant;
+
 use crate::{
     edge::{Changes, Fault, Item, Items, Store, Swap, Swapped},
     metrics::Metrics,
@@ -82,6 +84,10 @@
         self.store.era()
     }
 
+    fn received_at(&self) -> Instant {
+        self.store.received_at()
+    }
+
     async fn read_newer(
         &self,
         known: &[(&str, u64)],
--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -3,6 +3,7 @@
 use std::{fmt::Debug, future::Future, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use clock::Instant;
 use thiserror::Error;
 use tokio::time::timeout;
 
@@ -280,6 +281,8 @@
 pub trait Store {
     /// Returns the newest era that an answer named; zero if none did.
     fn era(&self) -> u64;
+    /// Returns the time at which the last part of any answer other than a refusal arrived.
+    fn received_at(&self) -> Instant;
     /// Reads the current items of a prefix, past any cache. Fails if the answer stays silent for
     /// `idle_timeout`, however long all of it takes.
     fn read(
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -598,9 +598,14 @@
     }
 
     /// Returns whether this instance reaches the store itself.
+    ///
+    /// Parts of an answer count: while a large one fills the link, other calls wait behind it and
+    /// are given up.
     pub fn store_contact(&self) -> StoreContact {
         let now = Boot.now();
-        let (answered, failed) = (self.store_answered_at.get(), self.store_failed_at.get());
+        let answered = self.store_answered_at.get();
+        let answered = answered.max(self.edge.store().received_at());
+        let failed = self.store_failed_at.get();
         if answered != Instant::ZERO && answered + STORE_REACHABLE_TTL > now {
             return StoreContact::Reachable;
         }
