Let a failing upstream interrupt the watch of upstreams only (CONFIG)

A catalogue on a thin link was begun anew whenever a connection to an upstream failed, as many do while the transfer fills the link: each such failure woke the first of the three watches, whichever that was, and its section was read whole.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -362,7 +362,7 @@
     let watching = store.watch(&prefix, after, WATCH_WAIT, WATCH_SLACK);
     let answer = tokio::select! {
         answer = watching => answer,
-        () = node.refresh.notified() => return Err(Fault::Compacted),
+        () = wait_for_refresh(node, section) => return Err(Fault::Compacted),
         () = wait_until_relieved(node, section) => return Ok(Next::Watch),
         () = find_newer_catalog(node, section) => return Ok(Next::ReadNewer),
     };
@@ -388,6 +388,15 @@
     Ok(next)
 }
 
+/// Waits until the list of upstreams has to be read again. Other sections are not concerned: a
+/// catalogue's transfer would begin anew whenever an upstream fails.
+async fn wait_for_refresh<E: Edge>(node: &Node<E>, section: Section) {
+    match section {
+        Section::Upstreams => node.refresh.notified().await,
+        Section::Catalog | Section::Records => std::future::pending().await,
+    }
+}
+
 /// Waits until this instance has found a newer catalogue in the store, for which the first reader
 /// asks from time to time.
 async fn find_newer_catalog<E: Edge>(node: &Rc<Node<E>>, section: Section) {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -116,7 +116,7 @@
     pub lease_renewed_at: Cell<Instant>,
     /// True while another instance is asked for a proof.
     pub is_asking_relay: Cell<bool>,
-    /// Notified when the catalogue or the upstreams may have changed.
+    /// Notified when the list of upstreams may have changed.
     pub refresh: Notify,
     /// True once the list of upstreams was read.
     pub is_upstream_list_read: Cell<bool>,
@@ -566,7 +566,7 @@
         timeout(wait, proved).await.unwrap_or(Proved::NoPrimary)
     }
 
-    /// Logs which settings have changed while the process runs, and reads the store again. Changed
+    /// Logs which settings have changed while the process runs, and reads the list of upstreams again. Changed
     /// settings take effect at the next start.
     pub fn reload(&self, settings: &Settings) {
         let changed = self.settings.changed(settings).join(" ");
