Ask a demoted primary again before another one is promoted

What callers could see: a write acknowledged at the old primary after a promotion. Cause: a primary that was demoted counted as fenced until the order, however few replicas were. One that restarts before the promotion takes effect leads its old term again, and it and one replica that was not reached prove it to an instance that the store doesn't answer. An answer to DEMOTE also counted as a demotion if it said that the upstream still leads. Why it works: only a promotion or a restart makes a demoted upstream lead, so one that doesn't lead right before the order has not led since its demotion; one that leads or is silent counts only if the replicas alone exclude a majority. Left: it restarts and answers between that question and the effect of the order, some hundred ms. Cost: a status request beside the ones already sent, and only where too few replicas hold; a planned change whose old primary ends within 0.7 s of its demotion, with a replica lost at the same time, waits 5 s longer.

--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -104,6 +104,7 @@
         let reply = probe::order::<E::Protocol>(primary, &demote, probe::STATUS_TIMEOUT).await;
         if let Answer::Status(status) = reply
             && reason != Reason::Deposed
+            && !status.leads
         {
             last = Some(status.received);
             catch_up::<E>(&others, status.received).await;
@@ -156,7 +157,8 @@
 /// chosen replica, and enough of the `informed` replicas still hold for a later term than that
 /// of `old`.
 ///
-/// A replica that restarts forgets that it holds. An instance without contact with the store
+/// A demoted primary that restarts may lead its old term again: as long as no other member was
+/// promoted, it comes back in its old role. A replica that restarts forgets that it holds. An instance without contact with the store
 /// could then prove the old primary through that replica, between the fence and the order. A
 /// replica that still holds at the end has held all the time.
 pub(super) async fn still_holds<E: Edge>(
@@ -173,10 +175,24 @@
     let chosen_holds = chosen.is_none_or(|at| held[at]);
     let holding = held.iter().filter(|held| **held).count();
     let replicas = group.replica_count(Boot.now(), LIST_MEMORY);
-    let enough = fenced != Fenced::Majority || quorum::prevents_majority(holding, replicas);
+    let prevents = quorum::prevents_majority(holding, replicas);
+    let enough = match fenced {
+        Fenced::Primary => prevents || is_demoted::<E>(group, old).await,
+        Fenced::Majority => prevents,
+        Fenced::Partial => true,
+    };
     chosen_holds && enough
 }
 
+/// Returns true if the old primary answers that it doesn't lead.
+async fn is_demoted<E: Edge>(group: &Group, old: &Record) -> bool {
+    let Some(primary) = group.member(&old.upstream) else {
+        return false;
+    };
+    let status = probe::status::<E::Protocol>(&primary).await.status();
+    status.is_some_and(|status| !status.leads)
+}
+
 /// Returns true if `member` holds for a later term than `term`, or leads.
 async fn holds<E: Edge>(member: &Rc<Member>, term: Term) -> bool {
     for _ in 0..MAX_HOLD_QUERIES {
