Let an instance that has just started count the replicas of the record

What callers could see: a write acknowledged at the old primary after a promotion. Cause: how many replicas a group has is remembered for 15 s, but an instance that has just started remembers nothing and counts the entries of that moment. One whose entry has lapsed, though its upstream is alive, is missing: the instance takes fewer fenced replicas for enough and doesn't wait 5 s, or takes fewer answers for a majority or for all. Why it works: the record tells how many replicas its writer counted, and that is the least for an instance that has known the list for less than 15 s. Cost: an instance that started less than 15 s ago waits 5 s before it promotes if the group has lost a replica since its record was written and it can't fence the old primary. Open: a group whose list was still incomplete when its record was written; two instances that both remember 15 s of the list and differ by two replicas.

--- a/crates/lead/src/record.rs
+++ b/crates/lead/src/record.rs
@@ -28,6 +28,9 @@
     /// copy, from which later writes may be missing.
     #[serde(default)]
     pub written: u64,
+    /// Number of the group's replicas when the record was written; zero if unknown.
+    #[serde(default)]
+    pub replicas: usize,
 }
 
 impl Record {
@@ -44,6 +47,7 @@
     ///     phase,
     ///     by: "one".into(),
     ///     written: 1,
+    ///     replicas: 2,
     /// };
     /// assert!(record(3, Phase::Stable).is_behind(&record(4, Phase::Stable)));
     /// assert!(record(3, Phase::Stable).is_behind(&record(3, Phase::Changing)));
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -104,6 +104,8 @@
     pub unlisted: Cell<Option<Instant>>,
     leaving_since: Cell<Option<Instant>>,
     largest_list: Cell<(usize, Instant)>,
+    /// Time of the first entry of the list.
+    listed_since: Cell<Option<Instant>>,
     furthest: Cell<(Position, Instant)>,
     pending: Rc<Pending>,
     is_active: Cell<bool>,
@@ -134,6 +136,7 @@
             unlisted: Cell::default(),
             leaving_since: Cell::default(),
             largest_list: Cell::default(),
+            listed_since: Cell::default(),
             furthest: Cell::default(),
         }
     }
@@ -216,7 +219,9 @@
             }
         }
         drop(members);
-        self.is_list_complete(Boot.now(), LIST_MEMORY);
+        let now = Boot.now();
+        self.listed_since.set(self.listed_since.get().or(Some(now)));
+        self.is_list_complete(now, LIST_MEMORY);
         self.activate();
         self.changed.notify_waiters();
     }
@@ -451,6 +456,27 @@
         members.saturating_sub(1)
     }
 
+    /// Returns the number of replicas of which a majority proves the primary, or that have to be
+    /// fenced against one.
+    ///
+    /// An instance that has just started knows only the current list. An entry that is missing
+    /// may have expired though its upstream is alive and counts at other instances, so until the
+    /// instance remembers the list for long enough the record's count is the least.
+    pub fn quorum_replicas(&self, now: Instant) -> usize {
+        let count = self.replica_count(now, LIST_MEMORY);
+        let since = self.listed_since.get();
+        match since.is_some_and(|since| since + LIST_MEMORY < now) {
+            true => count,
+            false => count.max(self.recorded_replicas()),
+        }
+    }
+
+    /// Returns the number of replicas in the group's record; zero if unknown.
+    fn recorded_replicas(&self) -> usize {
+        let stored = self.stored.borrow();
+        stored.as_ref().map_or(0, |stored| stored.record.replicas)
+    }
+
     /// Returns true if the list has as many members as at any time within `memory`.
     ///
     /// An entry may expire though its upstream is alive, so an incomplete list must not be taken
--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -38,7 +38,7 @@
     control::{self, apply_record, record_key},
     edge::{Change, Edge, Fault, Items, Store, Swap, Swapped},
     freshness,
-    group::{Group, LIST_MEMORY, ProofSource},
+    group::{Group, ProofSource},
     node::Node,
     peers::{self, heartbeat::StoreContact},
     probe, proofs,
@@ -509,7 +509,7 @@
     };
     let members = group.members();
     let sent = Boot.now();
-    let replicas = group.replica_count(sent, LIST_MEMORY);
+    let replicas = group.quorum_replicas(sent);
     let needs_all = adopt::confirmed_at(node, group) + UNANIMITY_AFTER < sent;
     let (others, source) = match needs_all {
         true => (replicas, ProofSource::Unanimity),
--- a/crates/proxy/src/proof_lease/recovery.rs
+++ b/crates/proxy/src/proof_lease/recovery.rs
@@ -95,6 +95,7 @@
         phase: Phase::Stable,
         by: node.settings.name.clone(),
         written: node.store().era(),
+        replicas: group.quorum_replicas(Boot.now()),
     })
 }
 
@@ -206,6 +207,7 @@
             phase: Phase::Stable,
             by: node.settings.name.clone(),
             written,
+            replicas: group.quorum_replicas(Boot.now()),
         },
         // A replacement that had begun is resumed from the restored record.
         None => Record { written, ..copy },
--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -140,7 +140,7 @@
     }
     let best = choose::best(&candidates)?;
     log::info!(service = &*group.service, upstream = best, candidates:?, last:?; "replica chosen");
-    let replicas = group.replica_count(Boot.now(), LIST_MEMORY);
+    let replicas = group.quorum_replicas(Boot.now());
     let fenced = match last {
         Some(_) => Fenced::Primary,
         None if quorum::prevents_majority(answered, replicas) => Fenced::Majority,
@@ -174,7 +174,7 @@
     let chosen = informed.iter().position(leads);
     let chosen_holds = chosen.is_none_or(|at| held[at]);
     let holding = held.iter().filter(|held| **held).count();
-    let replicas = group.replica_count(Boot.now(), LIST_MEMORY);
+    let replicas = group.quorum_replicas(Boot.now());
     let prevents = quorum::prevents_majority(holding, replicas);
     let enough = match fenced {
         Fenced::Primary => prevents || is_demoted::<E>(group, old).await,
--- a/crates/proxy/src/takeover/record.rs
+++ b/crates/proxy/src/takeover/record.rs
@@ -36,6 +36,7 @@
         phase: Phase::Changing,
         by: node.settings.name.clone(),
         written: node.store().era(),
+        replicas: group.quorum_replicas(Boot.now()),
         ..known.record
     };
     let key = record_key::<E>(&group.service);
@@ -118,6 +119,7 @@
         phase: Phase::Stable,
         by: node.settings.name.clone(),
         written: node.store().era(),
+        replicas: group.quorum_replicas(Boot.now()),
     };
     let key = record_key::<E>(&group.service);
     let swap = Swap {
