Tell a replaced primary to follow until it answers

What callers could see: a write acknowledged at the old primary after a promotion. Cause: an old primary that was unreachable during its replacement got one order to follow, behind the orders to all members to receive again, and led on when it was back; it leads until a second after it reaches the new primary, or for good where it doesn't. Evidence: a_replaced_primary_that_returns_is_demoted, which timed out after 30 s and passes. Why it works: the order is repeated each 250 ms for 6 s, so it lies within 0.3 s of the return; after 6 s no instance proves a primary by a majority any more. It names the new term, so it demotes no later primary. Each member is also told on its own, and a silent one no longer holds up the orders to the others. Cost: up to 4 status requests a second to one dead upstream, for 6 s. No failover waits.

--- a/crates/proxy/src/takeover/record.rs
+++ b/crates/proxy/src/takeover/record.rs
@@ -1,8 +1,9 @@
 //! Records a replacement in the store: its start, the end of the proof lease, and its result.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
+use futures_util::future::join_all;
 use lead::{Phase, Record};
 use model::Term;
 use tokio::{
@@ -21,10 +22,17 @@
     member::Member,
     message::Command,
     node::Node,
-    probe,
-    proof_lease::{find_lease, lease_key},
+    probe::{self, Answer},
+    proof_lease::{UNANIMITY_AFTER, find_lease, lease_key},
 };
 
+/// Time for which a former primary is told to follow. After that, an instance without contact
+/// with the store proves no primary without the new one.
+const DEMOTION_TIMEOUT: Duration = UNANIMITY_AFTER.saturating_add(Duration::from_secs(1));
+
+/// Pause between two orders to follow that an upstream didn't answer.
+const DEMOTION_RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// Marks the primary's record as changing. Returns the new revision.
 pub(super) async fn announce<E: Edge>(
     node: &Node<E>,
@@ -151,11 +159,27 @@
         .filter(|m| !Rc::ptr_eq(m, member))
         .collect();
     spawn_local(async move {
-        probe::order_all::<E::Protocol>(&others, &Command::Resume).await;
         if is_unchanged {
+            probe::order_all::<E::Protocol>(&others, &Command::Resume).await;
             return;
         }
-        probe::order_all::<E::Protocol>(&others, &Command::Demote(term)).await;
+        join_all(others.iter().map(|m| follow::<E>(m, term))).await;
     });
     Ok(())
 }
+
+/// Orders `member` to receive again and to follow the primary of `term`, until it answers or
+/// [`DEMOTION_TIMEOUT`] has passed: a former primary that was unreachable goes on leading when
+/// it returns.
+async fn follow<E: Edge>(member: &Rc<Member>, term: Term) {
+    let deadline = Boot.now() + DEMOTION_TIMEOUT;
+    probe::order::<E::Protocol>(member, &Command::Resume, probe::STATUS_TIMEOUT).await;
+    let order = Command::Demote(term);
+    while Boot.now() < deadline {
+        let answer = probe::order::<E::Protocol>(member, &order, probe::STATUS_TIMEOUT).await;
+        if matches!(answer, Answer::Status(_) | Answer::Refused(_)) {
+            return;
+        }
+        sleep(DEMOTION_RETRY_DELAY).await;
+    }
+}
