--- a/crates/lead/src/quorum.rs
+++ b/crates/lead/src/quorum.rs
@@ -1,5 +1,30 @@
 //! Majorities that prove a primary, and fencing that prevents such a majority.
 
+use std::time::Duration;
+
+use clock::Instant;
+
+/// Time since the store last confirmed a group's record for which a majority of the group can
+/// prove its primary. After that, all members have to answer.
+///
+/// If the store is down for all instances and a zone is cut off, only a majority is reachable:
+/// if unanimity were always needed, every database with an upstream in that zone would refuse
+/// its writes. The cost is that a primary lost together with a replica is replaced this much
+/// later.
+pub const UNANIMITY_AFTER: Duration = Duration::from_secs(5);
+
+/// Returns true if a majority proves the primary in answer to a request sent at `sent`, where
+/// the store last confirmed the record at `confirmed`.
+pub fn accepts_majority(confirmed: Instant, sent: Instant) -> bool {
+    confirmed + UNANIMITY_AFTER >= sent
+}
+
+/// The moment from which no instance accepts a majority for a record that the store confirmed
+/// before `ended`.
+pub fn majorities_end_at(ended: Instant) -> Instant {
+    ended + UNANIMITY_AFTER
+}
+
 /// Number of a group's `replicas` that must confirm the primary. Together with the primary
 /// these are a majority.
 ///
--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -46,6 +46,7 @@
 };
 pub(crate) use adopt::adopt_proof;
 pub use lease::{Lease, find_lease};
+pub use quorum::UNANIMITY_AFTER;
 pub(crate) use recovery::restore_record;
 use recovery::write_missing;
 
@@ -75,15 +76,6 @@
 /// Minimum pause between two rounds of the proof loop.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time since the store last confirmed a group's record for which a majority of the group can
-/// prove its primary. After that, all members have to answer.
-///
-/// If the store is down for all instances and a zone is cut off, only a majority is reachable:
-/// if unanimity were always needed, every database with an upstream in that zone would refuse
-/// its writes. The cost is that a primary lost together with a replica is replaced this much
-/// later.
-pub const UNANIMITY_AFTER: Duration = Duration::from_secs(5);
-
 /// A group's members are asked when less than the validity of a proof divided by this is left.
 const MEMBER_QUERY_DIVISOR: u32 = 6;
 
@@ -510,10 +502,10 @@
     let members = group.members();
     let sent = Boot.now();
     let replicas = group.quorum_replicas(sent);
-    let needs_all = adopt::confirmed_at(node, group) + UNANIMITY_AFTER < sent;
-    let (others, source) = match needs_all {
-        true => (replicas, ProofSource::Unanimity),
-        false => (quorum::needed(replicas), ProofSource::Majority),
+    let confirmed = adopt::confirmed_at(node, group);
+    let (others, source) = match quorum::accepts_majority(confirmed, sent) {
+        true => (quorum::needed(replicas), ProofSource::Majority),
+        false => (replicas, ProofSource::Unanimity),
     };
     if others == 0 {
         return;
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -13,7 +13,7 @@
 
 use clock::Boot;
 use futures_util::future::join;
-use lead::{Phase, Record, proof};
+use lead::{Phase, Record, proof, quorum};
 use model::Term;
 use tokio::{
     task::spawn_local,
@@ -27,7 +27,6 @@
     member::Member,
     node::Node,
     probe,
-    proof_lease::UNANIMITY_AFTER,
 };
 use due::{RANK_DELAY, Reason, due};
 use fence::{Choice, Fenced, fence, still_holds};
@@ -176,7 +175,7 @@
             Choice::Candidate {
                 fenced: Fenced::Partial,
                 ..
-            } if Boot.now() < ended + UNANIMITY_AFTER => {
+            } if Boot.now() < quorum::majorities_end_at(ended) => {
                 sleep(POLL_INTERVAL * 4).await;
                 continue;
             }
