Wait out clock drift before a replacement goes without a majority

Cause: an instance takes a majority for 5 s behind the last confirmation of the record, by its clock, and the one that replaces the primary waited 5 s by its own. With 2 % between the two, the first is 0.1 s longer, and a proof that it got last outlives the promotion. Why it works: the wait has the margin that the wait for proofs always had. Cost: 0.1 s more where a primary and a replica are both lost (L + P).

--- a/crates/lead/src/quorum.rs
+++ b/crates/lead/src/quorum.rs
@@ -4,6 +4,8 @@
 
 use clock::Instant;
 
+use crate::proof::all_expired_at;
+
 /// Time since the store last confirmed a group's record for which a majority of the group can
 /// prove its primary. After that, all members have to answer.
 ///
@@ -22,7 +24,7 @@
 /// The moment from which no instance accepts a majority for a record that the store confirmed
 /// before `ended`.
 pub fn majorities_end_at(ended: Instant) -> Instant {
-    ended + UNANIMITY_AFTER
+    all_expired_at(ended, UNANIMITY_AFTER)
 }
 
 /// Number of a group's `replicas` that must confirm the primary. Together with the primary
