--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -38,7 +38,7 @@
     control::{self, apply_record, record_key},
     edge::{Change, Edge, Fault, Items, Store, Swap, Swapped},
     freshness,
-    group::{Group, LIST_MEMORY, ProofSource},
+    group::{Group, ProofSource},
     node::Node,
     peers::{self, heartbeat::StoreContact},
     probe, proofs,
@@ -46,6 +46,7 @@
 };
 pub(crate) use adopt::adopt_proof;
 pub use lease::{Lease, find_lease};
+pub use quorum::UNANIMITY_AFTER;
 pub(crate) use recovery::restore_record;
 use recovery::write_missing;
 
@@ -75,15 +76,6 @@
 /// Minimum pause between two rounds of the proof loop.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time since the store last confirmed a group's record for which a majority of the group can
-/// prove its primary. After that, all members have to answer.
-///
-/// If the store is down for all instances and a zone is cut off, only a majority is reachable:
-/// if unanimity were always needed, every database with an upstream in that zone would refuse
-/// its writes. The cost is that a primary lost together with a replica is replaced this much
-/// later.
-pub const UNANIMITY_AFTER: Duration = Duration::from_secs(5);
-
 /// A group's members are asked when less than the validity of a proof divided by this is left:
 /// while the lease is proved in time, and while it is not. In the second case the answers have to
 /// arrive before the proof expires.
@@ -537,14 +529,11 @@
     };
     let members = group.members();
     let sent = Boot.now();
-    let replicas = group.replica_count(sent, LIST_MEMORY);
-    let source = match is_majority_enough(node, group, sent) {
-        true => ProofSource::Majority,
-        false => ProofSource::Unanimity,
-    };
-    let others = match source {
-        ProofSource::Majority => quorum::needed(replicas),
-        _ => replicas,
+    let replicas = group.quorum_replicas(sent);
+    let confirmed = adopt::confirmed_at(node, group);
+    let (others, source) = match quorum::accepts_majority(confirmed, group.proof(), sent) {
+        true => (quorum::needed(replicas), ProofSource::Majority),
+        false => (replicas, ProofSource::Unanimity),
     };
     if others == 0 {
         return;
@@ -555,10 +544,3 @@
         group.extend_proof(known.revision, source, sent, node.settings.proof);
     }
 }
-
-/// Returns true if a majority may prove the group's primary at `now`: the proof has not expired,
-/// and the store confirmed the record within [`UNANIMITY_AFTER`].
-fn is_majority_enough<E: Edge>(node: &Node<E>, group: &Group, now: Instant) -> bool {
-    let is_confirmed = adopt::confirmed_at(node, group) + UNANIMITY_AFTER >= now;
-    is_confirmed && group.proof().covers(now)
-}
