--- a/crates/lead/tests/takeover.rs
+++ b/crates/lead/tests/takeover.rs
@@ -55,7 +55,7 @@
     Waiting(u64, bool, usize),
     /// The order takes effect at this time.
     Ordered(u64, usize),
-    Promoted(u64, usize),
+    Promoted,
 }
 
 /// A clock that runs faster or slower by a number of thousandths.
@@ -96,7 +96,7 @@
     proof.extend(confirmed, SPAN);
     let mut stage = Stage::Fencing;
     for now in (0..END).step_by(STEP as usize) {
-        let is_promoted = matches!(stage, Stage::Promoted(..));
+        let is_promoted = matches!(stage, Stage::Promoted);
         for (index, member) in members.iter_mut().enumerate() {
             if member.restarts_at == now {
                 member.is_down_until = now + STEP * rng.random_range(31..100);
@@ -134,7 +134,7 @@
             }
             *answered > now
         });
-        if matches!(stage, Stage::Promoted(..)) && proof.covers(local(now, drifts.0)) {
+        if matches!(stage, Stage::Promoted) && proof.covers(local(now, drifts.0)) {
             return true;
         }
     }
@@ -194,13 +194,13 @@
             }
         }
         Stage::Ordered(at, _) if now < at => stage,
-        Stage::Ordered(at, chosen) => {
+        Stage::Ordered(_, chosen) => {
             for (index, member) in members.iter_mut().enumerate().skip(1) {
                 member.is_fenced = index == chosen;
             }
-            Stage::Promoted(at, chosen)
+            Stage::Promoted
         }
-        Stage::Promoted(..) => stage,
+        Stage::Promoted => stage,
     }
 }
 
