Limit the bytes of catalogues that an instance sends at once (partial)

Callers were refused or served by an old catalogue after two changes of a large catalogue in a row. A relay sent 70 KB to each of 6 to 13 followers at once on 2 Mbit/s; its heartbeats queued behind them, followers broke their transfers and began anew at another relay.

A transfer that has begun ends only after 2 s without a byte. A follower does not fetch a version that its relay is known to have, and an instance asked for it serves few at once.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -20,6 +20,7 @@
 use crate::{
     account::Quota,
     catalog::{Catalog, Route, Upstream},
+    catalog_sends::CatalogSends,
     counted::Counted,
     edge::{Edge, Item, Store},
     freshness,
@@ -146,6 +147,8 @@
     pub(crate) renewal_failures: Cell<u32>,
     /// The relay that did not answer, and the time of that.
     pub(crate) silent_relay: Cell<Option<(SocketAddr, Instant)>>,
+    /// The relay that this instance is connected to.
+    pub(crate) followed_relay: Cell<Option<SocketAddr>>,
     /// The known contents of the store.
     pub mirror: RefCell<Mirror>,
     /// Notified when the mirror changes.
@@ -154,6 +157,8 @@
     /// The encoded answer to a follower that knows nothing, with the versions of the mirror and the
     /// catalogue that it was made of.
     pub(crate) full_batch: RefCell<Option<((mirror::Version, u64), Bytes)>>,
+    /// Limit on the bytes of catalogues that are being sent to peers.
+    pub(crate) catalog_sends: CatalogSends,
     /// Outstanding requests for proofs.
     pub proofs: Proofs,
     /// Proof that the catalogue and the shares are current.
@@ -212,10 +217,12 @@
             store_failed_at: Cell::default(),
             renewal_failures: Cell::default(),
             silent_relay: Cell::default(),
+            followed_relay: Cell::default(),
             mirror: RefCell::default(),
             store_changed: Notify::new(),
             packed: RefCell::default(),
             full_batch: RefCell::default(),
+            catalog_sends: CatalogSends::default(),
             proofs: Proofs::default(),
             freshness: freshness::Tracker::default(),
             shares: Shares::default(),
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -18,6 +18,7 @@
 use lead::Verdict;
 use rand::seq::IndexedRandom;
 use tokio::{
+    io::AsyncReadExt,
     net::{TcpListener, TcpStream, UdpSocket},
     task::spawn_local,
     time::{sleep, timeout},
@@ -50,6 +51,10 @@
 /// Timeout of a read from the store on behalf of a peer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Time for which a peer's request for the catalogue waits for other transfers: less than the time
+/// for which the peer waits for the answer.
+const CATALOG_WAIT: Duration = Duration::from_millis(300);
+
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
@@ -283,7 +288,8 @@
     node.peers.catalog_lag.set(catalog_lag);
     let is_newer = heartbeat.version > node.catalog().version;
     let is_relay = node.peers.role.get().is_relay && node.instances_listed_at.get().is_some();
-    if (overdue || is_newer && is_relay) && !node.peers.fetching.replace(true) {
+    let is_wanted = (overdue || is_newer && is_relay) && !relay::is_catalog_coming(node);
+    if is_wanted && !node.peers.fetching.replace(true) {
         let node = Rc::clone(node);
         let address = heartbeat.address;
         spawn_local(async move {
@@ -321,6 +327,21 @@
     }
 }
 
+/// Sends the catalogue to a peer, or nothing if too many transfers are waiting.
+async fn send_catalog<E: Edge>(node: &Rc<Node<E>>, mut stream: TcpStream) -> io::Result<()> {
+    let packed = node.packed();
+    let size = packed.as_ref().map_or(0, |packed| packed.value.len());
+    let Ok(slot) = timeout(CATALOG_WAIT, node.catalog_sends.acquire(size)).await else {
+        return send(&mut stream, &Response::CompressedCatalog(None)).await;
+    };
+    let transfer = async {
+        send(&mut stream, &Response::CompressedCatalog(packed)).await?;
+        // The peer closes the connection when it has the catalogue.
+        stream.read(&mut [0]).await.map(drop)
+    };
+    slot.hold(transfer).await
+}
+
 /// Fetches the catalogue from the peer at `address`.
 async fn fetch_catalog<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) {
     let fetches = &node.peers.fetches;
@@ -443,7 +464,7 @@
         },
         Request::Shares => Response::Shares(node.mirror.borrow().item(&shares::table_key::<E>())),
         Request::Catalog => Response::Catalog(node.catalog_item()),
-        Request::CompressedCatalog => Response::CompressedCatalog(node.packed()),
+        Request::CompressedCatalog => return send_catalog(node, stream).await,
     };
     send(&mut stream, &response).await
 }
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -28,13 +28,16 @@
 /// Maximum size of a frame's body.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
-/// Number of bytes read or written at once. The timeout applies to each chunk, so a chunk has
-/// to fit through a busy link in that time.
+/// Number of bytes read or written at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
-/// Timeout for each chunk of a transfer.
+/// Timeout of a connection attempt, and of the beginning of a request or a response.
 pub(crate) const IO_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time without progress after which a transfer that has begun is given up. Other transfers and
+/// sessions share the link, and a repetition would send all bytes again.
+const TRANSFER_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A request to a peer.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Request {
@@ -94,7 +97,8 @@
 /// The changes after a follower's position.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct ChangeBatch {
-    /// Incarnation of the relay.
+    /// Incarnation of the relay; zero if the batch is empty and only tells that the relay still
+    /// has to send the catalogue to other followers.
     pub(crate) incarnation: u64,
     /// Sequence number from which the follower continues.
     pub(crate) seq: u64,
@@ -135,7 +139,7 @@
 /// Sends an encoded frame in chunks, each with its own timeout.
 pub(crate) async fn send_frame(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
     for chunk in frame.chunks(CHUNK_BYTES) {
-        timeout(IO_TIMEOUT, stream.write_all(chunk)).await??;
+        timeout(TRANSFER_IDLE_TIMEOUT, stream.write_all(chunk)).await??;
     }
     Ok(())
 }
@@ -151,7 +155,16 @@
     stream: &mut TcpStream,
     first: Duration,
 ) -> io::Result<T> {
-    let size = timeout(first, stream.read_u32()).await?? as usize;
+    let size = timeout(first, stream.read_u32()).await??;
+    receive_body(stream, size).await
+}
+
+/// Receives a frame's body of `size` bytes.
+pub(crate) async fn receive_body<T: DeserializeOwned>(
+    stream: &mut TcpStream,
+    size: u32,
+) -> io::Result<T> {
+    let size = size as usize;
     if size > MAX_FRAME_BYTES {
         return Err(io::Error::other("frame exceeds the maximum of 16 MiB"));
     }
@@ -159,7 +172,7 @@
     while body.len() < size {
         body.reserve(CHUNK_BYTES.min(size - body.len()));
         let mut rest = (&mut *stream).take((size - body.len()) as u64);
-        if timeout(IO_TIMEOUT, rest.read_buf(&mut body)).await?? == 0 {
+        if timeout(TRANSFER_IDLE_TIMEOUT, rest.read_buf(&mut body)).await?? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -381,6 +381,15 @@
         heard.any(|p| p.version > 0)
     }
 
+    /// Version of the catalogue of the instance at `address`, if the instance is heard.
+    pub(crate) fn catalog_version(&self, address: SocketAddr) -> u64 {
+        let now = self.unstalled_now();
+        let table = self.table.borrow();
+        let mut peers = table.values();
+        let peer = peers.find(|p| p.address == address && p.was_heard(now, STALE_HEARTBEATS));
+        peer.map_or(0, |peer| peer.version)
+    }
+
     /// Newest format that the instance at `address` reads.
     pub(super) fn format(&self, address: SocketAddr) -> u8 {
         let table = self.table.borrow();
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -7,18 +7,20 @@
 //! a surplus relay only costs a few calls. An instance that hears no peer is the first of its
 //! zone.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 
 use admit::holders::Candidate;
 use bytes::Bytes;
 use clock::Boot;
 use tokio::{
+    io::AsyncReadExt,
     net::TcpStream,
     time::{sleep, timeout},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    catalog_sends::Slot,
     control,
     edge::{Change, Edge, Item},
     mirror::{SECTIONS, Section},
@@ -26,8 +28,8 @@
     peers::{
         LOST_HEARTBEATS,
         frame::{
-            ChangeBatch, Cursor, IO_TIMEOUT, Request, Response, connect, encode, receive, send,
-            send_frame,
+            ChangeBatch, Cursor, IO_TIMEOUT, Request, Response, connect, encode, receive,
+            receive_body, send, send_frame,
         },
         heartbeat::StoreContact,
     },
@@ -37,6 +39,10 @@
 /// Time that a follower's request waits for changes.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time within which a follower sends its next request. It starts when the answer is in the
+/// socket's buffer, which a busy link may take seconds to empty.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Interval at which the choice of relays is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -124,7 +130,9 @@
             sleep(CHECK_INTERVAL).await;
             continue;
         };
-        if follow_relay(&node, address).await.is_err() {
+        let result = follow_relay(&node, address).await;
+        node.followed_relay.set(None);
+        if result.is_err() {
             node.silent_relay.set(Some((address, Boot.now())));
             sleep(CHECK_INTERVAL).await;
         }
@@ -134,6 +142,7 @@
 /// Polls the relay at `address` for changes while it is this instance's source.
 async fn follow_relay<E: Edge>(node: &Rc<Node<E>>, address: SocketAddr) -> io::Result<()> {
     let mut stream = connect(address).await?;
+    node.followed_relay.set(Some(address));
     // A new relay continues from the revision of the store that the mirror has reached.
     let mut cursor = Cursor {
         incarnation: 0,
@@ -144,13 +153,19 @@
         let is_first = cursor.incarnation == 0;
         cursor.version = node.catalog().version;
         send(&mut stream, &Request::Follow(cursor)).await?;
-        let response = tokio::select! {
-            response = receive(&mut stream, FOLLOW_TIMEOUT + IO_TIMEOUT) => response?,
+        // Once the response has begun to arrive, its bytes are the relay's sign of life: they
+        // delay the heartbeats on the relay's link.
+        let size = tokio::select! {
+            size = timeout(FOLLOW_TIMEOUT + IO_TIMEOUT, stream.read_u32()) => size??,
             () = wait_until_silent(node, address) => return Err(io::ErrorKind::TimedOut.into()),
         };
+        let response = receive_body(&mut stream, size).await?;
         let Response::ChangeBatch(batch) = response else {
             return Err(io::Error::other("the peer is no longer a relay"));
         };
+        if batch.incarnation == 0 {
+            continue;
+        }
         if is_first {
             log::info!(address:%; "following a relay");
         }
@@ -160,6 +175,12 @@
     Ok(())
 }
 
+/// Returns true if the relay that this instance follows has a newer catalogue, and so sends it.
+pub(crate) fn is_catalog_coming<E: Edge>(node: &Node<E>) -> bool {
+    let relay = node.followed_relay.get();
+    relay.is_some_and(|relay| node.peers.catalog_version(relay) > node.catalog().version)
+}
+
 /// Waits until the peer at `address` is no longer heard.
 async fn wait_until_silent<E: Edge>(node: &Node<E>, address: SocketAddr) {
     while node.peers.was_heard(address, LOST_HEARTBEATS) {
@@ -216,26 +237,96 @@
     mut stream: TcpStream,
     mut cursor: Cursor,
 ) -> io::Result<()> {
+    // Kept across requests, so that a follower keeps its place among those that wait.
+    let mut acquire: Option<Pin<Box<dyn Future<Output = Slot>>>> = None;
     loop {
         let _ = timeout(FOLLOW_TIMEOUT, wait_for_changes(node, &cursor)).await;
+        let mut slot = None;
+        if lacks_catalog(node, &cursor) {
+            let size = node.packed().map_or(0, |packed| packed.value.len());
+            let new = || Box::pin(node.catalog_sends.acquire(size)) as Pin<Box<_>>;
+            let acquired = acquire.get_or_insert_with(new);
+            tokio::select! {
+                biased;
+                acquired = acquired => slot = Some(acquired),
+                () = wait_for_other_changes(node, &cursor) => {}
+                () = sleep(FOLLOW_TIMEOUT) => {}
+            }
+        }
+        if slot.is_some() || !lacks_catalog(node, &cursor) {
+            acquire = None;
+        }
         let can_serve = node.is_upstream_list_read.get()
             && node.store_contact() != StoreContact::Unreachable
             && is_relay(node);
         let frame = match can_serve {
+            true if acquire.is_some() => {
+                encode(&Response::ChangeBatch(partial_batch(node, &cursor)))?
+            }
             true => encoded_batch(node, &cursor)?,
             false => encode(&Response::Nothing)?,
         };
-        send_frame(&mut stream, &frame).await?;
-        node.work.add(Kind::ChangeBatch, 1);
-        node.work.add(Kind::ChangeBatchByte, frame.len());
-        drop(frame);
-        let Request::Follow(next) = receive(&mut stream, FOLLOW_TIMEOUT).await? else {
+        let transfer = async {
+            send_frame(&mut stream, &frame).await?;
+            node.work.add(Kind::ChangeBatch, 1);
+            node.work.add(Kind::ChangeBatchByte, frame.len());
+            receive(&mut stream, REQUEST_TIMEOUT).await
+        };
+        let request = match slot {
+            Some(slot) => slot.hold(transfer).await?,
+            None => transfer.await?,
+        };
+        let Request::Follow(next) = request else {
             return Err(io::Error::other("expected a request to follow"));
         };
         cursor = next;
     }
 }
 
+/// Returns true if the follower has an older catalogue than this instance.
+fn lacks_catalog<E: Edge>(node: &Node<E>, cursor: &Cursor) -> bool {
+    cursor.version < node.catalog().version
+}
+
+/// Waits until there are changes that a follower can apply before it has the catalogue.
+async fn wait_for_other_changes<E: Edge>(node: &Node<E>, cursor: &Cursor) {
+    loop {
+        let learnt = node.store_changed.notified();
+        if is_continued(node, cursor) && cursor.seq != node.mirror.borrow().seq() {
+            return;
+        }
+        learnt.await;
+    }
+}
+
+/// Returns true if the changes after `cursor` are known, so that no snapshot has to be sent.
+fn is_continued<E: Edge>(node: &Node<E>, cursor: &Cursor) -> bool {
+    cursor.incarnation == node.incarnation
+        && cursor.seq != 0
+        && node.mirror.borrow().changes_since(cursor.seq).is_some()
+}
+
+/// The batch for a follower that still has to wait for the catalogue: the other changes or, if
+/// that would take a snapshot, nothing.
+fn partial_batch<E: Edge>(node: &Node<E>, cursor: &Cursor) -> ChangeBatch {
+    if !is_continued(node, cursor) {
+        return ChangeBatch {
+            incarnation: 0,
+            seq: cursor.seq,
+            known: 0,
+            is_snapshot: false,
+            changes: Vec::new(),
+            catalog: None,
+        };
+    }
+    let mut batch = change_batch(node, cursor);
+    batch.catalog = None;
+    // Without the catalogue, the follower is complete up to the revision before it.
+    let revision = node.catalog_item().map_or(0, |item| item.revision);
+    batch.known = batch.known.min(revision.saturating_sub(1));
+    batch
+}
+
 /// Waits until there are changes for the follower.
 async fn wait_for_changes<E: Edge>(node: &Node<E>, cursor: &Cursor) {
     loop {
