An entry of the list leaves the address of an instance that is heard

Callers whose sessions were forwarded got INDOUBT for writes at an instance that was alive, and the write ran after that answer, so that it could land behind later ones.

Cause: each entry of the list of instances replaced the address in the table of peers, also that of an instance that is heard elsewhere. A list restored from a copy has entries of earlier runs. Until its next heartbeat the instance was then not found by its address and counted as lost. Class of fault: older knowledge of a second source replaces newer knowledge of the first.

An instance that is heard keeps the address in its heartbeats. If it falls silent, it is also greeted at the listed address, since it may have started again there.

--- a/crates/proxy/src/peers/peer.rs
+++ b/crates/proxy/src/peers/peer.rs
@@ -27,6 +27,8 @@
     /// Time until the peer's next heartbeat, counted from the last one.
     pub(super) next: Duration,
     pub(super) listed: bool,
+    /// Address in the store's list, if the peer was heard at another one when the entry was read.
+    pub(super) listed_address: Option<SocketAddr>,
     pub(super) observations: Vec<Observation>,
     /// Version of the peer's catalogue.
     pub(super) version: u64,
@@ -59,6 +61,7 @@
             known_since: now,
             next: FREQUENT_INTERVAL,
             listed: false,
+            listed_address: None,
             observations: Vec::new(),
             version: 0,
             zone: String::new(),
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -171,6 +171,9 @@
     ///
     /// An entry of this instance itself from an earlier run, at another address, is ignored:
     /// otherwise the instance would follow itself and learn nothing.
+    ///
+    /// The address of an instance that is heard is kept. The list may be older than its heartbeats,
+    /// and sessions that are forwarded to it would end if its address were no longer known.
     pub fn add(&self, name: &str, address: SocketAddr) {
         if address == self.own || name == self.name {
             return;
@@ -179,7 +182,11 @@
         let mut table = self.table.borrow_mut();
         let new = || Peer::new(address, now);
         let peer = table.entry(name.to_owned()).or_insert_with(new);
-        peer.address = address;
+        let is_heard = peer.was_heard(now, LOST_HEARTBEATS);
+        if !is_heard {
+            peer.address = address;
+        }
+        peer.listed_address = (peer.address != address).then_some(address);
         peer.listed = true;
         self.membership.mark_stale();
     }
@@ -236,6 +243,7 @@
     /// Heartbeats to send now: those that are due by schedule, and those that `urgent` selects.
     pub(super) fn due(&self, urgent: Urgency) -> Vec<Outgoing> {
         let now = Boot.now();
+        let now_unstalled = self.unstalled_now();
         let mut due = Vec::new();
         if self.is_new() {
             let seeds = self.seeds.iter().filter(|seed| **seed != self.own);
@@ -261,6 +269,10 @@
             };
             if is_due || is_urgent {
                 peer.record_sent(now, pause);
+                let is_heard = peer.was_heard(now_unstalled, LOST_HEARTBEATS);
+                if let Some(listed) = peer.listed_address.filter(|_| !is_heard) {
+                    due.push(Outgoing::greeting(listed, ReplyRequest::Answer));
+                }
                 due.push(Outgoing {
                     address: peer.address,
                     next: pause,
