Notice a lost watch answer by a shorter wait instead of a second read (review)

And a lost answer still hid for 25 s that an upstream is about to leave (DRAIN).

The first reader's watch of the catalogue now waits 2 s, both readers' watch of the upstreams 4 s; an answer that does not come is given up 0.7 s later. An empty answer no longer moves the revision on: the next watch tells what was missed, or that the history no longer has it, so the section needn't be read. A store that refuses each watch of the catalogue is asked with a pause.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -29,13 +29,14 @@
 /// Longest wait of a watch. TCP keep-alive detects a dead connection sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// The same for the catalogue at the first reader, and for the upstreams. An answer may be lost
+/// while its connection stays open; changes of these sections are due within seconds, and nothing
+/// else tells that they were missed.
+const URGENT_WATCH_WAITS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
+
 /// Time that a watch's answer may take beyond its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
-/// Interval at which the first reader asks whether there is a newer catalogue than the watch told:
-/// an answer to a watch may be lost while its connection stays open.
-const CATALOG_CHECK_INTERVAL: Duration = Duration::from_secs(2);
-
 /// Time for which an instance goes on watching after it has ceased to be a relay of its zone.
 const WATCH_LINGER: Duration = Duration::from_secs(3);
 
@@ -361,12 +362,11 @@
 async fn watch<E: Edge>(node: &Rc<Node<E>>, section: Section, after: u64) -> Result<Next, Fault> {
     let store = node.store();
     let prefix = section_prefix::<E>(section);
-    let watching = store.watch(&prefix, after, WATCH_WAIT, WATCH_SLACK);
+    let watching = store.watch(&prefix, after, watch_wait(node, section), WATCH_SLACK);
     let answer = tokio::select! {
         answer = watching => answer,
         () = wait_for_refresh(node, section) => return Err(Fault::Compacted),
         () = wait_until_relieved(node, section) => return Ok(Next::Watch),
-        () = find_newer_catalog(node, section) => return Ok(Next::ReadNewer),
     };
     let answer = answer.inspect_err(|_| node.store_failed())?;
     node.store_answered();
@@ -377,15 +377,14 @@
         false if section == Section::Catalog => Next::ReadNewer,
         false => Next::Watch,
     };
-    let is_empty = answer.changes.is_empty();
+    // An empty answer does not prove that nothing changed: the next watch begins at the same
+    // revision, and is told so if the history no longer has it.
+    if answer.changes.is_empty() {
+        return Ok(next);
+    }
     for change in answer.changes {
         apply_change(node, change);
     }
-    // An empty answer does not prove that nothing changed. The catalogue is read before it is
-    // watched again.
-    if is_empty && section != Section::Catalog {
-        return read_section(node, section).await;
-    }
     node.mirror.borrow_mut().advance(section, answer.at);
     Ok(next)
 }
@@ -399,20 +398,17 @@
     }
 }
 
-/// Waits until this instance has found a newer catalogue in the store, for which the first reader
-/// asks from time to time.
-async fn find_newer_catalog<E: Edge>(node: &Rc<Node<E>>, section: Section) {
-    loop {
-        sleep(CATALOG_CHECK_INTERVAL).await;
+/// Returns how long a watch of `section` waits.
+fn watch_wait<E: Edge>(node: &Node<E>, section: Section) -> Duration {
+    match section {
+        Section::Upstreams => URGENT_WATCH_WAITS.1,
         // With accounts, the proof that no key was revoked reads the catalogue more often.
-        let is_checked = !node.catalog().accounts.is_empty();
-        let is_first_reader = freshness::source(node) == Source::Store;
-        if section != Section::Catalog || is_checked || !is_first_reader {
-            continue;
-        }
-        if read_newer_catalog(node).await == Ok(Next::ReadNewer) {
-            return;
+        Section::Catalog
+            if node.catalog().accounts.is_empty() && freshness::source(node) == Source::Store =>
+        {
+            URGENT_WATCH_WAITS.0
         }
+        Section::Catalog | Section::Records => WATCH_WAIT,
     }
 }
 
@@ -452,7 +448,11 @@
         next => next?,
     };
     node.mirror.borrow_mut().advance(Section::Catalog, read.at);
-    Ok(next)
+    // A store that refuses each watch isn't asked without a pause.
+    match next {
+        Next::Watch => Ok(Next::Pause),
+        next => Ok(next),
+    }
 }
 
 /// Waits until this instance has not been a relay of its zone for a while.
