--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -79,7 +79,7 @@
 /// A group's members are asked when less than the validity of a proof divided by this is left:
 /// while the lease is proved in time, and while it is not. In the second case the answers have to
 /// arrive before the proof expires.
-const MEMBER_QUERY_DIVISORS: (u32, u32) = (6, 3);
+const MEMBER_QUERY_DIVISORS: (u32, u32) = (6, 2);
 
 /// Interval at which proofs that are about to expire are looked for while the lease isn't proved
 /// in time.
