--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -158,9 +158,9 @@
 /// of `old`.
 ///
 /// A demoted primary that restarts may lead its old term again: as long as no other member was
-/// promoted, it comes back in its old role. A replica that restarts forgets that it holds. An instance without contact with the store
-/// could then prove the old primary through that replica, between the fence and the order. A
-/// replica that still holds at the end has held all the time.
+/// promoted, it comes back in its old role. A replica that restarts forgets that it holds. An
+/// instance without contact with the store could then prove the old primary through that replica,
+/// between the fence and the order. A replica that still holds at the end has held all the time.
 pub(super) async fn still_holds<E: Edge>(
     group: &Group,
     old: &Record,
