Split the node, control, group, pool and session modules by job; switches of load control

Each has a room of its own now; no behaviour changes. The switches tell which parts are in force: by default where client accounts compete or instances differ in capacity. No part reads them yet.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -1,49 +1,33 @@
 //! Background tasks that keep a node's catalogue, upstreams, primary records and proofs up to date.
 
+mod pools;
+mod register;
+mod section;
+
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use clock::{Boot, Instant};
+use clock::Boot;
 use lead::Record;
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
-    edge::{Change, Edge, Fault, Item, Items, Store, Swap, Swapped, era_of},
+    edge::{Change, Edge, Fault, Item, Items, Store, era_of},
     freshness,
     group::Group,
     mirror::{SECTIONS, Section},
     node::Node,
-    peers, proof_lease,
-    relay::{self, Source},
-    shares, takeover,
+    peers, proof_lease, relay, shares, takeover,
 };
 
+pub(crate) use section::section_prefix;
+use section::{follow_section, read_section};
+
 /// Longest silence within an answer of the store. The total time is not limited: a catalogue of
 /// 1,524 routes takes two seconds on a link of 2 Mbit/s, and with a limit on the total each read
 /// was aborted and started again, so that no caller was served any more.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Longest wait of a watch. TCP keep-alive detects a dead connection sooner.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
-
-/// The same for the catalogue at the first reader, and for the upstreams. An answer may be lost
-/// while its connection stays open; changes of these sections are due within seconds, and nothing
-/// else tells that they were missed.
-const URGENT_WATCH_WAITS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
-
-/// Time that a watch's answer may take beyond its wait.
-const WATCH_SLACK: Duration = Duration::from_millis(700);
-
-/// Time for which a newer catalogue isn't read while the last one is sent to peers: short compared
-/// with the 3.7 s that a large one takes on a link of 2 Mbit/s.
-const PASS_ON_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Time for which an instance goes on watching after it has ceased to be a relay of its zone.
-const WATCH_LINGER: Duration = Duration::from_secs(3);
-
 /// Intervals between reads of the list of instances: by an instance that knows no other, and by a
 /// relay.
 const LIST_INTERVALS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(10));
@@ -55,27 +39,12 @@
 const RETRY_PAUSES: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(1_600));
 
-/// Lifetime of an instance's entry in the store without renewal. Heartbeats tell which instances
-/// are alive; the list only introduces new ones to the others.
-const REGISTRATION_TTL: Duration = Duration::from_secs(30);
-
-/// Time for which changes without urgency are collected before the next watch: instances, upstreams
-/// and first records arrive one by one if all of them start at once. Each change would wake all
-/// watchers: 24 calls each for the 15 upstreams and 5 groups of a small fleet.
-const BATCH_DELAY: Duration = Duration::from_millis(400);
-
 /// Time for which a starting instance waits for answers of its zone.
 const GREETING_WAIT: Duration = Duration::from_millis(60);
 
 /// The same wait while most listed instances, which may be starting too, have not been heard.
 const CROWDED_GREETING_WAIT: Duration = Duration::from_millis(600);
 
-/// Interval between checks of the connection pools.
-const POOL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Idle time after which a connection beyond the even share is closed.
-const IDLE_LIMIT: Duration = Duration::from_millis(400);
-
 /// Returns the key of a group's primary record.
 pub fn record_key<E: Edge>(service: &str) -> String {
     format!("{}lead/{service}", E::OWN_PREFIX)
@@ -94,10 +63,10 @@
 pub fn spawn<E: Edge>(node: &Rc<Node<E>>) {
     spawn_local(start(Rc::clone(node)));
     spawn_local(proof_lease::run(Rc::clone(node)));
-    spawn_local(register(Rc::clone(node)));
+    spawn_local(register::run(Rc::clone(node)));
     spawn_local(freshness::run(Rc::clone(node)));
     spawn_local(shares::run(Rc::clone(node)));
-    spawn_local(maintain_pools(Rc::clone(node)));
+    spawn_local(pools::maintain(Rc::clone(node)));
     spawn_local(takeover::run(Rc::clone(node)));
 }
 
@@ -209,110 +178,6 @@
     }
 }
 
-/// Returns true if this instance has to follow `section` in the store.
-fn is_followed<E: Edge>(node: &Node<E>, section: Section) -> bool {
-    match section {
-        // While no instance has a catalogue, there is none to pass on, and waiting for one is
-        // useless.
-        Section::Catalog => {
-            let none = node.catalog().version == 0 && !node.peers.is_catalog_known();
-            none && relay::is_relay(node) || relay::is_reader(node)
-        }
-        Section::Upstreams | Section::Records => relay::is_reader(node),
-    }
-}
-
-/// Returns the key prefix of a section.
-pub(crate) fn section_prefix<E: Edge>(section: Section) -> String {
-    match section {
-        Section::Catalog => E::CATALOG_KEY.to_owned(),
-        Section::Upstreams => E::UPSTREAMS_PREFIX.to_owned(),
-        Section::Records => record_key::<E>(""),
-    }
-}
-
-/// Follows one section in the store while this instance is one of its zone's relays.
-///
-/// A watch returns every version since its revision, each with the whole catalogue, of which only
-/// the newest matters. So the catalogue is brought up to date by conditional reads before a watch:
-/// versions may be written during the transfer of an answer, an outage of the store, or while this
-/// instance follows a relay.
-async fn follow_section<E: Edge>(node: Rc<Node<E>>, section: Section) {
-    let mut pause = RETRY_PAUSES.0;
-    let mut is_store_lost = false;
-    let mut needs_full_read = false;
-    let mut is_current = false;
-    let mut passed_on = 0;
-    loop {
-        if !is_followed(&node, section) {
-            is_current = false;
-            sleep(RELAY_CHECK_INTERVAL).await;
-            continue;
-        }
-        let known = node.mirror.borrow().known(section);
-        let result = if known > 0 && needs_full_read && section == Section::Catalog {
-            reread_catalog(&node).await
-        } else if known == 0 || needs_full_read {
-            let read = read_section(&node, section).await;
-            passed_on = node.catalog().version;
-            read
-        } else if section == Section::Catalog && !is_current {
-            let version = node.catalog().version;
-            if version > passed_on {
-                let _ = timeout(PASS_ON_TIMEOUT, wait_until_passed_on(&node)).await;
-                passed_on = version;
-            }
-            read_newer_catalog(&node).await
-        } else {
-            watch(&node, section, known).await
-        };
-        needs_full_read = matches!(result, Err(Fault::Compacted));
-        is_current = matches!(result, Ok(Next::Watch));
-        let next = match result {
-            Ok(next) => next,
-            Err(Fault::Compacted) => continue,
-            Err(_) => {
-                if !is_store_lost && section == Section::Records {
-                    log::warn!(dependency = "store"; "lost");
-                }
-                is_store_lost = true;
-                // The task that renews the proof lease signals when the store answers again.
-                let _ = timeout(pause, node.store_returned.notified()).await;
-                pause = (pause * 2).min(RETRY_PAUSES.1);
-                continue;
-            }
-        };
-        if is_store_lost && section == Section::Records {
-            log::info!(dependency = "store"; "regained");
-        }
-        is_store_lost = false;
-        pause = RETRY_PAUSES.0;
-        if next == Next::Pause {
-            sleep(BATCH_DELAY).await;
-        }
-    }
-}
-
-/// Reads a whole section.
-async fn read_section<E: Edge>(node: &Rc<Node<E>>, section: Section) -> Result<Next, Fault> {
-    let prefix = section_prefix::<E>(section);
-    let read = read(node, &prefix).await?;
-    let next = match section {
-        Section::Catalog => Next::ReadNewer,
-        Section::Upstreams | Section::Records => Next::Pause,
-    };
-    let missing = node.mirror.borrow().missing(&prefix, &read.items, read.at);
-    let present = read.items.into_iter().map(Change::Put);
-    present
-        .chain(missing)
-        .for_each(|change| apply_change(node, change));
-    node.mirror.borrow_mut().advance(section, read.at);
-    if section == Section::Upstreams {
-        node.is_upstream_list_read.set(true);
-    }
-    Ok(next)
-}
-
 /// Applies a change of the store, unless a newer one is known.
 pub(crate) fn apply_change<E: Edge>(node: &Rc<Node<E>>, change: Change) {
     if let Change::Put(item) = &change
@@ -359,145 +224,6 @@
     Some((name, text.parse().ok()?))
 }
 
-/// The next step of following a section after an answer of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Next {
-    /// To watch the section at once.
-    Watch,
-    /// To collect further changes, which come one by one and are not urgent.
-    Pause,
-    /// To read the catalogue if there is a newer one.
-    ReadNewer,
-}
-
-/// Returns true if a change is not urgent: all changes but a new catalogue and the record of a
-/// primary that replaces another one.
-fn is_deferrable<E: Edge>(node: &Node<E>, change: &Change) -> bool {
-    let record = change.key().strip_prefix(&record_key::<E>(""));
-    let is_replaced = record.is_some_and(|service| node.has_primary(service));
-    !is_replaced && change.key() != E::CATALOG_KEY
-}
-
-/// Waits for changes of a section after revision `after`, and applies them.
-async fn watch<E: Edge>(node: &Rc<Node<E>>, section: Section, after: u64) -> Result<Next, Fault> {
-    let store = node.store();
-    let prefix = section_prefix::<E>(section);
-    let watching = store.watch(&prefix, after, watch_wait(node, section), WATCH_SLACK);
-    let answer = tokio::select! {
-        answer = watching => answer,
-        () = wait_for_refresh(node, section) => return Err(Fault::Compacted),
-        () = wait_until_relieved(node, section) => return Ok(Next::Watch),
-    };
-    let answer = answer.inspect_err(|_| node.store_failed())?;
-    node.store_answered();
-    node.watch_answered_at.set(Boot.now());
-    let mut changes = answer.changes.iter();
-    let next = match changes.all(|change| is_deferrable(node, change)) {
-        true => Next::Pause,
-        false if section == Section::Catalog => Next::ReadNewer,
-        false => Next::Watch,
-    };
-    // An empty answer does not prove that nothing changed: the next watch begins at the same
-    // revision, and is told so if the history no longer has it.
-    if answer.changes.is_empty() {
-        return Ok(next);
-    }
-    for change in answer.changes {
-        apply_change(node, change);
-    }
-    node.mirror.borrow_mut().advance(section, answer.at);
-    Ok(next)
-}
-
-/// Waits until the list of upstreams has to be read again. Other sections are not concerned: a
-/// catalogue's transfer would begin anew whenever an upstream fails.
-async fn wait_for_refresh<E: Edge>(node: &Node<E>, section: Section) {
-    match section {
-        Section::Upstreams => node.refresh.notified().await,
-        Section::Catalog | Section::Records => std::future::pending().await,
-    }
-}
-
-/// Returns how long a watch of `section` waits.
-fn watch_wait<E: Edge>(node: &Node<E>, section: Section) -> Duration {
-    match section {
-        Section::Upstreams => URGENT_WATCH_WAITS.1,
-        // With accounts, the proof that no key was revoked reads the catalogue more often.
-        Section::Catalog
-            if node.catalog().accounts.is_empty() && freshness::source(node) == Source::Store =>
-        {
-            URGENT_WATCH_WAITS.0
-        }
-        Section::Catalog | Section::Records => WATCH_WAIT,
-    }
-}
-
-/// Waits until the peers that were waiting for this instance's catalogue have it. A newer one would
-/// fill the link on which their requests arrive.
-async fn wait_until_passed_on<E: Edge>(node: &Node<E>) {
-    loop {
-        // Those that wait for a change become known after it.
-        sleep(RELAY_CHECK_INTERVAL / 5).await;
-        if node.catalog_sends.is_idle() {
-            return;
-        }
-    }
-}
-
-/// Reads the catalogue if the store has another one than this instance.
-async fn read_newer_catalog<E: Edge>(node: &Rc<Node<E>>) -> Result<Next, Fault> {
-    let reached = node.mirror.borrow().known(Section::Catalog);
-    let held = node.catalog_item().map_or(0, |item| item.revision);
-    // A store restored from an older copy doesn't know the revision of the catalogue in force.
-    let revision = match era_of(held) == era_of(reached) {
-        true => held,
-        false => 0,
-    };
-    let known = [(E::CATALOG_KEY, revision)];
-    let newer = node.store().read_newer(&known, READ_TIMEOUT).await;
-    let newer = newer.inspect_err(|_| node.store_failed())?;
-    node.store_answered();
-    // A catalogue that can't be put in force is returned by each conditional read.
-    let next = match newer.iter().any(|item| item.revision > reached) {
-        true => Next::ReadNewer,
-        false => Next::Watch,
-    };
-    let newest = newer.iter().map(|item| item.revision);
-    let newest = newest.fold(revision, u64::max);
-    for item in newer {
-        apply_change(node, Change::Put(item));
-    }
-    node.mirror.borrow_mut().advance(Section::Catalog, newest);
-    Ok(next)
-}
-
-/// Reads the catalogue after its history was compacted. An unchanged one is not transferred.
-async fn reread_catalog<E: Edge>(node: &Rc<Node<E>>) -> Result<Next, Fault> {
-    // Any small item tells the store's revision.
-    let read = read(node, &takeover_lock_key::<E>()).await?;
-    let next = match read_newer_catalog(node).await {
-        Err(Fault::Compacted) => return read_section(node, Section::Catalog).await,
-        next => next?,
-    };
-    node.mirror.borrow_mut().advance(Section::Catalog, read.at);
-    // A store that refuses each watch isn't asked without a pause.
-    match next {
-        Next::Watch => Ok(Next::Pause),
-        next => Ok(next),
-    }
-}
-
-/// Waits until this instance has not been a relay of its zone for a while.
-async fn wait_until_relieved<E: Edge>(node: &Node<E>, section: Section) {
-    let mut since = Boot.now();
-    while since + WATCH_LINGER > Boot.now() {
-        sleep(RELAY_CHECK_INTERVAL).await;
-        if is_followed(node, section) {
-            since = Boot.now();
-        }
-    }
-}
-
 /// Puts a catalogue in force unless a newer one is, and returns whether it is in force now.
 ///
 /// A catalogue that is not in force must not be passed on either: a starting instance would take
@@ -571,80 +297,3 @@
         .map(Bytes::from)
         .unwrap_or_default()
 }
-
-/// Keeps this instance registered in the store.
-async fn register<E: Edge>(node: Rc<Node<E>>) {
-    let mut lease = 0;
-    loop {
-        if lease == 0 {
-            lease = create_registration(&node).await.unwrap_or_default();
-        } else {
-            let renewed = timeout(READ_TIMEOUT, node.store().keep_alive(lease)).await;
-            if renewed == Ok(Err(Fault::Missing)) {
-                lease = 0;
-                continue;
-            }
-        }
-        let pause = match lease {
-            0 => RETRY_PAUSES.1,
-            _ => REGISTRATION_TTL / 3,
-        };
-        sleep(pause).await;
-    }
-}
-
-async fn create_registration<E: Edge>(node: &Node<E>) -> Option<u64> {
-    let store = node.store();
-    let lease = timeout(READ_TIMEOUT, store.grant(REGISTRATION_TTL))
-        .await
-        .ok()?
-        .ok()?;
-    let key = format!("{}{}", instances_prefix::<E>(), node.settings.name);
-    let value = Bytes::from(node.settings.peers.to_string());
-    let swap = Swap {
-        puts: vec![(key, value, lease)],
-        ..Swap::default()
-    };
-    match timeout(READ_TIMEOUT, store.swap(&swap)).await {
-        Ok(Ok(Swapped::Done(_))) => Some(lease),
-        _ => None,
-    }
-}
-
-/// Closes connections that other instances may need.
-async fn maintain_pools<E: Edge>(node: Rc<Node<E>>) {
-    let mut unable = None;
-    loop {
-        sleep(POOL_CHECK_INTERVAL).await;
-        let now: Instant = Boot.now();
-        node.peers.unstalled_now();
-        let since = node.unable_since();
-        if since.is_some() != unable.is_some() {
-            log::info!(able = since.is_none(); "ability to serve callers changed");
-            node.stage_changed.notify_waiters();
-        }
-        unable = since;
-        let catalog = node.catalog();
-        for group in node.active() {
-            group.expire(now);
-            let entry = catalog.services.get(&group.service);
-            let connections = entry.map_or(1, |entry| entry.connections);
-            let holders = node.holder_count(&group.service);
-            // One share more than there are holders leaves connections free for probes, orders and
-            // an instance that has just become a holder.
-            let share = match group.is_proof_wanted(now) {
-                true => (connections / (holders + 1)).max(1),
-                false => 0,
-            };
-            for member in group.members() {
-                member.holders.set(holders);
-                member.pool.share.set(share);
-                if member.pool.is_locked_out(now) {
-                    node.peers.announce();
-                }
-                member.pool.close_excess(now, share, IDLE_LIMIT);
-            }
-        }
-        node.sweep(now);
-    }
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod counted;
 pub mod delta;
 pub mod edge;
+pub mod features;
 pub mod freshness;
 pub mod group;
 pub mod member;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     catalog::{Readiness, Upstream},
+    features::Features,
     pool::Pool,
     refusal::Counts,
 };
@@ -76,6 +77,8 @@
     latency: Cell<Duration>,
     lag_until: Cell<Instant>,
     lag_pause: Cell<Duration>,
+    /// The features of load control in force.
+    pub features: Cell<Features>,
 }
 
 impl Member {
@@ -99,6 +102,7 @@
             latency: Cell::new(INITIAL_LATENCY),
             lag_until: Cell::default(),
             lag_pause: Cell::new(LAG_PAUSE.0),
+            features: Cell::default(),
         }
     }
 
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,5 +1,10 @@
 //! The state of an instance, shared by all of its tasks.
 
+mod ability;
+mod contact;
+mod holders;
+mod proved;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -7,15 +12,10 @@
     time::Duration,
 };
 
-use admit::holders::{self, Candidate};
 use bytes::Bytes;
 use clock::{Boot, Instant};
 use lead::freshness::Watermark;
-use serde::{Deserialize, Serialize};
-use tokio::{
-    sync::Notify,
-    time::{sleep, timeout},
-};
+use tokio::{sync::Notify, time::sleep};
 
 use crate::{
     account::Quota,
@@ -24,13 +24,14 @@
     counted::Counted,
     delta,
     edge::{Edge, Item, Store},
+    features::{Features, Traits},
     freshness,
     group::Group,
     member::Member,
-    metrics::{Metrics, Wait},
+    metrics::Metrics,
     mirror::{self, Mirror},
-    peers::{Peers, frame::Compressed, heartbeat::StoreContact},
-    proof_lease::{self, Lease},
+    peers::{Peers, frame::Compressed},
+    proof_lease::Lease,
     proofs::Proofs,
     registry::Registry,
     relay,
@@ -38,24 +39,12 @@
     shares::{self, Shares},
     work::{Kind, Work},
 };
-/// Silence of the store after which it counts as having been unavailable.
-const STORE_GAP: Duration = Duration::from_millis(1_200);
-
-/// Time for which an instance counts as reaching the store after an answer; a relay asks at least
-/// every half second.
-const STORE_REACHABLE_TTL: Duration = Duration::from_millis(1_500);
-
-/// Time for which an instance without an answer of the store is passed over as a relay.
-const STORE_UNREACHABLE_TTL: Duration = Duration::from_secs(10);
-
-/// Number of instances that check a primary which one of them sees fail, besides those that use it.
-const JUDGE_COUNT: usize = 9;
 
 /// Interval between checks for a first catalogue.
 const CATALOG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Time before the end of a leaving upstream's drain in which it gets no new work.
-const DRAIN_MARGIN: Duration = Duration::from_millis(1_500);
+pub use ability::ServiceState;
+pub use proved::Proved;
 
 /// Time after the first read of the list of instances within which the others may not have been
 /// heard: they answer the first heartbeat at once, but their processors may be busy.
@@ -73,18 +62,6 @@
     Stopping(Instant),
 }
 
-/// Ability of an instance to serve.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ServiceState {
-    /// The instance has proved a primary recently, and reaches it.
-    Able,
-    /// No caller asked the instance recently, because other instances serve its sessions: it has no
-    /// proof, and no reason for doubt.
-    Idle,
-    /// Callers asked the instance, and it can prove no primary.
-    Unable,
-}
-
 /// The state of an instance, shared by all of its tasks.
 #[derive(Debug)]
 pub struct Node<E: Edge> {
@@ -174,6 +151,8 @@
     pub(crate) store_returned: Notify,
     /// Time since which the store has answered without a long gap.
     pub store_up_since: Cell<Instant>,
+    /// The features of load control in force.
+    pub features: Cell<Features>,
     /// Metrics of the instance.
     pub metrics: Metrics,
     /// Counts of the work for the background duties.
@@ -235,6 +214,7 @@
             watch_answered_at: Cell::default(),
             store_returned: Notify::new(),
             store_up_since: Cell::default(),
+            features: Cell::default(),
             metrics: Metrics::default(),
             work: Work::default(),
             sessions: Cell::new(0),
@@ -323,69 +303,6 @@
         relay::is_relay(self)
     }
 
-    /// Returns the addresses of the instances that serve sessions on `service`, if this one has to
-    /// forward sessions.
-    pub fn holders(&self, service: &Rc<str>) -> Vec<SocketAddr> {
-        let Some(count) = self.max_holders(service) else {
-            return Vec::new();
-        };
-        self.peers.holders(service, count, self.candidate())
-    }
-
-    /// Returns the addresses of the instances that serve sessions of `account` on `service`, the
-    /// preferred one first, if this one has to forward sessions.
-    pub fn account_holders(&self, service: &Rc<str>, account: &str) -> Vec<SocketAddr> {
-        let holders = self.holder_names(service);
-        let own = &self.settings.name;
-        self.peers.account_holders(service, account, &holders, own)
-    }
-
-    /// Returns the names of the instances that hold the connections to `service`, in order of
-    /// preference.
-    pub fn holder_names(&self, service: &Rc<str>) -> Vec<String> {
-        let count = self.max_holders(service).unwrap_or(0);
-        self.peers.holder_names(service, count, self.candidate())
-    }
-
-    /// Returns true if this instance has to check the group's primary when another one sees it
-    /// fail: it uses the group, holds its connections, may replace primaries, or is one of a few
-    /// more instances.
-    pub fn is_judge(&self, group: &Group) -> bool {
-        let own = &self.settings.name;
-        let is_named = || {
-            let duty = format!("judge {}", group.service);
-            let judges = self
-                .peers
-                .holder_names(&duty, JUDGE_COUNT, self.candidate());
-            judges.contains(own) || self.holder_names(&group.service).contains(own)
-        };
-        self.holds_takeover_lock.get() || group.is_proof_wanted(Boot.now()) || is_named()
-    }
-
-    fn candidate(&self) -> Candidate<'_> {
-        Candidate {
-            name: &self.settings.name,
-            zone: &self.settings.zone,
-            weight: self.settings.weight,
-            able: true,
-        }
-    }
-
-    /// Returns the number of instances that hold the connections to `service`.
-    pub fn holder_count(&self, service: &Rc<str>) -> usize {
-        let instances = self.peers.count();
-        let most = self.max_holders(service);
-        most.map_or(instances, |most| most.min(instances))
-    }
-
-    /// Returns the number of instances that hold them if that many exist; `None` if no catalogue
-    /// has the service.
-    fn max_holders(&self, service: &Rc<str>) -> Option<usize> {
-        let connections = self.catalog().services.get(service)?.connections;
-        let slots = self.group_of(service).slots();
-        Some(holders::count(connections, slots))
-    }
-
     /// Returns the group of a service, and creates it if needed.
     pub fn group_of(&self, service: &Rc<str>) -> Rc<Group> {
         self.registry.group(service)
@@ -481,105 +398,6 @@
         }
     }
 
-    /// Returns true if no caller of this instance needed a primary recently: other instances serve
-    /// its sessions, or it has none.
-    pub fn is_idle(&self) -> bool {
-        let now = Boot.now();
-        !self.active().iter().any(|group| group.is_proof_wanted(now))
-    }
-
-    /// Returns true if the instance can take callers.
-    ///
-    /// An instance that can't serve while others may reports that, so that the balancer sends its
-    /// zone's callers to another zone.
-    pub fn is_ready(&self) -> bool {
-        if self.stage.get() != Stage::Serving || !self.is_upstream_list_read.get() {
-            return false;
-        }
-        if !self.catalog().accounts.is_empty() && !self.is_fresh(Boot.now()) {
-            return false;
-        }
-        let groups = self.groups();
-        let has_record = groups.iter().any(|group| group.stored_record().is_some());
-        has_record && self.unable_since().is_none()
-    }
-
-    /// Returns the instance's ability to serve.
-    pub fn service(&self) -> ServiceState {
-        if self.is_idle() {
-            return match self.peers.is_unserved() {
-                true => ServiceState::Unable,
-                false => ServiceState::Idle,
-            };
-        }
-        match self.is_able() {
-            true => ServiceState::Able,
-            false => ServiceState::Unable,
-        }
-    }
-
-    /// Returns true if some primary is reachable and proved, or was a moment ago.
-    fn is_able(&self) -> bool {
-        let now = Boot.now();
-        self.active().iter().any(|group| {
-            let proved = group.proof().until() + LAPSE_TOLERANCE > now;
-            proved
-                && group
-                    .primary()
-                    .is_some_and(|(member, _)| !member.is_failing())
-        })
-    }
-
-    /// Returns the time since which this instance has been unable to serve while others may.
-    pub fn unable_since(&self) -> Option<Instant> {
-        let now = Boot.now();
-        if self.service() != ServiceState::Unable || !self.peers.may_others_serve() {
-            self.able_at.set(now);
-            return None;
-        }
-        let since = self.able_at.get() + LAPSE_TOLERANCE;
-        (since < now).then_some(since)
-    }
-
-    /// Returns the primary if it is proved that it led at `moment` and it may get work.
-    ///
-    /// A leaving primary is replaced before it ends. If the replacement is late, the primary gets no
-    /// work in its last moments.
-    fn proved_primary(&self, group: &Group, moment: Instant) -> Option<Rc<Member>> {
-        let (member, _) = group.primary()?;
-        let left = member.leaves_in(Boot.now(), self.settings.drain);
-        let stays = left.is_none_or(|left| left > DRAIN_MARGIN);
-        (stays && group.proof().covers(moment)).then_some(member)
-    }
-
-    /// Waits until it is proved that the primary led at `moment`, at most for `wait`.
-    pub async fn proved(&self, group: &Group, moment: Instant, wait: Duration) -> Proved {
-        group.want_proof(Boot.now());
-        if let Some(member) = self.proved_primary(group, moment) {
-            return Proved::Primary(member);
-        }
-        // An inactive group is not proved with the others.
-        proof_lease::adopt_proof(self, group);
-        if let Some(member) = self.proved_primary(group, moment) {
-            return Proved::Primary(member);
-        }
-        let _waited = self.metrics.wait(Wait::Proof);
-        let proved = async {
-            loop {
-                let changed = group.changed.notified();
-                if let Some(member) = self.proved_primary(group, moment) {
-                    return Proved::Primary(member);
-                }
-                // The task that replaces a primary notifies when it is done.
-                if group.primary().is_some() {
-                    self.proof_wanted.notify_one();
-                }
-                changed.await;
-            }
-        };
-        timeout(wait, proved).await.unwrap_or(Proved::NoPrimary)
-    }
-
     /// Logs which settings have changed while the process runs, and reads the list of upstreams
     /// again. Changed settings take effect at the next start.
     pub fn reload(&self, settings: &Settings) {
@@ -588,47 +406,6 @@
         self.refresh.notify_one();
     }
 
-    /// Records the answer to a request that this instance, or another one for it, sent to the store
-    /// at `sent`.
-    pub fn heard_from_store(&self, sent: Instant) {
-        self.store_contact_at
-            .set(self.store_contact_at.get().max(sent));
-    }
-
-    /// Records that the store answered this instance.
-    pub fn store_answered(&self) {
-        self.store_answered_at.set(Boot.now());
-        self.store_heard();
-    }
-
-    /// Records that the store did not answer this instance, or refused it.
-    pub fn store_failed(&self) {
-        self.store_failed_at.set(Boot.now());
-    }
-
-    /// Returns the time of the last request of this instance that the store did not answer.
-    pub(crate) fn failed_at(&self) -> Instant {
-        self.store_failed_at.get()
-    }
-
-    /// Returns whether this instance reaches the store itself.
-    ///
-    /// Parts of an answer count: while a large one fills the link, other calls wait behind it and
-    /// are given up.
-    pub fn store_contact(&self) -> StoreContact {
-        let now = Boot.now();
-        let answered = self.store_answered_at.get();
-        let answered = answered.max(self.edge.store().received_at());
-        let failed = self.store_failed_at.get();
-        if answered != Instant::ZERO && answered + STORE_REACHABLE_TTL > now {
-            return StoreContact::Reachable;
-        }
-        match failed > answered && failed + STORE_UNREACHABLE_TTL > now {
-            true => StoreContact::Unreachable,
-            false => StoreContact::Unknown,
-        }
-    }
-
     /// Returns the catalogue as the store holds it.
     pub(crate) fn catalog_item(&self) -> Option<Item> {
         self.mirror.borrow().item(E::CATALOG_KEY)
@@ -647,14 +424,20 @@
         packed.clone()
     }
 
-    /// Records that the store answered this instance, or a relay for it.
-    pub fn store_heard(&self) {
-        let now = Boot.now();
-        if self.store_heard_at.get() + STORE_GAP < now {
-            self.store_returned.notify_waiters();
-            self.store_up_since.set(now);
+    /// Brings the features of load control in line with the catalogue and the other instances.
+    pub(crate) fn update_features(&self) {
+        let traits = Traits {
+            has_accounts: !self.catalog().accounts.is_empty(),
+            is_uneven: self.peers.is_uneven(self.settings.weight),
+        };
+        let features = self.settings.switches.resolve(traits);
+        if self.features.replace(features) != features {
+            log::info!(
+                admission = features.admission, account_shares = features.account_shares,
+                replica_reads = features.replica_reads, load_reports = features.load_reports;
+                "load control changed"
+            );
         }
-        self.store_heard_at.set(now);
     }
 
     /// Returns true once the instance was told to stop.
@@ -663,15 +446,6 @@
     }
 }
 
-/// Result of a wait for a proved primary.
-#[derive(Debug)]
-pub enum Proved {
-    /// This upstream is the proved primary.
-    Primary(Rc<Member>),
-    /// No primary was proved in time.
-    NoPrimary,
-}
-
 /// Returns the number of an upstream's connections that one instance may take: half, so that no
 /// instance keeps all others out.
 fn connection_limit(connections: usize) -> usize {
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -364,6 +364,13 @@
         self.table.borrow().get(name).map_or(0, |peer| peer.weight)
     }
 
+    /// Returns true if a peer that was heard has another weight than `own`, this instance's.
+    pub(crate) fn is_uneven(&self, own: u32) -> bool {
+        let table = self.table.borrow();
+        let mut heard = table.values().filter(|peer| peer.heard.is_some());
+        heard.any(|peer| peer.weight != own)
+    }
+
     /// Address of the instance with this name.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         Some(self.table.borrow().get(name)?.address)
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -4,6 +4,8 @@
 //! never known exactly. So the pool has no fixed size: an instance opens a connection when it needs
 //! one, the upstream refuses it at its limit, and idle connections are closed soon.
 
+mod idle;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -84,58 +86,6 @@
         self.open.get().saturating_sub(unused)
     }
 
-    /// Takes an idle connection of `account`, with exactly these values if there is one.
-    pub fn take_idle(&self, account: Option<&Rc<str>>, values: &Values) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        loop {
-            let same = |connection: &Connection| {
-                connection.belongs_to(account) && connection.has_values(values)
-            };
-            let same = idle.iter().rposition(same);
-            let at = same.or_else(|| {
-                idle.iter()
-                    .rposition(|connection| connection.belongs_to(account))
-            })?;
-            let connection = idle.remove(at);
-            if connection.is_open() {
-                return Some(connection);
-            }
-        }
-    }
-
-    /// Takes an idle connection of any account, for a request of this process itself.
-    pub fn take_any_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        while let Some(connection) = idle.pop() {
-            if connection.is_open() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    /// Returns true if an idle connection belongs to `account`.
-    fn has_idle(&self, account: Option<&Rc<str>>) -> bool {
-        self.idle
-            .borrow()
-            .iter()
-            .any(|connection| connection.belongs_to(account))
-    }
-
-    /// Closes the connection that has been idle longest if this instance has its share.
-    ///
-    /// The connection belongs to another account than the waiting requests. If it were kept, each
-    /// instance would open more connections until the upstream refuses all of them.
-    fn make_room(&self) {
-        let share = self.share.get();
-        if share > 0 && self.open.get() >= share {
-            let mut idle = self.idle.borrow_mut();
-            if !idle.is_empty() {
-                idle.remove(0);
-            }
-        }
-    }
-
     /// Returns the account for which a connection is opened next: that of the first waiting request
     /// for which none is being opened yet.
     fn next_account(&self, now: Instant, service: Duration) -> Option<Option<Rc<str>>> {
@@ -153,17 +103,6 @@
         Some(first.account.clone())
     }
 
-    /// Closes connections beyond `share` that have been idle for `idle_limit`.
-    pub fn close_excess(&self, now: Instant, share: usize, idle_limit: Duration) {
-        let mut idle = self.idle.borrow_mut();
-        let mut excess = self.open.get().saturating_sub(share);
-        idle.retain(|connection| {
-            let close = excess > 0 && connection.last_answer() + idle_limit < now;
-            excess -= usize::from(close);
-            !close
-        });
-    }
-
     /// Records that some instance has no connection and is refused one.
     ///
     /// After a loss of power, the upstream still counts the connections from before. The remaining
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,6 +1,8 @@
 //! A caller's session: connection, values, prepared statements and position.
 
+mod place;
 mod statement;
+mod trace;
 
 use std::{io, rc::Rc, time::Duration};
 
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -1,24 +1,25 @@
 //! Execution of a session's statements, and the state that they leave: values, prepared statements,
 //! position and transaction.
 
-use std::{collections::HashMap, io, rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use clock::{Boot, Instant};
 use lead::Commits;
-use model::Position;
 
+use super::{
+    place::{Location, count_session},
+    trace::is_unusual,
+};
 use crate::{
     access,
     account::Caller,
     catalog::Route,
     connection::Values,
     edge::Edge,
-    group::{ProofSource, SessionGuard},
     message::{Access, Code, Prepared, Query, State, Statement},
     node::Node,
     outcome::{Cause, Origin, Outcome},
-    remote::Remote,
     run::{self, Context},
     session_state::SessionState,
     shares,
@@ -36,35 +37,18 @@
     /// Ids of the transaction's statements so far, for the log.
     pub(super) ids: Vec<Bytes>,
     /// The instance that serves the session.
-    location: Location,
+    pub(super) location: Location,
     /// The session's account.
-    account: Option<Rc<str>>,
+    pub(super) account: Option<Rc<str>>,
     /// The caller whose key is checked before each statement. `None` if the route needs no key, and
     /// for a forwarded session, whose key the forwarding instance goes on checking.
     caller: Option<Caller>,
     /// True while the session has only read.
-    has_only_read: bool,
+    pub(super) has_only_read: bool,
     /// True if the session ends once no transaction is open.
     ends_when_idle: bool,
 }
 
-/// The instance that serves a session.
-#[derive(Debug)]
-enum Location {
-    /// This instance; the session may migrate to another one.
-    Local { _served: Option<SessionGuard> },
-    /// This instance, for a caller of another one. A session is forwarded only once, so it stays.
-    Forwarded { _served: Option<SessionGuard> },
-    /// Another instance.
-    Remote(Remote),
-}
-
-/// Time limit of a statement whose route is gone.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Interval between two log lines of reads that succeeded in time.
-const UNUSUAL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Number of a transaction's ids that are kept for the log.
 const MAX_IDS: usize = 16;
 
@@ -106,54 +90,6 @@
         }
     }
 
-    /// Returns the state that another instance needs to serve the session.
-    fn forwarded_state(&self) -> SessionState {
-        SessionState {
-            database: self.database.clone(),
-            account: self.account.clone(),
-            values: self.values.clone(),
-            prepared: self.prepared.clone(),
-            commits: self.commits.clone(),
-        }
-    }
-
-    /// Forwards the session to a holder of its connections, or serves it here.
-    async fn place<E: Edge>(&mut self, node: &Rc<Node<E>>) {
-        let remote = match node.route(&self.database) {
-            Some(route) => Remote::open(node, &route, &self.forwarded_state()).await,
-            None => None,
-        };
-        self.location = match remote {
-            Some(remote) => Location::Remote(remote),
-            None => Location::Local {
-                _served: count_session(node, &self.database),
-            },
-        };
-    }
-
-    /// Migrates the session if other instances have held its connections for a while.
-    ///
-    /// An instance that serves a caller which came before it had heard the others would remain an
-    /// additional client of the upstreams for as long as that caller stays. After a loss of power
-    /// of 91 instances that happened 344 times, and 290 of them lasted to the end of the day.
-    async fn migrate_if_due<E: Edge>(&mut self, node: &Rc<Node<E>>) {
-        let stays = !matches!(self.location, Location::Local { .. });
-        if stays || !matches!(self.transaction, Transaction::None) {
-            return;
-        }
-        let Some(route) = node.route(&self.database) else {
-            return;
-        };
-        let group = node.group_of(&route.service);
-        if !group.is_migration_due(Boot.now()) {
-            return;
-        }
-        self.place(node).await;
-        if !matches!(self.location, Location::Remote(_)) {
-            group.held_elsewhere_since.set(Some(Boot.now()));
-        }
-    }
-
     /// Returns the session's transaction state as its caller knows it.
     pub(super) fn state(&self) -> State {
         match &self.location {
@@ -172,66 +108,6 @@
             && matches!(&self.location, Location::Remote(remote) if remote.is_over())
     }
 
-    /// Waits until the instance that serves the session closes it.
-    pub(super) async fn holder_lost(&self) {
-        match &self.location {
-            Location::Remote(remote) => remote.closed().await,
-            Location::Local { .. } | Location::Forwarded { .. } => std::future::pending().await,
-        }
-    }
-
-    /// Records that the instance that served the session closed it.
-    pub(super) fn mark_lost(&mut self) {
-        if let Location::Remote(remote) = &mut self.location {
-            remote.mark_lost();
-        }
-    }
-
-    /// Forwards a statement to the instance that serves the session.
-    ///
-    /// That instance also logs and counts its refusals.
-    async fn forward<E: Edge>(
-        &mut self,
-        node: &Rc<Node<E>>,
-        query: &Query,
-        at: Instant,
-    ) -> Outcome {
-        let prepared = match &query.statement {
-            Statement::Prepare(name, statement) => {
-                self.prepared.insert(name.clone(), statement.clone());
-                None
-            }
-            Statement::Execute(name, _) => self.prepared.get(name),
-            _ => None,
-        };
-        let route = node.route(&self.database);
-        let within = route
-            .as_ref()
-            .map_or(DEFAULT_TIMEOUT, |route| route.timeout);
-        let Location::Remote(remote) = &mut self.location else {
-            return malformed::<E>(State::Idle);
-        };
-        let mut outcome = remote.answer(node, query, prepared, within).await;
-        let not_run = matches!(outcome.failure, Some((Code::Busy, Cause::Holder)));
-        if not_run && self.has_only_read {
-            // No state of the session was lost with its holder, and the statement only reads.
-            self.place(node).await;
-            outcome = match &mut self.location {
-                Location::Remote(remote) => remote.answer(node, query, None, within).await,
-                Location::Local { .. } | Location::Forwarded { .. } => {
-                    self.dispatch(node, query, at).await
-                }
-            };
-        }
-        if matches!(outcome.failure, Some((_, Cause::Holder))) {
-            let duration = Boot.now().since(at);
-            node.metrics
-                .observe_statement(route.as_deref(), &outcome, duration);
-            self.log_statement(node, query, route.as_deref(), &outcome, duration);
-        }
-        outcome
-    }
-
     /// Rolls back the open transaction, if there is one.
     pub(super) fn abandon<E: Edge>(&mut self) {
         match std::mem::replace(&mut self.transaction, Transaction::None) {
@@ -357,82 +233,7 @@
         outcome
     }
 
-    /// Logs a refused, failed or slow statement with the state that decided its outcome.
-    fn log_statement<E: Edge>(
-        &self,
-        node: &Node<E>,
-        query: &Query,
-        route: Option<&Route>,
-        outcome: &Outcome,
-        duration: Duration,
-    ) {
-        let now = Boot.now();
-        let group = route.map(|route| node.group_of(&route.service));
-        let known = group.as_ref().and_then(|group| group.stored_record());
-        let proof = group.as_ref().and_then(|group| group.proved_by());
-        let origin = outcome.origin.as_ref();
-        let floor = origin.and_then(|origin| origin.floor);
-        let sampled_at = group.as_ref().zip(floor);
-        let sampled_at = sampled_at.and_then(|(group, floor)| group.sampled_at(floor));
-        let left = group.map_or(Duration::ZERO, |group| group.proof().until().since(now));
-        let (code, cause) = match outcome.failure {
-            Some((code, cause)) => (Some(code), Some(cause)),
-            None => (None, None),
-        };
-        log::info!(
-            request = &*String::from_utf8_lossy(&query.id),
-            transaction = &*self.transaction_ids(),
-            database = &*String::from_utf8_lossy(&self.database),
-            account = self.account.as_deref().unwrap_or(""),
-            route = route.map_or("", |route| &*route.name),
-            service = route.map_or("", |route| &*route.service),
-            freshness:? = route.map(|route| route.freshness),
-            statement = query.statement.kind(),
-            state:? = outcome.state,
-            code:?, cause:?,
-            ms = millis(duration),
-            refused = outcome.attempts.refused,
-            unconnected = outcome.attempts.unconnected,
-            lost = outcome.attempts.lost,
-            catalogue = node.catalog().version,
-            term = known.as_ref().map_or(0, |known| known.record.term.0),
-            upstream = known.as_ref().map_or("", |known| &*known.record.upstream),
-            phase:? = known.as_ref().map(|known| known.record.phase),
-            proof_left_ms = millis(left),
-            proof:? = proof.map(|(source, _)| source),
-            proof_age_ms = proof.map(|(_, since)| millis(now.since(since))),
-            ran_at = origin.map_or("", |origin| &*origin.upstream),
-            position:? = outcome.position.map(plain),
-            floor:? = floor.map(plain),
-            floor_age_ms = sampled_at.map(|at| millis(now.since(at))),
-            store_silent_ms = millis(now.since(node.store_contact_at.get()));
-            "statement"
-        );
-    }
-
-    /// Logs a statement whose answer could not be sent to its caller.
-    pub(super) fn log_lost_answer(&self, query: &Query, error: &io::Error) {
-        log::info!(
-            request = &*String::from_utf8_lossy(&query.id),
-            transaction = &*self.transaction_ids(),
-            database = &*String::from_utf8_lossy(&self.database),
-            error:%;
-            "answer lost"
-        );
-    }
-
-    /// Returns the ids of the transaction's statements, so that an answered statement can be traced
-    /// to the failed commit.
-    fn transaction_ids(&self) -> String {
-        let ids: Vec<_> = self
-            .ids
-            .iter()
-            .map(|id| String::from_utf8_lossy(id))
-            .collect();
-        ids.join(" ")
-    }
-
-    async fn dispatch<E: Edge>(
+    pub(super) async fn dispatch<E: Edge>(
         &mut self,
         node: &Rc<Node<E>>,
         query: &Query,
@@ -638,49 +439,7 @@
     }
 }
 
-/// Counts a session on `database` that is served here.
-fn count_session<E: Edge>(node: &Node<E>, database: &Bytes) -> Option<SessionGuard> {
-    let route = node.route(database)?;
-    Some(SessionGuard::new(node.group_of(&route.service)))
-}
-
-/// Returns true if a read ran on a primary that only its group proves, or on a log whose last commit
-/// is of another term than the known primary's: what tells how an outdated copy came about. At most
-/// one such read is logged in each [`UNUSUAL_INTERVAL`].
-fn is_unusual<E: Edge>(node: &Node<E>, route: &Route, outcome: &Outcome) -> bool {
-    let (Some(origin), Some(position)) = (&outcome.origin, outcome.position) else {
-        return false;
-    };
-    let group = node.group_of(&route.service);
-    let is_by_members = origin.floor.is_none()
-        && matches!(
-            group.proved_by(),
-            Some((ProofSource::Majority | ProofSource::Unanimity, _))
-        );
-    let is_of_term = group
-        .primary()
-        .is_some_and(|(_, term)| term == position.term);
-    if is_of_term && !is_by_members {
-        return false;
-    }
-    let now = Boot.now();
-    let is_due = node.unusual_read_at.get() + UNUSUAL_INTERVAL <= now;
-    if is_due {
-        node.unusual_read_at.set(now);
-    }
-    is_due
-}
-
-/// Formats a position as upstreams write it.
-fn plain(position: Position) -> String {
-    format!("{}.{}", position.term.0, position.lsn.0)
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn malformed<E: Edge>(state: State) -> Outcome {
+pub(super) fn malformed<E: Edge>(state: State) -> Outcome {
     Outcome::refusal::<E::Protocol>(Code::Malformed, Cause::Malformed, state)
 }
 
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::shares::Slack;
+use crate::{features::Switches, shares::Slack};
 
 /// Settings of an instance.
 #[derive(Debug, Clone, PartialEq)]
@@ -34,6 +34,8 @@
     pub revocation: Option<Duration>,
     /// Usage allowed beyond a quota; none if not set.
     pub slack: Option<Slack>,
+    /// Switches of load control.
+    pub switches: Switches,
 }
 
 impl Settings {
@@ -59,6 +61,7 @@
             ("hold", self.hold == other.hold),
             ("revocation", self.revocation == other.revocation),
             ("slack", self.slack == other.slack),
+            ("switches", self.switches == other.switches),
         ];
         let changed = same.iter().filter(|(_, same)| !same);
         changed.map(|(name, _)| *name).collect()
--- a/crates/proxy/tests/greet.rs
+++ b/crates/proxy/tests/greet.rs
@@ -23,6 +23,7 @@
         hold: settings::HOLD,
         revocation: None,
         slack: None,
+        switches: Default::default(),
     }
 }
 
