--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod bucket;
 pub mod budget;
+pub mod fair;
 pub mod holders;
 pub mod placement;
 pub mod queue;
