The daemon's queue uses the common virtual clock

The lanes of pool::queue kept virtual times of their own beside admit::fair. One decision stood in two places; the lanes now use admit::fair::Clock, which drops accounts that have caught up at twice the number of those that have not, so that many busy accounts don't cost a walk for each request.

Evidence: all tests of pool, policy and admit as before.

--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -8,8 +8,8 @@
 
 use std::{collections::HashMap, hash::Hash, time::Duration};
 
-/// Accounts without waiting requests that are kept before those that have caught up are dropped.
-const MAX_IDLE_ACCOUNTS: usize = 64;
+/// Accounts that are kept beyond twice those that are ahead of the clock.
+const SPARE_ACCOUNTS: usize = 64;
 
 /// Virtual time, in microseconds of service.
 pub type Tag = u64;
@@ -30,6 +30,8 @@
 pub struct Clock<K> {
     now: Tag,
     ends: HashMap<K, Tag>,
+    /// Number of accounts from which those that have caught up are dropped.
+    limit: usize,
 }
 
 impl<K> Default for Clock<K> {
@@ -37,11 +39,34 @@
         Self {
             now: 0,
             ends: HashMap::new(),
+            limit: SPARE_ACCOUNTS,
         }
     }
 }
 
 impl<K: Clone + Eq + Hash> Clock<K> {
+    /// Virtual start of the request that ran last.
+    pub fn now(&self) -> Tag {
+        self.now
+    }
+
+    /// Accounts whose next request would start at `start` or later because of what they were
+    /// charged.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use admit::fair::Clock;
+    ///
+    /// let mut clock = Clock::default();
+    /// clock.charge(&"north", Duration::from_millis(1));
+    /// assert_eq!(clock.behind(500).collect::<Vec<_>>(), [&"north"]);
+    /// assert_eq!(clock.behind(1_500).count(), 0);
+    /// ```
+    pub fn behind(&self, start: Tag) -> impl Iterator<Item = &K> {
+        let behind = self.ends.iter().filter(move |(_, end)| **end >= start);
+        behind.map(|(account, _)| account)
+    }
+
     /// Virtual start of the next request of `account`.
     pub fn start(&self, account: &K) -> Tag {
         let end = self.ends.get(account).copied().unwrap_or(0);
@@ -59,10 +84,11 @@
     /// Advances the clock to the start of a request that begins to run.
     pub fn advance(&mut self, start: Tag) {
         self.now = self.now.max(start);
-        if self.ends.len() > MAX_IDLE_ACCOUNTS {
+        if self.ends.len() > self.limit {
             // An account whose last end has passed would start at the clock's time anyway.
             let now = self.now;
             self.ends.retain(|_, end| *end > now);
+            self.limit = self.ends.len() * 2 + SPARE_ACCOUNTS;
         }
     }
 
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -10,19 +10,16 @@
     time::Duration,
 };
 
+use admit::fair::{Clock, Tag};
 use model::{Priority, name};
 
 use crate::{Request, Ticket};
 
-/// Number of tenants without waiting requests that are kept before expired ones
-/// are removed.
-const MAX_IDLE_TENANTS: usize = 64;
-
 /// Sort key of a request in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
     priority: Priority,
-    start: u64,
+    start: Tag,
     ticket: Ticket,
 }
 
@@ -33,53 +30,20 @@
     pub request: Request,
     /// Expected service time.
     pub cost: Duration,
-    /// Virtual time charged to the tenant.
-    charge: u64,
+    /// Service time charged to the tenant.
+    charge: Duration,
 }
 
 /// State of one priority.
 #[derive(Debug, Default)]
 struct Lane {
     work: Duration,
-    virtual_time: u64,
-    tenant_ends: HashMap<name::Tenant, u64>,
+    clock: Clock<name::Tenant>,
 }
 
-impl Lane {
-    fn start(&self, tenant: &name::Tenant) -> u64 {
-        self.tenant_ends
-            .get(tenant)
-            .copied()
-            .unwrap_or(0)
-            .max(self.virtual_time)
-    }
-
-    fn charge(&mut self, tenant: &name::Tenant, end: u64) {
-        match self.tenant_ends.get_mut(tenant) {
-            Some(last) => *last = end,
-            None => {
-                self.tenant_ends.insert(tenant.clone(), end);
-            }
-        }
-    }
-
-    /// Advances the virtual time to the start of a request that runs.
-    ///
-    /// A tenant whose last end has passed needs no entry: its next request
-    /// would start at the virtual time anyway.
-    fn advance(&mut self, start: u64, max_tenants: usize) {
-        self.virtual_time = self.virtual_time.max(start);
-        if self.tenant_ends.len() > max_tenants {
-            let now = self.virtual_time;
-            self.tenant_ends.retain(|_, end| *end > now);
-        }
-    }
-}
-
-/// Returns the virtual time that a request adds to its tenant's virtual end.
-fn charge(request: &Request, cost: Duration) -> u64 {
-    let micros = u64::try_from(cost.as_micros()).unwrap_or(u64::MAX);
-    micros / u64::from(request.weight.get())
+/// Returns the service time that is charged to a request's tenant.
+fn charge(request: &Request, cost: Duration) -> Duration {
+    cost / request.weight.get()
 }
 
 /// Waiting requests of one entry.
@@ -110,7 +74,7 @@
         let lane = self.lanes.get(&request.priority);
         Place {
             priority: request.priority,
-            start: lane.map_or(0, |it| it.start(&request.tenant)),
+            start: lane.map_or(0, |it| it.clock.start(&request.tenant)),
             ticket: request.ticket,
         }
     }
@@ -120,7 +84,7 @@
         let place = self.place(&request);
         let charge = charge(&request, cost);
         let lane = self.lanes.entry(request.priority).or_default();
-        lane.charge(&request.tenant, place.start.saturating_add(charge));
+        lane.clock.charge(&request.tenant, charge);
         lane.work += cost;
         if !self.backlogs.contains_key(&request.entry) {
             self.backlogs
@@ -143,10 +107,8 @@
     /// waiting, as if the request had been queued.
     pub fn bypass(&mut self, request: &Request, cost: Duration) {
         let lane = self.lanes.entry(request.priority).or_default();
-        let start = lane.start(&request.tenant);
-        let end = start.saturating_add(charge(request, cost));
-        lane.charge(&request.tenant, end);
-        lane.advance(start, MAX_IDLE_TENANTS);
+        let start = lane.clock.charge(&request.tenant, charge(request, cost));
+        lane.clock.advance(start);
     }
 
     /// Waiting requests in execution order.
@@ -210,17 +172,15 @@
     /// behind.
     pub fn tenants_behind(&self, place: Place) -> impl Iterator<Item = &name::Tenant> {
         let lane = self.lanes.get(&place.priority);
-        let tenant_ends = lane.into_iter().flat_map(|it| &it.tenant_ends);
-        tenant_ends
-            .filter(move |(_, end)| **end >= place.start)
-            .map(|(tenant, _)| tenant)
+        lane.into_iter()
+            .flat_map(move |it| it.clock.behind(place.start))
     }
 
     /// Returns true if requests of tenants without waiting requests would
     /// overtake the place.
     pub fn is_overtaken(&self, place: Place) -> bool {
         let lane = self.lanes.get(&place.priority);
-        lane.is_some_and(|it| place.start > it.virtual_time)
+        lane.is_some_and(|it| place.start > it.clock.now())
     }
 
     /// Returns true if no request of the same or a lower priority waits behind
@@ -249,9 +209,8 @@
     pub fn take(&mut self, ticket: Ticket) -> Option<Request> {
         let place = *self.places.get(&ticket)?;
         let waiting = self.remove(ticket)?;
-        let max_tenants = self.items.len() + MAX_IDLE_TENANTS;
         if let Some(lane) = self.lanes.get_mut(&place.priority) {
-            lane.advance(place.start, max_tenants);
+            lane.clock.advance(place.start);
         }
         Some(waiting.request)
     }
@@ -262,9 +221,7 @@
         let waiting = self.remove(ticket)?;
         let request = waiting.request;
         let lane = self.lanes.get_mut(&request.priority)?;
-        if let Some(end) = lane.tenant_ends.get_mut(&request.tenant) {
-            *end = end.saturating_sub(waiting.charge);
-        }
+        lane.clock.refund(&request.tenant, waiting.charge);
         Some(request)
     }
 
