--- a/crates/lead/src/floor.rs
+++ b/crates/lead/src/floor.rs
@@ -49,6 +49,34 @@
         found.map(|(at, _)| *at)
     }
 
+    /// Estimates when the primary's log reached `position`; `None` if no sample has reached it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use clock::Instant;
+    /// use lead::Samples;
+    /// use model::{Position, Term};
+    ///
+    /// let at = Instant::from_millis;
+    /// let mut samples = Samples::default();
+    /// for (ms, lsn) in [(100, 10), (200, 20)] {
+    ///     samples.record(Term(1), at(ms), Position::new(1, lsn), Duration::from_secs(10));
+    /// }
+    /// assert_eq!(samples.reached_at(Position::new(1, 15)), Some(at(150)));
+    /// assert_eq!(samples.reached_at(Position::new(1, 21)), None);
+    /// ```
+    pub fn reached_at(&self, position: Position) -> Option<Instant> {
+        let mut samples = self.samples.iter();
+        let index = samples.position(|(_, sampled)| *sampled >= position)?;
+        let (at, sampled) = self.samples[index];
+        let Some((from, before)) = index.checked_sub(1).map(|index| self.samples[index]) else {
+            return Some(at);
+        };
+        let left = sampled.lsn.0.saturating_sub(position.lsn.0);
+        let gap = sampled.lsn.0.saturating_sub(before.lsn.0).max(left).max(1);
+        Some(at - at.since(from).mul_f64(left as f64 / gap as f64))
+    }
+
     /// Lowest position that a read at `now` with the age limit `age` may show.
     ///
     /// Returns `None` if no sample is recent enough.
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -1,5 +1,5 @@
 //! Leadership of a database: proofs that a primary still leads, votes on its replacement, the
-//! choice of its successor, and the age of reads.
+//! choice of its successor, the age of reads, and the choice of their upstreams.
 //!
 //! The functions read no clock or socket; moments are passed in. The moments must come from a
 //! clock that includes suspensions ([`clock::Boot`]).
@@ -10,6 +10,8 @@
 pub mod freshness;
 pub mod proof;
 pub mod quorum;
+pub mod reach;
+pub mod read;
 pub mod record;
 pub mod vote;
 
