Reads go where logs allow: a replica that lacks one commit keeps its other reads

The first read of a session that had just written paused the replica for all reads.

With the feature replica_reads, every answer's position moves an estimate of the upstream's log (Connection::request), a read goes to the upstream with the earliest expected answer (routing::by_log) and may wait for a log, and a refusal whose position explains it neither pauses the replica nor ends its use for the same read. Otherwise the pause stays, and without the feature all stays as it was.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -265,6 +265,8 @@
     pub async fn request<P: Protocol>(&mut self, command: &Command<'_>) -> Result<Reply, Broken> {
         self.queue::<P>(command);
         let out = self.out.split();
+        let asked = Boot.now();
+        self.member.log.ask(asked);
         self.stream.write_all(&out).await?;
         loop {
             let reply = self.read_reply::<P>().await?;
@@ -273,6 +275,9 @@
             if self.outstanding == 0 {
                 self.last_answer = Boot.now();
                 self.member.note_answer(self.last_answer);
+                if let Some(position) = reply.position {
+                    self.member.log.record((asked, self.last_answer), position);
+                }
                 return Ok(reply);
             }
             if reply.verdict.is_err() {
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -1,6 +1,7 @@
 //! A database's upstreams, their primary and its proof.
 
 mod list;
+mod positions;
 mod session;
 
 use std::{
@@ -67,7 +68,7 @@
     proved_by: Cell<Option<(ProofSource, Instant)>>,
     /// Send time of the last request whose answer showed that the store still had the record.
     confirmed_at: Cell<Instant>,
-    samples: RefCell<Samples>,
+    samples: Rc<RefCell<Samples>>,
     /// Notified when the record, the proof or the members change.
     pub changed: Notify,
     /// True while the members are asked for a proof.
@@ -113,7 +114,7 @@
             proof: Cell::default(),
             proved_by: Cell::default(),
             confirmed_at: Cell::default(),
-            samples: RefCell::default(),
+            samples: Rc::default(),
             changed: Notify::new(),
             asking: Cell::new(false),
             replacing: Cell::new(false),
@@ -202,7 +203,7 @@
             }
             old => {
                 let id = Rc::clone(&upstream.id);
-                let member = Rc::new(Member::new(upstream));
+                let member = Rc::new(Member::new(upstream, &self.samples));
                 if let Some(old) = old {
                     member.led_position.set(old.led_position.get());
                     old.pool.retire();
@@ -351,6 +352,7 @@
             // The log of a former primary may be truncated now; that is not a restart.
             for member in self.members.borrow().values() {
                 member.led_position.set(Position::default());
+                member.log.reset(Boot.now());
             }
         }
         if !is_proved {
@@ -418,36 +420,4 @@
     pub fn proof(&self) -> Proof {
         self.proof.get()
     }
-
-    /// Records a position that the primary of `term` reported.
-    pub fn sample(&self, term: Term, sent: Instant, position: Position, keep: Duration) {
-        if !self.proof.get().covers(sent) {
-            return;
-        }
-        self.samples.borrow_mut().record(term, sent, position, keep);
-    }
-
-    /// Returns the lowest position that a read at `now` may show if its data may be `age` old.
-    pub fn floor(&self, now: Instant, age: Duration) -> Option<Position> {
-        self.samples.borrow().floor(now, age)
-    }
-
-    /// Returns the moment from which a floor was sampled; `None` for a session's own commit.
-    pub fn sampled_at(&self, floor: Position) -> Option<Instant> {
-        self.samples.borrow().sampled_at(floor)
-    }
-
-    /// Records how far a replica's log reaches.
-    pub fn note_received(&self, position: Position) {
-        let (furthest, _) = self.furthest.get();
-        if position >= furthest {
-            self.furthest.set((position, Boot.now()));
-        }
-    }
-
-    /// Returns the furthest position that a replica reported within `memory`.
-    pub fn furthest(&self, now: Instant, memory: Duration) -> Option<Position> {
-        let (furthest, at) = self.furthest.get();
-        (at + memory > now).then_some(furthest)
-    }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod probe;
 pub mod proof_lease;
 pub mod proofs;
+pub mod reach;
 pub mod refusal;
 pub mod registry;
 mod relay;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -1,10 +1,14 @@
 //! One upstream, as this instance sees it.
 
-use std::{cell::Cell, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use admit::budget;
 use clock::{Boot, Instant};
-use lead::Verdict;
+use lead::{Samples, Verdict};
 use model::{Position, Term};
 use tokio::sync::Notify;
 
@@ -12,6 +16,7 @@
     catalog::{Readiness, Upstream},
     features::Features,
     pool::Pool,
+    reach::Log,
     refusal::Counts,
 };
 
@@ -69,6 +74,8 @@
     pub pool: Pool,
     /// Counts of what the upstream refused.
     pub refusals: Counts,
+    /// What is known of the upstream's log.
+    pub log: Log,
     /// Number of this instance's statements that run at the upstream.
     pub running: Cell<usize>,
     health: Cell<Health>,
@@ -82,7 +89,7 @@
 }
 
 impl Member {
-    pub(crate) fn new(upstream: Upstream) -> Self {
+    pub(crate) fn new(upstream: Upstream, samples: &Rc<RefCell<Samples>>) -> Self {
         Self {
             readiness: Cell::new(upstream.readiness),
             leaving_since: Cell::new(
@@ -96,6 +103,7 @@
             holders: Cell::new(1),
             pool: Pool::default(),
             refusals: Counts::default(),
+            log: Log::new(samples),
             running: Cell::new(0),
             health: Cell::default(),
             is_probed: Cell::new(false),
@@ -229,6 +237,12 @@
         budget::window(self.upstream.slots, self.holders.get())
     }
 
+    /// Returns the number of this instance's statements that the upstream runs at once, if all
+    /// holders have as many there; one at least.
+    pub fn slots(&self) -> usize {
+        (self.upstream.slots / self.holders.get().max(1)).max(1)
+    }
+
     /// Records the duration of a statement.
     pub fn note_latency(&self, duration: Duration) {
         let old = u64::try_from(self.latency.get().as_micros()).unwrap_or(u64::MAX);
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -35,7 +35,8 @@
 pub struct Metrics {
     statements: RefCell<BTreeMap<Labels, u64>>,
     latencies: RefCell<BTreeMap<(Rc<str>, &'static str), Histogram>>,
-    waits: [RefCell<Histogram>; 2],
+    waits: [RefCell<Histogram>; 3],
+    reads: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
     calls: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
 }
 
@@ -46,6 +47,21 @@
     Proof,
     /// A connection to an upstream.
     Connection,
+    /// A replica's log.
+    Log,
+}
+
+/// An event in the choice of an upstream for a read, or for a transaction that only reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Read {
+    /// A replica was chosen.
+    Replica,
+    /// The primary was chosen.
+    Primary,
+    /// A replica refused it because its log had not reached the floor.
+    Lagging,
+    /// It waited for a replica's log.
+    Awaited,
 }
 
 /// A running wait; it is recorded when the guard is dropped.
@@ -88,12 +104,7 @@
     /// Counts an answered statement by service and class. Text from callers never becomes a label.
     pub fn observe_statement(&self, route: Option<&Route>, outcome: &Outcome, duration: Duration) {
         let service = route.map_or_else(|| "none".into(), |route| Rc::clone(&route.service));
-        let class = match route.map(|route| route.freshness) {
-            Some(Freshness::Current) => "current",
-            Some(Freshness::OwnWrites(_)) => "own_writes",
-            Some(Freshness::Bounded(_)) => "bounded",
-            None => "none",
-        };
+        let class = route.map_or("none", class_label);
         let (code, cause) = match outcome.failure {
             None => ("done", "none"),
             Some((code, cause)) => (code_label(code), cause_label(cause)),
@@ -104,6 +115,18 @@
         latencies.entry((service, class)).or_default().add(duration);
     }
 
+    /// Counts an event of a read by its route's class.
+    pub fn count_read(&self, route: &Route, read: Read) {
+        let event = match read {
+            Read::Replica => "replica",
+            Read::Primary => "primary",
+            Read::Lagging => "lagging",
+            Read::Awaited => "awaited",
+        };
+        let mut reads = self.reads.borrow_mut();
+        *reads.entry((class_label(route), event)).or_default() += 1;
+    }
+
     /// Counts a call to the platform by kind and answer.
     pub fn count_call(&self, kind: &'static str, answer: &'static str) {
         *self.calls.borrow_mut().entry((kind, answer)).or_default() += 1;
@@ -114,6 +137,7 @@
         let histogram = match wait {
             Wait::Proof => &self.waits[0],
             Wait::Connection => &self.waits[1],
+            Wait::Log => &self.waits[2],
         };
         let since = Boot.now();
         WaitTimer { histogram, since }
@@ -141,7 +165,13 @@
             let labels = format!("service=\"{service}\",class=\"{class}\"");
             histogram.write(page, name, &labels);
         }
-        for (histogram, what) in self.waits.iter().zip(["proof", "connection"]) {
+        for ((class, event), count) in self.reads.borrow().iter() {
+            let _ = writeln!(
+                page,
+                "dandelionlink_reads_total{{class=\"{class}\",event=\"{event}\"}} {count}"
+            );
+        }
+        for (histogram, what) in self.waits.iter().zip(["proof", "connection", "log"]) {
             let labels = format!("for=\"{what}\"");
             let name = "dandelionlink_wait_seconds";
             histogram.borrow().write(page, name, &labels);
@@ -174,6 +204,14 @@
     }
 }
 
+fn class_label(route: &Route) -> &'static str {
+    match route.freshness {
+        Freshness::Current => "current",
+        Freshness::OwnWrites(_) => "own_writes",
+        Freshness::Bounded(_) => "bounded",
+    }
+}
+
 fn cause_label(cause: Cause) -> &'static str {
     match cause {
         Cause::NoProof => "no_proof",
@@ -265,6 +303,12 @@
                 &labels,
                 refusals.shed_total() as f64,
             );
+            put("log_lag_seconds", &labels, member.log.lag().as_secs_f64());
+            put(
+                "passed_over_total",
+                &labels,
+                member.log.passed_over_total() as f64,
+            );
         }
     }
     page
--- a/crates/proxy/src/routing.rs
+++ b/crates/proxy/src/routing.rs
@@ -1,5 +1,7 @@
 //! Choice of the upstream that runs a read.
 
+mod by_log;
+
 use std::{rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
@@ -11,7 +13,8 @@
     edge::Edge,
     group::Group,
     member::Member,
-    message::Access,
+    message::{Access, Code, Reply},
+    metrics::Read,
     node::{Node, Proved},
     outcome::Origin,
     run::Context,
@@ -42,6 +45,22 @@
             floor: self.floor,
         }
     }
+
+    /// Returns true if the target is a replica that refused a read for its log.
+    pub fn is_lagging(&self, reply: &Reply) -> bool {
+        let is_refused = matches!(&reply.verdict, Err(failure) if failure.code == Code::Lagging);
+        is_refused && !self.is_primary
+    }
+}
+
+/// Returns true if the position in a refusal tells how far the target's log is behind the floor, so
+/// that the same read may be sent there again later, and other reads now.
+pub fn is_retried<E: Edge>(node: &Node<E>, target: &Target, reply: &Reply) -> bool {
+    let is_behind = match (target.floor, reply.position) {
+        (Some(floor), Some(position)) => !position.covers(floor),
+        _ => false,
+    };
+    node.features.get().replica_reads && target.is_lagging(reply) && is_behind
 }
 
 /// Returns the lowest position that a read on `route` may show, if it is known.
@@ -76,43 +95,42 @@
     tried: &[Rc<str>],
     wait: Duration,
 ) -> Option<Target> {
-    if let Some(floor) = required(
+    let target = choose(node, group, context, tried, wait).await;
+    if let Some(target) = &target {
+        let read = match target.is_primary {
+            true => Read::Primary,
+            false => Read::Replica,
+        };
+        node.metrics.count_read(context.route, read);
+    }
+    target
+}
+
+async fn choose<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    context: &Context<'_>,
+    tried: &[Rc<str>],
+    wait: Duration,
+) -> Option<Target> {
+    let since = Boot.now();
+    let floor = required(
         group,
         context.route,
         context.last_commit,
         context.arrived_at,
-    ) {
-        let now = Boot.now();
-        let primary = group
-            .primary()
-            .map(|(member, _)| Rc::clone(&member.upstream.id));
-        let is_primary = |member: &Member| primary.as_deref() == Some(&*member.upstream.id);
-        let is_usable = |member: &&Rc<Member>| {
-            let is_ready = member.readiness.get() == Readiness::Ready;
-            let is_held_back = member.is_lagging(now) && !is_primary(member);
-            is_ready
-                && !is_held_back
-                && !member.is_failing()
-                && !tried.contains(&member.upstream.id)
+    );
+    if let Some(floor) = floor {
+        let target = match node.features.get().replica_reads {
+            true => by_log::choose_target(node, group, context, tried, (floor, since + wait)).await,
+            false => by_queue(node, group, tried, floor),
         };
-        let members = group.members();
-        let best = members.iter().filter(is_usable).min_by_key(|member| {
-            let expected_time = expected_time(member, &node.settings.zone);
-            match is_primary(member) {
-                true => expected_time + PRIMARY_COST,
-                false => expected_time,
-            }
-        });
-        if let Some(member) = best {
-            let is_primary = is_primary(member);
-            return Some(Target {
-                member: Rc::clone(member),
-                floor: Some(floor),
-                is_primary,
-            });
+        if target.is_some() {
+            return target;
         }
     }
-    match node.proved(group, context.arrived_at, wait).await {
+    let left = wait.saturating_sub(Boot.now().since(since));
+    match node.proved(group, context.arrived_at, left).await {
         Proved::Primary(member) => Some(Target {
             member,
             floor: None,
@@ -122,6 +140,43 @@
     }
 }
 
+/// Returns true if `member` may run a read of this instance's now.
+fn is_usable(member: &Member, is_primary: bool, tried: &[Rc<str>], now: Instant) -> bool {
+    let is_ready = member.readiness.get() == Readiness::Ready;
+    let is_held_back = member.is_lagging(now) && !is_primary;
+    is_ready && !is_held_back && !member.is_failing() && !tried.contains(&member.upstream.id)
+}
+
+/// Chooses the upstream with the shortest queue, whatever is known of its log.
+fn by_queue<E: Edge>(
+    node: &Node<E>,
+    group: &Group,
+    tried: &[Rc<str>],
+    floor: Position,
+) -> Option<Target> {
+    let now = Boot.now();
+    let primary = group
+        .primary()
+        .map(|(member, _)| Rc::clone(&member.upstream.id));
+    let is_primary = |member: &Member| primary.as_deref() == Some(&*member.upstream.id);
+    let members = group.members();
+    let usable = members
+        .iter()
+        .filter(|member| is_usable(member, is_primary(member), tried, now));
+    let member = usable.min_by_key(|member| {
+        let expected_time = expected_time(member, &node.settings.zone);
+        match is_primary(member) {
+            true => expected_time + PRIMARY_COST,
+            false => expected_time,
+        }
+    })?;
+    Some(Target {
+        member: Rc::clone(member),
+        floor: Some(floor),
+        is_primary: is_primary(member),
+    })
+}
+
 /// Returns true if a transaction on this route has to run on a proved primary.
 pub fn needs_primary(route: &Route, access: Access) -> bool {
     access == Access::Write || route.freshness == Freshness::Current
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -15,12 +15,12 @@
     group::Group,
     member::Member,
     message::{Code, Command, Prepared, Query, Reply, State, Statement},
-    metrics::Wait,
+    metrics::{Read, Wait},
     node::Node,
     outcome::{Attempts, Cause, Outcome},
     pool, probe,
     refusal::{self, Refusal},
-    routing::{Target, choose_target},
+    routing::{self, Target, choose_target},
 };
 
 pub use write::{acknowledged, in_doubt, write};
@@ -188,9 +188,9 @@
 pub fn record_answer<E: Edge>(
     node: &Node<E>,
     group: &Group,
+    route: &Route,
     target: &Target,
-    sent: Instant,
-    reply: &Reply,
+    (sent, reply): (Instant, &Reply),
 ) {
     let member = &target.member;
     match &reply.verdict {
@@ -205,8 +205,12 @@
                 group.sample(term, sent, position, SAMPLE_RETENTION);
             }
         }
-        Err(failure) if failure.code == Code::Lagging && !target.is_primary => {
-            member.note_lag(Boot.now());
+        Err(_) if target.is_lagging(reply) => {
+            node.metrics.count_read(route, Read::Lagging);
+            member.log.note_refusal();
+            if !routing::is_retried(node, target, reply) {
+                member.note_lag(Boot.now());
+            }
         }
         Err(failure) if failure.code == Code::ReadOnly => record_read_only(node, group, member),
         Err(failure) if failure.code == Code::Busy => {
@@ -295,7 +299,7 @@
         drop(running);
         match reply {
             Ok(reply) => {
-                record_answer(node, group, &target, sent, &reply);
+                record_answer(node, group, context.route, &target, (sent, &reply));
                 if matches!(&reply.verdict, Err(f) if f.code == Code::NoStatement) {
                     connection.clear_prepared();
                 }
@@ -315,7 +319,11 @@
                     };
                 }
                 attempts.refused += 1;
+                let is_retried = routing::is_retried(node, &target, &reply);
                 last = Some(reply);
+                if is_retried {
+                    continue;
+                }
             }
             Err(lost) => {
                 attempts.lost += 1;
--- a/crates/proxy/src/run/write.rs
+++ b/crates/proxy/src/run/write.rs
@@ -111,7 +111,7 @@
             floor: None,
             is_primary: true,
         };
-        record_answer(node, group, &target, sent, &reply);
+        record_answer(node, group, context.route, &target, (sent, &reply));
         match &reply.verdict {
             Ok(()) => return acknowledged(node, group, &target.member, reply, context).await,
             Err(failure) if !is_not_run(failure.code) => return Outcome::from_reply(reply),
--- a/crates/proxy/src/session/trace.rs
+++ b/crates/proxy/src/session/trace.rs
@@ -3,11 +3,11 @@
 use std::{io, time::Duration};
 
 use clock::Boot;
-use model::Position;
 
 use super::statement::Session;
 use crate::{
     catalog::Route, edge::Edge, group::ProofSource, message::Query, node::Node, outcome::Outcome,
+    reach::plain,
 };
 
 /// Interval between two log lines of reads that succeeded in time.
@@ -40,11 +40,6 @@
     is_due
 }
 
-/// Formats a position as upstreams write it.
-fn plain(position: Position) -> String {
-    format!("{}.{}", position.term.0, position.lsn.0)
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -243,7 +243,7 @@
             tried.push(Rc::clone(&target.member.upstream.id));
             continue;
         };
-        run::record_answer(node, &group, &target, sent, &reply);
+        run::record_answer(node, &group, &begun.route, &target, (sent, &reply));
         if reply.verdict.is_ok() && reply.state == State::Open {
             return Ok(Pinned {
                 connection: Box::new(connection),
@@ -258,6 +258,9 @@
             last = (failure.code, Cause::Upstream);
         }
         pool::release::<E::Protocol>(connection);
+        if routing::is_retried(node, &target, &reply) {
+            continue;
+        }
         tried.push(Rc::clone(&target.member.upstream.id));
         if tried.len() >= group.members().len() {
             tried.clear();
