Windows of holders from the loads that they report

Callers at a holder that queues waited while the parts of idle holders of the same upstream were not used, and where all holders queue, sixteen statements were in flight at four slots, the urgent ones in the upstream's order of arrival behind slow ones. Each holder's part is fixed, since it knows nothing of the others' load.

The pure decisions: average loads, when they are told at once, the division of the places by demand, and the pace at which a window follows it. Nothing uses them yet.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod budget;
 pub mod fair;
 pub mod holders;
+pub mod load;
 pub mod placement;
 pub mod queue;
 pub mod relays;
 pub mod shares;
+pub mod windows;
 
 pub use budget::Budget;
 pub use queue::{Queue, Waiter};
