--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -4,6 +4,7 @@
 //! state, infrequent ones to all others. Over TCP, an instance that can't reach the store reads
 //! it through a peer, instances that aren't readers follow a relay, and sessions are forwarded.
 
+mod encoder;
 pub(crate) mod frame;
 pub mod heartbeat;
 mod membership;
@@ -11,7 +12,7 @@
 mod table;
 mod zones;
 
-use std::{collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use admit::relays::FREQUENT_INTERVAL;
 use clock::{Boot, Instant};
@@ -34,9 +35,10 @@
     work::Kind,
 };
 
+use encoder::Encoder;
 use frame::{Held, IO_TIMEOUT, Request, Response, call, connect, receive, send};
 use heartbeat::{
-    DELTA_FORMAT, Datagram, Extension, FORMAT, Heartbeat, Observation, RELAY_FORMAT, ReplyRequest,
+    DELTA_FORMAT, Datagram, Extension, Heartbeat, Observation, RELAY_FORMAT, ReplyRequest,
     StoreContact,
 };
 pub(crate) use membership::Changes;
@@ -124,94 +126,6 @@
     }
 }
 
-/// This instance's heartbeat, encoded once for all peers that get the same extension.
-struct Encoder {
-    heartbeat: Heartbeat,
-    extension: Extension,
-    encoded: HashMap<(Duration, ReplyRequest), Vec<u8>>,
-}
-
-impl Encoder {
-    fn new<E: Edge>(node: &Node<E>) -> Self {
-        let extension = Extension {
-            format: FORMAT,
-            next: FREQUENT_INTERVAL,
-            store: node.store_contact(),
-            is_relay: node.peers.role.get().is_relay,
-            reply_request: ReplyRequest::None,
-            unreachable_zones: node.peers.silent_zones(),
-            introduced: Vec::new(),
-        };
-        Self {
-            heartbeat: own_heartbeat(node),
-            extension,
-            encoded: HashMap::new(),
-        }
-    }
-
-    fn send<E: Edge>(&mut self, node: &Node<E>, socket: &UdpSocket, message: Outgoing) {
-        let kind = match message.next <= FREQUENT_INTERVAL {
-            true => Kind::FrequentHeartbeat,
-            false => Kind::InfrequentHeartbeat,
-        };
-        node.work.add(kind, 1);
-        let extension = Extension {
-            next: message.next,
-            reply_request: message.reply_request,
-            introduced: message.introduced,
-            ..self.extension.clone()
-        };
-        let heartbeat = &self.heartbeat;
-        let encode = || heartbeat::encode(heartbeat, &extension).unwrap_or_default();
-        if !extension.introduced.is_empty() {
-            let bytes = encode();
-            node.work.add(Kind::HeartbeatByte, bytes.len());
-            let _ = socket.try_send_to(&bytes, message.address);
-            return;
-        }
-        let bytes = self.encoded.entry((message.next, message.reply_request));
-        let bytes = bytes.or_insert_with(encode);
-        node.work.add(Kind::HeartbeatByte, bytes.len());
-        let _ = socket.try_send_to(bytes, message.address);
-    }
-}
-
-fn own_heartbeat<E: Edge>(node: &Node<E>) -> Heartbeat {
-    let now = Boot.now();
-    let mut observations = Vec::new();
-    let mut locked_out = Vec::new();
-    for group in node.active() {
-        for member in group.members() {
-            if member.pool.is_locked_out(now) {
-                locked_out.push(member.upstream.id.to_string());
-            }
-        }
-        let Some((primary, term)) = group.primary() else {
-            continue;
-        };
-        // A group that isn't in use has no current verdict, and would add to every heartbeat.
-        if !group.is_proof_wanted(now) {
-            continue;
-        }
-        observations.push(Observation {
-            service: group.service.to_string(),
-            term,
-            verdict: primary.verdict(now),
-        });
-    }
-    Heartbeat {
-        name: node.settings.name.clone(),
-        address: node.settings.peers,
-        version: node.catalog().version,
-        observations,
-        locked_out,
-        zone: node.settings.zone.clone(),
-        weight: node.settings.weight,
-        service: node.service(),
-        leaving: node.is_stopping(),
-    }
-}
-
 /// Applies a heartbeat. Returns the datagrams to send at once: a reply if the sender requests
 /// one or wasn't known, and greetings to the instances that the heartbeat introduces.
 ///
