Holders report their loads to each other, and windows follow them

Heartbeats of format 3 carry the sender's load at each upstream where it has any, behind the extension: 3 bytes, and 9 to 12 for each upstream. Other holders and the instances that forward sessions here get them, all others the 3 bytes. A holder that becomes busy tells the other holders at once, at most once a heartbeat. Where load reports are off, heartbeats and windows are as before but for the format's number. New sessions without an account go to a holder of the zone at which no request waits.

Tests that changed: tests/beat.rs names the third part of a datagram; its checks are as before, with a report in the datagram.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -1,5 +1,6 @@
 //! Background tasks that keep a node's catalogue, upstreams, primary records and proofs up to date.
 
+mod loads;
 mod pools;
 mod register;
 mod section;
@@ -67,6 +68,7 @@
     spawn_local(freshness::run(Rc::clone(node)));
     spawn_local(shares::run(Rc::clone(node)));
     spawn_local(pools::maintain(Rc::clone(node)));
+    spawn_local(loads::run(Rc::clone(node)));
     spawn_local(takeover::run(Rc::clone(node)));
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod features;
 pub mod freshness;
 pub mod group;
+pub mod load;
 pub mod member;
 pub mod message;
 pub mod metrics;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -11,6 +11,7 @@
 use crate::{
     catalog::{Readiness, Upstream},
     features::Features,
+    load,
     pool::Pool,
     refusal::Counts,
 };
@@ -69,6 +70,8 @@
     pub pool: Pool,
     /// Counts of what the upstream refused.
     pub refusals: Counts,
+    /// This instance's load at the upstream, and its window by the loads of all holders.
+    pub load: load::Tracker,
     /// Number of this instance's statements that run at the upstream.
     pub running: Cell<usize>,
     health: Cell<Health>,
@@ -88,6 +91,7 @@
             leaving_since: Cell::new(
                 (upstream.readiness == Readiness::Draining).then(|| Boot.now()),
             ),
+            load: load::Tracker::new(&upstream.id),
             upstream,
             unlisted: Cell::default(),
             deposed: Cell::default(),
@@ -226,6 +230,15 @@
 
     /// Returns the number of statements that this instance may run there concurrently.
     pub fn window(&self) -> usize {
+        let shared = match self.features.get().load_reports {
+            true => self.load.window(),
+            false => None,
+        };
+        shared.unwrap_or_else(|| self.fixed_window())
+    }
+
+    /// Returns the part of the window that doesn't depend on the load of other instances.
+    pub fn fixed_window(&self) -> usize {
         budget::window(self.upstream.slots, self.holders.get())
     }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, fmt::Write, rc::Rc, time::Duration};
 
+use admit::load::TENTHS;
 use clock::{Boot, Instant};
 
 use crate::{
@@ -254,6 +255,16 @@
             put("running", &labels, to_f64(member.running.get()));
             put("failing", &labels, f64::from(u8::from(member.is_failing())));
             put("latency_seconds", &labels, member.latency().as_secs_f64());
+            if member.upstream.slots > 0 {
+                put("window", &labels, to_f64(member.window()));
+            }
+            if member.load.window().is_some() {
+                let others = member.load.others();
+                let load = to_f64(others.load) / f64::from(TENTHS);
+                put("reported_load", &labels, load);
+                put("unreported_holders", &labels, to_f64(others.unknown));
+                put("load_report_age_seconds", &labels, others.age.as_secs_f64());
+            }
             let refusals = &member.refusals;
             put(
                 "connections_opened_total",
--- a/crates/proxy/src/node/holders.rs
+++ b/crates/proxy/src/node/holders.rs
@@ -6,7 +6,7 @@
 use clock::Boot;
 
 use super::Node;
-use crate::{edge::Edge, group::Group};
+use crate::{edge::Edge, group::Group, peers::heartbeat::UpstreamKey};
 
 /// Number of instances that check a primary which one of them sees fail, besides those that use it.
 const JUDGE_COUNT: usize = 9;
@@ -18,7 +18,17 @@
         let Some(count) = self.max_holders(service) else {
             return Vec::new();
         };
-        self.peers.holders(service, count, self.candidate())
+        let upstreams = match self.features.get().load_reports {
+            true => self.upstream_keys(service),
+            false => Vec::new(),
+        };
+        let own = self.candidate();
+        self.peers.holders(service, count, own, &upstreams)
+    }
+
+    fn upstream_keys(&self, service: &Rc<str>) -> Vec<UpstreamKey> {
+        let members = self.group_of(service).members();
+        members.iter().map(|member| member.load.key()).collect()
     }
 
     /// Returns the addresses of the instances that serve sessions of `account` on `service`, the
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,6 +7,7 @@
 mod encoder;
 pub(crate) mod frame;
 pub mod heartbeat;
+mod loads;
 mod membership;
 mod peer;
 mod table;
@@ -38,9 +39,10 @@
 use encoder::Encoder;
 use frame::{Held, IO_TIMEOUT, Request, Response, call, connect, receive, send};
 use heartbeat::{
-    DELTA_FORMAT, Datagram, Extension, Heartbeat, Observation, RELAY_FORMAT, ReplyRequest,
-    StoreContact,
+    DELTA_FORMAT, Datagram, Extension, Heartbeat, LoadReport, Observation, RELAY_FORMAT,
+    ReplyRequest, StoreContact,
 };
+use loads::Reported;
 pub(crate) use membership::Changes;
 use membership::Roles;
 pub use peer::Relay;
@@ -80,8 +82,8 @@
                 continue;
             };
             match heartbeat::decode(&buf[..size]) {
-                Some(Datagram::Heartbeat(heard, extension)) => {
-                    let outgoing = receive_heartbeat(&receiving, heard, extension);
+                Some(Datagram::Heartbeat(heard, extension, report)) => {
+                    let outgoing = receive_heartbeat(&receiving, heard, extension, report);
                     if !outgoing.is_empty() {
                         let mut encoder = Encoder::new(&receiving);
                         for message in outgoing {
@@ -135,6 +137,7 @@
     node: &Rc<Node<E>>,
     heartbeat: Heartbeat,
     extension: Option<Extension>,
+    report: Option<LoadReport>,
 ) -> Vec<Outgoing> {
     if heartbeat.name == node.settings.name {
         return Vec::new();
@@ -186,6 +189,7 @@
     peer.address = heartbeat.address;
     peer.heard = Some(now_unstalled);
     peer.observations = heartbeat.observations;
+    peer.reported = Reported::newest(peer.reported.take(), report, now_unstalled);
     peer.version = heartbeat.version;
     let mut introduced = Vec::new();
     peer.unreachable_zones = Vec::new();
--- a/crates/proxy/src/peers/encoder.rs
+++ b/crates/proxy/src/peers/encoder.rs
@@ -7,16 +7,21 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    heartbeat::{self, Extension, FORMAT, Heartbeat, Observation, ReplyRequest},
-    peer::Outgoing,
+    heartbeat::{self, Extension, FORMAT, Heartbeat, LoadReport, Observation, ReplyRequest},
+    peer::{LoadScope, Outgoing},
 };
 use crate::{edge::Edge, node::Node, work::Kind};
 
-/// This instance's heartbeat, encoded once for all peers that get the same extension.
+/// What heartbeats with the same bytes have in common.
+type Kinds = (Duration, ReplyRequest, LoadScope);
+
+/// This instance's heartbeat, encoded once for all peers that get the same bytes.
 pub(super) struct Encoder {
     heartbeat: Heartbeat,
     extension: Extension,
-    encoded: HashMap<(Duration, ReplyRequest), Vec<u8>>,
+    /// This instance's load, if load reports are in force.
+    report: Option<LoadReport>,
+    encoded: HashMap<Kinds, Vec<u8>>,
 }
 
 impl Encoder {
@@ -34,6 +39,11 @@
         Self {
             heartbeat: own_heartbeat(node),
             extension,
+            report: node
+                .features
+                .get()
+                .load_reports
+                .then(|| node.peers.next_load_report()),
             encoded: HashMap::new(),
         }
     }
@@ -52,14 +62,23 @@
             ..self.extension.clone()
         };
         let heartbeat = &self.heartbeat;
-        let encode = || heartbeat::encode(heartbeat, &extension).unwrap_or_default();
+        let report = self.report.as_ref().map(|report| match message.loads {
+            LoadScope::All => report.clone(),
+            LoadScope::None => LoadReport {
+                number: report.number,
+                loads: Vec::new(),
+            },
+        });
+        let encode = || heartbeat::encode(heartbeat, &extension, report.as_ref());
+        let encode = || encode().unwrap_or_default();
         if !extension.introduced.is_empty() {
             let bytes = encode();
             node.work.add(Kind::HeartbeatByte, bytes.len());
             let _ = socket.try_send_to(&bytes, message.address);
             return;
         }
-        let bytes = self.encoded.entry((message.next, message.reply_request));
+        let kinds = (message.next, message.reply_request, message.loads);
+        let bytes = self.encoded.entry(kinds);
         let bytes = bytes.or_insert_with(encode);
         node.work.add(Kind::HeartbeatByte, bytes.len());
         let _ = socket.try_send_to(bytes, message.address);
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -5,6 +5,7 @@
 use model::Term;
 use serde::{Deserialize, Serialize};
 
+use admit::load::Load;
 use lead::{Verdict, freshness::Watermark};
 
 use crate::node::ServiceState;
@@ -16,8 +17,14 @@
 /// Format from which an instance sends differences between versions of the catalogue.
 pub const DELTA_FORMAT: u8 = 2;
 
+/// Format from which an instance reads load reports.
+pub const LOAD_FORMAT: u8 = 3;
+
 /// Format of this version.
-pub const FORMAT: u8 = DELTA_FORMAT;
+pub const FORMAT: u8 = LOAD_FORMAT;
+
+/// Number of reports by which a datagram may be overtaken by later ones.
+const MAX_REORDERED: u16 = 64;
 
 /// First byte of a message. A heartbeat begins with the length of a name, which is never zero.
 const MESSAGE: u8 = 0;
@@ -103,6 +110,44 @@
     pub introduced: Vec<SocketAddr>,
 }
 
+/// Key of an upstream in load reports: a hash of its id.
+pub type UpstreamKey = [u8; 4];
+
+/// Load of an instance at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
+    /// Key of the upstream.
+    pub upstream: UpstreamKey,
+    /// The load.
+    pub load: Load,
+}
+
+/// The part of a heartbeat behind the extension, sent only where load reports are in force.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Number of the report, which wraps around.
+    pub number: u16,
+    /// Loads at the upstreams at which the instance has any.
+    pub loads: Vec<UpstreamLoad>,
+}
+
+impl LoadReport {
+    /// Returns true if the report was sent before the one with this `number`, and arrives late.
+    ///
+    /// ```
+    /// use proxy::peers::heartbeat::LoadReport;
+    ///
+    /// let report = LoadReport { number: 65_535, loads: Vec::new() };
+    /// assert!(report.is_older_than(1));
+    /// assert!(!report.is_older_than(65_534));
+    /// // A restarted instance begins anew.
+    /// assert!(!report.is_older_than(40_000));
+    /// ```
+    pub fn is_older_than(&self, number: u16) -> bool {
+        (1..=MAX_REORDERED).contains(&number.wrapping_sub(self.number))
+    }
+}
+
 /// A request about a proof or a quota, or the answer to one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -171,18 +216,25 @@
 /// A received datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Datagram {
-    /// A heartbeat, with its extension unless the sender runs the previous version.
-    Heartbeat(Heartbeat, Option<Extension>),
+    /// A heartbeat, with the parts that the sender's version and features have.
+    Heartbeat(Heartbeat, Option<Extension>, Option<LoadReport>),
     /// A request or an answer.
     Message(Message),
 }
 
 /// Encodes a heartbeat.
 ///
-/// The previous version stops reading at the beginning of the extension.
-pub fn encode(heartbeat: &Heartbeat, extension: &Extension) -> Option<Vec<u8>> {
+/// Previous versions stop reading at the beginning of the extension, or at its end.
+pub fn encode(
+    heartbeat: &Heartbeat,
+    extension: &Extension,
+    report: Option<&LoadReport>,
+) -> Option<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(heartbeat).ok()?;
     bytes.extend(postcard::to_stdvec(extension).ok()?);
+    if let Some(report) = report {
+        bytes.extend(postcard::to_stdvec(report).ok()?);
+    }
     Some(bytes)
 }
 
@@ -199,9 +251,10 @@
         return postcard::from_bytes(message).ok().map(Datagram::Message);
     }
     let (heartbeat, rest) = postcard::take_from_bytes::<Heartbeat>(bytes).ok()?;
-    let extension = match rest {
-        [] => None,
-        rest => Some(postcard::from_bytes(rest).ok()?),
-    };
-    Some(Datagram::Heartbeat(heartbeat, extension))
+    if rest.is_empty() {
+        return Some(Datagram::Heartbeat(heartbeat, None, None));
+    }
+    let (extension, rest) = postcard::take_from_bytes::<Extension>(rest).ok()?;
+    let report = postcard::from_bytes(rest).ok();
+    Some(Datagram::Heartbeat(heartbeat, Some(extension), report))
 }
--- a/crates/proxy/src/peers/membership.rs
+++ b/crates/proxy/src/peers/membership.rs
@@ -18,7 +18,7 @@
 use rand::seq::SliceRandom;
 
 use super::{
-    heartbeat::{RELAY_FORMAT, StoreContact},
+    heartbeat::{RELAY_FORMAT, StoreContact, UpstreamKey},
     peer::{Peer, Relay},
     table::{LOST_HEARTBEATS, Peers, STALE_HEARTBEATS},
 };
@@ -227,9 +227,16 @@
     }
 
     /// Addresses of the `count` instances that hold the connections to `service`: those of this
-    /// zone first, and in random order within that. Empty if `own` is one of them. The ability
-    /// of `own` to serve follows from that of the others.
-    pub fn holders(&self, service: &str, count: usize, own: Candidate<'_>) -> Vec<SocketAddr> {
+    /// zone first, among them those at which no request waits for one of the `upstreams`, and in
+    /// random order within that. Empty if `own` is one of them. The ability of `own` to serve
+    /// follows from that of the others.
+    pub fn holders(
+        &self,
+        service: &str,
+        count: usize,
+        own: Candidate<'_>,
+        upstreams: &[UpstreamKey],
+    ) -> Vec<SocketAddr> {
         let chosen = self.holder_names(service, count, own);
         if chosen.iter().any(|name| name == own.name) {
             return Vec::new();
@@ -238,7 +245,8 @@
         let mut peers: Vec<_> = chosen.iter().filter_map(|name| table.get(name)).collect();
         peers.shuffle(&mut rand::rng());
         // A hop inside the zone is shorter, and no session breaks if another zone is cut off.
-        peers.sort_by_key(|peer| peer.zone != own.zone);
+        let now = self.unstalled_now();
+        peers.sort_by_key(|peer| (peer.zone != own.zone, peer.is_queueing(upstreams, now)));
         peers.into_iter().map(|peer| peer.address).collect()
     }
 
--- a/crates/proxy/src/peers/peer.rs
+++ b/crates/proxy/src/peers/peer.rs
@@ -10,6 +10,7 @@
 
 use super::{
     heartbeat::{Observation, ReplyRequest, StoreContact},
+    loads::Reported,
     membership::Roles,
 };
 use crate::node::ServiceState;
@@ -42,6 +43,8 @@
     pub(super) is_relay: bool,
     /// Other zones from which the peer hears no instance.
     pub(super) unreachable_zones: Vec<String>,
+    /// The peer's load, if the peer reports it.
+    pub(super) reported: Option<Reported>,
     /// Roles that the last refresh assigned to the peer.
     pub(super) roles: Roles,
     /// When a heartbeat was last sent to the peer.
@@ -71,6 +74,7 @@
             store: StoreContact::Unknown,
             is_relay: false,
             unreachable_zones: Vec::new(),
+            reported: None,
             roles: Roles::default(),
             sent_at: Instant::ZERO,
             promised: FREQUENT_INTERVAL,
@@ -126,6 +130,15 @@
     }
 }
 
+/// Which loads a peer is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum LoadScope {
+    /// Those at all upstreams at which this instance has any.
+    All,
+    /// None, because the peer has nothing to do with these upstreams.
+    None,
+}
+
 /// A heartbeat to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Outgoing {
@@ -136,6 +149,8 @@
     pub(super) reply_request: ReplyRequest,
     /// Addresses of the instances that the heartbeat introduces.
     pub(super) introduced: Vec<SocketAddr>,
+    /// Which loads the heartbeat reports.
+    pub(super) loads: LoadScope,
 }
 
 impl Outgoing {
@@ -146,6 +161,7 @@
             next: FREQUENT_INTERVAL,
             reply_request,
             introduced: Vec::new(),
+            loads: LoadScope::None,
         }
     }
 }
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -15,6 +15,7 @@
 
 use super::{
     heartbeat::{Observation, RELAY_FORMAT, ReplyRequest, StoreContact},
+    loads::Loads,
     membership::{FORGET_AFTER, Membership},
     peer::{HEARTBEAT_TOLERANCE, Outgoing, Peer, Role, Urgency},
 };
@@ -73,6 +74,8 @@
     seeds: Vec<SocketAddr>,
     pub(super) table: RefCell<HashMap<String, Peer>>,
     pub(super) membership: Membership,
+    /// This instance's load, and who is told of it.
+    pub(super) loads: Loads,
     /// Stopping instances, and when each was last heard. No session is forwarded to them, but
     /// they finish the sessions that they have.
     pub(super) leaving: RefCell<HashMap<SocketAddr, Instant>>,
@@ -107,6 +110,7 @@
             seeds: settings.seeds.clone(),
             table: RefCell::default(),
             membership: Membership::default(),
+            loads: Loads::default(),
             leaving: RefCell::default(),
             greeted: RefCell::default(),
             forwarded: RefCell::default(),
@@ -254,7 +258,7 @@
         let mut table = self.table.borrow_mut();
         let others = table.len();
         let forwarded = self.forwarded.borrow();
-        for peer in table.values_mut() {
+        for (name, peer) in table.iter_mut() {
             let forwards = forwarded.contains_key(&peer.address.ip());
             let frequency = self.role.get().frequency(&self.zone, peer, forwards);
             let pause = relays::interval(frequency, others);
@@ -281,6 +285,7 @@
                         None => ReplyRequest::Answer,
                     },
                     introduced: Vec::new(),
+                    loads: self.loads.scope(name, forwards),
                 });
             }
         }
@@ -350,6 +355,7 @@
             next,
             reply_request: ReplyRequest::None,
             introduced,
+            loads: self.loads.scope(name, forwards),
         })
     }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -5,6 +5,7 @@
 //! one, the upstream refuses it at its limit, and idle connections are closed soon.
 
 mod idle;
+mod load;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/proxy/tests/beat.rs
+++ b/crates/proxy/tests/beat.rs
@@ -2,14 +2,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use admit::load::Load;
 use lead::Verdict;
 use model::Term;
 use proptest::prelude::*;
 use proxy::{
     node::ServiceState,
     peers::heartbeat::{
-        self, Datagram, Extension, FORMAT, Heartbeat, Message, Observation, ReplyRequest,
-        StoreContact,
+        self, Datagram, Extension, FORMAT, Heartbeat, LoadReport, Message, Observation,
+        ReplyRequest, StoreContact, UpstreamLoad,
     },
 };
 
@@ -46,12 +47,45 @@
     (heartbeat, extension)
 }
 
+fn sample_report() -> LoadReport {
+    let load = Load {
+        running: 20,
+        waiting: 380,
+        urgent: 10,
+        accounts: 70,
+    };
+    let upstream = [1, 2, 3, 4];
+    LoadReport {
+        number: 300,
+        loads: vec![UpstreamLoad { upstream, load }],
+    }
+}
+
 #[test]
 fn heartbeat_round_trips() {
     let (heartbeat, extension) = sample_heartbeat();
-    let bytes = heartbeat::encode(&heartbeat, &extension).unwrap();
-    let decoded = heartbeat::decode(&bytes).unwrap();
-    assert_eq!(decoded, Datagram::Heartbeat(heartbeat, Some(extension)));
+    for report in [None, Some(LoadReport::default()), Some(sample_report())] {
+        let bytes = heartbeat::encode(&heartbeat, &extension, report.as_ref()).unwrap();
+        let decoded = heartbeat::decode(&bytes).unwrap();
+        let expected = Datagram::Heartbeat(heartbeat.clone(), Some(extension.clone()), report);
+        assert_eq!(decoded, expected);
+    }
+}
+
+/// Guards against load reports that outgrow the control traffic that docs/CAPACITY.md allows.
+#[test]
+fn load_of_an_upstream_takes_a_few_bytes() {
+    let (heartbeat, extension) = sample_heartbeat();
+    let size = |report: Option<&LoadReport>| {
+        let bytes = heartbeat::encode(&heartbeat, &extension, report).unwrap();
+        bytes.len()
+    };
+    let idle = LoadReport {
+        loads: Vec::new(),
+        ..sample_report()
+    };
+    assert_eq!(size(Some(&idle)) - size(None), 3);
+    assert_eq!(size(Some(&sample_report())) - size(Some(&idle)), 9);
 }
 
 /// Guards against a format change that older instances can't read: during a rolling upgrade they
@@ -59,20 +93,40 @@
 #[test]
 fn previous_version_decodes_the_current_heartbeat() {
     let (heartbeat, extension) = sample_heartbeat();
-    let bytes = heartbeat::encode(&heartbeat, &extension).unwrap();
+    let bytes = heartbeat::encode(&heartbeat, &extension, Some(&sample_report())).unwrap();
     assert_eq!(
         postcard::from_bytes::<Heartbeat>(&bytes).unwrap(),
         heartbeat
     );
 }
 
+/// Guards against a load report that makes instances of format 2 drop the whole heartbeat. They
+/// decode what follows the heartbeat as the extension.
+#[test]
+fn format_2_decodes_the_extension_before_a_load_report() {
+    let (heartbeat, extension) = sample_heartbeat();
+    let bytes = heartbeat::encode(&heartbeat, &extension, Some(&sample_report())).unwrap();
+    let (_, rest) = postcard::take_from_bytes::<Heartbeat>(&bytes).unwrap();
+    assert_eq!(postcard::from_bytes::<Extension>(rest).unwrap(), extension);
+}
+
+/// Guards against an instance of format 2 that counts as idle, though it reports no load.
+#[test]
+fn heartbeat_of_format_2_has_no_load_report() {
+    let (heartbeat, extension) = sample_heartbeat();
+    let mut bytes = postcard::to_stdvec(&heartbeat).unwrap();
+    bytes.extend(postcard::to_stdvec(&extension).unwrap());
+    let expected = Datagram::Heartbeat(heartbeat, Some(extension), None);
+    assert_eq!(heartbeat::decode(&bytes), Some(expected));
+}
+
 #[test]
 fn heartbeat_of_the_previous_version_is_decoded() {
     let (heartbeat, _) = sample_heartbeat();
     let bytes = postcard::to_stdvec(&heartbeat).unwrap();
     assert_eq!(
         heartbeat::decode(&bytes),
-        Some(Datagram::Heartbeat(heartbeat, None))
+        Some(Datagram::Heartbeat(heartbeat, None, None))
     );
 }
 
@@ -97,9 +151,9 @@
     #[test]
     fn truncated_heartbeat_decodes_to_no_other_heartbeat(length in 0_usize..200) {
         let (heartbeat, extension) = sample_heartbeat();
-        let mut bytes = heartbeat::encode(&heartbeat, &extension).unwrap();
+        let mut bytes = heartbeat::encode(&heartbeat, &extension, Some(&sample_report())).unwrap();
         bytes.truncate(length);
-        if let Some(Datagram::Heartbeat(decoded, _)) = heartbeat::decode(&bytes) {
+        if let Some(Datagram::Heartbeat(decoded, ..)) = heartbeat::decode(&bytes) {
             prop_assert_eq!(decoded, heartbeat);
         }
     }
