--- a/crates/proxy/src/control/loads.rs
+++ b/crates/proxy/src/control/loads.rs
@@ -1,12 +1,12 @@
 //! Measures this instance's load at the upstreams, and keeps the windows in line with the loads of
 //! all holders.
 
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use clock::Boot;
 use tokio::time::sleep;
 
-use crate::{edge::Edge, group::Group, load, node::Node, peers::heartbeat::UpstreamLoad};
+use crate::{edge::Edge, group::Group, load, node::Node, peers::GroupLoads};
 
 /// Interval between measurements: a small part of the shortest latency objective in use (100 ms).
 const INTERVAL: Duration = Duration::from_millis(25);
@@ -18,21 +18,15 @@
         if !node.features.get().load_reports {
             continue;
         }
-        let mut loads = Vec::new();
-        let mut recipients = HashSet::new();
-        for group in node.active() {
-            let own = update(&node, &group);
-            if !own.is_empty() {
-                recipients.extend(node.holder_names(&group.service));
-                loads.extend(own);
-            }
-        }
-        node.peers.set_loads(loads, recipients);
+        let groups = node.active().into_iter();
+        let loads = groups.filter_map(|group| update(&node, &group));
+        node.peers.set_loads(loads.collect());
     }
 }
 
-/// Updates the windows of a group, and returns the loads to be reported.
-fn update<E: Edge>(node: &Node<E>, group: &Group) -> Vec<UpstreamLoad> {
+/// Updates the windows of a group, and returns the loads to be reported. `None` if this instance
+/// doesn't hold connections to the group, or they are not used.
+fn update<E: Edge>(node: &Node<E>, group: &Group) -> Option<GroupLoads> {
     let now = Boot.now();
     let members = group.members();
     let holders = match group.is_proof_wanted(now) {
@@ -42,7 +36,7 @@
     let own = &node.settings.name;
     let Some(rank) = holders.iter().position(|name| name == own) else {
         members.iter().for_each(|member| member.load.reset());
-        return Vec::new();
+        return None;
     };
     let others = holders.iter().filter(|name| *name != own);
     let others: Vec<_> = others.map(String::as_str).collect();
@@ -56,5 +50,6 @@
         node.peers.announce_load(&others);
     }
     let loads = members.iter().filter_map(|member| member.load.report());
-    loads.collect()
+    let loads = loads.collect();
+    Some(GroupLoads { holders, loads })
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -42,6 +42,7 @@
     DELTA_FORMAT, Datagram, Extension, Heartbeat, LoadReport, Observation, RELAY_FORMAT,
     ReplyRequest, StoreContact,
 };
+pub(crate) use loads::GroupLoads;
 use loads::Reported;
 pub(crate) use membership::Changes;
 use membership::Roles;
--- a/crates/proxy/src/peers/encoder.rs
+++ b/crates/proxy/src/peers/encoder.rs
@@ -8,20 +8,17 @@
 
 use super::{
     heartbeat::{self, Extension, FORMAT, Heartbeat, LoadReport, Observation, ReplyRequest},
-    peer::{LoadScope, Outgoing},
+    peer::Outgoing,
 };
 use crate::{edge::Edge, node::Node, work::Kind};
 
-/// What heartbeats with the same bytes have in common.
-type Kinds = (Duration, ReplyRequest, LoadScope);
-
-/// This instance's heartbeat, encoded once for all peers that get the same bytes.
+/// This instance's heartbeat, encoded once for all peers that get the same extension.
 pub(super) struct Encoder {
     heartbeat: Heartbeat,
     extension: Extension,
-    /// This instance's load, if load reports are in force.
-    report: Option<LoadReport>,
-    encoded: HashMap<Kinds, Vec<u8>>,
+    /// Number of the load report, if load reports are in force.
+    report: Option<u16>,
+    encoded: HashMap<(Duration, ReplyRequest), Vec<u8>>,
 }
 
 impl Encoder {
@@ -36,14 +33,11 @@
             unreachable_zones: node.peers.silent_zones(),
             introduced: Vec::new(),
         };
+        let is_reporting = node.features.get().load_reports;
         Self {
             heartbeat: own_heartbeat(node),
             extension,
-            report: node
-                .features
-                .get()
-                .load_reports
-                .then(|| node.peers.next_load_report()),
+            report: is_reporting.then(|| node.peers.loads.next_number()),
             encoded: HashMap::new(),
         }
     }
@@ -62,26 +56,20 @@
             ..self.extension.clone()
         };
         let heartbeat = &self.heartbeat;
-        let report = self.report.as_ref().map(|report| match message.loads {
-            LoadScope::All => report.clone(),
-            LoadScope::None => LoadReport {
-                number: report.number,
-                loads: Vec::new(),
-            },
-        });
-        let encode = || heartbeat::encode(heartbeat, &extension, report.as_ref());
-        let encode = || encode().unwrap_or_default();
-        if !extension.introduced.is_empty() {
-            let bytes = encode();
-            node.work.add(Kind::HeartbeatByte, bytes.len());
-            let _ = socket.try_send_to(&bytes, message.address);
-            return;
+        let encode = || heartbeat::encode(heartbeat, &extension).unwrap_or_default();
+        let mut bytes = match extension.introduced.is_empty() {
+            true => {
+                let kind = (message.next, message.reply_request);
+                self.encoded.entry(kind).or_insert_with(encode).clone()
+            }
+            false => encode(),
+        };
+        if let Some(number) = self.report {
+            let loads = message.loads;
+            LoadReport { number, loads }.append_to(&mut bytes);
         }
-        let kinds = (message.next, message.reply_request, message.loads);
-        let bytes = self.encoded.entry(kinds);
-        let bytes = bytes.or_insert_with(encode);
         node.work.add(Kind::HeartbeatByte, bytes.len());
-        let _ = socket.try_send_to(bytes, message.address);
+        let _ = socket.try_send_to(&bytes, message.address);
     }
 }
 
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -146,6 +146,13 @@
     pub fn is_older_than(&self, number: u16) -> bool {
         (1..=MAX_REORDERED).contains(&number.wrapping_sub(self.number))
     }
+
+    /// Appends the report to an encoded heartbeat.
+    ///
+    /// Instances of an earlier format stop reading at the end of the extension.
+    pub fn append_to(&self, heartbeat: &mut Vec<u8>) {
+        heartbeat.extend(postcard::to_stdvec(self).unwrap_or_default());
+    }
 }
 
 /// A request about a proof or a quota, or the answer to one.
@@ -224,17 +231,10 @@
 
 /// Encodes a heartbeat.
 ///
-/// Previous versions stop reading at the beginning of the extension, or at its end.
-pub fn encode(
-    heartbeat: &Heartbeat,
-    extension: &Extension,
-    report: Option<&LoadReport>,
-) -> Option<Vec<u8>> {
+/// Instances that know no extension stop reading at its beginning.
+pub fn encode(heartbeat: &Heartbeat, extension: &Extension) -> Option<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(heartbeat).ok()?;
     bytes.extend(postcard::to_stdvec(extension).ok()?);
-    if let Some(report) = report {
-        bytes.extend(postcard::to_stdvec(report).ok()?);
-    }
     Some(bytes)
 }
 
--- a/crates/proxy/src/peers/loads.rs
+++ b/crates/proxy/src/peers/loads.rs
@@ -1,35 +1,51 @@
 //! Loads of instances at upstreams, as reported by heartbeats.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashSet,
-};
+use std::cell::{Cell, RefCell};
 
 use admit::{load::Load, windows::Report};
 use clock::Instant;
 
 use super::{
     heartbeat::{LoadReport, UpstreamKey, UpstreamLoad},
-    peer::{LoadScope, Peer},
+    peer::Peer,
     table::Peers,
 };
 
-/// This instance's load, and who is told of it.
+/// Loads of this instance at the upstreams of one group.
+#[derive(Debug)]
+pub(crate) struct GroupLoads {
+    /// Names of the instances that hold connections to the group.
+    pub(crate) holders: Vec<String>,
+    /// The loads that aren't zero.
+    pub(crate) loads: Vec<UpstreamLoad>,
+}
+
+/// Loads of this instance.
 #[derive(Debug, Default)]
 pub(super) struct Loads {
-    own: RefCell<Vec<UpstreamLoad>>,
-    /// Names of the instances that hold connections to the same upstreams.
-    holders: RefCell<HashSet<String>>,
+    groups: RefCell<Vec<GroupLoads>>,
     number: Cell<u16>,
 }
 
 impl Loads {
-    /// Which loads the peer is told. Those that forward sessions here choose holders by them.
-    pub(super) fn scope(&self, name: &str, forwards: bool) -> LoadScope {
-        match forwards || self.holders.borrow().contains(name) {
-            true => LoadScope::All,
-            false => LoadScope::None,
-        }
+    /// The loads that the peer `name` is told: those of the groups that it holds, and, if it
+    /// `forwards` sessions to this instance, where requests wait.
+    pub(super) fn told_to(&self, name: &str, forwards: bool) -> Vec<UpstreamLoad> {
+        let groups = self.groups.borrow();
+        let told = groups.iter().flat_map(|group| {
+            let is_holder = group.holders.iter().any(|holder| holder == name);
+            let is_told =
+                move |told: &&UpstreamLoad| is_holder || forwards && told.load.is_queueing();
+            group.loads.iter().filter(is_told)
+        });
+        told.copied().collect()
+    }
+
+    /// Number of the next report.
+    pub(super) fn next_number(&self) -> u16 {
+        let number = self.number.get().wrapping_add(1);
+        self.number.set(number);
+        number
     }
 }
 
@@ -80,20 +96,9 @@
 }
 
 impl Peers {
-    /// Sets this instance's loads, and the other holders of the upstreams concerned.
-    pub(crate) fn set_loads(&self, own: Vec<UpstreamLoad>, holders: HashSet<String>) {
-        *self.loads.own.borrow_mut() = own;
-        *self.loads.holders.borrow_mut() = holders;
-    }
-
-    /// Creates the next report of this instance's load.
-    pub(super) fn next_load_report(&self) -> LoadReport {
-        let number = self.loads.number.get().wrapping_add(1);
-        self.loads.number.set(number);
-        LoadReport {
-            number,
-            loads: self.loads.own.borrow().clone(),
-        }
+    /// Sets this instance's loads.
+    pub(crate) fn set_loads(&self, groups: Vec<GroupLoads>) {
+        *self.loads.groups.borrow_mut() = groups;
     }
 
     /// Last reports of the load at `upstream` by the instances with these names.
--- a/crates/proxy/src/peers/peer.rs
+++ b/crates/proxy/src/peers/peer.rs
@@ -9,7 +9,7 @@
 use clock::Instant;
 
 use super::{
-    heartbeat::{Observation, ReplyRequest, StoreContact},
+    heartbeat::{Observation, ReplyRequest, StoreContact, UpstreamLoad},
     loads::Reported,
     membership::Roles,
 };
@@ -130,15 +130,6 @@
     }
 }
 
-/// Which loads a peer is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(super) enum LoadScope {
-    /// Those at all upstreams at which this instance has any.
-    All,
-    /// None, because the peer has nothing to do with these upstreams.
-    None,
-}
-
 /// A heartbeat to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Outgoing {
@@ -149,8 +140,8 @@
     pub(super) reply_request: ReplyRequest,
     /// Addresses of the instances that the heartbeat introduces.
     pub(super) introduced: Vec<SocketAddr>,
-    /// Which loads the heartbeat reports.
-    pub(super) loads: LoadScope,
+    /// The loads that the heartbeat reports, if load reports are in force.
+    pub(super) loads: Vec<UpstreamLoad>,
 }
 
 impl Outgoing {
@@ -161,7 +152,7 @@
             next: FREQUENT_INTERVAL,
             reply_request,
             introduced: Vec::new(),
-            loads: LoadScope::None,
+            loads: Vec::new(),
         }
     }
 }
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -74,7 +74,7 @@
     seeds: Vec<SocketAddr>,
     pub(super) table: RefCell<HashMap<String, Peer>>,
     pub(super) membership: Membership,
-    /// This instance's load, and who is told of it.
+    /// This instance's loads.
     pub(super) loads: Loads,
     /// Stopping instances, and when each was last heard. No session is forwarded to them, but
     /// they finish the sessions that they have.
@@ -285,7 +285,7 @@
                         None => ReplyRequest::Answer,
                     },
                     introduced: Vec::new(),
-                    loads: self.loads.scope(name, forwards),
+                    loads: self.loads.told_to(name, forwards),
                 });
             }
         }
@@ -355,7 +355,7 @@
             next,
             reply_request: ReplyRequest::None,
             introduced,
-            loads: self.loads.scope(name, forwards),
+            loads: self.loads.told_to(name, forwards),
         })
     }
 
--- a/crates/proxy/tests/beat.rs
+++ b/crates/proxy/tests/beat.rs
@@ -61,11 +61,19 @@
     }
 }
 
+fn encode(heartbeat: &Heartbeat, extension: &Extension, report: Option<&LoadReport>) -> Vec<u8> {
+    let mut bytes = heartbeat::encode(heartbeat, extension).unwrap();
+    if let Some(report) = report {
+        report.append_to(&mut bytes);
+    }
+    bytes
+}
+
 #[test]
 fn heartbeat_round_trips() {
     let (heartbeat, extension) = sample_heartbeat();
     for report in [None, Some(LoadReport::default()), Some(sample_report())] {
-        let bytes = heartbeat::encode(&heartbeat, &extension, report.as_ref()).unwrap();
+        let bytes = encode(&heartbeat, &extension, report.as_ref());
         let decoded = heartbeat::decode(&bytes).unwrap();
         let expected = Datagram::Heartbeat(heartbeat.clone(), Some(extension.clone()), report);
         assert_eq!(decoded, expected);
@@ -76,10 +84,7 @@
 #[test]
 fn load_of_an_upstream_takes_a_few_bytes() {
     let (heartbeat, extension) = sample_heartbeat();
-    let size = |report: Option<&LoadReport>| {
-        let bytes = heartbeat::encode(&heartbeat, &extension, report).unwrap();
-        bytes.len()
-    };
+    let size = |report: Option<&LoadReport>| encode(&heartbeat, &extension, report).len();
     let idle = LoadReport {
         loads: Vec::new(),
         ..sample_report()
@@ -93,7 +98,7 @@
 #[test]
 fn previous_version_decodes_the_current_heartbeat() {
     let (heartbeat, extension) = sample_heartbeat();
-    let bytes = heartbeat::encode(&heartbeat, &extension, Some(&sample_report())).unwrap();
+    let bytes = encode(&heartbeat, &extension, Some(&sample_report()));
     assert_eq!(
         postcard::from_bytes::<Heartbeat>(&bytes).unwrap(),
         heartbeat
@@ -105,7 +110,7 @@
 #[test]
 fn format_2_decodes_the_extension_before_a_load_report() {
     let (heartbeat, extension) = sample_heartbeat();
-    let bytes = heartbeat::encode(&heartbeat, &extension, Some(&sample_report())).unwrap();
+    let bytes = encode(&heartbeat, &extension, Some(&sample_report()));
     let (_, rest) = postcard::take_from_bytes::<Heartbeat>(&bytes).unwrap();
     assert_eq!(postcard::from_bytes::<Extension>(rest).unwrap(), extension);
 }
@@ -151,7 +156,7 @@
     #[test]
     fn truncated_heartbeat_decodes_to_no_other_heartbeat(length in 0_usize..200) {
         let (heartbeat, extension) = sample_heartbeat();
-        let mut bytes = heartbeat::encode(&heartbeat, &extension, Some(&sample_report())).unwrap();
+        let mut bytes = encode(&heartbeat, &extension, Some(&sample_report()));
         bytes.truncate(length);
         if let Some(Datagram::Heartbeat(decoded, ..)) = heartbeat::decode(&bytes) {
             prop_assert_eq!(decoded, heartbeat);
