--- a/crates/proxy/src/peers/peer.rs
+++ b/crates/proxy/src/peers/peer.rs
@@ -9,7 +9,8 @@
 use clock::Instant;
 
 use super::{
-    heartbeat::{Observation, ReplyRequest, StoreContact},
+    heartbeat::{Observation, ReplyRequest, StoreContact, UpstreamLoad},
+    loads::Reported,
     membership::Roles,
 };
 use crate::node::ServiceState;
@@ -42,6 +43,8 @@
     pub(super) is_relay: bool,
     /// Other zones from which the peer hears no instance.
     pub(super) unreachable_zones: Vec<String>,
+    /// The peer's load, if the peer reports it.
+    pub(super) reported: Option<Reported>,
     /// Roles that the last refresh assigned to the peer.
     pub(super) roles: Roles,
     /// When a heartbeat was last sent to the peer.
@@ -71,6 +74,7 @@
             store: StoreContact::Unknown,
             is_relay: false,
             unreachable_zones: Vec::new(),
+            reported: None,
             roles: Roles::default(),
             sent_at: Instant::ZERO,
             promised: FREQUENT_INTERVAL,
@@ -136,6 +140,8 @@
     pub(super) reply_request: ReplyRequest,
     /// Addresses of the instances that the heartbeat introduces.
     pub(super) introduced: Vec<SocketAddr>,
+    /// The loads that the heartbeat reports, if load reports are in force.
+    pub(super) loads: Vec<UpstreamLoad>,
 }
 
 impl Outgoing {
@@ -146,6 +152,7 @@
             next: FREQUENT_INTERVAL,
             reply_request,
             introduced: Vec::new(),
+            loads: Vec::new(),
         }
     }
 }
