Urgent operations first within an account's quota

Callers saw: an account that sent several times its quota was refused operations of every class alike.

Cause: limiters grant in order of arrival, so a flood of the lowest priority takes whatever accrues.

Requests for operations now carry the priority of their route, and a limiter keeps a part of its burst for the more urgent ones, by their measured rate. The part is the tolerated excess, never the quota's own burst. Operations granted in advance, refunds and exhaustion are kept by priority, and refusals say when an operation of that priority can be expected. Instances of the previous version read the request without its last field, and theirs count as most urgent. All of it holds only where account_shares is in force.

--- a/crates/admit/src/bucket.rs
+++ b/crates/admit/src/bucket.rs
@@ -15,6 +15,8 @@
     pub rate: f64,
     /// Operations that may come at once beyond the rate.
     pub burst: f64,
+    /// Part of the burst that may be kept for urgent operations.
+    pub reserve: f64,
 }
 
 /// Token bucket of an account, one token for each operation.
@@ -48,7 +50,7 @@
     /// use clock::Instant;
     ///
     /// let at = Instant::from_millis;
-    /// let limit = Limit { rate: 10.0, burst: 2.0 };
+    /// let limit = Limit { rate: 10.0, burst: 2.0, reserve: 0.0 };
     /// let max_wait = Duration::from_millis(150);
     /// let mut bucket = Bucket::new(1.0, at(0));
     /// assert_eq!(bucket.take(limit, at(0), max_wait), Ok(Duration::ZERO));
@@ -61,9 +63,24 @@
         limit: Limit,
         now: Instant,
         max_wait: Duration,
+    ) -> Result<Duration, Duration> {
+        self.take_above(0.0, limit, now, max_wait)
+    }
+
+    /// Takes one operation like [`Bucket::take`], but leaves `kept` operations in the bucket.
+    ///
+    /// # Errors
+    ///
+    /// Returns the required wait if it exceeds `max_wait`; no token is taken then.
+    pub fn take_above(
+        &mut self,
+        kept: f64,
+        limit: Limit,
+        now: Instant,
+        max_wait: Duration,
     ) -> Result<Duration, Duration> {
         self.refill(limit, now);
-        let missing = (1.0 - self.tokens).max(0.0);
+        let missing = (1.0 + kept - self.tokens).max(0.0);
         let wait = match limit.rate > 0.0 {
             true => Duration::try_from_secs_f64(missing / limit.rate).unwrap_or(Duration::MAX),
             false if missing > 0.0 => Duration::MAX,
@@ -104,9 +121,9 @@
         }
     }
 
-    /// Counts a requested operation, admitted or not.
-    pub fn count(&mut self, now: Instant) {
-        self.rate = self.rate(now) + 1.0 / DECAY.as_secs_f64();
+    /// Counts requested operations, admitted or not.
+    pub fn add(&mut self, count: u32, now: Instant) {
+        self.rate = self.rate(now) + f64::from(count) / DECAY.as_secs_f64();
         self.updated_at = now;
     }
 
@@ -118,7 +135,7 @@
     ///
     /// let at = Instant::from_millis;
     /// let mut demand = Demand::new(at(0));
-    /// (0..100).for_each(|tenth| demand.count(at(tenth * 100)));
+    /// (0..100).for_each(|tenth| demand.add(1, at(tenth * 100)));
     /// assert!((9.0..11.0).contains(&demand.rate(at(9_950))));
     /// ```
     pub fn rate(&self, now: Instant) -> f64 {
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod budget;
 pub mod fair;
 pub mod holders;
+pub mod limiter;
 pub mod placement;
 pub mod queue;
 pub mod relays;
 pub mod shares;
+pub mod stock;
 
 pub use budget::Budget;
 pub use queue::{Queue, Waiter};
--- a/crates/admit/tests/shares.rs
+++ b/crates/admit/tests/shares.rs
@@ -1,12 +1,13 @@
 //! Simulation of the limiters of one account's quota before a store. Limiters restart, stall,
 //! and lose contact to the store or to each other, while the planners of the share table move
-//! their shares.
+//! their shares. The account sends more than its quota, a part of it urgent.
 
 use std::time::Duration;
 
 use admit::{
     bucket::{Bucket, Limit},
     holders::Candidate,
+    limiter::Limiter,
     shares::{Planner, TOTAL_PARTS, Table},
 };
 use clock::Instant;
@@ -40,11 +41,28 @@
     Dropped,
 }
 
-struct Limiter {
+/// Whether limiters are told the priorities.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Order {
+    Arrival,
+    Priority,
+}
+
+/// Urgent operations, as a part of the quota.
+const URGENT_PART: f64 = 0.4;
+
+/// Operations of one run: the moments of the admitted ones, and the urgent ones.
+struct Load {
+    admitted: Vec<u64>,
+    urgent: u32,
+    urgent_refused: u32,
+}
+
+struct Instance {
     table: Table,
     /// Moment for which the table was last proved to be the newest.
     proved_at: u64,
-    bucket: Option<Bucket>,
+    limiter: Option<Limiter>,
     /// End of the current outage, and whether the limiter restarts without its state then.
     down_until: u64,
     loses_state: bool,
@@ -57,51 +75,57 @@
     Instant::from_millis(ms + 20_000)
 }
 
-/// Simulates demand above the quota and returns the moments of admitted operations.
-fn simulate(seed: u64, reserve: Reserve) -> Vec<u64> {
+/// Simulates demand above the quota.
+fn simulate(seed: u64, reserve: Reserve, order: Order) -> Load {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut stored = (Table::default(), 0_u64);
     let mut planners = [(); 2].map(|()| Planner::new(PROOF_SPAN, at(0)));
-    let mut limiters: Vec<_> = NAMES
+    let mut instances: Vec<_> = NAMES
         .iter()
-        .map(|_| Limiter {
+        .map(|_| Instance {
             table: Table::default(),
             proved_at: 0,
-            bucket: None,
+            limiter: None,
             down_until: 0,
             loses_state: false,
             store_cut_until: 0,
             unheard_until: 0,
         })
         .collect();
-    let mut admitted = Vec::new();
+    let mut load = Load {
+        admitted: Vec::new(),
+        urgent: 0,
+        urgent_refused: 0,
+    };
     for now in (0..STEPS).map(|step| step * STEP) {
-        for limiter in &mut limiters {
-            if limiter.loses_state && limiter.down_until <= now {
-                limiter.loses_state = false;
-                (limiter.bucket, limiter.table) = (None, Table::default());
+        for instance in &mut instances {
+            if instance.loses_state && instance.down_until <= now {
+                instance.loses_state = false;
+                (instance.limiter, instance.table) = (None, Table::default());
             }
             if rng.random_ratio(1, 1_500) {
-                limiter.down_until = now + rng.random_range(100..9_000);
-                limiter.loses_state = rng.random_ratio(1, 2);
+                instance.down_until = now + rng.random_range(100..9_000);
+                instance.loses_state = rng.random_ratio(1, 2);
             }
             if rng.random_ratio(1, 900) {
-                limiter.store_cut_until = now + rng.random_range(100..14_000);
+                instance.store_cut_until = now + rng.random_range(100..14_000);
             }
             if rng.random_ratio(1, 900) {
-                limiter.unheard_until = now + rng.random_range(100..20_000);
+                instance.unheard_until = now + rng.random_range(100..20_000);
             }
             // A change of the table is seen with some delay, if the store is reachable.
-            let reaches_store = limiter.down_until <= now && limiter.store_cut_until <= now;
+            let reaches_store = instance.down_until <= now && instance.store_cut_until <= now;
             if reaches_store && rng.random_ratio(1, 20) {
-                limiter.table = stored.0.clone();
-                limiter.proved_at = now;
+                instance.table = stored.0.clone();
+                instance.proved_at = now;
             }
         }
         // Two planners with different views change the table.
         for planner in &mut planners {
             let heard: Vec<_> = (0..NAMES.len())
-                .filter(|at| limiters[*at].down_until <= now && limiters[*at].unheard_until <= now)
+                .filter(|at| {
+                    instances[*at].down_until <= now && instances[*at].unheard_until <= now
+                })
                 .filter(|_| !rng.random_ratio(1, 50))
                 .collect();
             if now < 1_000 || heard.is_empty() || !rng.random_ratio(1, 5) {
@@ -127,25 +151,38 @@
                 stored = (next, revision + 1);
             }
         }
-        for (limiter, name) in limiters.iter_mut().zip(NAMES) {
-            let is_proved = now < limiter.proved_at + PROOF_SPAN.as_millis() as u64 * 49 / 50;
-            let parts = limiter.table.parts(ACCOUNT, name);
-            if limiter.down_until > now || !is_proved || parts == 0 {
+        for (instance, name) in instances.iter_mut().zip(NAMES) {
+            let is_proved = now < instance.proved_at + PROOF_SPAN.as_millis() as u64 * 49 / 50;
+            let parts = instance.table.parts(ACCOUNT, name);
+            if instance.down_until > now || !is_proved || parts == 0 {
                 continue;
             }
             let part = f64::from(parts) / f64::from(TOTAL_PARTS);
             let limit = Limit {
                 rate: RATE * part,
                 burst: (BURST + 0.3 * SLACK) * part,
+                reserve: 0.3 * SLACK * part,
             };
-            let new = || Bucket::new(INITIAL_BURST * part, at(now));
-            let bucket = limiter.bucket.get_or_insert_with(new);
-            while bucket.take(limit, at(now), Duration::ZERO).is_ok() {
-                admitted.push(now);
+            let new = || Limiter::new(Bucket::new(INITIAL_BURST * part, at(now)));
+            let limiter = instance.limiter.get_or_insert_with(new);
+            let urgent_rate = limit.rate * URGENT_PART * STEP as f64 / 1_000.0;
+            if rng.random_bool(urgent_rate) {
+                load.urgent += 1;
+                match limiter.grant(limit, 0, 1, at(now)) {
+                    Ok(_) => load.admitted.push(now),
+                    Err(_) => load.urgent_refused += 1,
+                }
+            }
+            let low = match order {
+                Order::Arrival => 0,
+                Order::Priority => 2,
+            };
+            while limiter.grant(limit, low, 1, at(now)).is_ok() {
+                load.admitted.push(now);
             }
         }
     }
-    admitted
+    load
 }
 
 /// Largest number of operations in one window.
@@ -169,7 +206,7 @@
 fn no_window_exceeds_the_quota_and_its_slack() {
     let mut all = 0;
     for seed in 0..SEEDS {
-        let admitted = simulate(seed, Reserve::Kept);
+        let admitted = simulate(seed, Reserve::Kept, Order::Priority).admitted;
         let busiest = busiest_window(&admitted);
         assert!(
             busiest <= allowed(),
@@ -189,8 +226,26 @@
 /// once, a partitioned limiter goes on using it as well.
 #[test]
 fn without_reservations_the_quota_is_exceeded() {
-    let exceeds = |seed| busiest_window(&simulate(seed, Reserve::Dropped)) > allowed();
-    assert!((0..SEEDS).any(exceeds));
+    let busiest = |seed| {
+        let load = simulate(seed, Reserve::Dropped, Order::Priority);
+        busiest_window(&load.admitted)
+    };
+    assert!((0..SEEDS).any(|seed| busiest(seed) > allowed()));
+}
+
+/// Guards against urgent operations that compete with a flood of the same account: limiters that
+/// have just started refuse some, but in order of arrival most are refused.
+#[test]
+fn urgent_operations_are_seldom_refused_while_limiters_come_and_go() {
+    let refused = |order| {
+        let loads = (0..SEEDS).map(|seed| simulate(seed, Reserve::Kept, order));
+        let counts = loads.map(|load| [load.urgent_refused, load.urgent]);
+        let sums = counts.fold([0, 0], |sum, count| [0, 1].map(|at| sum[at] + count[at]));
+        f64::from(sums[0]) / f64::from(sums[1])
+    };
+    let (by_arrival, by_priority) = (refused(Order::Arrival), refused(Order::Priority));
+    assert!(by_arrival > 0.5, "{by_arrival}");
+    assert!(by_priority < 0.1, "{by_priority}");
 }
 
 /// Guards against refusals below an account's limit after one of its four limiters is lost
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -45,7 +45,14 @@
             statement.text("error")
         );
     }
-    match statement.optional("cause") {
+    let (cause, retry_ms) = match statement.optional("cause") {
+        Some(cause) => match cause.split_once(" { retry_ms: ") {
+            Some((cause, retry)) => (Some(cause), retry.strip_suffix(" }")),
+            None => (Some(cause), None),
+        },
+        None => (None, None),
+    };
+    match cause {
         Some("NoProof") => no_proof(statement, all),
         Some("NoConnection") => no_connection(statement, all),
         Some("Broken") => format!(
@@ -80,8 +87,11 @@
             statement.text("store_silent_ms")
         ),
         Some("OverQuota") => format!(
-            "account {} has used up its quota",
-            statement.text("account")
+            "account {} has used up its quota{}",
+            statement.text("account"),
+            retry_ms.map_or_else(String::new, |retry| format!(
+                "; the caller was told to come back in {retry} ms"
+            ))
         ),
         Some("NoRoute") => format!("no route for the database {}", statement.text("database")),
         Some("NoStatement") => "the session has no such prepared statement".to_owned(),
--- a/crates/explain/tests/story.rs
+++ b/crates/explain/tests/story.rs
@@ -153,6 +153,8 @@
 {"at":10.0,"instance":"a","level":"INFO","message":"upstream full","part":"proxy::pool","service":"db","upstream":"u1","refused":7,"open":0,"idle":0,"waiting":12,"running":0,"starved":true}
 {"at":10.2,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"f1","transaction":"f1","service":"db","cause":"Some(NoConnection)","code":"Some(Busy)","ms":300,"unconnected":2,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
 {"at":20.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"h1","transaction":"h1","service":"db","cause":"Some(Holder)","code":"Some(InDoubt)","ms":700,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
+{"at":21.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"q1","transaction":"q1","service":"db","account":"north","cause":"Some(OverQuota { retry_ms: 120 })","code":"Some(Busy)","ms":1,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
+{"at":22.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"q2","transaction":"q2","service":"db","account":"north","cause":"Some(OverQuota)","code":"Some(Busy)","ms":1,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
 "#;
 
 /// Without the number of own connections it can't be seen whether this instance or others use
@@ -178,3 +180,21 @@
         "{cause}"
     );
 }
+
+/// Guards against a refusal that is not explained because its cause carries a time, or, written by
+/// an older version, carries none.
+#[test]
+fn a_used_up_quota_is_named_with_the_time_to_come_back() {
+    let cause = diagnose(&parse([FULL]), "q1", None).cause;
+    assert!(
+        cause.contains(
+            "account north has used up its quota; the caller was told to come back in 120 ms"
+        ),
+        "{cause}"
+    );
+    let cause = diagnose(&parse([FULL]), "q2", None).cause;
+    assert!(
+        cause.ends_with("account north has used up its quota"),
+        "{cause}"
+    );
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -187,7 +187,7 @@
         Cause::NoRoute => "no_route",
         Cause::NoKey => "no_key",
         Cause::Stale => "stale_catalogue",
-        Cause::OverQuota => "over_quota",
+        Cause::OverQuota { .. } => "over_quota",
         Cause::NoStatement => "no_statement",
         Cause::Malformed => "malformed",
         Cause::Holder => "holder",
@@ -234,6 +234,11 @@
             rate,
         );
     }
+    for (account, priority, tally) in node.shares.tallies() {
+        let labels = format!("{{account=\"{account}\",priority=\"{priority}\"}}");
+        put("quota_granted_total", &labels, tally.granted as f64);
+        put("quota_refused_total", &labels, tally.refused as f64);
+    }
     for (account, parts) in node.shares.owned(&node.settings.name) {
         let labels = format!("{{account=\"{account}\"}}");
         put("account_share", &labels, f64::from(parts) / 1_000.0);
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -1,6 +1,6 @@
 //! Outcomes of statements.
 
-use std::rc::Rc;
+use std::{borrow::Cow, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use model::Position;
@@ -36,7 +36,10 @@
     /// The caller's key can't be proved to be valid still.
     Stale,
     /// The account has used up its quota.
-    OverQuota,
+    OverQuota {
+        /// Time after which an operation can be expected, in milliseconds.
+        retry_ms: u16,
+    },
     /// There is no such prepared statement.
     NoStatement,
     /// The statement can't be parsed, or is not allowed in this state.
@@ -47,8 +50,8 @@
 
 impl Cause {
     /// Returns the message for callers and logs.
-    pub fn text(self) -> &'static str {
-        match self {
+    pub fn text(self) -> Cow<'static, str> {
+        let text = match self {
             Self::NoProof => "no primary proved, come back in 200 ms",
             Self::NoConnection => "no connection free, come back in 100 ms",
             Self::Upstream => "refused by the upstream, come back in 50 ms",
@@ -60,11 +63,15 @@
             Self::NoRoute => "no such database",
             Self::NoKey => "no account holds this key",
             Self::Stale => "whether the key is valid can't be told, come back in 500 ms",
-            Self::OverQuota => "the account's quota is used up, come back in 500 ms",
+            Self::OverQuota { retry_ms } => {
+                return format!("the account's quota is used up, come back in {retry_ms} ms")
+                    .into();
+            }
             Self::NoStatement => "no such prepared statement",
             Self::Malformed => "not understood here",
             Self::Holder => "the session's instance was lost, come back in 50 ms",
-        }
+        };
+        text.into()
     }
 }
 
@@ -122,7 +129,7 @@
     /// Creates a refusal by this process.
     pub fn refusal<P: Protocol>(code: Code, cause: Cause, state: State) -> Self {
         let mut out = BytesMut::new();
-        P::refusal(code, cause.text(), state, &mut out);
+        P::refusal(code, &cause.text(), state, &mut out);
         Self {
             bytes: out.freeze(),
             state,
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use model::Term;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use lead::{Verdict, freshness::Watermark};
 
@@ -156,6 +156,10 @@
         account: String,
         /// Number of operations.
         count: u32,
+        /// Priority of the operations; zero is the most urgent, and that of a request by the
+        /// previous version, which ends before it.
+        #[serde(deserialize_with = "priority_or_zero")]
+        priority: u8,
     },
     /// Grants operations.
     QuotaGrant {
@@ -168,6 +172,11 @@
     },
 }
 
+/// Reads the last field of a request, which is missing from requests of the previous version.
+fn priority_or_zero<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u8, D::Error> {
+    Ok(u8::deserialize(deserializer).unwrap_or_default())
+}
+
 /// A received datagram.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Datagram {
--- a/crates/proxy/src/proofs.rs
+++ b/crates/proxy/src/proofs.rs
@@ -22,7 +22,8 @@
     freshness,
     node::Node,
     peers::heartbeat::{self, Message},
-    proof_lease, shares,
+    proof_lease,
+    shares::{self, Ask},
     work::Kind,
 };
 
@@ -155,7 +156,15 @@
             reply_to,
             account,
             count,
-        } => shares::answer_request(node, id, reply_to, &account, count),
+            priority,
+        } => {
+            let ask = Ask {
+                account: &account,
+                priority,
+                count,
+            };
+            shares::answer_request(node, id, reply_to, ask);
+        }
         Message::QuotaGrant { id, count, wait } => node.shares.resolve(id, count, wait),
     }
 }
--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -1,7 +1,7 @@
 //! Execution of a session's statements, and the state that they leave: values, prepared statements,
 //! position and transaction.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc};
 
 use bytes::Bytes;
 use clock::{Boot, Instant};
@@ -145,16 +145,19 @@
             }
             _ => None,
         };
-        if let Some(account) = &counted
-            && let Err(cause) = shares::charge(node, account, self.quota_wait(node)).await
-        {
-            return self.refuse(node, query, (Code::Busy, cause), at);
+        let mut charge = None;
+        if let Some(account) = &counted {
+            let route = node.route(&self.database);
+            charge = match shares::charge(node, account, route.as_deref()).await {
+                Ok(charge) => charge,
+                Err(cause) => return self.refuse(node, query, (Code::Busy, cause), at),
+            };
         }
         let outcome = self.serve(node, query, at).await;
-        if let (Some(account), Some((code, _))) = (&counted, outcome.failure)
+        if let (Some(account), Some(charge), Some((code, _))) = (&counted, charge, outcome.failure)
             && run::is_not_run(code)
         {
-            node.shares.refund(account);
+            node.shares.refund(account, charge);
         }
         outcome
     }
@@ -186,13 +189,6 @@
         outcome
     }
 
-    /// Returns how long an operation may wait for its account's quota: half of the route's target,
-    /// so that the other half is left for the statement.
-    fn quota_wait<E: Edge>(&self, node: &Node<E>) -> Duration {
-        let route = node.route(&self.database);
-        route.map_or(Duration::ZERO, |route| route.latency_target / 2)
-    }
-
     /// Refuses a statement for want of authorisation or quota, and rolls back an open transaction
     /// wherever it runs.
     fn refuse<E: Edge>(
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -5,20 +5,24 @@
 //! and asks the next one if that limiter has no operation left or doesn't answer. A table in
 //! the store, maintained by the relay that reads the catalogue, lists the limiters and the
 //! sizes of their shares.
+//!
+//! With the feature `account_shares`, requests carry the priority of their route, and limiters
+//! keep operations for the more urgent ones ([`admit::limiter`]).
 
 mod limiter;
 mod table;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     time::Duration,
 };
 
 use admit::{
-    bucket::{Bucket, Demand},
+    limiter::Limiter,
     shares::{Planner, Table},
+    stock::{GRANT_TTL, Source, Stock},
 };
 use clock::{Boot, Instant};
 use tokio::{
@@ -28,12 +32,13 @@
 
 use crate::{
     account::Quota,
+    catalog::Route,
     edge::{Edge, Item, era_of},
     node::Node,
     outcome::Cause,
     peers::heartbeat::Message,
 };
-pub(crate) use limiter::answer_request;
+pub(crate) use limiter::{Ask, answer_request};
 use limiter::{Tally, grant};
 pub(crate) use table::run;
 
@@ -53,12 +58,8 @@
 /// Time after which an unused account is dropped.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
-/// Period for which operations are requested in advance: an account with many operations per
-/// second gets several with one request, an account with few is counted exactly.
-const PREFETCH: Duration = Duration::from_millis(40);
-
-/// Time after which granted operations expire.
-const GRANT_TTL: Duration = Duration::from_millis(500);
+/// Time to come back that callers are told where limiters don't tell one.
+const DEFAULT_RETRY: Duration = Duration::from_millis(500);
 
 /// The excess over a quota that is still tolerated.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -89,14 +90,17 @@
 /// Use of an account on this instance.
 #[derive(Debug)]
 struct Usage {
-    /// Operations that were granted and aren't used yet, and the time of the grant.
-    granted: (u32, Instant),
-    /// Time until which no limiter has an operation left.
-    exhausted_until: Instant,
-    demand: Demand,
+    stock: Stock,
     last_used: Instant,
 }
 
+/// A charged operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Charge {
+    /// Priority that the operation was granted to.
+    granted_to: u8,
+}
+
 /// The shares of all accounts' quotas, and the use of the accounts on this instance.
 #[derive(Debug, Default)]
 pub struct Shares {
@@ -105,8 +109,8 @@
     revision: Cell<u64>,
     /// The table of an earlier era of the store, and the time until which it may be in use.
     previous: RefCell<Option<(Table, Instant)>>,
-    /// Buckets of the shares that this instance owns.
-    buckets: RefCell<HashMap<String, Bucket>>,
+    /// Limiters of the shares that this instance owns.
+    limiters: RefCell<HashMap<String, Limiter>>,
     /// When this instance got each of its shares.
     owned_since: RefCell<HashMap<String, Instant>>,
     /// When the first table was learnt. Shares in that table may have been owned before this
@@ -118,8 +122,8 @@
     /// Limiters that didn't answer, and when.
     unresponsive: RefCell<HashMap<String, Instant>>,
     planner: RefCell<Option<Planner>>,
-    /// Grants and refusals since they were last logged.
-    tallies: RefCell<HashMap<String, Tally>>,
+    /// Grants and refusals of the limiters, by account and priority.
+    tallies: RefCell<BTreeMap<String, BTreeMap<u8, Tally>>>,
     logged_at: Cell<Instant>,
     /// Notified when the table has changed.
     updated: Notify,
@@ -165,7 +169,7 @@
         let mut since = self.owned_since.borrow_mut();
         let is_owned = |account: &String| owned.iter().any(|(owned, _)| owned == account);
         since.retain(|account, _| is_owned(account));
-        self.buckets
+        self.limiters
             .borrow_mut()
             .retain(|account, _| is_owned(account));
         for (account, _) in owned {
@@ -187,7 +191,7 @@
         let accounts = self.usage.borrow();
         let demand = accounts.iter();
         demand
-            .map(|(account, usage)| (Rc::clone(account), usage.demand.rate(now)))
+            .map(|(account, usage)| (Rc::clone(account), usage.stock.demand(now)))
             .collect()
     }
 
@@ -199,6 +203,16 @@
         owned.filter(|(_, parts)| *parts > 0).collect()
     }
 
+    /// Grants and refusals of this instance's limiters, by account and priority.
+    pub(crate) fn tallies(&self) -> Vec<(String, u8, Tally)> {
+        let tallies = self.tallies.borrow();
+        let by_account = tallies.iter().flat_map(|(account, tallies)| {
+            let tallies = tallies.iter();
+            tallies.map(|(priority, tally)| (account.clone(), *priority, *tally))
+        });
+        by_account.collect()
+    }
+
     /// The share of `account` that `name` may use, in thousandths.
     fn parts(&self, account: &str, name: &str, now: Instant) -> u16 {
         let parts = self.table.borrow().parts(account, name);
@@ -214,60 +228,33 @@
         previous.as_ref().is_some_and(|(_, until)| *until > now)
     }
 
-    /// Counts a requested operation, and uses a granted one if there is any. Returns true if
-    /// one was used, false if a limiter has to be asked, and `None` if all limiters have run
-    /// out for now.
-    fn take_granted(&self, account: &Rc<str>, now: Instant) -> Option<bool> {
+    /// Counts a requested operation and takes it from the stock if there is one.
+    fn take_granted(&self, account: &Rc<str>, priority: u8, now: Instant) -> Source {
         let mut accounts = self.usage.borrow_mut();
         accounts.retain(|_, usage| usage.last_used + FORGET_AFTER > now);
         let usage = accounts.entry(Rc::clone(account)).or_insert_with(|| Usage {
-            granted: (0, now),
-            exhausted_until: Instant::ZERO,
-            demand: Demand::new(now),
+            stock: Stock::default(),
             last_used: now,
         });
         usage.last_used = now;
-        usage.demand.count(now);
-        let (count, at) = usage.granted;
-        if count > 0 && at + GRANT_TTL > now {
-            usage.granted.0 -= 1;
-            return Some(true);
-        }
-        (usage.exhausted_until <= now).then_some(false)
-    }
-
-    /// Number of operations to request at once.
-    fn batch_size(&self, account: &Rc<str>, now: Instant) -> u32 {
-        let accounts = self.usage.borrow();
-        let rate = accounts
-            .get(account)
-            .map_or(0.0, |usage| usage.demand.rate(now));
-        1 + (rate * PREFETCH.as_secs_f64()) as u32
+        usage.stock.take(priority, now)
     }
 
-    /// Stores the operations that were granted beyond the one in use.
-    fn store_grant(&self, account: &Rc<str>, count: u32, now: Instant) {
-        if let Some(usage) = self.usage.borrow_mut().get_mut(account) {
-            usage.granted = (count, now);
-        }
+    /// Updates the stock of an account that is in use.
+    fn update_stock<T>(
+        &self,
+        account: &Rc<str>,
+        update: impl FnOnce(&mut Stock) -> T,
+    ) -> Option<T> {
+        let mut accounts = self.usage.borrow_mut();
+        let usage = accounts.get_mut(account)?;
+        Some(update(&mut usage.stock))
     }
 
     /// Returns an operation that wasn't run, so that it doesn't count.
-    pub(crate) fn refund(&self, account: &Rc<str>) {
+    pub(crate) fn refund(&self, account: &Rc<str>, charge: Charge) {
         let now = Boot.now();
-        if let Some(usage) = self.usage.borrow_mut().get_mut(account) {
-            let (count, at) = usage.granted;
-            usage.granted = match at + GRANT_TTL > now {
-                true => (count + 1, at),
-                false => (1, now),
-            };
-        }
-    }
-
-    fn mark_exhausted(&self, account: &Rc<str>, until: Instant) {
-        if let Some(usage) = self.usage.borrow_mut().get_mut(account) {
-            usage.exhausted_until = until;
-        }
+        self.update_stock(account, |stock| stock.refund(charge.granted_to, now));
     }
 
     /// Returns true if a limiter recently failed to answer.
@@ -279,7 +266,9 @@
     }
 }
 
-/// Charges one operation to the quota of `account`, waiting up to `max_wait` for it.
+/// Charges one operation on `route` to the quota of `account`. It waits for at most half of the
+/// route's latency target, so that the other half is left for the statement. Returns `None` if
+/// the account has no quota.
 ///
 /// # Errors
 ///
@@ -287,18 +276,23 @@
 pub(crate) async fn charge<E: Edge>(
     node: &Node<E>,
     account: &Rc<str>,
-    max_wait: Duration,
-) -> Result<(), Cause> {
+    route: Option<&Route>,
+) -> Result<Option<Charge>, Cause> {
     if node.quota(account).is_none() {
-        return Ok(());
+        return Ok(None);
     }
     let now = Boot.now();
-    match node.shares.take_granted(account, now) {
-        Some(true) => return Ok(()),
-        Some(false) => {}
-        None => return Err(Cause::OverQuota),
-    }
     let shares = &node.shares;
+    let priority = match node.features.get().account_shares {
+        true => route.map_or(u8::MAX, |route| route.priority),
+        false => 0,
+    };
+    let max_wait = route.map_or(Duration::ZERO, |route| route.latency_target / 2);
+    match shares.take_granted(account, priority, now) {
+        Source::Granted(granted_to) => return Ok(Some(Charge { granted_to })),
+        Source::Limiter => {}
+        Source::Exhausted(wait) => return Err(over_quota(node, wait)),
+    }
     let has_table = async {
         loop {
             let updated = shares.updated.notified();
@@ -309,43 +303,70 @@
         }
     };
     let _ = timeout(FIRST_TABLE_TIMEOUT, has_table).await;
-    let Err(wait) = acquire(node, account).await else {
-        return Ok(());
+    let charge = Charge {
+        granted_to: priority,
+    };
+    let Err(expected) = acquire(node, account, priority).await else {
+        return Ok(Some(charge));
     };
+    let wait = expected.min(GRANT_TTL);
     if wait > max_wait {
-        shares.mark_exhausted(account, Boot.now() + wait - max_wait);
-        return Err(Cause::OverQuota);
+        let now = Boot.now();
+        let until = now + wait - max_wait;
+        shares.update_stock(account, |stock| {
+            stock.exhaust(priority, until, now + expected, now);
+        });
+        return Err(over_quota(node, expected));
     }
     sleep(wait).await;
-    acquire(node, account).await.map_err(|_| Cause::OverQuota)
+    match acquire(node, account, priority).await {
+        Ok(()) => Ok(Some(charge)),
+        Err(expected) => Err(over_quota(node, expected)),
+    }
+}
+
+/// The refusal of an operation that can be expected to be granted after `wait`.
+fn over_quota<E: Edge>(node: &Node<E>, wait: Duration) -> Cause {
+    let wait = match node.features.get().account_shares {
+        true => wait,
+        false => DEFAULT_RETRY,
+    };
+    let retry_ms = u16::try_from(wait.as_micros().div_ceil(1_000)).unwrap_or(u16::MAX);
+    Cause::OverQuota { retry_ms }
 }
 
 /// Asks the account's limiters one after the other.
 ///
 /// # Errors
 ///
-/// No limiter has an operation left; the error is the time until one is available.
-async fn acquire<E: Edge>(node: &Node<E>, account: &Rc<str>) -> Result<(), Duration> {
+/// No limiter has an operation left; the error is the time until one can be expected.
+async fn acquire<E: Edge>(node: &Node<E>, account: &Rc<str>, priority: u8) -> Result<(), Duration> {
     let shares = &node.shares;
     let now = Boot.now();
-    let count = shares.batch_size(account, now);
-    let mut shortest = GRANT_TTL;
+    let batch_size = |stock: &mut Stock| stock.batch_size(priority, now);
+    let ask = Ask {
+        account,
+        priority,
+        count: shares.update_stock(account, batch_size).unwrap_or(1),
+    };
+    let mut shortest: Option<Duration> = None;
     for limiter in limiters(node, account, now) {
         let answer = match limiter == node.settings.name {
-            true => grant(node, account, count),
-            false => query_limiter(node, &limiter, account, count).await,
+            true => grant(node, ask),
+            false => query_limiter(node, &limiter, ask).await,
         };
         let Some(answer) = answer.filter(|answer| answer.wait < Duration::MAX) else {
             shares.unresponsive.borrow_mut().insert(limiter, Boot.now());
             continue;
         };
         if answer.count > 0 {
-            shares.store_grant(account, answer.count - 1, Boot.now());
+            let now = Boot.now();
+            shares.update_stock(account, |stock| stock.add(priority, answer.count - 1, now));
             return Ok(());
         }
-        shortest = shortest.min(answer.wait);
+        shortest = Some(shortest.map_or(answer.wait, |wait| wait.min(answer.wait)));
     }
-    Err(shortest)
+    Err(shortest.unwrap_or(DEFAULT_RETRY))
 }
 
 /// The account's limiters in the order in which this instance asks them: itself, those in its
@@ -371,12 +392,7 @@
 }
 
 /// Asks another limiter; `None` if it doesn't answer.
-async fn query_limiter<E: Edge>(
-    node: &Node<E>,
-    limiter: &str,
-    account: &Rc<str>,
-    count: u32,
-) -> Option<Answer> {
+async fn query_limiter<E: Edge>(node: &Node<E>, limiter: &str, ask: Ask<'_>) -> Option<Answer> {
     let shares = &node.shares;
     let address = node.peers.address(limiter)?;
     shares.last_id.set(shares.last_id.get() + 1);
@@ -388,8 +404,9 @@
     let request = Message::QuotaRequest {
         id,
         reply_to: node.settings.peers,
-        account: account.to_string(),
-        count,
+        account: ask.account.to_owned(),
+        count: ask.count,
+        priority: ask.priority,
     };
     node.proofs.send(&request, address);
     let answer = timeout(ANSWER_TIMEOUT, answer).await;
--- a/crates/proxy/src/shares/limiter.rs
+++ b/crates/proxy/src/shares/limiter.rs
@@ -1,9 +1,10 @@
 //! Grants operations from the quota shares that this instance owns.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt::Write, net::SocketAddr, time::Duration};
 
 use admit::{
     bucket::{Bucket, Limit},
+    limiter::Limiter,
     shares::TOTAL_PARTS,
 };
 use clock::Boot;
@@ -23,11 +24,26 @@
 /// Interval at which refusals are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Grants and refusals of one account.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Tally {
-    given: u32,
-    refused: u32,
+/// Grants and refusals of an account's operations of one priority.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Tally {
+    /// Operations granted.
+    pub(crate) granted: u64,
+    /// Requests of which no operation was granted.
+    pub(crate) refused: u64,
+    /// The two counts when they were last logged.
+    logged: (u64, u64),
+}
+
+/// A request for operations of an account.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ask<'a> {
+    /// Name of the account.
+    pub(crate) account: &'a str,
+    /// Priority of the operations; zero is the most urgent.
+    pub(crate) priority: u8,
+    /// Number of operations.
+    pub(crate) count: u32,
 }
 
 /// The limit of a share of `parts` thousandths, if `allowance` operations per window are
@@ -37,23 +53,18 @@
     Limit {
         rate: quota.rate * part,
         burst: ((quota.burst + allowance * BURST_FRACTION) * part).max(1.0),
+        reserve: allowance * BURST_FRACTION * part,
     }
 }
 
 /// Answers an instance that requests operations of an account.
-pub(crate) fn answer_request<E: Edge>(
-    node: &Node<E>,
-    id: u64,
-    to: SocketAddr,
-    account: &str,
-    count: u32,
-) {
+pub(crate) fn answer_request<E: Edge>(node: &Node<E>, id: u64, to: SocketAddr, ask: Ask<'_>) {
     // An immediate refusal lets the requester ask the next limiter.
     let refusal = Answer {
         count: 0,
         wait: Duration::MAX,
     };
-    let answer = grant(node, account, count).unwrap_or(refusal);
+    let answer = grant(node, ask).unwrap_or(refusal);
     let reply = Message::QuotaGrant {
         id,
         count: answer.count,
@@ -62,9 +73,10 @@
     node.proofs.send(&reply, to);
 }
 
-/// Grants up to `count` operations of an account, or returns `None` if this instance can't
-/// prove that it owns a share of the account's quota.
-pub(super) fn grant<E: Edge>(node: &Node<E>, account: &str, count: u32) -> Option<Answer> {
+/// Grants operations of an account, or returns `None` if this instance can't prove that it owns
+/// a share of the account's quota.
+pub(super) fn grant<E: Edge>(node: &Node<E>, ask: Ask<'_>) -> Option<Answer> {
+    let account = ask.account;
     let quota = node.quota(account)?;
     let now = Boot.now();
     let shares = &node.shares;
@@ -83,29 +95,32 @@
         .get(account)
         .copied()
         .unwrap_or(now);
-    let mut buckets = shares.buckets.borrow_mut();
-    let bucket = buckets.entry(account.to_owned()).or_insert_with(|| {
+    let mut limiters = shares.limiters.borrow_mut();
+    let limiter = limiters.entry(account.to_owned()).or_insert_with(|| {
         let level = allowance * INITIAL_FRACTION * f64::from(parts) / f64::from(TOTAL_PARTS);
-        Bucket::new(level.min(limit.burst), since)
+        Limiter::new(Bucket::new(level.min(limit.burst), since))
     });
-    let mut answer = Answer {
-        count: 0,
-        wait: Duration::ZERO,
+    let priority = match node.features.get().account_shares {
+        true => ask.priority,
+        false => 0,
     };
-    while answer.count < count {
-        match bucket.take(limit, now, Duration::ZERO) {
-            Ok(_) => answer.count += 1,
-            Err(wait) => {
-                answer.wait = wait;
-                break;
+    let granted = limiter.grant(limit, priority, ask.count, now);
+    let mut tallies = shares.tallies.borrow_mut();
+    let tallies = tallies.entry(account.to_owned()).or_default();
+    let tally = tallies.entry(priority).or_default();
+    Some(match granted {
+        Ok(count) => {
+            tally.granted += u64::from(count);
+            Answer {
+                count,
+                wait: Duration::ZERO,
             }
         }
-    }
-    let mut tallies = shares.tallies.borrow_mut();
-    let tally = tallies.entry(account.to_owned()).or_default();
-    tally.given += answer.count;
-    tally.refused += u32::from(answer.count == 0);
-    Some(answer)
+        Err(wait) => {
+            tally.refused += 1;
+            Answer { count: 0, wait }
+        }
+    })
 }
 
 /// Logs the accounts for which operations were refused, at most once per [`LOG_INTERVAL`].
@@ -116,11 +131,26 @@
         return;
     }
     shares.logged_at.set(now);
-    for (account, tally) in shares.tallies.take() {
-        if tally.refused > 0 {
-            let parts = shares.table.borrow().parts(&account, &node.settings.name);
-            let (given, refused) = (tally.given, tally.refused);
-            log::info!(account, parts, given, refused; "quota used up");
+    let mut all = shares.tallies.borrow_mut();
+    all.retain(|account, _| node.quota(account).is_some());
+    for (account, tallies) in all.iter_mut() {
+        let (mut given, mut refused) = (0, 0);
+        let mut by_priority = String::new();
+        for (priority, tally) in tallies.iter_mut() {
+            let (granted_before, refused_before) = tally.logged;
+            let new = (
+                tally.granted - granted_before,
+                tally.refused - refused_before,
+            );
+            tally.logged = (tally.granted, tally.refused);
+            given += new.0;
+            refused += new.1;
+            let space = if by_priority.is_empty() { "" } else { " " };
+            let _ = write!(by_priority, "{space}{priority}:{}/{}", new.0, new.1);
+        }
+        if refused > 0 {
+            let parts = shares.table.borrow().parts(account, &node.settings.name);
+            log::info!(account, parts, given, refused, by_priority; "quota used up");
         }
     }
 }
--- a/crates/proxy/tests/beat.rs
+++ b/crates/proxy/tests/beat.rs
@@ -12,6 +12,7 @@
         StoreContact,
     },
 };
+use serde::{Deserialize, Serialize};
 
 fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 7_000))
@@ -86,6 +87,60 @@
     assert_eq!(heartbeat::decode(&bytes), Some(Datagram::Message(request)));
 }
 
+/// A quota request as the previous version writes and reads it, at its place among the messages.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum PreviousMessage {
+    LeaseRequest,
+    LeaseRenewed,
+    LeaseAge,
+    FreshnessRequest,
+    FreshnessAge,
+    QuotaRequest {
+        id: u64,
+        reply_to: SocketAddr,
+        account: String,
+        count: u32,
+    },
+}
+
+fn quota_request(priority: u8) -> Message {
+    Message::QuotaRequest {
+        id: 9,
+        reply_to: address(),
+        account: "north".to_owned(),
+        count: 3,
+        priority,
+    }
+}
+
+fn previous_quota_request() -> PreviousMessage {
+    PreviousMessage::QuotaRequest {
+        id: 9,
+        reply_to: address(),
+        account: "north".to_owned(),
+        count: 3,
+    }
+}
+
+/// Guards against limiters that answer no requests of the other version during a rolling upgrade:
+/// all accounts would be refused there.
+#[test]
+fn quota_requests_are_understood_between_versions() {
+    let bytes = heartbeat::encode_message(&quota_request(2)).unwrap();
+    assert_eq!(
+        heartbeat::decode(&bytes),
+        Some(Datagram::Message(quota_request(2)))
+    );
+    let previous: PreviousMessage = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(previous, previous_quota_request());
+    let mut bytes = vec![bytes[0]];
+    bytes.extend(postcard::to_stdvec(&previous).unwrap());
+    assert_eq!(
+        heartbeat::decode(&bytes),
+        Some(Datagram::Message(quota_request(0)))
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
