A planner counts a reservation's span from its own last loss

What could happen: an account gets more than its quota. A planner that saw a limiter's share taken back, paused while another planner gave it back and took it again, found the same share as before and counted the span from the first time. It released the share at once, while its limiter could still use it.

Cause: a reduced share was recognised by its value alone. The planner is now told the revision of the stored table, and forgets its moments if another one has changed the table.

--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -85,9 +85,20 @@
     }
 }
 
+/// The table as the store holds it.
+#[derive(Debug, Clone, Copy)]
+pub struct Stored<'a> {
+    /// The table.
+    pub table: &'a Table,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
 /// Planner of changes to the table, with the state that the table does not hold.
 #[derive(Debug)]
 pub struct Planner {
+    /// Revision of the table that was planned for last, or written by this planner since.
+    revision: u64,
     /// Time for which a limiter unaware of a reduction may use its old share, with drift.
     span: Duration,
     /// Moment at which each instance was last heard.
@@ -102,6 +113,7 @@
     /// for `span`.
     pub fn new(span: Duration, now: Instant) -> Self {
         Self {
+            revision: 0,
             span: span + span / DRIFT_DIVISOR,
             last_seen: HashMap::new(),
             started: now,
@@ -109,13 +121,13 @@
         }
     }
 
-    /// Plans the successor of `table` for `accounts`, with new limiters from `candidates`; `None`
-    /// if there is nothing to change. Limiters in `heard` keep their role even if they are no
+    /// Plans the successor of the stored table for `accounts`, with new limiters from `candidates`;
+    /// `None` if there is nothing to change. Limiters in `heard` keep their role even if they are no
     /// longer candidates.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use admit::{holders::Candidate, shares::{Planner, Table}};
+    /// use admit::{holders::Candidate, shares::{Planner, Stored, Table}};
     /// use clock::Instant;
     ///
     /// let at = Instant::from_millis;
@@ -123,22 +135,30 @@
     /// let all = [candidate("a-1", "a"), candidate("b-1", "b")];
     /// let heard = ["a-1", "b-1"];
     /// let mut planner = Planner::new(Duration::from_secs(5), at(0));
-    /// let table = planner.plan(&Table::default(), &["north"], &heard, &all, at(2_000)).unwrap();
+    /// let stored = Stored { table: &Table::default(), revision: 0 };
+    /// let table = planner.plan(stored, &["north"], &heard, &all, at(2_000)).unwrap();
+    /// planner.note_write(7);
     /// assert_eq!(table.parts("north", "a-1"), 500);
-    /// assert_eq!(planner.plan(&table, &["north"], &heard, &all, at(2_000)), None);
+    /// let stored = Stored { table: &table, revision: 7 };
+    /// assert_eq!(planner.plan(stored, &["north"], &heard, &all, at(2_000)), None);
     /// ```
     pub fn plan(
         &mut self,
-        table: &Table,
+        stored: Stored<'_>,
         accounts: &[&str],
         heard: &[&str],
         candidates: &[Candidate<'_>],
         now: Instant,
     ) -> Option<Table> {
+        if stored.revision != self.revision {
+            // Between two equal reductions that were seen, the share may have been in use again.
+            self.reduced.clear();
+            self.revision = stored.revision;
+        }
         for name in heard {
             self.last_seen.insert((*name).to_owned(), now);
         }
-        let mut next = table.clone();
+        let mut next = stored.table.clone();
         let mut changed = false;
         for account in accounts {
             let mut row = next.rows.remove(*account).unwrap_or_default();
@@ -154,6 +174,11 @@
         Some(next)
     }
 
+    /// Notes that the planned table was stored at `revision`.
+    pub fn note_write(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
     /// Releases reservations that have been held for longer than the span.
     fn release_reserved(&mut self, account: &str, row: &mut Row, now: Instant) {
         for (name, share) in row.iter_mut() {
--- a/crates/proxy/src/shares/table.rs
+++ b/crates/proxy/src/shares/table.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use admit::shares::{Planner, Table};
+use admit::shares::{Planner, Stored, Table};
 use bytes::Bytes;
 use clock::Boot;
 use tokio::time::{sleep, timeout};
@@ -95,7 +95,11 @@
     heard.push(node.settings.name.clone());
     let heard: Vec<_> = heard.iter().map(String::as_str).collect();
     let table = shares.table.borrow().clone();
-    let next = planner.plan(&table, &accounts, &heard, &candidates, now);
+    let stored = Stored {
+        table: &table,
+        revision: node.mark().shares,
+    };
+    let next = planner.plan(stored, &accounts, &heard, &candidates, now);
     *shares.planner.borrow_mut() = Some(planner);
     match next {
         Some(next) => write_table(node, &next).await,
@@ -125,6 +129,9 @@
             };
             log::info!(revision, size = item.value.len(); "quota shares changed");
             control::apply_change(node, Change::Put(item));
+            if let Some(planner) = &mut *node.shares.planner.borrow_mut() {
+                planner.note_write(revision);
+            }
         }
         Swapped::Conflict | Swapped::NoLease => {
             let newer = node
