A planner that paused waits for silent limiters again

What could happen: a relay that becomes the reader of the catalogue once more takes the share of each limiter that it doesn't hear at that moment, since it last heard it when it was the reader before. A share that moves is of no use for a span.

Cause: moments of the last heartbeat were kept while the planner wasn't asked. They are dropped after a pause of a second, and the patience of 8 s begins anew.

--- a/crates/admit/src/bucket.rs
+++ b/crates/admit/src/bucket.rs
@@ -93,6 +93,15 @@
         Ok(wait)
     }
 
+    /// Continues with at most `tokens` operations, if the last update was before `since`: nothing
+    /// has accrued meanwhile.
+    pub fn resume(&mut self, tokens: f64, since: Instant) {
+        if self.updated_at < since {
+            self.tokens = self.tokens.min(tokens);
+            self.updated_at = since;
+        }
+    }
+
     /// Adds the tokens that have accrued since the last update.
     fn refill(&mut self, limit: Limit, now: Instant) {
         let added = now.since(self.updated_at).as_secs_f64() * limit.rate;
--- a/crates/admit/src/limiter.rs
+++ b/crates/admit/src/limiter.rs
@@ -41,6 +41,24 @@
         }
     }
 
+    /// Continues at `since`, when the share was regained, with at most `tokens` operations.
+    ///
+    /// ```
+    /// use admit::{bucket::{Bucket, Limit}, limiter::Limiter};
+    /// use clock::Instant;
+    ///
+    /// let at = Instant::from_millis;
+    /// let limit = Limit { rate: 10.0, burst: 6.0, reserve: 2.0 };
+    /// let mut limiter = Limiter::new(Bucket::new(6.0, at(0)));
+    /// limiter.resume(3.0, at(2_000));
+    /// assert_eq!(limiter.grant(limit, 0, 9, at(2_000)), Ok(3));
+    /// limiter.resume(3.0, at(2_000));
+    /// assert_eq!(limiter.grant(limit, 0, 9, at(2_100)), Ok(1));
+    /// ```
+    pub fn resume(&mut self, tokens: f64, since: Instant) {
+        self.bucket.resume(tokens, since);
+    }
+
     /// Grants up to `count` operations of `priority`, where zero is the most urgent.
     ///
     /// # Errors
--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -37,6 +37,9 @@
 /// a quota suffice meanwhile.
 const LIMITER_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Longest time between two plans for which a planner knows whom it has not heard meanwhile.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
 /// Smallest change that is worth a write, in thousandths.
 const MIN_CHANGE: u16 = 25;
 
@@ -99,6 +102,7 @@
 pub struct Planner {
     /// Revision of the table that was planned for last, or written by this planner since.
     revision: u64,
+    planned_at: Instant,
     /// Time for which a limiter unaware of a reduction may use its old share, with drift.
     span: Duration,
     /// Moment at which each instance was last heard.
@@ -114,6 +118,7 @@
     pub fn new(span: Duration, now: Instant) -> Self {
         Self {
             revision: 0,
+            planned_at: now,
             span: span + span / DRIFT_DIVISOR,
             last_seen: HashMap::new(),
             started: now,
@@ -155,6 +160,11 @@
             self.reduced.clear();
             self.revision = stored.revision;
         }
+        if self.planned_at + MAX_PAUSE < now {
+            self.last_seen.clear();
+            self.started = now;
+        }
+        self.planned_at = now;
         for name in heard {
             self.last_seen.insert((*name).to_owned(), now);
         }
--- a/crates/admit/tests/shares.rs
+++ b/crates/admit/tests/shares.rs
@@ -367,3 +367,19 @@
     plan_until(&mut store, &mut second, &lost, 40_000);
     assert_eq!(store.parts(), TOTAL_PARTS);
 }
+
+/// Guards against a share taken from a limiter that is not heard for a moment, by a planner that
+/// has not planned for a while.
+#[test]
+fn a_planner_that_paused_waits_for_silent_limiters_again() {
+    let mut planner = Planner::new(PROOF_SPAN, at(0));
+    let mut store = Store::new();
+    store.plan(&mut planner, "", 0);
+    let limiters = store.limiters();
+    for pause in [5_000, 20_000] {
+        let now = 1_000 + pause;
+        assert!(!store.plan(&mut planner, &limiters[0], now));
+        assert!(!store.plan(&mut planner, &limiters[0], now + 4_000));
+        assert!(!store.plan(&mut planner, "", now + 4_100));
+    }
+}
