A limiter that regains a share continues with what it had left

What could happen: a limiter whose share was taken back and returned within a window starts anew with a part of the tolerated excess, in addition to starts of its process. The argument allows for two starts in a window.

Cause: the bucket was dropped with the share. It is kept now, and on the share's return it holds at most what it held before and at most what a start gives. Nothing accrues in between, as another limiter may have used the share.

--- a/crates/admit/tests/shares.rs
+++ b/crates/admit/tests/shares.rs
@@ -63,6 +63,8 @@
     /// Moment for which the table was last proved to be the newest.
     proved_at: u64,
     limiter: Option<Limiter>,
+    /// Moment at which the current share was learnt.
+    owned_since: Option<u64>,
     /// End of the current outage, and whether the limiter restarts without its state then.
     down_until: u64,
     loses_state: bool,
@@ -87,6 +89,7 @@
             table: Table::default(),
             proved_at: 0,
             limiter: None,
+            owned_since: None,
             down_until: 0,
             loses_state: false,
             store_cut_until: 0,
@@ -99,10 +102,11 @@
         urgent_refused: 0,
     };
     for now in (0..STEPS).map(|step| step * STEP) {
-        for instance in &mut instances {
+        for (instance, name) in instances.iter_mut().zip(NAMES) {
             if instance.loses_state && instance.down_until <= now {
                 instance.loses_state = false;
                 (instance.limiter, instance.table) = (None, Table::default());
+                instance.owned_since = None;
             }
             if rng.random_ratio(1, 1_500) {
                 instance.down_until = now + rng.random_range(100..9_000);
@@ -119,6 +123,9 @@
             if reaches_store && rng.random_ratio(1, 20) {
                 instance.table = stored.0.clone();
                 instance.proved_at = now;
+                let is_owner = instance.table.parts(ACCOUNT, name) > 0;
+                let since = instance.owned_since.filter(|_| is_owner);
+                instance.owned_since = is_owner.then_some(since.unwrap_or(now));
             }
         }
         // Two planners with different views change the table, each for some time.
@@ -176,6 +183,8 @@
             };
             let new = || Limiter::new(Bucket::new(INITIAL_BURST * part, at(now)));
             let limiter = instance.limiter.get_or_insert_with(new);
+            let since = at(instance.owned_since.unwrap_or(now));
+            limiter.resume(INITIAL_BURST * part, since);
             let urgent_rate = limit.rate * URGENT_PART * STEP as f64 / 1_000.0;
             if rng.random_bool(urgent_rate) {
                 load.urgent += 1;
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -109,7 +109,7 @@
     revision: Cell<u64>,
     /// The table of an earlier era of the store, and the time until which it may be in use.
     previous: RefCell<Option<(Table, Instant)>>,
-    /// Limiters of the shares that this instance owns.
+    /// Limiters of the shares that this instance owns or has owned.
     limiters: RefCell<HashMap<String, Limiter>>,
     /// When this instance got each of its shares.
     owned_since: RefCell<HashMap<String, Instant>>,
@@ -169,9 +169,6 @@
         let mut since = self.owned_since.borrow_mut();
         let is_owned = |account: &String| owned.iter().any(|(owned, _)| owned == account);
         since.retain(|account, _| is_owned(account));
-        self.limiters
-            .borrow_mut()
-            .retain(|account, _| is_owned(account));
         for (account, _) in owned {
             since.entry(account).or_insert(now);
         }
--- a/crates/proxy/src/shares/limiter.rs
+++ b/crates/proxy/src/shares/limiter.rs
@@ -95,11 +95,12 @@
         .get(account)
         .copied()
         .unwrap_or(now);
+    let level = allowance * INITIAL_FRACTION * f64::from(parts) / f64::from(TOTAL_PARTS);
+    let level = level.min(limit.burst);
     let mut limiters = shares.limiters.borrow_mut();
-    let limiter = limiters.entry(account.to_owned()).or_insert_with(|| {
-        let level = allowance * INITIAL_FRACTION * f64::from(parts) / f64::from(TOTAL_PARTS);
-        Limiter::new(Bucket::new(level.min(limit.burst), since))
-    });
+    let limiter = limiters.entry(account.to_owned());
+    let limiter = limiter.or_insert_with(|| Limiter::new(Bucket::new(level, since)));
+    limiter.resume(level, since);
     let priority = match node.features.get().account_shares {
         true => ask.priority,
         false => 0,
@@ -131,8 +132,8 @@
         return;
     }
     shares.logged_at.set(now);
+    drop_accounts(node);
     let mut all = shares.tallies.borrow_mut();
-    all.retain(|account, _| node.quota(account).is_some());
     for (account, tallies) in all.iter_mut() {
         let (mut given, mut refused) = (0, 0);
         let mut by_priority = String::new();
@@ -154,3 +155,15 @@
         }
     }
 }
+
+/// Drops limiters and tallies of accounts that have no quota any more. A lost share's limiter stays
+/// because it doesn't start anew if the share is regained.
+fn drop_accounts<E: Edge>(node: &Node<E>) {
+    let shares = &node.shares;
+    let owned = shares.owned_since.borrow();
+    let is_used = |account: &String| node.quota(account).is_some() || owned.contains_key(account);
+    let mut limiters = shares.limiters.borrow_mut();
+    limiters.retain(|account, _| is_used(account));
+    let mut tallies = shares.tallies.borrow_mut();
+    tallies.retain(|account, _| is_used(account));
+}
