--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod budget;
 pub mod fair;
 pub mod holders;
+pub mod limiter;
 pub mod load;
 pub mod placement;
 pub mod queue;
 pub mod relays;
 pub mod shares;
+pub mod stock;
 pub mod windows;
 
 pub use budget::Budget;
