A read waits for a replica only while its log is known to grow

The next attempt at a replica of which nothing is known counted like an expected log, so reads waited up to 300 ms for it, and asked the primary too late.

Such a replica is waited for only if no other upstream may run the read.

--- a/crates/lead/src/read.rs
+++ b/crates/lead/src/read.rs
@@ -9,6 +9,8 @@
 
 use clock::Instant;
 
+use crate::reach::Estimate;
+
 /// What an upstream can run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
@@ -23,8 +25,8 @@
 pub struct Candidate {
     /// The upstream's role.
     pub role: Role,
-    /// Moment from which its log suffices.
-    pub ready_at: Instant,
+    /// When its log has what the read must see.
+    pub log: Estimate,
     /// Usual duration of a statement there.
     pub latency: Duration,
     /// This instance's statements that wait or run there.
@@ -45,6 +47,11 @@
 }
 
 impl Candidate {
+    /// Returns true if a read would wait for a log that may never suffice.
+    fn is_uncertain(&self, now: Instant) -> bool {
+        matches!(self.log, Estimate::Unknown(at) if at > now)
+    }
+
     /// Returns the part of a statement's duration that `statements` take up.
     fn time_for(&self, statements: usize) -> Duration {
         let statements = u32::try_from(statements).unwrap_or(u32::MAX);
@@ -55,7 +62,7 @@
     /// Returns the time until a read is answered, and the delay that it causes to writes.
     fn cost(&self, now: Instant) -> Duration {
         let ahead = (self.queued + 1).saturating_sub(self.slots.max(1));
-        let start = self.time_for(ahead).max(self.ready_at.since(now));
+        let start = self.time_for(ahead).max(self.log.ready_at().since(now));
         let answered = start
             .saturating_add(self.latency)
             .saturating_add(self.distance);
@@ -68,35 +75,44 @@
     }
 }
 
-/// Chooses the candidate with the earliest expected answer whose log suffices by `deadline`.
+/// Chooses the candidate with the earliest expected answer whose log suffices by `deadline`. One
+/// that would be waited for without knowing that its log will suffice is chosen if it is the only
+/// one.
 ///
 /// ```
 /// use std::time::Duration;
 /// use clock::Instant;
-/// use lead::read::{Candidate, Role, earliest};
+/// use lead::{
+///     reach::Estimate,
+///     read::{Candidate, Role, earliest},
+/// };
 ///
 /// let now = Instant::from_millis(1_000);
 /// let primary = Candidate {
 ///     role: Role::Primary,
-///     ready_at: now,
+///     log: Estimate::Reached,
 ///     latency: Duration::from_millis(20),
 ///     queued: 0,
 ///     slots: 1,
 ///     distance: Duration::ZERO,
 /// };
 /// let late = now + Duration::from_millis(150);
-/// let replica = Candidate { role: Role::Replica, ready_at: late, ..primary };
+/// let log = Estimate::Expected(late);
+/// let replica = Candidate { role: Role::Replica, log, ..primary };
 /// let choice = |queued| earliest(&[Candidate { queued, ..primary }, replica], now, late).unwrap();
 /// assert_eq!(choice(0).index, 0);
 /// assert_eq!(choice(8).index, 1);
 /// ```
 pub fn earliest(candidates: &[Candidate], now: Instant, deadline: Instant) -> Option<Choice> {
     let in_time = candidates.iter().enumerate();
-    let in_time = in_time.filter(|(_, candidate)| candidate.ready_at <= deadline.max(now));
-    let rank = |candidate: &Candidate| (candidate.cost(now), candidate.role, candidate.queued);
+    let in_time = in_time.filter(|(_, candidate)| candidate.log.ready_at() <= deadline.max(now));
+    let rank = |candidate: &Candidate| {
+        let cost = (candidate.cost(now), candidate.role, candidate.queued);
+        (candidate.is_uncertain(now), cost)
+    };
     let (index, best) = in_time.min_by_key(|(_, candidate)| rank(candidate))?;
     Some(Choice {
         index,
-        wait: best.ready_at.since(now),
+        wait: best.log.ready_at().since(now),
     })
 }
--- a/crates/lead/tests/reach.rs
+++ b/crates/lead/tests/reach.rs
@@ -89,6 +89,35 @@
     assert!(retry >= at(1_500));
 }
 
+/// Guards against reads that wait for a replica which receives nothing any more, while the primary
+/// is overloaded: they lose the time in which the primary could have answered.
+#[test]
+fn a_log_of_which_nothing_is_known_is_waited_for_only_without_a_primary() {
+    let now = at(1_000);
+    let primary = Candidate {
+        role: Role::Primary,
+        log: Estimate::Reached,
+        latency: Duration::from_millis(18),
+        queued: 40,
+        slots: 1,
+        distance: Duration::ZERO,
+    };
+    let replica = |log| Candidate {
+        role: Role::Replica,
+        log,
+        queued: 0,
+        ..primary
+    };
+    let choice = |candidates: &[Candidate]| earliest(candidates, now, at(1_300)).unwrap();
+    let expected = replica(Estimate::Expected(at(1_010)));
+    assert_eq!(choice(&[primary, expected]).index, 1);
+    let unknown = replica(Estimate::Unknown(at(1_010)));
+    assert_eq!(choice(&[primary, unknown]).index, 0);
+    assert_eq!(choice(&[unknown]).wait, Duration::from_millis(10));
+    let due = replica(Estimate::Unknown(now));
+    assert_eq!(choice(&[primary, due]).index, 1);
+}
+
 proptest! {
     /// Guards against a busy loop: after an answer that lacks a floor, a read with that floor is
     /// sent to the same upstream only later than the answered question.
@@ -153,7 +182,10 @@
     ) {
         let candidates: Vec<_> = upstreams.iter().enumerate().map(|(index, upstream)| Candidate {
             role: if index == 0 { Role::Primary } else { Role::Replica },
-            ready_at: at(1_000 + upstream.0),
+            log: match upstream.0 % 2 {
+                0 => Estimate::Expected(at(1_000 + upstream.0)),
+                _ => Estimate::Unknown(at(1_000 + upstream.0)),
+            },
             latency: Duration::from_millis(upstream.1),
             queued: upstream.2,
             slots: upstream.3,
@@ -161,7 +193,7 @@
         }).collect();
         let now = at(1_000);
         let choice = earliest(&candidates, now, now + Duration::from_millis(deadline));
-        let is_any = candidates.iter().any(|candidate| candidate.ready_at <= at(1_000 + deadline));
+        let is_any = candidates.iter().any(|candidate| candidate.log.ready_at() <= at(1_000 + deadline));
         prop_assert_eq!(choice.is_some(), is_any);
         if let Some(choice) = choice {
             prop_assert!(choice.wait <= Duration::from_millis(deadline));
--- a/crates/lead/tests/replicas.rs
+++ b/crates/lead/tests/replicas.rs
@@ -5,7 +5,7 @@
 use clock::Instant;
 use lead::{
     Samples,
-    reach::Reach,
+    reach::{Estimate, Reach},
     read::{Candidate, Choice, Role, earliest},
 };
 use model::{Position, Term};
@@ -178,19 +178,16 @@
                 } else {
                     Role::Replica
                 },
-                ready_at: match (index, self.rule) {
-                    (0, _) => at(now),
+                log: match (index, self.rule) {
+                    (0, _) => Estimate::Reached,
                     (_, Rule::Pause) => match upstream.paused > now {
-                        true => at(u64::MAX / 2_000),
-                        false => at(now),
+                        true => Estimate::Unknown(at(u64::MAX / 2_000)),
+                        false => Estimate::Reached,
                     },
                     (_, Rule::Estimate) => {
                         let arrived = at(statement.arrived);
-                        let estimate =
-                            upstream
-                                .reach
-                                .expect(floor, arrived, at(now), &self.samples);
-                        estimate.ready_at()
+                        let samples = &self.samples;
+                        upstream.reach.expect(floor, arrived, at(now), samples)
                     }
                 },
                 latency: Duration::from_millis(SERVICE_MS),
--- a/crates/proxy/src/routing/by_log.rs
+++ b/crates/proxy/src/routing/by_log.rs
@@ -4,7 +4,10 @@
 use std::{rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
-use lead::read::{self, Candidate, Role};
+use lead::{
+    reach::Estimate,
+    read::{self, Candidate, Role},
+};
 use model::Position;
 use tokio::time::sleep;
 
@@ -67,12 +70,9 @@
     members.retain(|member| is_usable(member, role(member) == Role::Primary, tried, now));
     let candidate = |member: &Rc<Member>| Candidate {
         role: role(member),
-        ready_at: match role(member) {
-            Role::Primary => now,
-            Role::Replica => {
-                let estimate = member.log.expect(floor, context.arrived_at, now);
-                estimate.ready_at()
-            }
+        log: match role(member) {
+            Role::Primary => Estimate::Reached,
+            Role::Replica => member.log.expect(floor, context.arrived_at, now),
         },
         latency: member.latency(),
         queued: member.running.get() + member.pool.waiting(),
@@ -85,7 +85,7 @@
     let candidates: Vec<_> = members.iter().map(candidate).collect();
     if is_first {
         let late = members.iter().zip(&candidates);
-        for (member, _) in late.filter(|(_, candidate)| candidate.ready_at > now) {
+        for (member, _) in late.filter(|(_, candidate)| candidate.log.ready_at() > now) {
             reach::pass_over(member, floor, now);
         }
     }
