--- a/crates/proxy/src/peers/loads.rs
+++ b/crates/proxy/src/peers/loads.rs
@@ -1,6 +1,9 @@
 //! Loads of instances at upstreams, as reported by heartbeats.
 
-use std::cell::{Cell, RefCell};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use admit::{load::Load, windows::Report};
 use clock::Instant;
@@ -15,7 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct GroupLoads {
     /// Names of the instances that hold connections to the group.
-    pub(crate) holders: Vec<String>,
+    pub(crate) holders: Rc<[String]>,
     /// The loads that aren't zero.
     pub(crate) loads: Vec<UpstreamLoad>,
 }
