Refused callers are told to come back one behind the other

All but one of them would have been refused again.

Cause: each refusal told the time until the next operation, to all callers.

A limiter now keeps the latest return that it told for each priority, and puts the next one behind it, at the rate that more urgent callers leave. The instance that asks joins what the limiters tell. Grants end with that time; the previous version reads them without it and sends none.

--- a/crates/admit/src/limiter.rs
+++ b/crates/admit/src/limiter.rs
@@ -6,6 +6,9 @@
 //! measured rate. What it keeps comes from the part of the burst beyond the quota's own, so an
 //! account within its quota loses nothing. Only the level is kept, not a part of the rate: what
 //! urgent callers don't use goes to the others as it accrues.
+//!
+//! Hundreds of callers are refused in a second. Told the time until the next operation, they
+//! would all come back for it, so each is told a time behind the one before.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -24,12 +27,62 @@
 /// when the time until one is available is estimated.
 const MIN_RATE_LEFT: f64 = 0.1;
 
+/// Longest time to come back that callers are told: the demand is another one by then.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+/// Times at which operations are available again after a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shortage {
+    /// Time until an operation can be expected.
+    pub wait: Duration,
+    /// Time until one can be expected for this caller, behind those that were refused before: at
+    /// least `wait`, but no longer than five seconds.
+    pub retry: Duration,
+}
+
+impl Shortage {
+    /// Creates a shortage with `retry` within its bounds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use admit::limiter::Shortage;
+    ///
+    /// let wait = Duration::from_millis(10);
+    /// assert_eq!(Shortage::new(wait, Duration::ZERO).retry, wait);
+    /// assert!(Shortage::new(wait, Duration::MAX).retry < Duration::from_secs(10));
+    /// ```
+    pub fn new(wait: Duration, retry: Duration) -> Self {
+        Self {
+            wait,
+            retry: retry.max(wait).min(MAX_RETRY),
+        }
+    }
+
+    /// Joins the refusals of two limiters of an account: operations accrue at both.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use admit::limiter::Shortage;
+    ///
+    /// let millis = Duration::from_millis;
+    /// let [one, two] = [10, 30].map(|wait| Shortage::new(millis(wait), millis(200)));
+    /// assert_eq!(one.and(two), Shortage::new(millis(10), millis(100)));
+    /// ```
+    pub fn and(self, other: Self) -> Self {
+        let [one, two] = [self.retry, other.retry].map(|retry| retry.as_secs_f64());
+        let joined = Duration::try_from_secs_f64(one * two / (one + two));
+        Self::new(self.wait.min(other.wait), joined.unwrap_or_default())
+    }
+}
+
 /// Limiter of one account's share.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limiter {
     bucket: Bucket,
     /// Requested operations by priority; zero is the most urgent.
     demand: BTreeMap<u8, Demand>,
+    /// Latest time to come back that a caller was told, by priority.
+    returns: BTreeMap<u8, Instant>,
 }
 
 impl Limiter {
@@ -38,6 +91,7 @@
         Self {
             bucket,
             demand: BTreeMap::new(),
+            returns: BTreeMap::new(),
         }
     }
 
@@ -63,7 +117,7 @@
     ///
     /// # Errors
     ///
-    /// None is available; the error is the time until one can be expected.
+    /// None is available; the error tells when one can be expected.
     ///
     /// ```
     /// use admit::{bucket::{Bucket, Limit}, limiter::Limiter};
@@ -83,7 +137,7 @@
         priority: u8,
         count: u32,
         now: Instant,
-    ) -> Result<u32, Duration> {
+    ) -> Result<u32, Shortage> {
         let demand = self.demand.entry(priority);
         let demand = demand.or_insert_with(|| Demand::new(now));
         demand.add(count, now);
@@ -99,21 +153,39 @@
         while granted < count {
             match self.bucket.take_above(kept, limit, now, Duration::ZERO) {
                 Ok(_) => granted += 1,
-                Err(wait) if granted == 0 => return Err(stretch(wait, limit.rate, urgent)),
+                Err(wait) if granted == 0 => {
+                    let left = (limit.rate - urgent).max(limit.rate * MIN_RATE_LEFT);
+                    let wait = accrual(wait.as_secs_f64() * limit.rate, left);
+                    let retry = self.schedule_return(priority, wait, accrual(1.0, left), now);
+                    return Err(Shortage::new(wait, retry));
+                }
                 Err(_) => break,
             }
         }
         Ok(granted)
     }
-}
 
-/// Stretches a wait by the part of `rate` that more urgent operations use meanwhile.
-fn stretch(wait: Duration, rate: f64, urgent: f64) -> Duration {
-    let left = (rate - urgent).max(rate * MIN_RATE_LEFT);
-    match left > 0.0 {
-        true => {
-            Duration::try_from_secs_f64(wait.as_secs_f64() * rate / left).unwrap_or(Duration::MAX)
+    /// Returns the time after which a refused caller of `priority` may come back, if the next
+    /// operation is available after `wait` and the others follow at intervals of `gap`.
+    fn schedule_return(
+        &mut self,
+        priority: u8,
+        wait: Duration,
+        gap: Duration,
+        now: Instant,
+    ) -> Duration {
+        self.returns.retain(|_, latest| *latest > now);
+        let mut at = now + wait.min(MAX_RETRY);
+        if let Some(latest) = self.returns.get(&priority) {
+            at = at.max(*latest + gap.min(MAX_RETRY));
         }
-        false => Duration::MAX,
+        at = at.min(now + MAX_RETRY);
+        self.returns.insert(priority, at);
+        at.since(now)
     }
 }
+
+/// Returns the time in which `operations` accrue at `rate` per second.
+fn accrual(operations: f64, rate: f64) -> Duration {
+    Duration::try_from_secs_f64(operations / rate).unwrap_or(Duration::MAX)
+}
--- a/crates/admit/tests/limiter.rs
+++ b/crates/admit/tests/limiter.rs
@@ -128,8 +128,8 @@
     send_urgent(&mut limiter, 0..refused_at);
     while limiter.grant(LIMIT, LOW, 1, at(refused_at)).is_ok() {}
     assert_eq!(limiter.grant(LIMIT, URGENT, 5, at(refused_at)), Ok(5));
-    let wait = limiter.grant(LIMIT, LOW, 1, at(refused_at)).unwrap_err();
-    let wait = wait.as_micros() as u64;
+    let shortage = limiter.grant(LIMIT, LOW, 1, at(refused_at)).unwrap_err();
+    let wait = shortage.wait.as_micros() as u64;
     let halfway = refused_at + wait / 2;
     send_urgent(&mut limiter, refused_at + GAP..halfway);
     assert!(limiter.grant(LIMIT, LOW, 1, at(halfway)).is_err());
@@ -138,6 +138,34 @@
     assert_eq!(limiter.grant(LIMIT, LOW, 1, at(back_at)), Ok(1));
 }
 
+/// Guards against a crowd of refused callers that are all told to come back for the next
+/// operation, of whom all but one would be refused again.
+#[test]
+fn refused_callers_that_come_back_as_told_are_granted() {
+    const GAP: u64 = 12_500;
+    let mut limiter = Limiter::new(Bucket::new(LIMIT.reserve, at(0)));
+    let mut events: Vec<_> = (0..1_500).map(|count| (count * GAP, URGENT)).collect();
+    let refused_at = 10_000_000;
+    let (before, after) = events.split_at((refused_at / GAP) as usize);
+    replay(&mut limiter, before, Order::Priority);
+    while limiter.grant(LIMIT, LOW, 1, at(refused_at)).is_ok() {}
+    let mut returns = after.to_vec();
+    for _ in 0..40 {
+        let shortage = limiter.grant(LIMIT, LOW, 1, at(refused_at)).unwrap_err();
+        let retry = shortage.retry.as_micros() as u64;
+        // An urgent operation granted just before takes what accrues in five gaps.
+        returns.push((refused_at + retry + 5 * GAP, LOW));
+    }
+    returns.sort_unstable();
+    events = returns;
+    let last = events.iter().rfind(|(_, priority)| *priority == LOW);
+    let last = last.unwrap();
+    // Twenty operations a second are left by the urgent callers.
+    assert!((11_900_000..12_500_000).contains(&last.0), "{last:?}");
+    let [urgent, low] = replay(&mut limiter, &events, Order::Priority);
+    assert_eq!((urgent.refused, low.refused), (0, 0));
+}
+
 /// Guards against urgent callers refused without asking because a less urgent caller was
 /// refused, and against less urgent ones that ask again for each operation.
 #[test]
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -158,7 +158,7 @@
         count: u32,
         /// Priority of the operations; zero is the most urgent, and that of a request by the
         /// previous version, which ends before it.
-        #[serde(deserialize_with = "priority_or_zero")]
+        #[serde(deserialize_with = "value_or_default")]
         priority: u8,
     },
     /// Grants operations.
@@ -169,12 +169,20 @@
         count: u32,
         /// Time until an operation is available, if none was granted.
         wait: Duration,
+        /// Time after which the caller may come back. The previous version doesn't tell it, which
+        /// counts as zero.
+        #[serde(deserialize_with = "value_or_default")]
+        retry: Duration,
     },
 }
 
-/// Reads the last field of a request, which is missing from requests of the previous version.
-fn priority_or_zero<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u8, D::Error> {
-    Ok(u8::deserialize(deserializer).unwrap_or_default())
+/// Reads the last field of a message, which is missing from messages of the previous version.
+fn value_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// A received datagram.
--- a/crates/proxy/src/proofs.rs
+++ b/crates/proxy/src/proofs.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use admit::limiter::Shortage;
 use clock::{Boot, Instant};
 use tokio::{net::UdpSocket, sync::oneshot, task::spawn_local, time::timeout};
 
@@ -165,7 +166,18 @@
             };
             shares::answer_request(node, id, reply_to, ask);
         }
-        Message::QuotaGrant { id, count, wait } => node.shares.resolve(id, count, wait),
+        Message::QuotaGrant {
+            id,
+            count,
+            wait,
+            retry,
+        } => {
+            let answer = match count {
+                0 => Err(Shortage::new(wait, retry)),
+                count => Ok(count),
+            };
+            node.shares.resolve(id, answer);
+        }
     }
 }
 
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -20,7 +20,7 @@
 };
 
 use admit::{
-    limiter::Limiter,
+    limiter::{Limiter, Shortage},
     shares::{Planner, Table},
     stock::{GRANT_TTL, Source, Stock},
 };
@@ -79,13 +79,8 @@
     }
 }
 
-/// A limiter's answer: the number of operations granted or, if there are none, the time until
-/// one is available.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Answer {
-    count: u32,
-    wait: Duration,
-}
+/// A limiter's answer: the number of operations granted, at least one.
+type Answer = Result<u32, Shortage>;
 
 /// Use of an account on this instance.
 #[derive(Debug)]
@@ -177,9 +172,9 @@
     }
 
     /// Passes a limiter's answer to the request with this `id`.
-    pub(crate) fn resolve(&self, id: u64, count: u32, wait: Duration) {
+    pub(crate) fn resolve(&self, id: u64, answer: Answer) {
         if let Some(sender) = self.waiting.borrow_mut().remove(&id) {
-            let _ = sender.send(Answer { count, wait });
+            let _ = sender.send(answer);
         }
     }
 
@@ -303,22 +298,22 @@
     let charge = Charge {
         granted_to: priority,
     };
-    let Err(expected) = acquire(node, account, priority).await else {
+    let Err(shortage) = acquire(node, account, priority).await else {
         return Ok(Some(charge));
     };
-    let wait = expected.min(GRANT_TTL);
+    let wait = shortage.wait.min(GRANT_TTL);
     if wait > max_wait {
         let now = Boot.now();
-        let until = now + wait - max_wait;
+        let (until, available_at) = (now + wait - max_wait, now + shortage.retry);
         shares.update_stock(account, |stock| {
-            stock.exhaust(priority, until, now + expected, now);
+            stock.exhaust(priority, until, available_at, now);
         });
-        return Err(over_quota(node, expected));
+        return Err(over_quota(node, shortage.retry));
     }
     sleep(wait).await;
     match acquire(node, account, priority).await {
         Ok(()) => Ok(Some(charge)),
-        Err(expected) => Err(over_quota(node, expected)),
+        Err(shortage) => Err(over_quota(node, shortage.retry)),
     }
 }
 
@@ -336,8 +331,8 @@
 ///
 /// # Errors
 ///
-/// No limiter has an operation left; the error is the time until one can be expected.
-async fn acquire<E: Edge>(node: &Node<E>, account: &Rc<str>, priority: u8) -> Result<(), Duration> {
+/// No limiter has an operation left; the error tells when one can be expected.
+async fn acquire<E: Edge>(node: &Node<E>, account: &Rc<str>, priority: u8) -> Result<(), Shortage> {
     let shares = &node.shares;
     let now = Boot.now();
     let batch_size = |stock: &mut Stock| stock.batch_size(priority, now);
@@ -346,24 +341,27 @@
         priority,
         count: shares.update_stock(account, batch_size).unwrap_or(1),
     };
-    let mut shortest: Option<Duration> = None;
+    let mut shortage: Option<Shortage> = None;
     for limiter in limiters(node, account, now) {
         let answer = match limiter == node.settings.name {
             true => grant(node, ask),
             false => query_limiter(node, &limiter, ask).await,
         };
-        let Some(answer) = answer.filter(|answer| answer.wait < Duration::MAX) else {
-            shares.unresponsive.borrow_mut().insert(limiter, Boot.now());
-            continue;
-        };
-        if answer.count > 0 {
-            let now = Boot.now();
-            shares.update_stock(account, |stock| stock.add(priority, answer.count - 1, now));
-            return Ok(());
+        match answer {
+            Some(Ok(count)) => {
+                let now = Boot.now();
+                shares.update_stock(account, |stock| stock.add(priority, count - 1, now));
+                return Ok(());
+            }
+            Some(Err(told)) if told.wait < Duration::MAX => {
+                shortage = Some(shortage.map_or(told, |others| others.and(told)));
+            }
+            _ => {
+                shares.unresponsive.borrow_mut().insert(limiter, Boot.now());
+            }
         }
-        shortest = Some(shortest.map_or(answer.wait, |wait| wait.min(answer.wait)));
     }
-    Err(shortest.unwrap_or(DEFAULT_RETRY))
+    Err(shortage.unwrap_or(Shortage::new(DEFAULT_RETRY, DEFAULT_RETRY)))
 }
 
 /// The account's limiters in the order in which this instance asks them: itself, those in its
--- a/crates/proxy/src/shares/limiter.rs
+++ b/crates/proxy/src/shares/limiter.rs
@@ -4,7 +4,7 @@
 
 use admit::{
     bucket::{Bucket, Limit},
-    limiter::Limiter,
+    limiter::{Limiter, Shortage},
     shares::TOTAL_PARTS,
 };
 use clock::Boot;
@@ -60,15 +60,14 @@
 /// Answers an instance that requests operations of an account.
 pub(crate) fn answer_request<E: Edge>(node: &Node<E>, id: u64, to: SocketAddr, ask: Ask<'_>) {
     // An immediate refusal lets the requester ask the next limiter.
-    let refusal = Answer {
-        count: 0,
-        wait: Duration::MAX,
-    };
-    let answer = grant(node, ask).unwrap_or(refusal);
+    let no_share = Shortage::new(Duration::MAX, Duration::MAX);
+    let answer = grant(node, ask).unwrap_or(Err(no_share));
+    let shortage = answer.err();
     let reply = Message::QuotaGrant {
         id,
-        count: answer.count,
-        wait: answer.wait,
+        count: answer.unwrap_or(0),
+        wait: shortage.map_or(Duration::ZERO, |shortage| shortage.wait),
+        retry: shortage.map_or(Duration::ZERO, |shortage| shortage.retry),
     };
     node.proofs.send(&reply, to);
 }
@@ -109,19 +108,11 @@
     let mut tallies = shares.tallies.borrow_mut();
     let tallies = tallies.entry(account.to_owned()).or_default();
     let tally = tallies.entry(priority).or_default();
-    Some(match granted {
-        Ok(count) => {
-            tally.granted += u64::from(count);
-            Answer {
-                count,
-                wait: Duration::ZERO,
-            }
-        }
-        Err(wait) => {
-            tally.refused += 1;
-            Answer { count: 0, wait }
-        }
-    })
+    match granted {
+        Ok(count) => tally.granted += u64::from(count),
+        Err(_) => tally.refused += 1,
+    }
+    Some(granted)
 }
 
 /// Logs the accounts for which operations were refused, at most once per [`LOG_INTERVAL`].
--- a/crates/proxy/tests/beat.rs
+++ b/crates/proxy/tests/beat.rs
@@ -87,7 +87,8 @@
     assert_eq!(heartbeat::decode(&bytes), Some(Datagram::Message(request)));
 }
 
-/// A quota request as the previous version writes and reads it, at its place among the messages.
+/// Messages about quotas as the previous version writes and reads them, at their places among the
+/// messages.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum PreviousMessage {
     LeaseRequest,
@@ -95,12 +96,19 @@
     LeaseAge,
     FreshnessRequest,
     FreshnessAge,
+    /// Asks for operations of an account.
     QuotaRequest {
         id: u64,
         reply_to: SocketAddr,
         account: String,
         count: u32,
     },
+    /// Grants operations.
+    QuotaGrant {
+        id: u64,
+        count: u32,
+        wait: Duration,
+    },
 }
 
 fn quota_request(priority: u8) -> Message {
@@ -141,6 +149,37 @@
     );
 }
 
+/// Guards against refusals that are taken for silence during a rolling upgrade: the limiter would be
+/// asked last from then on.
+#[test]
+fn quota_grants_are_understood_between_versions() {
+    let wait = Duration::from_millis(40);
+    let grant = |retry| Message::QuotaGrant {
+        id: 9,
+        count: 0,
+        wait,
+        retry,
+    };
+    let bytes = heartbeat::encode_message(&grant(wait * 2)).unwrap();
+    assert_eq!(
+        heartbeat::decode(&bytes),
+        Some(Datagram::Message(grant(wait * 2)))
+    );
+    let previous: PreviousMessage = postcard::from_bytes(&bytes[1..]).unwrap();
+    let expected = PreviousMessage::QuotaGrant {
+        id: 9,
+        count: 0,
+        wait,
+    };
+    assert_eq!(previous, expected);
+    let mut bytes = vec![bytes[0]];
+    bytes.extend(postcard::to_stdvec(&previous).unwrap());
+    assert_eq!(
+        heartbeat::decode(&bytes),
+        Some(Datagram::Message(grant(Duration::ZERO)))
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
