Predict when a request would be answered, and order by what can be in time

admit::service estimates service times by class and tracks statements in flight; admit::demand tracks the slots that requests which go first use; admit::schedule admits, orders and reviews.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,12 +5,16 @@
 
 pub mod bucket;
 pub mod budget;
+pub mod demand;
 pub mod fair;
 pub mod holders;
 pub mod placement;
 pub mod queue;
 pub mod relays;
+pub mod schedule;
+pub mod service;
 pub mod shares;
 
 pub use budget::Budget;
 pub use queue::{Queue, Waiter};
+pub use schedule::Schedule;
