Refuse at once what an upstream can't answer in time; let the rest wait for it

Callers saw refusals after 300 ms at an overloaded upstream, and requests that would have been answered after 310 ms were refused all the same. Statements of transactions were not counted, so new work filled the upstream beside them.

With features.admission, Pool keeps its waiters in admit::Schedule. A request that can't be expected to be answered before its deadline is refused on arrival with Cause::Overload and a time to come back; the others wait for their turn as long as the upstream is reachable, and are reviewed at each dispatch and each 20 ms. A read tries the other upstreams before it is refused. Statements of transactions take up places in the window. Without the feature the queue of before is used.

Refusals are counted by reason and priority at each upstream, logged at most once a second and shown by explain; predicted waits have a histogram.

--- a/crates/admit/src/schedule.rs
+++ b/crates/admit/src/schedule.rs
@@ -112,6 +112,37 @@
 }
 
 /// Requests that wait for one upstream, and what is known of its load.
+///
+/// ```
+/// use std::time::Duration;
+/// use admit::schedule::{Load, Request, Schedule};
+/// use admit::service::{Class, Kind};
+/// use clock::Instant;
+///
+/// let at = Instant::from_millis;
+/// let class = Class { priority: 1, kind: Kind::Read };
+/// let request = |timeout| Request {
+///     class,
+///     account: None::<u32>,
+///     due: at(200),
+///     deadline: at(timeout),
+/// };
+/// let mut schedule = Schedule::default();
+/// for _ in 0..8 {
+///     let ticket = schedule.start(at(0), class);
+///     schedule.finish(at(100), ticket);
+/// }
+/// let running = schedule.start(at(100), class);
+/// let load = Load { window: 1, in_flight: 1 };
+/// let waits = schedule.predict(at(100), &request(1_000), load, Duration::ZERO);
+/// schedule.push(at(100), request(1_000), waits.unwrap(), "waits");
+/// // The statement in flight and the one that waits take about 200 ms.
+/// assert!(schedule.predict(at(100), &request(300), load, Duration::ZERO).is_err());
+///
+/// schedule.finish(at(200), running);
+/// let load = Load { window: 1, in_flight: 0 };
+/// assert_eq!(schedule.pop_where(at(200), load, |_| true).unwrap().reply, "waits");
+/// ```
 #[derive(Debug)]
 pub struct Schedule<K, T> {
     waiting: Vec<Waiting<K, T>>,
--- a/crates/admit/src/schedule/prediction.rs
+++ b/crates/admit/src/schedule/prediction.rs
@@ -43,10 +43,15 @@
 }
 
 impl Overload {
-    fn age(&self, now: Instant) -> Duration {
-        match self.last + OVERLOAD_GAP < now {
+    fn is_over(&self, now: Instant) -> bool {
+        self.last + OVERLOAD_GAP < now
+    }
+
+    /// Time for which the overload has lasted, or zero if it is over.
+    fn lasted(&self, now: Instant) -> Duration {
+        match self.is_over(now) {
             true => Duration::ZERO,
-            false => now.since(self.since),
+            false => self.last.since(self.since),
         }
     }
 }
@@ -155,7 +160,7 @@
     /// its caller time to come back.
     fn refusal(&self, now: Instant, request: &Request<K>, backlog: Duration) -> Refusal {
         let overload = self.overloads.get(&request.class.priority);
-        let lasts = overload.map_or(Duration::ZERO, |overload| overload.age(now));
+        let lasts = overload.map_or(Duration::ZERO, |overload| overload.lasted(now));
         let longest = request.deadline.since(now) / RETRY_DIVISOR;
         Refusal {
             retry_after: (backlog + lasts).min(longest).max(MIN_RETRY_AFTER),
@@ -221,7 +226,7 @@
             let ages = self
                 .overloads
                 .range(range)
-                .map(|(_, it): (_, &Overload)| it.age(now));
+                .map(|(_, it): (_, &Overload)| it.lasted(now));
             ages.max().unwrap_or_default()
         };
         let priority = rank.priority;
@@ -248,7 +253,7 @@
             last: now,
         };
         let overload = self.overloads.entry(priority).or_insert(begun);
-        match overload.age(now).is_zero() {
+        match overload.is_over(now) {
             true => *overload = begun,
             false => overload.last = now,
         }
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -45,9 +45,11 @@
             statement.text("error")
         );
     }
-    match statement.optional("cause") {
+    let cause = statement.optional("cause");
+    match cause.map(|cause| cause.split_once(' ').map_or(cause, |(name, _)| name)) {
         Some("NoProof") => no_proof(statement, all),
         Some("NoConnection") => no_connection(statement, all),
+        Some("Overload") => overload(statement, all),
         Some("Broken") => format!(
             "the connection to {upstream} broke before the answer was complete{}",
             failed_upstream(statement, all)
@@ -163,6 +165,34 @@
     )
 }
 
+/// Describes a refusal by prediction, with the load that this instance logged around that time.
+fn overload(statement: &Line, all: &[Line]) -> String {
+    let service = statement.text("service");
+    let near = |line: &&Line| {
+        let is_refusal = line.message == "requests refused" && line.instance == statement.instance;
+        is_refusal
+            && is_same_service(line, statement)
+            && (line.at - statement.at).abs() <= FAILURE_WINDOW_S
+    };
+    let distance = |line: &Line| (line.at - statement.at).abs();
+    let nearest = all
+        .iter()
+        .filter(near)
+        .min_by(|a, b| distance(a).total_cmp(&distance(b)));
+    let load = nearest.map_or_else(String::new, |line| {
+        let number = |key| line.number(key).unwrap_or_default();
+        format!(
+            ": at {:.3}, {} ran {} statements of this instance in {} ms each, and {} waited",
+            line.at,
+            line.text("upstream"),
+            number("running"),
+            number("latency_ms"),
+            number("waiting")
+        )
+    });
+    format!("no upstream of {service} could be expected to answer before the deadline{load}")
+}
+
 /// Describes an upstream of the service that accepted no more connections around the time
 /// of the statement, with the connections that this instance had there.
 fn full_upstream(statement: &Line, all: &[Line]) -> Option<String> {
--- a/crates/explain/tests/story.rs
+++ b/crates/explain/tests/story.rs
@@ -178,3 +178,23 @@
         "{cause}"
     );
 }
+
+/// Lines of an instance that refuses a statement by prediction.
+const OVERLOADED: &str = r#"
+{"at":10.0,"instance":"a","level":"INFO","message":"requests refused","part":"proxy::refusal","service":"db","upstream":"u1","refused":"arrival.1=7","retry_after_ms":120,"window":2,"open":4,"idle":0,"waiting":5,"running":2,"latency_ms":110}
+{"at":10.2,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"o1","transaction":"o1","service":"db","cause":"Some(Overload { retry_after_ms: 120 })","code":"Some(Busy)","ms":1,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
+"#;
+
+/// A refusal by prediction reads like a cause of an unknown version.
+#[test]
+fn an_overload_is_named_with_the_load_of_the_upstream() {
+    let cause = diagnose(&parse([OVERLOADED]), "o1", None).cause;
+    assert!(
+        cause.contains("no upstream of db could be expected to answer before the deadline"),
+        "{cause}"
+    );
+    assert!(
+        cause.contains("u1 ran 2 statements of this instance in 110 ms each, and 5 waited"),
+        "{cause}"
+    );
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -36,6 +36,7 @@
     statements: RefCell<BTreeMap<Labels, u64>>,
     latencies: RefCell<BTreeMap<(Rc<str>, &'static str), Histogram>>,
     waits: [RefCell<Histogram>; 2],
+    predicted: RefCell<Histogram>,
     calls: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
 }
 
@@ -119,6 +120,11 @@
         WaitTimer { histogram, since }
     }
 
+    /// Records the predicted wait of an admitted request.
+    pub fn observe_prediction(&self, wait: Duration) {
+        self.predicted.borrow_mut().add(wait);
+    }
+
     /// Formats the counts of platform calls by kind and answer for the log.
     pub(crate) fn calls(&self) -> String {
         let mut text = String::new();
@@ -146,6 +152,10 @@
             let name = "dandelionlink_wait_seconds";
             histogram.borrow().write(page, name, &labels);
         }
+        let name = "dandelionlink_predicted_wait_seconds";
+        self.predicted
+            .borrow()
+            .write(page, name, "for=\"connection\"");
         for ((kind, answer), count) in self.calls.borrow().iter() {
             let _ = writeln!(
                 page,
@@ -178,6 +188,7 @@
     match cause {
         Cause::NoProof => "no_proof",
         Cause::NoConnection => "no_connection",
+        Cause::Overload { .. } => "overload",
         Cause::Upstream => "upstream",
         Cause::Broken => "broken",
         Cause::Late => "late",
@@ -265,6 +276,13 @@
                 &labels,
                 refusals.shed_total() as f64,
             );
+            for (reason, priority, count) in refusals.denied_totals() {
+                let labels = format!(
+                    "{{service=\"{service}\",upstream=\"{upstream}\",reason=\"{reason}\",\
+                     priority=\"{priority}\"}}"
+                );
+                put("requests_refused_total", &labels, count as f64);
+            }
         }
     }
     page
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -1,6 +1,6 @@
 //! Outcomes of statements.
 
-use std::rc::Rc;
+use std::{borrow::Cow, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use model::Position;
@@ -17,6 +17,11 @@
     NoProof,
     /// No connection to an upstream was free in time.
     NoConnection,
+    /// No answer could be expected before the deadline.
+    Overload {
+        /// Milliseconds after which the work that is ahead is expected to be done.
+        retry_after_ms: u16,
+    },
     /// The upstream refused the statement, or the statement failed there.
     Upstream,
     /// The upstream's connection broke before the answer was complete.
@@ -46,9 +51,20 @@
 }
 
 impl Cause {
+    /// Creates the cause of a refusal by prediction.
+    pub fn overload(retry_after: Duration) -> Self {
+        let millis = retry_after.as_micros().div_ceil(1_000);
+        Self::Overload {
+            retry_after_ms: u16::try_from(millis).unwrap_or(u16::MAX),
+        }
+    }
+
     /// Returns the message for callers and logs.
-    pub fn text(self) -> &'static str {
-        match self {
+    pub fn text(self) -> Cow<'static, str> {
+        let text = match self {
+            Self::Overload { retry_after_ms } => {
+                return format!("no answer in time, come back in {retry_after_ms} ms").into();
+            }
             Self::NoProof => "no primary proved, come back in 200 ms",
             Self::NoConnection => "no connection free, come back in 100 ms",
             Self::Upstream => "refused by the upstream, come back in 50 ms",
@@ -64,7 +80,8 @@
             Self::NoStatement => "no such prepared statement",
             Self::Malformed => "not understood here",
             Self::Holder => "the session's instance was lost, come back in 50 ms",
-        }
+        };
+        text.into()
     }
 }
 
@@ -122,7 +139,7 @@
     /// Creates a refusal by this process.
     pub fn refusal<P: Protocol>(code: Code, cause: Cause, state: State) -> Self {
         let mut out = BytesMut::new();
-        P::refusal(code, cause.text(), state, &mut out);
+        P::refusal(code, &cause.text(), state, &mut out);
         Self {
             bytes: out.freeze(),
             state,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -4,6 +4,7 @@
 //! never known exactly. So the pool has no fixed size: an instance opens a connection when it needs
 //! one, the upstream refuses it at its limit, and idle connections are closed soon.
 
+mod admission;
 mod idle;
 
 use std::{
@@ -13,7 +14,7 @@
     time::Duration,
 };
 
-use admit::{Budget, Queue, Waiter, budget::Decision};
+use admit::{Budget, Queue, Schedule, Waiter, budget::Decision, service::Class};
 use clock::{Boot, Instant};
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
@@ -24,23 +25,38 @@
     refusal::{self, Refusal},
 };
 
+pub use admission::{Admission, admit, resume};
+
 /// Time for which connections are closed after use once some instance has none at all.
 const SCARCITY_PERIOD: Duration = Duration::from_millis(600);
 
 /// A waiting request for a connection.
 #[derive(Debug)]
 struct Pending {
-    sender: oneshot::Sender<Result<Connection, Refused>>,
+    sender: oneshot::Sender<Result<Connection, Unavailable>>,
     account: Option<Rc<str>>,
+    priority: u8,
+}
+
+/// Reason for which a request gets no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// A new connection was refused, or none was free in time.
+    Refused(Refused),
+    /// No answer could be expected before the deadline; the work that is ahead is expected to be
+    /// done after this time.
+    Overload(Duration),
 }
 
 /// A request for a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Request<'a> {
-    /// Priority in the queue; zero is the highest.
-    pub priority: u8,
+    /// Class of the statement; its priority is that in the queue.
+    pub class: Class,
     /// Time after which an answer is late.
     pub late_at: Instant,
+    /// Time after which an answer is of no use.
+    pub deadline: Instant,
     /// The session's account.
     pub account: Option<&'a Rc<str>>,
     /// The session's values.
@@ -52,6 +68,13 @@
 pub struct Pool {
     idle: RefCell<Vec<Connection>>,
     waiters: RefCell<Queue<Pending>>,
+    /// Requests admitted by prediction that wait, and what is known of the upstream's load.
+    schedule: RefCell<Schedule<Rc<str>, Pending>>,
+    /// Time that opening a connection takes.
+    opening_time: Cell<Duration>,
+    reviewing: Cell<bool>,
+    /// Number of statements of transactions that run.
+    running_pinned: Cell<usize>,
     budget: RefCell<Budget>,
     /// Accounts for which connections are being opened.
     opening: RefCell<Vec<Option<Rc<str>>>>,
@@ -72,7 +95,7 @@
 impl Pool {
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
-        self.waiters.borrow().len()
+        self.waiters.borrow().len() + self.schedule.borrow().len()
     }
 
     /// Returns the number of idle connections.
@@ -152,7 +175,7 @@
 pub async fn acquire<P: Protocol>(
     member: &Rc<Member>,
     request: Request<'_>,
-) -> Result<Connection, Refused> {
+) -> Result<Connection, Unavailable> {
     let pool = &member.pool;
     let window = member.window();
     if pool.waiting() == 0
@@ -163,16 +186,18 @@
     }
     let (sender, receiver) = oneshot::channel();
     pool.waiters.borrow_mut().push(Waiter {
-        priority: request.priority,
+        priority: request.class.priority,
         since: Boot.now(),
         due: request.late_at,
         reply: Pending {
             sender,
             account: request.account.cloned(),
+            priority: request.class.priority,
         },
     });
     dispatch::<P>(member);
-    receiver.await.unwrap_or(Err(Refused::Unreachable))
+    let closed = Err(Unavailable::Refused(Refused::Unreachable));
+    receiver.await.unwrap_or(closed)
 }
 
 /// Counts a transaction that has a connection of its own, until it is dropped.
@@ -220,6 +245,14 @@
 
 /// Hands idle connections to waiting requests, and opens as many as are missing.
 fn dispatch<P: Protocol>(member: &Rc<Member>) {
+    let pool = &member.pool;
+    dispatch_queue::<P>(member);
+    if !pool.schedule.borrow().is_empty() {
+        admission::dispatch::<P>(member);
+    }
+}
+
+fn dispatch_queue<P: Protocol>(member: &Rc<Member>) {
     let pool = &member.pool;
     pool.waiters
         .borrow_mut()
@@ -254,38 +287,56 @@
         let Some(account) = pool.next_account(Boot.now(), member.latency()) else {
             return;
         };
-        pool.make_room();
-        let decision =
-            pool.budget
-                .borrow()
-                .check(Boot.now(), pool.open.get(), opening, pool.limit.get());
-        match decision {
-            Decision::Now => {}
-            Decision::Wait(until) => return retry::<P>(member, until),
-            Decision::Blocked => return,
+        if !start_opening::<P>(member, account) {
+            return;
+        }
+    }
+}
+
+/// Starts to open a connection of `account`; returns false if none may be opened now.
+fn start_opening<P: Protocol>(member: &Rc<Member>, account: Option<Rc<str>>) -> bool {
+    let pool = &member.pool;
+    let opening = pool.opening.borrow().len();
+    pool.make_room();
+    let decision =
+        pool.budget
+            .borrow()
+            .check(Boot.now(), pool.open.get(), opening, pool.limit.get());
+    match decision {
+        Decision::Now => {}
+        Decision::Wait(until) => {
+            retry::<P>(member, until);
+            return false;
         }
-        pool.opening.borrow_mut().push(account.clone());
-        let member = Rc::clone(member);
-        // Counted before the task runs: otherwise one loop opens a connection for each waiting
-        // request, as when one instance opened 68 connections to an upstream that accepts 22 from
-        // all.
-        let guard = OpenGuard::new(&member);
-        spawn_local(async move { open::<P>(&member, account, guard).await });
+        Decision::Blocked => return false,
     }
+    pool.opening.borrow_mut().push(account.clone());
+    let member = Rc::clone(member);
+    // Counted before the task runs: otherwise one loop opens a connection for each waiting
+    // request, as when one instance opened 68 connections to an upstream that accepts 22 from
+    // all.
+    let guard = OpenGuard::new(&member);
+    spawn_local(async move { open::<P>(&member, account, guard).await });
+    true
 }
 
 /// Hands a connection of `account`, or the reason for its absence, to the next waiting request.
-fn deliver(member: &Member, account: Option<&Rc<str>>, mut result: Result<Connection, Refused>) {
+fn deliver(member: &Member, account: Option<&Rc<str>>, result: Result<Connection, Refused>) {
     let pool = &member.pool;
+    let mut result = result.map_err(Unavailable::Refused);
     loop {
         let same = |waiting: &Pending| waiting.account.as_ref() == account;
         let mut waiters = pool.waiters.borrow_mut();
         let next = waiters.pop_where(Boot.now(), member.latency(), same);
         drop(waiters);
-        let Some(waiter) = next else {
+        let next = match next {
+            Some(waiter) => Some(waiter.reply),
+            None => pool.next_admitted(member, result.is_ok(), same),
+        };
+        let Some(waiting) = next else {
             break;
         };
-        match waiter.reply.sender.send(result) {
+        match waiting.sender.send(result) {
             Ok(()) => return,
             Err(back) => result = back,
         }
@@ -299,6 +350,7 @@
 
 async fn open<P: Protocol>(member: &Rc<Member>, account: Option<Rc<str>>, guard: OpenGuard) {
     let pool = &member.pool;
+    let began = Boot.now();
     let opened = Connection::open::<P>(member, account.clone(), guard).await;
     let mut opening = pool.opening.borrow_mut();
     if let Some(at) = opening.iter().position(|other| *other == account) {
@@ -308,6 +360,7 @@
     match opened {
         Ok(connection) => {
             pool.budget.borrow_mut().record_success();
+            pool.note_opening(Boot.now().since(began));
             member.refusals.opened();
             deliver(member, account.as_ref(), Ok(connection));
         }
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -1,6 +1,12 @@
-//! Counts of what an upstream refuses this instance, logged at intervals.
+//! Counts of what an upstream refuses this instance, and of what is refused before it, logged at
+//! intervals.
 
-use std::{cell::Cell, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    fmt::Write,
+    time::Duration,
+};
 
 use clock::Instant;
 
@@ -18,6 +24,27 @@
     Statement,
 }
 
+/// Reason for which this instance refuses a request for an upstream; nothing was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// On its arrival, no answer could be expected before its deadline.
+    Arrival,
+    /// While it waited, an answer before its deadline could no longer be expected.
+    Waiting,
+    /// No connection was free in time.
+    Connection,
+}
+
+impl Reason {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Arrival => "arrival",
+            Self::Waiting => "waiting",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// A counter, and its value at the last log line.
 #[derive(Debug, Default)]
 struct Counter {
@@ -44,6 +71,8 @@
     connections: Counter,
     statements: Counter,
     reported: Cell<Instant>,
+    denied: RefCell<BTreeMap<(Reason, u8), Counter>>,
+    denied_reported: Cell<Instant>,
 }
 
 impl Counts {
@@ -57,6 +86,29 @@
         self.opened.total.get()
     }
 
+    /// Returns the number of requests since the start that this instance refused, by reason and
+    /// priority.
+    pub fn denied_totals(&self) -> Vec<(&'static str, u8, u64)> {
+        let denied = self.denied.borrow();
+        let totals = denied.iter();
+        totals
+            .map(|((reason, priority), counter)| (reason.label(), *priority, counter.total.get()))
+            .collect()
+    }
+
+    /// Returns the text of the refusals by reason and priority since the last call.
+    fn take_denied(&self) -> String {
+        let mut text = String::new();
+        for ((reason, priority), counter) in self.denied.borrow().iter() {
+            let increase = counter.take_increase();
+            if increase > 0 {
+                let _ = write!(text, "{}.{priority}={increase} ", reason.label());
+            }
+        }
+        text.truncate(text.trim_end().len());
+        text
+    }
+
     /// Returns the number of statements since the start that the upstream refused for lack of
     /// capacity.
     pub fn shed_total(&self) -> u64 {
@@ -91,3 +143,25 @@
         "{message}"
     );
 }
+
+/// Counts a request for `member` that this instance refuses, and logs the counts and the state of
+/// the pool.
+pub fn deny(member: &Member, reason: Reason, priority: u8, retry_after: Duration, now: Instant) {
+    let refusals = &member.refusals;
+    let mut denied = refusals.denied.borrow_mut();
+    denied.entry((reason, priority)).or_default().add();
+    drop(denied);
+    if refusals.denied_reported.get() + LOG_INTERVAL > now {
+        return;
+    }
+    refusals.denied_reported.set(now);
+    let pool = &member.pool;
+    log::info!(
+        service = &*member.upstream.service, upstream = &*member.upstream.id,
+        refused = refusals.take_denied(), retry_after_ms = retry_after.as_millis() as u64,
+        window = member.window(), open = pool.open.get(), idle = pool.idle_count(),
+        waiting = pool.waiting(), running = member.running.get(),
+        latency_ms = member.latency().as_millis() as u64;
+        "requests refused"
+    );
+}
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -1,28 +1,33 @@
 //! Execution of statements on upstreams.
 
+mod connect;
+mod running;
 mod write;
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
+use admit::service::{Class, Kind};
 use clock::{Boot, Instant};
 use model::Position;
 use tokio::time::timeout;
 
 use crate::{
     catalog::Route,
-    connection::{Broken, Connection, Refused, Values},
+    connection::{Broken, Connection, Values},
     edge::Edge,
     group::Group,
     member::Member,
-    message::{Code, Command, Prepared, Query, Reply, State, Statement},
-    metrics::Wait,
+    message::{Access, Code, Command, Prepared, Query, Reply, State, Statement},
     node::Node,
     outcome::{Attempts, Cause, Outcome},
-    pool, probe,
+    pool::{self, Unavailable},
+    probe,
     refusal::{self, Refusal},
     routing::{Target, choose_target},
 };
 
+pub use connect::connect;
+pub use running::RunningGuard;
 pub use write::{acknowledged, in_doubt, write};
 
 /// Pause between two attempts.
@@ -31,9 +36,6 @@
 /// Time for which samples of a primary's position are kept beyond the longest age in use.
 const SAMPLE_RETENTION: Duration = Duration::from_secs(10);
 
-/// Added to a transaction's priority while connections are scarce.
-const TRANSACTION_PENALTY: u8 = 128;
-
 /// Time for which a read waits for a connection if it could run on another upstream.
 const CONNECTION_WAIT: Duration = Duration::from_millis(60);
 
@@ -62,6 +64,22 @@
     pub arrived_at: Instant,
 }
 
+impl Context<'_> {
+    /// Returns the class of the statement, whose service time is estimated by class.
+    pub fn class(&self) -> Class {
+        let kind = match (self.prepared, &self.query.statement) {
+            (Some((statement, _)), _) if statement.access == Access::Read => Kind::Read,
+            (None, Statement::Read) => Kind::Read,
+            (None, Statement::Begin(_)) => Kind::Begin,
+            _ => Kind::Write,
+        };
+        Class {
+            priority: self.route.priority,
+            kind,
+        }
+    }
+}
+
 /// Reaction to an upstream's silence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilencePolicy {
@@ -147,30 +165,6 @@
     }
 }
 
-/// Counts a statement that runs at an upstream, until it is dropped.
-#[derive(Debug)]
-pub struct RunningGuard(Rc<Member>, Instant);
-
-impl RunningGuard {
-    /// Starts counting.
-    pub fn new(member: &Rc<Member>) -> Self {
-        member.running.set(member.running.get() + 1);
-        Self(Rc::clone(member), Boot.now())
-    }
-
-    /// Returns the start time.
-    pub fn since(&self) -> Instant {
-        self.1
-    }
-}
-
-impl Drop for RunningGuard {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-        self.0.note_latency(Boot.now().since(self.1));
-    }
-}
-
 /// Returns true if an upstream's code means that the statement did not run.
 pub fn is_not_run(code: Code) -> bool {
     matches!(
@@ -259,6 +253,7 @@
     let mut last = None;
     let limit = context.route.timeout;
     let mut cause = Cause::NoProof;
+    let mut earliest = Duration::MAX;
     loop {
         let wait_limit = remaining(node.settings.hold.min(limit), context.arrived_at);
         if wait_limit.is_zero() {
@@ -271,15 +266,30 @@
             Some(_) if tried.len() + 1 < group.members().len() => wait_limit.min(CONNECTION_WAIT),
             _ => wait_limit,
         };
-        let Some(mut connection) = connect::<E>(node, &target.member, context, wait).await else {
-            cause = Cause::NoConnection;
-            attempts.unconnected += 1;
-            probe::monitor(node, group, &target.member);
-            tried.push(Rc::clone(&target.member.upstream.id));
-            pause_after_round(&tried, group).await;
-            continue;
+        let mut connection = match connect::<E>(node, &target.member, context, wait).await {
+            Ok(connection) => connection,
+            Err(Unavailable::Refused(_)) => {
+                cause = Cause::NoConnection;
+                attempts.unconnected += 1;
+                probe::monitor(node, group, &target.member);
+                tried.push(Rc::clone(&target.member.upstream.id));
+                pause_after_round(&tried, group).await;
+                continue;
+            }
+            Err(Unavailable::Overload(retry_after)) => {
+                // The caller may come back when the first upstream is expected to have room.
+                earliest = earliest.min(retry_after);
+                cause = Cause::overload(earliest);
+                attempts.unconnected += 1;
+                let id = &target.member.upstream.id;
+                if tried.contains(id) || tried.len() + 1 >= group.members().len() {
+                    break;
+                }
+                tried.push(Rc::clone(id));
+                continue;
+            }
         };
-        let running = RunningGuard::new(&target.member);
+        let running = RunningGuard::new(&target.member, context.class());
         connection.sync_values::<E::Protocol>(context.values);
         let time_left = remaining(limit, context.arrived_at);
         let policy = (
@@ -351,34 +361,3 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
-
-/// Acquires a connection to `member` within `wait`.
-pub async fn connect<E: Edge>(
-    node: &Rc<Node<E>>,
-    member: &Rc<Member>,
-    context: &Context<'_>,
-    wait: Duration,
-) -> Option<Connection> {
-    let mut priority = context.route.priority;
-    if member.pool.is_scarce(Boot.now()) && matches!(context.query.statement, Statement::Begin(_)) {
-        // A transaction holds its connection through its pauses, in which many single statements
-        // could use it.
-        priority = priority.saturating_add(TRANSACTION_PENALTY);
-    }
-    let _waited = node.metrics.wait(Wait::Connection);
-    let request = pool::Request {
-        priority,
-        late_at: context.arrived_at + context.route.latency_target,
-        account: context.account,
-        values: context.values,
-    };
-    let acquired = pool::acquire::<E::Protocol>(member, request);
-    match timeout(wait, acquired).await {
-        Ok(Ok(connection)) => Some(connection),
-        Ok(Err(Refused::TooMany)) | Err(_) => None,
-        Ok(Err(Refused::Unreachable | Refused::Misrouted | Refused::LogLost)) => {
-            node.refresh.notify_one();
-            None
-        }
-    }
-}
--- a/crates/proxy/src/run/write.rs
+++ b/crates/proxy/src/run/write.rs
@@ -17,7 +17,8 @@
     message::{Code, Reply, State},
     node::{Node, Proved},
     outcome::{Attempts, Cause, Outcome},
-    pool, probe,
+    pool::{self, Unavailable},
+    probe,
     routing::Target,
 };
 
@@ -60,11 +61,19 @@
         let Proved::Primary(member) = node.proved(group, Boot.now(), wait_limit).await else {
             break;
         };
-        let Some(mut connection) = connect::<E>(node, &member, context, wait_limit).await else {
-            cause = Cause::NoConnection;
-            attempts.unconnected += 1;
-            tokio::time::sleep(RETRY_PAUSE).await;
-            continue;
+        let mut connection = match connect::<E>(node, &member, context, wait_limit).await {
+            Ok(connection) => connection,
+            Err(Unavailable::Refused(_)) => {
+                cause = Cause::NoConnection;
+                attempts.unconnected += 1;
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            Err(Unavailable::Overload(retry_after)) => {
+                cause = Cause::overload(retry_after);
+                attempts.unconnected += 1;
+                break;
+            }
         };
         if !is_alive::<E::Protocol>(&mut connection).await {
             attempts.lost += 1;
@@ -80,7 +89,7 @@
             pool::release::<E::Protocol>(connection);
             continue;
         }
-        let running = RunningGuard::new(&member);
+        let running = RunningGuard::new(&member, context.class());
         connection.sync_values::<E::Protocol>(context.values);
         let time_left = remaining(context.route.timeout, context.arrived_at);
         let sent = running.since();
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -98,7 +98,7 @@
     let caller = match access::authenticate(node, &hello, Boot.now()).await {
         Ok(caller) => caller,
         Err((code, cause)) => {
-            E::Protocol::rejection(code, cause.text(), &mut out);
+            E::Protocol::rejection(code, &cause.text(), &mut out);
             return stream.write_all(&out).await;
         }
     };
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -17,7 +17,8 @@
     message::{Access, Code, Command, Query, Reply, State},
     node::{Node, Proved},
     outcome::{Cause, Origin, Outcome},
-    pool, probe,
+    pool::{self, Unavailable},
+    probe,
     refusal::{self, Refusal},
     routing::{self, Target},
     run::{self, Context, NoAnswer, SilencePolicy},
@@ -128,7 +129,7 @@
     ) -> Result<Reply, NoAnswer> {
         let time_left = run::remaining(self.route.timeout, context.arrived_at);
         let member = Rc::clone(self.connection.member());
-        let _running = run::RunningGuard::new(&member);
+        let running = run::RunningGuard::in_transaction(&member, context.class());
         let within = (time_left, policy);
         let reply = run::send(
             node,
@@ -139,6 +140,8 @@
             within,
         )
         .await;
+        drop(running);
+        pool::resume::<E::Protocol>(&member);
         if reply.is_err() {
             probe::suspect(node, &self.group, &member);
         }
@@ -216,14 +219,26 @@
         let Some(target) = target else {
             return Err(refusal::<E>(last));
         };
-        let Some(mut connection) =
-            run::connect::<E>(node, &target.member, &begin, wait_limit).await
-        else {
-            last = (Code::Busy, Cause::NoConnection);
-            probe::monitor(node, &group, &target.member);
-            tried.push(Rc::clone(&target.member.upstream.id));
-            tokio::time::sleep(RETRY_PAUSE).await;
-            continue;
+        let connected = run::connect::<E>(node, &target.member, &begin, wait_limit).await;
+        let mut connection = match connected {
+            Ok(connection) => connection,
+            Err(Unavailable::Refused(_)) => {
+                last = (Code::Busy, Cause::NoConnection);
+                probe::monitor(node, &group, &target.member);
+                tried.push(Rc::clone(&target.member.upstream.id));
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            Err(Unavailable::Overload(retry_after)) => {
+                last = (Code::Busy, Cause::overload(retry_after));
+                let id = &target.member.upstream.id;
+                let is_last = tried.len() + 1 >= group.members().len();
+                if target.floor.is_none() || is_last || tried.contains(id) {
+                    return Err(refusal::<E>(last));
+                }
+                tried.push(Rc::clone(id));
+                continue;
+            }
         };
         connection.sync_values::<E::Protocol>(&begun.values);
         let sent = Boot.now();
