Keep urgent requests in order of arrival, and end an overload that has passed

An urgent request behind another one was ranked as doubtful and overtaken by later urgent ones; one that became late waited for two reads of the lowest priority; and doubtful requests in a row counted as an overload of their priority, so that one of them was refused though places were free.

The waiting requests are ranked anew at each arrival, a late request waits for one start of a lower priority, and an arrival that finds a place free and nobody ahead of it ends the overload. A refused caller is told to come back after half of its time at the latest.

--- a/crates/admit/src/schedule.rs
+++ b/crates/admit/src/schedule.rs
@@ -7,7 +7,8 @@
 //!
 //! What can be answered within its latency objective goes before what can only be late; then the
 //! higher priority, then a fair share for each account ([`crate::fair`]), then arrival. A class
-//! that waits while others start gets each [`FLOOR_STARTS`]th start.
+//! that waits while others start gets each [`FLOOR_STARTS`]th start, and each second one while
+//! lower priorities start.
 
 mod prediction;
 
@@ -25,9 +26,6 @@
 /// Starts of other classes after which a waiting class gets one.
 pub const FLOOR_STARTS: u32 = 20;
 
-/// Number of starts that one of a lower priority counts for: a late request waits for two of them.
-const INVERSION_WEIGHT: u32 = FLOOR_STARTS / 2;
-
 /// A request that arrives.
 #[derive(Debug, Clone)]
 pub struct Request<K> {
@@ -335,7 +333,7 @@
             let before = self.passed.get(&rank).copied().unwrap_or(0);
             let count: u32 = match rank == started {
                 true => 0,
-                false if rank.priority < started.priority => before + INVERSION_WEIGHT,
+                false if rank.priority < started.priority => FLOOR_STARTS,
                 false => before + 1,
             };
             passed.insert(rank, count);
--- a/crates/admit/src/schedule/prediction.rs
+++ b/crates/admit/src/schedule/prediction.rs
@@ -10,8 +10,8 @@
 use clock::Instant;
 
 use super::{
-    FLOOR_STARTS, INVERSION_WEIGHT, Load, Place, Prediction, Rank, Refusal, Request, Schedule,
-    Standing, Waiting, as_f64,
+    FLOOR_STARTS, Load, Place, Prediction, Rank, Refusal, Request, Schedule, Standing, Waiting,
+    as_f64,
 };
 use crate::{demand::Urgent, service::Class};
 
@@ -27,7 +27,7 @@
 
 /// Part of the time to its deadline after which a refused caller is told to come back at the
 /// latest.
-const RETRY_DIVISOR: u32 = 4;
+const RETRY_DIVISOR: u32 = 2;
 
 /// Shortest interval between two reviews.
 const MIN_REVIEW_INTERVAL: Duration = Duration::from_millis(5);
@@ -73,11 +73,18 @@
         load: Load,
         opening: Duration,
     ) -> Result<Prediction, Refusal> {
+        self.reorder(now, load);
         let outlook = self.outlook(now, request.class, load);
+        let tag = self.tag(request);
+        let doubtful = Rank::new(request.class.priority, Standing::Doubtful);
+        let ahead = self.work_before((doubtful, tag, self.next));
+        if ahead.higher.is_zero() && outlook.has_room {
+            self.overloads.remove(&request.class.priority);
+        }
         let mut backlog = None;
         for standing in [Standing::Reliable, Standing::Doubtful, Standing::Late] {
             let rank = Rank::new(request.class.priority, standing);
-            let ahead = self.work_before((rank, self.tag(request), self.next));
+            let ahead = self.work_before((rank, tag, self.next));
             let wait = outlook.wait(ahead.all) + opening;
             backlog = backlog.or(Some(wait));
             let is_met = match standing {
@@ -104,6 +111,29 @@
             return Vec::new();
         }
         self.reviewed_at = now;
+        self.reorder(now, load);
+        let outlooks = self.outlooks(now, load);
+        let mut before: BTreeMap<u8, Duration> = BTreeMap::new();
+        let mut refused = Vec::new();
+        for waiting in &self.waiting {
+            let Request {
+                class, deadline, ..
+            } = waiting.request;
+            let outlook = &outlooks[&class];
+            let ahead = Ahead::new(class.priority, before.iter().map(|(k, v)| (*k, *v)));
+            let wait = self.wait(now, waiting.rank(), outlook, ahead);
+            if outlook.is_answerable(now, deadline, ahead.all, wait) {
+                *before.entry(class.priority).or_default() += waiting.cost;
+            } else {
+                let refusal = self.refusal(now, &waiting.request, outlook.wait(ahead.all));
+                refused.push((waiting.sequence, refusal));
+            }
+        }
+        self.take(refused)
+    }
+
+    /// Ranks the waiting requests anew, and sorts them.
+    fn reorder(&mut self, now: Instant, load: Load) {
         self.waiting.sort_by_key(Waiting::place);
         let outlooks = self.outlooks(now, load);
         let mut reliable: BTreeMap<u8, Duration> = BTreeMap::new();
@@ -124,23 +154,6 @@
             }
         }
         self.waiting.sort_by_key(Waiting::place);
-        let mut before: BTreeMap<u8, Duration> = BTreeMap::new();
-        let mut refused = Vec::new();
-        for waiting in &self.waiting {
-            let Request {
-                class, deadline, ..
-            } = waiting.request;
-            let outlook = &outlooks[&class];
-            let ahead = Ahead::new(class.priority, before.iter().map(|(k, v)| (*k, *v)));
-            let wait = self.wait(now, waiting.rank(), outlook, ahead);
-            if outlook.is_answerable(now, deadline, ahead.all, wait) {
-                *before.entry(class.priority).or_default() += waiting.cost;
-            } else {
-                let refusal = self.refusal(now, &waiting.request, outlook.wait(ahead.all));
-                refused.push((waiting.sequence, refusal));
-            }
-        }
-        self.take(refused)
     }
 
     fn take(&mut self, refused: Vec<(u64, Refusal)>) -> Vec<(T, Refusal)> {
@@ -235,8 +248,8 @@
         match rank {
             Rank { is_late: true, .. } => {
                 let in_order = outlook.wait(ahead.all) + overloads((Unbounded, Unbounded));
-                let starts = FLOOR_STARTS.div_ceil(INVERSION_WEIGHT) + 1;
-                let by_floor = outlook.wait((ahead.higher + outlook.mean) * starts)
+                // Each second start at least is of this priority or a higher one.
+                let by_floor = outlook.wait((ahead.higher + outlook.mean) * 2)
                     + overloads((Unbounded, Included(priority)));
                 in_order.min(by_floor)
             }
--- a/crates/admit/src/service.rs
+++ b/crates/admit/src/service.rs
@@ -174,8 +174,8 @@
     /// Returns true if statements of the class take longer than they did with less load, so that
     /// fewer of them in flight cost no throughput.
     pub fn is_queueing(&self, now: Instant, class: Class) -> bool {
-        let estimate = self.estimate(now, class);
-        estimate.mean > estimate.lowest().mul_f64(QUEUEING_RATIO)
+        self.fresh(now, class)
+            .is_some_and(|known| known.mean > known.lowest().mul_f64(QUEUEING_RATIO))
     }
 
     /// Expected service time at the lowest load of the last seconds; zero if it is unknown.
--- a/crates/admit/tests/schedule.rs
+++ b/crates/admit/tests/schedule.rs
@@ -294,7 +294,7 @@
         let prompt = refused(READ.timeout).filter(|(it, end)| delay(it, *end).as_millis() <= 5);
         on_arrival += prompt.count();
     }
-    assert!(on_arrival * 100 >= all * 85, "{on_arrival} {all}");
+    assert!(on_arrival * 100 >= all * 88, "{on_arrival} {all}");
 }
 
 /// Guards against refusals of requests that would have been answered in time, and not in place of
