Do not start a waiting request whose time is over even for the fastest answer

A request that waited and came next was started with whatever time was left. Near its deadline a read would lose its connection for nothing, and a write would end as unknown where a refusal is still true.

--- a/crates/admit/src/schedule/prediction.rs
+++ b/crates/admit/src/schedule/prediction.rs
@@ -27,7 +27,7 @@
 
 /// Part of the time to its deadline after which a refused caller is told to come back at the
 /// latest.
-const RETRY_DIVISOR: u32 = 2;
+const RETRY_DIVISOR: u32 = 4;
 
 /// Shortest interval between two reviews.
 const MIN_REVIEW_INTERVAL: Duration = Duration::from_millis(5);
@@ -96,7 +96,8 @@
                 self.note_overload(now, request.class.priority);
             }
             let wait = self.wait(now, rank, &outlook, ahead) + opening;
-            if is_met && outlook.is_answerable(now, request.deadline, ahead.all, wait) {
+            let is_next = ahead.all.is_zero() && outlook.has_room;
+            if is_met && (is_next || outlook.is_answerable(now, request.deadline, wait)) {
                 return Ok(Prediction { wait, standing });
             }
         }
@@ -122,7 +123,9 @@
             let outlook = &outlooks[&class];
             let ahead = Ahead::new(class.priority, before.iter().map(|(k, v)| (*k, *v)));
             let wait = self.wait(now, waiting.rank(), outlook, ahead);
-            if outlook.is_answerable(now, deadline, ahead.all, wait) {
+            let is_next = ahead.all.is_zero() && outlook.has_room;
+            let can_end = now + outlook.lowest + ANSWER_TIME <= deadline;
+            if is_next && can_end || outlook.is_answerable(now, deadline, wait) {
                 *before.entry(class.priority).or_default() += waiting.cost;
             } else {
                 let refusal = self.refusal(now, &waiting.request, outlook.wait(ahead.all));
@@ -329,15 +332,8 @@
         }
     }
 
-    /// Returns true if the request runs at once, or can be expected to be answered in time.
-    fn is_answerable(
-        &self,
-        now: Instant,
-        deadline: Instant,
-        ahead: Duration,
-        wait: Duration,
-    ) -> bool {
-        let is_next = ahead.is_zero() && self.has_room;
-        is_next || now + wait + self.high + ANSWER_TIME <= deadline
+    /// Returns true if the request can be expected to be answered in time.
+    fn is_answerable(&self, now: Instant, deadline: Instant, wait: Duration) -> bool {
+        now + wait + self.high + ANSWER_TIME <= deadline
     }
 }
