--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod bucket;
 pub mod budget;
+pub mod demand;
 pub mod fair;
 pub mod holders;
 pub mod limiter;
@@ -12,9 +13,12 @@
 pub mod placement;
 pub mod queue;
 pub mod relays;
+pub mod schedule;
+pub mod service;
 pub mod shares;
 pub mod stock;
 pub mod windows;
 
 pub use budget::Budget;
 pub use queue::{Queue, Waiter};
+pub use schedule::Schedule;
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -1,6 +1,6 @@
 //! Outcomes of statements.
 
-use std::{borrow::Cow, rc::Rc};
+use std::{borrow::Cow, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use model::Position;
@@ -17,6 +17,11 @@
     NoProof,
     /// No connection to an upstream was free in time.
     NoConnection,
+    /// No answer could be expected before the deadline.
+    Overload {
+        /// Milliseconds after which the work that is ahead is expected to be done.
+        retry_after_ms: u16,
+    },
     /// The upstream refused the statement, or the statement failed there.
     Upstream,
     /// The upstream's connection broke before the answer was complete.
@@ -38,7 +43,7 @@
     /// The account has used up its quota.
     OverQuota {
         /// Time after which an operation can be expected, in milliseconds.
-        retry_ms: u16,
+        retry_after_ms: u16,
     },
     /// There is no such prepared statement.
     NoStatement,
@@ -49,9 +54,20 @@
 }
 
 impl Cause {
+    /// Creates the cause of a refusal by prediction.
+    pub fn overload(retry_after: Duration) -> Self {
+        let millis = retry_after.as_micros().div_ceil(1_000);
+        Self::Overload {
+            retry_after_ms: u16::try_from(millis).unwrap_or(u16::MAX),
+        }
+    }
+
     /// Returns the message for callers and logs.
     pub fn text(self) -> Cow<'static, str> {
         let text = match self {
+            Self::Overload { retry_after_ms } => {
+                return format!("no answer in time, come back in {retry_after_ms} ms").into();
+            }
             Self::NoProof => "no primary proved, come back in 200 ms",
             Self::NoConnection => "no connection free, come back in 100 ms",
             Self::Upstream => "refused by the upstream, come back in 50 ms",
@@ -63,8 +79,8 @@
             Self::NoRoute => "no such database",
             Self::NoKey => "no account holds this key",
             Self::Stale => "whether the key is valid can't be told, come back in 500 ms",
-            Self::OverQuota { retry_ms } => {
-                return format!("the account's quota is used up, come back in {retry_ms} ms")
+            Self::OverQuota { retry_after_ms } => {
+                return format!("the account's quota is used up, come back in {retry_after_ms} ms")
                     .into();
             }
             Self::NoStatement => "no such prepared statement",
