Load reports count requests that admission holds

Admitted requests wait in a queue of their own, which the samples of the load left out: with both parts in force a holder with forty waiting requests reported none. Statements of transactions count as running, as they do in the window.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -54,24 +54,6 @@
         self.waiters.len()
     }
 
-    /// Number of waiters of the highest priority.
-    ///
-    /// ```
-    /// use admit::{Queue, Waiter};
-    /// use clock::Instant;
-    ///
-    /// let (since, due) = (Instant::from_millis(0), Instant::from_millis(100));
-    /// let mut queue = Queue::default();
-    /// for priority in [0, 2, 0] {
-    ///     queue.push(Waiter { priority, since, due, reply: () });
-    /// }
-    /// assert_eq!(queue.urgent_count(), 2);
-    /// ```
-    pub fn urgent_count(&self) -> usize {
-        let urgent = self.waiters.iter().filter(|waiter| waiter.priority == 0);
-        urgent.count()
-    }
-
     /// Returns true if no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiters.is_empty()
--- a/crates/proxy/src/pool/load.rs
+++ b/crates/proxy/src/pool/load.rs
@@ -6,18 +6,21 @@
 
 use super::Pool;
 
+/// Priority of urgent requests.
+const URGENT: u8 = 0;
+
 impl Pool {
     /// Returns what runs and waits now.
     pub(crate) fn sample(&self) -> Sample {
-        let waiters = self.waiters.borrow();
-        let accounts: HashSet<Option<&Rc<str>>> = waiters
-            .iter()
-            .map(|waiting| waiting.account.as_ref())
-            .collect();
+        let (waiters, schedule) = (self.waiters.borrow(), self.schedule.borrow());
+        let waiting = || waiters.iter().chain(schedule.iter());
+        let accounts: HashSet<Option<&Rc<str>>> =
+            waiting().map(|waiting| waiting.account.as_ref()).collect();
+        let urgent = waiting().filter(|waiting| waiting.priority == URGENT);
         Sample {
-            running: self.active(),
-            waiting: waiters.len(),
-            urgent: waiters.urgent_count(),
+            running: self.active() + self.running_pinned.get(),
+            waiting: self.waiting(),
+            urgent: urgent.count(),
             accounts: accounts.len(),
         }
     }
