Two statements for each slot among the holders

Four busy holders at four slots had one statement in flight each: the slots lay idle for each round trip, in which an instance with an eighth of a core takes its time too. There are eight places now, twice the slots, instead of six; eight busy holders still have one each.

Tests: the expected parts follow the number of places. The window beside a holder that reports nothing is bounded by the places without that holder's fixed part (five; six, if it counted as idle).

--- a/crates/admit/src/windows.rs
+++ b/crates/admit/src/windows.rs
@@ -22,9 +22,9 @@
 /// Tolerated delay of a heartbeat.
 const TOLERANCE: Duration = Duration::from_millis(100);
 
-/// Slots for each statement in transit. They stay busy as long as a round trip takes no longer
-/// than half of a statement.
-const SLOTS_PER_TRANSIT: usize = 2;
+/// Statements in flight for each slot. It stays busy if a round trip, with what an instance with
+/// little processor takes for it, lasts no longer than a statement.
+const STATEMENTS_PER_SLOT: usize = 2;
 
 /// Last report of another holder.
 #[derive(Debug, Clone, Copy)]
@@ -78,11 +78,10 @@
 ///
 /// ```
 /// use admit::windows::capacity;
-/// assert_eq!(capacity(4), 6);
-/// assert_eq!(capacity(1), 2);
+/// assert_eq!(capacity(4), 8);
 /// ```
 pub fn capacity(slots: usize) -> usize {
-    slots.saturating_add(slots.div_ceil(SLOTS_PER_TRANSIT))
+    slots.saturating_mul(STATEMENTS_PER_SLOT)
 }
 
 /// A busy holder's claim to places.
@@ -166,7 +165,7 @@
 /// let view = View { slots: 4, holders: 8, rank: 0, own: busy, reports: &[] };
 /// assert_eq!(share(&view, now), 2);
 /// let idle = [report(Load::default()); 7];
-/// assert_eq!(share(&View { reports: &idle, ..view }, now), 6);
+/// assert_eq!(share(&View { reports: &idle, ..view }, now), 8);
 /// let contended = [report(busy); 7];
 /// assert_eq!(share(&View { reports: &contended, ..view }, now), 1);
 /// ```
