--- a/crates/proxy/src/pool/load.rs
+++ b/crates/proxy/src/pool/load.rs
@@ -16,7 +16,7 @@
             .collect();
         Sample {
             running: self.active(),
-            waiting: waiters.len(),
+            waiting: self.waiting(),
             urgent: waiters.urgent_count(),
             accounts: accounts.len(),
         }
