--- a/crates/admit/src/schedule/prediction.rs
+++ b/crates/admit/src/schedule/prediction.rs
@@ -172,14 +172,17 @@
         taken
     }
 
-    /// Refuses a request until the work ahead and the overload are expected to be over, but leaves
-    /// its caller time to come back.
+    /// Refuses a request until the work ahead and the overload are expected to be over, or for the
+    /// time of a statement at least, but leaves its caller time to come back.
     fn refusal(&self, now: Instant, request: &Request<K>, backlog: Duration) -> Refusal {
         let overload = self.overloads.get(&request.class.priority);
         let lasts = overload.map_or(Duration::ZERO, |overload| overload.lasted(now));
         let longest = request.deadline.since(now) / RETRY_DIVISOR;
         Refusal {
-            retry_after: (backlog + lasts).min(longest).max(MIN_RETRY_AFTER),
+            retry_after: (backlog + lasts)
+                .max(self.service.mean(now, request.class))
+                .min(longest)
+                .max(MIN_RETRY_AFTER),
         }
     }
 
