Decide when an upstream without an entry has ended

Cause: a voter counted as ended 15 s behind the loss of its entry, also if it lived and could still prove the old primary to an instance without the store.

An upstream has ended only once it doesn't answer either: behind 15 s without an entry and without an answer, or, if it announced that it leaves, with the first question that stays without an answer.

The model of replacements knows a member without an entry that is alive. With one that isn't asked (TrustsList) it finds a proof of a replaced primary; with the rule kept none, in four settings. Its exchange of a voter now also allows the promotion of a replica that is no voter once a voter has ended, as the proxy does.

--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -4,6 +4,7 @@
 //! The functions read no clock or socket; moments are passed in. The moments must come from a
 //! clock that includes suspensions ([`clock::Boot`]).
 
+pub mod absence;
 pub mod choose;
 pub mod commits;
 pub mod floor;
@@ -13,6 +14,7 @@
 pub mod record;
 pub mod vote;
 
+pub use absence::{Absence, Departure};
 pub use commits::Commits;
 pub use floor::Samples;
 pub use freshness::Freshness;
--- a/crates/lead/src/record.rs
+++ b/crates/lead/src/record.rs
@@ -80,6 +80,11 @@
         self.voters.is_empty() || self.voters.iter().any(|voter| voter == upstream)
     }
 
+    /// Returns true if the record names the upstream as its primary or as a voter.
+    pub fn names(&self, upstream: &str) -> bool {
+        self.upstream == upstream || self.voters.iter().any(|voter| voter == upstream)
+    }
+
     /// Number of replicas whose answers count, if the record names them.
     pub fn voting_replicas(&self) -> Option<usize> {
         if self.voters.is_empty() {
--- a/crates/lead/tests/replacement.rs
+++ b/crates/lead/tests/replacement.rs
@@ -44,7 +44,9 @@
     LooksEarly,
     /// The voters are revised though none has left.
     AddsVoters,
-    /// A replica that has left the list answers.
+    /// A replica without an entry counts as ended without being asked.
+    TrustsList,
+    /// A replica that has left the list, and that the replacing instances don't reach, answers.
     AnswersAfterLeaving,
     /// The next holder of the lock begins while an order of the last one may take effect.
     BeginsEarly,
@@ -56,6 +58,14 @@
     FastRestart,
 }
 
+/// Whether a member without an entry is alive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Life {
+    Ended,
+    /// It answers whoever asks it.
+    Alive,
+}
+
 /// The lists of the instances and the events that may occur.
 #[derive(Debug, Clone, Copy)]
 struct Setting {
@@ -63,8 +73,9 @@
     prover_list: u8,
     replacer_lists: [u8; 2],
     voters: u8,
-    /// The member that has left. The record's voters may be revised to the second replacer's list.
-    left: Option<usize>,
+    /// The member without an entry. Once it counts as ended, the record's voters may be revised to
+    /// the second replacer's list.
+    absent: Option<(usize, Life)>,
     restarts: u8,
     proves_by: Source,
     /// Instances that replace the primary, one after the other.
@@ -183,6 +194,23 @@
     u8::try_from(ticks).unwrap_or(u8::MAX)
 }
 
+impl Setting {
+    /// The member without an entry that counts as ended at the replacing instances.
+    fn left(&self) -> Option<usize> {
+        let counts = |life| life == Life::Ended || self.rule == Rule::TrustsList;
+        let (member, life) = self.absent?;
+        counts(life).then_some(member)
+    }
+
+    /// The member without an entry that answers the replacing instances, as a set.
+    fn answering(&self) -> u8 {
+        match self.absent {
+            Some((member, Life::Alive)) if self.rule != Rule::TrustsList => bit(member),
+            _ => 0,
+        }
+    }
+}
+
 impl State {
     fn new(setting: &Setting) -> Self {
         let record = Record {
@@ -344,7 +372,8 @@
             if setting.prover_list & !question.agreed & bit(index) == 0 {
                 continue;
             }
-            if setting.left == Some(index) && setting.rule != Rule::AnswersAfterLeaving {
+            let has_ended = setting.absent == Some((index, Life::Ended));
+            if has_ended && setting.rule != Rule::AnswersAfterLeaving {
                 continue;
             }
             let term = prover.record.term;
@@ -447,7 +476,7 @@
 
     /// Revises the record's voters after one of them has left.
     fn revise(&self, setting: &Setting, states: &mut Vec<Self>) {
-        let is_due = setting.left.is_some() || setting.rule == Rule::AddsVoters;
+        let is_due = setting.left().is_some() || setting.rule == Rule::AddsVoters;
         if !is_due || self.record.revision > 1 || self.record.is_changing {
             return;
         }
@@ -540,10 +569,11 @@
         let replacer = self.replacers[index];
         let term = replacer.old.term;
         let primary = usize::from(replacer.old.primary);
-        let listed = others | bit(primary);
-        for reached in (1..bit(MEMBERS)).filter(|reached| reached & !listed == 0) {
+        let replicas = others | setting.answering();
+        let known = replicas | bit(primary);
+        for reached in (1..bit(MEMBERS)).filter(|reached| reached & !known == 0) {
             let is_pausable = |at: usize| self.members[at].term <= term;
-            let paused = (0..MEMBERS).filter(|at| others & reached & bit(*at) != 0);
+            let paused = (0..MEMBERS).filter(|at| replicas & reached & bit(*at) != 0);
             let paused: Vec<_> = paused.filter(|at| is_pausable(*at)).collect();
             let informed = paused.iter().copied().map(bit).sum();
             let is_demoted = reached & bit(primary) != 0;
@@ -605,7 +635,7 @@
         let old = self.replacers[index].old;
         let prevents = |voters: u8| {
             let replicas = voters & !bit(usize::from(old.primary));
-            let fenced = replicas & (holding | setting.left.map_or(0, bit));
+            let fenced = replicas & (holding | setting.left().map_or(0, bit));
             quorum::prevents_majority(count(fenced), count(replicas))
         };
         match setting.rule {
@@ -615,9 +645,11 @@
     }
 
     /// Returns true if the member may be promoted though the old primary may lead on.
-    fn is_voter(&self, setting: &Setting, index: usize, chosen: usize) -> bool {
+    fn excludes(&self, setting: &Setting, index: usize, chosen: usize) -> bool {
         let any = matches!(setting.rule, Rule::CountsListed | Rule::PromotesAnyMember);
-        any || self.replacers[index].old.voters & bit(chosen) != 0
+        let voters = self.replacers[index].old.voters;
+        let has_left = setting.left().is_some_and(|left| voters & bit(left) != 0);
+        any || has_left || voters & bit(chosen) != 0
     }
 
     fn choose(&self, setting: &Setting, index: usize, states: &mut Vec<Self>) {
@@ -632,8 +664,9 @@
         if is_partial && !is_late {
             return;
         }
-        for chosen in (0..MEMBERS).filter(|chosen| replacer.informed & bit(*chosen) != 0) {
-            if !replacer.is_demoted && !self.is_voter(setting, index, chosen) {
+        let candidates = replacer.informed & !setting.answering();
+        for chosen in (0..MEMBERS).filter(|chosen| candidates & bit(*chosen) != 0) {
+            if !replacer.is_demoted && !self.excludes(setting, index, chosen) {
                 continue;
             }
             let mut state = *self;
@@ -660,7 +693,7 @@
             && (setting.rule == Rule::TrustsDemotion
                 || !self.members[usize::from(replacer.old.primary)].leads);
         let prevents = self.prevents_majority(setting, index, holding) || is_partial;
-        let excluded = is_demoted || prevents && self.is_voter(setting, index, chosen);
+        let excluded = is_demoted || prevents && self.excludes(setting, index, chosen);
         setting.rule == Rule::TrustsHolds || holding & bit(chosen) != 0 && excluded
     }
 
@@ -728,7 +761,7 @@
         prover_list: 0b0111,
         replacer_lists: [0b0111; 2],
         voters: 0b0111,
-        left: None,
+        absent: None,
         restarts: 0,
         proves_by: Source::Members,
         replacers: 1,
@@ -751,11 +784,22 @@
     }
 }
 
-/// A replica has left, and the record's voters are revised.
-fn with_revision(rule: Rule) -> Setting {
+/// A replica has no entry, and the record's voters are revised if it counts as ended.
+fn with_absent(rule: Rule, life: Life) -> Setting {
     Setting {
         replacer_lists: [0b1011; 2],
-        left: Some(2),
+        absent: Some((2, life)),
+        ..setting(rule)
+    }
+}
+
+/// The only replica that votes has no entry.
+fn with_absent_pair(rule: Rule, life: Life) -> Setting {
+    Setting {
+        prover_list: 0b0011,
+        replacer_lists: [0b0101; 2],
+        voters: 0b0011,
+        absent: Some((1, life)),
         ..setting(rule)
     }
 }
@@ -809,8 +853,29 @@
         with_four_voters(Rule::Correct, 0b1111, 0b0111),
         with_four_voters(Rule::Correct, 0b0111, 0b1111),
         with_two_more(Rule::Correct),
-        with_revision(Rule::Correct),
-        knows_all(with_revision(Rule::Correct)),
+        with_absent(Rule::Correct, Life::Ended),
+        knows_all(with_absent(Rule::Correct, Life::Ended)),
+        with_absent_pair(Rule::Correct, Life::Ended),
+    ] {
+        assert_kept(&setting);
+    }
+}
+
+/// Guards against commits that are acknowledged at a replaced primary because a voter whose entry
+/// was lost is taken for ended, though it lives and proves the old primary.
+#[test]
+fn no_proof_by_a_voter_without_an_entry_outlives_a_promotion() {
+    for setting in [
+        with_absent(Rule::Correct, Life::Alive),
+        with_absent_pair(Rule::Correct, Life::Alive),
+        Setting {
+            restarts: 1,
+            ..with_absent(Rule::Correct, Life::Alive)
+        },
+        Setting {
+            replacers: 2,
+            ..with_absent(Rule::Correct, Life::Alive)
+        },
     ] {
         assert_kept(&setting);
     }
@@ -837,7 +902,9 @@
         with_two_more(Rule::CountsListed),
         with_unequal_lists(Rule::PromotesAnyMember),
         with_unequal_lists(Rule::AddsVoters),
-        with_revision(Rule::AnswersAfterLeaving),
+        with_absent(Rule::TrustsList, Life::Alive),
+        with_absent_pair(Rule::TrustsList, Life::Alive),
+        with_absent(Rule::AnswersAfterLeaving, Life::Ended),
         setting(Rule::RevivesProofs),
         with_restart(Rule::TrustsDemotion),
         with_restart(Rule::TrustsHolds),
