Ask voters without an entry before they count as ended

A voter that answers is fenced like the others, isn't promoted and is told to receive again afterwards. One that is silent and not yet ended isn't asked by a replacement, as it counts the same way.

The replicas that were asked bound the number of those that may hold a commit: one without an entry must not count as an answer only.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -1,5 +1,6 @@
 //! A database's upstreams, their primary and its proof.
 
+mod absent;
 mod list;
 mod session;
 
@@ -11,20 +12,17 @@
 };
 
 use clock::{Boot, Instant};
-use lead::{Phase, Proof, Record, Samples};
+use lead::{Phase, Proof, Record, Samples, absence};
 use model::{Position, Term};
 use tokio::sync::Notify;
 
-use crate::{
-    catalog::{Readiness, Upstream},
-    member::Member,
-    registry::Pending,
-};
+use crate::{catalog::Upstream, member::Member, registry::Pending};
 
+use absent::Absent;
 pub use session::SessionGuard;
 
 /// Time for which the largest recent size of the list of upstreams counts.
-pub const LIST_MEMORY: Duration = Duration::from_secs(15);
+pub const LIST_MEMORY: Duration = absence::RETURN_TIME;
 
 /// Time for which a request for proofs stays in effect.
 const PROOF_DEMAND_TTL: Duration = Duration::from_secs(2);
@@ -94,8 +92,8 @@
     /// Time at which a member was last added or removed.
     list_changed_at: Cell<Instant>,
     furthest: Cell<(Position, Instant)>,
-    /// Upstreams that are no longer listed, and when they count as ended.
-    left: RefCell<HashMap<Rc<str>, Instant>>,
+    /// Upstreams that are no longer listed.
+    absent: RefCell<HashMap<Rc<str>, Absent>>,
     pending: Rc<Pending>,
     is_active: Cell<bool>,
 }
@@ -128,7 +126,7 @@
             listed_since: Cell::default(),
             list_changed_at: Cell::default(),
             furthest: Cell::default(),
-            left: RefCell::default(),
+            absent: RefCell::default(),
         }
     }
 
@@ -160,7 +158,7 @@
     fn is_quiet(&self, now: Instant) -> bool {
         let is_used = self.is_proof_wanted(now) || self.sessions.get() > 0;
         let is_changed = self.replacing.get() || self.asking.get();
-        if is_used || is_changed || self.primary().is_none() {
+        if is_used || is_changed || self.primary().is_none() || self.has_absent() {
             return false;
         }
         let members = self.members.borrow();
@@ -192,7 +190,7 @@
     /// An entry that changed only its readiness keeps the member's connections; one with another
     /// address or start time is a new member.
     pub fn put(&self, upstream: Upstream) {
-        self.left.borrow_mut().remove(&upstream.id);
+        self.absent.borrow_mut().remove(&upstream.id);
         let mut members = self.members.borrow_mut();
         let old = members.get(&upstream.id).cloned();
         match old {
@@ -220,54 +218,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Records that a member is missing from the list. A member that was about to leave is removed;
-    /// [`Group::expire`] removes any other unless its entry returns.
-    pub fn unlist(&self, id: &str, now: Instant) {
-        let Some(member) = self.member(id) else {
-            return;
-        };
-        self.activate();
-        if member.readiness.get() == Readiness::Draining {
-            self.remove(id);
-        } else if member.unlisted.get().is_none() {
-            member.unlisted.set(Some(now));
-        }
-    }
-
-    /// Removes members whose entries have been missing for too long.
-    pub fn expire(&self, now: Instant) {
-        for member in self.members() {
-            if member.is_gone(now) {
-                self.remove(&member.upstream.id);
-            }
-        }
-    }
-
-    fn remove(&self, id: &str) {
-        // Records the size that the list had until now.
-        self.is_list_complete(Boot.now(), LIST_MEMORY);
-        self.activate();
-        let Some(member) = self.members.borrow_mut().remove(id) else {
-            return;
-        };
-        member.pool.retire();
-        self.list_changed_at.set(Boot.now());
-        let ended_at = match member.readiness.get() {
-            Readiness::Draining => Boot.now(),
-            Readiness::Ready => Boot.now() + LIST_MEMORY,
-        };
-        self.left.borrow_mut().insert(Rc::from(id), ended_at);
-        let stored = self.stored.borrow();
-        if stored
-            .as_ref()
-            .is_some_and(|stored| stored.record.upstream == id)
-        {
-            self.unlisted.set(Some(Boot.now()));
-        }
-        drop(stored);
-        self.changed.notify_waiters();
-    }
-
     /// Returns the time since which the primary is known to leave; `now` at the first call.
     pub fn leaving_since(&self, now: Instant) -> Instant {
         let since = self.leaving_since.get().unwrap_or(now);
@@ -339,8 +289,9 @@
             stored.record.term == record.term && stored.record.upstream == record.upstream
         };
         let is_replaced = !stored.as_ref().is_some_and(is_same_primary);
-        let is_named = |id: &str| !record.voters.is_empty() && record.is_voter(id);
-        self.left.borrow_mut().retain(|id, _| is_named(id));
+        let mut absent = self.absent.borrow_mut();
+        absent.retain(|id, _| record.names(id));
+        drop(absent);
         *stored = Some(StoredRecord { record, revision });
         drop(stored);
         self.proof_lease.set(0);
--- /dev/null
+++ b/crates/proxy/src/group/absent.rs
@@ -0,0 +1,143 @@
+//! Upstreams that have left the list though they may vote on the group's primary.
+
+use std::{rc::Rc, time::Duration};
+
+use clock::{Boot, Instant};
+use lead::{Absence, Departure};
+
+use super::{Group, LIST_MEMORY, StoredRecord};
+use crate::{
+    catalog::{Readiness, Upstream},
+    member::Member,
+    probe::Answer,
+};
+
+/// An upstream that is no longer listed.
+#[derive(Debug)]
+pub(super) struct Absent {
+    /// The upstream at its last address. No connection to it is kept.
+    member: Rc<Member>,
+    absence: Absence,
+}
+
+impl Absent {
+    fn new(upstream: &Upstream, departure: Departure, since: Instant) -> Self {
+        // A member of its own: an upstream that has lost its log answers, too.
+        let member = Rc::new(Member::new(upstream.clone()));
+        member.pool.retire();
+        Self {
+            member,
+            absence: Absence::new(departure, since),
+        }
+    }
+}
+
+impl Group {
+    /// Records that a member is missing from the list. A member that was about to leave is removed;
+    /// [`Group::expire`] removes any other unless its entry returns.
+    pub fn unlist(&self, id: &str, now: Instant) {
+        let Some(member) = self.member(id) else {
+            return;
+        };
+        self.activate();
+        if member.readiness.get() == Readiness::Draining {
+            self.remove(id);
+        } else if member.unlisted.get().is_none() {
+            member.unlisted.set(Some(now));
+        }
+    }
+
+    /// Removes members whose entries have been missing for too long.
+    pub fn expire(&self, now: Instant) {
+        for member in self.members() {
+            if member.is_gone(now) {
+                self.remove(&member.upstream.id);
+            }
+        }
+    }
+
+    fn remove(&self, id: &str) {
+        // Records the size that the list had until now.
+        self.is_list_complete(Boot.now(), LIST_MEMORY);
+        self.activate();
+        let Some(member) = self.members.borrow_mut().remove(id) else {
+            return;
+        };
+        member.pool.retire();
+        self.list_changed_at.set(Boot.now());
+        let departure = match member.readiness.get() {
+            Readiness::Draining => Departure::Announced,
+            Readiness::Ready => Departure::Unannounced,
+        };
+        let absent = Absent::new(&member.upstream, departure, Boot.now());
+        self.absent.borrow_mut().insert(Rc::from(id), absent);
+        let stored = self.stored.borrow();
+        if stored
+            .as_ref()
+            .is_some_and(|stored| stored.record.upstream == id)
+        {
+            self.unlisted.set(Some(Boot.now()));
+        }
+        drop(stored);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the upstreams that are named by the record and are no longer listed.
+    pub fn absent(&self) -> Vec<Rc<Member>> {
+        self.absent_if(|_| true)
+    }
+
+    /// Returns those of the [`Group::absent`] ones on whose answer it depends how they count.
+    pub fn absent_to_ask(&self, now: Instant) -> Vec<Rc<Member>> {
+        self.absent_if(|absence| !absence.is_awaited(now))
+    }
+
+    fn absent_if(&self, counts: impl Fn(&Absence) -> bool) -> Vec<Rc<Member>> {
+        let (stored, absent) = (self.stored.borrow(), self.absent.borrow());
+        let Some(StoredRecord { record, .. }) = stored.as_ref() else {
+            return Vec::new();
+        };
+        let named = absent.iter().filter(|(id, _)| record.names(id));
+        let found = named.filter(|(_, absent)| counts(&absent.absence));
+        found.map(|(_, absent)| Rc::clone(&absent.member)).collect()
+    }
+
+    /// Returns true if an upstream that the record names is no longer listed.
+    pub(crate) fn has_absent(&self) -> bool {
+        !self.absent().is_empty()
+    }
+
+    /// Records the answer of an upstream that is no longer listed to a question sent at `sent`.
+    pub fn note_absent(&self, member: &Rc<Member>, answer: Answer, sent: Instant) {
+        let id = &member.upstream.id;
+        let mut all = self.absent.borrow_mut();
+        let Some(absent) = all.get_mut(id).filter(|a| Rc::ptr_eq(&a.member, member)) else {
+            return;
+        };
+        match answer {
+            Answer::Silent => absent.absence.note_silence(sent),
+            Answer::Status(_) | Answer::Full | Answer::Refused(_) => {
+                if absent.absence.note_answer(sent) {
+                    log::info!(service = &*self.service, upstream = &**id; "voter answers without an entry");
+                }
+            }
+        }
+    }
+
+    /// Number of upstreams named by the record that answer without an entry.
+    pub fn answering_absent(&self) -> usize {
+        self.absent_if(Absence::answers).len()
+    }
+
+    /// Returns the time since the upstream has ended. One whose entry this instance has never seen
+    /// is given the time to appear in the list.
+    pub fn left_for(&self, id: &str, now: Instant) -> Option<Duration> {
+        let ended = match self.absent.borrow().get(id) {
+            Some(absent) => absent.absence.ended_at()?,
+            None if self.member(id).is_some() => return None,
+            // The list may lag behind the record that names the upstream.
+            None => self.listed_since.get()?.max(self.record_learnt_at.get()) + LIST_MEMORY,
+        };
+        (ended <= now).then(|| now.since(ended))
+    }
+}
--- a/crates/proxy/src/group/list.rs
+++ b/crates/proxy/src/group/list.rs
@@ -63,19 +63,6 @@
         voters
     }
 
-    /// Returns the time since the upstream has ended. One that was not leaving, or whose entry
-    /// this instance has never seen, is given the time to return to the list.
-    pub fn left_for(&self, id: &str, now: Instant) -> Option<Duration> {
-        let known = self.left.borrow().get(id).copied();
-        // The list may lag behind the record that names the upstream.
-        let unseen = || {
-            let since = self.listed_since.get()?.max(self.record_learnt_at.get());
-            self.member(id).is_none().then(|| since + LIST_MEMORY)
-        };
-        let ended = known.or_else(unseen)?;
-        (ended <= now).then(|| now.since(ended))
-    }
-
     /// Number of the replicas among the record's voters that have left.
     pub fn left_voters(&self, now: Instant) -> usize {
         let stored = self.stored.borrow();
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -246,6 +246,8 @@
         put("term", &labels, term as f64);
         let left = group.proof().until().since(now).as_secs_f64();
         put("proof_left_seconds", &labels, left);
+        let unlisted = group.answering_absent();
+        put("voters_without_entry", &labels, to_f64(unlisted));
         for member in group.members() {
             let (service, upstream) = (&group.service, &member.upstream.id);
             let labels = format!("{{service=\"{service}\",upstream=\"{upstream}\"}}");
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -197,6 +197,21 @@
     order_all::<P>(members, &Command::Status).await
 }
 
+/// Asks upstreams that are no longer listed for their status, concurrently. Each answer counts for
+/// whether its upstream has ended.
+pub async fn status_of_absent<P: Protocol>(
+    group: &Group,
+    absent: Vec<Rc<Member>>,
+) -> Vec<(Rc<Member>, Answer)> {
+    let ask = async |member: Rc<Member>| {
+        let sent = Boot.now();
+        let answer = order::<P>(&member, &Command::Status, STATUS_TIMEOUT).await;
+        group.note_absent(&member, answer, sent);
+        (member, answer)
+    };
+    futures_util::future::join_all(absent.into_iter().map(ask)).await
+}
+
 /// Sends all members the same order concurrently.
 pub async fn order_all<P: Protocol>(members: &[Rc<Member>], command: &Command<'_>) -> Vec<Answer> {
     let mut tasks = Vec::with_capacity(members.len());
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -12,7 +12,7 @@
 use std::{rc::Rc, time::Duration};
 
 use clock::Boot;
-use futures_util::future::join3;
+use futures_util::future::join4;
 use lead::{Phase, Record, proof, quorum};
 use model::Term;
 use tokio::{
@@ -201,10 +201,16 @@
         };
         let lapsed = proof::all_expired_at(Boot.now(), node.settings.proof);
         let wait = lapsed.since(Boot.now());
-        let (recovered, noted, ()) = join3(
+        let ask_absent = async {
+            sleep(wait.saturating_sub(probe::STATUS_TIMEOUT)).await;
+            let absent = group.absent_to_ask(Boot.now());
+            probe::status_of_absent::<E::Protocol>(group, absent).await;
+        };
+        let (recovered, noted, (), ()) = join4(
             recovered_primary::<E>(group, &old, reason, wait),
             note_order(node, group, revision, &member),
             sleep(wait),
+            ask_absent,
         )
         .await;
         revision = noted?;
--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use clock::Boot;
-use futures_util::future::{join, join_all};
+use futures_util::future::{join_all, join3};
 use lead::{Record, choose, quorum};
 use model::{Position, Term};
 use tokio::time::sleep;
@@ -83,8 +83,12 @@
             _ => Answer::Silent,
         }
     };
-    let (replies, primary_reply) =
-        join(probe::status_of_all::<E::Protocol>(&others), primary_reply).await;
+    let (replies, primary_reply, absent) = join3(
+        probe::status_of_all::<E::Protocol>(&others),
+        primary_reply,
+        probe::status_of_absent::<E::Protocol>(group, group.absent_to_ask(Boot.now())),
+    )
+    .await;
     if let Some(leads) = leader(&others, &replies, old.term) {
         return Some(leads);
     }
@@ -103,7 +107,9 @@
     }
     // Replicas may follow an upstream that was promoted by an order of a lost instance, and that
     // isn't seen here.
-    let known = replies.iter().filter_map(|reply| reply.status());
+    let absent_replies = absent.iter().map(|(_, reply)| reply);
+    let known = replies.iter().chain(absent_replies);
+    let known = known.filter_map(|reply| reply.status());
     let next = known.map(|s| s.term).fold(old.term, Term::max).next();
     let mut last = None;
     if let (Some(primary), Answer::Status(_)) = (primary, primary_reply) {
@@ -117,11 +123,18 @@
             catch_up::<E>(&others, status.received).await;
         }
     }
+    // A voter without an entry that answers is fenced like the others, and isn't promoted.
+    let answers = absent.iter().filter(|(_, reply)| *reply != Answer::Silent);
+    let answering = answers.map(|(member, _)| member).filter(|m| !is_old(m));
+    let others: Vec<_> = others.iter().chain(answering).cloned().collect();
     let replies = probe::order_all::<E::Protocol>(&others, &Command::Pause(next)).await;
     let now = Boot.now();
     let left = group.left_voters(now);
     let is_over = left > 0 || group.left_for(&old.upstream, now).is_some();
-    let excludes = |member: &Member| last.is_some() || is_over || group.is_voter(member);
+    let is_listed = |member: &Member| group.member(&member.upstream.id).is_some();
+    let excludes = |member: &Member| {
+        is_listed(member) && (last.is_some() || is_over || group.is_voter(member))
+    };
     let mut candidates = Vec::new();
     let mut informed = Vec::new();
     for (member, reply) in others.iter().zip(&replies) {
@@ -137,7 +150,7 @@
             excludes: excludes(member),
         });
     }
-    let answered = candidates.len();
+    let (answered, asked) = (candidates.len(), others.len());
     if let (Some(primary), Some(received)) = (primary, last)
         && reason != Reason::Leaving
     {
@@ -148,7 +161,7 @@
             excludes: true,
         });
     }
-    if !is_safe(node, group, &candidates, answered, last) {
+    if !is_safe(node, group, &candidates, (answered, asked), last) {
         return None;
     }
     let best = choose::best(&candidates, sync(node, group))?;
@@ -233,12 +246,13 @@
 }
 
 /// Returns true if the furthest of the candidates is certain to have every commit that was
-/// acknowledged under the service's durability setting.
+/// acknowledged under the service's durability setting. `answered` of the `asked` replicas have
+/// answered.
 pub(super) fn is_safe<E: Edge>(
     node: &Node<E>,
     group: &Group,
     candidates: &[choose::Candidate<'_>],
-    answered: usize,
+    (answered, asked): (usize, usize),
     last: Option<Position>,
 ) -> bool {
     let sync = sync(node, group);
@@ -252,7 +266,8 @@
     let now = Boot.now();
     let listed = group.replica_count(now, LIST_MEMORY);
     let voting = group.quorum_replicas(now);
-    let replicas = listed.max(voting.saturating_sub(group.left_voters(now)));
+    let remaining = voting.saturating_sub(group.left_voters(now));
+    let replicas = listed.max(remaining).max(asked);
     let seen = group.furthest(now, POSITION_MEMORY);
     choose::holds_all_commits(answered, replicas, sync) && seen.is_none_or(|seen| furthest >= seen)
 }
--- a/crates/proxy/src/takeover/record.rs
+++ b/crates/proxy/src/takeover/record.rs
@@ -171,6 +171,8 @@
         voters,
         ordered: None,
     };
+    // Voters without an entry may have been told to hold.
+    let absent = group.absent();
     let key = record_key::<E>(&group.service);
     let swap = Swap {
         expected: vec![(key.clone(), revision)],
@@ -199,6 +201,7 @@
         .members()
         .into_iter()
         .filter(|m| !Rc::ptr_eq(m, member))
+        .chain(absent)
         .collect();
     spawn_local(async move {
         if is_unchanged {
