Record the addresses of the voters

A record without addresses is read as before, and instances of the version before read records with them, as they pass over unknown fields. They leave them out of what they write.

The literals of two tests name the new field.

--- a/crates/lead/src/record.rs
+++ b/crates/lead/src/record.rs
@@ -1,6 +1,6 @@
 //! Record of a database's primary in the store.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use model::Term;
 use serde::{Deserialize, Serialize};
@@ -43,6 +43,10 @@
     /// listed upstreams count.
     #[serde(default)]
     pub voters: Vec<String>,
+    /// Last known addresses of the voters: an instance that never saw the entry of one asks it there.
+    /// Records of earlier versions have none.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub addresses: BTreeMap<String, SocketAddr>,
     /// The upstream that a replacement in progress has ordered, or is about to order, to lead.
     #[serde(default)]
     pub ordered: Option<String>,
@@ -64,6 +68,7 @@
     ///     written: 1,
     ///     replicas: 2,
     ///     voters: Vec::new(),
+    ///     addresses: Default::default(),
     ///     ordered: None,
     /// };
     /// assert!(record(3, Phase::Stable).is_behind(&record(4, Phase::Stable)));
--- a/crates/lead/tests/voters.rs
+++ b/crates/lead/tests/voters.rs
@@ -1,6 +1,6 @@
 //! Voters of a record when upstreams leave and join.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use lead::{Phase, Record};
 use model::Term;
@@ -16,6 +16,7 @@
         written: 0,
         replicas: 0,
         voters: voters.iter().map(|voter| (*voter).to_owned()).collect(),
+        addresses: BTreeMap::new(),
         ordered: None,
     }
 }
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -158,7 +158,7 @@
     fn is_quiet(&self, now: Instant) -> bool {
         let is_used = self.is_proof_wanted(now) || self.sessions.get() > 0;
         let is_changed = self.replacing.get() || self.asking.get();
-        if is_used || is_changed || self.primary().is_none() || self.has_absent() {
+        if is_used || is_changed || self.primary().is_none() || self.has_unlisted() {
             return false;
         }
         let members = self.members.borrow();
--- a/crates/proxy/src/group/absent.rs
+++ b/crates/proxy/src/group/absent.rs
@@ -82,6 +82,50 @@
         self.changed.notify_waiters();
     }
 
+    /// Adds the upstreams that the record names and whose entries this instance has never seen, at
+    /// the addresses in the record.
+    pub(crate) fn add_unseen(&self, now: Instant) {
+        let stored = self.stored.borrow();
+        let Some(StoredRecord { record, .. }) = stored.as_ref() else {
+            return;
+        };
+        if self.listed_since.get().is_none() {
+            return;
+        }
+        let (members, mut absent) = (self.members.borrow(), self.absent.borrow_mut());
+        for (id, address) in &record.addresses {
+            let id: Rc<str> = Rc::from(&**id);
+            if members.contains_key(&id) || absent.contains_key(&id) || !record.names(&id) {
+                continue;
+            }
+            let upstream = Upstream {
+                id: Rc::clone(&id),
+                service: Rc::clone(&self.service),
+                address: *address,
+                zone: String::new(),
+                readiness: Readiness::Ready,
+                slots: 0,
+                born: None,
+            };
+            absent.insert(id, Absent::new(&upstream, Departure::Unannounced, now));
+        }
+    }
+
+    /// Returns the upstream with this id if it is no longer listed.
+    pub(super) fn absent_member(&self, id: &str) -> Option<Rc<Member>> {
+        let absent = self.absent.borrow();
+        absent.get(id).map(|absent| Rc::clone(&absent.member))
+    }
+
+    /// Returns true if the record names an upstream that isn't listed.
+    pub(super) fn has_unlisted(&self) -> bool {
+        let (stored, members) = (self.stored.borrow(), self.members.borrow());
+        let is_unlisted = |id: &String| !members.contains_key(&**id);
+        stored
+            .as_ref()
+            .is_some_and(|stored| stored.record.voters.iter().any(is_unlisted))
+    }
+
     /// Returns the upstreams that are named by the record and are no longer listed.
     pub fn absent(&self) -> Vec<Rc<Member>> {
         self.absent_if(|_| true)
@@ -134,10 +178,18 @@
     pub fn left_for(&self, id: &str, now: Instant) -> Option<Duration> {
         let ended = match self.absent.borrow().get(id) {
             Some(absent) => absent.absence.ended_at()?,
-            None if self.member(id).is_some() => return None,
+            None if self.member(id).is_some() || self.is_unasked(id) => return None,
             // The list may lag behind the record that names the upstream.
             None => self.listed_since.get()?.max(self.record_learnt_at.get()) + LIST_MEMORY,
         };
         (ended <= now).then(|| now.since(ended))
     }
+
+    /// Returns true if the upstream can be asked at its address in the record, and was not yet.
+    fn is_unasked(&self, id: &str) -> bool {
+        let stored = self.stored.borrow();
+        stored
+            .as_ref()
+            .is_some_and(|stored| stored.record.addresses.contains_key(id))
+    }
 }
--- a/crates/proxy/src/group/list.rs
+++ b/crates/proxy/src/group/list.rs
@@ -1,6 +1,6 @@
 //! The listed upstreams of a group, and the voters on its primary.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use clock::Instant;
 use lead::Record;
@@ -63,6 +63,20 @@
         voters
     }
 
+    /// Last known addresses of `voters`.
+    pub fn addresses(&self, voters: &[String]) -> BTreeMap<String, SocketAddr> {
+        let stored = self.stored.borrow();
+        let recorded = |id: &str| Some(*stored.as_ref()?.record.addresses.get(id)?);
+        let known = |id: &str| {
+            let member = self.member(id).or_else(|| self.absent_member(id));
+            member.map_or_else(|| recorded(id), |member| Some(member.upstream.address))
+        };
+        let all = voters
+            .iter()
+            .filter_map(|id| Some((id.clone(), known(id)?)));
+        all.collect()
+    }
+
     /// Number of the replicas among the record's voters that have left.
     pub fn left_voters(&self, now: Instant) -> usize {
         let stored = self.stored.borrow();
@@ -108,6 +122,7 @@
                 self.left_for(id, now)
             })?;
         let record = Record {
+            addresses: self.addresses(&voters),
             voters,
             ..record.clone()
         };
--- a/crates/proxy/src/proof_lease/recovery.rs
+++ b/crates/proxy/src/proof_lease/recovery.rs
@@ -1,7 +1,7 @@
 //! Writes records of primaries that the store lacks or may have lost: a group's first record,
 //! and records that a restore of the store has undone.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use clock::Boot;
 use futures_util::{
@@ -106,6 +106,7 @@
         written: node.store().era(),
         replicas: group.quorum_replicas(Boot.now()),
         voters: Vec::new(),
+        addresses: BTreeMap::new(),
         ordered: None,
     })
 }
@@ -220,16 +221,20 @@
     let written = node.store().era();
     let leads = leaders.max_by_key(|(term, _)| *term);
     let record = match leads.filter(|(term, _)| *term > copy.term) {
-        Some((term, upstream)) => Record {
-            term,
-            voters: group.voters(&upstream),
-            upstream,
-            phase: Phase::Stable,
-            by: node.settings.name.clone(),
-            written,
-            replicas: group.quorum_replicas(Boot.now()),
-            ordered: None,
-        },
+        Some((term, upstream)) => {
+            let voters = group.voters(&upstream);
+            Record {
+                term,
+                upstream,
+                phase: Phase::Stable,
+                by: node.settings.name.clone(),
+                written,
+                replicas: group.quorum_replicas(Boot.now()),
+                addresses: group.addresses(&voters),
+                voters,
+                ordered: None,
+            }
+        }
         // A replacement that had begun is resumed from the restored record.
         None => Record { written, ..copy },
     };
--- a/crates/proxy/src/proof_lease/voters.rs
+++ b/crates/proxy/src/proof_lease/voters.rs
@@ -45,7 +45,11 @@
 /// Asks the voters without an entry of the active groups.
 async fn ask_absent<E: Edge>(node: &Node<E>) {
     let mut groups = node.active();
-    groups.retain(|group| group.has_absent());
+    let now = Boot.now();
+    groups.retain(|group| {
+        group.add_unseen(now);
+        group.has_absent()
+    });
     stream::iter(groups)
         .for_each_concurrent(MAX_CONCURRENT_GROUPS, async |group| {
             probe::status_of_absent::<E::Protocol>(&group, group.absent()).await;
--- a/crates/proxy/src/takeover/record.rs
+++ b/crates/proxy/src/takeover/record.rs
@@ -168,6 +168,7 @@
         by: node.settings.name.clone(),
         written: node.store().era(),
         replicas: group.quorum_replicas(Boot.now()),
+        addresses: group.addresses(&voters),
         voters,
         ordered: None,
     };
