Log a revision of the voters only if the record named some

A first naming is no event: a fleet names the voters of all its groups within a second, and its instance wrote one line for each.

--- a/crates/proxy/src/group/list.rs
+++ b/crates/proxy/src/group/list.rs
@@ -97,6 +97,12 @@
             .is_none_or(|s| s.record.is_voter(&member.upstream.id))
     }
 
+    /// Returns true if the record names voters.
+    pub fn names_voters(&self) -> bool {
+        let stored = self.stored.borrow();
+        stored.as_ref().is_some_and(|s| !s.record.voters.is_empty())
+    }
+
     /// Returns true if the record names voters and all of them are listed, so that none is to be
     /// revised.
     fn has_all_voters(&self) -> bool {
--- a/crates/proxy/src/proof_lease/voters.rs
+++ b/crates/proxy/src/proof_lease/voters.rs
@@ -32,7 +32,9 @@
             let known = group
                 .revised_record(now)
                 .filter(|_| !group.replacing.get())?;
-            log::info!(service = &*group.service, voters:? = known.record.voters; "voters revised");
+            if group.names_voters() {
+                log::info!(service = &*group.service, voters:? = known.record.voters; "voters revised");
+            }
             Some((Rc::clone(group), known))
         });
         let revised: Vec<_> = revised.collect();
