--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -4,6 +4,7 @@
 //! The functions read no clock or socket; moments are passed in. The moments must come from a
 //! clock that includes suspensions ([`clock::Boot`]).
 
+pub mod absence;
 pub mod choose;
 pub mod commits;
 pub mod floor;
@@ -15,6 +16,7 @@
 pub mod record;
 pub mod vote;
 
+pub use absence::{Absence, Departure};
 pub use commits::Commits;
 pub use floor::Samples;
 pub use freshness::Freshness;
--- a/crates/proxy/src/group/list.rs
+++ b/crates/proxy/src/group/list.rs
@@ -1,6 +1,6 @@
 //! The listed upstreams of a group, and the voters on its primary.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use clock::Instant;
 use lead::Record;
@@ -63,17 +63,18 @@
         voters
     }
 
-    /// Returns the time since the upstream has ended. One that was not leaving, or whose entry
-    /// this instance has never seen, is given the time to return to the list.
-    pub fn left_for(&self, id: &str, now: Instant) -> Option<Duration> {
-        let known = self.left.borrow().get(id).copied();
-        // The list may lag behind the record that names the upstream.
-        let unseen = || {
-            let since = self.listed_since.get()?.max(self.record_learnt_at.get());
-            self.member(id).is_none().then(|| since + LIST_MEMORY)
+    /// Last known addresses of `voters`.
+    pub fn addresses(&self, voters: &[String]) -> BTreeMap<String, SocketAddr> {
+        let stored = self.stored.borrow();
+        let recorded = |id: &str| Some(*stored.as_ref()?.record.addresses.get(id)?);
+        let known = |id: &str| {
+            let member = self.member(id).or_else(|| self.absent_member(id));
+            member.map_or_else(|| recorded(id), |member| Some(member.upstream.address))
         };
-        let ended = known.or_else(unseen)?;
-        (ended <= now).then(|| now.since(ended))
+        let all = voters
+            .iter()
+            .filter_map(|id| Some((id.clone(), known(id)?)));
+        all.collect()
     }
 
     /// Number of the replicas among the record's voters that have left.
@@ -96,6 +97,12 @@
             .is_none_or(|s| s.record.is_voter(&member.upstream.id))
     }
 
+    /// Returns true if the record names voters.
+    pub fn names_voters(&self) -> bool {
+        let stored = self.stored.borrow();
+        stored.as_ref().is_some_and(|s| !s.record.voters.is_empty())
+    }
+
     /// Returns true if the record names voters and all of them are listed, so that none is to be
     /// revised.
     fn has_all_voters(&self) -> bool {
@@ -121,6 +128,7 @@
                 self.left_for(id, now)
             })?;
         let record = Record {
+            addresses: self.addresses(&voters),
             voters,
             ..record.clone()
         };
