--- a/crates/proxy/src/group/absent.rs
+++ b/crates/proxy/src/group/absent.rs
@@ -1,9 +1,9 @@
 //! Upstreams that have left the list though they may vote on the group's primary.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
-use lead::{Absence, Departure};
+use lead::{Absence, Departure, Samples};
 
 use super::{Group, LIST_MEMORY, StoredRecord};
 use crate::{
@@ -21,9 +21,14 @@
 }
 
 impl Absent {
-    fn new(upstream: &Upstream, departure: Departure, since: Instant) -> Self {
+    fn new(
+        upstream: &Upstream,
+        samples: &Rc<RefCell<Samples>>,
+        departure: Departure,
+        since: Instant,
+    ) -> Self {
         // A member of its own: an upstream that has lost its log answers, too.
-        let member = Rc::new(Member::new(upstream.clone()));
+        let member = Rc::new(Member::new(upstream.clone(), samples));
         member.pool.retire();
         Self {
             member,
@@ -69,7 +74,7 @@
             Readiness::Draining => Departure::Announced,
             Readiness::Ready => Departure::Unannounced,
         };
-        let absent = Absent::new(&member.upstream, departure, Boot.now());
+        let absent = Absent::new(&member.upstream, &self.samples, departure, Boot.now());
         self.absent.borrow_mut().insert(Rc::from(id), absent);
         let stored = self.stored.borrow();
         if stored
@@ -107,7 +112,10 @@
                 slots: 0,
                 born: None,
             };
-            absent.insert(id, Absent::new(&upstream, Departure::Unannounced, now));
+            absent.insert(
+                id,
+                Absent::new(&upstream, &self.samples, Departure::Unannounced, now),
+            );
         }
     }
 
