--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -45,8 +45,8 @@
             statement.text("error")
         );
     }
-    let (cause, retry_ms) = match statement.optional("cause") {
-        Some(cause) => match cause.split_once(" { retry_ms: ") {
+    let (cause, retry_after_ms) = match statement.optional("cause") {
+        Some(cause) => match cause.split_once(" { retry_after_ms: ") {
             Some((cause, retry)) => (Some(cause), retry.strip_suffix(" }")),
             None => (Some(cause), None),
         },
@@ -89,7 +89,7 @@
         Some("OverQuota") => format!(
             "account {} has used up its quota{}",
             statement.text("account"),
-            retry_ms.map_or_else(String::new, |retry| format!(
+            retry_after_ms.map_or_else(String::new, |retry| format!(
                 "; the caller was told to come back in {retry} ms"
             ))
         ),
--- a/crates/explain/tests/story.rs
+++ b/crates/explain/tests/story.rs
@@ -153,7 +153,7 @@
 {"at":10.0,"instance":"a","level":"INFO","message":"upstream full","part":"proxy::pool","service":"db","upstream":"u1","refused":7,"open":0,"idle":0,"waiting":12,"running":0,"starved":true}
 {"at":10.2,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"f1","transaction":"f1","service":"db","cause":"Some(NoConnection)","code":"Some(Busy)","ms":300,"unconnected":2,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
 {"at":20.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"h1","transaction":"h1","service":"db","cause":"Some(Holder)","code":"Some(InDoubt)","ms":700,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
-{"at":21.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"q1","transaction":"q1","service":"db","account":"north","cause":"Some(OverQuota { retry_ms: 120 })","code":"Some(Busy)","ms":1,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
+{"at":21.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"q1","transaction":"q1","service":"db","account":"north","cause":"Some(OverQuota { retry_after_ms: 120 })","code":"Some(Busy)","ms":1,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
 {"at":22.0,"instance":"a","level":"INFO","message":"statement","part":"proxy::session::statement","request":"q2","transaction":"q2","service":"db","account":"north","cause":"Some(OverQuota)","code":"Some(Busy)","ms":1,"phase":"Some(Stable)","upstream":"u1","store_silent_ms":20}
 "#;
 
--- a/crates/proxy/src/outcome.rs
+++ b/crates/proxy/src/outcome.rs
@@ -38,7 +38,7 @@
     /// The account has used up its quota.
     OverQuota {
         /// Time after which an operation can be expected, in milliseconds.
-        retry_ms: u16,
+        retry_after_ms: u16,
     },
     /// There is no such prepared statement.
     NoStatement,
@@ -63,8 +63,8 @@
             Self::NoRoute => "no such database",
             Self::NoKey => "no account holds this key",
             Self::Stale => "whether the key is valid can't be told, come back in 500 ms",
-            Self::OverQuota { retry_ms } => {
-                return format!("the account's quota is used up, come back in {retry_ms} ms")
+            Self::OverQuota { retry_after_ms } => {
+                return format!("the account's quota is used up, come back in {retry_after_ms} ms")
                     .into();
             }
             Self::NoStatement => "no such prepared statement",
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -323,8 +323,8 @@
         true => wait,
         false => DEFAULT_RETRY,
     };
-    let retry_ms = u16::try_from(wait.as_micros().div_ceil(1_000)).unwrap_or(u16::MAX);
-    Cause::OverQuota { retry_ms }
+    let retry_after_ms = u16::try_from(wait.as_micros().div_ceil(1_000)).unwrap_or(u16::MAX);
+    Cause::OverQuota { retry_after_ms }
 }
 
 /// Asks the account's limiters one after the other.
