Count a silent voter without an entry beside the listed replicas

With synchronous replicas, a replica without an acknowledged commit could be promoted, so that the commit was lost: its holder voted, had no entry, had answered without one for longer than the list is remembered, and fell silent together with the primary. The number of replicas that may hold a commit was the largest of the listed ones, the voters that had not left, and those asked. A replica that joined in the same term is listed and doesn't vote, so that none of the three counted the holder beside it. It is the listed replicas and the voters that are neither listed nor left.

--- a/crates/proxy/src/group/list.rs
+++ b/crates/proxy/src/group/list.rs
@@ -89,6 +89,19 @@
             .count()
     }
 
+    /// Number of the replicas among the record's voters that are not listed and have not left.
+    pub fn unlisted_voters(&self, now: Instant) -> usize {
+        let stored = self.stored.borrow();
+        let Some(StoredRecord { record, .. }) = stored.as_ref() else {
+            return 0;
+        };
+        let replicas = record.voters.iter().filter(|id| **id != record.upstream);
+        let unlisted = replicas.filter(|id| self.member(id).is_none());
+        unlisted
+            .filter(|id| self.left_for(id, now).is_none())
+            .count()
+    }
+
     /// Returns true if the answer of `member` counts towards a proof of the primary.
     pub fn is_voter(&self, member: &Member) -> bool {
         let stored = self.stored.borrow();
--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -150,7 +150,9 @@
             excludes: excludes(member),
         });
     }
-    let (answered, asked) = (candidates.len(), others.len());
+    let answered = candidates.len();
+    let listed = others.iter().filter(|member| is_listed(member)).count();
+    let replicas = listed + group.unlisted_voters(now);
     if let (Some(primary), Some(received)) = (primary, last)
         && reason != Reason::Leaving
     {
@@ -161,7 +163,7 @@
             excludes: true,
         });
     }
-    if !is_safe(node, group, &candidates, (answered, asked), last) {
+    if !is_safe(node, group, &candidates, (answered, replicas), last) {
         return None;
     }
     let best = choose::best(&candidates, sync(node, group))?;
@@ -246,13 +248,13 @@
 }
 
 /// Returns true if the furthest of the candidates is certain to have every commit that was
-/// acknowledged under the service's durability setting. `answered` of the `asked` replicas have
+/// acknowledged under the service's durability setting. `answered` of at least `replicas` have
 /// answered.
 pub(super) fn is_safe<E: Edge>(
     node: &Node<E>,
     group: &Group,
     candidates: &[choose::Candidate<'_>],
-    (answered, asked): (usize, usize),
+    (answered, replicas): (usize, usize),
     last: Option<Position>,
 ) -> bool {
     let sync = sync(node, group);
@@ -267,7 +269,7 @@
     let listed = group.replica_count(now, LIST_MEMORY);
     let voting = group.quorum_replicas(now);
     let remaining = voting.saturating_sub(group.left_voters(now));
-    let replicas = listed.max(remaining).max(asked);
+    let replicas = replicas.max(listed).max(remaining);
     let seen = group.furthest(now, POSITION_MEMORY);
     choose::holds_all_commits(answered, replicas, sync) && seen.is_none_or(|seen| furthest >= seen)
 }
