Count a question without an answer for no longer than its time limit

An instance that was suspended during a question to a voter without an entry counted the whole suspension as silence of the voter. After 15 s, or 2.5 s for a voter that had announced that it leaves, the voter counted as ended at once, and its vote was passed on though it lived and could prove a replaced primary to an instance without the store.

Evidence: a_suspension_during_a_question_is_no_end failed with the time counted from the send time.

--- a/crates/lead/src/absence.rs
+++ b/crates/lead/src/absence.rs
@@ -11,6 +11,9 @@
 /// Time for which an upstream that was not leaving may return to the list.
 pub const RETURN_TIME: Duration = Duration::from_secs(15);
 
+/// Time limit of a question.
+pub const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// Time without an answer after which an upstream without an entry may count as ended. One whose
 /// questions are lost for a moment does not.
 pub const SILENCE: Duration = Duration::from_millis(2_500);
@@ -34,11 +37,11 @@
 /// let at = Instant::from_millis;
 /// let mut absence = Absence::new(Departure::Unannounced, at(1_000));
 /// assert_eq!(absence.ended_at(), None, "it was not asked");
-/// absence.note_silence(at(2_000));
+/// absence.note_silence(at(2_000), at(2_300));
 /// assert_eq!(absence.ended_at(), Some(at(1_000) + RETURN_TIME));
 /// absence.note_answer(at(3_000));
 /// assert_eq!(absence.ended_at(), None);
-/// absence.note_silence(at(4_000));
+/// absence.note_silence(at(4_000), at(4_300));
 /// assert_eq!(absence.ended_at(), Some(at(3_000) + RETURN_TIME));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,7 +49,7 @@
     departure: Departure,
     since: Instant,
     answered: Option<Instant>,
-    /// Send time of the first question without an answer since the last answer.
+    /// Start of the first question without an answer since the last answer.
     silent_since: Option<Instant>,
 }
 
@@ -70,11 +73,15 @@
         before.is_none()
     }
 
-    /// Records that a question that was sent at `sent` was not answered.
-    pub fn note_silence(&mut self, sent: Instant) {
+    /// Records at `now` that a question that was sent at `sent` was not answered.
+    ///
+    /// An instance that was suspended meanwhile may have missed the answer, so no more than the
+    /// question's time limit counts.
+    pub fn note_silence(&mut self, sent: Instant, now: Instant) {
         let is_overtaken = self.answered.is_some_and(|answered| answered >= sent);
         if !is_overtaken {
-            self.silent_since = Some(self.silent_since.map_or(sent, |since| since.min(sent)));
+            let from = sent.max(now - ANSWER_TIME);
+            self.silent_since = Some(self.silent_since.map_or(from, |since| since.min(from)));
         }
     }
 
--- a/crates/lead/tests/absence.rs
+++ b/crates/lead/tests/absence.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use clock::Instant;
-use lead::absence::{Absence, Departure, RETURN_TIME, SILENCE};
+use lead::absence::{ANSWER_TIME, Absence, Departure, RETURN_TIME, SILENCE};
 use proptest::prelude::*;
 
 const LOST_AT: Instant = Instant::from_millis(100_000);
@@ -20,7 +20,7 @@
             true => {
                 absence.note_answer(sent);
             }
-            false => absence.note_silence(sent),
+            false => absence.note_silence(sent, sent + ANSWER_TIME),
         }
     }
     (absence, sent)
@@ -53,16 +53,30 @@
     let mut absence = Absence::new(Departure::Unannounced, LOST_AT);
     absence.note_answer(LOST_AT + INTERVAL);
     let sent = LOST_AT + RETURN_TIME * 2;
-    absence.note_silence(sent);
+    absence.note_silence(sent, sent + ANSWER_TIME);
     assert_eq!(absence.ended_at(), Some(sent + SILENCE));
 }
 
+/// Guards against a voter that is taken for ended because an instance was suspended during a
+/// question and so missed the answer.
+#[test]
+fn a_suspension_during_a_question_is_no_end() {
+    let mut absence = Absence::new(Departure::Unannounced, LOST_AT);
+    let sent = LOST_AT + INTERVAL;
+    absence.note_answer(sent);
+    let resumed = sent + RETURN_TIME * 2;
+    absence.note_silence(sent + INTERVAL, resumed);
+    assert!(absence.is_awaited(resumed));
+    absence.note_answer(resumed + INTERVAL);
+    assert_eq!(absence.ended_at(), None);
+}
+
 /// Guards against an answer that is voided by an older question whose time limit ends later.
 #[test]
 fn a_question_from_before_an_answer_tells_nothing() {
     let mut absence = Absence::new(Departure::Announced, LOST_AT);
     assert!(absence.note_answer(LOST_AT + INTERVAL));
-    absence.note_silence(LOST_AT);
+    absence.note_silence(LOST_AT, LOST_AT + INTERVAL * 2);
     assert_eq!(absence.ended_at(), None);
     assert!(!absence.note_answer(LOST_AT + INTERVAL * 2));
 }
--- a/crates/proxy/src/group/absent.rs
+++ b/crates/proxy/src/group/absent.rs
@@ -167,7 +167,7 @@
             return;
         };
         match answer {
-            Answer::Silent => absent.absence.note_silence(sent),
+            Answer::Silent => absent.absence.note_silence(sent, Boot.now()),
             Answer::Status(_) | Answer::Full | Answer::Refused(_) => {
                 if absent.absence.note_answer(sent) {
                     log::info!(service = &*self.service, upstream = &**id; "voter answers without an entry");
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -4,6 +4,7 @@
 
 use clock::Boot;
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use lead::absence::ANSWER_TIME;
 use model::Term;
 use tokio::{
     net::TcpStream,
@@ -22,7 +23,7 @@
 };
 
 /// Time limit of a status request.
-pub const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
+pub const STATUS_TIMEOUT: Duration = ANSWER_TIME;
 
 /// Time limit of a status request to a failing upstream.
 const FAILING_TIMEOUT: Duration = Duration::from_millis(120);
