Voters without an entry are asked by those that may decide on them

Each instance with the group active asked once a second, which in a fleet of thousands is a flood of one upstream. The judges of the primary and the readers of the store ask; who replaces asks for itself. The moment that the voters are judged by is read before the questions, so that a suspension during them is no silence.

--- a/crates/proxy/src/proof_lease/voters.rs
+++ b/crates/proxy/src/proof_lease/voters.rs
@@ -22,11 +22,12 @@
 pub(super) async fn revise<E: Edge>(node: Rc<Node<E>>) {
     loop {
         sleep(CHECK_INTERVAL).await;
+        // A suspension during the questions must not count as a voter's silence.
+        let now = Boot.now();
         ask_absent(&node).await;
         if !matches!(relay::readers(&node).first(), Some(None)) {
             continue;
         }
-        let now = Boot.now();
         let groups = node.groups();
         let revised = groups.iter().filter_map(|group| {
             let known = group
@@ -44,11 +45,16 @@
     }
 }
 
-/// Asks the voters without an entry of the active groups.
+/// Asks the voters without an entry of the active groups, if this instance may have to decide on
+/// them: in a large fleet an upstream would otherwise be asked by hundreds of instances.
 async fn ask_absent<E: Edge>(node: &Node<E>) {
     let mut groups = node.active();
     let now = Boot.now();
+    let is_reader = relay::is_reader(node);
     groups.retain(|group| {
+        if !is_reader && !node.is_judge(group) {
+            return false;
+        }
         group.add_unseen(now);
         group.has_absent()
     });
