A read that was sent and not answered isn't refused as not run

Callers saw BUSY, "no connection free" or "no answer in time", for reads that an upstream had run: a later attempt that found no connection, or was refused by prediction, replaced the cause of the one without an answer. The operation was also given back to the account's quota though it had run. Such a read now ends as a timeout, which promises nothing.

--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -258,6 +258,7 @@
     let mut last = None;
     let limit = context.route.timeout;
     let mut cause = Cause::NoProof;
+    let mut unanswered: Option<NoAnswer> = None;
     let mut earliest = Duration::MAX;
     loop {
         let wait_limit = remaining(node.settings.hold.min(limit), context.arrived_at);
@@ -338,7 +339,7 @@
             }
             Err(lost) => {
                 attempts.lost += 1;
-                cause = lost.into();
+                unanswered = Some(lost);
                 pool::discard::<E::Protocol>(connection);
                 probe::suspect(node, group, &target.member);
             }
@@ -349,9 +350,11 @@
             tried.clear();
         }
     }
-    match last {
-        Some(reply) => Outcome::from_reply(reply),
-        None => not_run::<E>(cause),
+    match (unanswered, last) {
+        // The statement may have run, whatever became of the attempts behind that one.
+        (Some(lost), _) => not_run::<E>(lost.into()),
+        (None, Some(reply)) => Outcome::from_reply(reply),
+        (None, None) => not_run::<E>(cause),
     }
 }
 
