A small share grants low priorities beside an urgent caller

Where a limiter's part of the quota's own burst is less than one operation (a burst below four at four limiters), what it kept for urgent operations left less than one in a full bucket. So one urgent operation every few seconds had all less urgent ones of the account refused for good, though the account was within its quota, and each was told to come back within five seconds.

--- a/crates/admit/src/limiter.rs
+++ b/crates/admit/src/limiter.rs
@@ -146,7 +146,11 @@
         let more_urgent = self.demand.range(..priority);
         let urgent: f64 = more_urgent.map(|(_, demand)| demand.rate(now)).sum();
         let kept = match urgent > 0.0 {
-            true => (urgent * HORIZON.as_secs_f64()).max(1.0).min(limit.reserve),
+            true => {
+                // A full bucket has one operation for each priority.
+                let most = limit.reserve.min(limit.burst - 1.0).max(0.0);
+                (urgent * HORIZON.as_secs_f64()).max(1.0).min(most)
+            }
             false => 0.0,
         };
         let mut granted = 0;
--- a/crates/admit/tests/limiter.rs
+++ b/crates/admit/tests/limiter.rs
@@ -98,6 +98,28 @@
     }
 }
 
+/// Guards against low priorities that are refused for as long as a single urgent caller is active,
+/// at a limiter whose part of the quota's burst is less than one operation.
+#[test]
+fn a_small_share_grants_low_priorities_beside_an_urgent_caller() {
+    let limit = Limit {
+        rate: 2.0,
+        burst: 1.75,
+        reserve: 1.5,
+    };
+    let mut limiter = Limiter::new(Bucket::new(limit.burst, at(0)));
+    let mut low = 0;
+    for second in 0..60 {
+        assert_eq!(
+            limiter.grant(limit, URGENT, 1, at(second * 1_000_000)),
+            Ok(1)
+        );
+        let between = at(second * 1_000_000 + 500_000);
+        low += limiter.grant(limit, LOW, 1, between).unwrap_or(0);
+    }
+    assert!(low >= 30, "{low} granted, 60 left by the urgent caller");
+}
+
 /// Guards against a quota that is partly lost to low priorities after the urgent callers have
 /// stopped.
 #[test]
