Requests that waited for an upstream don't reach it after its drain

With admission by prediction, a request waits for a connection until its deadline, but whether the upstream leaves was checked only when the upstream was chosen. A leaving primary gets work until 1.5 s before the end of its drain, and a route with a time limit of 2 s could reach it later than that. Without the feature, the wait ends after 300 ms.

--- a/crates/proxy/src/node/proved.rs
+++ b/crates/proxy/src/node/proved.rs
@@ -27,9 +27,13 @@
     /// work in its last moments.
     fn proved_primary(&self, group: &Group, moment: Instant) -> Option<Rc<Member>> {
         let (member, _) = group.primary()?;
+        (self.may_get_work(&member) && group.proof().covers(moment)).then_some(member)
+    }
+
+    /// Returns false if `member` leaves and is about to end.
+    pub fn may_get_work(&self, member: &Member) -> bool {
         let left = member.leaves_in(Boot.now(), self.settings.drain);
-        let stays = left.is_none_or(|left| left > DRAIN_MARGIN);
-        (stays && group.proof().covers(moment)).then_some(member)
+        left.is_none_or(|left| left > DRAIN_MARGIN)
     }
 
     /// Waits until it is proved that the primary led at `moment`, at most for `wait`.
--- a/crates/proxy/src/run/connect.rs
+++ b/crates/proxy/src/run/connect.rs
@@ -49,7 +49,14 @@
         values: context.values,
     };
     let acquired = match member.features.get().admission {
-        true => connect_admitted(node, member, request, wait).await,
+        true => match connect_admitted(node, member, request, wait).await {
+            // The wait may have lasted longer than the drain of an upstream that leaves.
+            Ok(connection) if !node.may_get_work(member) => {
+                pool::release::<E::Protocol>(connection);
+                Err(Unavailable::Refused(Refused::TooMany))
+            }
+            result => result,
+        },
         false => timeout(wait, pool::acquire::<E::Protocol>(member, request))
             .await
             .unwrap_or(Err(Unavailable::Refused(Refused::TooMany))),
