Load reports of a restarted holder count at once

The numbers of reports begin anew with the process. If a holder was restarted before its 65th report, the others took its new ones for overtaken datagrams until the numbers reached those from before, and kept their fixed parts meanwhile. A report now counts once the last one is too old.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -43,7 +43,6 @@
     ReplyRequest, StoreContact,
 };
 pub(crate) use loads::GroupLoads;
-use loads::Reported;
 pub(crate) use membership::Changes;
 use membership::Roles;
 pub use peer::Relay;
@@ -190,7 +189,7 @@
     peer.address = heartbeat.address;
     peer.heard = Some(now_unstalled);
     peer.observations = heartbeat.observations;
-    peer.reported = Reported::newest(peer.reported.take(), report, now_unstalled);
+    peer.record_report(report, now_unstalled);
     peer.version = heartbeat.version;
     let mut introduced = Vec::new();
     peer.unreachable_zones = Vec::new();
--- a/crates/proxy/src/peers/loads.rs
+++ b/crates/proxy/src/peers/loads.rs
@@ -60,19 +60,6 @@
 }
 
 impl Reported {
-    /// Returns the peer's newest report, of the `last` one and the one that came at `now`.
-    pub(super) fn newest(
-        last: Option<Self>,
-        report: Option<LoadReport>,
-        now: Instant,
-    ) -> Option<Self> {
-        let report = report?;
-        match last {
-            Some(last) if report.is_older_than(last.report.number) => Some(last),
-            _ => Some(Self { report, heard: now }),
-        }
-    }
-
     fn load(&self, upstream: UpstreamKey) -> Load {
         let mut loads = self.report.loads.iter();
         let found = loads.find(|load| load.upstream == upstream);
@@ -81,14 +68,35 @@
 }
 
 impl Peer {
+    /// Records the load report of a heartbeat that arrives at `now`.
+    ///
+    /// One that was overtaken is ignored, but only while the last one is current: a restarted peer
+    /// numbers its reports anew.
+    pub(super) fn record_report(&mut self, report: Option<LoadReport>, now: Instant) {
+        let is_overtaken = match (&report, &self.reported) {
+            (Some(report), Some(last)) => {
+                let is_current = self.as_report(last, Load::default()).is_current(now);
+                is_current && report.is_older_than(last.report.number)
+            }
+            _ => false,
+        };
+        if !is_overtaken {
+            self.reported = report.map(|report| Reported { report, heard: now });
+        }
+    }
+
     /// The peer's last report of its load at `upstream`.
     fn report(&self, upstream: UpstreamKey) -> Option<Report> {
         let reported = self.reported.as_ref()?;
-        Some(Report {
-            load: reported.load(upstream),
+        Some(self.as_report(reported, reported.load(upstream)))
+    }
+
+    fn as_report(&self, reported: &Reported, load: Load) -> Report {
+        Report {
+            load,
             heard: reported.heard,
             next: self.next,
-        })
+        }
     }
 
     /// Returns true if requests wait for one of the `upstreams` at the peer, as far as is known.
