Greetings report no load

A greeting carried an empty load report, which means an idle holder. A recipient that knew the sender, as the holder of the takeover lock does, took a busy one for idle until the next heartbeat. Greetings carry no report now, so that the sender counts with its fixed part meanwhile.

--- a/crates/proxy/src/peers/encoder.rs
+++ b/crates/proxy/src/peers/encoder.rs
@@ -64,8 +64,7 @@
             }
             false => encode(),
         };
-        if let Some(number) = self.report {
-            let loads = message.loads;
+        if let (Some(number), Some(loads)) = (self.report, message.loads) {
             LoadReport { number, loads }.append_to(&mut bytes);
         }
         node.work.add(Kind::HeartbeatByte, bytes.len());
--- a/crates/proxy/src/peers/peer.rs
+++ b/crates/proxy/src/peers/peer.rs
@@ -140,8 +140,9 @@
     pub(super) reply_request: ReplyRequest,
     /// Addresses of the instances that the heartbeat introduces.
     pub(super) introduced: Vec<SocketAddr>,
-    /// The loads that the heartbeat reports, if load reports are in force.
-    pub(super) loads: Vec<UpstreamLoad>,
+    /// The loads that the heartbeat reports, if load reports are in force; `None` in a greeting,
+    /// whose recipient may not be known.
+    pub(super) loads: Option<Vec<UpstreamLoad>>,
 }
 
 impl Outgoing {
@@ -152,7 +153,7 @@
             next: FREQUENT_INTERVAL,
             reply_request,
             introduced: Vec::new(),
-            loads: Vec::new(),
+            loads: None,
         }
     }
 }
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -285,7 +285,7 @@
                         None => ReplyRequest::Answer,
                     },
                     introduced: Vec::new(),
-                    loads: self.loads.told_to(name, forwards),
+                    loads: Some(self.loads.told_to(name, forwards)),
                 });
             }
         }
@@ -355,7 +355,7 @@
             next,
             reply_request: ReplyRequest::None,
             introduced,
-            loads: self.loads.told_to(name, forwards),
+            loads: Some(self.loads.told_to(name, forwards)),
         })
     }
 
