--- a/crates/admit/src/load.rs
+++ b/crates/admit/src/load.rs
@@ -21,7 +21,7 @@
 /// Average load of a holder at an upstream, in tenths of statements.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Statements outside of transactions that run.
+    /// Statements that run, those of transactions included.
     pub running: u16,
     /// Requests that wait.
     pub waiting: u16,
@@ -63,7 +63,7 @@
 /// The work of a holder at one moment.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Sample {
-    /// Statements outside of transactions that run.
+    /// Statements that run, those of transactions included.
     pub running: usize,
     /// Requests that wait.
     pub waiting: usize,
