--- a/crates/proxy/src/pool/admission.rs
+++ b/crates/proxy/src/pool/admission.rs
@@ -218,11 +218,15 @@
         self.opening_time.set((old + time) / OPENING_WEIGHT_DIVISOR);
     }
 
-    /// Statements in flight, those of transactions included.
+    /// Statements in flight, those of transactions included. Up to the fixed window, one statement
+    /// may run beside them: they never wait, and in a window that the reports of other holders have
+    /// reduced to one place they would keep all others out.
     fn load(&self, member: &Member) -> Load {
+        let pinned = self.running_pinned.get();
+        let beside = (pinned + 1).min(member.fixed_window());
         Load {
-            window: member.window(),
-            in_flight: self.active() + self.running_pinned.get(),
+            window: member.window().max(beside),
+            in_flight: self.active() + pinned,
         }
     }
 
