Names and parameters of the new parts: occupancy, no boolean parameters

admit had two types named Demand; the one that counts slots is Occupancy. The choice of a read's upstream and the hand-over of connections took booleans.

Evidence: tests of admit and lead, and of platform admission, replica_reads and house pass; no behaviour changes.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,11 +5,11 @@
 
 pub mod bucket;
 pub mod budget;
-pub mod demand;
 pub mod fair;
 pub mod holders;
 pub mod limiter;
 pub mod load;
+pub mod occupancy;
 pub mod placement;
 pub mod queue;
 pub mod relays;
--- a/crates/admit/src/demand.rs
+++ b/crates/admit/src/occupancy.rs
@@ -37,22 +37,22 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use admit::demand::Demand;
+/// use admit::occupancy::Occupancy;
 /// use admit::service::{Class, Kind};
 /// use clock::Instant;
 ///
 /// let class = Class { priority: 1, kind: Kind::Read };
 /// let (work, objective) = (Duration::from_millis(2), Duration::from_millis(100));
-/// let mut demand = Demand::default();
+/// let mut occupancy = Occupancy::default();
 /// for millis in 0..3_000 {
-///     demand.add(Instant::from_millis(millis), class, work, objective);
+///     occupancy.add(Instant::from_millis(millis), class, work, objective);
 /// }
 /// let now = Instant::from_millis(3_000);
-/// assert!((1.9..2.1).contains(&demand.above(now, 2)));
-/// assert_eq!(demand.above(now, 1), 0.0);
+/// assert!((1.9..2.1).contains(&occupancy.above(now, 2)));
+/// assert_eq!(occupancy.above(now, 1), 0.0);
 /// ```
 #[derive(Debug, Default)]
-pub struct Demand {
+pub struct Occupancy {
     priorities: BTreeMap<u8, Average>,
     transactions: Average,
     classes: BTreeMap<Class, (Instant, Duration)>,
@@ -67,7 +67,7 @@
     pub objective: Duration,
 }
 
-impl Demand {
+impl Occupancy {
     /// Records a request that was admitted and has to be answered within `objective`.
     pub fn add(&mut self, now: Instant, class: Class, work: Duration, objective: Duration) {
         let average = self.priorities.entry(class.priority).or_default();
--- a/crates/admit/src/schedule.rs
+++ b/crates/admit/src/schedule.rs
@@ -17,8 +17,8 @@
 use clock::Instant;
 
 use crate::{
-    demand::Demand,
     fair::{Clock, Tag},
+    occupancy::Occupancy,
     service::{Class, Service, Ticket},
 };
 use prediction::Overload;
@@ -145,7 +145,7 @@
 pub struct Schedule<K, T> {
     waiting: Vec<Waiting<K, T>>,
     service: Service,
-    demand: Demand,
+    occupancy: Occupancy,
     clocks: BTreeMap<u8, Clock<K>>,
     /// Starts of other classes since the last start of a class that waits.
     passed: BTreeMap<Rank, u32>,
@@ -160,7 +160,7 @@
         Self {
             waiting: Vec::new(),
             service: Service::default(),
-            demand: Demand::default(),
+            occupancy: Occupancy::default(),
             clocks: BTreeMap::new(),
             passed: BTreeMap::new(),
             next: 0,
@@ -192,7 +192,7 @@
     /// Records that a statement of a transaction ended.
     pub fn finish_in_transaction(&mut self, now: Instant, ticket: Ticket) {
         if let Some(time) = self.service.finish(now, ticket) {
-            self.demand.add_transaction(now, time);
+            self.occupancy.add_transaction(now, time);
         }
     }
 
@@ -202,7 +202,7 @@
         let priority = request.class.priority;
         if prediction.standing == Standing::Reliable {
             let objective = request.due.since(now);
-            self.demand.add(now, request.class, cost, objective);
+            self.occupancy.add(now, request.class, cost, objective);
         }
         let tag = self.tag(&request);
         if let Some(account) = &request.account {
@@ -224,7 +224,7 @@
     pub fn bypass(&mut self, now: Instant, request: &Request<K>) {
         let cost = self.service.mean(now, request.class);
         let priority = request.class.priority;
-        self.demand
+        self.occupancy
             .add(now, request.class, cost, request.due.since(now));
         if let Some(account) = &request.account {
             let clock = self.clocks.entry(priority).or_default();
--- a/crates/admit/src/schedule/prediction.rs
+++ b/crates/admit/src/schedule/prediction.rs
@@ -13,7 +13,7 @@
     FLOOR_STARTS, Load, Place, Prediction, Rank, Refusal, Request, Schedule, Standing, Waiting,
     as_f64,
 };
-use crate::{demand::Urgent, service::Class};
+use crate::{occupancy::Urgent, service::Class};
 
 /// Time that the answer takes to the caller.
 const ANSWER_TIME: Duration = Duration::from_millis(5);
@@ -214,7 +214,7 @@
         let window = self.usable(now, class, load);
         let has_room = load.in_flight < window;
         let slots = as_f64(load.window);
-        let free = (slots - self.demand.above(now, class.priority)).min(as_f64(window));
+        let free = (slots - self.occupancy.above(now, class.priority)).min(as_f64(window));
         Outlook {
             lowest: self.service.lowest(now, class),
             mean: self.service.mean(now, class),
@@ -240,7 +240,7 @@
         let reserve = load.window > 1
             && self.service.is_queueing(now, class)
             && self
-                .demand
+                .occupancy
                 .urgent(now, class.priority)
                 .any(|urgent| is_delayed(&urgent));
         load.window - usize::from(reserve)
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -332,7 +332,8 @@
         drop(waiters);
         let next = match next {
             Some(waiter) => Some(waiter.reply),
-            None => pool.next_admitted(member, result.is_ok(), same),
+            None if result.is_ok() => pool.next_admitted(member, same),
+            None => pool.next_to_refuse(same),
         };
         let Some(waiting) = next else {
             break;
--- a/crates/proxy/src/pool/admission.rs
+++ b/crates/proxy/src/pool/admission.rs
@@ -230,26 +230,29 @@
         }
     }
 
-    /// Takes the next admitted request for which `matches` returns true. One that gets a new
-    /// connection has to have a place in the window, which the connection has taken already.
+    /// Takes the next admitted request for which `matches` returns true, for a connection that has
+    /// taken a place in the window already.
     pub(super) fn next_admitted(
         &self,
         member: &Member,
-        is_connected: bool,
         matches: impl Fn(&Pending) -> bool,
     ) -> Option<Pending> {
-        let load = match is_connected {
-            true => {
-                let load = self.load(member);
-                Load {
-                    in_flight: load.in_flight.saturating_sub(1),
-                    ..load
-                }
-            }
-            false => Load {
-                window: usize::MAX,
-                in_flight: 0,
-            },
+        let load = self.load(member);
+        let load = Load {
+            in_flight: load.in_flight.saturating_sub(1),
+            ..load
+        };
+        let mut schedule = self.schedule.borrow_mut();
+        let next = schedule.pop_where(Boot.now(), load, matches)?;
+        Some(next.reply)
+    }
+
+    /// Takes the next admitted request for which `matches` returns true, whether there is room for it
+    /// or not.
+    pub(super) fn next_to_refuse(&self, matches: impl Fn(&Pending) -> bool) -> Option<Pending> {
+        let load = Load {
+            window: usize::MAX,
+            in_flight: 0,
         };
         let mut schedule = self.schedule.borrow_mut();
         let next = schedule.pop_where(Boot.now(), load, matches)?;
--- a/crates/proxy/src/routing/by_log.rs
+++ b/crates/proxy/src/routing/by_log.rs
@@ -38,28 +38,38 @@
     let mut is_first = true;
     loop {
         let now = Boot.now();
-        let (target, wait) = choose(node, group, context, tried, (floor, deadline), is_first)?;
-        if wait.is_zero() {
-            return Some(target);
+        let (members, candidates) = candidates(node, group, context, tried, floor);
+        if is_first {
+            let late = members.iter().zip(&candidates);
+            for (member, _) in late.filter(|(_, candidate)| candidate.log.ready_at() > now) {
+                reach::pass_over(member, floor, now);
+            }
+        }
+        let choice = read::earliest(&candidates, now, deadline)?;
+        if choice.wait.is_zero() {
+            return Some(Target {
+                member: Rc::clone(&members[choice.index]),
+                floor: Some(floor),
+                is_primary: candidates[choice.index].role == Role::Primary,
+            });
         }
         if is_first {
             node.metrics.count_read(context.route, Read::Awaited);
         }
         is_first = false;
         waited.get_or_insert_with(|| node.metrics.wait(Wait::Log));
-        sleep(wait.min(CHOICE_INTERVAL).min(deadline.since(now))).await;
+        sleep(choice.wait.min(CHOICE_INTERVAL).min(deadline.since(now))).await;
     }
 }
 
-/// Returns the upstream and the time until its log is expected to have `floor`.
-fn choose<E: Edge>(
+/// Returns the upstreams that may run the read, and what is known of each.
+fn candidates<E: Edge>(
     node: &Node<E>,
     group: &Group,
     context: &Context<'_>,
     tried: &[Rc<str>],
-    (floor, deadline): (Position, Instant),
-    is_first: bool,
-) -> Option<(Target, Duration)> {
+    floor: Position,
+) -> (Vec<Rc<Member>>, Vec<Candidate>) {
     let now = Boot.now();
     let primary = group.primary().map(|(member, _)| member);
     let role = |member: &Rc<Member>| match &primary {
@@ -82,18 +92,6 @@
             false => REMOTE_ZONE_COST,
         },
     };
-    let candidates: Vec<_> = members.iter().map(candidate).collect();
-    if is_first {
-        let late = members.iter().zip(&candidates);
-        for (member, _) in late.filter(|(_, candidate)| candidate.log.ready_at() > now) {
-            reach::pass_over(member, floor, now);
-        }
-    }
-    let choice = read::earliest(&candidates, now, deadline)?;
-    let target = Target {
-        member: Rc::clone(&members[choice.index]),
-        floor: Some(floor),
-        is_primary: candidates[choice.index].role == Role::Primary,
-    };
-    Some((target, choice.wait))
+    let candidates = members.iter().map(candidate).collect();
+    (members, candidates)
 }
