Limit proofs by members of an instance that hears neither store nor peers

Callers: writes were acknowledged at a replaced primary. A voter that its judges don't reach counts as ended, 15 s behind the loss of its entry or, if it announced that it leaves, with one question without an answer.

- An instance that hears no more than half of the instances that it knows proves primaries by members for 12 s behind the store's last confirmation, less than the 15 s for which a voter without an entry is waited for.
In an outage of the store the instances hear each other, and go on.
- While a known instance is silent, a voter that announced its end is waited for like any other.
An instance's entry outlives its contact with the store by 20 s or more, so one that is cut off is known to be silent.

The model of replacements has a voter that answers the proving instance only, and finds a proof of a replaced primary without either rule.

Cost: an isolated instance stops serving after 12 s; a primary that is lost within 15 s behind the end of a leaving replica, while an instance is silent, is replaced 5 s later.

--- a/crates/lead/src/absence.rs
+++ b/crates/lead/src/absence.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns true if the upstream announced that it leaves.
+    pub fn is_announced(&self) -> bool {
+        self.departure == Departure::Announced
+    }
+
     /// Returns true if the upstream answers without an entry.
     pub fn answers(&self) -> bool {
         self.answered.is_some() && self.silent_since.is_none()
@@ -96,6 +101,16 @@
         self.ended_at().is_some_and(|ended_at| now < ended_at)
     }
 
+    /// Returns true if the upstream was neither listed nor answered for [`RETURN_TIME`] at `now`.
+    pub fn is_return_overdue(&self, now: Instant) -> bool {
+        self.last_seen() + RETURN_TIME <= now
+    }
+
+    /// The last time at which the upstream was listed or asked a question that it answered.
+    fn last_seen(&self) -> Instant {
+        self.answered.map_or(self.since, |at| at.max(self.since))
+    }
+
     /// Returns the moment from which the upstream counts as ended; `None` while no question since
     /// its last answer has remained without one.
     ///
@@ -103,11 +118,12 @@
     /// answered since.
     pub fn ended_at(&self) -> Option<Instant> {
         let silent_since = self.silent_since?;
-        let last_seen = self.answered.map_or(self.since, |at| at.max(self.since));
         Some(match (self.departure, self.answered) {
             (Departure::Announced, None) => silent_since,
             (Departure::Announced, Some(_)) => silent_since + SILENCE,
-            (Departure::Unannounced, _) => (last_seen + RETURN_TIME).max(silent_since + SILENCE),
+            (Departure::Unannounced, _) => {
+                (self.last_seen() + RETURN_TIME).max(silent_since + SILENCE)
+            }
         })
     }
 }
--- a/crates/lead/src/quorum.rs
+++ b/crates/lead/src/quorum.rs
@@ -15,6 +15,57 @@
 /// later.
 pub const UNANIMITY_AFTER: Duration = Duration::from_secs(5);
 
+/// Time since the store last confirmed a group's record for which an instance that doesn't hear most
+/// of the other instances proves a primary by its members.
+///
+/// Such an instance may be alone in a partition with the primary and a voter that count as ended
+/// elsewhere. A voter counts as ended [`RETURN_TIME`](crate::absence::RETURN_TIME) after its entry
+/// was lost; the difference covers the time after which the loss of the entry was known to an
+/// instance that the store still confirmed.
+pub const ISOLATED_PROOF_TIME: Duration = Duration::from_secs(12);
+
+/// Whether an instance hears most of the instances that it knows, itself included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connectivity {
+    /// It hears most of them, as in an outage of the store.
+    Majority,
+    /// It hears half of them or fewer, so others may have replaced a primary unseen.
+    Minority,
+}
+
+impl Connectivity {
+    /// The connectivity of an instance that hears `heard` of the `known` other instances.
+    ///
+    /// ```
+    /// use lead::quorum::Connectivity;
+    /// assert_eq!(Connectivity::new(0, 0), Connectivity::Majority, "the only instance");
+    /// assert_eq!(Connectivity::new(4, 8), Connectivity::Majority);
+    /// assert_eq!(Connectivity::new(0, 1), Connectivity::Minority);
+    /// ```
+    pub fn new(heard: usize, known: usize) -> Self {
+        match (heard + 1) * 2 > known + 1 {
+            true => Self::Majority,
+            false => Self::Minority,
+        }
+    }
+}
+
+/// Returns true if the group's members may prove a primary in answer to a request sent at `sent`,
+/// where the store last confirmed the record at `confirmed`.
+///
+/// ```
+/// use clock::Instant;
+/// use lead::quorum::{Connectivity, accepts_members};
+///
+/// let at = Instant::from_millis;
+/// assert!(accepts_members(at(1_000), Connectivity::Minority, at(13_000)));
+/// assert!(!accepts_members(at(1_000), Connectivity::Minority, at(13_001)));
+/// assert!(accepts_members(at(1_000), Connectivity::Majority, at(60_000)));
+/// ```
+pub fn accepts_members(confirmed: Instant, connectivity: Connectivity, sent: Instant) -> bool {
+    connectivity == Connectivity::Majority || confirmed + ISOLATED_PROOF_TIME >= sent
+}
+
 /// Returns true if a majority proves the primary in answer to a request sent at `sent`, where
 /// the store last confirmed the record at `confirmed`, and `proof` is the last proof.
 ///
--- a/crates/lead/tests/replacement.rs
+++ b/crates/lead/tests/replacement.rs
@@ -7,7 +7,12 @@
 use std::{collections::HashSet, time::Duration};
 
 use clock::Instant;
-use lead::{Proof, proof::all_expired_at, quorum};
+use lead::{
+    Proof,
+    absence::RETURN_TIME,
+    proof::all_expired_at,
+    quorum::{self, Connectivity},
+};
 
 const TICK: Duration = Duration::from_secs(1);
 const SPAN: Duration = Duration::from_secs(2);
@@ -19,6 +24,10 @@
 /// Ages are counted up to this number of ticks, by which no majority counts any more.
 const OLD: u8 = 6;
 
+/// The same for the time since the prover's last contact with the store, where a member counts as
+/// ended some time behind it.
+const OLD_CONTACT: u8 = 16;
+
 /// Number of upstreams; the first one is the first primary.
 const MEMBERS: usize = 5;
 
@@ -48,6 +57,10 @@
     TrustsList,
     /// A replica that has left the list, and that the replacing instances don't reach, answers.
     AnswersAfterLeaving,
+    /// An instance without the store and without its peers proves primaries for any time.
+    ProvesIsolated,
+    /// A replica that announced its end counts as ended at once though an instance is silent.
+    TrustsAnnouncement,
     /// The next holder of the lock begins while an order of the last one may take effect.
     BeginsEarly,
     /// An order to receive again arrives long after it was given up.
@@ -64,6 +77,8 @@
     Ended,
     /// It answers whoever asks it.
     Alive,
+    /// It answers the proving instance only, and lost its entry when that one lost the store.
+    Unreached,
 }
 
 /// The lists of the instances and the events that may occur.
@@ -196,10 +211,25 @@
 
 impl Setting {
     /// The member without an entry that counts as ended at the replacing instances.
-    fn left(&self) -> Option<usize> {
-        let counts = |life| life == Life::Ended || self.rule == Rule::TrustsList;
+    fn left(&self, prover: &Prover) -> Option<usize> {
         let (member, life) = self.absent?;
-        counts(life).then_some(member)
+        let counts = match life {
+            Life::Ended => true,
+            Life::Alive => self.rule == Rule::TrustsList,
+            Life::Unreached => {
+                let is_overdue = prover.confirmed >= ticks_until(now() + RETURN_TIME);
+                is_overdue || self.rule == Rule::TrustsAnnouncement
+            }
+        };
+        counts.then_some(member)
+    }
+
+    /// Largest number of ticks that the time since the prover's last contact is counted to.
+    fn oldest_contact(&self) -> u8 {
+        match self.absent {
+            Some((_, Life::Unreached)) => OLD_CONTACT,
+            _ => OLD,
+        }
     }
 
     /// The member without an entry that answers the replacing instances, as a set.
@@ -305,7 +335,7 @@
         };
         let prover = &mut state.prover;
         prover.proof = prover.proof.saturating_sub(1);
-        prover.confirmed = (prover.confirmed + 1).min(OLD);
+        prover.confirmed = (prover.confirmed + 1).min(setting.oldest_contact());
         prover.question = prover.question.and_then(|question| {
             let age = question.age + 1;
             (age < SPAN_TICKS).then_some(Question { age, ..question })
@@ -359,6 +389,10 @@
             };
             proof.extend(now(), ticks(proved));
             let confirmed = now() - ticks(prover.confirmed);
+            let is_accepted = quorum::accepts_members(confirmed, Connectivity::Minority, now());
+            if !is_accepted && setting.rule != Rule::ProvesIsolated {
+                return;
+            }
             let mut state = *self;
             state.prover.question = Some(Question {
                 age: 0,
@@ -476,7 +510,7 @@
 
     /// Revises the record's voters after one of them has left.
     fn revise(&self, setting: &Setting, states: &mut Vec<Self>) {
-        let is_due = setting.left().is_some() || setting.rule == Rule::AddsVoters;
+        let is_due = setting.left(&self.prover).is_some() || setting.rule == Rule::AddsVoters;
         if !is_due || self.record.revision > 1 || self.record.is_changing {
             return;
         }
@@ -635,7 +669,7 @@
         let old = self.replacers[index].old;
         let prevents = |voters: u8| {
             let replicas = voters & !bit(usize::from(old.primary));
-            let fenced = replicas & (holding | setting.left().map_or(0, bit));
+            let fenced = replicas & (holding | setting.left(&self.prover).map_or(0, bit));
             quorum::prevents_majority(count(fenced), count(replicas))
         };
         match setting.rule {
@@ -648,7 +682,8 @@
     fn excludes(&self, setting: &Setting, index: usize, chosen: usize) -> bool {
         let any = matches!(setting.rule, Rule::CountsListed | Rule::PromotesAnyMember);
         let voters = self.replacers[index].old.voters;
-        let has_left = setting.left().is_some_and(|left| voters & bit(left) != 0);
+        let left = setting.left(&self.prover);
+        let has_left = left.is_some_and(|left| voters & bit(left) != 0);
         any || has_left || voters & bit(chosen) != 0
     }
 
@@ -862,12 +897,15 @@
 }
 
 /// Guards against commits that are acknowledged at a replaced primary because a voter whose entry
-/// was lost is taken for ended, though it lives and proves the old primary.
+/// was lost is taken for ended, though it lives and proves the old primary, also to an instance that
+/// is cut off together with it.
 #[test]
 fn no_proof_by_a_voter_without_an_entry_outlives_a_promotion() {
     for setting in [
         with_absent(Rule::Correct, Life::Alive),
         with_absent_pair(Rule::Correct, Life::Alive),
+        with_absent(Rule::Correct, Life::Unreached),
+        with_absent_pair(Rule::Correct, Life::Unreached),
         Setting {
             restarts: 1,
             ..with_absent(Rule::Correct, Life::Alive)
@@ -905,6 +943,10 @@
         with_absent(Rule::TrustsList, Life::Alive),
         with_absent_pair(Rule::TrustsList, Life::Alive),
         with_absent(Rule::AnswersAfterLeaving, Life::Ended),
+        with_absent(Rule::ProvesIsolated, Life::Unreached),
+        with_absent_pair(Rule::ProvesIsolated, Life::Unreached),
+        with_absent(Rule::TrustsAnnouncement, Life::Unreached),
+        with_absent_pair(Rule::TrustsAnnouncement, Life::Unreached),
         setting(Rule::RevivesProofs),
         with_restart(Rule::TrustsDemotion),
         with_restart(Rule::TrustsHolds),
--- a/crates/proxy/src/group/absent.rs
+++ b/crates/proxy/src/group/absent.rs
@@ -9,6 +9,7 @@
 use crate::{
     catalog::{Readiness, Upstream},
     member::Member,
+    peers::Audience,
     probe::Answer,
 };
 
@@ -160,14 +161,30 @@
     }
 
     /// Records the answer of an upstream that is no longer listed to a question sent at `sent`.
-    pub fn note_absent(&self, member: &Rc<Member>, answer: Answer, sent: Instant) {
+    ///
+    /// While an instance is silent, it may be cut off together with an upstream that announced that
+    /// it leaves, and prove a primary by it. Then the announcement doesn't shorten the wait.
+    pub fn note_absent(
+        &self,
+        member: &Rc<Member>,
+        answer: Answer,
+        sent: Instant,
+        audience: Audience,
+    ) {
         let id = &member.upstream.id;
         let mut all = self.absent.borrow_mut();
         let Some(absent) = all.get_mut(id).filter(|a| Rc::ptr_eq(&a.member, member)) else {
             return;
         };
         match answer {
-            Answer::Silent => absent.absence.note_silence(sent, Boot.now()),
+            Answer::Silent => {
+                let now = Boot.now();
+                let absence = &mut absent.absence;
+                let is_relied_on = !absence.is_announced() || audience == Audience::All;
+                if is_relied_on || absence.is_return_overdue(now) {
+                    absence.note_silence(sent, now);
+                }
+            }
             Answer::Status(_) | Answer::Full | Answer::Refused(_) => {
                 if absent.absence.note_answer(sent) {
                     log::info!(service = &*self.service, upstream = &**id; "voter answers without an entry");
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -47,7 +47,7 @@
 use membership::Roles;
 pub use peer::Relay;
 use peer::{Outgoing, Peer, Role, Urgency};
-pub use table::{LOST_HEARTBEATS, Peers};
+pub use table::{Audience, LOST_HEARTBEATS, Peers};
 
 /// Minimum pause between two rounds of heartbeats.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -9,7 +9,7 @@
 
 use admit::relays::{self, FREQUENT_INTERVAL, Frequency};
 use clock::{Boot, Instant};
-use lead::{Tally, Verdict};
+use lead::{Tally, Verdict, quorum::Connectivity};
 use model::Term;
 use tokio::sync::Notify;
 
@@ -60,6 +60,15 @@
     }
 }
 
+/// Which of the known instances are heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// All of them.
+    All,
+    /// At least one is silent: it has ended or lost contact.
+    Partial,
+}
+
 /// The peers of this instance.
 #[derive(Debug)]
 pub struct Peers {
@@ -450,6 +459,32 @@
         judges.filter(known).count() + 1
     }
 
+    /// Returns whether this instance hears most of the instances that it knows.
+    pub fn connectivity(&self) -> Connectivity {
+        let (heard, known) = self.heard_and_known();
+        Connectivity::new(heard, known)
+    }
+
+    /// Returns which of the instances that it knows this instance hears.
+    pub fn audience(&self) -> Audience {
+        let (heard, known) = self.heard_and_known();
+        match heard == known {
+            true => Audience::All,
+            false => Audience::Partial,
+        }
+    }
+
+    /// Numbers of the other instances that are heard, and of those that are known.
+    fn heard_and_known(&self) -> (usize, usize) {
+        let now = self.unstalled_now();
+        let table = self.table.borrow();
+        let known = |p: &&Peer| p.listed || p.heard.is_some_and(|at| at + FORGET_AFTER > now);
+        let heard = |p: &&Peer| p.was_heard(now, LOST_HEARTBEATS);
+        let known = table.values().filter(known);
+        let heard = known.clone().filter(heard).count();
+        (heard, known.count())
+    }
+
     /// The verdicts of the recently heard instances on the primary of `service` in `term`,
     /// `own` included, and the names of the instances that see the primary fail.
     pub fn tally(&self, service: &str, term: Term, own: Verdict) -> (Tally, Vec<String>) {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -200,14 +200,15 @@
 
 /// Asks upstreams that are no longer listed for their status, concurrently. Each answer counts for
 /// whether its upstream has ended.
-pub async fn status_of_absent<P: Protocol>(
+pub async fn status_of_absent<E: Edge>(
+    node: &Node<E>,
     group: &Group,
     absent: Vec<Rc<Member>>,
 ) -> Vec<(Rc<Member>, Answer)> {
     let ask = async |member: Rc<Member>| {
         let sent = Boot.now();
-        let answer = order::<P>(&member, &Command::Status, STATUS_TIMEOUT).await;
-        group.note_absent(&member, answer, sent);
+        let answer = order::<E::Protocol>(&member, &Command::Status, STATUS_TIMEOUT).await;
+        group.note_absent(&member, answer, sent, node.peers.audience());
         (member, answer)
     };
     futures_util::future::join_all(absent.into_iter().map(ask)).await
--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -523,6 +523,9 @@
 /// The promotion ends the hold of the other replicas. A majority therefore only extends a proof
 /// that is still valid when the answers are in: such a proof counts from before the fence, and
 /// the promotion is not ordered before it expires.
+///
+/// An instance that is cut off from the store and from most others stops proving primaries before a
+/// voter that the others don't reach counts as ended there.
 async fn query_group<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>) {
     let Some(known) = group.stored_record() else {
         return;
@@ -534,6 +537,9 @@
     let sent = Boot.now();
     let replicas = group.quorum_replicas(sent);
     let confirmed = adopt::confirmed_at(node, group);
+    if !quorum::accepts_members(confirmed, node.peers.connectivity(), sent) {
+        return;
+    }
     let (others, source) = match quorum::accepts_majority(confirmed, group.proof(), sent) {
         true => (quorum::needed(replicas), ProofSource::Majority),
         false => (replicas, ProofSource::Unanimity),
--- a/crates/proxy/src/proof_lease/voters.rs
+++ b/crates/proxy/src/proof_lease/voters.rs
@@ -60,7 +60,7 @@
     });
     stream::iter(groups)
         .for_each_concurrent(MAX_CONCURRENT_GROUPS, async |group| {
-            probe::status_of_absent::<E::Protocol>(&group, group.absent()).await;
+            probe::status_of_absent(node, &group, group.absent()).await;
         })
         .await;
 }
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -204,7 +204,7 @@
         let ask_absent = async {
             sleep(wait.saturating_sub(probe::STATUS_TIMEOUT)).await;
             let absent = group.absent_to_ask(Boot.now());
-            probe::status_of_absent::<E::Protocol>(group, absent).await;
+            probe::status_of_absent(node, group, absent).await;
         };
         let (recovered, noted, (), ()) = join4(
             recovered_primary::<E>(group, &old, reason, wait),
--- a/crates/proxy/src/takeover/fence.rs
+++ b/crates/proxy/src/takeover/fence.rs
@@ -86,7 +86,7 @@
     let (replies, primary_reply, absent) = join3(
         probe::status_of_all::<E::Protocol>(&others),
         primary_reply,
-        probe::status_of_absent::<E::Protocol>(group, group.absent_to_ask(Boot.now())),
+        probe::status_of_absent(node, group, group.absent_to_ask(Boot.now())),
     )
     .await;
     if let Some(leads) = leader(&others, &replies, old.term) {
