Judge a primary only by failures since the return from a partition

Cause: status requests count as failures, but start no probe. An instance in the zone asked the members for a proof during the cut and saw the next primary fail. Afterwards it didn't use that primary, so nothing showed that it answers, and the mark counted as soon as the instance was allowed to judge. The log shows it: the instance that replaced the primary has no line "upstream fails", those that probed it have "probe ended" at 39.68 and 39.70 s.

A failure counts as a verdict for 500 ms unless the upstream is probed. Who judges a primary as failing needs a failure since its return, and probes for one.

--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -24,6 +24,10 @@
 /// Time for which an upstream counts as healthy after an answer.
 const HEALTH_TTL: Duration = Duration::from_millis(1_000);
 
+/// Time for which a failure shows that an upstream fails, if the upstream isn't probed: the longest
+/// time between two probes.
+const FAILURE_TTL: Duration = Duration::from_millis(500);
+
 /// Number of consecutive failures after which an upstream counts as failing.
 const FAILURE_THRESHOLD: u32 = 2;
 
@@ -50,6 +54,8 @@
     pub answered: Instant,
     /// Time of the first failure since the last answer.
     pub failing_since: Option<Instant>,
+    /// Time of the last failure.
+    pub failed: Instant,
     /// Number of failures since the last answer.
     pub failures: u32,
 }
@@ -205,6 +211,7 @@
         }
         self.health.set(Health {
             failing_since: health.failing_since.or(Some(now)),
+            failed: now,
             failures: health.failures + 1,
             ..health
         });
@@ -221,9 +228,17 @@
         health.failing_since.is_some() && health.failures >= FAILURE_THRESHOLD
     }
 
+    /// Returns true if the upstream is failing by an attempt that was made a moment ago.
+    ///
+    /// An instance that was cut off has seen upstreams fail that it doesn't use since, so that
+    /// nothing shows that they answer again.
+    pub fn is_seen_failing(&self, now: Instant) -> bool {
+        self.is_failing() && (self.is_probed.get() || self.health().failed + FAILURE_TTL > now)
+    }
+
     /// Returns the verdict on the upstream that this instance reports to others.
     pub fn verdict(&self, now: Instant) -> Verdict {
-        if self.is_failing() {
+        if self.is_seen_failing(now) {
             return Verdict::Failing;
         }
         if self.pool.locked_out_since(now).is_some() {
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -8,7 +8,7 @@
 use lead::{Phase, Verdict, vote};
 
 use super::lock::LOCK_TTL;
-use crate::{catalog::Readiness, edge::Edge, group::Group, node::Node};
+use crate::{catalog::Readiness, edge::Edge, group::Group, node::Node, probe};
 
 /// Additional delay of each further instance.
 pub(super) const RANK_DELAY: Duration = Duration::from_millis(200);
@@ -47,7 +47,11 @@
 }
 
 /// Returns the reason for which this instance has to replace the group's primary now, if any.
-pub(super) fn due<E: Edge>(node: &Node<E>, group: &Group, has_lock: bool) -> Option<Reason> {
+pub(super) fn due<E: Edge>(
+    node: &Rc<Node<E>>,
+    group: &Rc<Group>,
+    has_lock: bool,
+) -> Option<Reason> {
     let known = group.stored_record()?;
     let now = Boot.now();
     let service = &*group.service;
@@ -92,6 +96,13 @@
     if !primary.is_failing() || !is_sighted {
         return None;
     }
+    // A failure during a partition has to show again: the primary may be used by others only, so
+    // that nothing here tells that it answers.
+    let returned = node.store_up_since.get() + probe::STATUS_TIMEOUT;
+    if !primary.is_seen_failing(now) || primary.health().failed < returned {
+        probe::monitor(node, group, &primary);
+        return None;
+    }
     let since = primary.health().failing_since?;
     let own = primary.verdict(now);
     let (tally, failing) = node.peers.tally(service, known.record.term, own);
