Count the drain of an upstream from when the relay knew of it

Instances whose relay was cut off changed to another relay and learnt it 2 s late.

A relay tells its followers for how long it has known that an upstream leaves. The field follows the frame's last one: instances of the previous version ignore it, and their frames are read as having none (tests of both).

Left: if no instance knows in time, as when all readers are cut off.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -248,7 +248,7 @@
     }
 }
 
-fn upstream_id<E: Edge>(key: &str) -> &str {
+pub(crate) fn upstream_id<E: Edge>(key: &str) -> &str {
     key.strip_prefix(E::UPSTREAMS_PREFIX).unwrap_or(key)
 }
 
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -136,8 +136,19 @@
     /// Returns how much longer a leaving upstream may get new work, if it leaves; `drain` is the
     /// time allowed from the announcement on.
     pub fn leaves_in(&self, now: Instant, drain: Duration) -> Option<Duration> {
-        let since = self.leaving_since.get()?;
-        Some(drain.saturating_sub(now.since(since)))
+        Some(drain.saturating_sub(self.leaving_for(now)?))
+    }
+
+    /// Returns the time for which the upstream is known to leave, if it leaves.
+    pub(crate) fn leaving_for(&self, now: Instant) -> Option<Duration> {
+        Some(now.since(self.leaving_since.get()?))
+    }
+
+    /// Records that the upstream has been known to leave since `since`, if it still leaves and that is
+    /// earlier than known here.
+    pub(crate) fn note_leave(&self, since: Instant) {
+        let known = self.leaving_since.get();
+        self.leaving_since.set(known.map(|known| known.min(since)));
     }
 
     /// Records that the upstream leads `position.term` and that its log reaches `position`.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -360,6 +360,20 @@
         }
     }
 
+    /// Returns the time for which the upstream with this id is known to leave, if it leaves.
+    pub(crate) fn leaving_for(&self, id: &str, now: Instant) -> Option<Duration> {
+        let member = self.registry.group_of_upstream(id)?.member(id)?;
+        member.leaving_for(now)
+    }
+
+    /// Records that another instance has known since `since` that the upstream with this id leaves.
+    pub(crate) fn note_leave(&self, id: &str, since: Instant) {
+        let group = self.registry.group_of_upstream(id);
+        if let Some(member) = group.and_then(|group| group.member(id)) {
+            member.note_leave(since);
+        }
+    }
+
     /// Waits until a catalogue is in force, at most for `wait`, and returns whether one is.
     ///
     /// A caller that came earlier would be told that its database does not exist.
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -20,6 +20,7 @@
     time::timeout,
 };
 
+use super::heartbeat::value_or_default;
 use crate::{
     catalog_sends::Recipient,
     connection,
@@ -28,6 +29,9 @@
     session_state::SessionState,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum size of a frame's body.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
@@ -95,10 +99,19 @@
     Catalog(Option<Item>),
     Nothing,
     CompressedCatalog(Option<Compressed>),
-    ChangeBatch(ChangeBatch),
+    /// A batch of changes. The previous version neither sends nor reads the second field.
+    ChangeBatch(
+        ChangeBatch,
+        #[serde(deserialize_with = "value_or_default")] Vec<Leave>,
+    ),
     Shares(Option<Item>),
-    /// A batch without a catalogue, and the differences that lead to the relay's catalogue.
-    DeltaBatch(ChangeBatch, Vec<Rc<Delta>>),
+    /// A batch without a catalogue, and the differences that lead to the relay's catalogue. The
+    /// previous version neither sends nor reads the last field.
+    DeltaBatch(
+        ChangeBatch,
+        Vec<Rc<Delta>>,
+        #[serde(deserialize_with = "value_or_default")] Vec<Leave>,
+    ),
     CatalogDeltas(Vec<Rc<Delta>>),
 }
 
@@ -132,6 +145,15 @@
     pub(crate) catalog: Option<Compressed>,
 }
 
+/// An upstream among the changes of a batch that is about to leave.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Leave {
+    /// Id of the upstream.
+    pub(crate) upstream: String,
+    /// Time for which the relay has known that the upstream leaves.
+    pub(crate) age: Duration,
+}
+
 /// Sends one request to the peer at `address` and returns the response.
 pub(crate) async fn call(address: SocketAddr, request: &Request) -> io::Result<Response> {
     let mut stream = connect(address).await?;
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -229,7 +229,7 @@
 }
 
 /// Reads the last field of a message, which is missing from messages of the previous version.
-fn value_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+pub(super) fn value_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
     T: Deserialize<'de> + Default,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -35,8 +35,8 @@
     peers::{
         LOST_HEARTBEATS,
         frame::{
-            ChangeBatch, Cursor, Held, IO_TIMEOUT, Request, Response, connect, encode, receive,
-            receive_body, send, send_frame,
+            ChangeBatch, Cursor, Held, IO_TIMEOUT, Leave, Request, Response, connect, encode,
+            receive, receive_body, send, send_frame,
         },
         heartbeat::{DELTA_FORMAT, StoreContact},
     },
@@ -170,9 +170,9 @@
             () = wait_until_silent(node, address) => return Err(io::Error::other("not heard")),
         };
         let response = receive_body(&mut stream, size).await?;
-        let (batch, deltas) = match response {
-            Response::ChangeBatch(batch) => (batch, Vec::new()),
-            Response::DeltaBatch(batch, deltas) => (batch, deltas),
+        let (batch, deltas, leaves) = match response {
+            Response::ChangeBatch(batch, leaves) => (batch, Vec::new(), leaves),
+            Response::DeltaBatch(batch, deltas, leaves) => (batch, deltas, leaves),
             _ => return Err(io::Error::other("the peer is no longer a relay")),
         };
         if batch.incarnation == 0 {
@@ -186,6 +186,9 @@
         };
         (cursor.incarnation, cursor.seq) = (batch.incarnation, batch.seq);
         apply_batch(node, batch, item, is_first);
+        for leave in leaves {
+            node.note_leave(&leave.upstream, Boot.now() - leave.age);
+        }
     }
     Ok(())
 }
@@ -307,9 +310,7 @@
         let can_serve =
             node.is_upstream_list_read.get() && (is_responsible || lacks_catalog(node, &cursor));
         let frame = match can_serve {
-            true if acquire.is_some() => {
-                encode(&Response::ChangeBatch(partial_batch(node, &cursor)))?
-            }
+            true if acquire.is_some() => encode_batch(node, partial_batch(node, &cursor))?,
             true => encoded_batch(node, &cursor, &held)?,
             false => encode(&Response::Nothing)?,
         };
@@ -431,22 +432,51 @@
     if lacks_catalog(node, cursor)
         && let Some(deltas) = node.deltas.borrow_mut().since(held.hash)
     {
-        return encode(&Response::DeltaBatch(changes_batch(node, cursor), deltas));
+        let batch = changes_batch(node, cursor);
+        let leaves = leaves(node, &batch);
+        return encode(&Response::DeltaBatch(batch, deltas, leaves));
     }
     let is_initial = cursor.incarnation == 0 && cursor.seq == 0 && cursor.version == 0;
     if !is_initial {
-        return encode(&Response::ChangeBatch(change_batch(node, cursor)));
+        return encode_batch(node, change_batch(node, cursor));
     }
     let version = (node.mirror.borrow().version(), node.catalog().version);
     let mut cached = node.full_batch.borrow_mut();
     if let Some((_, frame)) = cached.as_ref().filter(|(of, _)| *of == version) {
         return Ok(frame.clone());
     }
-    let frame = encode(&Response::ChangeBatch(change_batch(node, cursor)))?;
-    *cached = Some((version, frame.clone()));
+    let batch = change_batch(node, cursor);
+    let leaves = leaves(node, &batch);
+    let is_lasting = leaves.is_empty();
+    let frame = encode(&Response::ChangeBatch(batch, leaves))?;
+    if is_lasting {
+        *cached = Some((version, frame.clone()));
+    }
     Ok(frame)
 }
 
+fn encode_batch<E: Edge>(node: &Node<E>, batch: ChangeBatch) -> io::Result<Bytes> {
+    let leaves = leaves(node, &batch);
+    encode(&Response::ChangeBatch(batch, leaves))
+}
+
+/// The upstreams among the changes of `batch` that are about to leave. A follower that learns late
+/// that an upstream leaves would otherwise send it work until after its end.
+fn leaves<E: Edge>(node: &Node<E>, batch: &ChangeBatch) -> Vec<Leave> {
+    let now = Boot.now();
+    let items = batch.changes.iter().filter_map(item_of);
+    let listed = items.filter(|item| item.key.starts_with(E::UPSTREAMS_PREFIX));
+    let leave = |item: &Item| {
+        let upstream = control::upstream_id::<E>(&item.key);
+        let age = node.leaving_for(upstream, now)?;
+        Some(Leave {
+            upstream: upstream.to_owned(),
+            age,
+        })
+    };
+    listed.filter_map(leave).collect()
+}
+
 fn change_batch<E: Edge>(node: &Node<E>, cursor: &Cursor) -> ChangeBatch {
     let batch = changes_batch(node, cursor);
     ChangeBatch {
