--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -356,6 +356,15 @@
         }
     }
 
+    /// Logs that the group's members don't prove the primary any more, as this instance is isolated
+    /// and the store confirmed the record `confirmed_ago`.
+    pub(crate) fn note_isolated(&self, confirmed_ago: Duration) {
+        if self.proved_by.take().is_some() {
+            let confirmed_ago_ms = confirmed_ago.as_millis();
+            log::warn!(service = &*self.service, confirmed_ago_ms = confirmed_ago_ms; "members prove no primary to an isolated instance");
+        }
+    }
+
     /// Returns the send time of the last request whose answer showed that the store still had
     /// the record.
     pub(crate) fn confirmed_at(&self) -> Instant {
--- a/crates/proxy/src/group/absent.rs
+++ b/crates/proxy/src/group/absent.rs
@@ -1,6 +1,10 @@
 //! Upstreams that have left the list though they may vote on the group's primary.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use clock::{Boot, Instant};
 use lead::{Absence, Departure, Samples};
@@ -19,6 +23,8 @@
     /// The upstream at its last address. No connection to it is kept.
     member: Rc<Member>,
     absence: Absence,
+    /// True once a question was not answered while an instance was silent.
+    is_doubted: Cell<bool>,
 }
 
 impl Absent {
@@ -34,6 +40,7 @@
         Self {
             member,
             absence: Absence::new(departure, since),
+            is_doubted: Cell::default(),
         }
     }
 }
@@ -183,6 +190,8 @@
                 let is_relied_on = !absence.is_announced() || audience == Audience::All;
                 if is_relied_on || absence.is_return_overdue(now) {
                     absence.note_silence(sent, now);
+                } else if !absent.is_doubted.replace(true) {
+                    log::info!(service = &*self.service, upstream = &**id; "leaving voter awaited as an instance is silent");
                 }
             }
             Answer::Status(_) | Answer::Full | Answer::Refused(_) => {
--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -538,6 +538,7 @@
     let replicas = group.quorum_replicas(sent);
     let confirmed = adopt::confirmed_at(node, group);
     if !quorum::accepts_members(confirmed, node.peers.connectivity(), sent) {
+        group.note_isolated(sent.since(confirmed));
         return;
     }
     let (others, source) = match quorum::accepts_majority(confirmed, group.proof(), sent) {
