Replace a primary that no running instance has seen listed

Callers: a database has no primary for good if its primary is lost while no instance runs, and its entry has expired before they start.

Cause: a primary without an entry is replaced once its entry has been missing for a while, and an instance noted since when only as it removed the entry. One that has never seen it, or that learnt of the primary after the removal, had no such time and waited for ever.

--- a/crates/proxy/src/group/absent.rs
+++ b/crates/proxy/src/group/absent.rs
@@ -12,7 +12,7 @@
 use super::{Group, LIST_MEMORY, StoredRecord};
 use crate::{
     catalog::{Readiness, Upstream},
-    member::Member,
+    member::{Member, RELISTED},
     peers::Audience,
     probe::Answer,
 };
@@ -127,6 +127,16 @@
         }
     }
 
+    /// Returns the time since which the record's primary counts as missing, if it isn't listed.
+    ///
+    /// An instance that has never seen its entry, as after a start of all instances, gives it the time
+    /// within which entries are written again.
+    pub(crate) fn primary_missing_since(&self) -> Option<Instant> {
+        let seen_listed = self.unlisted.get();
+        let list = self.listed_since.get()?;
+        seen_listed.or_else(|| Some(list.max(self.record_learnt_at.get()) + RELISTED))
+    }
+
     /// Returns the upstream with this id if it is no longer listed.
     pub(super) fn absent_member(&self, id: &str) -> Option<Rc<Member>> {
         let absent = self.absent.borrow();
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -69,7 +69,7 @@
         return (since + wait <= now).then_some(Reason::Stuck);
     }
     let Some(primary) = group.member(&known.record.upstream) else {
-        let missing_since = group.unlisted.get();
+        let missing_since = group.primary_missing_since();
         let wait = UNLISTED_GRACE + own_delay();
         return missing_since
             .is_some_and(|at| at + wait < now)
