--- a/crates/lead/src/absence.rs
+++ b/crates/lead/src/absence.rs
@@ -101,12 +101,12 @@
         self.ended_at().is_some_and(|ended_at| now < ended_at)
     }
 
-    /// Returns true if the upstream was neither listed nor answered for [`RETURN_TIME`] at `now`.
+    /// Returns true if, at `now`, the upstream has neither been listed nor answered for [`RETURN_TIME`].
     pub fn is_return_overdue(&self, now: Instant) -> bool {
         self.last_seen() + RETURN_TIME <= now
     }
 
-    /// The last time at which the upstream was listed or asked a question that it answered.
+    /// The last time at which the upstream was listed, or sent a question that it answered.
     fn last_seen(&self) -> Instant {
         self.answered.map_or(self.since, |at| at.max(self.since))
     }
--- a/crates/lead/tests/replacement.rs
+++ b/crates/lead/tests/replacement.rs
@@ -25,7 +25,7 @@
 const OLD: u8 = 6;
 
 /// The same for the time since the prover's last contact with the store, where a member counts as
-/// ended some time behind it.
+/// ended by that time.
 const OLD_CONTACT: u8 = 16;
 
 /// Number of upstreams; the first one is the first primary.
