--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -20,12 +20,6 @@
     pub state: String,
 }
 
-impl Answer {
-    pub fn is_done(&self) -> bool {
-        self.status == "DONE"
-    }
-}
-
 impl Client {
     pub fn start(address: SocketAddr, database: &str) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
--- a/review/standin/src/group.rs
+++ b/review/standin/src/group.rs
@@ -50,14 +50,6 @@
     pub newest_term: u64,
 }
 
-/// A read, with the position of the log on which it ran.
-#[derive(Clone, Debug)]
-pub struct Read {
-    pub id: String,
-    pub member: usize,
-    pub position: Position,
-}
-
 /// An order that the platform has received.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -103,8 +95,7 @@
     pub service: String,
     pub members: Vec<Member>,
     pub commits: Vec<Commit>,
-    pub reads: Vec<Read>,
-    pub runs: Vec<(Instant, usize, String, String, String)>,
+    pub runs: Vec<(Instant, usize, String, String)>,
     pub orders: Vec<Order>,
     pub promotions: Vec<Promotion>,
     due: Vec<(Instant, usize)>,
@@ -123,7 +114,6 @@
             service: service.to_owned(),
             members: Vec::new(),
             commits: Vec::new(),
-            reads: Vec::new(),
             runs: Vec::new(),
             orders: Vec::new(),
             promotions: Vec::new(),
@@ -154,7 +144,8 @@
         group
     }
 
-    fn add(&self, id: &str, zone: &str, ip: &str, is_primary: bool) {
+    /// Starts one more backend; a replica receives the whole log at once.
+    pub fn add(&self, id: &str, zone: &str, ip: &str, is_primary: bool) {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("a local address");
         let base = Entry {
@@ -222,6 +213,14 @@
         member.is_primary &= newest <= member.term;
     }
 
+    /// The backend ends as planned: it leaves the store's list.
+    pub fn end(&self, index: usize) {
+        self.crash(index);
+        let mut db = self.lock();
+        let member = &mut db.members[index];
+        member.down_since = Some(Instant::now() - HEARTBEAT * (MISSED + 1));
+    }
+
     /// The platform carries out an order; returns the status of its answer.
     pub fn promote(&self, service: &str, id: &str) -> u16 {
         let mut db = self.lock();
@@ -469,11 +468,8 @@
 
     fn run(&mut self, index: usize, session: &mut Session, id: &str, text: &str) -> String {
         if id != "-" {
-            let member = self.members[index].id.clone();
-            let values = format!("{:?}", session.values);
-            let _ = member;
             self.runs
-                .push((Instant::now(), index, id.to_owned(), text.to_owned(), values));
+                .push((Instant::now(), index, id.to_owned(), text.to_owned()));
         }
         let body = match self.execute(index, session, id, text) {
             Ok(rows) if id == "-" => format!("{rows}DONE -\r\n"),
@@ -565,12 +561,6 @@
                     let found = log.iter().rev().flat_map(|entry| entry.writes.iter().rev());
                     let found = found.filter(|(name, _)| *name == item).map(|(_, data)| data);
                     let row = found.into_iter().next().cloned().unwrap_or_default();
-                    let position = self.members[index].position();
-                    self.reads.push(Read {
-                        id: id.to_owned(),
-                        member: index,
-                        position,
-                    });
                     return Ok(format!("ROW {row}\r\n"));
                 }
                 let data = words.get(at + 1).copied().unwrap_or_default().to_owned();
--- a/review/standin/src/late_order.rs
+++ b/review/standin/src/late_order.rs
@@ -7,8 +7,8 @@
     net::SocketAddr,
     path::Path,
     sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc,
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -17,14 +17,14 @@
 use serde_json::{Value, json};
 
 use crate::{
-    client::Client,
     group::{Group, Order},
     http::{self, Response},
+    load::{Asked, Clients, Entry},
     nodes::Fleet,
     store::Store,
 };
 
-const ZONES: [&str; 3] = ["nyamirambo", "gisozi", "kimihurura"];
+pub const ZONES: [&str; 3] = ["nyamirambo", "gisozi", "kimihurura"];
 
 /// Time that the platform's API takes to carry out a call while it is slow, in milliseconds, unless
 /// `SLOW_MS` sets another.
@@ -37,16 +37,6 @@
 const BEFORE: Duration = Duration::from_secs(4);
 const AFTER: Duration = Duration::from_secs(22);
 
-#[derive(Clone, Debug)]
-struct Asked {
-    at: Instant,
-    answered: Instant,
-    id: String,
-    text: String,
-    status: String,
-    node: usize,
-}
-
 pub fn play(root: &Path, folder: &Path, trouble: &str) -> io::Result<usize> {
     let (crashes, is_slow) = match trouble {
         "0" => (false, false),
@@ -78,16 +68,8 @@
         return Err(io::Error::other("the nodes are not ready"));
     }
     let begun = Instant::now();
-    let is_over = Arc::new(AtomicBool::new(false));
-    let asked = Arc::new(Mutex::new(Vec::new()));
-    let fronts: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.front).collect();
-    let clients: Vec<_> = (0..9)
-        .map(|number| {
-            let (fronts, is_over) = (fronts.clone(), Arc::clone(&is_over));
-            let asked = Arc::clone(&asked);
-            thread::spawn(move || write_on(number, &fronts, &is_over, &asked))
-        })
-        .collect();
+    let nodes: Vec<_> = fleet.nodes.iter().map(|node| (node.front, node.ready)).collect();
+    let clients = Clients::start(&Entry::start(&nodes), 9, usize::MAX);
     thread::sleep(BEFORE);
     let mut events = Vec::new();
     if is_slow {
@@ -104,19 +86,15 @@
         events.push((Instant::now(), format!("{} is back with its log", members[0].0)));
     }
     thread::sleep(AFTER.saturating_sub(since.elapsed()));
-    is_over.store(true, Ordering::Relaxed);
-    for client in clients {
-        let _ = client.join();
-    }
+    let asked = clients.stop();
     thread::sleep(Duration::from_millis(300));
     drop(fleet);
-    let asked = asked.lock().unwrap().clone();
     judge(&group, &asked, events, begun, trouble, folder)
 }
 
 /// Serves the platform's API. It carries out each call that it has read, after the time that it
 /// takes now.
-fn serve_cloud(group: &Group, slow_ms: &Arc<AtomicU64>) -> SocketAddr {
+pub fn serve_cloud(group: &Group, slow_ms: &Arc<AtomicU64>) -> SocketAddr {
     let (group, slow_ms) = (group.clone(), Arc::clone(slow_ms));
     http::serve("127.0.3.2", move |request| {
         if request.method != "POST" || request.path != "/promote" {
@@ -136,45 +114,6 @@
     })
 }
 
-/// A client that writes until the end; on a broken connection or a refused start it goes to
-/// another node.
-fn write_on(
-    number: usize,
-    fronts: &[SocketAddr],
-    is_over: &AtomicBool,
-    asked: &Mutex<Vec<Asked>>,
-) {
-    let mut node = number % fronts.len();
-    let mut count = 0;
-    while !is_over.load(Ordering::Relaxed) {
-        let Ok(mut client) = Client::start(fronts[node], "lepu270") else {
-            node = (node + 1) % fronts.len();
-            thread::sleep(Duration::from_millis(50));
-            continue;
-        };
-        while !is_over.load(Ordering::Relaxed) {
-            count += 1;
-            let id = format!("{number:02x}{count:06x}");
-            let text = format!("WRITE b{number} v{count}");
-            let at = Instant::now();
-            let answer = client.ask(&id, &text);
-            asked.lock().unwrap().push(Asked {
-                at,
-                answered: Instant::now(),
-                id,
-                text,
-                status: answer.status.clone(),
-                node,
-            });
-            if answer.status == "CLOSED" {
-                break;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        node = (node + 1) % fronts.len();
-    }
-}
-
 /// Judges rule ONE: a write is committed at the old primary after a promote has taken effect, and
 /// acknowledged to the client.
 fn judge(
@@ -244,7 +183,7 @@
             ),
         ));
     }
-    for (at, member, id, text, _) in &db.runs {
+    for (at, member, id, text) in &db.runs {
         let member = &db.members[*member].id;
         lines.push((*at, format!("{member} runs {id} {text}")));
     }
--- a/review/standin/src/nodes.rs
+++ b/review/standin/src/nodes.rs
@@ -13,9 +13,10 @@
 use serde_json::json;
 
 pub struct Node {
-    pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
+    log: File,
     child: Child,
 }
 
@@ -29,6 +30,8 @@
 pub struct Fleet {
     pub nodes: Vec<Node>,
     pub folder: PathBuf,
+    root: PathBuf,
+    run: String,
 }
 
 /// A port that is free for TCP and UDP on all of these addresses.
@@ -68,6 +71,8 @@
         let mut fleet = Self {
             nodes: Vec::new(),
             folder,
+            root: root.to_owned(),
+            run: run.to_owned(),
         };
         let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("{ip}:{}", ports[2])).collect();
         for (ip, zone) in ips.iter().zip(zones) {
@@ -98,27 +103,13 @@
             let path = fleet.folder.join(format!("{name}.json"));
             fs::write(&path, settings.to_string())?;
             let log = File::create(fleet.folder.join(format!("{name}.log")))?;
-            let mut words = run.split(' ');
-            let mut command = Command::new(root.join(words.next().unwrap_or_default()));
-            command
-                .args(words)
-                .current_dir(root)
-                .env("DANDELIONLINK_NODE_FILE", &path)
-                .stdin(Stdio::null())
-                .stdout(log.try_clone()?)
-                .stderr(log);
-            // SAFETY: the call is safe between `fork` and `exec`.
-            unsafe {
-                command.pre_exec(|| {
-                    libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
-                    Ok(())
-                });
-            }
+            let child = start(&fleet.run, &fleet.root, &path, &log)?;
             fleet.nodes.push(Node {
-                name,
                 front: format!("{ip}:{}", ports[0]).parse().expect("an address"),
                 ready: format!("{ip}:{}", ports[1]).parse().expect("an address"),
-                child: command.spawn()?,
+                settings: path,
+                log,
+                child,
             });
         }
         Ok(fleet)
@@ -136,12 +127,39 @@
         false
     }
 
-    pub fn signal(&self, index: usize, signal: i32) {
+    /// Stops a node with SIGTERM, waits for its end, and starts it again after `pause`.
+    pub fn restart(&mut self, index: usize, pause: Duration) -> std::io::Result<()> {
+        let node = &mut self.nodes[index];
         // SAFETY: the process was started here and has not been waited for.
         unsafe {
-            libc::kill(self.nodes[index].child.id() as i32, signal);
+            libc::kill(node.child.id() as i32, libc::SIGTERM);
         }
+        node.child.wait()?;
+        std::thread::sleep(pause);
+        node.child = start(&self.run, &self.root, &node.settings, &node.log)?;
+        Ok(())
+    }
+}
+
+/// Starts the program with the command of the deploy file.
+fn start(run: &str, root: &Path, settings: &Path, log: &File) -> std::io::Result<Child> {
+    let mut words = run.split(' ');
+    let mut command = Command::new(root.join(words.next().unwrap_or_default()));
+    command
+        .args(words)
+        .current_dir(root)
+        .env("DANDELIONLINK_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log.try_clone()?);
+    // SAFETY: the call is safe between `fork` and `exec`.
+    unsafe {
+        command.pre_exec(|| {
+            libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+            Ok(())
+        });
     }
+    command.spawn()
 }
 
 impl Drop for Fleet {
@@ -155,7 +173,7 @@
     }
 }
 
-fn is_ready(address: SocketAddr) -> bool {
+pub fn is_ready(address: SocketAddr) -> bool {
     let ask = || -> std::io::Result<bool> {
         let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(300))?;
         stream.set_read_timeout(Some(Duration::from_millis(500)))?;
