--- a/review/standin/src/group.rs
+++ b/review/standin/src/group.rs
@@ -257,7 +257,11 @@
                 }
                 continue;
             }
-            let role = if member.is_primary { "primary" } else { "replica" };
+            let role = if member.is_primary {
+                "primary"
+            } else {
+                "replica"
+            };
             let mut entry = json!({"service": service, "address": member.address.to_string(),
                 "zone": member.zone, "version": "v1", "slots": 2, "state": member.state,
                 "coldLeftMs": 0, "dbRole": role});
@@ -427,7 +431,9 @@
             let is_synced = member.synced_with == Some((leader, term));
             if !is_synced {
                 let same = member.log.iter().zip(&self.members[leader].log);
-                let common = same.take_while(|(a, b)| a.position() == b.position()).count();
+                let common = same
+                    .take_while(|(a, b)| a.position() == b.position())
+                    .count();
                 let member = &mut self.members[index];
                 member.log.truncate(common);
                 member.synced_with = Some((leader, term));
@@ -448,7 +454,13 @@
         if !self.members[index].up || self.leader() == Some(index) {
             return;
         }
-        let term = self.members.iter().map(|member| member.term).max().unwrap_or(0) + 1;
+        let term = self
+            .members
+            .iter()
+            .map(|member| member.term)
+            .max()
+            .unwrap_or(0)
+            + 1;
         for (other, member) in self.members.iter_mut().enumerate() {
             member.held = 0;
             if other == index {
@@ -559,7 +571,9 @@
                 if !writes {
                     let log = &self.members[index].log;
                     let found = log.iter().rev().flat_map(|entry| entry.writes.iter().rev());
-                    let found = found.filter(|(name, _)| *name == item).map(|(_, data)| data);
+                    let found = found
+                        .filter(|(name, _)| *name == item)
+                        .map(|(_, data)| data);
                     let row = found.into_iter().next().cloned().unwrap_or_default();
                     return Ok(format!("ROW {row}\r\n"));
                 }
@@ -613,7 +627,11 @@
             "DEMOTE" => {}
             _ => return Err("MALFORMED"),
         }
-        let role = if member.is_primary { "primary" } else { "replica" };
+        let role = if member.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
         let (log_term, number) = member.position();
         Ok(format!(
             "ROW {role} {} {log_term}.{number} {} 0 0 {connections}\r\n",
--- a/review/standin/src/late_order.rs
+++ b/review/standin/src/late_order.rs
@@ -68,14 +68,23 @@
         return Err(io::Error::other("the nodes are not ready"));
     }
     let begun = Instant::now();
-    let nodes: Vec<_> = fleet.nodes.iter().map(|node| (node.front, node.ready)).collect();
+    let nodes: Vec<_> = fleet
+        .nodes
+        .iter()
+        .map(|node| (node.front, node.ready))
+        .collect();
     let clients = Clients::start(&Entry::start(&nodes), 9, usize::MAX);
     thread::sleep(BEFORE);
     let mut events = Vec::new();
     if is_slow {
-        let set = std::env::var("SLOW_MS").ok().and_then(|text| text.parse().ok());
+        let set = std::env::var("SLOW_MS")
+            .ok()
+            .and_then(|text| text.parse().ok());
         slow_ms.store(set.unwrap_or(SLOW_MS), Ordering::Relaxed);
-        events.push((Instant::now(), "the platform's API is slow from now on".to_owned()));
+        events.push((
+            Instant::now(),
+            "the platform's API is slow from now on".to_owned(),
+        ));
     }
     let since = Instant::now();
     if crashes {
@@ -83,7 +92,10 @@
         events.push((Instant::now(), format!("primary {} crashes", members[0].0)));
         thread::sleep(DOWN);
         group.restart(0);
-        events.push((Instant::now(), format!("{} is back with its log", members[0].0)));
+        events.push((
+            Instant::now(),
+            format!("{} is back with its log", members[0].0),
+        ));
     }
     thread::sleep(AFTER.saturating_sub(since.elapsed()));
     let asked = clients.stop();
@@ -154,8 +166,11 @@
         }
     }
     let leader = db.leader().map_or(0, |leader| leader);
-    let kept: std::collections::HashSet<&str> =
-        db.members[leader].log.iter().map(|entry| &*entry.id).collect();
+    let kept: std::collections::HashSet<&str> = db.members[leader]
+        .log
+        .iter()
+        .map(|entry| &*entry.id)
+        .collect();
     let lost = acknowledged.keys().filter(|id| !kept.contains(*id)).count();
     for order in &db.orders {
         lines.push((
--- a/review/standin/src/leaving.rs
+++ b/review/standin/src/leaving.rs
@@ -53,7 +53,11 @@
         return Err(io::Error::other("the nodes are not ready"));
     }
     let begun = Instant::now();
-    let nodes: Vec<_> = fleet.nodes.iter().map(|node| (node.front, node.ready)).collect();
+    let nodes: Vec<_> = fleet
+        .nodes
+        .iter()
+        .map(|node| (node.front, node.ready))
+        .collect();
     let entry = Entry::start(&nodes);
     let clients = Clients::start(&entry, 12, 25);
     // Voters are named once the list has been the same for five seconds.
@@ -65,7 +69,10 @@
     let mut events = Vec::new();
     for index in [1, 2] {
         group.lock().members[index].state = "draining";
-        events.push((Instant::now(), format!("{} announces that it leaves", members[index].0)));
+        events.push((
+            Instant::now(),
+            format!("{} announces that it leaves", members[index].0),
+        ));
     }
     let announced = Instant::now();
     let leaving = group.clone();
@@ -97,7 +104,15 @@
     thread::sleep(Duration::from_secs(4));
     let asked = clients.stop();
     drop(fleet);
-    judge(&group, &asked, events, (begun, announced), &restarts, trouble, folder)
+    judge(
+        &group,
+        &asked,
+        events,
+        (begun, announced),
+        &restarts,
+        trouble,
+        folder,
+    )
 }
 
 /// Judges rule DRAIN: a request reaches a backend later than `drainMs` after the store has
@@ -146,7 +161,10 @@
         let (node, answered) = (asked.node + 1, seconds(asked.answered));
         lines.push((
             asked.at,
-            format!("{} {} through node {node}: {} at {answered:.3}", asked.id, asked.text, asked.status),
+            format!(
+                "{} {} through node {node}: {} at {answered:.3}",
+                asked.id, asked.text, asked.status
+            ),
         ));
     }
     lines.sort_by_key(|(at, _)| *at);
--- a/review/standin/src/nodes.rs
+++ b/review/standin/src/nodes.rs
@@ -58,8 +58,12 @@
         cloud: SocketAddr,
     ) -> std::io::Result<Self> {
         let deploy = fs::read_to_string(root.join("deploy/system.toml"))?;
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
-        let run = run.and_then(|run| run.strip_suffix('"')).expect("a command");
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = \""));
+        let run = run
+            .and_then(|run| run.strip_suffix('"'))
+            .expect("a command");
         let ips: Vec<String> = (1..=zones.len()).map(|n| format!("127.0.1.{n}")).collect();
         let mut ports = Vec::new();
         for _ in 0..5 {
@@ -74,7 +78,11 @@
             root: root.to_owned(),
             run: run.to_owned(),
         };
-        let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("{ip}:{}", ports[2])).collect();
+        let seeds: Vec<String> = ips
+            .iter()
+            .take(3)
+            .map(|ip| format!("{ip}:{}", ports[2]))
+            .collect();
         for (ip, zone) in ips.iter().zip(zones) {
             let name = format!("front-{zone}-1");
             let settings = json!({
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -206,7 +206,10 @@
     }
 
     fn grant(&self, body: &Value) -> Response {
-        let ttl = body["ttlMs"].as_u64().unwrap_or(1_000).clamp(1_000, 600_000);
+        let ttl = body["ttlMs"]
+            .as_u64()
+            .unwrap_or(1_000)
+            .clamp(1_000, 600_000);
         let mut state = self.0.0.lock().unwrap();
         state.next_lease += 1;
         let (id, ttl) = (state.next_lease, Duration::from_millis(ttl));
@@ -244,7 +247,10 @@
 }
 
 fn id_in(path: &str) -> u64 {
-    path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0)
+    path.rsplit('/')
+        .next()
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0)
 }
 
 fn shown(key: &str, item: &Item) -> Value {
