--- a/review/standin/src/group.rs
+++ b/review/standin/src/group.rs
@@ -50,6 +50,22 @@
     pub newest_term: u64,
 }
 
+/// A read, with the last number of each term in the log on which it ran.
+#[derive(Clone, Debug)]
+pub struct Read {
+    pub id: String,
+    pub member: usize,
+    pub log: Vec<Position>,
+}
+
+impl Read {
+    pub fn has(&self, (term, number): Position) -> bool {
+        self.log
+            .iter()
+            .any(|(of, last)| *of == term && *last >= number)
+    }
+}
+
 /// An order that the platform has received.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -73,6 +89,8 @@
     pub is_primary: bool,
     pub state: &'static str,
     pub zone: String,
+    /// Receives nothing from the primary.
+    pub is_deaf: bool,
     term: u64,
     held: u64,
     pub log: Vec<Entry>,
@@ -95,6 +113,7 @@
     pub service: String,
     pub members: Vec<Member>,
     pub commits: Vec<Commit>,
+    pub reads: Vec<Read>,
     pub runs: Vec<(Instant, usize, String, String)>,
     pub orders: Vec<Order>,
     pub promotions: Vec<Promotion>,
@@ -114,6 +133,7 @@
             service: service.to_owned(),
             members: Vec::new(),
             commits: Vec::new(),
+            reads: Vec::new(),
             runs: Vec::new(),
             orders: Vec::new(),
             promotions: Vec::new(),
@@ -164,6 +184,7 @@
             is_primary,
             state: "ready",
             zone: zone.to_owned(),
+            is_deaf: false,
             term: 1,
             held: 0,
             log: vec![base],
@@ -425,7 +446,7 @@
             if index == leader || !member.up || member.is_primary || member.held > 0 {
                 continue;
             }
-            if member.term > term {
+            if member.term > term || member.is_deaf {
                 continue;
             }
             let is_synced = member.synced_with == Some((leader, term));
@@ -570,6 +591,16 @@
                 let item = words.get(at).copied().unwrap_or_default().to_owned();
                 if !writes {
                     let log = &self.members[index].log;
+                    let ends = (1..=log.last().map_or(0, |entry| entry.term)).filter_map(|term| {
+                        let end = log.partition_point(|entry| entry.term <= term);
+                        log[..end].last().filter(|entry| entry.term == term)
+                    });
+                    let ends = ends.map(Entry::position).collect();
+                    self.reads.push(Read {
+                        id: id.to_owned(),
+                        member: index,
+                        log: ends,
+                    });
                     let found = log.iter().rev().flat_map(|entry| entry.writes.iter().rev());
                     let found = found
                         .filter(|(name, _)| *name == item)
--- a/review/standin/src/load.rs
+++ b/review/standin/src/load.rs
@@ -70,6 +70,11 @@
 
 impl Clients {
     pub fn start(entry: &Entry, count: usize, writes_per_session: usize) -> Self {
+        Self::start_with(entry, count, writes_per_session, false)
+    }
+
+    /// Starts clients that read behind each write, if `reads`.
+    pub fn start_with(entry: &Entry, count: usize, writes_per_session: usize, reads: bool) -> Self {
         let mut clients = Self {
             is_over: Arc::default(),
             asked: Arc::default(),
@@ -79,7 +84,13 @@
             let (entry, is_over) = (entry.clone(), Arc::clone(&clients.is_over));
             let asked = Arc::clone(&clients.asked);
             clients.threads.push(thread::spawn(move || {
-                write_on(number, &entry, writes_per_session, &is_over, &asked);
+                write_on(
+                    number,
+                    &entry,
+                    (writes_per_session, reads),
+                    &is_over,
+                    &asked,
+                );
             }));
         }
         clients
@@ -99,7 +110,7 @@
 fn write_on(
     number: usize,
     entry: &Entry,
-    writes_per_session: usize,
+    (writes_per_session, reads): (usize, bool),
     is_over: &AtomicBool,
     asked: &Mutex<Vec<Asked>>,
 ) {
@@ -117,7 +128,10 @@
             }
             count += 1;
             let id = format!("{number:02x}{count:06x}");
-            let text = format!("WRITE b{number} v{count}");
+            let text = match reads && count % 2 == 0 {
+                true => format!("READ b{number}"),
+                false => format!("WRITE b{number} v{count}"),
+            };
             let at = Instant::now();
             let answer = client.ask(&id, &text);
             let is_closed = answer.status == "CLOSED";
@@ -132,7 +146,9 @@
             if is_closed {
                 break;
             }
-            thread::sleep(Duration::from_millis(20));
+            // Clients that read as well pause for different times: else all write at once.
+            let pause = if reads { 14 + number as u64 } else { 20 };
+            thread::sleep(Duration::from_millis(pause));
         }
     }
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod load;
 mod nodes;
+mod returning;
 mod store;
 
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
     let played = match case {
         "late-order" => late_order::play(root.as_ref(), folder.as_ref(), &trouble),
+        "returning" => returning::play(root.as_ref(), folder.as_ref(), &trouble),
         "leaving" => leaving::play(root.as_ref(), folder.as_ref(), &trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
