--- a/review/standin/src/leaving.rs
+++ b/review/standin/src/leaving.rs
@@ -23,11 +23,14 @@
 const DRAIN: Duration = Duration::from_millis(7_000);
 const STABLE_WINDOW: Duration = Duration::from_millis(4_000);
 
-/// Times after the replicas' announcement: the restarts begin, one follows the other, the primary
-/// crashes, and the replicas end.
+/// Times after the replicas' announcement: the first node is told to stop, each further one, the
+/// primary crashes, and the replicas end.
 const ROLL_AT: Duration = Duration::from_millis(200);
-const ROLL_GAP: Duration = Duration::from_millis(1_200);
-const CRASH_AT: Duration = Duration::from_millis(6_600);
+const ROLL_GAP: Duration = Duration::from_millis(1_000);
+const CRASH_AT: Duration = Duration::from_millis(7_200);
+
+/// Time from a node's end to its next start.
+const START_DELAY: Duration = Duration::from_millis(200);
 const END_AT: Duration = Duration::from_secs(14);
 
 pub fn play(root: &Path, folder: &Path, trouble: &str) -> io::Result<usize> {
@@ -89,17 +92,7 @@
         events.push((Instant::now(), "the two that leave end".to_owned()));
         events
     });
-    thread::sleep(ROLL_AT);
-    // Each node's last order to stop, and its start.
-    let mut restarts = Vec::new();
-    for index in 0..fleet.nodes.len() {
-        let stopped = Instant::now();
-        fleet.restart(index, Duration::from_millis(200))?;
-        restarts.push(Instant::now());
-        events.push((stopped, format!("node {} is told to stop", index + 1)));
-        events.push((Instant::now(), format!("node {} starts again", index + 1)));
-        thread::sleep(ROLL_GAP.saturating_sub(stopped.elapsed()));
-    }
+    let restarts = roll(&mut fleet, announced, &mut events)?;
     events.extend(ending.join().expect("the events"));
     thread::sleep(Duration::from_secs(4));
     let asked = clients.stop();
@@ -115,6 +108,39 @@
     )
 }
 
+/// Stops and starts the nodes in turn; returns when each was started.
+fn roll(
+    fleet: &mut Fleet,
+    announced: Instant,
+    events: &mut Vec<(Instant, String)>,
+) -> io::Result<Vec<Instant>> {
+    let count = fleet.nodes.len();
+    let mut stopped = vec![None; count];
+    let mut ended = vec![None; count];
+    let mut started = vec![None; count];
+    while started.iter().any(Option::is_none) {
+        thread::sleep(Duration::from_millis(5));
+        let now = Instant::now();
+        for index in 0..count {
+            let due = announced + ROLL_AT + ROLL_GAP * index as u32;
+            if stopped[index].is_none() && due <= now {
+                fleet.stop(index);
+                stopped[index] = Some(now);
+                events.push((now, format!("node {} is told to stop", index + 1)));
+            }
+            if stopped[index].is_some() && ended[index].is_none() && fleet.has_ended(index)? {
+                ended[index] = Some(now);
+            }
+            if started[index].is_none() && ended[index].is_some_and(|at| at + START_DELAY <= now) {
+                fleet.start_again(index)?;
+                started[index] = Some(now);
+                events.push((now, format!("node {} starts again", index + 1)));
+            }
+        }
+    }
+    Ok(started.into_iter().flatten().collect())
+}
+
 /// Judges rule DRAIN: a request reaches a backend later than `drainMs` after the store has
 /// acknowledged that the backend leaves, through a machine that is in touch.
 fn judge(
--- a/review/standin/src/nodes.rs
+++ b/review/standin/src/nodes.rs
@@ -135,15 +135,22 @@
         false
     }
 
-    /// Stops a node with SIGTERM, waits for its end, and starts it again after `pause`.
-    pub fn restart(&mut self, index: usize, pause: Duration) -> std::io::Result<()> {
-        let node = &mut self.nodes[index];
+    /// Tells a node to stop.
+    pub fn stop(&self, index: usize) {
         // SAFETY: the process was started here and has not been waited for.
         unsafe {
-            libc::kill(node.child.id() as i32, libc::SIGTERM);
+            libc::kill(self.nodes[index].child.id() as i32, libc::SIGTERM);
         }
-        node.child.wait()?;
-        std::thread::sleep(pause);
+    }
+
+    /// Returns true if a node that was told to stop has ended.
+    pub fn has_ended(&mut self, index: usize) -> std::io::Result<bool> {
+        Ok(self.nodes[index].child.try_wait()?.is_some())
+    }
+
+    /// Starts a node that has ended again.
+    pub fn start_again(&mut self, index: usize) -> std::io::Result<()> {
+        let node = &mut self.nodes[index];
         node.child = start(&self.run, &self.root, &node.settings, &node.log)?;
         Ok(())
     }
