Log when an instance learns that an upstream leaves

Logs couldn't tell from when an instance counts the drain of an upstream: nothing was written when an entry changed to draining. 'upstream leaves' names the upstream and the readiness in its entry before.

--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -17,7 +17,11 @@
 use model::{Position, Term};
 use tokio::sync::Notify;
 
-use crate::{catalog::Upstream, member::Member, registry::Pending};
+use crate::{
+    catalog::{Readiness, Upstream},
+    member::Member,
+    registry::Pending,
+};
 
 use absent::Absent;
 pub use session::SessionGuard;
@@ -194,6 +198,7 @@
         self.absent.borrow_mut().remove(&upstream.id);
         let mut members = self.members.borrow_mut();
         let old = members.get(&upstream.id).cloned();
+        self.log_leave(old.as_deref(), &upstream);
         match old {
             Some(old) if old.upstream.is_same(&upstream) => {
                 old.unlisted.set(None);
@@ -219,6 +224,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Logs that an upstream leaves, and the readiness in its entry before; none if this process had
+    /// seen no entry.
+    fn log_leave(&self, old: Option<&Member>, upstream: &Upstream) {
+        let was = old.map(|old| old.readiness.get());
+        if upstream.readiness == Readiness::Ready || was == Some(Readiness::Draining) {
+            return;
+        }
+        log::info!(service = &*self.service, upstream = &*upstream.id, was:?; "upstream leaves");
+    }
+
     /// Returns the time since which the primary is known to leave; `now` at the first call.
     pub fn leaving_since(&self, now: Instant) -> Instant {
         let since = self.leaving_since.get().unwrap_or(now);
