Count the drain of an upstream from the last complete list

Cause: the list tells that an upstream leaves, not since when, and each process counted from when it first saw it.

Why this works: an instance knows when the list still showed that the upstream stays: it had sent the last request whose answer showed the list complete. The announcement came after that, whatever delays the news: a lost store or answer, a suspension, a slow relay. A relay tells its bound as an age at the time for which the follower's request has waited, so the follower's bound is no later. A process that never saw the upstream stay has no bound and sends it no new work; it asks three others, also stopping ones. The upstreams' watch waits 1 s instead of 4, since the bound may be two watches old.

--- a/crates/clock/src/instant.rs
+++ b/crates/clock/src/instant.rs
@@ -30,6 +30,12 @@
         self.0
     }
 
+    /// The moment `span` earlier, or `None` if that is before the clock was opened.
+    pub fn checked_sub(self, span: Duration) -> Option<Self> {
+        let micros = u64::try_from(span.as_micros()).ok()?;
+        self.0.checked_sub(micros).map(Self)
+    }
+
     /// Time since `earlier`, or zero if `earlier` is the later moment.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/lead/src/lib.rs
+++ b/crates/lead/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod absence;
 pub mod choose;
 pub mod commits;
+pub mod drain;
 pub mod floor;
 pub mod freshness;
 pub mod proof;
@@ -18,6 +19,7 @@
 
 pub use absence::{Absence, Departure};
 pub use commits::Commits;
+pub use drain::Drain;
 pub use floor::Samples;
 pub use freshness::Freshness;
 pub use proof::Proof;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -16,6 +16,7 @@
     edge::{Change, Edge, Fault, Item, Items, Store, era_of},
     freshness,
     group::Group,
+    leaves,
     mirror::{SECTIONS, Section},
     node::Node,
     peers, proof_lease, relay, shares, takeover,
@@ -70,6 +71,7 @@
     spawn_local(pools::maintain(Rc::clone(node)));
     spawn_local(loads::run(Rc::clone(node)));
     spawn_local(takeover::run(Rc::clone(node)));
+    spawn_local(leaves::run(Rc::clone(node)));
 }
 
 /// Reads a prefix from the store, or from another instance if the store does not answer.
--- a/crates/proxy/src/control/section.rs
+++ b/crates/proxy/src/control/section.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use clock::Boot;
+use clock::{Boot, Instant};
 use tokio::time::{sleep, timeout};
 
 use super::{
@@ -22,8 +22,9 @@
 
 /// The same for the catalogue at the first reader, and for the upstreams. An answer may be lost
 /// while its connection stays open; changes of these sections are due within seconds, and nothing
-/// else tells that they were missed.
-const URGENT_WATCH_WAITS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
+/// else tells that they were missed. The drain of an upstream counts from the watch before the one
+/// that tells of it, so a long wait would leave little of the drain.
+const URGENT_WATCH_WAITS: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(1));
 
 /// Time that a watch's answer may take beyond its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
@@ -141,6 +142,7 @@
     section: Section,
 ) -> Result<Next, Fault> {
     let prefix = section_prefix::<E>(section);
+    let sent = Boot.now();
     let read = read(node, &prefix).await?;
     let next = match section {
         Section::Catalog => Next::ReadNewer,
@@ -152,6 +154,7 @@
         .chain(missing)
         .for_each(|change| apply_change(node, change));
     node.mirror.borrow_mut().advance(section, read.at);
+    note_current(node, section, sent);
     if section == Section::Upstreams {
         node.is_upstream_list_read.set(true);
     }
@@ -170,6 +173,7 @@
 async fn watch<E: Edge>(node: &Rc<Node<E>>, section: Section, after: u64) -> Result<Next, Fault> {
     let store = node.store();
     let prefix = section_prefix::<E>(section);
+    let sent = Boot.now();
     let watching = store.watch(&prefix, after, watch_wait(node, section), WATCH_SLACK);
     let answer = tokio::select! {
         answer = watching => answer,
@@ -187,16 +191,27 @@
     };
     // An empty answer does not prove that nothing changed: the next watch begins at the same
     // revision, and is told so if the history no longer has it.
-    if answer.changes.is_empty() {
-        return Ok(next);
-    }
-    for change in answer.changes {
-        apply_change(node, change);
+    if !answer.changes.is_empty() {
+        for change in answer.changes {
+            apply_change(node, change);
+        }
+        node.mirror.borrow_mut().advance(section, answer.at);
     }
-    node.mirror.borrow_mut().advance(section, answer.at);
+    note_current(node, section, sent);
     Ok(next)
 }
 
+/// Records that all changes of `section` until `sent` have been applied, at which a request was sent
+/// that the store has answered.
+///
+/// The time of the answer would be too late: an answer may arrive seconds after a change that it
+/// lacks.
+fn note_current<E: Edge>(node: &Node<E>, section: Section, sent: Instant) {
+    if section == Section::Upstreams {
+        node.list_current_at.set(Some(sent));
+    }
+}
+
 /// Waits until the list of upstreams has to be read again. Other sections are not concerned: a
 /// catalogue's transfer would begin anew whenever an upstream fails.
 async fn wait_for_refresh<E: Edge>(node: &Node<E>, section: Section) {
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -193,45 +193,50 @@
     /// Applies a registered upstream.
     ///
     /// An entry that changed only its readiness keeps the member's connections; one with another
-    /// address or start time is a new member.
-    pub fn put(&self, upstream: Upstream) {
+    /// address or start time is a new member. The list was complete at `current_at` before; `None` if
+    /// this instance had not read it. Returns true if the upstream leaves and was not known to.
+    pub fn put(&self, upstream: Upstream, current_at: Option<Instant>) -> bool {
         self.absent.borrow_mut().remove(&upstream.id);
         let mut members = self.members.borrow_mut();
         let old = members.get(&upstream.id).cloned();
-        self.log_leave(old.as_deref(), &upstream);
+        let was = old.as_ref().map(|old| old.readiness.get());
+        let is_leave =
+            upstream.readiness == Readiness::Draining && was != Some(Readiness::Draining);
+        let id = Rc::clone(&upstream.id);
         match old {
             Some(old) if old.upstream.is_same(&upstream) => {
-                old.unlisted.set(None);
-                old.set_readiness(upstream.readiness);
+                old.set_listed(upstream.readiness, current_at);
             }
             old => {
-                let id = Rc::clone(&upstream.id);
                 let member = Rc::new(Member::new(upstream, &self.samples));
                 if let Some(old) = old {
                     member.led_position.set(old.led_position.get());
                     old.pool.retire();
                 }
-                if members.insert(id, member).is_none() {
+                if members.insert(Rc::clone(&id), member).is_none() {
                     self.list_changed_at.set(Boot.now());
                 }
             }
         }
         drop(members);
+        if is_leave {
+            self.log_leave(&id, was);
+        }
         let now = Boot.now();
         self.listed_since.set(self.listed_since.get().or(Some(now)));
         self.is_list_complete(now, LIST_MEMORY);
         self.activate();
         self.changed.notify_waiters();
+        is_leave
     }
 
-    /// Logs that an upstream leaves, and the readiness in its entry before; none if this process had
-    /// seen no entry.
-    fn log_leave(&self, old: Option<&Member>, upstream: &Upstream) {
-        let was = old.map(|old| old.readiness.get());
-        if upstream.readiness == Readiness::Ready || was == Some(Readiness::Draining) {
-            return;
-        }
-        log::info!(service = &*self.service, upstream = &*upstream.id, was:?; "upstream leaves");
+    /// Logs that an upstream leaves, the readiness in its entry before (none if this process had seen
+    /// no entry), and the longest time since it announced.
+    fn log_leave(&self, id: &str, was: Option<Readiness>) {
+        let member = self.member(id);
+        let age = member.and_then(|member| member.leaving_for(Boot.now()));
+        let leaving_ms = age.map(|age| age.as_millis());
+        log::info!(service = &*self.service, upstream = id, was:?, leaving_ms:?; "upstream leaves");
     }
 
     /// Returns the time since which the primary is known to leave; `now` at the first call.
--- a/crates/proxy/src/group/absent.rs
+++ b/crates/proxy/src/group/absent.rs
@@ -48,15 +48,17 @@
 impl Group {
     /// Records that a member is missing from the list. A member that was about to leave is removed;
     /// [`Group::expire`] removes any other unless its entry returns.
-    pub fn unlist(&self, id: &str, now: Instant) {
+    ///
+    /// The list was complete at `current_at` before.
+    pub fn unlist(&self, id: &str, now: Instant, current_at: Option<Instant>) {
         let Some(member) = self.member(id) else {
             return;
         };
         self.activate();
         if member.readiness.get() == Readiness::Draining {
             self.remove(id);
-        } else if member.unlisted.get().is_none() {
-            member.unlisted.set(Some(now));
+        } else {
+            member.set_unlisted(now, current_at);
         }
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod features;
 pub mod freshness;
 pub mod group;
+mod leaves;
 pub mod load;
 pub mod member;
 pub mod message;
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -7,8 +7,8 @@
 };
 
 use admit::budget;
-use clock::{Boot, Instant};
-use lead::{Samples, Verdict};
+use clock::Instant;
+use lead::{Drain, Samples, Verdict};
 use model::{Position, Term};
 use tokio::sync::Notify;
 
@@ -67,9 +67,13 @@
     pub upstream: Upstream,
     /// Readiness for new work.
     pub readiness: Cell<Readiness>,
-    leaving_since: Cell<Option<Instant>>,
+    drain: Cell<Option<Drain>>,
+    /// True if new work was last withheld because the drain was about to end.
+    pub(crate) is_withheld: Cell<bool>,
     /// Time since which the list of upstreams lacks the upstream's entry.
     pub(crate) unlisted: Cell<Option<Instant>>,
+    /// Last time at which the upstream's entry was known to be in the list, if it isn't now.
+    listed_at: Cell<Option<Instant>>,
     deposed: Cell<Option<(Term, Instant)>>,
     /// Position that the upstream's log had reached while the upstream led.
     pub(crate) led_position: Cell<Position>,
@@ -101,12 +105,13 @@
     pub(crate) fn new(upstream: Upstream, samples: &Rc<RefCell<Samples>>) -> Self {
         Self {
             readiness: Cell::new(upstream.readiness),
-            leaving_since: Cell::new(
-                (upstream.readiness == Readiness::Draining).then(|| Boot.now()),
-            ),
+            // The upstream may have announced at any time before its entry was first seen.
+            drain: Cell::new((upstream.readiness == Readiness::Draining).then(Drain::default)),
+            is_withheld: Cell::default(),
             load: load::Tracker::new(&upstream.id),
             upstream,
             unlisted: Cell::default(),
+            listed_at: Cell::default(),
             deposed: Cell::default(),
             led_position: Cell::default(),
             failing_notify: Notify::new(),
@@ -124,31 +129,49 @@
         }
     }
 
-    pub(crate) fn set_readiness(&self, readiness: Readiness) {
-        let leaving_since = match readiness {
+    /// Applies the upstream's entry in a list that was complete at `current_at` before.
+    pub(crate) fn set_listed(&self, readiness: Readiness, current_at: Option<Instant>) {
+        // An entry that was missing may have announced before the upstream lost it.
+        let not_before = match self.unlisted.take() {
+            Some(_) => self.listed_at.get(),
+            None => current_at,
+        };
+        let drain = match readiness {
             Readiness::Ready => None,
-            Readiness::Draining => self.leaving_since.get().or(Some(Boot.now())),
+            Readiness::Draining => self.drain.get().or(Some(Drain::new(not_before))),
         };
-        self.leaving_since.set(leaving_since);
+        self.drain.set(drain);
         self.readiness.set(readiness);
     }
 
-    /// Returns how much longer a leaving upstream may get new work, if it leaves; `drain` is the
-    /// time allowed from the announcement on.
-    pub fn leaves_in(&self, now: Instant, drain: Duration) -> Option<Duration> {
-        Some(drain.saturating_sub(self.leaving_for(now)?))
+    /// Records that the list, which was complete at `current_at` before, lacks the upstream's entry
+    /// now.
+    pub(crate) fn set_unlisted(&self, now: Instant, current_at: Option<Instant>) {
+        if self.unlisted.get().is_none() {
+            self.unlisted.set(Some(now));
+            self.listed_at.set(current_at);
+        }
     }
 
-    /// Returns the time for which the upstream is known to leave, if it leaves.
+    /// Returns how much longer a leaving upstream may get new work, if it leaves; `span` is the
+    /// time allowed after the announcement. Zero if it is unknown when the upstream announced.
+    pub fn leaves_in(&self, now: Instant, span: Duration) -> Option<Duration> {
+        self.drain.get().map(|drain| drain.left(now, span))
+    }
+
+    /// Returns the longest time for which the upstream may have been leaving; `None` if it stays or
+    /// that is unknown.
     pub(crate) fn leaving_for(&self, now: Instant) -> Option<Duration> {
-        Some(now.since(self.leaving_since.get()?))
+        self.drain.get()?.age(now)
     }
 
-    /// Records that the upstream has been known to leave since `since`, if it still leaves and that is
-    /// earlier than known here.
-    pub(crate) fn note_leave(&self, since: Instant) {
-        let known = self.leaving_since.get();
-        self.leaving_since.set(known.map(|known| known.min(since)));
+    /// Records that the upstream announced at `not_before` or later, if it leaves.
+    pub(crate) fn date_leave(&self, not_before: Option<Instant>) {
+        let mut drain = self.drain.get();
+        if let Some(drain) = &mut drain {
+            drain.narrow(not_before);
+        }
+        self.drain.set(drain);
     }
 
     /// Records that the upstream leads `position.term` and that its log reaches `position`.
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -311,6 +311,9 @@
             put("running", &labels, to_f64(member.running.get()));
             put("failing", &labels, f64::from(u8::from(member.is_failing())));
             put("latency_seconds", &labels, member.latency().as_secs_f64());
+            if let Some(left) = member.leaves_in(now, node.settings.drain) {
+                put("drain_left_seconds", &labels, left.as_secs_f64());
+            }
             if member.upstream.slots > 0 {
                 put("window", &labels, to_f64(member.window()));
             }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -27,6 +27,7 @@
     features::{Features, Traits},
     freshness,
     group::Group,
+    leaves::Undated,
     member::Member,
     metrics::Metrics,
     mirror::{self, Mirror},
@@ -99,6 +100,11 @@
     pub refresh: Notify,
     /// True once the list of upstreams was read.
     pub is_upstream_list_read: Cell<bool>,
+    /// Time at which this instance's list of upstreams was last known to be complete: when it sent
+    /// the last request for the list that the store answered.
+    pub(crate) list_current_at: Cell<Option<Instant>>,
+    /// Leaving upstreams that get no work by what is known here of their announcements.
+    pub(crate) undated_leaves: Undated,
     pub(crate) started_at: Instant,
     /// Time of the first read of the list of instances.
     pub instances_listed_at: Cell<Option<Instant>>,
@@ -187,6 +193,8 @@
             is_asking_relay: Cell::default(),
             refresh: Notify::new(),
             is_upstream_list_read: Cell::new(false),
+            list_current_at: Cell::default(),
+            undated_leaves: Undated::default(),
             started_at: Boot.now(),
             instances_listed_at: Cell::default(),
             able_at: Cell::new(Boot.now()),
@@ -338,14 +346,21 @@
         let group = self.group_of(&upstream.service);
         let id = Rc::clone(&upstream.id);
         if let Some(old) = self.registry.assign(&id, &upstream.service) {
-            old.unlist(&id, Boot.now());
+            old.unlist(&id, Boot.now(), self.list_current_at.get());
         }
         let catalog = self.catalog();
         let connections = catalog.services.get(&upstream.service);
-        group.put(upstream);
-        if let (Some(member), Some(entry)) = (group.member(&id), connections) {
+        let is_leave = group.put(upstream, self.list_current_at.get());
+        let Some(member) = group.member(&id) else {
+            return;
+        };
+        if let Some(entry) = connections {
             member.pool.limit.set(connection_limit(entry.connections));
         }
+        let now = Boot.now();
+        if is_leave && self.is_drain_over(&member, now) {
+            self.undated_leaves.push(&id, now);
+        }
     }
 
     /// Returns the upstream with this id from any group.
@@ -356,21 +371,31 @@
     /// Records that the list lacks the upstream with this id.
     pub fn unlist_upstream(&self, id: &str) {
         if let Some(group) = self.registry.group_of_upstream(id) {
-            group.unlist(id, Boot.now());
+            group.unlist(id, Boot.now(), self.list_current_at.get());
         }
     }
 
-    /// Returns the time for which the upstream with this id is known to leave, if it leaves.
+    /// Returns the longest time for which the upstream with this id may have been leaving; `None` if
+    /// it stays or that is unknown.
     pub(crate) fn leaving_for(&self, id: &str, now: Instant) -> Option<Duration> {
         let member = self.registry.group_of_upstream(id)?.member(id)?;
         member.leaving_for(now)
     }
 
-    /// Records that another instance has known since `since` that the upstream with this id leaves.
-    pub(crate) fn note_leave(&self, id: &str, since: Instant) {
+    /// Records that the upstream with this id announced at `not_before` or later that it leaves.
+    pub(crate) fn date_leave(&self, id: &str, not_before: Option<Instant>) {
         let group = self.registry.group_of_upstream(id);
-        if let Some(member) = group.and_then(|group| group.member(id)) {
-            member.note_leave(since);
+        let Some((member, group)) = group.and_then(|group| Some((group.member(id)?, group))) else {
+            return;
+        };
+        let now = Boot.now();
+        let (was_over, known) = (self.is_drain_over(&member, now), member.leaving_for(now));
+        member.date_leave(not_before);
+        let age = member.leaving_for(now);
+        if was_over && age != known {
+            let leaving_ms = age.map(|age| age.as_millis());
+            log::info!(service = &*group.service, upstream = id, leaving_ms:?; "announcement dated by another instance");
+            group.changed.notify_waiters();
         }
     }
 
--- a/crates/proxy/src/node/proved.rs
+++ b/crates/proxy/src/node/proved.rs
@@ -30,10 +30,23 @@
         (self.may_get_work(&member) && group.proof().covers(moment)).then_some(member)
     }
 
-    /// Returns false if `member` leaves and is about to end.
+    /// Returns true if `member` leaves and its drain is about to end, or it is unknown when that is.
+    pub(crate) fn is_drain_over(&self, member: &Member, now: Instant) -> bool {
+        let left = member.leaves_in(now, self.settings.drain);
+        left.is_some_and(|left| left <= DRAIN_MARGIN)
+    }
+
+    /// Returns false if `member` leaves and its drain is over ([`Node::is_drain_over`]).
     pub fn may_get_work(&self, member: &Member) -> bool {
-        let left = member.leaves_in(Boot.now(), self.settings.drain);
-        left.is_none_or(|left| left > DRAIN_MARGIN)
+        let now = Boot.now();
+        let is_over = self.is_drain_over(member, now);
+        if is_over && !member.is_withheld.get() {
+            let (service, upstream) = (&*member.upstream.service, &*member.upstream.id);
+            let leaving_ms = member.leaving_for(now).map(|age| age.as_millis());
+            log::info!(service, upstream, leaving_ms:?; "leaving upstream gets no new work");
+        }
+        member.is_withheld.set(is_over);
+        !is_over
     }
 
     /// Waits until it is proved that the primary led at `moment`, at most for `wait`.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::{
     control,
     edge::{Change, Edge, Fault, Item, Items, Store},
+    leaves,
     node::Node,
     presence, probe, proofs, relay, session,
     session_state::SessionState,
@@ -408,6 +409,7 @@
         Request::Catalog => Response::Catalog(node.catalog_item()),
         Request::CompressedCatalog => return send_catalog(node, stream, Held::default()).await,
         Request::CatalogFrom(held) => return send_catalog(node, stream, held).await,
+        Request::Leaves(upstreams) => Response::Leaves(leaves::known(node, &upstreams)),
     };
     send(&mut stream, &response).await
 }
--- a/crates/proxy/src/peers/frame.rs
+++ b/crates/proxy/src/peers/frame.rs
@@ -69,6 +69,8 @@
     FollowFrom(Cursor, Held),
     /// Requests the difference between the catalogue held and the peer's.
     CatalogFrom(Held),
+    /// Asks since when the upstreams with these ids leave.
+    Leaves(Vec<String>),
 }
 
 /// What an instance that requests a catalogue has.
@@ -99,20 +101,25 @@
     Catalog(Option<Item>),
     Nothing,
     CompressedCatalog(Option<Compressed>),
-    /// A batch of changes. The previous version neither sends nor reads the second field.
+    /// A batch of changes, and the time for which the request has waited when the ages of the leaves
+    /// were taken. Earlier versions neither send nor read the last fields.
     ChangeBatch(
         ChangeBatch,
         #[serde(deserialize_with = "value_or_default")] Vec<Leave>,
+        #[serde(deserialize_with = "value_or_default")] Duration,
     ),
     Shares(Option<Item>),
-    /// A batch without a catalogue, and the differences that lead to the relay's catalogue. The
-    /// previous version neither sends nor reads the last field.
+    /// A batch without a catalogue, and the differences that lead to the relay's catalogue. Earlier
+    /// versions neither send nor read the last fields, which are those of `ChangeBatch`.
     DeltaBatch(
         ChangeBatch,
         Vec<Rc<Delta>>,
         #[serde(deserialize_with = "value_or_default")] Vec<Leave>,
+        #[serde(deserialize_with = "value_or_default")] Duration,
     ),
     CatalogDeltas(Vec<Rc<Delta>>),
+    /// Those of the requested upstreams of which it is known since when they leave.
+    Leaves(Vec<Leave>),
 }
 
 /// A compressed catalogue.
@@ -145,12 +152,12 @@
     pub(crate) catalog: Option<Compressed>,
 }
 
-/// An upstream among the changes of a batch that is about to leave.
+/// An upstream that is about to leave.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Leave {
     /// Id of the upstream.
     pub(crate) upstream: String,
-    /// Time for which the relay has known that the upstream leaves.
+    /// Longest time for which the upstream may have been leaving.
     pub(crate) age: Duration,
 }
 
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -20,8 +20,11 @@
 /// Format from which an instance reads load reports.
 pub const LOAD_FORMAT: u8 = 3;
 
+/// Format from which an instance tells since when upstreams leave.
+pub const LEAVE_FORMAT: u8 = 4;
+
 /// Format of this version.
-pub const FORMAT: u8 = LOAD_FORMAT;
+pub const FORMAT: u8 = LEAVE_FORMAT;
 
 /// Number of reports by which a datagram may be overtaken by later ones.
 const MAX_REORDERED: u16 = 64;
--- a/crates/proxy/src/peers/table.rs
+++ b/crates/proxy/src/peers/table.rs
@@ -237,6 +237,14 @@
         table.values().filter(heard).map(|p| p.address).collect()
     }
 
+    /// Addresses of the instances that were recently heard and read `format`.
+    pub(crate) fn heard_with_format(&self, format: u8) -> Vec<SocketAddr> {
+        let now = self.unstalled_now();
+        let table = self.table.borrow();
+        let able = |p: &&Peer| p.was_heard(now, STALE_HEARTBEATS) && p.format >= format;
+        table.values().filter(able).map(|p| p.address).collect()
+    }
+
     /// Addresses of the instances that report contact with the store and answer proof requests.
     pub fn with_store_contact(&self) -> Vec<SocketAddr> {
         let now = self.unstalled_now();
@@ -520,13 +528,22 @@
         leaving.insert(address, now);
     }
 
+    /// Addresses of the stopping instances that were recently heard.
+    pub(crate) fn stopping(&self) -> Vec<SocketAddr> {
+        let now = Boot.now();
+        let leaving = self.leaving.borrow();
+        let heard = leaving
+            .iter()
+            .filter(|(_, at)| is_recent(**at, STALE_HEARTBEATS, now));
+        heard.map(|(address, _)| *address).collect()
+    }
+
     /// Returns true if fewer than `heartbeats` heartbeats of the instance at `address` are
     /// missing.
     pub fn was_heard(&self, address: SocketAddr, heartbeats: u32) -> bool {
         let now = Boot.now();
         let leaving = self.leaving.borrow().get(&address).copied();
-        if leaving.is_some_and(|at| at + FREQUENT_INTERVAL * heartbeats + HEARTBEAT_TOLERANCE > now)
-        {
+        if leaving.is_some_and(|at| is_recent(at, heartbeats, now)) {
             return true;
         }
         let now = self.unstalled_now();
@@ -559,3 +576,8 @@
         self.is_isolated() && !self.has_serving_peer()
     }
 }
+
+/// Returns true if fewer than `heartbeats` frequent heartbeats are missing since `at`.
+fn is_recent(at: Instant, heartbeats: u32, now: Instant) -> bool {
+    at + FREQUENT_INTERVAL * heartbeats + HEARTBEAT_TOLERANCE > now
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -18,7 +18,8 @@
 
 use admit::{holders::Candidate, relays};
 use bytes::Bytes;
-use clock::Boot;
+use clock::{Boot, Instant};
+use lead::drain;
 use tokio::{
     io::AsyncReadExt,
     net::TcpStream,
@@ -162,6 +163,7 @@
             ..DELTA_FORMAT => Request::Follow(cursor),
             _ => Request::FollowFrom(cursor, held(node)),
         };
+        let asked = Boot.now();
         send(&mut stream, &request).await?;
         // Once the response has begun to arrive, its bytes are the relay's sign of life: they
         // delay the heartbeats on the relay's link.
@@ -170,9 +172,9 @@
             () = wait_until_silent(node, address) => return Err(io::Error::other("not heard")),
         };
         let response = receive_body(&mut stream, size).await?;
-        let (batch, deltas, leaves) = match response {
-            Response::ChangeBatch(batch, leaves) => (batch, Vec::new(), leaves),
-            Response::DeltaBatch(batch, deltas, leaves) => (batch, deltas, leaves),
+        let (batch, deltas, leaves, waited) = match response {
+            Response::ChangeBatch(batch, leaves, waited) => (batch, Vec::new(), leaves, waited),
+            Response::DeltaBatch(batch, deltas, leaves, waited) => (batch, deltas, leaves, waited),
             _ => return Err(io::Error::other("the peer is no longer a relay")),
         };
         if batch.incarnation == 0 {
@@ -187,7 +189,8 @@
         (cursor.incarnation, cursor.seq) = (batch.incarnation, batch.seq);
         apply_batch(node, batch, item, is_first);
         for leave in leaves {
-            node.note_leave(&leave.upstream, Boot.now() - leave.age);
+            let not_before = drain::not_before(asked, waited, leave.age);
+            node.date_leave(&leave.upstream, not_before);
         }
     }
     Ok(())
@@ -287,6 +290,7 @@
     let peer = stream.peer_addr()?.ip().to_string();
     // Kept across requests, so that a follower keeps its place among those that wait.
     let mut acquire: Option<Pin<Box<dyn Future<Output = Slot>>>> = None;
+    let mut arrived = Boot.now();
     loop {
         let _ = timeout(FOLLOW_TIMEOUT, wait_for_changes(node, &cursor)).await;
         let mut slot = None;
@@ -310,8 +314,8 @@
         let can_serve =
             node.is_upstream_list_read.get() && (is_responsible || lacks_catalog(node, &cursor));
         let frame = match can_serve {
-            true if acquire.is_some() => encode_batch(node, partial_batch(node, &cursor))?,
-            true => encoded_batch(node, &cursor, &held)?,
+            true if acquire.is_some() => encode_batch(node, partial_batch(node, &cursor), arrived)?,
+            true => encoded_batch(node, &cursor, &held, arrived)?,
             false => encode(&Response::Nothing)?,
         };
         if slot.is_some() && can_serve {
@@ -337,6 +341,7 @@
                 }
             }
         };
+        arrived = Boot.now();
         (cursor, held) = match request {
             Request::Follow(next) => (next, Held::default()),
             Request::FollowFrom(next, held) => (next, held),
@@ -426,19 +431,24 @@
     }
 }
 
-/// Encodes the batch for `cursor`. The batch for a follower that has nothing yet is cached:
-/// when a whole zone starts, its relay gets a hundred identical requests.
-fn encoded_batch<E: Edge>(node: &Node<E>, cursor: &Cursor, held: &Held) -> io::Result<Bytes> {
+/// Encodes the batch for `cursor`, requested at `arrived`. The batch for a follower that has nothing
+/// yet is cached: when a whole zone starts, its relay gets a hundred identical requests.
+fn encoded_batch<E: Edge>(
+    node: &Node<E>,
+    cursor: &Cursor,
+    held: &Held,
+    arrived: Instant,
+) -> io::Result<Bytes> {
     if lacks_catalog(node, cursor)
         && let Some(deltas) = node.deltas.borrow_mut().since(held.hash)
     {
         let batch = changes_batch(node, cursor);
-        let leaves = leaves(node, &batch);
-        return encode(&Response::DeltaBatch(batch, deltas, leaves));
+        let (leaves, waited) = leaves(node, &batch, arrived);
+        return encode(&Response::DeltaBatch(batch, deltas, leaves, waited));
     }
     let is_initial = cursor.incarnation == 0 && cursor.seq == 0 && cursor.version == 0;
     if !is_initial {
-        return encode_batch(node, change_batch(node, cursor));
+        return encode_batch(node, change_batch(node, cursor), arrived);
     }
     let version = (node.mirror.borrow().version(), node.catalog().version);
     let mut cached = node.full_batch.borrow_mut();
@@ -446,23 +456,32 @@
         return Ok(frame.clone());
     }
     let batch = change_batch(node, cursor);
-    let leaves = leaves(node, &batch);
+    let (leaves, waited) = leaves(node, &batch, arrived);
     let is_lasting = leaves.is_empty();
-    let frame = encode(&Response::ChangeBatch(batch, leaves))?;
+    let frame = encode(&Response::ChangeBatch(batch, leaves, waited))?;
     if is_lasting {
         *cached = Some((version, frame.clone()));
     }
     Ok(frame)
 }
 
-fn encode_batch<E: Edge>(node: &Node<E>, batch: ChangeBatch) -> io::Result<Bytes> {
-    let leaves = leaves(node, &batch);
-    encode(&Response::ChangeBatch(batch, leaves))
+fn encode_batch<E: Edge>(
+    node: &Node<E>,
+    batch: ChangeBatch,
+    arrived: Instant,
+) -> io::Result<Bytes> {
+    let (leaves, waited) = leaves(node, &batch, arrived);
+    encode(&Response::ChangeBatch(batch, leaves, waited))
 }
 
-/// The upstreams among the changes of `batch` that are about to leave. A follower that learns late
-/// that an upstream leaves would otherwise send it work until after its end.
-fn leaves<E: Edge>(node: &Node<E>, batch: &ChangeBatch) -> Vec<Leave> {
+/// The upstreams among the changes of `batch` that are about to leave, and the time since `arrived`.
+/// A follower that learns late that an upstream leaves would otherwise send it work until after its
+/// end.
+fn leaves<E: Edge>(
+    node: &Node<E>,
+    batch: &ChangeBatch,
+    arrived: Instant,
+) -> (Vec<Leave>, Duration) {
     let now = Boot.now();
     let items = batch.changes.iter().filter_map(item_of);
     let listed = items.filter(|item| item.key.starts_with(E::UPSTREAMS_PREFIX));
@@ -474,7 +493,7 @@
             age,
         })
     };
-    listed.filter_map(leave).collect()
+    (listed.filter_map(leave).collect(), now.since(arrived))
 }
 
 fn change_batch<E: Edge>(node: &Node<E>, cursor: &Cursor) -> ChangeBatch {
