Accept no relayed proof from before the machine's boot

What callers would see: a key that was taken away is served for longer than allowed, or a write is acknowledged under an expired proof of its primary.

Cause: an instance counts a peer's proof from its own question, less the age in the answer. Its clock begins with the machine's boot, and the subtraction stopped there. A proof of 0.4 s that is asked for 0.1 s behind the boot counted as 0.1 s old.

Why this works: valid_from returns nothing if the beginning is before the clock's origin, and the instance asks again or asks the store.

Ruled out: other subtractions from a time (reading): the floors of reads keep samples from the origin on, which is later than needed, not earlier.

--- a/crates/lead/src/drain.rs
+++ b/crates/lead/src/drain.rs
@@ -9,6 +9,8 @@
 
 use clock::Instant;
 
+use crate::freshness;
+
 /// Drain of a leaving upstream.
 ///
 /// ```
@@ -70,5 +72,5 @@
 /// assert_eq!(not_before(at(1_000), ms(500), ms(2_000)), None);
 /// ```
 pub fn not_before(asked: Instant, waited: Duration, age: Duration) -> Option<Instant> {
-    (asked + waited).checked_sub(age)
+    freshness::valid_from(asked + waited, age)
 }
--- a/crates/lead/src/freshness.rs
+++ b/crates/lead/src/freshness.rs
@@ -100,7 +100,19 @@
     }
 }
 
-/// Start of a relayed proof that was requested at `asked` and was `age` old in the answer.
-pub fn valid_from(asked: Instant, age: Duration) -> Instant {
-    asked - age
+/// Start of a relayed proof that was requested at `asked` and was `age` old in the answer; `None` if
+/// that is before the clock's origin, as right after the machine has booted. Counted from the origin,
+/// such a proof would be too young.
+///
+/// ```
+/// use std::time::Duration;
+/// use clock::Instant;
+/// use lead::freshness::valid_from;
+///
+/// let (at, ms) = (Instant::from_millis, Duration::from_millis);
+/// assert_eq!(valid_from(at(3_000), ms(2_000)), Some(at(1_000)));
+/// assert_eq!(valid_from(at(1_000), ms(2_000)), None);
+/// ```
+pub fn valid_from(asked: Instant, age: Duration) -> Option<Instant> {
+    asked.checked_sub(age)
 }
--- a/crates/lead/tests/freshness.rs
+++ b/crates/lead/tests/freshness.rs
@@ -144,11 +144,12 @@
                     let since = match start {
                         Start::Question => valid_from(at(question.at), age),
                         Start::Answer => valid_from(at(now), age),
-                        Start::QuestionWithoutAge => at(question.at),
+                        Start::QuestionWithoutAge => Some(at(question.at)),
                     };
-                    instance
-                        .freshness
-                        .update(newest, since, watermark(instance.catalog));
+                    if let Some(since) = since {
+                        let have = watermark(instance.catalog);
+                        instance.freshness.update(newest, since, have);
+                    }
                     question.next = u64::MAX;
                 }
             }
@@ -198,3 +199,15 @@
     let late = (0..SEEDS).map(|seed| simulate(seed, Start::QuestionWithoutAge).1);
     assert!(late.sum::<u64>() > 0);
 }
+
+/// Guards against a revoked key that is accepted for longer than the span, caused by a machine that
+/// booted after the beginning of a relayed proof.
+#[test]
+fn a_relayed_proof_from_before_the_boot_is_not_accepted() {
+    let mut freshness = Freshness::default();
+    let after_boot = Instant::from_millis;
+    if let Some(since) = valid_from(after_boot(100), Duration::from_millis(400)) {
+        freshness.update(watermark(1), since, watermark(1));
+    }
+    assert!(!freshness.covers(after_boot(300), SPAN), "600 ms old");
+}
--- a/crates/proxy/src/freshness.rs
+++ b/crates/proxy/src/freshness.rs
@@ -207,7 +207,7 @@
     let Ok(Ok((newest, age))) = answer else {
         return Err(Fault::Unknown);
     };
-    let since = freshness::valid_from(sent, age);
+    let since = freshness::valid_from(sent, age).ok_or(Fault::Unknown)?;
     let is_newer = tracker.age(sent).is_none_or(|own| own > age);
     tracker.update(newest, since, node.mark());
     if tracker.pending().is_some() {
--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -28,7 +28,7 @@
 use bytes::Bytes;
 use clock::{Boot, Instant};
 use futures_util::future::{Either, select};
-use lead::quorum;
+use lead::{freshness::valid_from, quorum};
 use rand::seq::IndexedRandom;
 use tokio::{
     task::spawn_local,
@@ -240,7 +240,7 @@
     let (tag, age) = proofs::query_lease(node, address)
         .await
         .ok_or(Fault::Unknown)?;
-    let sent = asked_at - age;
+    let sent = valid_from(asked_at, age).ok_or(Fault::Unknown)?;
     node.heard_from_store(sent);
     node.store_heard();
     let before = node.lease.get();
