Date a leave with the first answer, and keep what dates leaves in one module

An instance that asks three others applied their answers when the last one had come, so one peer that is gone held the others' answers back for up to a second, in which a leaving primary got no work from it. Each answer is applied as it arrives.

What a relay tells of the leaves in a batch stands beside the answers to questions (`leaves`), and Change::item replaces a function of the relay. The time for which a request has waited is taken before the ages, so that the bound that a follower makes of both is never later than the relay's own.

Tests of proxy, and leaving, house, views, relays and fleet of platform pass.

--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -164,6 +164,14 @@
             Self::Gone(key, _) => key,
         }
     }
+
+    /// Returns the item that was written, if the change is no deletion.
+    pub fn item(&self) -> Option<&Item> {
+        match self {
+            Self::Put(item) => Some(item),
+            Self::Gone(..) => None,
+        }
+    }
 }
 
 /// An atomic conditional change of several keys.
--- a/crates/proxy/src/leaves.rs
+++ b/crates/proxy/src/leaves.rs
@@ -4,7 +4,7 @@
 //! list when the upstream announced, and may have to count the drain as over. Instances that had the
 //! list then know more.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
 use futures_util::future::join_all;
@@ -13,10 +13,11 @@
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{
-    edge::Edge,
+    control,
+    edge::{Change, Edge},
     node::Node,
     peers::{
-        frame::{Leave, Request, Response, call},
+        frame::{ChangeBatch, Leave, Request, Response, call},
         heartbeat::LEAVE_FORMAT,
     },
 };
@@ -78,32 +79,58 @@
 
 /// Asks some of the other instances.
 async fn ask<E: Edge>(node: &Node<E>, ids: Vec<String>) {
-    // All others may be stopping, as in a rolling restart.
+    // In a rolling restart, all others may be stopping.
     let mut peers = node.peers.heard_with_format(LEAVE_FORMAT);
     peers.extend(node.peers.stopping());
     let chosen: Vec<_> = peers.choose_multiple(&mut rand::rng(), FANOUT).collect();
     let request = Request::Leaves(ids);
+    join_all(
+        chosen
+            .into_iter()
+            .map(|peer| ask_peer(node, *peer, &request)),
+    )
+    .await;
+}
+
+async fn ask_peer<E: Edge>(node: &Node<E>, peer: SocketAddr, request: &Request) {
     let asked = Boot.now();
-    let calls = chosen.into_iter().map(|peer| call(*peer, &request));
-    for answer in join_all(calls).await {
-        let Ok(Response::Leaves(leaves)) = answer else {
-            continue;
-        };
-        for Leave { upstream, age } in leaves {
-            let not_before = drain::not_before(asked, Duration::ZERO, age);
-            node.date_leave(&upstream, not_before);
-        }
+    let Ok(Response::Leaves(leaves)) = call(peer, request).await else {
+        return;
+    };
+    date(node, leaves, asked, Duration::ZERO);
+}
+
+/// Applies the ages of leaves in the answer to a request that was sent at `asked` and had `waited`
+/// at the other instance.
+pub(crate) fn date<E: Edge>(node: &Node<E>, leaves: Vec<Leave>, asked: Instant, waited: Duration) {
+    for Leave { upstream, age } in leaves {
+        node.date_leave(&upstream, drain::not_before(asked, waited, age));
     }
 }
 
 /// Returns those of the upstreams `ids` of which this instance knows since when they leave.
-pub(crate) fn known<E: Edge>(node: &Node<E>, ids: &[String]) -> Vec<Leave> {
+pub(crate) fn known<'a, E: Edge>(node: &Node<E>, ids: impl Iterator<Item = &'a str>) -> Vec<Leave> {
     let now = Boot.now();
-    let leave = |id: &String| {
+    let leave = |id: &str| {
         Some(Leave {
-            upstream: id.clone(),
+            upstream: id.to_owned(),
             age: node.leaving_for(id, now)?,
         })
     };
-    ids.iter().filter_map(leave).collect()
+    ids.filter_map(leave).collect()
+}
+
+/// Returns the same for the upstreams among the changes of `batch`, and the time since the request
+/// for it `arrived`. A follower that learns late that an upstream leaves would otherwise have to
+/// count its drain as over.
+pub(crate) fn in_batch<E: Edge>(
+    node: &Node<E>,
+    batch: &ChangeBatch,
+    arrived: Instant,
+) -> (Vec<Leave>, Duration) {
+    let waited = Boot.now().since(arrived);
+    let items = batch.changes.iter().filter_map(Change::item);
+    let listed = items.filter(|item| item.key.starts_with(E::UPSTREAMS_PREFIX));
+    let ids = listed.map(|item| control::upstream_id::<E>(&item.key));
+    (known(node, ids), waited)
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -409,7 +409,10 @@
         Request::Catalog => Response::Catalog(node.catalog_item()),
         Request::CompressedCatalog => return send_catalog(node, stream, Held::default()).await,
         Request::CatalogFrom(held) => return send_catalog(node, stream, held).await,
-        Request::Leaves(upstreams) => Response::Leaves(leaves::known(node, &upstreams)),
+        Request::Leaves(upstreams) => {
+            let ids = upstreams.iter().map(String::as_str);
+            Response::Leaves(leaves::known(node, ids))
+        }
     };
     send(&mut stream, &response).await
 }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -19,7 +19,6 @@
 use admit::{holders::Candidate, relays};
 use bytes::Bytes;
 use clock::{Boot, Instant};
-use lead::drain;
 use tokio::{
     io::AsyncReadExt,
     net::TcpStream,
@@ -31,13 +30,14 @@
     control,
     delta::{self, Delta},
     edge::{Change, Edge, Item},
+    leaves,
     mirror::{SECTIONS, Section},
     node::Node,
     peers::{
         LOST_HEARTBEATS,
         frame::{
-            ChangeBatch, Cursor, Held, IO_TIMEOUT, Leave, Request, Response, connect, encode,
-            receive, receive_body, send, send_frame,
+            ChangeBatch, Cursor, Held, IO_TIMEOUT, Request, Response, connect, encode, receive,
+            receive_body, send, send_frame,
         },
         heartbeat::{DELTA_FORMAT, StoreContact},
     },
@@ -188,10 +188,7 @@
         };
         (cursor.incarnation, cursor.seq) = (batch.incarnation, batch.seq);
         apply_batch(node, batch, item, is_first);
-        for leave in leaves {
-            let not_before = drain::not_before(asked, waited, leave.age);
-            node.date_leave(&leave.upstream, not_before);
-        }
+        leaves::date(node, leaves, asked, waited);
     }
     Ok(())
 }
@@ -246,7 +243,7 @@
     let mut changes = batch.changes;
     let whole = batch.catalog.and_then(|whole| whole.decompress().ok());
     changes.extend(catalog.or(whole).map(Change::Put));
-    let present: Vec<Item> = changes.iter().filter_map(item_of).cloned().collect();
+    let present: Vec<Item> = changes.iter().filter_map(Change::item).cloned().collect();
     if batch.is_snapshot {
         let mirror = node.mirror.borrow();
         for section in [Section::Upstreams, Section::Records] {
@@ -272,13 +269,6 @@
     node.note_instances_listed();
 }
 
-fn item_of(change: &Change) -> Option<&Item> {
-    match change {
-        Change::Put(item) => Some(item),
-        Change::Gone(..) => None,
-    }
-}
-
 /// Sends changes to a follower until either side ends the connection. An instance that is no
 /// longer a relay answers that it has nothing, once the follower has its catalogue.
 pub(crate) async fn serve_follower<E: Edge>(
@@ -443,7 +433,7 @@
         && let Some(deltas) = node.deltas.borrow_mut().since(held.hash)
     {
         let batch = changes_batch(node, cursor);
-        let (leaves, waited) = leaves(node, &batch, arrived);
+        let (leaves, waited) = leaves::in_batch(node, &batch, arrived);
         return encode(&Response::DeltaBatch(batch, deltas, leaves, waited));
     }
     let is_initial = cursor.incarnation == 0 && cursor.seq == 0 && cursor.version == 0;
@@ -456,7 +446,7 @@
         return Ok(frame.clone());
     }
     let batch = change_batch(node, cursor);
-    let (leaves, waited) = leaves(node, &batch, arrived);
+    let (leaves, waited) = leaves::in_batch(node, &batch, arrived);
     let is_lasting = leaves.is_empty();
     let frame = encode(&Response::ChangeBatch(batch, leaves, waited))?;
     if is_lasting {
@@ -470,32 +460,10 @@
     batch: ChangeBatch,
     arrived: Instant,
 ) -> io::Result<Bytes> {
-    let (leaves, waited) = leaves(node, &batch, arrived);
+    let (leaves, waited) = leaves::in_batch(node, &batch, arrived);
     encode(&Response::ChangeBatch(batch, leaves, waited))
 }
 
-/// The upstreams among the changes of `batch` that are about to leave, and the time since `arrived`.
-/// A follower that learns late that an upstream leaves would otherwise send it work until after its
-/// end.
-fn leaves<E: Edge>(
-    node: &Node<E>,
-    batch: &ChangeBatch,
-    arrived: Instant,
-) -> (Vec<Leave>, Duration) {
-    let now = Boot.now();
-    let items = batch.changes.iter().filter_map(item_of);
-    let listed = items.filter(|item| item.key.starts_with(E::UPSTREAMS_PREFIX));
-    let leave = |item: &Item| {
-        let upstream = control::upstream_id::<E>(&item.key);
-        let age = node.leaving_for(upstream, now)?;
-        Some(Leave {
-            upstream: upstream.to_owned(),
-            age,
-        })
-    };
-    (listed.filter_map(leave).collect(), now.since(arrived))
-}
-
 fn change_batch<E: Edge>(node: &Node<E>, cursor: &Cursor) -> ChangeBatch {
     let batch = changes_batch(node, cursor);
     ChangeBatch {
@@ -518,7 +486,7 @@
     let mut changes = known
         .or_else(|| mirror.changes_since(0))
         .unwrap_or_default();
-    changes.retain(|change| item_of(change).is_none_or(|item| item.key != E::CATALOG_KEY));
+    changes.retain(|change| change.item().is_none_or(|item| item.key != E::CATALOG_KEY));
     ChangeBatch {
         incarnation: node.incarnation,
         seq: mirror.seq(),
