--- a/crates/proxy/src/leaves.rs
+++ b/crates/proxy/src/leaves.rs
@@ -1,8 +1,8 @@
-//! Asks other instances since when upstreams leave.
+//! What instances tell each other of the times since which upstreams leave.
 //!
 //! An instance that starts or reaches the store again while an upstream leaves can't tell from the
-//! list when the upstream announced, and may have to count the drain as over. Instances that had the
-//! list then know more.
+//! list when the upstream announced, and may have to count the drain as over. It asks instances that
+//! had the list then. A relay tells its followers without being asked.
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -84,12 +84,8 @@
     peers.extend(node.peers.stopping());
     let chosen: Vec<_> = peers.choose_multiple(&mut rand::rng(), FANOUT).collect();
     let request = Request::Leaves(ids);
-    join_all(
-        chosen
-            .into_iter()
-            .map(|peer| ask_peer(node, *peer, &request)),
-    )
-    .await;
+    let questions = chosen.iter().map(|peer| ask_peer(node, **peer, &request));
+    join_all(questions).await;
 }
 
 async fn ask_peer<E: Edge>(node: &Node<E>, peer: SocketAddr, request: &Request) {
@@ -120,9 +116,7 @@
     ids.filter_map(leave).collect()
 }
 
-/// Returns the same for the upstreams among the changes of `batch`, and the time since the request
-/// for it `arrived`. A follower that learns late that an upstream leaves would otherwise have to
-/// count its drain as over.
+/// Returns the leaves among the changes of `batch`, and the time since the request for it `arrived`.
 pub(crate) fn in_batch<E: Edge>(
     node: &Node<E>,
     batch: &ChangeBatch,
--- a/crates/proxy/src/member.rs
+++ b/crates/proxy/src/member.rs
@@ -131,7 +131,7 @@
 
     /// Applies the upstream's entry in a list that was complete at `current_at` before.
     pub(crate) fn set_listed(&self, readiness: Readiness, current_at: Option<Instant>) {
-        // An entry that was missing may have announced before the upstream lost it.
+        // The upstream may have announced at any time while its entry was missing.
         let not_before = match self.unlisted.take() {
             Some(_) => self.listed_at.get(),
             None => current_at,
