--- a/crates/proxy/src/control/section.rs
+++ b/crates/proxy/src/control/section.rs
@@ -180,7 +180,13 @@
         () = wait_for_refresh(node, section) => return Err(Fault::Compacted),
         () = wait_until_relieved(node, section) => return Ok(Next::Watch),
     };
-    let answer = answer.inspect_err(|_| node.store_failed())?;
+    let answer = answer.inspect_err(|error| {
+        node.store_failed();
+        if section == Section::Catalog {
+            let waited = Boot.now().since(sent);
+            log::info!(error:?, waited_ms = waited.as_millis() as u64; "catalogue watch failed");
+        }
+    })?;
     node.store_answered();
     node.watch_answered_at.set(Boot.now());
     let mut changes = answer.changes.iter();
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -280,14 +280,17 @@
     let peer = stream.peer_addr()?.ip().to_string();
     // Kept across requests, so that a follower keeps its place among those that wait.
     let mut acquire: Option<Pin<Box<dyn Future<Output = Slot>>>> = None;
+    let mut queued_at = Boot.now();
     let mut arrived = Boot.now();
     loop {
         let _ = timeout(FOLLOW_TIMEOUT, wait_for_changes(node, &cursor)).await;
         let mut slot = None;
         if lacks_catalog(node, &cursor) {
             let size = update_size(node, &held);
-            let new = || Box::pin(node.catalog_sends.acquire(size, held.recipient)) as Pin<Box<_>>;
-            let acquired = acquire.get_or_insert_with(new);
+            let acquired = acquire.get_or_insert_with(|| {
+                queued_at = Boot.now();
+                Box::pin(node.catalog_sends.acquire(size, held.recipient))
+            });
             tokio::select! {
                 biased;
                 acquired = acquired => slot = Some(acquired),
@@ -309,7 +312,11 @@
             false => encode(&Response::Nothing)?,
         };
         if slot.is_some() && can_serve {
-            log::info!(peer = &*peer, bytes = frame.len(); "catalogue sent");
+            let waited = Boot.now().since(queued_at);
+            log::info!(
+                peer = &*peer, bytes = frame.len(), waited_ms = waited.as_millis() as u64;
+                "catalogue sent"
+            );
         }
         let transfer = async {
             send_frame(&mut stream, &frame).await?;
