Shorten the watch of an instance that becomes the first reader

Callers: a change could stay out of force for up to 25.7 s at all instances that follow a reader, or that is the only one left.

Cause: the wait of a catalogue's watch was chosen when the watch began, 2 s at the first reader and 25 s at the second. If the first one was lost, the second kept its watch, whose answer may have been lost before.

Evidence: a_reader_that_takes_the_place_of_another_finds_what_its_watch_has_missed fails on (version 2 in force after 6 s of statements) and passes now.

A watch is given up for a conditional read once it would wait for less than when it began, so no call is added while the readers stay.

--- a/crates/proxy/src/control/section.rs
+++ b/crates/proxy/src/control/section.rs
@@ -174,9 +174,11 @@
     let store = node.store();
     let prefix = section_prefix::<E>(section);
     let sent = Boot.now();
-    let watching = store.watch(&prefix, after, watch_wait(node, section), WATCH_SLACK);
+    let wait = watch_wait(node, section);
+    let watching = store.watch(&prefix, after, wait, WATCH_SLACK);
     let answer = tokio::select! {
         answer = watching => answer,
+        () = wait_until_urgent(node, section, wait) => return Ok(Next::ReadNewer),
         () = wait_for_refresh(node, section) => return Err(Fault::Compacted),
         () = wait_until_relieved(node, section) => return Ok(Next::Watch),
     };
@@ -241,6 +243,17 @@
     }
 }
 
+/// Waits until a watch of `section` would wait for less than `wait`.
+///
+/// An answer that was lost would otherwise be missed for as long as the watch was to wait when it
+/// began, by an instance on which the others rely since.
+async fn wait_until_urgent<E: Edge>(node: &Node<E>, section: Section, wait: Duration) {
+    while watch_wait(node, section) >= wait {
+        sleep(RELAY_CHECK_INTERVAL).await;
+    }
+    log::info!(section:?; "watch is urgent now");
+}
+
 /// Waits until the peers that were waiting for this instance's catalogue have it. A newer one would
 /// fill the link on which their requests arrive.
 async fn wait_until_passed_on<E: Edge>(node: &Node<E>) {
