Send differences of a catalogue independently of whole ones

Cause: a relay limits what it has in transit, and sends a catalogue larger than that alone. Differences of 100 bytes waited in the same queue, behind followers that have no catalogue yet and take 0.75 s each.

Differences and whole catalogues have a limit and a queue each. On a link of 2 Mbit/s both together take 0.26 s, still short of the 0.7 s after which an instance counts as lost.

--- a/crates/proxy/src/catalog_sends.rs
+++ b/crates/proxy/src/catalog_sends.rs
@@ -26,15 +26,32 @@
     Follower,
 }
 
-/// Bytes of catalogues in transit. Waiting transfers start in the order of their requests, but those
-/// to relays before all others: each of them has followers that wait for it.
-#[derive(Debug, Clone)]
+/// What a recipient is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Content {
+    /// The differences to the catalogue that the recipient has in force.
+    Differences,
+    /// A whole catalogue.
+    Catalog,
+}
+
+/// Bytes of catalogues in transit. Differences and whole catalogues are limited separately, so that
+/// a change does not wait for instances that start.
+#[derive(Debug, Clone, Default)]
 pub struct CatalogSends {
+    differences: Queue,
+    catalogs: Queue,
+    /// Number of transfers that wait or are in transit.
+    pending: Rc<Cell<usize>>,
+}
+
+/// Transfers of one kind. Waiting ones start in the order of their requests, but those to relays
+/// before all others: each of them has followers that wait for it.
+#[derive(Debug, Clone)]
+struct Queue {
     bytes: Arc<Semaphore>,
     /// Admits one transfer to an instance that is no relay to the queue for `bytes`.
     turn: Arc<Semaphore>,
-    /// Number of transfers that wait or are in transit.
-    pending: Rc<Cell<usize>>,
 }
 
 /// Part of the limit that a transfer occupies until dropped.
@@ -54,31 +71,38 @@
     }
 }
 
-impl Default for CatalogSends {
+impl Default for Queue {
     fn default() -> Self {
         Self {
             bytes: Arc::new(Semaphore::new(MAX_BYTES as usize)),
             turn: Arc::new(Semaphore::new(1)),
-            pending: Rc::default(),
         }
     }
 }
 
 impl CatalogSends {
-    /// Waits until `size` bytes may be sent to `recipient`. A catalogue above the limit is sent
-    /// alone.
-    pub fn acquire(&self, size: usize, recipient: Recipient) -> impl Future<Output = Slot> + use<> {
+    /// Waits until `size` bytes of `content` may be sent to `recipient`. What exceeds the limit is
+    /// sent alone.
+    pub fn acquire(
+        &self,
+        content: Content,
+        size: usize,
+        recipient: Recipient,
+    ) -> impl Future<Output = Slot> + use<> {
         let size = u32::try_from(size).map_or(MAX_BYTES, |size| size.min(MAX_BYTES));
-        let (bytes, turn) = (Arc::clone(&self.bytes), Arc::clone(&self.turn));
+        let queue = match content {
+            Content::Differences => self.differences.clone(),
+            Content::Catalog => self.catalogs.clone(),
+        };
         self.pending.set(self.pending.get() + 1);
         let pending = Pending(Rc::clone(&self.pending));
         async move {
             let _turn = match recipient {
                 Recipient::Relay => None,
-                Recipient::Follower => turn.acquire_owned().await.ok(),
+                Recipient::Follower => queue.turn.acquire_owned().await.ok(),
             };
             Slot {
-                _bytes: bytes.acquire_many_owned(size).await.ok(),
+                _bytes: queue.bytes.acquire_many_owned(size).await.ok(),
                 _pending: pending,
             }
         }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -256,10 +256,10 @@
     mut stream: TcpStream,
     held: Held,
 ) -> io::Result<()> {
-    let size = relay::update_size(node, &held);
+    let (content, size) = relay::update(node, &held);
     let Ok(slot) = timeout(
         CATALOG_WAIT,
-        node.catalog_sends.acquire(size, held.recipient),
+        node.catalog_sends.acquire(content, size, held.recipient),
     )
     .await
     else {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -26,7 +26,7 @@
 };
 
 use crate::{
-    catalog_sends::{Recipient, SLOT_LIMIT, Slot},
+    catalog_sends::{Content, Recipient, SLOT_LIMIT, Slot},
     control,
     delta::{self, Delta},
     edge::{Change, Edge, Item},
@@ -286,10 +286,10 @@
         let _ = timeout(FOLLOW_TIMEOUT, wait_for_changes(node, &cursor)).await;
         let mut slot = None;
         if lacks_catalog(node, &cursor) {
-            let size = update_size(node, &held);
+            let (content, size) = update(node, &held);
             let acquired = acquire.get_or_insert_with(|| {
                 queued_at = Boot.now();
-                Box::pin(node.catalog_sends.acquire(size, held.recipient))
+                Box::pin(node.catalog_sends.acquire(content, size, held.recipient))
             });
             tokio::select! {
                 biased;
@@ -363,11 +363,17 @@
     }
 }
 
-/// Size of what brings the catalogue that a peer holds up to date.
-pub(crate) fn update_size<E: Edge>(node: &Node<E>, held: &Held) -> usize {
+/// What brings the catalogue that a peer holds up to date, and its size.
+pub(crate) fn update<E: Edge>(node: &Node<E>, held: &Held) -> (Content, usize) {
     match node.deltas.borrow_mut().since(held.hash) {
-        Some(deltas) => deltas.iter().map(|delta| delta.size()).sum(),
-        None => node.packed().map_or(0, |packed| packed.value.len()),
+        Some(deltas) => {
+            let size = deltas.iter().map(|delta| delta.size()).sum();
+            (Content::Differences, size)
+        }
+        None => {
+            let size = node.packed().map_or(0, |packed| packed.value.len());
+            (Content::Catalog, size)
+        }
     }
 }
 
--- a/crates/proxy/tests/sends.rs
+++ b/crates/proxy/tests/sends.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, pin::Pin};
 
 use futures_util::FutureExt;
-use proxy::catalog_sends::{CatalogSends, Recipient, Slot};
+use proxy::catalog_sends::{CatalogSends, Content, Recipient, Slot};
 
 /// More than may be in transit at once.
 const SIZE: usize = 1 << 20;
@@ -11,7 +11,7 @@
 type Acquire = Pin<Box<dyn Future<Output = Slot>>>;
 
 fn request(sends: &CatalogSends, recipient: Recipient) -> Acquire {
-    let mut acquire: Acquire = Box::pin(sends.acquire(SIZE, recipient));
+    let mut acquire: Acquire = Box::pin(sends.acquire(Content::Catalog, SIZE, recipient));
     assert!((&mut acquire).now_or_never().is_none(), "nothing is free");
     acquire
 }
@@ -21,7 +21,9 @@
 #[test]
 fn a_relay_is_sent_a_catalogue_before_the_followers_that_wait() {
     let sends = CatalogSends::default();
-    let first = sends.acquire(SIZE, Recipient::Follower).now_or_never();
+    let first = sends
+        .acquire(Content::Catalog, SIZE, Recipient::Follower)
+        .now_or_never();
     let mut followers: Vec<_> = (0..3)
         .map(|_| request(&sends, Recipient::Follower))
         .collect();
@@ -45,7 +47,9 @@
 #[test]
 fn a_follower_that_leaves_gives_up_its_place() {
     let sends = CatalogSends::default();
-    let first = sends.acquire(SIZE, Recipient::Follower).now_or_never();
+    let first = sends
+        .acquire(Content::Catalog, SIZE, Recipient::Follower)
+        .now_or_never();
     let left: Vec<_> = (0..2)
         .map(|_| request(&sends, Recipient::Follower))
         .collect();
@@ -62,7 +66,9 @@
 fn transfers_are_pending_until_they_end_or_their_peer_leaves() {
     let sends = CatalogSends::default();
     assert!(sends.is_idle());
-    let first = sends.acquire(SIZE, Recipient::Relay).now_or_never();
+    let first = sends
+        .acquire(Content::Catalog, SIZE, Recipient::Relay)
+        .now_or_never();
     let second = request(&sends, Recipient::Follower);
     drop(first);
     assert!(!sends.is_idle());
@@ -72,3 +78,19 @@
     drop(third);
     assert!(sends.is_idle());
 }
+
+/// Guards against a change that is in force late because instances that start are sent whole
+/// catalogues one after the other.
+#[test]
+fn differences_do_not_wait_for_whole_catalogues() {
+    let sends = CatalogSends::default();
+    let first = sends
+        .acquire(Content::Catalog, SIZE, Recipient::Follower)
+        .now_or_never();
+    let second = request(&sends, Recipient::Follower);
+    let differences = sends
+        .acquire(Content::Differences, SIZE, Recipient::Follower)
+        .now_or_never();
+    assert!(differences.is_some());
+    drop((first, second));
+}
