Send starting instances as much at once as the relay's link carries

Callers: a fleet of 986 had instances without any catalogue 30 s behind its start, and the next versions came as late to those that had one.

Cause: a relay had 32 KB of catalogues in transit, whatever its link carries, and anything larger alone. With 1,000 databases the first transfer is 1.03 MB and takes 0.75 s at a recipient with an eighth of a core; 80 of them in a row take a minute. What an instance with an older catalogue needs whole, because the differences are no longer known, waited there too.

Evidence:, relay front-nlw-c-5: transfers 0.1 s apart at first and 0.75 s from 8 s behind the start on.

The limit is what the instance's own link carries in 0.13 s, 32 KB at least as before on 2 Mbit/s or where it isn't known, 16 MB at most. The size that counts is that of all that is sent. What starting instances are sent has a queue of its own.

--- a/crates/proxy/src/catalog_sends.rs
+++ b/crates/proxy/src/catalog_sends.rs
@@ -8,9 +8,16 @@
     time::sleep,
 };
 
-/// Bytes of catalogues that may be in transit at once. A link of 2 Mbit/s carries them in 0.13 s,
-/// so heartbeats behind them arrive before the instance is considered lost.
-const MAX_BYTES: u32 = 32 << 10;
+/// Time for which transfers of one kind may occupy the instance's link: heartbeats behind them arrive
+/// before the instance is considered lost.
+const MAX_LINK_TIME: Duration = Duration::from_millis(130);
+
+/// Limit on the bytes in transit if the bandwidth of the link isn't known or lower: what 2 Mbit/s
+/// carry in that time.
+const MIN_LIMIT: usize = 32 << 10;
+
+/// Upper bound on that limit, whatever the link carries: it is memory as well.
+const MAX_LIMIT: usize = 16 << 20;
 
 /// Time after which a transfer no longer delays the next one, so that a stalled recipient
 /// doesn't block the others.
@@ -31,16 +38,19 @@
 pub enum Content {
     /// The differences to the catalogue that the recipient has in force.
     Differences,
-    /// A whole catalogue.
+    /// A whole catalogue, to a recipient that has another one in force.
     Catalog,
+    /// All that the store holds, to a recipient that starts.
+    Snapshot,
 }
 
-/// Bytes of catalogues in transit. Differences and whole catalogues are limited separately, so that
-/// a change does not wait for instances that start.
-#[derive(Debug, Clone, Default)]
+/// Bytes of catalogues in transit. Each kind of content has a limit of its own, so that a change does
+/// not wait for instances that start.
+#[derive(Debug, Clone)]
 pub struct CatalogSends {
     differences: Queue,
     catalogs: Queue,
+    snapshots: Queue,
     /// Number of transfers that wait or are in transit.
     pending: Rc<Cell<usize>>,
 }
@@ -49,6 +59,7 @@
 /// before all others: each of them has followers that wait for it.
 #[derive(Debug, Clone)]
 struct Queue {
+    limit: usize,
     bytes: Arc<Semaphore>,
     /// Admits one transfer to an instance that is no relay to the queue for `bytes`.
     turn: Arc<Semaphore>,
@@ -71,16 +82,30 @@
     }
 }
 
-impl Default for Queue {
-    fn default() -> Self {
+impl Queue {
+    fn new(limit: usize) -> Self {
         Self {
-            bytes: Arc::new(Semaphore::new(MAX_BYTES as usize)),
+            limit,
+            bytes: Arc::new(Semaphore::new(limit)),
             turn: Arc::new(Semaphore::new(1)),
         }
     }
 }
 
 impl CatalogSends {
+    /// Creates the queues of an instance whose link carries `link` bytes per second, if known.
+    pub fn new(link: Option<usize>) -> Self {
+        let carried = link.map_or(0, |link| link as u128 * MAX_LINK_TIME.as_millis() / 1_000);
+        let limit = usize::try_from(carried).unwrap_or(usize::MAX);
+        let queue = || Queue::new(limit.clamp(MIN_LIMIT, MAX_LIMIT));
+        Self {
+            differences: queue(),
+            catalogs: queue(),
+            snapshots: queue(),
+            pending: Rc::default(),
+        }
+    }
+
     /// Waits until `size` bytes of `content` may be sent to `recipient`. What exceeds the limit is
     /// sent alone.
     pub fn acquire(
@@ -89,11 +114,12 @@
         size: usize,
         recipient: Recipient,
     ) -> impl Future<Output = Slot> + use<> {
-        let size = u32::try_from(size).map_or(MAX_BYTES, |size| size.min(MAX_BYTES));
         let queue = match content {
             Content::Differences => self.differences.clone(),
             Content::Catalog => self.catalogs.clone(),
+            Content::Snapshot => self.snapshots.clone(),
         };
+        let size = size.min(queue.limit) as u32;
         self.pending.set(self.pending.get() + 1);
         let pending = Pending(Rc::clone(&self.pending));
         async move {
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -41,6 +41,12 @@
     seq: u64,
 }
 
+impl Entry {
+    fn size(&self, key: &str) -> usize {
+        key.len() + self.value.as_ref().map_or(0, Bytes::len)
+    }
+}
+
 /// The sequence number and the known revisions of a mirror: equal versions have equal contents.
 pub(crate) type Version = (u64, [u64; SECTIONS.len()]);
 
@@ -65,6 +71,8 @@
     /// Deletions up to this sequence number may have been dropped.
     dropped_seq: u64,
     tombstones: usize,
+    /// Bytes of all keys and values.
+    size: usize,
     /// The newest revision of the store among dropped deletions.
     dropped_revision: u64,
     /// The revision of the store up to which each section is complete.
@@ -77,6 +85,11 @@
         self.seq
     }
 
+    /// Bytes of all keys and values.
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
     /// The current version.
     pub(crate) fn version(&self) -> Version {
         (self.seq, self.known)
@@ -103,6 +116,8 @@
         if known.is_some_and(|entry| entry.revision >= revision) {
             return false;
         }
+        self.size += key.len() + value.as_ref().map_or(0, Bytes::len);
+        self.size -= known.map_or(0, |entry| entry.size(key));
         let was_deleted = known.is_some_and(|entry| entry.value.is_none());
         self.tombstones += usize::from(value.is_none());
         self.tombstones -= usize::from(was_deleted);
@@ -129,6 +144,8 @@
         let newest = deleted.map(|entry| entry.revision).max();
         self.dropped_revision = self.dropped_revision.max(newest.unwrap_or(0));
         self.entries.retain(|_, entry| entry.value.is_some());
+        let sizes = self.entries.iter().map(|(key, entry)| entry.size(key));
+        self.size = sizes.sum();
         let entries = &self.entries;
         self.order.retain(|_, key| entries.contains_key(key));
         self.tombstones = 0;
@@ -191,6 +208,7 @@
         }
         if let Some(entry) = self.entries.remove(key) {
             self.order.remove(&entry.seq);
+            self.size -= entry.size(key);
             self.seq += 1;
         }
     }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -177,6 +177,7 @@
         Self {
             edge,
             peers: Peers::new(&settings),
+            catalog_sends: CatalogSends::new(settings.link),
             settings,
             incarnation: rand::random(),
             catalog: RefCell::default(),
@@ -215,7 +216,6 @@
             packed: RefCell::default(),
             full_batch: RefCell::default(),
             deltas: RefCell::default(),
-            catalog_sends: CatalogSends::default(),
             proofs: Proofs::default(),
             freshness: freshness::Tracker::default(),
             shares: Shares::default(),
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -286,7 +286,10 @@
         let _ = timeout(FOLLOW_TIMEOUT, wait_for_changes(node, &cursor)).await;
         let mut slot = None;
         if lacks_catalog(node, &cursor) {
-            let (content, size) = update(node, &held);
+            let (content, size) = match cursor.version {
+                0 => (Content::Snapshot, node.mirror.borrow().size()),
+                _ => update(node, &held),
+            };
             let acquired = acquire.get_or_insert_with(|| {
                 queued_at = Boot.now();
                 Box::pin(node.catalog_sends.acquire(content, size, held.recipient))
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -19,6 +19,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Processor capacity in hundredths of a core.
     pub weight: u32,
+    /// Bandwidth of the instance's network link in bytes per second, if known.
+    pub link: Option<usize>,
     /// Time between the order to stop and the kill of the process.
     pub grace: Duration,
     /// Time for which a leaving upstream may get new work.
@@ -54,6 +56,7 @@
             ("peers", self.peers == other.peers),
             ("seeds", self.seeds == other.seeds),
             ("weight", self.weight == other.weight),
+            ("link", self.link == other.link),
             ("grace", self.grace == other.grace),
             ("drain", self.drain == other.drain),
             ("proof", self.proof == other.proof),
--- a/crates/proxy/tests/greet.rs
+++ b/crates/proxy/tests/greet.rs
@@ -16,6 +16,7 @@
         peers: address(2),
         seeds: Vec::new(),
         weight: 12,
+        link: None,
         grace: Duration::from_secs(6),
         drain: Duration::from_secs(7),
         proof: settings::PROOF,
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -25,6 +25,16 @@
     all
 }
 
+/// Bytes of all keys and values of a mirror.
+fn size(mirror: &Mirror) -> usize {
+    let changes = mirror.changes_since(0).unwrap();
+    let size = |change: &Change| {
+        let value = change.item().map_or(0, |item| item.value.len());
+        change.key().len() + value
+    };
+    changes.iter().map(size).sum()
+}
+
 #[test]
 fn only_the_newest_change_of_a_key_is_returned() {
     let mut mirror = Mirror::default();
@@ -68,6 +78,7 @@
         None,
         "of another incarnation"
     );
+    assert_eq!(mirror.size(), size(&mirror));
 }
 
 #[test]
@@ -121,6 +132,9 @@
             other.apply(change);
         }
         prop_assert_eq!(newest(&other), newest(&relay));
+        for mirror in [&relay, &follower, &other] {
+            prop_assert_eq!(mirror.size(), size(mirror));
+        }
     }
 }
 
@@ -187,4 +201,5 @@
     assert_eq!(mirror.changes_since(0), Some(vec![put(2, 6)]));
     assert!(mirror.apply(&put(1, 5)));
     assert_eq!(mirror.changes_since(0), Some(vec![put(2, 6), put(1, 5)]));
+    assert_eq!(mirror.size(), size(&mirror));
 }
--- a/crates/proxy/tests/sends.rs
+++ b/crates/proxy/tests/sends.rs
@@ -20,7 +20,7 @@
 /// followers wait as long.
 #[test]
 fn a_relay_is_sent_a_catalogue_before_the_followers_that_wait() {
-    let sends = CatalogSends::default();
+    let sends = CatalogSends::new(None);
     let first = sends
         .acquire(Content::Catalog, SIZE, Recipient::Follower)
         .now_or_never();
@@ -46,7 +46,7 @@
 /// Guards against a slot that is kept by a recipient which no longer waits.
 #[test]
 fn a_follower_that_leaves_gives_up_its_place() {
-    let sends = CatalogSends::default();
+    let sends = CatalogSends::new(None);
     let first = sends
         .acquire(Content::Catalog, SIZE, Recipient::Follower)
         .now_or_never();
@@ -64,7 +64,7 @@
 /// have not been sent the catalogue yet.
 #[test]
 fn transfers_are_pending_until_they_end_or_their_peer_leaves() {
-    let sends = CatalogSends::default();
+    let sends = CatalogSends::new(None);
     assert!(sends.is_idle());
     let first = sends
         .acquire(Content::Catalog, SIZE, Recipient::Relay)
@@ -79,18 +79,34 @@
     assert!(sends.is_idle());
 }
 
+/// Guards against a fleet that starts for a minute: a relay sent one instance after the other the
+/// whole, though its link carried a hundred at once.
+#[test]
+fn as_much_is_in_transit_as_the_link_carries() {
+    let count = |link, content| {
+        let sends = CatalogSends::new(link);
+        let acquire = || sends.acquire(content, SIZE, Recipient::Follower);
+        let slots = (0..100).map_while(|_| acquire().now_or_never());
+        slots.collect::<Vec<_>>().len()
+    };
+    let [thin, fast] = [250_000, 125_000_000];
+    for content in [Content::Differences, Content::Catalog, Content::Snapshot] {
+        assert_eq!(count(None, content), 1);
+        assert_eq!(count(Some(thin), content), 1);
+        assert_eq!(count(Some(fast), content), 15);
+    }
+}
+
 /// Guards against a change that is in force late because instances that start are sent whole
 /// catalogues one after the other.
 #[test]
-fn differences_do_not_wait_for_whole_catalogues() {
-    let sends = CatalogSends::default();
-    let first = sends
-        .acquire(Content::Catalog, SIZE, Recipient::Follower)
-        .now_or_never();
-    let second = request(&sends, Recipient::Follower);
-    let differences = sends
-        .acquire(Content::Differences, SIZE, Recipient::Follower)
-        .now_or_never();
-    assert!(differences.is_some());
-    drop((first, second));
+fn what_is_urgent_does_not_wait_for_instances_that_start() {
+    let sends = CatalogSends::new(None);
+    let acquire = |content| sends.acquire(content, SIZE, Recipient::Follower);
+    let started = acquire(Content::Snapshot).now_or_never();
+    let mut waiting = Box::pin(acquire(Content::Snapshot));
+    assert!((&mut waiting).now_or_never().is_none());
+    let catalog = acquire(Content::Catalog).now_or_never();
+    let differences = acquire(Content::Differences).now_or_never();
+    assert!(started.is_some() && catalog.is_some() && differences.is_some());
 }
