--- a/crates/proxy/src/catalog_sends.rs
+++ b/crates/proxy/src/catalog_sends.rs
@@ -16,7 +16,7 @@
 /// carry in that time.
 const MIN_LIMIT: usize = 32 << 10;
 
-/// Upper bound on that limit, whatever the link carries: it is memory as well.
+/// Most bytes in transit, whatever the link carries: they are held in memory.
 const MAX_LIMIT: usize = 16 << 20;
 
 /// Time after which a transfer no longer delays the next one, so that a stalled recipient
