--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,58 @@
+//! Scripts of the second review: each starts the project's program as processes of its own, with the
+//! command of the deploy file, on loopback addresses, in front of the project's stand-ins for the
+//! platform (`platform/tests/harness`).
+//!
+//! Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
+
+#[path = "../../../platform/tests/harness/mod.rs"]
+mod harness;
+
+mod collide;
+mod nodes;
+mod reborn;
+
+use std::{path::PathBuf, process::ExitCode};
+
+/// Result of a case.
+pub type Verdict = Result<bool, String>;
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (args.next(), args.next()) else {
+        eprintln!("usage: standin-2 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let record = nodes::Record::new(&PathBuf::from(folder).join("record.txt"));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let limit = std::time::Duration::from_secs(100);
+    let verdict = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let case = async {
+            match &*case {
+                "reborn" => reborn::run(&record, trouble).await,
+                "collide" => collide::run(&record, trouble).await,
+                _ => Err(format!("unknown case {case}")),
+            }
+        };
+        tokio::time::timeout(limit, case)
+            .await
+            .unwrap_or_else(|_| Err("the case took too long".to_owned()))
+    });
+    match verdict {
+        Ok(true) => {
+            record.line("VERDICT: the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            record.line("VERDICT: the rule was broken");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            record.line(&format!("VERDICT: the case couldn't run: {error}"));
+            ExitCode::from(2)
+        }
+    }
+}
