--- a/review/standin-2/src/collide.rs
+++ b/review/standin-2/src/collide.rs
@@ -12,9 +12,9 @@
 const DIFFERENT: [&str; 2] = ["hcgdaljhmjjjdini", "mhckmbeffkmlflff"];
 
 pub async fn run(record: &Record, trouble: bool) -> Verdict {
-    let (store, group) = nodes::platform().await;
+    let (platform, group) = nodes::platform().await;
     let ports = Ports::find(1)?;
-    let (one, _gate) = nodes::start(record, 0, &ports, &store, &group).await?;
+    let one = nodes::start(record, 0, &ports, platform).await?;
     let shapes = match trouble {
         true => EQUAL,
         false => DIFFERENT,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -9,7 +9,9 @@
 
 mod collide;
 mod nodes;
+mod paused;
 mod reborn;
+mod sync;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -34,6 +36,7 @@
             match &*case {
                 "reborn" => reborn::run(&record, trouble).await,
                 "collide" => collide::run(&record, trouble).await,
+                "paused" => paused::run(&record, trouble).await,
                 _ => Err(format!("unknown case {case}")),
             }
         };
--- a/review/standin-2/src/nodes.rs
+++ b/review/standin-2/src/nodes.rs
@@ -111,16 +111,13 @@
     format!("127.0.3.{}", index + 11)
 }
 
-/// Starts a node in front of the store and the cloud API, and waits until it is ready.
+/// Starts a node in front of the store and the cloud API at `platform`, and waits until it is ready.
 pub async fn start(
     record: &Record,
     index: usize,
     ports: &Ports,
-    store: &Store,
-    group: &Rc<RefCell<Group>>,
-) -> Result<(Node, http::Gate), String> {
-    let gate = http::Gate::default();
-    let platform = http::serve(store, group, &gate).await;
+    platform: SocketAddr,
+) -> Result<Node, String> {
     let (ip, name) = (ip(index), format!("front-z-{}", index + 1));
     let front = format!("{ip}:{}", ports.front);
     let ready = format!("{ip}:{}", ports.ready);
@@ -172,7 +169,7 @@
         sleep(Duration::from_millis(50)).await;
     }
     record.line(&format!("{} is ready", node.name));
-    Ok((node, gate))
+    Ok(node)
 }
 
 /// Asks as the platform's ready probe does.
@@ -188,13 +185,15 @@
     timeout(Duration::from_secs(1), ask).await.ok().flatten().unwrap_or(false)
 }
 
-/// A store with a catalogue, and one database of three upstreams.
-pub async fn platform() -> (Store, Rc<RefCell<Group>>) {
+/// A store with a catalogue and one database of three upstreams, and the address of the store and the
+/// cloud API.
+pub async fn platform() -> (SocketAddr, Rc<RefCell<Group>>) {
     let store = Store::default();
     let group = Group::new("db", 3, 34, &store).await;
     let catalog = harness::config(1, 34, &["now", "old", "own"]);
     store.put("op/config", catalog.to_string().into_bytes(), 0);
-    (store, group)
+    let address = http::serve(&store, &group, &http::Gate::default()).await;
+    (address, group)
 }
 
 /// A client's session.
--- a/review/standin-2/src/reborn.rs
+++ b/review/standin-2/src/reborn.rs
@@ -20,10 +20,10 @@
 const LISTED: Duration = Duration::from_millis(2_400);
 
 pub async fn run(record: &Record, trouble: bool) -> Verdict {
-    let (store, group) = nodes::platform().await;
+    let (platform, group) = nodes::platform().await;
     let ports = Ports::find(2)?;
-    let (one, _gate) = nodes::start(record, 0, &ports, &store, &group).await?;
-    let (two, _gate) = nodes::start(record, 1, &ports, &store, &group).await?;
+    let one = nodes::start(record, 0, &ports, platform).await?;
+    let two = nodes::start(record, 1, &ports, platform).await?;
     let mut writer = Client::start("w", one.front, "now").await?;
     for number in 0..COMMITS {
         let text = format!("WRITE item{number} kept{number}");
