--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,6 +10,7 @@
 mod collide;
 mod nodes;
 mod paused;
+mod priority;
 mod reborn;
 mod sync;
 
@@ -37,6 +38,7 @@
                 "reborn" => reborn::run(&record, trouble).await,
                 "collide" => collide::run(&record, trouble).await,
                 "paused" => paused::run(&record, trouble).await,
+                "priority" => priority::run(&record, trouble).await,
                 _ => Err(format!("unknown case {case}")),
             }
         };
