--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -13,6 +13,7 @@
 mod priority;
 mod reborn;
 mod sync;
+mod values;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -39,6 +40,7 @@
                 "collide" => collide::run(&record, trouble).await,
                 "paused" => paused::run(&record, trouble).await,
                 "priority" => priority::run(&record, trouble).await,
+                "values" => values::run(&record, trouble).await,
                 _ => Err(format!("unknown case {case}")),
             }
         };
