--- a/review/standin-2/src/paused.rs
+++ b/review/standin-2/src/paused.rs
@@ -71,8 +71,17 @@
     }
 }
 
-/// The primary is dark until the replicas are paused; then they are full for a while.
-async fn disrupt(record: &Record, group: &Rc<RefCell<Group>>) -> Result<(), String> {
+/// Time for which the store carries out writes late, and how late.
+const LATE: (Duration, Duration) = (Duration::from_millis(4_500), Duration::from_secs(2));
+
+/// The primary is dark until the replicas are paused. Then they are full for a while or, with
+/// `TROUBLE=late`, the store answers no writes and carries them out late.
+async fn disrupt(
+    record: &Record,
+    group: &Rc<RefCell<Group>>,
+    gate: &http::Gate,
+) -> Result<(), String> {
+    let is_late = std::env::var("TROUBLE").as_deref() == Ok("late");
     group.borrow_mut().members[0].is_unreachable = true;
     record.line("primary i-0 goes dark");
     let since = Instant::now();
@@ -85,11 +94,22 @@
     sleep(Duration::from_millis(100)).await;
     let mut borrowed = group.borrow_mut();
     borrowed.members[0].is_unreachable = false;
+    let dark = since.elapsed().as_millis();
+    if is_late {
+        drop(borrowed);
+        gate.set(http::Mode::LateWrites(LATE.1));
+        record.line(&format!("primary i-0 is back after {dark} ms; the store carries out writes late"));
+        let gate = gate.clone();
+        spawn_local(async move {
+            sleep(LATE.0).await;
+            gate.set(http::Mode::Normal);
+        });
+        return Ok(());
+    }
     for member in &mut borrowed.members[1..] {
         member.full_after = Some(Duration::ZERO);
     }
     drop(borrowed);
-    let dark = since.elapsed().as_millis();
     record.line(&format!("primary i-0 is back after {dark} ms; the slots of the replicas are full"));
     let group = Rc::clone(group);
     spawn_local(async move {
@@ -107,7 +127,8 @@
     let mut catalog = harness::config(1, 34, &["now", "old", "own"]);
     catalog["services"][0]["syncReplicas"] = 1.into();
     store.put("op/config", catalog.to_string().into_bytes(), 0);
-    let platform = http::serve(&store, &group, &http::Gate::default()).await;
+    let gate = http::Gate::default();
+    let platform = http::serve(&store, &group, &gate).await;
     let ticking = Rc::clone(&group);
     spawn_local(async move {
         loop {
@@ -124,7 +145,7 @@
     let load = async { write(record, &fronts, Duration::from_secs(6), &mut number).await };
     let trouble = async {
         match trouble {
-            true => disrupt(record, &group).await,
+            true => disrupt(record, &group, &gate).await,
             false => Ok(()),
         }
     };
