--- a/review/standin-2/src/collide.rs
+++ b/review/standin-2/src/collide.rs
@@ -25,7 +25,9 @@
     let mut asked = Vec::new();
     for _ in 0..3 {
         for (client, shape) in [&mut first, &mut second].into_iter().zip(shapes) {
-            let prepared = client.execute(record, &format!("PREPARE s READ {shape}")).await;
+            let prepared = client
+                .execute(record, &format!("PREPARE s READ {shape}"))
+                .await;
             let run = client.execute(record, "EXECUTE s item1").await;
             if prepared.is_done() && run.is_done() {
                 asked.push((run.id, shape));
@@ -46,7 +48,10 @@
             ));
         }
     }
-    record.line(&format!("{} executed, {wrong} with another shape", asked.len()));
+    record.line(&format!(
+        "{} executed, {wrong} with another shape",
+        asked.len()
+    ));
     match asked.is_empty() {
         true => Err("nothing was executed".to_owned()),
         false => Ok(wrong == 0),
--- a/review/standin-2/src/nodes.rs
+++ b/review/standin-2/src/nodes.rs
@@ -78,7 +78,10 @@
 fn free_port(ips: &[String]) -> Result<u16, String> {
     for _ in 0..100 {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
-        let port = listener.local_addr().map_err(|error| error.to_string())?.port();
+        let port = listener
+            .local_addr()
+            .map_err(|error| error.to_string())?
+            .port();
         let is_free = |ip: &String| TcpListener::bind((&**ip, port)).is_ok();
         if ips.iter().all(is_free) {
             return Ok(port);
@@ -182,7 +185,11 @@
         stream.read_to_end(&mut answer).await.ok()?;
         Some(answer.starts_with(b"HTTP/1.1 200"))
     };
-    timeout(Duration::from_secs(1), ask).await.ok().flatten().unwrap_or(false)
+    timeout(Duration::from_secs(1), ask)
+        .await
+        .ok()
+        .flatten()
+        .unwrap_or(false)
 }
 
 /// A store with a catalogue and one database of three upstreams, and the address of the store and the
@@ -223,19 +230,34 @@
 impl Client {
     pub async fn start(name: &str, address: SocketAddr, database: &str) -> Result<Self, String> {
         let start = async {
-            let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(|error| error.to_string())?;
             let (read, mut output) = stream.into_split();
             let hello = format!("START {database} {name}\r\n");
-            output.write_all(hello.as_bytes()).await.map_err(|error| error.to_string())?;
+            output
+                .write_all(hello.as_bytes())
+                .await
+                .map_err(|error| error.to_string())?;
             let mut input = BufReader::new(read);
             let mut line = String::new();
-            input.read_line(&mut line).await.map_err(|error| error.to_string())?;
+            input
+                .read_line(&mut line)
+                .await
+                .map_err(|error| error.to_string())?;
             match line.starts_with("READY") {
-                true => Ok(Self { name: name.to_owned(), input, output, sent: 0 }),
+                true => Ok(Self {
+                    name: name.to_owned(),
+                    input,
+                    output,
+                    sent: 0,
+                }),
                 false => Err(format!("session of {name} refused: {}", line.trim_end())),
             }
         };
-        timeout(PATIENCE, start).await.unwrap_or_else(|_| Err("no answer to START".to_owned()))
+        timeout(PATIENCE, start)
+            .await
+            .unwrap_or_else(|_| Err("no answer to START".to_owned()))
     }
 
     /// Sends a statement and reads its answer; both are recorded.
@@ -243,15 +265,26 @@
         self.sent += 1;
         let id = format!("{}{:08x}", self.name, self.sent);
         record.line(&format!("{} sends QUERY {id} {text}", self.name));
-        let answer = timeout(PATIENCE, self.exchange(&id, text)).await.ok().flatten();
+        let answer = timeout(PATIENCE, self.exchange(&id, text))
+            .await
+            .ok()
+            .flatten();
         let answer = answer.unwrap_or(Answer {
             id,
             rows: Vec::new(),
             status: "NONE".to_owned(),
             state: String::new(),
         });
-        let Answer { id, rows, status, state } = &answer;
-        record.line(&format!("{} hears {id}: {status} rows {rows:?} state {state}", self.name));
+        let Answer {
+            id,
+            rows,
+            status,
+            state,
+        } = &answer;
+        record.line(&format!(
+            "{} hears {id}: {status} rows {rows:?} state {state}",
+            self.name
+        ));
         answer
     }
 
@@ -272,7 +305,12 @@
                 "ERR" => status = rest.split(' ').next().unwrap_or_default().to_owned(),
                 "READY" => {
                     let state = rest.split(' ').next().unwrap_or_default().to_owned();
-                    return Some(Answer { id: id.to_owned(), rows, status, state });
+                    return Some(Answer {
+                        id: id.to_owned(),
+                        rows,
+                        status,
+                        state,
+                    });
                 }
                 _ => return None,
             }
@@ -280,7 +318,11 @@
     }
 
     /// Repeats a statement until it succeeds, for 10 s at most.
-    pub async fn execute_until_done(&mut self, record: &Record, text: &str) -> Result<Answer, String> {
+    pub async fn execute_until_done(
+        &mut self,
+        record: &Record,
+        text: &str,
+    ) -> Result<Answer, String> {
         for _ in 0..100 {
             let answer = self.execute(record, text).await;
             if answer.is_done() {
--- a/review/standin-2/src/paused.rs
+++ b/review/standin-2/src/paused.rs
@@ -30,7 +30,12 @@
 }
 
 /// Sends writes for `time` by both instances in turn.
-async fn write(record: &Record, fronts: &[SocketAddr], time: Duration, number: &mut usize) -> Count {
+async fn write(
+    record: &Record,
+    fronts: &[SocketAddr],
+    time: Duration,
+    number: &mut usize,
+) -> Count {
     let since = Instant::now();
     let mut clients: Vec<Option<Client>> = fronts.iter().map(|_| None).collect();
     let mut count = Count::default();
@@ -39,7 +44,9 @@
         let at = *number % fronts.len();
         count.sent += 1;
         if clients[at].is_none() {
-            clients[at] = Client::start(&format!("c{at}-{number}-"), fronts[at], "now").await.ok();
+            clients[at] = Client::start(&format!("c{at}-{number}-"), fronts[at], "now")
+                .await
+                .ok();
         }
         if let Some(client) = &mut clients[at] {
             let text = format!("WRITE item{number} data{number}");
@@ -85,7 +92,10 @@
     group.borrow_mut().members[0].is_unreachable = true;
     record.line("primary i-0 goes dark");
     let since = Instant::now();
-    while group.borrow().members[1..].iter().any(|member| member.pauses == 0) {
+    while group.borrow().members[1..]
+        .iter()
+        .any(|member| member.pauses == 0)
+    {
         if since.elapsed() > Duration::from_secs(6) {
             return Err("the replicas were not paused".to_owned());
         }
@@ -98,7 +108,9 @@
     if is_late {
         drop(borrowed);
         gate.set(http::Mode::LateWrites(LATE.1));
-        record.line(&format!("primary i-0 is back after {dark} ms; the store carries out writes late"));
+        record.line(&format!(
+            "primary i-0 is back after {dark} ms; the store carries out writes late"
+        ));
         let gate = gate.clone();
         spawn_local(async move {
             sleep(LATE.0).await;
@@ -110,7 +122,9 @@
         member.full_after = Some(Duration::ZERO);
     }
     drop(borrowed);
-    record.line(&format!("primary i-0 is back after {dark} ms; the slots of the replicas are full"));
+    record.line(&format!(
+        "primary i-0 is back after {dark} ms; the slots of the replicas are full"
+    ));
     let group = Rc::clone(group);
     spawn_local(async move {
         sleep(FULL).await;
--- a/review/standin-2/src/priority.rs
+++ b/review/standin-2/src/priority.rs
@@ -23,7 +23,9 @@
     let one = nodes::start(record, 0, &ports, platform).await?;
     let two = nodes::start(record, 1, &ports, platform).await?;
     let mut client = Client::start("c", one.front, "now").await?;
-    client.execute_until_done(record, "WRITE item1 data").await?;
+    client
+        .execute_until_done(record, "WRITE item1 data")
+        .await?;
     let mut dropped = Client::start("d", two.front, "old").await?;
     dropped.execute_until_done(record, "READ item1").await?;
     sleep(Duration::from_secs(4)).await;
@@ -42,7 +44,11 @@
         for node in [&one, &two] {
             let after = acknowledged.elapsed().as_millis();
             let added = Client::start("n", node.front, "own-more").await;
-            record.line(&format!("{after} ms after the ack: START own-more at {}: {:?}", node.name, added.as_ref().err()));
+            record.line(&format!(
+                "{after} ms after the ack: START own-more at {}: {:?}",
+                node.name,
+                added.as_ref().err()
+            ));
             sent += 1;
             old += usize::from(added.is_err_and(|error| error.contains("NODB")));
         }
@@ -61,7 +67,9 @@
         }
         sleep(Duration::from_secs(1)).await;
     }
-    record.line(&format!("{sent} requests later than {APPLY:?} after the ack, {old} handled as only version 1 allows"));
+    record.line(&format!(
+        "{sent} requests later than {APPLY:?} after the ack, {old} handled as only version 1 allows"
+    ));
     drop((one, two));
     Ok(old == 0)
 }
--- a/review/standin-2/src/reborn.rs
+++ b/review/standin-2/src/reborn.rs
@@ -29,7 +29,9 @@
         let text = format!("WRITE item{number} kept{number}");
         writer.execute_until_done(record, &text).await?;
     }
-    record.line(&format!("{COMMITS} commits are acknowledged; the writer leaves"));
+    record.line(&format!(
+        "{COMMITS} commits are acknowledged; the writer leaves"
+    ));
     drop(writer);
     // The voters are named, and a quiet time begins.
     sleep(Duration::from_secs(7)).await;
--- a/review/standin-2/src/sync/group.rs
+++ b/review/standin-2/src/sync/group.rs
@@ -326,8 +326,14 @@
     /// Returns true if a replica has received the last commit of the upstream at `index`.
     fn is_received(&self, index: usize) -> bool {
         let length = self.members[index].log.len();
-        let others = self.members.iter().enumerate().filter(|(at, _)| *at != index);
-        others.into_iter().any(|(_, other)| other.log.len() >= length)
+        let others = self
+            .members
+            .iter()
+            .enumerate()
+            .filter(|(at, _)| *at != index);
+        others
+            .into_iter()
+            .any(|(_, other)| other.log.len() >= length)
     }
 
     /// Copies the log of the primary at `from` to all replicas that receive commits.
@@ -528,7 +534,9 @@
         let full_after = group.borrow().members[index].full_after;
         if let Some(time) = full_after.filter(|_| id == "-") {
             sleep(time).await;
-            group.borrow_mut().members[index].refused_orders.push(text.to_owned());
+            group.borrow_mut().members[index]
+                .refused_orders
+                .push(text.to_owned());
             let state = session.state();
             out.write_all(format!("ERR BUSY -\r\nREADY {state} {term}.{number}\r\n").as_bytes())
                 .await?;
--- a/review/standin-2/src/values.rs
+++ b/review/standin-2/src/values.rs
@@ -58,7 +58,9 @@
             ));
         }
     }
-    record.line(&format!("{found} writes and commits ran, {wrong} with values that differ"));
+    record.line(&format!(
+        "{found} writes and commits ran, {wrong} with values that differ"
+    ));
     match found {
         0 => Err("nothing ran".to_owned()),
         _ => Ok(wrong == 0),
