--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,22 +1,20 @@
 //! Scripts of the second review: each starts the project's program as processes of its own, with the
-//! command of the deploy file, on loopback addresses, in front of the project's stand-ins for the
-//! platform (`platform/tests/harness`).
+//! command of the deploy file, on loopback addresses, in front of stand-ins for the platform ([`standin`]).
 //!
 //! Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
-#[path = "../../../platform/tests/harness/mod.rs"]
-mod harness;
-
 mod collide;
 mod nodes;
 mod paused;
 mod priority;
 mod reborn;
-mod sync;
+mod standin;
 mod values;
 
 use std::{path::PathBuf, process::ExitCode};
 
+use tokio::signal::unix::{SignalKind, signal};
+
 /// Result of a case.
 pub type Verdict = Result<bool, String>;
 
@@ -44,9 +42,21 @@
                 _ => Err(format!("unknown case {case}")),
             }
         };
-        tokio::time::timeout(limit, case)
-            .await
-            .unwrap_or_else(|_| Err("the case took too long".to_owned()))
+        // Returning ends the nodes.
+        let stopped = async {
+            let mut terminate =
+                signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = tokio::signal::ctrl_c() => {}
+            }
+            Err("the script was stopped".to_owned())
+        };
+        tokio::select! {
+            verdict = case => verdict,
+            verdict = stopped => verdict,
+            () = tokio::time::sleep(limit) => Err("the case took too long".to_owned()),
+        }
     });
     match verdict {
         Ok(true) => {
--- a/review/standin-2/src/nodes.rs
+++ b/review/standin-2/src/nodes.rs
@@ -11,14 +11,14 @@
     time::{Duration, Instant},
 };
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
     time::{sleep, timeout},
 };
 
-use crate::harness::{self, Group, Store, http};
+use crate::standin::{Group, Store, http};
 
 /// Time within which a node has to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -192,12 +192,39 @@
         .unwrap_or(false)
 }
 
+/// A configuration with a route for each name, as that of `platform/tests/harness`: the part of a name
+/// before its first `-` selects the type: `now`, `old`, or read-your-writes for all others.
+pub fn config(version: u64, connections: usize, names: &[&str]) -> Value {
+    let route = |name: &str| {
+        let kind = match name.split('-').next().unwrap_or_default() {
+            "now" => "primary",
+            "old" => "bounded",
+            _ => "read_your_writes",
+        };
+        json!({"name": name, "host": name, "prefix": "/", "type": kind, "timeoutMs": 800,
+            "latencySloMs": 100, "priority": 1, "service": "db", "maxStalenessMs": 1500})
+    };
+    let routes: Vec<_> = names.iter().map(|name| route(name)).collect();
+    json!({"version": version, "routes": routes,
+        "services": [{"name": "db", "maxConns": connections, "syncReplicas": 0}],
+        "limits": {"txIdleMs": 3000}})
+}
+
+/// Records what the upstreams have run.
+pub fn record_runs(record: &Record, group: &Rc<RefCell<Group>>) {
+    for member in &group.borrow().members {
+        for run in &member.runs {
+            record.line(&format!("{} ran {} {:?}", member.id, run.id, run.text));
+        }
+    }
+}
+
 /// A store with a catalogue and one database of three upstreams, and the address of the store and the
 /// cloud API.
 pub async fn platform() -> (SocketAddr, Rc<RefCell<Group>>) {
     let store = Store::default();
     let group = Group::new("db", 3, 34, &store).await;
-    let catalog = harness::config(1, 34, &["now", "old", "own"]);
+    let catalog = config(1, 34, &["now", "old", "own"]);
     store.put("op/config", catalog.to_string().into_bytes(), 0);
     let address = http::serve(&store, &group, &http::Gate::default()).await;
     (address, group)
--- a/review/standin-2/src/paused.rs
+++ b/review/standin-2/src/paused.rs
@@ -11,9 +11,9 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
-    Verdict, harness,
+    Verdict,
     nodes::{self, Client, Ports, Record},
-    sync::{Group, http},
+    standin::{Group, Store, http},
 };
 
 /// `recoveryS` of the settings.
@@ -136,9 +136,10 @@
 }
 
 pub async fn run(record: &Record, trouble: bool) -> Verdict {
-    let store = http::Store::default();
+    let store = Store::default();
     let group = Group::new("db", 3, 34, &store).await;
-    let mut catalog = harness::config(1, 34, &["now", "old", "own"]);
+    group.borrow_mut().is_sync = true;
+    let mut catalog = nodes::config(1, 34, &["now", "old", "own"]);
     catalog["services"][0]["syncReplicas"] = 1.into();
     store.put("op/config", catalog.to_string().into_bytes(), 0);
     let gate = http::Gate::default();
@@ -175,6 +176,7 @@
     let recovering = write(record, &fronts, RECOVERY, &mut number).await;
     let recovered = write(record, &fronts, Duration::from_secs(8), &mut number).await;
     describe(record, &group);
+    nodes::record_runs(record, &group);
     drop((one, two));
     let before = Count {
         sent: quiet.sent + troubled.sent,
--- a/review/standin-2/src/priority.rs
+++ b/review/standin-2/src/priority.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     Verdict,
-    harness::{self, Group, Store, http},
     nodes::{self, Client, Ports, Record},
+    standin::{Group, Store, http},
 };
 
 /// `configApplyMs` of the settings.
@@ -16,7 +16,7 @@
 pub async fn run(record: &Record, trouble: bool) -> Verdict {
     let store = Store::default();
     let group = Group::new("db", 3, 34, &store).await;
-    let first = harness::config(1, 34, &["now", "old", "own"]);
+    let first = nodes::config(1, 34, &["now", "old", "own"]);
     store.put("op/config", first.to_string().into_bytes(), 0);
     let platform = http::serve(&store, &group, &http::Gate::default()).await;
     let ports = Ports::find(2)?;
@@ -30,7 +30,7 @@
     dropped.execute_until_done(record, "READ item1").await?;
     sleep(Duration::from_secs(4)).await;
     // `old` is dropped, `own-more` is new, and `now` has another priority.
-    let mut second = harness::config(7, 34, &["now", "own", "own-more"]);
+    let mut second = nodes::config(7, 34, &["now", "own", "own-more"]);
     second["routes"][0]["priority"] = match trouble {
         true => 1_000.into(),
         false => 2.into(),
@@ -70,6 +70,7 @@
     record.line(&format!(
         "{sent} requests later than {APPLY:?} after the ack, {old} handled as only version 1 allows"
     ));
+    nodes::record_runs(record, &group);
     drop((one, two));
     Ok(old == 0)
 }
--- a/review/standin-2/src/reborn.rs
+++ b/review/standin-2/src/reborn.rs
@@ -57,6 +57,7 @@
         }
         sleep(Duration::from_millis(100)).await;
     }
+    nodes::record_runs(record, &group);
     for member in &group.borrow().members {
         let (id, leads, length) = (&member.id, member.is_primary, member.log.len());
         record.line(&format!(
--- a/review/standin-2/src/sync/group.rs
+++ b/review/standin-2/src/standin/group.rs
@@ -1,7 +1,8 @@
 //! A simulated database group: one primary and its replicas, with terms and positions.
 //!
-//! A copy of `platform/tests/harness/group.rs` in which a commit is answered once one replica has
-//! received it (`syncReplicas` of 1), and replicas go on receiving without a further commit.
+//! A copy of `platform/tests/harness/group.rs`. Added: with `is_sync`, a commit is answered once one
+//! replica has received it (`syncReplicas` of 1); [`Group::tick`], with which replicas go on receiving
+//! without a further commit; counts of commands.
 
 use std::{
     cell::RefCell,
@@ -169,6 +170,8 @@
     pub promotion_time: Option<Duration>,
     /// Promotions that have not taken effect yet: the moment of effect, and the upstream.
     pub orders: Vec<(Instant, usize)>,
+    /// Commits are answered once one replica has received them.
+    pub is_sync: bool,
     pub(super) store: Store,
 }
 
@@ -193,6 +196,7 @@
             judge: None,
             promotion_time: None,
             orders: Vec::new(),
+            is_sync: false,
             store: store.clone(),
         }));
         for _ in 0..count {
@@ -547,7 +551,7 @@
         if lost {
             continue;
         }
-        if group.borrow().members[index].log.len() > length {
+        if group.borrow().is_sync && group.borrow().members[index].log.len() > length {
             while !group.borrow().is_received(index) {
                 sleep(Duration::from_millis(5)).await;
             }
