Commit with the values that the session has set

Cause: the values of an upstream connection are brought in line before a read or a write only. SET is answered by the instance, so nothing told the upstream before COMMIT.

Evidence: the stand-in's record of each run, with the connection's values at that time. a_commit_runs_with_the_values_set_in_its_transaction failed before: left {mode: loose}, right {mode: strict}.

The fix: a commit applies the values first and waits for the upstream's answer. In one packet with the COMMIT, a refused SET wouldn't keep the COMMIT from running: an upstream that has lost the lead refuses statements of a plain transaction but for the COMMIT of one that wrote nothing. Refused values end as ABORTED, which is true, as nothing was sent. a_commit_is_not_sent_if_its_values_are_refused failed before (DONE). The round trip is paid only behind a SET.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -196,6 +196,20 @@
         self.values == *values
     }
 
+    /// Sets the connection to a session's values, and waits until the upstream has them.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Connection::request`], or the upstream refused a value.
+    pub async fn apply_values<P: Protocol>(&mut self, values: &Values) -> Result<(), Broken> {
+        self.sync_values::<P>(values);
+        if self.outstanding == 0 {
+            return Ok(());
+        }
+        let reply = self.flush::<P>().await?;
+        reply.verdict.map_err(|_| Broken)
+    }
+
     /// Queues the commands that set the connection to a session's values.
     pub fn sync_values<P: Protocol>(&mut self, values: &Values) {
         if self.values == *values {
@@ -264,6 +278,11 @@
     /// done.
     pub async fn request<P: Protocol>(&mut self, command: &Command<'_>) -> Result<Reply, Broken> {
         self.queue::<P>(command);
+        self.flush::<P>().await
+    }
+
+    /// Sends the queued commands, and returns the answer to the last one.
+    async fn flush<P: Protocol>(&mut self) -> Result<Reply, Broken> {
         let out = self.out.split();
         let asked = Boot.now();
         self.member.log.ask(asked);
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     catalog::Route,
-    connection::{Connection, Values},
+    connection::{Broken, Connection, Values},
     edge::{Edge, Protocol},
     group::Group,
     message::{Access, Code, Command, Query, Reply, State},
@@ -116,6 +116,21 @@
 }
 
 impl Pinned {
+    /// Sets the transaction's connection to the session's values.
+    ///
+    /// # Errors
+    ///
+    /// The upstream doesn't have the values; the connection can't be used any more.
+    async fn apply_values<P: Protocol>(&mut self, context: &Context<'_>) -> Result<(), NoAnswer> {
+        let time_left = run::remaining(self.route.timeout, context.arrived_at);
+        let applying = self.connection.apply_values::<P>(context.values);
+        match timeout(time_left, applying).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(Broken)) => Err(NoAnswer::Broken),
+            Err(_) => Err(NoAnswer::Late),
+        }
+    }
+
     /// Sends a statement on the transaction's connection.
     ///
     /// # Errors
@@ -363,6 +378,12 @@
     context: &Context<'_>,
 ) -> (Outcome, Transaction) {
     let member = Rc::clone(pinned.connection.member());
+    // A commit that is sent together with a value would run even if the value is refused.
+    if let Err(lost) = pinned.apply_values::<E::Protocol>(context).await {
+        probe::suspect(node, &pinned.group, &member);
+        let outcome = aborted::<E>(pinned, lost.into(), State::Idle);
+        return (outcome, Transaction::None);
+    }
     if pinned.wrote {
         // A replaced primary must not be asked to commit: no other log would contain that commit.
         let time_left = run::remaining(pinned.route.timeout, context.arrived_at);
