Acknowledge a value once the BEGIN before it has run

Evidence: a_value_is_acknowledged_once_the_begin_before_it_has_run, with an upstream that runs BEGIN 50 ms late. Before: at the answer to SET, BEGIN had run 0 times.

The fix: SET waits until the upstream has begun the transaction, or it is certain that none will. What became of BEGIN is still told by the next read or write, as before (a_refused_begin_is_told_to_the_statement_behind_a_value, which passes before and behind the fix). Only a SET inside a transaction whose connection is not there yet waits, and no longer than that read or write would.

--- a/crates/proxy/src/session/statement.rs
+++ b/crates/proxy/src/session/statement.rs
@@ -246,6 +246,11 @@
             Statement::Read => self.run(node, query, None, Access::Read, at).await,
             Statement::Write => self.run(node, query, None, Access::Write, at).await,
             Statement::Set(name, value) => {
+                // `BEGIN` is sent with the values of before, and must not run once this one is
+                // acknowledged.
+                if let Transaction::Begun(begun) = &mut self.transaction {
+                    begun.settled().await;
+                }
                 self.values.insert(name.clone(), value.clone());
                 Outcome::done::<E::Protocol>(state)
             }
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -1,8 +1,9 @@
 //! Transactions: each uses one upstream connection from its first statement to its end.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::Pin, rc::Rc, time::Duration};
 
 use clock::{Boot, Instant};
+use futures_util::future::{MaybeDone, maybe_done};
 use model::Position;
 use tokio::{
     task::{JoinHandle, spawn_local},
@@ -70,7 +71,7 @@
 pub struct Begun {
     /// The transaction's route.
     pub route: Rc<Route>,
-    pinned: JoinHandle<Result<Pinned, Outcome>>,
+    pinned: MaybeDone<JoinHandle<Result<Pinned, Outcome>>>,
 }
 
 impl Begun {
@@ -78,8 +79,16 @@
     pub fn spawn<E: Edge>(node: &Rc<Node<E>>, start: Start) -> Self {
         let node = Rc::clone(node);
         let route = Rc::clone(&start.route);
-        let pinned = spawn_local(async move { begin_on_upstream(&node, &start).await });
-        Self { route, pinned }
+        let beginning = spawn_local(async move { begin_on_upstream(&node, &start).await });
+        Self {
+            route,
+            pinned: maybe_done(beginning),
+        }
+    }
+
+    /// Waits until the upstream has begun the transaction, or it is certain that none will.
+    pub async fn settled(&mut self) {
+        (&mut self.pinned).await;
     }
 
     /// Waits for the transaction on its connection.
@@ -88,15 +97,21 @@
     ///
     /// The refusal, if no upstream may run the transaction now or none had capacity. Nothing was
     /// run.
-    pub async fn pinned<E: Edge>(self) -> Result<Pinned, Outcome> {
+    pub async fn pinned<E: Edge>(mut self) -> Result<Pinned, Outcome> {
+        self.settled().await;
         let unknown = || refusal::<E>((Code::Busy, Cause::NoConnection));
-        self.pinned.await.unwrap_or_else(|_| Err(unknown()))
+        self.take_result().unwrap_or_else(|| Err(unknown()))
+    }
+
+    fn take_result(&mut self) -> Option<Result<Pinned, Outcome>> {
+        Pin::new(&mut self.pinned).take_output()?.ok()
     }
 
     /// Rolls back the transaction, which its caller no longer needs.
-    pub fn roll_back<E: Edge>(self) {
+    pub fn roll_back<E: Edge>(mut self) {
         spawn_local(async move {
-            if let Ok(Ok(pinned)) = self.pinned.await {
+            self.settled().await;
+            if let Some(Ok(pinned)) = self.take_result() {
                 roll_back::<E::Protocol>(pinned);
             }
         });
