Send a statement once the upstream has its session's values

Callers would see (by reading, no run of real upstreams shows it): a statement runs with another session's values if the upstream refuses RESET or SET (PINNED). The RESET that tests an idle connection before a write counted as done with any answer, after which the connection was taken for one without values. Elsewhere RESET and SET went out in one packet with the statement, which runs whatever became of them.

The fix: run::apply_values sets the values and waits for the answers, as part of acquiring a connection and before each statement of a transaction. It does nothing where the values are the same. Where they are refused, the connection is closed and the statement, which was not sent, runs on another one.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -196,31 +196,35 @@
         self.values == *values
     }
 
-    /// Sets the connection to a session's values, and waits until the upstream has them.
+    /// Sets the connection to a session's values, and waits until the upstream has them: a statement
+    /// that is sent together with a command would run even if the command is refused.
     ///
     /// # Errors
     ///
-    /// As for [`Connection::request`], or the upstream refused a value.
+    /// As for [`Connection::request`], or the upstream refused a command.
     pub async fn apply_values<P: Protocol>(&mut self, values: &Values) -> Result<(), Broken> {
-        self.sync_values::<P>(values);
-        if self.outstanding == 0 {
-            return Ok(());
+        if self.values.keys().any(|name| !values.contains_key(name)) {
+            return self.reset_to::<P>(values).await;
         }
-        let reply = self.flush::<P>().await?;
-        reply.verdict.map_err(|_| Broken)
+        self.queue_values::<P>(values);
+        self.finish::<P>().await
     }
 
-    /// Queues the commands that set the connection to a session's values.
-    pub fn sync_values<P: Protocol>(&mut self, values: &Values) {
-        if self.values == *values {
-            return;
-        }
-        let stale = self.values.keys().any(|name| !values.contains_key(name));
-        if stale {
-            self.queue::<P>(&Command::Reset);
-            self.values.clear();
-            self.prepared.clear();
-        }
+    /// Clears the upstream's values and prepared statements, and sets a session's values. The answer
+    /// also shows that the upstream is alive.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Connection::apply_values`].
+    pub async fn reset_to<P: Protocol>(&mut self, values: &Values) -> Result<(), Broken> {
+        self.queue::<P>(&Command::Reset);
+        self.values.clear();
+        self.prepared.clear();
+        self.queue_values::<P>(values);
+        self.finish::<P>().await
+    }
+
+    fn queue_values<P: Protocol>(&mut self, values: &Values) {
         for (name, value) in values {
             if self.values.get(name) == Some(value) {
                 continue;
@@ -230,6 +234,15 @@
         }
     }
 
+    /// Sends the queued commands, and checks that the upstream has carried out each of them.
+    async fn finish<P: Protocol>(&mut self) -> Result<(), Broken> {
+        if self.outstanding == 0 {
+            return Ok(());
+        }
+        let reply = self.flush::<P>().await?;
+        reply.verdict.map_err(|_| Broken)
+    }
+
     /// Queues the command that prepares `statement` unless it is prepared already, and returns its
     /// name on this connection.
     ///
@@ -248,17 +261,6 @@
         name
     }
 
-    /// Clears all values and prepared statements; the answer also shows that the upstream is alive.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Connection::request`].
-    pub async fn reset<P: Protocol>(&mut self) -> Result<Reply, Broken> {
-        self.values.clear();
-        self.prepared.clear();
-        self.request::<P>(&Command::Reset).await
-    }
-
     /// Clears the record of prepared statements after the upstream has reported one as unknown.
     pub fn clear_prepared(&mut self) {
         self.prepared.clear();
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -123,26 +123,60 @@
             text: &context.query.text,
         },
     };
+    let request = connection.request::<E::Protocol>(&command);
+    until_answered(node, group, &member, request, (within, policy)).await
+}
+
+/// Sets a connection to the session's values.
+///
+/// # Errors
+///
+/// The upstream doesn't have the values, and the connection can't be used any more. Nothing of the
+/// statement was sent.
+pub async fn apply_values<E: Edge>(
+    node: &Rc<Node<E>>,
+    group: &Rc<Group>,
+    connection: &mut Connection,
+    context: &Context<'_>,
+    within: Duration,
+) -> Result<(), NoAnswer> {
+    if connection.has_values(context.values) {
+        return Ok(());
+    }
+    let member = Rc::clone(connection.member());
+    let applying = connection.apply_values::<E::Protocol>(context.values);
+    let limits = (within, SilencePolicy::UntilFailing);
+    until_answered(node, group, &member, applying, limits).await
+}
+
+/// Waits for the answer of `member`, and has it probed if the answer is late.
+async fn until_answered<E: Edge, T>(
+    node: &Rc<Node<E>>,
+    group: &Rc<Group>,
+    member: &Rc<Member>,
+    answer: impl Future<Output = Result<T, Broken>>,
+    (within, policy): (Duration, SilencePolicy),
+) -> Result<T, NoAnswer> {
     let sent = Boot.now();
-    let mut reply = pin!(timeout(within, connection.request::<E::Protocol>(&command)));
-    let reply = match timeout(PROBE_AFTER, &mut reply).await {
-        Ok(reply) => reply,
+    let mut answer = pin!(timeout(within, answer));
+    let answer = match timeout(PROBE_AFTER, &mut answer).await {
+        Ok(answer) => answer,
         Err(_) => {
             if member.health().answered < sent {
-                probe::monitor(node, group, &member);
+                probe::monitor(node, group, member);
             }
             match policy {
                 SilencePolicy::UntilFailing if member.is_failing() => return Err(NoAnswer::Late),
                 SilencePolicy::UntilFailing => tokio::select! {
-                    reply = &mut reply => reply,
+                    answer = &mut answer => answer,
                     () = member.failing_notify.notified() => return Err(NoAnswer::Late),
                 },
-                SilencePolicy::UntilTimeout => reply.await,
+                SilencePolicy::UntilTimeout => answer.await,
             }
         }
     };
-    match reply {
-        Ok(Ok(reply)) => Ok(reply),
+    match answer {
+        Ok(Ok(answer)) => Ok(answer),
         Ok(Err(Broken)) => Err(NoAnswer::Broken),
         Err(_) => Err(NoAnswer::Late),
     }
@@ -296,7 +330,6 @@
             }
         };
         let running = RunningGuard::new(&target.member, context.class());
-        connection.sync_values::<E::Protocol>(context.values);
         let time_left = remaining(limit, context.arrived_at);
         let policy = (
             context
--- a/crates/proxy/src/run/connect.rs
+++ b/crates/proxy/src/run/connect.rs
@@ -6,7 +6,7 @@
 use clock::Boot;
 use tokio::time::timeout;
 
-use super::Context;
+use super::{Context, apply_values, remaining};
 use crate::{
     connection::{Connection, Refused},
     edge::Edge,
@@ -14,13 +14,14 @@
     metrics::Wait,
     node::Node,
     pool::{self, Unavailable},
+    probe,
     refusal::{self, Reason},
 };
 
 /// Added to a transaction's priority while connections are scarce.
 const TRANSACTION_PENALTY: u8 = 128;
 
-/// Acquires a connection to `member`.
+/// Acquires a connection to `member` that has the session's values.
 ///
 /// Without admission by prediction, the request waits for `wait`. With it, the request waits until
 /// its deadline as long as the upstream is reachable.
@@ -66,7 +67,17 @@
     {
         node.refresh.notify_one();
     }
-    acquired
+    let mut connection = acquired?;
+    let group = node.group_of(&context.route.service);
+    let time_left = remaining(context.route.timeout, context.arrived_at);
+    match apply_values(node, &group, &mut connection, context, time_left).await {
+        Ok(()) => Ok(connection),
+        Err(_) => {
+            pool::discard::<E::Protocol>(connection);
+            probe::suspect(node, &group, member);
+            Err(Unavailable::Refused(Refused::Unreachable))
+        }
+    }
 }
 
 async fn connect_admitted<E: Edge>(
--- a/crates/proxy/src/run/write.rs
+++ b/crates/proxy/src/run/write.rs
@@ -10,7 +10,7 @@
     remaining, send,
 };
 use crate::{
-    connection::Connection,
+    connection::{Connection, Values},
     edge::{Edge, Protocol},
     group::Group,
     member::Member,
@@ -75,7 +75,7 @@
                 break;
             }
         };
-        if !is_alive::<E::Protocol>(&mut connection).await {
+        if !is_alive::<E::Protocol>(&mut connection, context.values).await {
             attempts.lost += 1;
             pool::discard::<E::Protocol>(connection);
             probe::suspect(node, group, &member);
@@ -90,7 +90,6 @@
             continue;
         }
         let running = RunningGuard::new(&member, context.class());
-        connection.sync_values::<E::Protocol>(context.values);
         let time_left = remaining(context.route.timeout, context.arrived_at);
         let sent = running.since();
         let reply = send(
@@ -141,13 +140,13 @@
 ///
 /// A connection can go silent without a reset. A write that is sent on such a connection ends as
 /// unknown; a write that was never sent can run on another one.
-async fn is_alive<P: Protocol>(connection: &mut Connection) -> bool {
+async fn is_alive<P: Protocol>(connection: &mut Connection, values: &Values) -> bool {
     if connection.last_answer() + IDLE_LIMIT > Boot.now() {
         return true;
     }
     matches!(
-        timeout(TEST_TIMEOUT, connection.reset::<P>()).await,
-        Ok(Ok(_))
+        timeout(TEST_TIMEOUT, connection.reset_to::<P>(values)).await,
+        Ok(Ok(()))
     )
 }
 
--- a/crates/proxy/src/transaction.rs
+++ b/crates/proxy/src/transaction.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     catalog::Route,
-    connection::{Broken, Connection, Values},
+    connection::{Connection, Values},
     edge::{Edge, Protocol},
     group::Group,
     message::{Access, Code, Command, Query, Reply, State},
@@ -136,14 +136,18 @@
     /// # Errors
     ///
     /// The upstream doesn't have the values; the connection can't be used any more.
-    async fn apply_values<P: Protocol>(&mut self, context: &Context<'_>) -> Result<(), NoAnswer> {
+    async fn apply_values<E: Edge>(
+        &mut self,
+        node: &Rc<Node<E>>,
+        context: &Context<'_>,
+    ) -> Result<(), NoAnswer> {
         let time_left = run::remaining(self.route.timeout, context.arrived_at);
-        let applying = self.connection.apply_values::<P>(context.values);
-        match timeout(time_left, applying).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(Broken)) => Err(NoAnswer::Broken),
-            Err(_) => Err(NoAnswer::Late),
+        let connection = &mut self.connection;
+        let applied = run::apply_values(node, &self.group, connection, context, time_left).await;
+        if applied.is_err() {
+            probe::suspect(node, &self.group, self.connection.member());
         }
+        applied
     }
 
     /// Sends a statement on the transaction's connection.
@@ -270,7 +274,6 @@
                 continue;
             }
         };
-        connection.sync_values::<E::Protocol>(&begun.values);
         let sent = Boot.now();
         let reply = run::send(
             node,
@@ -332,7 +335,10 @@
     access: Access,
 ) -> (Outcome, Transaction) {
     loop {
-        pinned.connection.sync_values::<E::Protocol>(context.values);
+        if let Err(lost) = pinned.apply_values(node, context).await {
+            let outcome = aborted::<E>(pinned, lost.into(), State::Failed);
+            return (outcome, Transaction::Failed);
+        }
         pinned.wrote |= access == Access::Write;
         let reply = match pinned
             .send(node, context, SilencePolicy::UntilFailing)
@@ -393,9 +399,7 @@
     context: &Context<'_>,
 ) -> (Outcome, Transaction) {
     let member = Rc::clone(pinned.connection.member());
-    // A commit that is sent together with a value would run even if the value is refused.
-    if let Err(lost) = pinned.apply_values::<E::Protocol>(context).await {
-        probe::suspect(node, &pinned.group, &member);
+    if let Err(lost) = pinned.apply_values(node, context).await {
         let outcome = aborted::<E>(pinned, lost.into(), State::Idle);
         return (outcome, Transaction::None);
     }
