--- a/crates/admit/src/limiter.rs
+++ b/crates/admit/src/limiter.rs
@@ -14,7 +14,10 @@
 
 use clock::Instant;
 
-use crate::bucket::{Bucket, Demand, Limit};
+use crate::{
+    bucket::{Bucket, Demand, Limit},
+    service::Priority,
+};
 
 /// Time of urgent demand that is kept: a rise of the demand is covered until its estimate
 /// follows.
@@ -80,9 +83,9 @@
 pub struct Limiter {
     bucket: Bucket,
     /// Requested operations by priority; zero is the most urgent.
-    demand: BTreeMap<u8, Demand>,
+    demand: BTreeMap<Priority, Demand>,
     /// Latest time to come back that a caller was told, by priority.
-    returns: BTreeMap<u8, Instant>,
+    returns: BTreeMap<Priority, Instant>,
 }
 
 impl Limiter {
@@ -134,7 +137,7 @@
     pub fn grant(
         &mut self,
         limit: Limit,
-        priority: u8,
+        priority: Priority,
         count: u32,
         now: Instant,
     ) -> Result<u32, Shortage> {
@@ -173,7 +176,7 @@
     /// operation is available after `wait` and the others follow at intervals of `gap`.
     fn schedule_return(
         &mut self,
-        priority: u8,
+        priority: Priority,
         wait: Duration,
         gap: Duration,
         now: Instant,
--- a/crates/admit/src/occupancy.rs
+++ b/crates/admit/src/occupancy.rs
@@ -7,7 +7,7 @@
 
 use clock::Instant;
 
-use crate::service::Class;
+use crate::service::{Class, Priority};
 
 /// Time constant of the moving averages.
 const TIME_CONSTANT: Duration = Duration::from_millis(300);
@@ -53,7 +53,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Occupancy {
-    priorities: BTreeMap<u8, Average>,
+    priorities: BTreeMap<Priority, Average>,
     transactions: Average,
     classes: BTreeMap<Class, (Instant, Duration)>,
 }
@@ -76,7 +76,7 @@
     }
 
     /// Classes of higher priorities of which requests have arrived lately.
-    pub fn urgent(&self, now: Instant, priority: u8) -> impl Iterator<Item = Urgent> {
+    pub fn urgent(&self, now: Instant, priority: Priority) -> impl Iterator<Item = Urgent> {
         let is_urgent = move |class: &Class, at: Instant| {
             class.priority < priority && at + EXPECTED_AFTER > now
         };
@@ -95,7 +95,7 @@
     }
 
     /// Slots used by transactions and by requests of higher priorities.
-    pub fn above(&self, now: Instant, priority: u8) -> f64 {
+    pub fn above(&self, now: Instant, priority: Priority) -> f64 {
         let higher = self.priorities.range(..priority);
         let slots: f64 = higher.map(|(_, average)| average.value(now)).sum();
         slots + self.transactions.value(now)
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -10,6 +10,8 @@
 
 use clock::Instant;
 
+use crate::service::Priority;
+
 /// Wait of the first request from which the queue counts as a standing queue.
 ///
 /// A queue that drains sooner is a burst, for which the order of arrival is fair and answers
@@ -20,7 +22,7 @@
 #[derive(Debug)]
 pub struct Waiter<T> {
     /// Priority; zero is the highest.
-    pub priority: u8,
+    pub priority: Priority,
     /// Start of the wait.
     pub since: Instant,
     /// Moment from which an answer misses its latency objective.
--- a/crates/admit/src/schedule.rs
+++ b/crates/admit/src/schedule.rs
@@ -19,7 +19,7 @@
 use crate::{
     fair::{Clock, Tag},
     occupancy::Occupancy,
-    service::{Class, Service, Ticket},
+    service::{Class, Priority, Service, Ticket},
 };
 use prediction::Overload;
 
@@ -70,12 +70,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     is_late: bool,
-    priority: u8,
+    priority: Priority,
     is_doubtful: bool,
 }
 
 impl Rank {
-    fn new(priority: u8, standing: Standing) -> Self {
+    fn new(priority: Priority, standing: Standing) -> Self {
         Self {
             is_late: standing == Standing::Late,
             priority,
@@ -146,13 +146,13 @@
     waiting: Vec<Waiting<K, T>>,
     service: Service,
     occupancy: Occupancy,
-    clocks: BTreeMap<u8, Clock<K>>,
+    clocks: BTreeMap<Priority, Clock<K>>,
     /// Starts of other classes since the last start of a class that waits.
     passed: BTreeMap<Rank, u32>,
     next: u64,
     reviewed_at: Instant,
     /// Overloads by the priority of the requests that can't rely on being in time.
-    overloads: BTreeMap<u8, Overload>,
+    overloads: BTreeMap<Priority, Overload>,
 }
 
 impl<K, T> Default for Schedule<K, T> {
--- a/crates/admit/src/schedule/prediction.rs
+++ b/crates/admit/src/schedule/prediction.rs
@@ -13,7 +13,10 @@
     FLOOR_STARTS, Load, Place, Prediction, Rank, Refusal, Request, Schedule, Standing, Waiting,
     as_f64,
 };
-use crate::{occupancy::Urgent, service::Class};
+use crate::{
+    occupancy::Urgent,
+    service::{Class, Priority},
+};
 
 /// Time that the answer takes to the caller.
 const ANSWER_TIME: Duration = Duration::from_millis(5);
@@ -121,7 +124,7 @@
         self.reviewed_at = now;
         self.reorder(now, load);
         let outlooks = self.outlooks(now, load);
-        let mut before: BTreeMap<u8, Duration> = BTreeMap::new();
+        let mut before: BTreeMap<Priority, Duration> = BTreeMap::new();
         let mut refused = Vec::new();
         for waiting in &self.waiting {
             let Request {
@@ -146,7 +149,7 @@
     fn reorder(&mut self, now: Instant, load: Load) {
         self.waiting.sort_by_key(Waiting::place);
         let outlooks = self.outlooks(now, load);
-        let mut reliable: BTreeMap<u8, Duration> = BTreeMap::new();
+        let mut reliable: BTreeMap<Priority, Duration> = BTreeMap::new();
         for waiting in &mut self.waiting {
             let Request { class, due, .. } = waiting.request;
             let outlook = &outlooks[&class];
@@ -272,7 +275,7 @@
         }
     }
 
-    fn note_overload(&mut self, now: Instant, priority: u8) {
+    fn note_overload(&mut self, now: Instant, priority: Priority) {
         let begun = Overload {
             since: now,
             last: now,
@@ -294,7 +297,7 @@
 }
 
 impl Ahead {
-    fn new(priority: u8, work: impl Iterator<Item = (u8, Duration)>) -> Self {
+    fn new(priority: Priority, work: impl Iterator<Item = (Priority, Duration)>) -> Self {
         work.fold(Self::default(), |ahead, (other, cost)| Self {
             all: ahead.all + cost,
             higher: match other <= priority {
--- a/crates/admit/src/service.rs
+++ b/crates/admit/src/service.rs
@@ -27,6 +27,9 @@
 /// Ratio of a mean to its lowest value from which the upstream counts as queueing statements.
 const QUEUEING_RATIO: f64 = 1.5;
 
+/// Priority of a request; zero is the highest.
+pub type Priority = u64;
+
 /// What a statement does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Kind {
@@ -41,8 +44,8 @@
 /// Class of statements with similar service times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Class {
-    /// Priority; zero is the highest.
-    pub priority: u8,
+    /// Priority of the statements.
+    pub priority: Priority,
     /// What the statements do.
     pub kind: Kind,
 }
--- a/crates/admit/src/stock.rs
+++ b/crates/admit/src/stock.rs
@@ -11,7 +11,7 @@
 
 use clock::Instant;
 
-use crate::bucket::Demand;
+use crate::{bucket::Demand, service::Priority};
 
 /// Period for which operations are requested in advance: an account with many operations per
 /// second gets several with one request, an account with few is counted exactly.
@@ -23,7 +23,7 @@
 /// Operations of an account that one instance has been granted, by priority.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Stock {
-    levels: BTreeMap<u8, Level>,
+    levels: BTreeMap<Priority, Level>,
 }
 
 /// Requests of one priority.
@@ -58,7 +58,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
     /// An operation was in stock, granted to a request of this priority.
-    Granted(u8),
+    Granted(Priority),
     /// A limiter has to be asked.
     Limiter,
     /// All limiters have run out; an operation can be expected after this time.
@@ -79,7 +79,7 @@
     /// assert_eq!(stock.take(0, now), Source::Granted(1));
     /// assert_eq!(stock.take(0, now), Source::Limiter);
     /// ```
-    pub fn take(&mut self, priority: u8, now: Instant) -> Source {
+    pub fn take(&mut self, priority: Priority, now: Instant) -> Source {
         self.level(priority, now).demand.add(1, now);
         // What was granted to less urgent requests serves more of them, so it is used last.
         let mut usable = self.levels.range_mut(priority..);
@@ -96,19 +96,19 @@
     }
 
     /// Number of operations of `priority` to request at once.
-    pub fn batch_size(&self, priority: u8, now: Instant) -> u32 {
+    pub fn batch_size(&self, priority: Priority, now: Instant) -> u32 {
         let level = self.levels.get(&priority);
         let rate = level.map_or(0.0, |level| level.demand.rate(now));
         1 + (rate * PREFETCH.as_secs_f64()) as u32
     }
 
     /// Stores operations that were granted to a request of `priority`.
-    pub fn add(&mut self, priority: u8, count: u32, now: Instant) {
+    pub fn add(&mut self, priority: Priority, count: u32, now: Instant) {
         self.level(priority, now).granted = (count, now);
     }
 
     /// Returns an operation that wasn't run and had been granted to a request of `priority`.
-    pub fn refund(&mut self, priority: u8, now: Instant) {
+    pub fn refund(&mut self, priority: Priority, now: Instant) {
         let level = self.level(priority, now);
         level.granted = match level.granted {
             (count, at) if at + GRANT_TTL > now => (count + 1, at),
@@ -118,7 +118,13 @@
 
     /// Remembers that no limiter has an operation of `priority` left: none is asked before
     /// `until`, and one can be expected at `available_at`.
-    pub fn exhaust(&mut self, priority: u8, until: Instant, available_at: Instant, now: Instant) {
+    pub fn exhaust(
+        &mut self,
+        priority: Priority,
+        until: Instant,
+        available_at: Instant,
+        now: Instant,
+    ) {
         let level = self.level(priority, now);
         (level.exhausted_until, level.available_at) = (until, available_at);
     }
@@ -129,7 +135,7 @@
         rates.sum()
     }
 
-    fn level(&mut self, priority: u8, now: Instant) -> &mut Level {
+    fn level(&mut self, priority: Priority, now: Instant) -> &mut Level {
         let level = self.levels.entry(priority);
         level.or_insert_with(|| Level::new(now))
     }
--- a/crates/admit/tests/limiter.rs
+++ b/crates/admit/tests/limiter.rs
@@ -5,6 +5,7 @@
 use admit::{
     bucket::{Bucket, Limit},
     limiter::Limiter,
+    service::Priority,
     stock::{GRANT_TTL, Source, Stock},
 };
 use clock::Instant;
@@ -12,8 +13,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const URGENT: u8 = 0;
-const LOW: u8 = 2;
+const URGENT: Priority = 0;
+const LOW: Priority = 2;
 
 /// Limit of a whole quota of 100 operations a second, with its tolerated excess as the reserve.
 const LIMIT: Limit = Limit {
@@ -27,7 +28,7 @@
 }
 
 /// Random arrivals until `end_s`, as moments in microseconds with their priorities.
-fn arrivals(seed: u64, end_s: u64, rates: &[(u8, f64)]) -> Vec<(u64, u8)> {
+fn arrivals(seed: u64, end_s: u64, rates: &[(Priority, f64)]) -> Vec<(u64, Priority)> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut all = Vec::new();
     for (priority, rate) in rates {
@@ -59,7 +60,7 @@
 }
 
 /// Sends arrivals to one limiter and returns the tallies of urgent and of low priority.
-fn replay(limiter: &mut Limiter, arrivals: &[(u64, u8)], order: Order) -> [Tally; 2] {
+fn replay(limiter: &mut Limiter, arrivals: &[(u64, Priority)], order: Order) -> [Tally; 2] {
     let mut tallies = [Tally::default(); 2];
     for (micros, priority) in arrivals {
         let told = match order {
@@ -245,7 +246,7 @@
                 .take_while(|_| within_quota.take(quota, now, Duration::ZERO).is_ok())
                 .count() as u32;
             if sent > 0 {
-                prop_assert_eq!(limiter.grant(limit, priority, sent, now), Ok(sent));
+                prop_assert_eq!(limiter.grant(limit, priority.into(), sent, now), Ok(sent));
             }
         }
     }
@@ -259,7 +260,7 @@
         let (mut micros, mut granted) = (0, 0);
         for (pause, priority, count) in requests {
             micros += pause * 1_000;
-            granted += limiter.grant(LIMIT, priority, count, at(micros)).unwrap_or(0);
+            granted += limiter.grant(LIMIT, priority.into(), count, at(micros)).unwrap_or(0);
             let most = LIMIT.rate * micros as f64 / 1e6 + LIMIT.burst;
             prop_assert!(f64::from(granted) <= most + 0.01, "{} of {}", granted, most);
         }
--- a/crates/admit/tests/schedule.rs
+++ b/crates/admit/tests/schedule.rs
@@ -9,7 +9,7 @@
 use admit::{
     Schedule,
     schedule::{FLOOR_STARTS, Load, Request},
-    service::{Class, Kind, Ticket},
+    service::{Class, Kind, Priority, Ticket},
 };
 use clock::Instant;
 use proptest::prelude::*;
@@ -483,7 +483,7 @@
 
 fn step() -> impl Strategy<Value = Step> {
     let class = (
-        0..3_u8,
+        (0..3_u8).prop_map(Priority::from),
         prop::sample::select(vec![Kind::Read, Kind::Write, Kind::Begin]),
     );
     let account = prop::sample::select(vec!["one", "two", "three"]);
--- a/crates/proxy/src/catalog.rs
+++ b/crates/proxy/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use admit::service::Priority;
 use bytes::Bytes;
 
 use crate::account::Accounts;
@@ -33,7 +34,7 @@
     /// Time within which a statement should be answered.
     pub latency_target: Duration,
     /// Priority in queues; zero is the highest.
-    pub priority: u8,
+    pub priority: Priority,
     /// Callers that may use the route.
     pub access: Access,
 }
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -5,7 +5,7 @@
 use model::Term;
 use serde::{Deserialize, Deserializer, Serialize};
 
-use admit::load::Load;
+use admit::{load::Load, service::Priority};
 use lead::{Verdict, freshness::Watermark};
 
 use crate::node::ServiceState;
@@ -214,7 +214,7 @@
         /// Priority of the operations; zero is the most urgent, and that of a request by the
         /// previous version, which ends before it.
         #[serde(deserialize_with = "value_or_default")]
-        priority: u8,
+        priority: Priority,
     },
     /// Grants operations.
     QuotaGrant {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -15,7 +15,11 @@
     time::Duration,
 };
 
-use admit::{Budget, Queue, Schedule, Waiter, budget::Decision, service::Class};
+use admit::{
+    Budget, Queue, Schedule, Waiter,
+    budget::Decision,
+    service::{Class, Priority},
+};
 use clock::{Boot, Instant};
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
@@ -36,7 +40,7 @@
 struct Pending {
     sender: oneshot::Sender<Result<Connection, Unavailable>>,
     account: Option<Rc<str>>,
-    priority: u8,
+    priority: Priority,
 }
 
 /// Reason for which a request gets no connection.
--- a/crates/proxy/src/pool/load.rs
+++ b/crates/proxy/src/pool/load.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::HashSet, rc::Rc};
 
-use admit::load::Sample;
+use admit::{load::Sample, service::Priority};
 
 use super::Pool;
 
 /// Priority of urgent requests.
-const URGENT: u8 = 0;
+const URGENT: Priority = 0;
 
 impl Pool {
     /// Returns what runs and waits now.
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use admit::service::Priority;
 use clock::Instant;
 
 use crate::member::Member;
@@ -71,7 +72,7 @@
     connections: Counter,
     statements: Counter,
     reported: Cell<Instant>,
-    denied: RefCell<BTreeMap<(Reason, u8), Counter>>,
+    denied: RefCell<BTreeMap<(Reason, Priority), Counter>>,
     denied_reported: Cell<Instant>,
 }
 
@@ -88,7 +89,7 @@
 
     /// Returns the number of requests since the start that this instance refused, by reason and
     /// priority.
-    pub fn denied_totals(&self) -> Vec<(&'static str, u8, u64)> {
+    pub fn denied_totals(&self) -> Vec<(&'static str, Priority, u64)> {
         let denied = self.denied.borrow();
         let totals = denied.iter();
         totals
@@ -146,7 +147,13 @@
 
 /// Counts a request for `member` that this instance refuses, and logs the counts and the state of
 /// the pool.
-pub fn deny(member: &Member, reason: Reason, priority: u8, retry_after: Duration, now: Instant) {
+pub fn deny(
+    member: &Member,
+    reason: Reason,
+    priority: Priority,
+    retry_after: Duration,
+    now: Instant,
+) {
     let refusals = &member.refusals;
     let mut denied = refusals.denied.borrow_mut();
     denied.entry((reason, priority)).or_default().add();
--- a/crates/proxy/src/run/connect.rs
+++ b/crates/proxy/src/run/connect.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use admit::service::Kind;
+use admit::service::{Kind, Priority};
 use clock::Boot;
 use tokio::time::timeout;
 
@@ -19,7 +19,7 @@
 };
 
 /// Added to a transaction's priority while connections are scarce.
-const TRANSACTION_PENALTY: u8 = 128;
+const TRANSACTION_PENALTY: Priority = 128;
 
 /// Acquires a connection to `member` that has the session's values.
 ///
--- a/crates/proxy/src/shares.rs
+++ b/crates/proxy/src/shares.rs
@@ -21,6 +21,7 @@
 
 use admit::{
     limiter::{Limiter, Shortage},
+    service::Priority,
     shares::{Planner, Table},
     stock::{GRANT_TTL, Source, Stock},
 };
@@ -93,7 +94,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Charge {
     /// Priority that the operation was granted to.
-    granted_to: u8,
+    granted_to: Priority,
 }
 
 /// The shares of all accounts' quotas, and the use of the accounts on this instance.
@@ -118,7 +119,7 @@
     unresponsive: RefCell<HashMap<String, Instant>>,
     planner: RefCell<Option<Planner>>,
     /// Grants and refusals of the limiters, by account and priority.
-    tallies: RefCell<BTreeMap<String, BTreeMap<u8, Tally>>>,
+    tallies: RefCell<BTreeMap<String, BTreeMap<Priority, Tally>>>,
     logged_at: Cell<Instant>,
     /// Notified when the table has changed.
     updated: Notify,
@@ -196,7 +197,7 @@
     }
 
     /// Grants and refusals of this instance's limiters, by account and priority.
-    pub(crate) fn tallies(&self) -> Vec<(String, u8, Tally)> {
+    pub(crate) fn tallies(&self) -> Vec<(String, Priority, Tally)> {
         let tallies = self.tallies.borrow();
         let by_account = tallies.iter().flat_map(|(account, tallies)| {
             let tallies = tallies.iter();
@@ -221,7 +222,7 @@
     }
 
     /// Counts a requested operation and takes it from the stock if there is one.
-    fn take_granted(&self, account: &Rc<str>, priority: u8, now: Instant) -> Source {
+    fn take_granted(&self, account: &Rc<str>, priority: Priority, now: Instant) -> Source {
         let mut accounts = self.usage.borrow_mut();
         accounts.retain(|_, usage| usage.last_used + FORGET_AFTER > now);
         let usage = accounts.entry(Rc::clone(account)).or_insert_with(|| Usage {
@@ -276,7 +277,7 @@
     let now = Boot.now();
     let shares = &node.shares;
     let priority = match node.features.get().account_shares {
-        true => route.map_or(u8::MAX, |route| route.priority),
+        true => route.map_or(Priority::MAX, |route| route.priority),
         false => 0,
     };
     let max_wait = route.map_or(Duration::ZERO, |route| route.latency_target / 2);
@@ -332,7 +333,11 @@
 /// # Errors
 ///
 /// No limiter has an operation left; the error tells when one can be expected.
-async fn acquire<E: Edge>(node: &Node<E>, account: &Rc<str>, priority: u8) -> Result<(), Shortage> {
+async fn acquire<E: Edge>(
+    node: &Node<E>,
+    account: &Rc<str>,
+    priority: Priority,
+) -> Result<(), Shortage> {
     let shares = &node.shares;
     let now = Boot.now();
     let batch_size = |stock: &mut Stock| stock.batch_size(priority, now);
--- a/crates/proxy/src/shares/limiter.rs
+++ b/crates/proxy/src/shares/limiter.rs
@@ -5,6 +5,7 @@
 use admit::{
     bucket::{Bucket, Limit},
     limiter::{Limiter, Shortage},
+    service::Priority,
     shares::TOTAL_PARTS,
 };
 use clock::Boot;
@@ -41,7 +42,7 @@
     /// Name of the account.
     pub(crate) account: &'a str,
     /// Priority of the operations; zero is the most urgent.
-    pub(crate) priority: u8,
+    pub(crate) priority: Priority,
     /// Number of operations.
     pub(crate) count: u32,
 }
--- a/crates/proxy/tests/beat.rs
+++ b/crates/proxy/tests/beat.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use admit::load::Load;
+use admit::{load::Load, service::Priority};
 use lead::Verdict;
 use model::Term;
 use proptest::prelude::*;
@@ -170,7 +170,7 @@
     },
 }
 
-fn quota_request(priority: u8) -> Message {
+fn quota_request(priority: Priority) -> Message {
     Message::QuotaRequest {
         id: 9,
         reply_to: address(),
@@ -189,6 +189,24 @@
     }
 }
 
+/// An instance of a version that read priorities as single bytes takes those up to 127 for what they
+/// are.
+#[test]
+fn usual_priorities_are_single_bytes() {
+    for priority in [0, 1, 127] {
+        let bytes = heartbeat::encode_message(&quota_request(priority)).unwrap();
+        let before = heartbeat::encode_message(&quota_request(0)).unwrap();
+        assert_eq!(bytes.len(), before.len());
+        assert_eq!(bytes.last().copied().map(Priority::from), Some(priority));
+    }
+    let largest = heartbeat::encode_message(&quota_request(Priority::MAX)).unwrap();
+    let decoded = heartbeat::decode(&largest);
+    assert_eq!(
+        decoded,
+        Some(Datagram::Message(quota_request(Priority::MAX)))
+    );
+}
+
 /// Guards against limiters that answer no requests of the other version during a rolling upgrade:
 /// all accounts would be refused there.
 #[test]
