Tell replicas to receive again until they do

Cause: a replacement that is called off sends RESUME once and doesn't look at the answer. It is lost if the replicas have no slot, if the instance never learns that its record was written, or if the instance ends. Nothing compared what replicas hold for with the record.

The fix: instances that use a group compare the replicas' status with the stable record, and those that hold for a later term are told to receive again, under the takeover lock and behind a read of the record: otherwise the order undoes the fence of a replacement that goes on.

--- a/crates/lead/tests/replacement.rs
+++ b/crates/lead/tests/replacement.rs
@@ -65,6 +65,8 @@
     BeginsEarly,
     /// An order to receive again arrives long after it was given up.
     LateResume,
+    /// Replicas that hold are told to receive again without a look at the record.
+    ReleasesUnread,
     /// An order to promote takes effect long after it was given up.
     LatePromotion,
     /// A member restarts and answers between the last question and the promotion.
@@ -314,6 +316,7 @@
         self.change_members(setting, &mut states);
         self.take_effect(setting, &mut states);
         self.revise(setting, &mut states);
+        self.release(setting, &mut states);
         for index in 0..setting.replacers {
             self.replace(setting, index, &mut states);
         }
@@ -520,6 +523,19 @@
         states.push(state);
     }
 
+    /// Tells the replicas to receive again that hold for a later term than that of a stable record.
+    fn release(&self, setting: &Setting, states: &mut Vec<Self>) {
+        let holds = |at: &usize| self.members[*at].held > self.record.term;
+        let holding: u8 = (0..MEMBERS).filter(holds).map(bit).sum();
+        let is_due = !self.record.is_changing || setting.rule == Rule::ReleasesUnread;
+        if !is_due || holding & !self.resumes.0 == 0 {
+            return;
+        }
+        let mut state = *self;
+        state.resumes = (holding, 0);
+        states.push(state);
+    }
+
     fn replace(&self, setting: &Setting, index: usize, states: &mut Vec<Self>) {
         let replacer = self.replacers[index];
         let set = |stage: Stage| {
@@ -957,6 +973,7 @@
         with_store(Rule::BeginsEarly),
         with_store(Rule::LatePromotion),
         with_two(Rule::LateResume),
+        setting(Rule::ReleasesUnread),
     ] {
         assert!(explore(&setting).is_err(), "{:?}", setting.rule);
     }
--- a/crates/proxy/src/group.rs
+++ b/crates/proxy/src/group.rs
@@ -21,6 +21,7 @@
     catalog::{Readiness, Upstream},
     member::Member,
     registry::Pending,
+    takeover::Holds,
 };
 
 use absent::Absent;
@@ -77,6 +78,8 @@
     pub asking: Cell<bool>,
     /// True while this instance replaces the primary.
     pub replacing: Cell<bool>,
+    /// What is known of the replicas' holds.
+    pub(crate) holds: Cell<Holds>,
     /// Last time that a proof was requested.
     proof_wanted_at: Cell<Instant>,
     /// Id of the proof lease under which the record was read, zero for none.
@@ -120,6 +123,7 @@
             changed: Notify::new(),
             asking: Cell::new(false),
             replacing: Cell::new(false),
+            holds: Cell::default(),
             proof_wanted_at: Cell::default(),
             proof_lease: Cell::default(),
             record_learnt_at: Cell::default(),
--- a/crates/proxy/src/takeover.rs
+++ b/crates/proxy/src/takeover.rs
@@ -2,10 +2,12 @@
 //!
 //! `due` decides when a primary has to be replaced, `lock` which instance may do so,
 //! `fence` fences the old primary and chooses the next one, and `record` keeps the store up
-//! to date. This module runs the steps in order.
+//! to date. This module runs the steps in order. `holds` finds replicas that were fenced for a
+//! replacement which didn't take place.
 
 mod due;
 mod fence;
+mod holds;
 mod lock;
 mod record;
 
@@ -30,6 +32,7 @@
 };
 use due::{RANK_DELAY, Reason, due};
 use fence::{Choice, Fenced, fence, still_holds, sync};
+pub(crate) use holds::Holds;
 pub(crate) use lock::RESTORE_GRACE;
 use lock::{LOCK_TTL, Lock, claim, renew, write_lock};
 use record::{announce, end_lease, note_order, record_primary};
@@ -53,11 +56,45 @@
 /// Time that a promotion may take to become visible.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Work that needs the takeover lock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Work {
+    /// The primary has to be replaced.
+    Replace(Reason),
+    /// Replicas have to receive again.
+    Release,
+}
+
+fn due_work<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, has_lock: bool) -> Option<Work> {
+    let work = match due(node, group, has_lock) {
+        Some(reason) => Some(Work::Replace(reason)),
+        None => holds::is_release_due(group).then_some(Work::Release),
+    };
+    work.filter(|_| !group.replacing.get())
+}
+
+async fn carry_out<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, lock: &Lock, work: Work) {
+    let service = &*group.service;
+    let ended = match work {
+        Work::Replace(reason) => {
+            log::info!(service, reason:?, fence = lock.token; "replacing the primary");
+            let ended = replace(node, group, lock, reason).await;
+            log::info!(service, ended:?; "replacement over");
+            ended
+        }
+        Work::Release => holds::release(node, group, lock).await,
+    };
+    if ended.is_err() {
+        sleep(RANK_DELAY).await;
+    }
+}
+
 /// Replaces failed or leaving primaries until the process ends.
 ///
 /// One instance at a time gives orders, for all groups and with one fencing token, so the
 /// tokens of the orders that arrive never decrease, whatever their group.
 pub async fn run<E: Edge>(node: Rc<Node<E>>) {
+    spawn_local(holds::watch(Rc::clone(&node)));
     let mut held: Option<Rc<Lock>> = None;
     let mut last_used = Boot.now();
     loop {
@@ -69,8 +106,7 @@
         let due: Vec<_> = node
             .active()
             .into_iter()
-            .filter_map(|group| Some((due(&node, &group, held.is_some())?, group)))
-            .filter(|(_, group)| !group.replacing.get())
+            .filter_map(|group| Some((due_work(&node, &group, held.is_some())?, group)))
             .collect();
         if let Some(lock) = &held {
             if !due.is_empty() || lock.active.get() > 0 {
@@ -107,17 +143,12 @@
         let Some(lock) = &held else {
             continue;
         };
-        for (reason, group) in due {
+        for (work, group) in due {
             group.replacing.set(true);
             lock.active.set(lock.active.get() + 1);
             let (node, lock) = (Rc::clone(&node), Rc::clone(lock));
             spawn_local(async move {
-                log::info!(service = &*group.service, reason:?, fence = lock.token; "replacing the primary");
-                let ended = replace(&node, &group, &lock, reason).await;
-                log::info!(service = &*group.service, ended:?; "replacement over");
-                if ended.is_err() {
-                    sleep(RANK_DELAY).await;
-                }
+                carry_out(&node, &group, &lock, work).await;
                 group.replacing.set(false);
                 lock.active.set(lock.active.get() - 1);
             });
--- a/crates/proxy/src/takeover/due.rs
+++ b/crates/proxy/src/takeover/due.rs
@@ -116,7 +116,7 @@
 
 /// Number of instances that come before this one for `service`. The service's holders come
 /// first, because they notice a failure first and can reach the upstreams.
-fn position<E: Edge>(node: &Node<E>, service: &Rc<str>) -> u32 {
+pub(super) fn position<E: Edge>(node: &Node<E>, service: &Rc<str>) -> u32 {
     let holders = node.holder_names(service);
     let own = &node.settings.name;
     let place = holders.iter().position(|name| name == own);
