Find prepared statements by their text

Cause: a statement's name on the connection was the hash of its shape, and the connection remembered names only, so that a shape with a name that is known was taken for prepared.

The fix: a connection finds statements by access mode and text, and gives numbers as names, none of them twice. As it keeps the texts, a connection with 256 KiB or 4,096 of them is reset before its next statement outside of a transaction (statements_run_on_a_connection_that_was_full, which failed before for want of a reset).

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -1,6 +1,8 @@
 //! A connection to an upstream.
 
-use std::{collections::BTreeMap, collections::HashSet, io, rc::Rc, time::Duration};
+pub mod prepared;
+
+use std::{collections::BTreeMap, io, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use clock::{Boot, Instant};
@@ -11,13 +13,13 @@
     net::TcpStream,
     time::timeout,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     edge::Protocol,
     member::Member,
     message::{Code, Command, Prepared, Reply, State},
 };
+use prepared::Names;
 
 /// Time limit for connecting and the handshake.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
@@ -70,7 +72,7 @@
     buf: BytesMut,
     out: BytesMut,
     values: Values,
-    prepared: HashSet<String>,
+    prepared: Box<Names>,
     outstanding: usize,
     state: State,
     last_answer: Instant,
@@ -127,7 +129,7 @@
             buf: BytesMut::new(),
             out: BytesMut::new(),
             values: Values::new(),
-            prepared: HashSet::new(),
+            prepared: Box::default(),
             outstanding: 0,
             state: State::Idle,
             last_answer: Boot.now(),
@@ -196,6 +198,17 @@
         self.values == *values
     }
 
+    /// Returns true if nothing has to be sent before a statement of a session with these values.
+    pub fn is_set_to(&self, values: &Values) -> bool {
+        self.has_values(values) && !self.is_full()
+    }
+
+    /// Returns true if the statements that are prepared on the connection are to be dropped, which is
+    /// not possible within a transaction.
+    fn is_full(&self) -> bool {
+        self.state == State::Idle && self.prepared.is_full()
+    }
+
     /// Sets the connection to a session's values, and waits until the upstream has them: a statement
     /// that is sent together with a command would run even if the command is refused.
     ///
@@ -203,7 +216,8 @@
     ///
     /// As for [`Connection::request`], or the upstream refused a command.
     pub async fn apply_values<P: Protocol>(&mut self, values: &Values) -> Result<(), Broken> {
-        if self.values.keys().any(|name| !values.contains_key(name)) {
+        let is_stale = self.values.keys().any(|name| !values.contains_key(name));
+        if is_stale || self.is_full() {
             return self.reset_to::<P>(values).await;
         }
         self.queue_values::<P>(values);
@@ -245,19 +259,12 @@
 
     /// Queues the command that prepares `statement` unless it is prepared already, and returns its
     /// name on this connection.
-    ///
-    /// The name is a hash of the statement: names of different sessions never collide, and a
-    /// statement is prepared once for all sessions that use the connection.
     pub fn prepare<P: Protocol>(&mut self, statement: &Prepared) -> String {
-        let kind = match statement.access {
-            crate::message::Access::Read => 'r',
-            crate::message::Access::Write => 'w',
-        };
-        let name = format!("{kind}{:016x}", xxh3_64(&statement.text));
-        if !self.prepared.contains(&name) {
-            self.queue::<P>(&Command::Prepare(&name, statement));
-            self.prepared.insert(name.clone());
+        if let Some(name) = self.prepared.find(statement) {
+            return name;
         }
+        let name = self.prepared.add(statement);
+        self.queue::<P>(&Command::Prepare(&name, statement));
         name
     }
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -140,7 +140,7 @@
     context: &Context<'_>,
     within: Duration,
 ) -> Result<(), NoAnswer> {
-    if connection.has_values(context.values) {
+    if connection.is_set_to(context.values) {
         return Ok(());
     }
     let member = Rc::clone(connection.member());
