--- a/crates/lead/src/choose.rs
+++ b/crates/lead/src/choose.rs
@@ -46,10 +46,11 @@
 /// assert!(holds_all_commits(1, 2, 0));
 /// assert!(!holds_all_commits(1, 2, 1));
 /// assert!(holds_all_commits(2, 2, 1));
+/// assert!(holds_all_commits(1, 2, usize::MAX));
 /// ```
 pub fn holds_all_commits(answered: usize, replicas: usize, sync: usize) -> bool {
     match sync {
         0 => answered > 0,
-        _ => answered + sync > replicas,
+        _ => answered.saturating_add(sync) > replicas,
     }
 }
--- a/crates/lead/tests/quorum.rs
+++ b/crates/lead/tests/quorum.rs
@@ -22,3 +22,11 @@
         assert!(!prevents_majority(0, replicas));
     }
 }
+
+/// A replacement ends in a panic, and nothing replaces the primary any more, if a sum overflows: the
+/// catalogue and the upstreams may tell any number.
+#[test]
+fn numbers_at_their_limit_do_not_overflow() {
+    assert!(lead::choose::holds_all_commits(1, 2, usize::MAX));
+    assert_eq!(model::Term(u64::MAX).next(), model::Term(u64::MAX));
+}
--- a/crates/model/src/position.rs
+++ b/crates/model/src/position.rs
@@ -13,7 +13,7 @@
 impl Term {
     /// The term that a promotion claims after this one.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
