Write a record again that can't be read

Callers would see: a service is not served any more if another writer has changed its record in the store to something that can't be read. An instance that starts is never ready; the others go on until the next replacement of any primary.

Cause: such a record counted as none, and the first one is written on the condition that there is none.

The fix: a relay writes the record again in place of that revision, as that of a replacement in progress: the lost one may have been about a replacement whose order still takes effect, so the holder of the takeover lock has to find out what leads.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -275,11 +275,20 @@
     }
 }
 
-/// Applies a group's record. A record that a restored store brought back from before the
-/// restoration is written again by a relay.
+/// Applies a group's record. A relay writes it again if it can't be parsed, or if a restored store
+/// brought it back from before the restoration.
 pub fn apply_record<E: Edge>(node: &Rc<Node<E>>, item: &Item) -> Option<Rc<Group>> {
     let service = item.key.strip_prefix(&record_key::<E>(""))?;
-    let record: Record = serde_json::from_slice(&item.value).ok()?;
+    // The proof lease's key.
+    if service.is_empty() {
+        return None;
+    }
+    let Ok(record) = serde_json::from_slice::<Record>(&item.value) else {
+        if relay::is_relay(node) && node.catalog().services.contains_key(service) {
+            proof_lease::repair_record(node, &node.group_of(&service.into()), item.revision);
+        }
+        return None;
+    };
     let group = node.group_of(&service.into());
     let text = format!("{record:?}");
     if record.written < era_of(item.revision) {
--- a/crates/proxy/src/proof_lease.rs
+++ b/crates/proxy/src/proof_lease.rs
@@ -49,8 +49,8 @@
 pub(crate) use adopt::adopt_proof;
 pub use lease::{Lease, find_lease};
 pub use quorum::UNANIMITY_AFTER;
-pub(crate) use recovery::restore_record;
 use recovery::write_missing;
+pub(crate) use recovery::{repair_record, restore_record};
 
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/proxy/src/proof_lease/recovery.rs
+++ b/crates/proxy/src/proof_lease/recovery.rs
@@ -205,6 +205,39 @@
     });
 }
 
+/// Replaces a group's record that can't be parsed, which was found at `revision`: another writer has
+/// changed it.
+///
+/// The lost record may have been that of a replacement whose order still takes effect. So the new one
+/// doesn't name a primary in use but a replacement in progress, and the holder of the takeover lock
+/// finds out what leads.
+pub(crate) fn repair_record<E: Edge>(node: &Rc<Node<E>>, group: &Rc<Group>, revision: u64) {
+    if group.replacing.replace(true) {
+        return;
+    }
+    log::error!(service = &*group.service, revision; "record can't be parsed");
+    let (node, group) = (Rc::clone(node), Rc::clone(group));
+    spawn_local(async move {
+        let jitter = Duration::from_millis(rand::random_range(0..WRITE_JITTER_MS * 3));
+        sleep(jitter).await;
+        let last = match group.stored_record() {
+            Some(known) if known.revision > revision => None,
+            Some(known) => Some(known.record),
+            None => first_record(&node, &group).await,
+        };
+        if let Some(last) = last {
+            let record = Record {
+                phase: Phase::Changing,
+                by: node.settings.name.clone(),
+                written: node.store().era(),
+                ..last
+            };
+            write_record(&node, &group, record, revision).await;
+        }
+        group.replacing.set(false);
+    });
+}
+
 /// Rewrites a restored record from the members' replies.
 async fn rewrite_from_members<E: Edge>(
     node: &Rc<Node<E>>,
