Take large revisions of the store for what they are

The bits above hold the store's era in this process, so each record counted as one that a restored store brought back.

The fix: revisions of 2^40 and more have a mark and 53 bits, which is as far as each reader of JSON goes; below nothing changes, so that instances of the version before read the same. The mark isn't part of fencing tokens.

--- a/crates/proxy/src/edge.rs
+++ b/crates/proxy/src/edge.rs
@@ -92,6 +92,13 @@
 /// store's era.
 const REVISION_BITS: u32 = 40;
 
+/// The same for own revisions that need more bits. The largest one is the largest number that each
+/// reader of JSON holds exactly.
+const WIDE_REVISION_BITS: u32 = 53;
+
+/// Marks a revision with [`WIDE_REVISION_BITS`].
+const WIDE: u64 = 1 << 63;
+
 /// Joins the store's era and its own revision into one number that never goes back: a store that is
 /// restored from a copy begins a new era and issues revision numbers again.
 ///
@@ -100,22 +107,45 @@
 /// assert!(join_era(3, 900) < join_era(4, 7));
 /// assert_eq!((era_of(join_era(4, 7)), store_revision(join_era(4, 7))), (4, 7));
 /// assert_eq!(join_era(4, 0), 0, "there is no such item");
+/// let wide = 1 << 41;
+/// assert!(join_era(0, 7) < join_era(0, wide) && join_era(0, wide) < join_era(1, wide));
+/// assert_eq!((era_of(join_era(0, wide)), store_revision(join_era(0, wide))), (0, wide));
 /// ```
 pub fn join_era(era: u64, revision: u64) -> u64 {
     match revision {
         0 => 0,
-        revision => era << REVISION_BITS | revision,
+        _ if revision >> REVISION_BITS == 0 => era << REVISION_BITS | revision,
+        _ => WIDE | era << WIDE_REVISION_BITS | revision,
+    }
+}
+
+fn revision_bits(revision: u64) -> u32 {
+    match revision & WIDE {
+        0 => REVISION_BITS,
+        _ => WIDE_REVISION_BITS,
     }
 }
 
 /// Returns the store's era in which a revision was issued.
 pub fn era_of(revision: u64) -> u64 {
-    revision >> REVISION_BITS
+    fencing_token(revision) >> revision_bits(revision)
 }
 
 /// Returns the number by which the store itself knows a revision.
 pub fn store_revision(revision: u64) -> u64 {
-    revision & ((1 << REVISION_BITS) - 1)
+    revision & ((1 << revision_bits(revision)) - 1)
+}
+
+/// Returns the fencing token of a lock that was taken at `revision`: a number of 63 bits that rises
+/// with the revision.
+///
+/// ```
+/// use proxy::edge::{fencing_token, join_era};
+/// assert_eq!(fencing_token(join_era(0, 7)), 7);
+/// assert_eq!(fencing_token(join_era(0, 1 << 41)), 1 << 41);
+/// ```
+pub fn fencing_token(revision: u64) -> u64 {
+    revision & !WIDE
 }
 
 /// An item of the store.
--- a/crates/proxy/src/takeover/lock.rs
+++ b/crates/proxy/src/takeover/lock.rs
@@ -9,7 +9,7 @@
 use super::Failed;
 use crate::{
     control::{encode, takeover_lock_key},
-    edge::{Edge, Fault, Store, Swap, Swapped},
+    edge::{Edge, Fault, Store, Swap, Swapped, fencing_token},
     node::Node,
 };
 
@@ -119,7 +119,7 @@
         duty.map_or_else(Vec::new, |duty| duty.previous_holders(name));
     let (revision, until) = write_lock(node, revision, true).await?;
     Ok(Lock {
-        token: revision,
+        token: fencing_token(revision),
         revision: Cell::new(revision),
         until: Cell::new(until),
         active: Cell::new(0),
