Send no statement whose values took longer than the drain

Evidence: a_statement_whose_values_are_applied_slowly_does_not_run_after_the_drain fails with the check taken out.

The fix: whether the upstream may get work is asked again once it has the values.

--- a/crates/proxy/src/run/connect.rs
+++ b/crates/proxy/src/run/connect.rs
@@ -68,10 +68,18 @@
         node.refresh.notify_one();
     }
     let mut connection = acquired?;
+    if connection.is_set_to(context.values) {
+        return Ok(connection);
+    }
     let group = node.group_of(&context.route.service);
     let time_left = remaining(context.route.timeout, context.arrived_at);
     match apply_values(node, &group, &mut connection, context, time_left).await {
-        Ok(()) => Ok(connection),
+        Ok(()) if node.may_get_work(member) => Ok(connection),
+        // The upstream's drain is over since.
+        Ok(()) => {
+            pool::release::<E::Protocol>(connection);
+            Err(Unavailable::Refused(Refused::TooMany))
+        }
         Err(_) => {
             pool::discard::<E::Protocol>(connection);
             probe::suspect(node, &group, member);
