Leave a record with an unknown phase alone

Found by reading the change: an instance of this version would take the record of a later version with another phase for spoiled, and both would write it in turn.

Evidence: a_record_with_an_unknown_phase_is_left_alone; without the check the record is that of a replacement in progress.

Later versions only add phases and optional fields, so that a record with a known phase that can't be read is spoiled.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use clock::Boot;
-use lead::Record;
+use lead::{Phase, Record};
+use serde::Deserialize;
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
@@ -275,8 +276,8 @@
     }
 }
 
-/// Applies a group's record. A relay writes it again if it can't be parsed, or if a restored store
-/// brought it back from before the restoration.
+/// Applies a group's record. A relay writes it again if another writer has spoiled it, or if a restored
+/// store brought it back from before the restoration.
 pub fn apply_record<E: Edge>(node: &Rc<Node<E>>, item: &Item) -> Option<Rc<Group>> {
     let service = item.key.strip_prefix(&record_key::<E>(""))?;
     // The proof lease's key.
@@ -284,7 +285,8 @@
         return None;
     }
     let Ok(record) = serde_json::from_slice::<Record>(&item.value) else {
-        if relay::is_relay(node) && node.catalog().services.contains_key(service) {
+        let is_spoiled = !is_of_later_version(&item.value);
+        if is_spoiled && relay::is_relay(node) && node.catalog().services.contains_key(service) {
             proof_lease::repair_record(node, &node.group_of(&service.into()), item.revision);
         }
         return None;
@@ -304,6 +306,17 @@
     Some(group)
 }
 
+/// Returns true if a record that can't be read has a phase that this version doesn't know: later
+/// versions only add phases and optional fields.
+fn is_of_later_version(record: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct Phased {
+        phase: String,
+    }
+    let phased = serde_json::from_slice::<Phased>(record);
+    phased.is_ok_and(|record| serde_json::from_value::<Phase>(record.phase.into()).is_err())
+}
+
 /// Encodes a record for the store.
 pub fn encode<T: serde::Serialize>(record: &T) -> Bytes {
     serde_json::to_vec(record)
