--- a/crates/proxy/src/takeover/holds.rs
+++ b/crates/proxy/src/takeover/holds.rs
@@ -50,6 +50,7 @@
     pause: Duration,
     /// True if a replica holds for a later term than the record's.
     is_outdated: bool,
+    /// True while the replicas are asked.
     is_checking: bool,
 }
 
@@ -92,7 +93,7 @@
         true => (holds.checked_at, holds.pause),
         false => (group.record_learnt_at.get(), FIRST_CHECK_DELAY),
     };
-    // Computing the position costs more than the time.
+    // The position is computed last, as that ranks all instances.
     since + pause <= now && since + pause * (position(node, &group.service) + 1) <= now
 }
 
